--- /dev/null
+++ b/bench/report.ts
@@ -0,0 +1,37 @@
+/** How benches print: medians in columns, and JSON to a file. */
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { Command } from "commander";
+
+/** Options that all benches share. */
+export interface BenchOptions {
+  readonly json: string | undefined;
+  readonly runs: number;
+}
+
+/** Reads the options of a bench. */
+export function readBenchOptions(name: string, runs: number): BenchOptions {
+  const options = new Command(name)
+    .option("--json <file>", "write the figures to a file")
+    .option("--runs <count>", "runs that medians are taken over", String(runs))
+    .parse().opts<{ json?: string; runs: string }>();
+  return { json: options.json, runs: Number(options.runs) };
+}
+
+/** Computes the median; the lower one of two. */
+export function computeMedian(values: readonly number[]): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? NaN;
+}
+
+/** Prints a line of the report. */
+export function writeReport(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+/** Writes the figures where `--json` was given. */
+export function writeFigures(options: BenchOptions, figures: unknown): void {
+  if (options.json !== undefined) {
+    writeFileSync(options.json, `${JSON.stringify(figures, null, 2)}\n`);
+  }
+}
--- /dev/null
+++ b/src/daemon/edit_body.ts
@@ -0,0 +1,72 @@
+/** Checks the body of an edit that an operator sends. */
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import type { TableChange } from "../platform/table/common/table_reducer.ts";
+import { parseRow } from "../platform/table/common/table_schema.ts";
+import type { DraftRow } from "../platform/table/common/table_schema.ts";
+
+/** An edit before it has an operator and a time. */
+export interface EditBody {
+  readonly editId: string;
+  readonly change: TableChange;
+}
+
+const CELLS = v.record(v.string(), v.string());
+const VERSION = v.pipe(v.number(), v.integer(), v.minValue(0));
+const EDIT_ID = v.pipe(v.string(), v.regex(/^[A-Za-z0-9._-]{1,64}$/));
+
+const BODY = v.strictObject({
+  editId: EDIT_ID,
+  change: v.variant("type", [
+    v.strictObject({ type: v.literal("PutRow"), cells: CELLS }),
+    v.strictObject({
+      type: v.literal("RemoveRow"),
+      kind: v.string(),
+      fromVersion: VERSION,
+    }),
+    v.strictObject({ type: v.literal("ReplaceRows"), rows: v.array(CELLS) }),
+  ]),
+});
+
+/** Reads an edit; rows come as cells, just as they stand in CSV. */
+export function parseEditBody(body: unknown): Result<EditBody, string> {
+  const parsed = v.safeParse(BODY, body);
+  if (!parsed.success) {
+    const issue = parsed.issues[0];
+    return err(`Edit is malformed: ${v.getDotPath(issue)}: ${issue.message}`);
+  }
+  const { editId, change } = parsed.output;
+  switch (change.type) {
+    case "RemoveRow":
+      return ok({ editId, change });
+    case "PutRow":
+      return parseRows([change.cells]).map(([draft]) => ({
+        editId,
+        change: { type: "PutRow", ...draft! },
+      }));
+    case "ReplaceRows":
+      return parseRows(change.rows).map((rows) => ({
+        editId,
+        change: { type: "ReplaceRows", rows },
+      }));
+  }
+}
+
+function parseRows(
+  lines: readonly Readonly<Record<string, string>>[],
+): Result<readonly DraftRow[], string> {
+  const drafts: DraftRow[] = [];
+  const reasons: string[] = [];
+  lines.forEach((cells, index) => {
+    parseRow(cells, index + 2).match(
+      (draft) => drafts.push(draft),
+      (bad) =>
+        reasons.push(
+          ...bad.map((cell) =>
+            `line ${cell.line}, ${cell.column}: ${cell.reason}`
+          ),
+        ),
+    );
+  });
+  return reasons.length > 0 ? err(reasons.join("\n")) : ok(drafts);
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,71 @@
+#!/usr/bin/env node
+/** `basilpind`: starts one process in the role that its settings name. */
+import process from "node:process";
+import { Command } from "commander";
+import { ControlDaemon } from "./control_daemon.ts";
+import { NodeDaemon } from "./node_daemon.ts";
+import { readSettings } from "./settings.ts";
+import type { Settings } from "./settings.ts";
+
+const EXIT_OK = 0;
+const EXIT_FAILED = 1;
+const EXIT_SETTINGS = 2;
+
+interface Daemon extends AsyncDisposable {
+  open(): Promise<void>;
+  /** Resolves once nothing is in progress. */
+  drain(): Promise<void>;
+}
+
+function createDaemon(settings: Settings): Daemon {
+  return settings.role === "node"
+    ? new NodeDaemon(settings)
+    : new ControlDaemon(settings);
+}
+
+async function runDaemon(settings: Settings): Promise<void> {
+  const daemon = createDaemon(settings);
+  try {
+    await daemon.open();
+  } catch (error) {
+    process.stderr.write(`Can't start: ${(error as Error).message}\n`);
+    process.exit(EXIT_FAILED);
+  }
+  let isStopping = false;
+  const stop = async () => {
+    if (isStopping) {
+      process.exit(EXIT_FAILED);
+    }
+    isStopping = true;
+    await daemon.drain();
+    await daemon[Symbol.asyncDispose]();
+    process.exit(EXIT_OK);
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  process.stdout.write(`${settings.id} is up\n`);
+}
+
+const program = new Command("basilpind")
+  .description("Overload control beside a backend server, or its control")
+  .requiredOption("--settings <file>", "TOML settings of this process")
+  .option("--check", "check the settings and exit")
+  .exitOverride((error) => {
+    process.exit(error.exitCode === 0 ? EXIT_OK : EXIT_SETTINGS);
+  });
+program.parse();
+const options = program.opts<{ settings: string; check?: boolean }>();
+
+await readSettings(options.settings).match(
+  async (settings) => {
+    if (options.check === true) {
+      process.stdout.write(`${options.settings} is valid\n`);
+      return;
+    }
+    await runDaemon(settings);
+  },
+  (error) => {
+    process.stderr.write(`${error.message}\n`);
+    process.exit(EXIT_SETTINGS);
+  },
+);
--- /dev/null
+++ b/src/daemon/node_daemon.ts
@@ -0,0 +1,264 @@
+/** The node role: the loop of one node, wired to its listeners. */
+import { EventLoop } from "../base/node/event_loop.ts";
+import { DisposalStack } from "../base/common/disposal.ts";
+import { parseAddress } from "../base/node/listen.ts";
+import type {
+  NodeEffect,
+  NodeEvent,
+} from "../platform/call/common/call_events.ts";
+import { reduceNode } from "../platform/call/common/node_reducer.ts";
+import { createNodeState, isIdle } from "../platform/call/common/node_state.ts";
+import type { NodeState } from "../platform/call/common/node_state.ts";
+import { CallServer } from "../platform/call/node/call_server.ts";
+import type { ControlMessage } from "../platform/link/common/link_messages.ts";
+import { LinkClient } from "../platform/link/node/link_client.ts";
+import type { Announcement } from "../platform/membership/common/announcement.ts";
+import { OperatorServer } from "./operator_server.ts";
+import type { OperatorRoute } from "./operator_server.ts";
+import type { NodeSettings } from "./settings.ts";
+import { Telemetry } from "./telemetry.ts";
+import { TimerSet } from "./timer_set.ts";
+
+/** How long a drain waits for subscribers to hear of it. */
+const DRAIN_SPREAD_MS = 1_000;
+const IDLE_POLL_MS = 20;
+
+/** A running node. */
+export class NodeDaemon implements AsyncDisposable {
+  readonly #settings: NodeSettings;
+  readonly #owned = new DisposalStack();
+  readonly #telemetry: Telemetry;
+  readonly #loop: EventLoop<NodeState, NodeEvent, NodeEffect>;
+  readonly #calls: CallServer;
+  readonly #link: LinkClient;
+  readonly #timers: TimerSet;
+  readonly #operator: OperatorServer;
+  readonly #services = new Set<string>();
+  #replica: string | undefined;
+
+  constructor(settings: NodeSettings) {
+    this.#settings = settings;
+    this.#telemetry = this.#owned.use(new Telemetry(settings));
+    this.#loop = new EventLoop({
+      initial: createNodeState(
+        createAnnouncement(settings),
+        settings.backend.address,
+      ),
+      reduce: reduceNode,
+      readClock: Date.now,
+      perform: (effect) => this.#perform(effect),
+    });
+    const dispatch = (event: NodeEvent) => this.#loop.dispatch(event);
+    this.#timers = this.#owned.use(
+      new TimerSet((key) => dispatch({ type: "TimerFired", key })),
+    );
+    this.#calls = this.#owned.use(this.#createCalls(dispatch));
+    this.#link = this.#owned.use(this.#createLink());
+    this.#operator = this.#owned.use(this.#createOperator());
+    this.#createGauges();
+  }
+
+  /** Opens the listeners and starts to announce. */
+  async open(): Promise<void> {
+    await this.#calls.open();
+    await this.#operator.open();
+    this.#link.open();
+    this.#telemetry.record({ type: "ProcessStarted", role: "node" });
+  }
+
+  /** Takes no new work and resolves when all calls are finished. */
+  async drain(): Promise<void> {
+    this.#loop.dispatch({ type: "DrainRequested" });
+    await waitMs(DRAIN_SPREAD_MS);
+    while (!isIdle(this.#loop.state)) {
+      await waitMs(IDLE_POLL_MS);
+    }
+    this.#telemetry.record({ type: "DrainEnded" });
+    this.#link.send({ type: "Leave" });
+    this.#calls.close();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#telemetry.record({ type: "ProcessStopped" });
+    await this.#owned[Symbol.asyncDispose]();
+  }
+
+  #perform(effect: NodeEffect): void {
+    switch (effect.type) {
+      case "StartTimer":
+        this.#timers.start(effect.key, effect.atMs);
+        return;
+      case "StopTimer":
+        this.#timers.stop(effect.key);
+        return;
+      case "SubscribeService":
+        this.#services.add(effect.service);
+        this.#link.send({ type: "Subscribe", service: effect.service });
+        return;
+      case "SendAnnouncement":
+        this.#link.send({
+          type: "Announce",
+          announcement: effect.announcement,
+        });
+        return;
+      case "ConfirmTable":
+        this.#link.send(this.#createHeartbeat());
+        return;
+      case "RecordEvent":
+        this.#telemetry.record(effect.event);
+        return;
+      default:
+        this.#calls.perform(effect);
+    }
+  }
+
+  #createCalls(dispatch: (event: NodeEvent) => void): CallServer {
+    const { listen, backend } = this.#settings;
+    return new CallServer({
+      listeners: {
+        edge: parseAddress(listen.edge)!,
+        egress: parseAddress(listen.egress)!,
+        ingress: parseAddress(listen.ingress)!,
+      },
+      dispatch,
+      connections: backend.connections,
+    });
+  }
+
+  #createLink(): LinkClient {
+    return new LinkClient({
+      replicas: this.#settings.control.replicas,
+      onMessage: (message) => this.#receive(message),
+      onOpen: (replica) => this.#announce(replica),
+      onClose: () => {
+        this.#replica = undefined;
+      },
+      createHeartbeat: () => this.#createHeartbeat(),
+    });
+  }
+
+  #createHeartbeat() {
+    return {
+      type: "Heartbeat",
+      tableVersion: this.#loop.state.table.version,
+      clock: this.#telemetry.timeline.clock,
+    } as const;
+  }
+
+  #announce(replica: string): void {
+    this.#replica = replica;
+    const announcement = this.#loop.state.self;
+    this.#link.send({ type: "Announce", announcement });
+    for (const service of this.#services) {
+      this.#link.send({ type: "Subscribe", service });
+    }
+  }
+
+  #receive(message: ControlMessage): void {
+    switch (message.type) {
+      case "TableUpdate": {
+        const { table, isConfirmed } = message;
+        this.#loop.dispatch({ type: "TableReceived", table, isConfirmed });
+        return;
+      }
+      case "MemberList":
+        this.#loop.dispatch({ ...message, type: "MembersListed" });
+        return;
+      case "MemberUpdate":
+        this.#loop.dispatch({ ...message, type: "MemberPublished" });
+        return;
+      case "MemberLoss":
+        this.#loop.dispatch({ ...message, type: "MemberLost" });
+        return;
+      case "DrainOrder":
+        this.#loop.dispatch({ type: "DrainRequested" });
+        return;
+      case "HeartbeatAnswer":
+        this.#telemetry.timeline.observeClock(message.clock);
+        return;
+    }
+  }
+
+  #createOperator(): OperatorServer {
+    const { timeline, metrics } = this.#telemetry;
+    const routes = new Map<string, OperatorRoute>([
+      ["GET /livez", () => ({ status: 200, body: { isAlive: true } })],
+      ["GET /readyz", () => this.#answerReady()],
+      ["GET /status", () => ({ status: 200, body: this.#createStatus() })],
+      ["GET /timeline", () => ({ status: 200, body: timeline.list() })],
+      ["POST /drain", () => {
+        this.#loop.dispatch({ type: "DrainRequested" });
+        return { status: 202, body: { isDraining: true } };
+      }],
+    ]);
+    return new OperatorServer({
+      address: parseAddress(this.#settings.listen.operator)!,
+      routes,
+      answerScrape: (request, response) =>
+        metrics.answerScrape(request, response),
+    });
+  }
+
+  #answerReady() {
+    const { table, self } = this.#loop.state;
+    const isReady = table.version > 0 && !self.isDraining;
+    return { status: isReady ? 200 : 503, body: { isReady } };
+  }
+
+  #createStatus() {
+    const { state } = this.#loop;
+    return {
+      role: "node",
+      id: state.self.nodeId,
+      service: state.self.service,
+      dataCentre: state.self.dataCentre,
+      tableVersion: state.table.version,
+      isTableConfirmed: state.isTableConfirmed,
+      isDraining: state.self.isDraining,
+      controlReplica: this.#replica ?? null,
+      entryCalls: state.entries.size,
+      running: state.admission.running.size,
+      queued: state.admission.queue.length,
+    };
+  }
+
+  #createGauges(): void {
+    const { metrics } = this.#telemetry;
+    metrics.createGauge(
+      "table_version",
+      "Version of the table in force",
+      () => this.#loop.state.table.version,
+    );
+    metrics.createGauge(
+      "running",
+      "Requests that the backend server runs",
+      () => this.#loop.state.admission.running.size,
+    );
+    metrics.createGauge(
+      "queued",
+      "Requests that wait for the backend server",
+      () => this.#loop.state.admission.queue.length,
+    );
+  }
+}
+
+function createAnnouncement(settings: NodeSettings): Announcement {
+  return {
+    nodeId: settings.id,
+    incarnation: Date.now(),
+    sequence: 0,
+    service: settings.service,
+    dataCentre: settings.data_centre,
+    region: settings.region,
+    vm: settings.vm,
+    ingress: settings.listen.ingress,
+    operator: settings.listen.operator,
+    slots: settings.backend.slots,
+    connections: settings.backend.connections,
+    isDraining: false,
+  };
+}
+
+function waitMs(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,148 @@
+/** The settings of a process: TOML, checked by a schema. */
+import { readFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import { parse as parseToml } from "smol-toml";
+import * as v from "valibot";
+import { parseAddress } from "../base/node/listen.ts";
+
+/** Why settings can't be used: one line for the operator. */
+export interface SettingsError {
+  readonly type: "SettingsError";
+  readonly message: string;
+}
+
+const NAME = v.pipe(
+  v.string("a text"),
+  v.regex(
+    /^[a-z0-9][a-z0-9._-]{0,63}$/,
+    "lower-case letters, digits, ., - or _, at most 64",
+  ),
+);
+const ADDRESS = v.pipe(
+  v.string("host:port"),
+  v.check((text) => parseAddress(text) !== undefined, "host:port"),
+);
+
+function createCount(max: number) {
+  const allowed = `a whole number from 1 to ${max}`;
+  return v.pipe(
+    v.number(allowed),
+    v.check((n) => Number.isInteger(n) && n >= 1 && n <= max, allowed),
+  );
+}
+
+const LOG = v.optional(
+  v.strictObject({
+    level: v.picklist(
+      ["trace", "debug", "info", "warn", "error"],
+      "one of trace, debug, info, warn, error",
+    ),
+  }),
+  { level: "info" },
+);
+const SECURITY = v.strictObject({
+  transport: v.picklist(["plaintext"], '"plaintext"'),
+});
+
+const NODE_SETTINGS = v.strictObject({
+  role: v.literal("node"),
+  id: NAME,
+  vm: NAME,
+  region: NAME,
+  data_centre: NAME,
+  service: NAME,
+  listen: v.strictObject({
+    edge: ADDRESS,
+    egress: ADDRESS,
+    ingress: ADDRESS,
+    operator: ADDRESS,
+  }),
+  backend: v.strictObject({
+    address: ADDRESS,
+    slots: createCount(100_000),
+    connections: createCount(1_000_000),
+  }),
+  control: v.strictObject({
+    replicas: v.pipe(
+      v.array(ADDRESS, "a list of host:port"),
+      v.minLength(1, "at least one host:port"),
+    ),
+  }),
+  security: SECURITY,
+  log: LOG,
+});
+
+const CONTROL_SETTINGS = v.strictObject({
+  role: v.literal("control"),
+  id: NAME,
+  vm: NAME,
+  region: NAME,
+  data_centre: NAME,
+  data_folder: v.pipe(
+    v.string("a folder"),
+    v.minLength(1, "a folder"),
+  ),
+  listen: v.strictObject({ link: ADDRESS, operator: ADDRESS }),
+  security: SECURITY,
+  log: LOG,
+});
+
+const SETTINGS = v.variant(
+  "role",
+  [NODE_SETTINGS, CONTROL_SETTINGS],
+  '"node" or "control"',
+);
+
+/** Settings of the node role. */
+export type NodeSettings = v.InferOutput<typeof NODE_SETTINGS>;
+/** Settings of the control role. */
+export type ControlSettings = v.InferOutput<typeof CONTROL_SETTINGS>;
+/** Settings of either role. */
+export type Settings = NodeSettings | ControlSettings;
+
+/** Reads and checks a settings file. */
+export function readSettings(file: string): Result<Settings, SettingsError> {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    return err(createError(file, `Can't read: ${(error as Error).message}`));
+  }
+  return parseSettings(file, text);
+}
+
+/** Checks the text of a settings file; `file` is for messages. */
+export function parseSettings(
+  file: string,
+  text: string,
+): Result<Settings, SettingsError> {
+  let value: unknown;
+  try {
+    value = parseToml(text);
+  } catch (error) {
+    const firstLine = (error as Error).message.split("\n")[0]!;
+    return err(createError(file, firstLine));
+  }
+  const checked = v.safeParse(SETTINGS, value);
+  return checked.success
+    ? ok(checked.output)
+    : err(createError(file, describeIssue(checked.issues[0])));
+}
+
+function describeIssue(issue: v.BaseIssue<unknown>): string {
+  const key = v.getDotPath(issue) ?? "";
+  if (issue.type === "strict_object" && issue.expected === "never") {
+    return `${key}: unknown key; remove it or see docs/OPERATING.md`;
+  }
+  const found = issue.input === undefined
+    ? "nothing"
+    : JSON.stringify(issue.input);
+  const allowed = issue.type === "strict_object" && issue.input === undefined
+    ? "this key"
+    : issue.message;
+  return `${key}: found ${found}; expected ${allowed}`;
+}
+
+function createError(file: string, message: string): SettingsError {
+  return { type: "SettingsError", message: `${file}: ${message}` };
+}
--- /dev/null
+++ b/src/daemon/telemetry.ts
@@ -0,0 +1,36 @@
+/** Logs, metrics and the time line of one process, behind one recorder. */
+import type { Logger } from "roarr";
+import { Timeline } from "../platform/telemetry/common/timeline.ts";
+import type { TimelineEvent } from "../platform/telemetry/common/timeline_event.ts";
+import { createLog } from "../platform/telemetry/node/log.ts";
+import { Metrics } from "../platform/telemetry/node/metrics.ts";
+import type { Settings } from "./settings.ts";
+
+/** What a process tells of itself. */
+export class Telemetry implements AsyncDisposable {
+  readonly log: Logger;
+  readonly metrics = new Metrics();
+  readonly timeline: Timeline;
+
+  constructor(settings: Settings) {
+    const { id, role, data_centre: dataCentre, log } = settings;
+    this.log = createLog({ level: log.level, role, process: id, dataCentre });
+    this.timeline = new Timeline({ process: id, dataCentre });
+  }
+
+  /** Keeps, counts and logs an event. */
+  record(event: TimelineEvent): void {
+    this.timeline.record(event, Date.now());
+    this.metrics.countEvent(event);
+    const { type, ...context } = event;
+    if ("requestId" in event) {
+      this.log.debug(context, type);
+    } else {
+      this.log.info(context, type);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.metrics[Symbol.asyncDispose]();
+  }
+}
--- /dev/null
+++ b/src/platform/call/common/answers.ts
@@ -0,0 +1,54 @@
+/** The answers that a node gives itself, and the headers that go with them. */
+import {
+  DRAINING_HEADER,
+  OUTCOME_HEADER,
+  TOKENS_HEADER,
+} from "./call_context.ts";
+import type { CallOutcome } from "./call_context.ts";
+import type { AnswerCall, SignalHeaders } from "./call_events.ts";
+
+/** An answer before it is bound to an exchange. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly outcome: CallOutcome;
+  readonly message: string;
+  /** When the caller should come back, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/** What rides on every answer to another node. */
+export interface AnswerSignals {
+  readonly outcome: CallOutcome;
+  readonly tokens?: number;
+  readonly isDraining?: boolean;
+}
+
+/** Creates the answer effect of one exchange. */
+export function createAnswer(
+  exchangeId: string,
+  answer: OwnAnswer,
+  signals: Omit<AnswerSignals, "outcome"> = {},
+): AnswerCall {
+  const { outcome, retryAfterMs } = answer;
+  const headers = createSignalHeaders({ ...signals, outcome });
+  const retryAfter = retryAfterMs === undefined
+    ? {}
+    : { "retry-after": String(Math.max(1, Math.ceil(retryAfterMs / 1000))) };
+  return {
+    type: "AnswerCall",
+    exchangeId,
+    status: answer.status,
+    headers: { ...headers, ...retryAfter },
+    message: answer.message,
+  };
+}
+
+/** Writes signals as headers. */
+export function createSignalHeaders(signals: AnswerSignals): SignalHeaders {
+  const { outcome, tokens, isDraining } = signals;
+  return {
+    [OUTCOME_HEADER]: outcome,
+    ...(tokens === undefined ? {} : { [TOKENS_HEADER]: String(tokens) }),
+    ...(isDraining === true ? { [DRAINING_HEADER]: "1" } : {}),
+  };
+}
--- /dev/null
+++ b/src/platform/call/common/call_events.ts
@@ -0,0 +1,122 @@
+/** Events and effects of the calls that pass a node. */
+import type { Announcement } from "../../membership/common/announcement.ts";
+import type { RoutingEvent } from "../../routing/common/routing_reducer.ts";
+import type { Table } from "../../table/common/table_row.ts";
+import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+import type { CallContext, CallOutcome } from "./call_context.ts";
+
+/** Where a call came in. */
+export type Listener = "edge" | "egress" | "ingress";
+
+/** A call whose head (and, where it is small, body) has arrived. */
+export interface CallReceived {
+  readonly type: "CallReceived";
+  /** The HTTP exchange with whoever called; never used again. */
+  readonly exchangeId: string;
+  readonly listener: Listener;
+  readonly method: string;
+  /** Path without the query. */
+  readonly path: string;
+  /** The raw context header; ignored at the edge. */
+  readonly contextHeader: string | undefined;
+  /** Content-Length; undefined for a chunked body. */
+  readonly bodyBytes: number | undefined;
+  /** Whether the whole body is held and can be sent again. */
+  readonly isReplayable: boolean;
+}
+
+/** The head of an answer to an attempt. */
+export interface AttemptAnswer {
+  readonly status: number;
+  /** Undefined where the peer is no node. */
+  readonly outcome: CallOutcome | undefined;
+  readonly tokens: number;
+  readonly isDraining: boolean;
+}
+
+/** Whose timer fired. */
+export interface TimerKey {
+  readonly owner: "entry" | "served";
+  /** Exchange id or attempt id. */
+  readonly id: string;
+}
+
+/** What happens at a node. */
+export type NodeEvent =
+  | CallReceived
+  | {
+    readonly type: "AttemptAnswered";
+    readonly attemptId: string;
+    readonly answer: AttemptAnswer;
+  }
+  | {
+    readonly type: "AttemptFailed";
+    readonly attemptId: string;
+    /** False only where the peer provably saw nothing of the request. */
+    readonly isSent: boolean;
+    readonly reason: string;
+  }
+  | { readonly type: "AttemptEnded"; readonly attemptId: string }
+  | { readonly type: "AnswerCut"; readonly attemptId: string }
+  | { readonly type: "CallerLeft"; readonly exchangeId: string }
+  | {
+    readonly type: "BodyLimitPassed";
+    readonly exchangeId: string;
+  }
+  | { readonly type: "TimerFired"; readonly key: TimerKey }
+  | {
+    readonly type: "TableReceived";
+    readonly table: Table;
+    readonly isConfirmed: boolean;
+  }
+  | { readonly type: "DrainRequested" }
+  | RoutingEvent;
+
+/** Headers that the system adds, by lower-case name. */
+export type SignalHeaders = Readonly<Record<string, string>>;
+
+/** An answer that the node itself gives. */
+export interface AnswerCall {
+  readonly type: "AnswerCall";
+  readonly exchangeId: string;
+  readonly status: number;
+  readonly headers: SignalHeaders;
+  /** One sentence for a person. */
+  readonly message: string;
+}
+
+/** What a node does about it. */
+export type NodeEffect =
+  | AnswerCall
+  | {
+    readonly type: "SendAttempt";
+    readonly exchangeId: string;
+    readonly attemptId: string;
+    /** `host:port` of the other node's ingress or of the backend server. */
+    readonly address: string;
+    readonly peer: "node" | "backend";
+    readonly context: CallContext;
+    /** Longest body, in bytes. */
+    readonly maxBodyBytes: number;
+  }
+  | { readonly type: "AbortAttempt"; readonly attemptId: string }
+  | { readonly type: "DiscardAnswer"; readonly attemptId: string }
+  | {
+    readonly type: "RelayAnswer";
+    readonly exchangeId: string;
+    readonly attemptId: string;
+    readonly headers: SignalHeaders;
+  }
+  /** Breaks the connection, so that a cut answer can't look whole. */
+  | { readonly type: "DropExchange"; readonly exchangeId: string }
+  | {
+    readonly type: "StartTimer";
+    readonly key: TimerKey;
+    /** Wall clock in milliseconds. */
+    readonly atMs: number;
+  }
+  | { readonly type: "StopTimer"; readonly key: TimerKey }
+  | { readonly type: "SubscribeService"; readonly service: string }
+  | { readonly type: "SendAnnouncement"; readonly announcement: Announcement }
+  | { readonly type: "ConfirmTable"; readonly version: number }
+  | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
--- /dev/null
+++ b/src/platform/call/common/node_reducer.ts
@@ -0,0 +1,203 @@
+/** The one reducer of a node: every event goes through here. */
+import { createReduction } from "../../../base/common/reduction.ts";
+import {
+  appendEffects,
+  chainReduction,
+} from "../../../base/common/reduction.ts";
+import type { Table } from "../../table/common/table_row.ts";
+import { createAnswer } from "./answers.ts";
+import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
+import type { NodeState } from "./node_state.ts";
+import {
+  answerEntry,
+  cancelChildren,
+  cancelEntry,
+  createServedDeps,
+  endEntry,
+  expireEntry,
+  failEntry,
+  receiveEntry,
+  resumeEntries,
+  stepRouting,
+} from "./entry_reducer.ts";
+import {
+  answerServed,
+  cancelServed,
+  endServed,
+  expireServed,
+  failServed,
+  receiveIngress,
+} from "./served_reducer.ts";
+import type { NodeStep } from "./served_reducer.ts";
+
+/** Steps a node; `nowMs` is the wall clock in milliseconds. */
+export function reduceNode(
+  state: NodeState,
+  event: NodeEvent,
+  nowMs: number,
+): NodeStep {
+  const deps = createServedDeps(nowMs);
+  switch (event.type) {
+    case "CallReceived":
+      return event.listener === "ingress"
+        ? receiveIngress(state, event, deps)
+        : receiveEntry(state, event, nowMs);
+    case "AttemptAnswered":
+      return applyAnswer(state, event, nowMs);
+    case "AttemptFailed":
+      return applyFailure(state, event, nowMs);
+    case "AttemptEnded":
+      return applyEnd(state, event.attemptId, true, nowMs);
+    case "AnswerCut":
+      return applyEnd(state, event.attemptId, false, nowMs);
+    case "CallerLeft":
+      return cancelExchange(state, event.exchangeId, nowMs);
+    case "BodyLimitPassed":
+      return refuseBody(state, event.exchangeId, nowMs);
+    case "TimerFired":
+      return applyTimer(state, event.key, nowMs);
+    case "TableReceived":
+      return takeTable(state, event.table, event.isConfirmed);
+    case "DrainRequested":
+      return startDrain(state);
+    case "MembersListed":
+      return resumeEntries(stepRouting(state, event), event.service, nowMs);
+    case "MemberPublished":
+    case "MemberLost":
+    case "AttemptStarted":
+    case "AttemptFinished":
+      return createReduction(stepRouting(state, event));
+  }
+}
+
+function applyAnswer(
+  state: NodeState,
+  event: Extract<NodeEvent, { type: "AttemptAnswered" }>,
+  nowMs: number,
+): NodeStep {
+  const { attemptId, answer } = event;
+  if (state.served.has(attemptId)) {
+    const deps = createServedDeps(nowMs);
+    return answerServed(state, attemptId, answer, deps);
+  }
+  const exchangeId = state.entryOfAttempt.get(attemptId);
+  return exchangeId === undefined
+    ? createReduction(state, [{ type: "AbortAttempt", attemptId }])
+    : answerEntry(state, exchangeId, answer, nowMs);
+}
+
+function applyFailure(
+  state: NodeState,
+  event: Extract<NodeEvent, { type: "AttemptFailed" }>,
+  nowMs: number,
+): NodeStep {
+  if (state.served.has(event.attemptId)) {
+    return failServed(state, event, createServedDeps(nowMs));
+  }
+  const exchangeId = state.entryOfAttempt.get(event.attemptId);
+  return exchangeId === undefined
+    ? createReduction(state)
+    : failEntry(state, exchangeId, event, nowMs);
+}
+
+function applyEnd(
+  state: NodeState,
+  attemptId: string,
+  isWhole: boolean,
+  nowMs: number,
+): NodeStep {
+  const deps = createServedDeps(nowMs);
+  const step = state.served.has(attemptId)
+    ? endServed(state, attemptId, isWhole, deps)
+    : createReduction<NodeState, NodeEffect>(state);
+  return chainReduction(step, (next) => {
+    const exchangeId = next.entryOfAttempt.get(attemptId);
+    return exchangeId === undefined
+      ? createReduction(next)
+      : endEntry(next, exchangeId, isWhole);
+  });
+}
+
+function cancelExchange(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  if (state.entries.has(exchangeId)) {
+    return cancelEntry(state, exchangeId, nowMs);
+  }
+  const call = [...state.served.values()].find((served) =>
+    served.exchangeId === exchangeId
+  );
+  if (call === undefined) {
+    return createReduction(state);
+  }
+  const { attemptId } = call;
+  const step = cancelServed(state, attemptId, createServedDeps(nowMs));
+  return chainReduction(step, (s) => cancelChildren(s, attemptId, nowMs));
+}
+
+/** A chunked body went over its row's limit while it was sent. */
+function refuseBody(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  const step = cancelExchange(state, exchangeId, nowMs);
+  return appendEffects(
+    step,
+    createAnswer(exchangeId, {
+      status: 413,
+      outcome: "unknown",
+      message: "Body is over the limit of its kind",
+    }),
+  );
+}
+
+function applyTimer(
+  state: NodeState,
+  key: TimerKey,
+  nowMs: number,
+): NodeStep {
+  if (key.owner === "entry") {
+    return expireEntry(state, key.id, nowMs);
+  }
+  const step = expireServed(state, key.id, createServedDeps(nowMs));
+  return chainReduction(step, (s) => cancelChildren(s, key.id, nowMs));
+}
+
+/** A table takes effect only if it is newer than the one in force. */
+function takeTable(
+  state: NodeState,
+  table: Table,
+  isConfirmed: boolean,
+): NodeStep {
+  if (table.version < state.table.version) {
+    return createReduction(state);
+  }
+  const { version } = table;
+  const next = { ...state, table, isTableConfirmed: isConfirmed };
+  const isSame = version === state.table.version &&
+    isConfirmed === state.isTableConfirmed;
+  const confirm: NodeEffect = { type: "ConfirmTable", version };
+  if (isSame) {
+    return createReduction(next, [confirm]);
+  }
+  const event = { type: "TableInForce", version, isConfirmed } as const;
+  return createReduction(next, [confirm, { type: "RecordEvent", event }]);
+}
+
+function startDrain(state: NodeState): NodeStep {
+  if (state.self.isDraining) {
+    return createReduction(state);
+  }
+  const self = {
+    ...state.self,
+    isDraining: true,
+    sequence: state.self.sequence + 1,
+  };
+  return createReduction({ ...state, self }, [
+    { type: "SendAnnouncement", announcement: self },
+    { type: "RecordEvent", event: { type: "DrainStarted" } },
+  ]);
+}
--- /dev/null
+++ b/src/platform/call/common/node_state.ts
@@ -0,0 +1,95 @@
+/** The state of a node: its calls, and the areas that decide on them. */
+import { createAdmission } from "../../admission/common/admission_reducer.ts";
+import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
+import type { Announcement } from "../../membership/common/announcement.ts";
+import type { TokenPool } from "../../retry/common/retry_tokens.ts";
+import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
+import type { RoutingState } from "../../routing/common/routing_reducer.ts";
+import { EMPTY_TABLE } from "../../table/common/table_row.ts";
+import type { Table, TableRow } from "../../table/common/table_row.ts";
+import type { CallContext } from "./call_context.ts";
+
+/** An attempt that an entry call made. */
+export interface Attempt {
+  readonly attemptId: string;
+  /** Node of the chosen backend server. */
+  readonly nodeId: string;
+  readonly startedAtMs: number;
+  /** Retry tokens that went with it. */
+  readonly tokens: number;
+}
+
+/** A call that entered here, from a caller or the local backend server. */
+export interface EntryCall {
+  readonly exchangeId: string;
+  readonly listener: "edge" | "egress";
+  readonly row: TableRow;
+  /** Context of the call; each attempt gets its own id and tokens. */
+  readonly context: CallContext;
+  /** Served attempt that made this call, where it is known. */
+  readonly parentId: string | undefined;
+  readonly deadlineMs: number;
+  readonly pool: TokenPool;
+  readonly isReplayable: boolean;
+  /** The attempt under way; undefined while members are awaited. */
+  readonly attempt: Attempt | undefined;
+  readonly attemptCount: number;
+  readonly tried: readonly string[];
+  /** Whether every attempt that ended is provably not run. */
+  readonly isNotRun: boolean;
+  readonly isRelaying: boolean;
+}
+
+/** An attempt that the local backend server is to run. */
+export interface ServedCall {
+  readonly attemptId: string;
+  readonly exchangeId: string;
+  readonly origin: "ingress" | "local";
+  readonly row: TableRow;
+  readonly context: CallContext;
+  readonly deadlineMs: number;
+  /** Retry tokens for the calls that the backend server makes. */
+  readonly pool: TokenPool;
+  readonly phase: "queued" | "running" | "relaying";
+}
+
+/** All that a node knows. */
+export interface NodeState {
+  readonly self: Announcement;
+  /** `host:port` of the local backend server. */
+  readonly backendAddress: string;
+  readonly table: Table;
+  /** Whether a quorum vouched for the table. */
+  readonly isTableConfirmed: boolean;
+  /** By exchange id. */
+  readonly entries: ReadonlyMap<string, EntryCall>;
+  /** Exchange ids of entry calls by the attempt under way. */
+  readonly entryOfAttempt: ReadonlyMap<string, string>;
+  /** By attempt id. */
+  readonly served: ReadonlyMap<string, ServedCall>;
+  readonly routing: RoutingState;
+  readonly admission: AdmissionState;
+}
+
+/** Creates the state of a node that has just started. */
+export function createNodeState(
+  self: Announcement,
+  backendAddress: string,
+): NodeState {
+  return {
+    self,
+    backendAddress,
+    table: EMPTY_TABLE,
+    isTableConfirmed: false,
+    entries: new Map(),
+    entryOfAttempt: new Map(),
+    served: new Map(),
+    routing: INITIAL_ROUTING,
+    admission: createAdmission(self.slots),
+  };
+}
+
+/** Whether no call is in progress. */
+export function isIdle(state: NodeState): boolean {
+  return state.entries.size === 0 && state.served.size === 0;
+}
--- /dev/null
+++ b/src/platform/call/common/served_reducer.ts
@@ -0,0 +1,339 @@
+/** Attempts at the node of the chosen backend server: admit, run, answer. */
+import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import { createReduction } from "../../../base/common/reduction.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import {
+  appendEffects,
+  chainReduction,
+} from "../../../base/common/reduction.ts";
+import { reduceAdmission } from "../../admission/common/admission_reducer.ts";
+import type {
+  AdmissionEffect,
+  AdmissionEvent,
+} from "../../admission/common/admission_reducer.ts";
+import { selectRow } from "../../table/common/table_match.ts";
+import { createAnswer, createSignalHeaders } from "./answers.ts";
+import type { OwnAnswer } from "./answers.ts";
+import { decodeContext } from "./call_context.ts";
+import type {
+  AttemptAnswer,
+  CallReceived,
+  NodeEffect,
+  TimerKey,
+} from "./call_events.ts";
+import type { NodeState, ServedCall } from "./node_state.ts";
+
+/** A step of the node. */
+export type NodeStep = Reduction<NodeState, NodeEffect>;
+
+/** What a served attempt came to, told to the entry call on this node. */
+export type LocalResult =
+  | { readonly type: "Refused"; readonly answer: OwnAnswer }
+  | { readonly type: "Answered"; readonly answer: AttemptAnswer }
+  | { readonly type: "Failed"; readonly answer: OwnAnswer };
+
+/** Tells the entry call of a local attempt; passed in, to avoid a cycle. */
+export type SettleLocal = (
+  state: NodeState,
+  attemptId: string,
+  result: LocalResult,
+  nowMs: number,
+) => NodeStep;
+
+/** What the steps of served attempts need besides the state. */
+export interface ServedDeps {
+  readonly nowMs: number;
+  readonly settleLocal: SettleLocal;
+}
+
+const DRAINING_RETRY_MS = 1_000;
+
+/** Takes a call from another node. */
+export function receiveIngress(
+  state: NodeState,
+  call: CallReceived,
+  deps: ServedDeps,
+): NodeStep {
+  const { exchangeId } = call;
+  const context = decodeContext(call.contextHeader ?? "");
+  if (context.isErr()) {
+    return answerAtOnce(state, exchangeId, {
+      status: 400,
+      outcome: "not-run",
+      message: `Context header is malformed: ${context.error.reason}`,
+    });
+  }
+  const row = selectRow(state.table, call);
+  if (row === undefined) {
+    return answerAtOnce(state, exchangeId, {
+      status: 404,
+      outcome: "not-run",
+      message: `No kind of request matches ${call.method} ${call.path}`,
+    });
+  }
+  return admitAttempt(state, {
+    attemptId: context.value.attemptId,
+    exchangeId,
+    origin: "ingress",
+    row,
+    context: context.value,
+    deadlineMs: deps.nowMs + context.value.remainingMs,
+    pool: { left: context.value.retryTokens },
+    phase: "queued",
+  }, deps);
+}
+
+/** Puts an attempt before the door of the local backend server. */
+export function admitAttempt(
+  state: NodeState,
+  call: ServedCall,
+  deps: ServedDeps,
+): NodeStep {
+  const { attemptId, context, row, deadlineMs } = call;
+  const served = setEntry(state.served, attemptId, call);
+  const withCall = { ...state, served };
+  if (state.self.isDraining) {
+    return refuseServed(withCall, attemptId, {
+      status: 503,
+      outcome: "not-run",
+      message: "Backend server is draining",
+      retryAfterMs: DRAINING_RETRY_MS,
+    }, deps);
+  }
+  const key: TimerKey = { owner: "served", id: attemptId };
+  const start = createReduction<NodeState, NodeEffect>(withCall, [
+    { type: "StartTimer", key, atMs: deadlineMs },
+  ]);
+  const { importance, admissionHash, depth } = context;
+  const request = {
+    attemptId,
+    row,
+    importance,
+    admissionHash,
+    depth,
+    deadlineMs,
+  };
+  return chainReduction(
+    start,
+    (next) => stepAdmission(next, { type: "RequestArrived", request }, deps),
+  );
+}
+
+/** The head of the backend server's answer has arrived. */
+export function answerServed(
+  state: NodeState,
+  attemptId: string,
+  answer: AttemptAnswer,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const relaying: ServedCall = { ...call, phase: "relaying" };
+  const served = setEntry(state.served, attemptId, relaying);
+  const next = { ...state, served };
+  if (call.origin === "local") {
+    const result: LocalResult = { type: "Answered", answer };
+    return deps.settleLocal(next, attemptId, result, deps.nowMs);
+  }
+  const headers = createSignalHeaders({
+    outcome: "ran",
+    tokens: call.pool.left,
+    isDraining: state.self.isDraining,
+  });
+  const { exchangeId } = call;
+  return createReduction(next, [
+    { type: "RelayAnswer", exchangeId, attemptId, headers },
+  ]);
+}
+
+/** The backend server did not answer. */
+export function failServed(
+  state: NodeState,
+  failure: {
+    readonly attemptId: string;
+    readonly isSent: boolean;
+    readonly reason: string;
+  },
+  deps: ServedDeps,
+): NodeStep {
+  const { attemptId, isSent, reason } = failure;
+  const answer: OwnAnswer = {
+    status: isSent ? 502 : 503,
+    outcome: isSent ? "unknown" : "not-run",
+    message: `Backend server did not answer: ${reason}`,
+  };
+  return settleServed(state, attemptId, answer, deps);
+}
+
+/** The answer went through whole, or was cut (`isWhole` false). */
+export function endServed(
+  state: NodeState,
+  attemptId: string,
+  isWhole: boolean,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const step = releaseServed(state, attemptId, deps);
+  const { exchangeId, origin } = call;
+  return isWhole || origin === "local"
+    ? step
+    : appendEffects(step, { type: "DropExchange", exchangeId });
+}
+
+/** Whoever asked is gone: frees the slot and cancels the work. */
+export function cancelServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const step = releaseServed(state, attemptId, deps);
+  return call.phase === "queued"
+    ? step
+    : appendEffects(step, { type: "AbortAttempt", attemptId });
+}
+
+/** The time of an attempt is over. */
+export function expireServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId);
+  if (call === undefined || call.phase === "relaying") {
+    return createReduction(state);
+  }
+  const isQueued = call.phase === "queued";
+  const step = settleServed(state, attemptId, {
+    status: 504,
+    outcome: isQueued ? "not-run" : "unknown",
+    message: "Deadline passed",
+  }, deps);
+  return isQueued
+    ? step
+    : appendEffects(step, { type: "AbortAttempt", attemptId });
+}
+
+function stepAdmission(
+  state: NodeState,
+  event: AdmissionEvent,
+  deps: ServedDeps,
+): NodeStep {
+  const step = reduceAdmission(state.admission, event, deps.nowMs);
+  const next = { ...state, admission: step.state };
+  return step.effects.reduce<NodeStep>(
+    (done, effect) =>
+      chainReduction(done, (s) => applyAdmission(s, effect, deps)),
+    createReduction(next),
+  );
+}
+
+function applyAdmission(
+  state: NodeState,
+  effect: AdmissionEffect,
+  deps: ServedDeps,
+): NodeStep {
+  switch (effect.type) {
+    case "RunRequest":
+      return runServed(state, effect.attemptId, deps);
+    case "RefuseRequest":
+      return refuseServed(state, effect.attemptId, {
+        status: 503,
+        outcome: "not-run",
+        message: `Refused: ${effect.reason}`,
+        retryAfterMs: effect.retryAfterMs,
+      }, deps);
+  }
+}
+
+function runServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const { exchangeId, context, row, deadlineMs, pool } = call;
+  const running: ServedCall = { ...call, phase: "running" };
+  const served = setEntry(state.served, attemptId, running);
+  const remainingMs = deadlineMs - deps.nowMs;
+  return createReduction({ ...state, served }, [
+    {
+      type: "RecordEvent",
+      event: { type: "AttemptRun", requestId: context.rootId, attemptId },
+    },
+    {
+      type: "SendAttempt",
+      exchangeId,
+      attemptId,
+      address: state.backendAddress,
+      peer: "backend",
+      context: { ...context, remainingMs, retryTokens: pool.left },
+      maxBodyBytes: row.maxBodyBytes,
+    },
+  ]);
+}
+
+function refuseServed(
+  state: NodeState,
+  attemptId: string,
+  answer: OwnAnswer,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const step = settleServed(state, attemptId, answer, deps);
+  return appendEffects(step, {
+    type: "RecordEvent",
+    event: {
+      type: "AttemptRefused",
+      requestId: call.context.rootId,
+      attemptId,
+      reason: answer.message,
+    },
+  });
+}
+
+/** Ends an attempt with an answer of the node's own. */
+function settleServed(
+  state: NodeState,
+  attemptId: string,
+  answer: OwnAnswer,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const step = releaseServed(state, attemptId, deps);
+  if (call.origin === "local") {
+    const type = answer.outcome === "not-run" ? "Refused" : "Failed";
+    const result: LocalResult = { type, answer };
+    return chainReduction(
+      step,
+      (next) => deps.settleLocal(next, attemptId, result, deps.nowMs),
+    );
+  }
+  const signals = {
+    tokens: call.pool.left,
+    isDraining: state.self.isDraining,
+  };
+  return appendEffects(step, createAnswer(call.exchangeId, answer, signals));
+}
+
+function releaseServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const key: TimerKey = { owner: "served", id: attemptId };
+  const served = deleteEntry(state.served, attemptId);
+  const type = call.phase === "queued" ? "RequestWithdrawn" : "RequestFinished";
+  const step = stepAdmission({ ...state, served }, { type, attemptId }, deps);
+  return appendEffects(step, { type: "StopTimer", key });
+}
+
+function answerAtOnce(
+  state: NodeState,
+  exchangeId: string,
+  answer: OwnAnswer,
+): NodeStep {
+  const isDraining = state.self.isDraining;
+  const effect = createAnswer(exchangeId, answer, { tokens: 0, isDraining });
+  return createReduction(state, [effect]);
+}
--- /dev/null
+++ b/src/platform/call/node/call_server.ts
@@ -0,0 +1,180 @@
+/** The listeners of a node: HTTP in, events out, effects carried out. */
+import { randomBytes } from "node:crypto";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { listen, type ListenAddress } from "../../../base/node/listen.ts";
+import { CONTEXT_HEADER } from "../common/call_context.ts";
+import type { Listener, NodeEffect, NodeEvent } from "../common/call_events.ts";
+import { AttemptSender } from "./attempt_sender.ts";
+import { readPath, writeAnswer } from "./exchange.ts";
+import type { Exchange } from "./exchange.ts";
+
+/** What the listeners are built from. */
+export interface CallServerOptions {
+  readonly listeners: Readonly<Record<Listener, ListenAddress>>;
+  readonly dispatch: (event: NodeEvent) => void;
+  /** Most connections to one backend server. */
+  readonly connections: number;
+}
+
+/** Effects that concern exchanges and attempts. */
+export type CallEffect = Extract<NodeEffect, {
+  type:
+    | "AnswerCall"
+    | "SendAttempt"
+    | "AbortAttempt"
+    | "DiscardAnswer"
+    | "RelayAnswer"
+    | "DropExchange";
+}>;
+
+/** Largest body that is held whole so that it can be sent again. */
+const REPLAY_BYTES = 64 * 1024;
+const KEEP_ALIVE_MS = 60_000;
+
+/** Owns the three listeners and the exchanges on them. */
+export class CallServer implements AsyncDisposable {
+  readonly #options: CallServerOptions;
+  readonly #sender: AttemptSender;
+  readonly #exchanges = new Map<string, Exchange>();
+  readonly #idPrefix = randomBytes(6).toString("hex");
+  readonly #servers: Server[] = [];
+  #nextId = 0;
+
+  constructor(options: CallServerOptions) {
+    this.#options = options;
+    const { dispatch, connections } = options;
+    this.#sender = new AttemptSender({ dispatch, connections });
+  }
+
+  /** Opens the listeners. */
+  async open(): Promise<void> {
+    const { listeners } = this.#options;
+    for (const name of ["ingress", "egress", "edge"] as const) {
+      const server = createServer({
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        requestTimeout: 0,
+      }, (request, response) => {
+        this.#receive(name, request, response);
+      });
+      this.#servers.push(server);
+      await listen(server, listeners[name]);
+    }
+  }
+
+  /** Carries out one effect. */
+  perform(effect: CallEffect): void {
+    if (effect.type === "AbortAttempt") {
+      this.#sender.abort(effect.attemptId);
+      return;
+    }
+    if (effect.type === "DiscardAnswer") {
+      this.#sender.discard(effect.attemptId);
+      return;
+    }
+    const exchange = this.#exchanges.get(effect.exchangeId);
+    if (exchange !== undefined) {
+      this.#performOn(exchange, effect);
+    }
+  }
+
+  /** Stops taking connections; those that are idle are closed. */
+  close(): void {
+    for (const server of this.#servers) {
+      server.close();
+      server.closeIdleConnections();
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.close();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+    }
+    await this.#sender[Symbol.asyncDispose]();
+  }
+
+  #performOn(
+    exchange: Exchange,
+    effect: Exclude<CallEffect, { type: "AbortAttempt" | "DiscardAnswer" }>,
+  ): void {
+    switch (effect.type) {
+      case "AnswerCall":
+        writeAnswer(exchange, effect);
+        return;
+      case "SendAttempt":
+        this.#sender.send(effect, exchange);
+        return;
+      case "RelayAnswer":
+        this.#sender.relay(effect.attemptId, exchange, effect.headers);
+        return;
+      case "DropExchange":
+        exchange.response.destroy();
+        return;
+    }
+  }
+
+  #receive(
+    listener: Listener,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const bodyBytes = readBodyBytes(request);
+    const accept = (body: Uint8Array | undefined) => {
+      this.#accept(listener, { request, response, body, bodyBytes });
+    };
+    if (bodyBytes === undefined || bodyBytes > REPLAY_BYTES) {
+      accept(undefined);
+      return;
+    }
+    collectBody(request, bodyBytes, accept);
+  }
+
+  #accept(
+    listener: Listener,
+    arrived: Omit<Exchange, "id"> & { readonly bodyBytes: number | undefined },
+  ): void {
+    const { request, response, body, bodyBytes } = arrived;
+    const id = `${this.#idPrefix}-${(this.#nextId++).toString(36)}`;
+    this.#exchanges.set(id, { id, request, response, body });
+    response.on("close", () => {
+      this.#exchanges.delete(id);
+      if (!response.writableFinished) {
+        this.#options.dispatch({ type: "CallerLeft", exchangeId: id });
+      }
+    });
+    const context = request.headers[CONTEXT_HEADER];
+    this.#options.dispatch({
+      type: "CallReceived",
+      exchangeId: id,
+      listener,
+      method: request.method ?? "GET",
+      path: readPath(request.url ?? "/"),
+      contextHeader: Array.isArray(context) ? context[0] : context,
+      bodyBytes,
+      isReplayable: body !== undefined,
+    });
+  }
+}
+
+/** Content-Length; 0 without a body, undefined for a chunked one. */
+function readBodyBytes(request: IncomingMessage): number | undefined {
+  if (request.headers["transfer-encoding"] !== undefined) {
+    return undefined;
+  }
+  return Number(request.headers["content-length"] ?? 0);
+}
+
+function collectBody(
+  request: IncomingMessage,
+  bodyBytes: number,
+  accept: (body: Uint8Array) => void,
+): void {
+  if (bodyBytes === 0) {
+    accept(new Uint8Array(0));
+    return;
+  }
+  const chunks: Uint8Array[] = [];
+  request.on("data", (chunk: Uint8Array) => chunks.push(chunk));
+  request.on("end", () => accept(Buffer.concat(chunks)));
+}
--- /dev/null
+++ b/src/platform/link/common/link_messages.ts
@@ -0,0 +1,42 @@
+/** Messages between nodes and control replicas, sent as msgpack over ws. */
+import type { Announcement } from "../../membership/common/announcement.ts";
+import type { Table } from "../../table/common/table_row.ts";
+import type { HybridTime } from "../../telemetry/common/timeline_event.ts";
+
+/** What a node says to its control replica. */
+export type NodeMessage =
+  | { readonly type: "Announce"; readonly announcement: Announcement }
+  | { readonly type: "Subscribe"; readonly service: string }
+  | {
+    readonly type: "Heartbeat";
+    readonly tableVersion: number;
+    readonly clock: HybridTime;
+  }
+  | { readonly type: "Leave" };
+
+/** What a control replica says to a node. */
+export type ControlMessage =
+  | {
+    readonly type: "TableUpdate";
+    readonly table: Table;
+    /** Whether the replica has proved that it is current. */
+    readonly isConfirmed: boolean;
+  }
+  | {
+    readonly type: "MemberList";
+    readonly service: string;
+    readonly members: readonly Announcement[];
+  }
+  | { readonly type: "MemberUpdate"; readonly announcement: Announcement }
+  | {
+    readonly type: "MemberLoss";
+    readonly service: string;
+    readonly nodeId: string;
+  }
+  | { readonly type: "DrainOrder" }
+  | { readonly type: "HeartbeatAnswer"; readonly clock: HybridTime };
+
+/** How often a node says that it lives. */
+export const HEARTBEAT_MS = 1_000;
+/** Silence after which the other end is given up. */
+export const LINK_SILENCE_MS = 3_500;
--- /dev/null
+++ b/src/platform/membership/common/announcement.ts
@@ -0,0 +1,36 @@
+/** What a node says of itself and its backend server. */
+
+/** One node's announcement; later sequences replace earlier ones. */
+export interface Announcement {
+  readonly nodeId: string;
+  /** Set at each start of the process, in milliseconds; higher is newer. */
+  readonly incarnation: number;
+  /** Counts the changes within one incarnation. */
+  readonly sequence: number;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly vm: string;
+  /** `host:port` where other nodes send calls. */
+  readonly ingress: string;
+  /** `host:port` of the operators' listener. */
+  readonly operator: string;
+  /** Requests that the backend server runs at a time. */
+  readonly slots: number;
+  /** Connections that the backend server takes. */
+  readonly connections: number;
+  /** Whether it takes no new work. */
+  readonly isDraining: boolean;
+}
+
+/** Whether `next` replaces `current`. */
+export function isNewerAnnouncement(
+  next: Announcement,
+  current: Announcement | undefined,
+): boolean {
+  if (current === undefined || next.incarnation > current.incarnation) {
+    return true;
+  }
+  return next.incarnation === current.incarnation &&
+    next.sequence > current.sequence;
+}
--- /dev/null
+++ b/src/platform/table/common/table_csv.ts
@@ -0,0 +1,105 @@
+/** The table as CSV, the form that operators edit. */
+import { parse } from "csv-parse/sync";
+import { stringify } from "csv-stringify/sync";
+import { err, ok, type Result } from "neverthrow";
+import { TABLE_COLUMNS } from "./table_row.ts";
+import type { Table } from "./table_row.ts";
+import { formatRow, parseRow } from "./table_schema.ts";
+import type { BadCell, DraftRow, RowCells } from "./table_schema.ts";
+
+const MAX_FILE_BYTES = 4 * 1024 * 1024;
+
+/** Writes a table as CSV with a header line. */
+export function formatTableCsv(table: Table): string {
+  const rows = table.rows.map((row) => formatRow(row, row.version));
+  return stringify(rows, { header: true, columns: [...TABLE_COLUMNS] });
+}
+
+/** Reads a whole file; all its bad cells are returned, none is applied. */
+export function parseTableCsv(
+  text: string,
+): Result<readonly DraftRow[], readonly BadCell[]> {
+  return readLines(text).andThen((lines) => {
+    const bad: BadCell[] = [];
+    const drafts: DraftRow[] = [];
+    lines.forEach((cells, index) => {
+      parseRow(cells, index + 2).match(
+        (draft) => drafts.push(draft),
+        (cells) => bad.push(...cells),
+      );
+    });
+    bad.push(...findDuplicates(drafts));
+    return bad.length > 0 ? err(bad) : ok(drafts);
+  });
+}
+
+function readLines(
+  text: string,
+): Result<readonly RowCells[], readonly BadCell[]> {
+  if (text.length > MAX_FILE_BYTES) {
+    return err([createFileError(1, `File is over ${MAX_FILE_BYTES} bytes`)]);
+  }
+  try {
+    const [header, ...lines] = parse(text, {
+      bom: true,
+      skip_empty_lines: true,
+      trim: true,
+    }) as string[][];
+    return checkHeader(header ?? []).map(() =>
+      lines.map((line) =>
+        Object.fromEntries(header!.map((name, i) => [name, line[i]]))
+      )
+    );
+  } catch (error) {
+    const lines = (error as { lines?: number }).lines ?? 1;
+    return err([createFileError(lines, (error as Error).message)]);
+  }
+}
+
+function checkHeader(
+  header: readonly string[],
+): Result<void, readonly BadCell[]> {
+  const known: readonly string[] = TABLE_COLUMNS;
+  const bad: BadCell[] = [];
+  for (const name of header) {
+    if (!known.includes(name)) {
+      bad.push(createFileError(1, `Unknown column ${JSON.stringify(name)}`));
+    }
+  }
+  for (const name of TABLE_COLUMNS) {
+    const count = header.filter((other) => other === name).length;
+    if (count === 0 && name !== "version") {
+      bad.push({ line: 1, column: name, reason: "Column is missing" });
+    }
+    if (count > 1) {
+      bad.push({ line: 1, column: name, reason: "Column stands twice" });
+    }
+  }
+  return bad.length > 0 ? err(bad) : ok(undefined);
+}
+
+function findDuplicates(drafts: readonly DraftRow[]): readonly BadCell[] {
+  const lineOfKind = new Map<string, number>();
+  const lineOfRoute = new Map<string, number>();
+  const bad: BadCell[] = [];
+  drafts.forEach(({ row }, index) => {
+    const line = index + 2;
+    const route = `${row.method} ${row.path}`;
+    const first = lineOfKind.get(row.kind);
+    const sameRoute = lineOfRoute.get(route);
+    if (first !== undefined) {
+      const reason = `Kind ${row.kind} already stands in line ${first}`;
+      bad.push({ line, column: "kind", reason });
+    } else if (sameRoute !== undefined) {
+      const reason = `${route} already stands in line ${sameRoute}`;
+      bad.push({ line, column: "path", reason });
+    }
+    lineOfKind.set(row.kind, first ?? line);
+    lineOfRoute.set(route, sameRoute ?? line);
+  });
+  return bad;
+}
+
+function createFileError(line: number, reason: string): BadCell {
+  return { line, column: "file", reason };
+}
--- /dev/null
+++ b/src/platform/table/common/table_reducer.ts
@@ -0,0 +1,247 @@
+/** The replicated state machine of the table: compare-and-set edits. */
+import { isSameRow } from "./table_row.ts";
+import { EMPTY_TABLE } from "./table_row.ts";
+import type { Table, TableRow, VersionedRow } from "./table_row.ts";
+import type { DraftRow } from "./table_schema.ts";
+
+/** Puts one row; `fromVersion` is what the operator saw (0: no such row). */
+export interface PutRow extends DraftRow {
+  readonly type: "PutRow";
+}
+
+/** Removes one row. */
+export interface RemoveRow {
+  readonly type: "RemoveRow";
+  readonly kind: string;
+  readonly fromVersion: number;
+}
+
+/** Replaces all rows; what stands in none of them is removed. */
+export interface ReplaceRows {
+  readonly type: "ReplaceRows";
+  readonly rows: readonly DraftRow[];
+}
+
+/** What an edit asks for. */
+export type TableChange = PutRow | RemoveRow | ReplaceRows;
+
+/** One edit, as it is replicated. */
+export interface TableEdit {
+  /** Made by the client; a resend carries the same one. */
+  readonly editId: string;
+  readonly operator: string;
+  /** Wall clock of the replica that took the edit, in milliseconds. */
+  readonly atMs: number;
+  readonly change: TableChange;
+}
+
+/** A row that was no longer at the version that the edit was made from. */
+export interface RowConflict {
+  readonly kind: string;
+  readonly fromVersion: number;
+  /** What stands now; undefined where the row is gone. */
+  readonly current: VersionedRow | undefined;
+  readonly wonBy: string;
+}
+
+/** The answer to an edit, the same for every resend of it. */
+export type EditOutcome =
+  | { readonly type: "EditAccepted"; readonly version: number }
+  | { readonly type: "EditUnchanged"; readonly version: number }
+  | {
+    readonly type: "EditConflicted";
+    readonly conflicts: readonly RowConflict[];
+  };
+
+/** One accepted edit in the history. */
+export interface HistoryEntry {
+  readonly version: number;
+  readonly editId: string;
+  readonly operator: string;
+  readonly atMs: number;
+  readonly put: readonly string[];
+  readonly removed: readonly string[];
+}
+
+/** The whole replicated state of the table. */
+export interface TableState {
+  readonly table: Table;
+  /** Oldest first, at most `MAX_HISTORY`. */
+  readonly history: readonly HistoryEntry[];
+  /** First answers by edit id, oldest first, at most `MAX_ANSWERS`. */
+  readonly answers: ReadonlyMap<string, EditOutcome>;
+}
+
+/** Accepted edits that the history keeps. */
+export const MAX_HISTORY = 2_000;
+/** Edit ids whose first answer is kept for resends. */
+export const MAX_ANSWERS = 20_000;
+
+/** The state before any edit. */
+export const INITIAL_TABLE_STATE: TableState = {
+  table: EMPTY_TABLE,
+  history: [],
+  answers: new Map(),
+};
+
+interface Plan {
+  readonly put: readonly TableRow[];
+  readonly removed: readonly string[];
+  readonly conflicts: readonly RowConflict[];
+}
+
+/** Applies one edit; a resent edit gets its first answer and changes nothing. */
+export function applyEdit(
+  state: TableState,
+  edit: TableEdit,
+): { readonly state: TableState; readonly outcome: EditOutcome } {
+  const known = state.answers.get(edit.editId);
+  if (known !== undefined) {
+    return { state, outcome: known };
+  }
+  const plan = createPlan(state, edit.change);
+  const outcome = decideOutcome(state, plan);
+  const answers = rememberAnswer(state.answers, edit.editId, outcome);
+  if (outcome.type !== "EditAccepted") {
+    return { state: { ...state, answers }, outcome };
+  }
+  const table = applyPlan(state.table, plan, outcome.version);
+  const entry: HistoryEntry = {
+    version: outcome.version,
+    editId: edit.editId,
+    operator: edit.operator,
+    atMs: edit.atMs,
+    put: plan.put.map((row) => row.kind),
+    removed: plan.removed,
+  };
+  const history = [...state.history, entry].slice(-MAX_HISTORY);
+  return { state: { table, history, answers }, outcome };
+}
+
+function createPlan(state: TableState, change: TableChange): Plan {
+  switch (change.type) {
+    case "PutRow":
+      return mergePlans([planPut(state, change)]);
+    case "RemoveRow":
+      return mergePlans([planRemove(state, change.kind, change.fromVersion)]);
+    case "ReplaceRows":
+      return planReplace(state, change.rows);
+  }
+}
+
+function planPut(state: TableState, draft: DraftRow): Plan {
+  const { row, fromVersion } = draft;
+  const current = findRow(state.table, row.kind);
+  if (current !== undefined && isSameRow(current, row)) {
+    return { put: [], removed: [], conflicts: [] };
+  }
+  if ((current?.version ?? 0) !== fromVersion) {
+    const conflict = createConflict(state, row.kind, fromVersion);
+    return { put: [], removed: [], conflicts: [conflict] };
+  }
+  return { put: [row], removed: [], conflicts: [] };
+}
+
+function planRemove(
+  state: TableState,
+  kind: string,
+  fromVersion: number,
+): Plan {
+  const current = findRow(state.table, kind);
+  if (current?.version !== fromVersion) {
+    const conflict = createConflict(state, kind, fromVersion);
+    return { put: [], removed: [], conflicts: [conflict] };
+  }
+  return { put: [], removed: [kind], conflicts: [] };
+}
+
+/**
+ * A row that the file leaves out is removed if the file can have seen it, that
+ * is if it is no newer than the newest row in the file; else it is a conflict.
+ */
+function planReplace(state: TableState, drafts: readonly DraftRow[]): Plan {
+  const seen = drafts.reduce((max, d) => Math.max(max, d.fromVersion), 0);
+  const kinds = new Set(drafts.map((draft) => draft.row.kind));
+  const plans = drafts.map((draft) => planPut(state, draft));
+  for (const row of state.table.rows) {
+    if (!kinds.has(row.kind)) {
+      const fromVersion = row.version <= seen ? row.version : seen;
+      plans.push(planRemove(state, row.kind, fromVersion));
+    }
+  }
+  return mergePlans(plans);
+}
+
+function mergePlans(plans: readonly Plan[]): Plan {
+  return {
+    put: plans.flatMap((plan) => plan.put),
+    removed: plans.flatMap((plan) => plan.removed),
+    conflicts: plans.flatMap((plan) => plan.conflicts),
+  };
+}
+
+function decideOutcome(state: TableState, plan: Plan): EditOutcome {
+  const { version } = state.table;
+  if (plan.conflicts.length > 0) {
+    return { type: "EditConflicted", conflicts: plan.conflicts };
+  }
+  if (plan.put.length === 0 && plan.removed.length === 0) {
+    return { type: "EditUnchanged", version };
+  }
+  return { type: "EditAccepted", version: version + 1 };
+}
+
+function applyPlan(table: Table, plan: Plan, version: number): Table {
+  const put = new Map(plan.put.map((row) => [row.kind, row]));
+  const removed = new Set(plan.removed);
+  const rows: VersionedRow[] = [];
+  for (const row of table.rows) {
+    const next = put.get(row.kind);
+    put.delete(row.kind);
+    if (next !== undefined) {
+      rows.push({ ...next, version });
+    } else if (!removed.has(row.kind)) {
+      rows.push(row);
+    }
+  }
+  for (const row of put.values()) {
+    rows.push({ ...row, version });
+  }
+  return { version, rows };
+}
+
+function rememberAnswer(
+  answers: ReadonlyMap<string, EditOutcome>,
+  editId: string,
+  outcome: EditOutcome,
+): ReadonlyMap<string, EditOutcome> {
+  const next = new Map(answers);
+  next.set(editId, outcome);
+  for (const oldest of next.keys()) {
+    if (next.size <= MAX_ANSWERS) {
+      break;
+    }
+    next.delete(oldest);
+  }
+  return next;
+}
+
+function createConflict(
+  state: TableState,
+  kind: string,
+  fromVersion: number,
+): RowConflict {
+  const winner = state.history.findLast((entry) =>
+    entry.put.includes(kind) || entry.removed.includes(kind)
+  );
+  return {
+    kind,
+    fromVersion,
+    current: findRow(state.table, kind),
+    wonBy: winner?.operator ?? "unknown",
+  };
+}
+
+function findRow(table: Table, kind: string): VersionedRow | undefined {
+  return table.rows.find((row) => row.kind === kind);
+}
--- /dev/null
+++ b/standin/fleet.ts
@@ -0,0 +1,285 @@
+/** Starts the product's processes and stand-ins on loopback, and ends them. */
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { stringify } from "smol-toml";
+import { request } from "undici";
+import type { Behaviour, RunReport } from "./backend.ts";
+import { findAddress } from "./ports.ts";
+
+/** One started process. */
+export interface FleetProcess {
+  readonly id: string;
+  readonly child: ChildProcess;
+  /** Lines of standard error, newest last. */
+  readonly log: readonly string[];
+}
+
+/** A control replica and where it listens. */
+export interface FleetControl extends FleetProcess {
+  readonly link: string;
+  readonly operator: string;
+}
+
+/** A node, its backend server and where they listen. */
+export interface FleetNode extends FleetProcess {
+  readonly service: string;
+  readonly edge: string;
+  readonly egress: string;
+  readonly ingress: string;
+  readonly operator: string;
+  readonly backend: FleetProcess;
+  readonly backendAddress: string;
+}
+
+/** What a node and its backend server are started with. */
+export interface FleetNodeOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly slots?: number;
+  readonly behaviour?: Partial<Behaviour>;
+  /** Paths called downstream by `METHOD /prefix`. */
+  readonly downstream?: Readonly<Record<string, readonly string[]>>;
+}
+
+/** What a finished command printed. */
+export interface CommandResult {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+const ROOT = fileURLToPath(new URL("..", import.meta.url));
+const START_MS = 15_000;
+const POLL_MS = 20;
+const MAX_LOG_LINES = 2_000;
+
+/** Owns the processes that it started and a folder for their files. */
+export class Fleet implements AsyncDisposable {
+  readonly folder = mkdtempSync(join(tmpdir(), "basilpin-"));
+  readonly #children = new Set<ChildProcess>();
+  readonly #controls: FleetControl[] = [];
+
+  /** Operator addresses of the control replicas, as the CLI takes them. */
+  get controlAddresses(): string {
+    return this.#controls.map((control) => control.operator).join(",");
+  }
+
+  /** Starts a control replica. */
+  async startControl(id: string, dataCentre: string): Promise<FleetControl> {
+    const link = await findAddress();
+    const operator = await findAddress();
+    const settings = this.writeSettings(id, {
+      role: "control",
+      id,
+      vm: id,
+      region: "local",
+      data_centre: dataCentre,
+      data_folder: join(this.folder, id),
+      listen: { link, operator },
+      security: { transport: "plaintext" },
+    });
+    const started = await this.startDaemon(id, settings);
+    const control = { ...started, link, operator };
+    this.#controls.push(control);
+    return control;
+  }
+
+  /** Starts a backend server and the node beside it. */
+  async startNode(options: FleetNodeOptions): Promise<FleetNode> {
+    const { id, service, dataCentre, slots = 50 } = options;
+    const [edge, egress, ingress, operator, backendAddress] = await Promise.all(
+      [
+        findAddress(),
+        findAddress(),
+        findAddress(),
+        findAddress(),
+        findAddress(),
+      ],
+    );
+    const settings = this.writeSettings(id, {
+      role: "node",
+      id,
+      vm: id,
+      region: "local",
+      data_centre: dataCentre,
+      service,
+      listen: { edge, egress, ingress, operator },
+      backend: { address: backendAddress, slots, connections: 400 },
+      control: { replicas: this.#controls.map((control) => control.link) },
+      security: { transport: "plaintext" },
+    });
+    const backend = await this.startBackend({
+      ...options,
+      slots,
+      egress,
+      address: backendAddress,
+    });
+    const node = await this.startDaemon(id, settings);
+    await this.waitMember(id);
+    const addresses = { edge, egress, ingress, operator, backendAddress };
+    return { ...node, ...addresses, service, backend };
+  }
+
+  /** Waits until a control replica lists a node. */
+  async waitMember(nodeId: string): Promise<void> {
+    const endMs = Date.now() + START_MS;
+    while (Date.now() < endMs) {
+      for (const { operator } of this.#controls) {
+        const answer = await request(`http://${operator}/status`)
+          .then(({ body }) => body.text(), () => "");
+        if (answer.includes(`"nodeId":"${nodeId}"`)) {
+          return;
+        }
+      }
+      await sleep(POLL_MS);
+    }
+    throw new Error(`${nodeId} did not become a member in time`);
+  }
+
+  /** Starts a stand-in backend server alone. */
+  async startBackend(
+    options: Omit<FleetNodeOptions, "service" | "dataCentre"> & {
+      readonly address: string;
+      readonly egress: string;
+    },
+  ): Promise<FleetProcess> {
+    const { id, address, egress, slots = 50 } = options;
+    return await this.start(`${id}-backend`, [
+      join(ROOT, "standin/backend.js"),
+      "--listen",
+      address,
+      "--egress",
+      egress,
+      "--slots",
+      String(slots),
+      "--behaviour",
+      JSON.stringify(options.behaviour ?? {}),
+      "--downstream",
+      JSON.stringify(options.downstream ?? {}),
+    ]);
+  }
+
+  /** Starts `basilpind` on a settings file. */
+  async startDaemon(id: string, settings: string): Promise<FleetProcess> {
+    const main = join(ROOT, "src/daemon/main.js");
+    return await this.start(id, [main, "--settings", settings]);
+  }
+
+  /** Writes a settings file and returns its name. */
+  writeSettings(id: string, settings: object): string {
+    const file = join(this.folder, `${id}.toml`);
+    writeFileSync(file, stringify(settings));
+    return file;
+  }
+
+  /** Starts a program of this repository; resolves when it says it is up. */
+  async start(id: string, args: readonly string[]): Promise<FleetProcess> {
+    const child = spawn(process.execPath, args, {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    this.#children.add(child);
+    child.on("exit", () => this.#children.delete(child));
+    const log: string[] = [];
+    child.stderr.on("data", (data: Buffer) => {
+      log.push(...data.toString().split("\n").filter((line) => line !== ""));
+      log.splice(0, log.length - MAX_LOG_LINES);
+    });
+    await waitUp(child, id, log);
+    return { id, child, log };
+  }
+
+  /** Runs the `basilpin` command against the fleet's control replicas. */
+  async run(...args: readonly string[]): Promise<CommandResult> {
+    const child = spawn(process.execPath, [
+      join(ROOT, "src/cli/main.js"),
+      ...args,
+    ], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, BASILPIN_CONTROL: this.controlAddresses },
+    });
+    this.#children.add(child);
+    let stdout = "";
+    let stderr = "";
+    child.stdout.on("data", (data: Buffer) => stdout += data.toString());
+    child.stderr.on("data", (data: Buffer) => stderr += data.toString());
+    const exitCode = await waitExit(child);
+    this.#children.delete(child);
+    return { exitCode, stdout, stderr };
+  }
+
+  /** Sends a signal and waits for the end of the process. */
+  async stop(
+    target: FleetProcess,
+    signal: NodeJS.Signals = "SIGTERM",
+  ): Promise<number> {
+    const exited = waitExit(target.child);
+    target.child.kill(signal);
+    return await exited;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const exits = [...this.#children].map((child) => {
+      const exited = waitExit(child);
+      child.kill("SIGKILL");
+      return exited;
+    });
+    await Promise.all(exits);
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+}
+
+/** Changes the behaviour of a stand-in backend server. */
+export async function setBehaviour(
+  address: string,
+  behaviour: Partial<Behaviour>,
+): Promise<void> {
+  const answer = await request(`http://${address}/standin/behaviour`, {
+    method: "POST",
+    body: JSON.stringify(behaviour),
+  });
+  await answer.body.dump();
+}
+
+/** Reads what a stand-in backend server has run. */
+export async function readRuns(address: string): Promise<RunReport> {
+  const answer = await request(`http://${address}/standin/runs`);
+  return await answer.body.json() as RunReport;
+}
+
+function waitExit(child: ChildProcess): Promise<number> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve(child.exitCode ?? -1);
+  }
+  return new Promise((resolve) => {
+    child.on("exit", (code) => resolve(code ?? -1));
+  });
+}
+
+function waitUp(
+  child: ChildProcess,
+  id: string,
+  log: readonly string[],
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const fail = (why: string) =>
+      reject(new Error(`${id} ${why}: ${log.join("\n")}`));
+    const timer = setTimeout(() => fail("did not start in time"), START_MS);
+    child.on("exit", (code) => {
+      clearTimeout(timer);
+      fail(`ended with ${code}`);
+    });
+    child.stdout!.on("data", (data: Buffer) => {
+      if (data.toString().includes("is up")) {
+        clearTimeout(timer);
+        resolve();
+      }
+    });
+  });
+}
