--- a/src/platform/link/node/link_codec.ts
+++ b/src/base/node/message_codec.ts
@@ -1,4 +1,4 @@
-/** Link messages as msgpack. */
+/** Tagged messages as msgpack. */
 import { Packr } from "msgpackr";
 
 const PACKR = new Packr({ useRecords: false });
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -2,6 +2,7 @@
 import { EventLoop } from "../base/node/event_loop.ts";
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { TICK_MS } from "../platform/call/common/call_events.ts";
 import type {
   NodeEffect,
   NodeEvent,
@@ -13,6 +14,7 @@
 import type { ControlMessage } from "../platform/link/common/link_messages.ts";
 import { LinkClient } from "../platform/link/node/link_client.ts";
 import type { Announcement } from "../platform/membership/common/announcement.ts";
+import { PeerClient } from "../platform/peer/node/peer_client.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type { OperatorRoute } from "./operator_server.ts";
 import type { NodeSettings } from "./settings.ts";
@@ -32,6 +34,7 @@
   readonly #calls: CallServer;
   readonly #link: LinkClient;
   readonly #timers: TimerSet;
+  readonly #peers: PeerClient;
   readonly #operator: OperatorServer;
   readonly #services = new Set<string>();
   #replica: string | undefined;
@@ -53,6 +56,7 @@
       new TimerSet((key) => dispatch({ type: "TimerFired", key })),
     );
     this.#calls = this.#owned.use(this.#createCalls(dispatch));
+    this.#peers = this.#owned.use(new PeerClient());
     this.#link = this.#owned.use(this.#createLink());
     this.#operator = this.#owned.use(this.#createOperator());
     this.#createGauges();
@@ -63,6 +67,11 @@
     await this.#calls.open();
     await this.#operator.open();
     this.#link.open();
+    const tick = setInterval(
+      () => this.#loop.dispatch({ type: "Ticked" }),
+      TICK_MS,
+    );
+    this.#owned.defer(() => clearInterval(tick));
     this.#telemetry.record({ type: "ProcessStarted", role: "node" });
   }
 
@@ -101,6 +110,9 @@
           announcement: effect.announcement,
         });
         return;
+      case "AskPeer":
+        this.#askPeer(effect);
+        return;
       case "ConfirmTable":
         this.#link.send(this.#createHeartbeat());
         return;
@@ -112,6 +124,13 @@
     }
   }
 
+  #askPeer(effect: Extract<NodeEffect, { type: "AskPeer" }>): void {
+    const { requestId } = effect;
+    this.#peers.send(effect).then((reply) => {
+      this.#loop.dispatch({ type: "PeerReplied", requestId, reply });
+    });
+  }
+
   #createCalls(dispatch: (event: NodeEvent) => void): CallServer {
     const { listen, backend } = this.#settings;
     return new CallServer({
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -1,5 +1,9 @@
 /** Events and effects of the calls that pass a node. */
 import type { Announcement } from "../../membership/common/announcement.ts";
+import type {
+  PeerMessage,
+  PeerReply,
+} from "../../peer/common/peer_messages.ts";
 import type { RoutingEvent } from "../../routing/common/routing_reducer.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
@@ -70,8 +74,24 @@
     readonly isConfirmed: boolean;
   }
   | { readonly type: "DrainRequested" }
+  /** Comes every `TICK_MS`. */
+  | { readonly type: "Ticked" }
+  | {
+    readonly type: "PeerAsked";
+    readonly askId: number;
+    readonly message: PeerMessage;
+  }
+  /** `reply` is undefined where none came in time. */
+  | {
+    readonly type: "PeerReplied";
+    readonly requestId: string;
+    readonly reply: PeerReply | undefined;
+  }
   | RoutingEvent;
 
+/** How often a node ticks, in milliseconds. */
+export const TICK_MS = 100;
+
 /** Headers that the system adds, by lower-case name. */
 export type SignalHeaders = Readonly<Record<string, string>>;
 
@@ -118,5 +138,21 @@
   | { readonly type: "StopTimer"; readonly key: TimerKey }
   | { readonly type: "SubscribeService"; readonly service: string }
   | { readonly type: "SendAnnouncement"; readonly announcement: Announcement }
+  | {
+    readonly type: "AnswerPeer";
+    readonly askId: number;
+    readonly reply: PeerReply;
+  }
+  | {
+    readonly type: "AskPeer";
+    /** Comes back with the reply. */
+    readonly requestId: string;
+    /** `host:port` of the other node's ingress. */
+    readonly address: string;
+    readonly message: PeerMessage;
+    readonly timeoutMs: number;
+    /** Whether a connection of its own is opened for it. */
+    readonly isFresh: boolean;
+  }
   | { readonly type: "ConfirmTable"; readonly version: number }
   | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
--- /dev/null
+++ b/src/platform/call/common/entry_attempts.ts
@@ -0,0 +1,332 @@
+/** Attempts of entry calls: choose, send, settle, retry or end. */
+import { setEntry } from "../../../base/common/maps.ts";
+import {
+  appendEffects,
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { takeShare } from "../../retry/common/retry_tokens.ts";
+import {
+  isServiceKnown,
+  selectBackend,
+} from "../../routing/common/routing_reducer.ts";
+import type { BackendView } from "../../routing/common/routing_reducer.ts";
+import { createAnswer, createSignalHeaders } from "./answers.ts";
+import type { OwnAnswer } from "./answers.ts";
+import type { CallContext, CallOutcome } from "./call_context.ts";
+import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
+import {
+  closeEntry,
+  createEndRecord,
+  putEntry,
+  reportAttempt,
+  settleAttempt,
+  stepRouting,
+} from "./entry_state.ts";
+import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
+import { admitAttempt, cancelServed } from "./served_reducer.ts";
+import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
+
+const NO_BACKEND_RETRY_MS = 1_000;
+
+export function tryAttempt(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const { service } = call.row;
+  if (call.deadlineMs <= nowMs) {
+    return expireEntry(state, exchangeId, nowMs);
+  }
+  if (!isServiceKnown(state.routing, service)) {
+    return createReduction(state, [{ type: "SubscribeService", service }]);
+  }
+  const attemptId = `${exchangeId}.${call.attemptCount + 1}`;
+  const { dataCentre } = state.self;
+  const { tried } = call;
+  const route = { service, dataCentre, attemptId, tried };
+  const backend = selectBackend(state.routing, route);
+  if (backend === undefined) {
+    return endWithAnswer(state, exchangeId, {
+      status: 503,
+      outcome: call.isNotRun ? "not-run" : "unknown",
+      message: `No backend server of ${service} takes work`,
+      retryAfterMs: NO_BACKEND_RETRY_MS,
+    });
+  }
+  return sendAttempt(state, call, { attemptId, backend }, nowMs);
+}
+
+/** The head of an answer to a remote attempt has arrived. */
+export function answerEntry(
+  state: NodeState,
+  exchangeId: string,
+  answer: AttemptAnswer,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const attemptId = call.attempt!.attemptId;
+  const outcome = answer.outcome ?? "unknown";
+  const isRefused = outcome === "not-run";
+  const result = isRefused ? "refused" : "answered";
+  const reported = reportAttempt(state, call, { result, ...answer }, nowMs);
+  const next = settleAttempt(reported, exchangeId, {
+    tokens: answer.tokens,
+    isNotRun: isRefused,
+  });
+  if (isRefused && canRetry(next.entries.get(exchangeId)!)) {
+    const discard: NodeEffect = { type: "DiscardAnswer", attemptId };
+    const step = createReduction<NodeState, NodeEffect>(next, [discard]);
+    return chainReduction(step, (s) => retryEntry(s, exchangeId, nowMs));
+  }
+  return relayAnswer(next, exchangeId, attemptId, answer);
+}
+
+/** A remote attempt brought no answer. */
+export function failEntry(
+  state: NodeState,
+  exchangeId: string,
+  failure: { readonly isSent: boolean; readonly reason: string },
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const report = { result: "failed", isDraining: false } as const;
+  const reported = reportAttempt(state, call, report, nowMs);
+  const { isSent, reason } = failure;
+  const next = settleAttempt(reported, exchangeId, {
+    tokens: isSent ? 0 : call.attempt!.tokens,
+    isNotRun: !isSent,
+  });
+  return retryOrEnd(next, exchangeId, {
+    status: isSent ? 502 : 503,
+    outcome: isSent ? "unknown" : "not-run",
+    message: `Attempt failed: ${reason}`,
+  }, nowMs);
+}
+
+/** An attempt at this node's own backend server came to a result. */
+export function settleLocal(
+  state: NodeState,
+  attemptId: string,
+  result: LocalResult,
+  nowMs: number,
+): NodeStep {
+  const exchangeId = state.entryOfAttempt.get(attemptId);
+  if (exchangeId === undefined) {
+    return createReduction(state);
+  }
+  if (result.type === "Answered") {
+    const left = state.served.get(attemptId)?.pool.left ?? 0;
+    const answer: AttemptAnswer = {
+      ...result.answer,
+      outcome: "ran",
+      tokens: left,
+    };
+    return answerEntry(state, exchangeId, answer, nowMs);
+  }
+  const call = state.entries.get(exchangeId)!;
+  const isNotRun = result.type === "Refused";
+  const kind = isNotRun ? "refused" : "failed";
+  const report = { result: kind, isDraining: false } as const;
+  const reported = reportAttempt(state, call, report, nowMs);
+  const tokens = isNotRun ? call.attempt!.tokens : 0;
+  const next = settleAttempt(reported, exchangeId, { tokens, isNotRun });
+  return retryOrEnd(next, exchangeId, result.answer, nowMs);
+}
+
+/** The time of a call is over. */
+export function expireEntry(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId);
+  if (call === undefined || call.isRelaying) {
+    return createReduction(state);
+  }
+  const isNotRun = call.isNotRun && call.attempt === undefined;
+  const step = abortAttempt(state, exchangeId, nowMs);
+  return chainReduction(step, (next) =>
+    endWithAnswer(next, exchangeId, {
+      status: 504,
+      outcome: isNotRun ? "not-run" : "unknown",
+      message: "Deadline passed",
+    }));
+}
+
+export function abortAttempt(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const attemptId = findAttempt(call);
+  if (attemptId === undefined) {
+    return createReduction(state);
+  }
+  const report = { result: "failed", isDraining: false } as const;
+  const next = call.attempt === undefined
+    ? state
+    : settleAttempt(reportAttempt(state, call, report, nowMs), exchangeId, {
+      tokens: 0,
+      isNotRun: false,
+    });
+  if (next.served.has(attemptId)) {
+    return cancelServed(next, attemptId, createServedDeps(nowMs));
+  }
+  return createReduction(next, [{ type: "AbortAttempt", attemptId }]);
+}
+
+/** Creates what the served steps need. */
+export function createServedDeps(nowMs: number): ServedDeps {
+  return { nowMs, settleLocal };
+}
+
+function sendAttempt(
+  state: NodeState,
+  call: EntryCall,
+  chosen: { readonly attemptId: string; readonly backend: BackendView },
+  nowMs: number,
+): NodeStep {
+  const { attemptId, backend } = chosen;
+  const { nodeId, service, ingress } = backend.announcement;
+  const { exchangeId, row, deadlineMs } = call;
+  const { share, pool } = takeShare(call.pool);
+  const attempt: Attempt = {
+    attemptId,
+    nodeId,
+    startedAtMs: nowMs,
+    tokens: share,
+  };
+  const context: CallContext = {
+    ...call.context,
+    attemptId,
+    remainingMs: deadlineMs - nowMs,
+    retryTokens: share,
+  };
+  const next = stepRouting(
+    putEntry(state, {
+      ...call,
+      pool,
+      attempt,
+      attemptCount: call.attemptCount + 1,
+      tried: [...call.tried, nodeId],
+    }),
+    { type: "AttemptStarted", service, nodeId },
+  );
+  const requestId = context.rootId;
+  const step = createReduction<NodeState, NodeEffect>(next, [{
+    type: "RecordEvent",
+    event: { type: "AttemptSent", requestId, attemptId, to: nodeId },
+  }]);
+  if (nodeId === state.self.nodeId) {
+    return chainReduction(
+      step,
+      (s) => admitLocal(s, call, context, nowMs),
+    );
+  }
+  return appendEffects(step, {
+    type: "SendAttempt",
+    exchangeId,
+    attemptId,
+    address: ingress,
+    peer: "node",
+    context,
+    maxBodyBytes: row.maxBodyBytes,
+  });
+}
+
+function admitLocal(
+  state: NodeState,
+  call: EntryCall,
+  context: CallContext,
+  nowMs: number,
+): NodeStep {
+  return admitAttempt(state, {
+    attemptId: context.attemptId,
+    exchangeId: call.exchangeId,
+    origin: "local",
+    row: call.row,
+    context,
+    deadlineMs: call.deadlineMs,
+    pool: { left: context.retryTokens },
+    phase: "queued",
+  }, createServedDeps(nowMs));
+}
+
+function retryOrEnd(
+  state: NodeState,
+  exchangeId: string,
+  answer: OwnAnswer,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  if (canRetry(call)) {
+    return retryEntry(state, exchangeId, nowMs);
+  }
+  const outcome: CallOutcome = call.isNotRun ? "not-run" : "unknown";
+  return endWithAnswer(state, exchangeId, { ...answer, outcome });
+}
+
+/** A retry needs a token, the whole body, and harmlessness or proof. */
+function canRetry(call: EntryCall): boolean {
+  const isHarmless = call.row.idempotent || call.isNotRun;
+  return isHarmless && call.isReplayable && call.pool.left > 0;
+}
+
+function retryEntry(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const pool = { left: call.pool.left - 1 };
+  const next = putEntry(state, { ...call, pool });
+  return tryAttempt(next, exchangeId, nowMs);
+}
+
+function relayAnswer(
+  state: NodeState,
+  exchangeId: string,
+  attemptId: string,
+  answer: AttemptAnswer,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const outcome = answer.outcome === "not-run" && !call.isNotRun
+    ? "unknown"
+    : answer.outcome ?? "unknown";
+  const headers = createSignalHeaders({ outcome });
+  const entryOfAttempt = setEntry(state.entryOfAttempt, attemptId, exchangeId);
+  const next = putEntry({ ...state, entryOfAttempt }, {
+    ...call,
+    isRelaying: true,
+  });
+  return createReduction(next, [
+    { type: "RelayAnswer", exchangeId, attemptId, headers },
+    createEndRecord(call, answer.status, outcome),
+  ]);
+}
+
+function endWithAnswer(
+  state: NodeState,
+  exchangeId: string,
+  answer: OwnAnswer,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const step = closeEntry(state, exchangeId);
+  return appendEffects(
+    step,
+    createAnswer(exchangeId, answer),
+    createEndRecord(call, answer.status, answer.outcome),
+  );
+}
+
+function findAttempt(call: EntryCall): string | undefined {
+  if (call.attempt !== undefined) {
+    return call.attempt.attemptId;
+  }
+  return call.isRelaying
+    ? `${call.exchangeId}.${call.attemptCount}`
+    : undefined;
+}
--- /dev/null
+++ b/src/platform/call/common/entry_open.ts
@@ -0,0 +1,168 @@
+/** Opens entry calls: a root at the edge, a child at the egress. */
+import { hashText } from "../../../base/common/hash.ts";
+import { setEntry } from "../../../base/common/maps.ts";
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { takeShare } from "../../retry/common/retry_tokens.ts";
+import { selectRow } from "../../table/common/table_match.ts";
+import type { TableRow } from "../../table/common/table_row.ts";
+import { createAnswer } from "./answers.ts";
+import type { OwnAnswer } from "./answers.ts";
+import { decodeContext, MAX_DEPTH } from "./call_context.ts";
+import type { CallContext } from "./call_context.ts";
+import type { CallReceived, NodeEffect, TimerKey } from "./call_events.ts";
+import { tryAttempt } from "./entry_attempts.ts";
+import { putEntry } from "./entry_state.ts";
+import type { EntryCall, NodeState } from "./node_state.ts";
+import type { NodeStep } from "./served_reducer.ts";
+
+type Opened =
+  | {
+    readonly type: "Opened";
+    readonly state: NodeState;
+    readonly context: CallContext;
+    readonly parentId: string | undefined;
+  }
+  | { readonly type: "Rejected"; readonly answer: OwnAnswer };
+
+/** Takes a call from a caller (edge) or the local backend server (egress). */
+export function receiveEntry(
+  state: NodeState,
+  received: CallReceived,
+  nowMs: number,
+): NodeStep {
+  const row = selectRow(state.table, received);
+  if (row === undefined) {
+    return answerUnread(state, received, {
+      status: 404,
+      outcome: "not-run",
+      message:
+        `No kind of request matches ${received.method} ${received.path}; ` +
+        `${state.table.rows.length} kinds tried`,
+    });
+  }
+  if ((received.bodyBytes ?? 0) > row.maxBodyBytes) {
+    return answerUnread(state, received, {
+      status: 413,
+      outcome: "not-run",
+      message:
+        `Body is over ${row.maxBodyBytes} bytes, the limit of ${row.kind}`,
+    });
+  }
+  return openEntry(state, received, row, nowMs);
+}
+
+function openEntry(
+  state: NodeState,
+  received: CallReceived,
+  row: TableRow,
+  nowMs: number,
+): NodeStep {
+  const { exchangeId, listener } = received;
+  if (listener === "ingress") {
+    return createReduction(state);
+  }
+  const opened = listener === "edge"
+    ? openRoot(state, exchangeId, row)
+    : openChild(state, received, row, nowMs);
+  if (opened.type === "Rejected") {
+    return answerUnread(state, received, opened.answer);
+  }
+  const { context, parentId } = opened;
+  const deadlineMs = nowMs + Math.min(context.remainingMs, row.timeoutMs);
+  const call: EntryCall = {
+    exchangeId,
+    listener,
+    row,
+    context,
+    parentId,
+    deadlineMs,
+    pool: { left: context.retryTokens },
+    isReplayable: received.isReplayable,
+    attempt: undefined,
+    attemptCount: 0,
+    tried: [],
+    isNotRun: true,
+    isRelaying: false,
+  };
+  const key: TimerKey = { owner: "entry", id: exchangeId };
+  const step = createReduction<NodeState, NodeEffect>(
+    putEntry(opened.state, call),
+    [
+      { type: "StartTimer", key, atMs: deadlineMs },
+      {
+        type: "RecordEvent",
+        event: {
+          type: "CallStarted",
+          requestId: context.rootId,
+          kind: row.kind,
+          depth: context.depth,
+        },
+      },
+    ],
+  );
+  return chainReduction(step, (s) => tryAttempt(s, exchangeId, nowMs));
+}
+
+function openRoot(
+  state: NodeState,
+  exchangeId: string,
+  row: TableRow,
+): Opened {
+  const context: CallContext = {
+    rootId: exchangeId,
+    attemptId: exchangeId,
+    importance: row.importance,
+    admissionHash: hashText(exchangeId),
+    depth: 0,
+    remainingMs: row.timeoutMs,
+    retryTokens: row.retries,
+  };
+  return { type: "Opened", state, context, parentId: undefined };
+}
+
+/** A call of the local backend server draws on the attempt that it serves. */
+function openChild(
+  state: NodeState,
+  received: CallReceived,
+  row: TableRow,
+  nowMs: number,
+): Opened {
+  if (received.contextHeader === undefined) {
+    const root = openRoot(state, received.exchangeId, { ...row, retries: 0 });
+    return root;
+  }
+  const decoded = decodeContext(received.contextHeader);
+  if (decoded.isErr() || decoded.value.depth >= MAX_DEPTH) {
+    const reason = decoded.isErr() ? decoded.error.reason : "Call is too deep";
+    const message = `Context header is malformed: ${reason}`;
+    const answer: OwnAnswer = { status: 400, outcome: "not-run", message };
+    return { type: "Rejected", answer };
+  }
+  const header = decoded.value;
+  const parent = state.served.get(header.attemptId);
+  if (parent === undefined) {
+    const context = { ...header, depth: header.depth + 1, retryTokens: 0 };
+    return { type: "Opened", state, context, parentId: undefined };
+  }
+  const { share, pool } = takeShare(parent.pool);
+  const served = setEntry(state.served, parent.attemptId, { ...parent, pool });
+  const context: CallContext = {
+    ...parent.context,
+    depth: parent.context.depth + 1,
+    remainingMs: parent.deadlineMs - nowMs,
+    retryTokens: share,
+  };
+  const next = { ...state, served };
+  return { type: "Opened", state: next, context, parentId: parent.attemptId };
+}
+
+function answerUnread(
+  state: NodeState,
+  received: CallReceived,
+  answer: OwnAnswer,
+): NodeStep {
+  return createReduction(state, [createAnswer(received.exchangeId, answer)]);
+}
--- /dev/null
+++ b/src/platform/call/common/entry_state.ts
@@ -0,0 +1,106 @@
+/** Small steps on the entry calls of a node's state. */
+import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import { createReduction } from "../../../base/common/reduction.ts";
+import { returnShare } from "../../retry/common/retry_tokens.ts";
+import { reduceRouting } from "../../routing/common/routing_reducer.ts";
+import type {
+  AttemptReport,
+  RoutingEvent,
+} from "../../routing/common/routing_reducer.ts";
+import type { CallOutcome } from "./call_context.ts";
+import type { NodeEffect, TimerKey } from "./call_events.ts";
+import type { EntryCall, NodeState } from "./node_state.ts";
+import type { NodeStep } from "./served_reducer.ts";
+
+/** Applies an event to the routing view. */
+export function stepRouting(state: NodeState, event: RoutingEvent): NodeState {
+  return { ...state, routing: reduceRouting(state.routing, event).state };
+}
+
+export function putEntry(state: NodeState, call: EntryCall): NodeState {
+  const entries = setEntry(state.entries, call.exchangeId, call);
+  if (call.attempt === undefined) {
+    return { ...state, entries };
+  }
+  const { attemptId } = call.attempt;
+  const entryOfAttempt = setEntry(
+    state.entryOfAttempt,
+    attemptId,
+    call.exchangeId,
+  );
+  return { ...state, entries, entryOfAttempt };
+}
+
+export function reportAttempt(
+  state: NodeState,
+  call: EntryCall,
+  seen: Pick<AttemptReport, "result" | "isDraining">,
+  nowMs: number,
+): NodeState {
+  const attempt = call.attempt!;
+  const report: AttemptReport = {
+    service: call.row.service,
+    nodeId: attempt.nodeId,
+    latencyMs: nowMs - attempt.startedAtMs,
+    result: seen.result,
+    isDraining: seen.isDraining,
+  };
+  return stepRouting(state, { type: "AttemptFinished", report });
+}
+
+/** Takes the attempt off the call, with the tokens that it gave back. */
+export function settleAttempt(
+  state: NodeState,
+  exchangeId: string,
+  settled: { readonly tokens: number; readonly isNotRun: boolean },
+): NodeState {
+  const call = state.entries.get(exchangeId)!;
+  const attempt = call.attempt!;
+  const next = putEntry(state, {
+    ...call,
+    pool: returnShare(call.pool, attempt.tokens, settled.tokens),
+    attempt: undefined,
+    isNotRun: call.isNotRun && settled.isNotRun,
+  });
+  const { attemptId } = attempt;
+  return {
+    ...next,
+    entryOfAttempt: deleteEntry(next.entryOfAttempt, attemptId),
+  };
+}
+
+/** Forgets a call and gives its unused tokens back to its parent. */
+export function closeEntry(state: NodeState, exchangeId: string): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const key: TimerKey = { owner: "entry", id: exchangeId };
+  const lastAttempt = `${exchangeId}.${call.attemptCount}`;
+  const next: NodeState = {
+    ...state,
+    entries: deleteEntry(state.entries, exchangeId),
+    entryOfAttempt: deleteEntry(state.entryOfAttempt, lastAttempt),
+  };
+  const parent = call.parentId === undefined
+    ? undefined
+    : next.served.get(call.parentId);
+  const stop: NodeEffect = { type: "StopTimer", key };
+  if (parent === undefined) {
+    return createReduction(next, [stop]);
+  }
+  const given = call.context.retryTokens;
+  const pool = returnShare(parent.pool, given, call.pool.left);
+  const served = setEntry(next.served, parent.attemptId, { ...parent, pool });
+  return createReduction({ ...next, served }, [stop]);
+}
+
+export function createEndRecord(
+  call: EntryCall,
+  status: number,
+  outcome: CallOutcome,
+): NodeEffect {
+  const requestId = call.context.rootId;
+  const { kind } = call.row;
+  return {
+    type: "RecordEvent",
+    event: { type: "CallEnded", requestId, kind, status, outcome },
+  };
+}
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -10,16 +10,19 @@
 import type { NodeState } from "./node_state.ts";
 import {
   answerEntry,
-  cancelChildren,
-  cancelEntry,
   createServedDeps,
-  endEntry,
   expireEntry,
   failEntry,
-  receiveEntry,
+} from "./entry_attempts.ts";
+import { receiveEntry } from "./entry_open.ts";
+import {
+  cancelChildren,
+  cancelEntry,
+  endEntry,
   resumeEntries,
-  stepRouting,
 } from "./entry_reducer.ts";
+import { stepRouting } from "./entry_state.ts";
+import { answerPeer } from "./peer_reducer.ts";
 import {
   answerServed,
   cancelServed,
@@ -60,6 +63,12 @@
       return takeTable(state, event.table, event.isConfirmed);
     case "DrainRequested":
       return startDrain(state);
+    case "Ticked":
+      return createReduction(state);
+    case "PeerAsked":
+      return answerPeer(state, event.askId, event.message);
+    case "PeerReplied":
+      return createReduction(state);
     case "MembersListed":
       return resumeEntries(stepRouting(state, event), event.service, nowMs);
     case "MemberPublished":
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -67,6 +67,8 @@
   readonly entryOfAttempt: ReadonlyMap<string, string>;
   /** By attempt id. */
   readonly served: ReadonlyMap<string, ServedCall>;
+  /** Attempt ids that ended or were fenced here, oldest first. */
+  readonly settled: ReadonlyMap<string, "ended" | "fenced">;
   readonly routing: RoutingState;
   readonly admission: AdmissionState;
 }
@@ -84,6 +86,7 @@
     entries: new Map(),
     entryOfAttempt: new Map(),
     served: new Map(),
+    settled: new Map(),
     routing: INITIAL_ROUTING,
     admission: createAdmission(self.slots),
   };
--- /dev/null
+++ b/src/platform/call/common/peer_reducer.ts
@@ -0,0 +1,65 @@
+/** Answers to other nodes' questions about attempts. */
+import { createReduction } from "../../../base/common/reduction.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import type {
+  PeerMessage,
+  PeerReply,
+} from "../../peer/common/peer_messages.ts";
+import type { NodeEffect } from "./call_events.ts";
+import type { NodeState } from "./node_state.ts";
+
+/** Settled attempt ids that a node remembers. */
+export const MAX_SETTLED = 4_096;
+
+/** Answers one question. */
+export function answerPeer(
+  state: NodeState,
+  askId: number,
+  message: PeerMessage,
+): Reduction<NodeState, NodeEffect> {
+  switch (message.type) {
+    case "FenceAttempt":
+      return fenceAttempt(state, askId, message.attemptId);
+  }
+}
+
+/** Remembers a settled attempt; the oldest one is forgotten first. */
+export function rememberSettled(
+  settled: NodeState["settled"],
+  attemptId: string,
+  how: "ended" | "fenced",
+): NodeState["settled"] {
+  const next = new Map(settled);
+  next.set(attemptId, how);
+  for (const oldest of next.keys()) {
+    if (next.size <= MAX_SETTLED) {
+      break;
+    }
+    next.delete(oldest);
+  }
+  return next;
+}
+
+function fenceAttempt(
+  state: NodeState,
+  askId: number,
+  attemptId: string,
+): Reduction<NodeState, NodeEffect> {
+  const served = state.served.get(attemptId);
+  if (served !== undefined) {
+    return reply(state, askId, { type: "AttemptKnown", phase: served.phase });
+  }
+  if (state.settled.get(attemptId) === "ended") {
+    return reply(state, askId, { type: "AttemptKnown", phase: "ended" });
+  }
+  const settled = rememberSettled(state.settled, attemptId, "fenced");
+  return reply({ ...state, settled }, askId, { type: "AttemptFenced" });
+}
+
+function reply(
+  state: NodeState,
+  askId: number,
+  answer: PeerReply,
+): Reduction<NodeState, NodeEffect> {
+  return createReduction(state, [{ type: "AnswerPeer", askId, reply: answer }]);
+}
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -21,6 +21,7 @@
   NodeEffect,
   TimerKey,
 } from "./call_events.ts";
+import { rememberSettled } from "./peer_reducer.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
 
 /** A step of the node. */
@@ -63,6 +64,13 @@
       message: `Context header is malformed: ${context.error.reason}`,
     });
   }
+  if (state.settled.has(context.value.attemptId)) {
+    return answerAtOnce(state, exchangeId, {
+      status: 503,
+      outcome: "not-run",
+      message: "Attempt was given up before it arrived",
+    });
+  }
   const row = selectRow(state.table, call);
   if (row === undefined) {
     return answerAtOnce(state, exchangeId, {
@@ -323,8 +331,13 @@
   const call = state.served.get(attemptId)!;
   const key: TimerKey = { owner: "served", id: attemptId };
   const served = deleteEntry(state.served, attemptId);
+  const settled = rememberSettled(state.settled, attemptId, "ended");
   const type = call.phase === "queued" ? "RequestWithdrawn" : "RequestFinished";
-  const step = stepAdmission({ ...state, served }, { type, attemptId }, deps);
+  const step = stepAdmission(
+    { ...state, served, settled },
+    { type, attemptId },
+    deps,
+  );
   return appendEffects(step, { type: "StopTimer", key });
 }
 
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -3,6 +3,15 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/node/message_codec.ts";
+import { PEER_PATH } from "../../peer/common/peer_messages.ts";
+import type {
+  PeerMessage,
+  PeerReply,
+} from "../../peer/common/peer_messages.ts";
 import { CONTEXT_HEADER } from "../common/call_context.ts";
 import type { Listener, NodeEffect, NodeEvent } from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
@@ -25,11 +34,14 @@
     | "AbortAttempt"
     | "DiscardAnswer"
     | "RelayAnswer"
-    | "DropExchange";
+    | "DropExchange"
+    | "AnswerPeer";
 }>;
 
 /** Largest body that is held whole so that it can be sent again. */
 const REPLAY_BYTES = 64 * 1024;
+/** Largest message from another node. */
+const MAX_PEER_BYTES = 256 * 1024;
 const KEEP_ALIVE_MS = 60_000;
 
 /** Owns the three listeners and the exchanges on them. */
@@ -40,6 +52,8 @@
   readonly #idPrefix = randomBytes(6).toString("hex");
   readonly #servers: Server[] = [];
   #nextId = 0;
+  readonly #asks = new Map<number, ServerResponse>();
+  #nextAsk = 0;
 
   constructor(options: CallServerOptions) {
     this.#options = options;
@@ -72,6 +86,10 @@
       this.#sender.discard(effect.attemptId);
       return;
     }
+    if (effect.type === "AnswerPeer") {
+      this.#answerPeer(effect.askId, effect.reply);
+      return;
+    }
     const exchange = this.#exchanges.get(effect.exchangeId);
     if (exchange !== undefined) {
       this.#performOn(exchange, effect);
@@ -96,7 +114,10 @@
 
   #performOn(
     exchange: Exchange,
-    effect: Exclude<CallEffect, { type: "AbortAttempt" | "DiscardAnswer" }>,
+    effect: Exclude<
+      CallEffect,
+      { type: "AbortAttempt" | "DiscardAnswer" | "AnswerPeer" }
+    >,
   ): void {
     switch (effect.type) {
       case "AnswerCall":
@@ -120,6 +141,10 @@
     response: ServerResponse,
   ): void {
     const bodyBytes = readBodyBytes(request);
+    if (listener === "ingress" && request.url === PEER_PATH) {
+      this.#receivePeer(request, response);
+      return;
+    }
     const accept = (body: Uint8Array | undefined) => {
       this.#accept(listener, { request, response, body, bodyBytes });
     };
@@ -130,6 +155,31 @@
     collectBody(request, bodyBytes, accept);
   }
 
+  #receivePeer(request: IncomingMessage, response: ServerResponse): void {
+    const bodyBytes = readBodyBytes(request) ?? Infinity;
+    if (request.method !== "POST" || bodyBytes > MAX_PEER_BYTES) {
+      response.writeHead(400, { connection: "close" }).end();
+      return;
+    }
+    collectBody(request, bodyBytes, (body) => {
+      const message = decodeMessage<PeerMessage>(body);
+      if (message === undefined) {
+        response.writeHead(400).end();
+        return;
+      }
+      const askId = this.#nextAsk++;
+      this.#asks.set(askId, response);
+      response.on("close", () => this.#asks.delete(askId));
+      this.#options.dispatch({ type: "PeerAsked", askId, message });
+    });
+  }
+
+  #answerPeer(askId: number, reply: PeerReply): void {
+    const response = this.#asks.get(askId);
+    const body = encodeMessage(reply);
+    response?.writeHead(200, { "content-length": body.length }).end(body);
+  }
+
   #accept(
     listener: Listener,
     arrived: Omit<Exchange, "id"> & { readonly bodyBytes: number | undefined },
--- a/src/platform/link/node/link_client.ts
+++ b/src/platform/link/node/link_client.ts
@@ -2,7 +2,10 @@
 import { WebSocket } from "ws";
 import type { ControlMessage, NodeMessage } from "../common/link_messages.ts";
 import { HEARTBEAT_MS, LINK_SILENCE_MS } from "../common/link_messages.ts";
-import { decodeMessage, encodeMessage } from "./link_codec.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/node/message_codec.ts";
 
 /** What the client is built from. */
 export interface LinkClientOptions {
--- a/src/platform/link/node/link_server.ts
+++ b/src/platform/link/node/link_server.ts
@@ -6,7 +6,10 @@
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
 import type { ControlMessage, NodeMessage } from "../common/link_messages.ts";
 import { LINK_SILENCE_MS } from "../common/link_messages.ts";
-import { decodeMessage, encodeMessage } from "./link_codec.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/node/message_codec.ts";
 
 /** What the server is built from. */
 export interface LinkServerOptions {
--- /dev/null
+++ b/src/platform/peer/common/peer_messages.ts
@@ -0,0 +1,19 @@
+/** Messages between nodes beside the calls: msgpack over HTTP, one answer each. */
+
+/** What one node asks another. */
+export type PeerMessage =
+  /** What became of an attempt? One that was never seen can't run later. */
+  { readonly type: "FenceAttempt"; readonly attemptId: string };
+
+/** The answer. */
+export type PeerReply =
+  /** The attempt was never seen here, and will be refused from now on. */
+  | { readonly type: "AttemptFenced" }
+  /** The attempt is, or was, here. */
+  | { readonly type: "AttemptKnown"; readonly phase: AttemptPhase };
+
+/** How far a known attempt is. */
+export type AttemptPhase = "queued" | "running" | "relaying" | "ended";
+
+/** Path of these messages on the ingress listener. */
+export const PEER_PATH = "/.basilpin/peer";
--- /dev/null
+++ b/src/platform/peer/node/peer_client.ts
@@ -0,0 +1,52 @@
+/** Sends peer messages and brings the answers back. */
+import { Agent } from "undici";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/node/message_codec.ts";
+import { PEER_PATH } from "../common/peer_messages.ts";
+import type { PeerMessage, PeerReply } from "../common/peer_messages.ts";
+
+/** One message on its way. */
+export interface PeerRequest {
+  /** `host:port` of the other node's ingress. */
+  readonly address: string;
+  readonly message: PeerMessage;
+  /** Longest wait for the answer, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Whether a connection of its own is opened for it. */
+  readonly isFresh: boolean;
+}
+
+/** Owns the connections to the peers. */
+export class PeerClient implements AsyncDisposable {
+  readonly #agent = new Agent({ connections: 4, pipelining: 1 });
+
+  /** Sends a message; undefined where no answer came in time. */
+  async send(request: PeerRequest): Promise<PeerReply | undefined> {
+    const agent = request.isFresh ? new Agent() : this.#agent;
+    try {
+      const answer = await agent.request({
+        origin: `http://${request.address}`,
+        path: PEER_PATH,
+        method: "POST",
+        body: encodeMessage(request.message),
+        signal: AbortSignal.timeout(request.timeoutMs),
+      });
+      const bytes = new Uint8Array(await answer.body.arrayBuffer());
+      return answer.statusCode === 200
+        ? decodeMessage<PeerReply>(bytes)
+        : undefined;
+    } catch {
+      return undefined;
+    } finally {
+      if (request.isFresh) {
+        await agent.destroy();
+      }
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- a/standin/backend.ts
+++ b/standin/backend.ts
@@ -158,7 +158,10 @@
   const key = String(request.headers["idempotency-key"] ?? request.url);
   counts.started += 1;
   byKey.set(key, (byKey.get(key) ?? 0) + 1);
-  await sleep(computeServiceMs(request), undefined, { signal });
+  const serviceMs = computeServiceMs(request);
+  if (serviceMs > 0) {
+    await sleep(serviceMs, undefined, { signal });
+  }
   const statuses = await callDownstream(request, signal);
   const failed = statuses.find((status) => status >= 400);
   const filler = "x".repeat(Number(request.headers["x-standin-bytes"] ?? 0));
