--- a/src/base/test/snapshot.ts
+++ b/src/base/test/snapshot.ts
@@ -3,15 +3,14 @@
 import { dirname, join, relative } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
-import jestSnapshot from "jest-snapshot";
+import { SnapshotState } from "jest-snapshot";
 import { after } from "mocha";
 
-const { SnapshotState } = jestSnapshot;
 const ROOT = findRoot(dirname(fileURLToPath(import.meta.url)));
 
 /** Compares values with the snapshots of one test file. */
 export class Snapshots {
-  readonly #state: InstanceType<typeof SnapshotState>;
+  readonly #state: SnapshotState;
 
   /** `testFile` is the `import.meta.url` of the test; call it at top level. */
   constructor(testFile: string) {
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -126,21 +126,32 @@
   const checked = v.safeParse(SETTINGS, value);
   return checked.success
     ? ok(checked.output)
-    : err(createError(file, describeIssue(checked.issues[0])));
+    : err(createError(file, describeIssue(selectIssue(checked.issues))));
+}
+
+/** A misspelt key is both unknown and missing: the unknown one is told. */
+function selectIssue(
+  issues: readonly [v.BaseIssue<unknown>, ...v.BaseIssue<unknown>[]],
+): v.BaseIssue<unknown> {
+  return issues.find(isUnknownKey) ?? issues[0];
+}
+
+function isUnknownKey(issue: v.BaseIssue<unknown>): boolean {
+  return issue.type === "strict_object" && issue.expected === "never";
 }
 
 function describeIssue(issue: v.BaseIssue<unknown>): string {
   const key = v.getDotPath(issue) ?? "";
-  if (issue.type === "strict_object" && issue.expected === "never") {
+  if (isUnknownKey(issue)) {
     return `${key}: unknown key; remove it or see docs/OPERATING.md`;
   }
+  if (issue.type === "strict_object" && issue.input === undefined) {
+    return `${key}: key is missing; see docs/OPERATING.md`;
+  }
   const found = issue.input === undefined
     ? "nothing"
     : JSON.stringify(issue.input);
-  const allowed = issue.type === "strict_object" && issue.input === undefined
-    ? "this key"
-    : issue.message;
-  return `${key}: found ${found}; expected ${allowed}`;
+  return `${key}: found ${found}; expected ${issue.message}`;
 }
 
 function createError(file: string, message: string): SettingsError {
--- a/src/platform/table/common/table_csv.ts
+++ b/src/platform/table/common/table_csv.ts
@@ -44,12 +44,15 @@
       bom: true,
       skip_empty_lines: true,
       trim: true,
+      relax_column_count: true,
     }) as string[][];
-    return checkHeader(header ?? []).map(() =>
-      lines.map((line) =>
-        Object.fromEntries(header!.map((name, i) => [name, line[i]]))
-      )
-    );
+    return checkHeader(header ?? [])
+      .andThen(() => checkLengths(header!, lines))
+      .map(() =>
+        lines.map((line) =>
+          Object.fromEntries(header!.map((name, i) => [name, line[i]]))
+        )
+      );
   } catch (error) {
     const lines = (error as { lines?: number }).lines ?? 1;
     return err([createFileError(lines, (error as Error).message)]);
@@ -78,6 +81,20 @@
   return bad.length > 0 ? err(bad) : ok(undefined);
 }
 
+function checkLengths(
+  header: readonly string[],
+  lines: readonly (readonly string[])[],
+): Result<void, readonly BadCell[]> {
+  const bad: BadCell[] = [];
+  lines.forEach((line, index) => {
+    if (line.length !== header.length) {
+      const reason = `Expected ${header.length} cells; found ${line.length}`;
+      bad.push(createFileError(index + 2, reason));
+    }
+  });
+  return bad.length > 0 ? err(bad) : ok(undefined);
+}
+
 function findDuplicates(drafts: readonly DraftRow[]): readonly BadCell[] {
   const lineOfKind = new Map<string, number>();
   const lineOfRoute = new Map<string, number>();
