--- a/src/base/node/event_loop.ts
+++ b/src/base/node/event_loop.ts
@@ -13,6 +13,8 @@
   readonly initial: S;
   readonly reduce: Reduce<S, Ev, Ef>;
   readonly readClock: () => number;
+  /** Sees each event before it is reduced. */
+  readonly observe?: (event: Ev, nowMs: number) => void;
   /** Carries one effect out; it may dispatch further events. */
   readonly perform: (effect: Ef) => void;
 }
@@ -52,10 +54,12 @@
   }
 
   #drain(): void {
-    const { reduce, perform, readClock } = this.#options;
+    const { reduce, perform, readClock, observe } = this.#options;
     let event = this.#pending.shift();
     while (event !== undefined) {
-      const step = reduce(this.#state, event, readClock());
+      const nowMs = readClock();
+      observe?.(event, nowMs);
+      const step = reduce(this.#state, event, nowMs);
       this.#state = step.state;
       for (const effect of step.effects) {
         perform(effect);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { registerStatus } from "./commands/status.ts";
 import { registerTable } from "./commands/table.ts";
 import { registerTimeline } from "./commands/timeline.ts";
+import { registerTrace } from "./commands/trace.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
 const DEFAULT_CONTROL = "127.0.0.1:7002";
@@ -28,5 +29,6 @@
 registerStatus(program);
 registerTimeline(program);
 registerDrain(program);
+registerTrace(program);
 
 await program.parseAsync();
--- a/src/daemon/edit_body.ts
+++ b/src/daemon/edit_body.ts
@@ -3,7 +3,10 @@
 import * as v from "valibot";
 import type { TableChange } from "../platform/table/common/table_reducer.ts";
 import { parseRow } from "../platform/table/common/table_schema.ts";
-import type { DraftRow } from "../platform/table/common/table_schema.ts";
+import type {
+  BadCell,
+  DraftRow,
+} from "../platform/table/common/table_schema.ts";
 
 /** An edit before it has an operator and a time. */
 export interface EditBody {
@@ -40,10 +43,12 @@
     case "RemoveRow":
       return ok({ editId, change });
     case "PutRow":
-      return parseRows([change.cells]).map(([draft]) => ({
-        editId,
-        change: { type: "PutRow", ...draft! },
-      }));
+      return parseRow(change.cells, 0)
+        .map((draft): EditBody => ({
+          editId,
+          change: { type: "PutRow", ...draft },
+        }))
+        .mapErr((bad) => bad.map(describeCell).join("\n"));
     case "ReplaceRows":
       return parseRows(change.rows).map((rows) => ({
         editId,
@@ -52,6 +57,10 @@
   }
 }
 
+function describeCell(cell: BadCell): string {
+  return `${cell.column}: ${cell.reason}`;
+}
+
 function parseRows(
   lines: readonly Readonly<Record<string, string>>[],
 ): Result<readonly DraftRow[], string> {
@@ -62,9 +71,7 @@
       (draft) => drafts.push(draft),
       (bad) =>
         reasons.push(
-          ...bad.map((cell) =>
-            `line ${cell.line}, ${cell.column}: ${cell.reason}`
-          ),
+          ...bad.map((cell) => `line ${cell.line}, ${describeCell(cell)}`),
         ),
     );
   });
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -15,6 +15,8 @@
 import { LinkClient } from "../platform/link/node/link_client.ts";
 import type { Announcement } from "../platform/membership/common/announcement.ts";
 import { PeerClient } from "../platform/peer/node/peer_client.ts";
+import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
+import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type { OperatorRoute } from "./operator_server.ts";
 import type { NodeSettings } from "./settings.ts";
@@ -42,11 +44,11 @@
   constructor(settings: NodeSettings) {
     this.#settings = settings;
     this.#telemetry = this.#owned.use(new Telemetry(settings));
+    const self = createAnnouncement(settings);
+    const backendAddress = settings.backend.address;
     this.#loop = new EventLoop({
-      initial: createNodeState(
-        createAnnouncement(settings),
-        settings.backend.address,
-      ),
+      initial: createNodeState(self, backendAddress),
+      ...this.#createObserver(self),
       reduce: reduceNode,
       readClock: Date.now,
       perform: (effect) => this.#perform(effect),
@@ -131,6 +133,27 @@
     });
   }
 
+  /** Records the events where the settings ask for it. */
+  #createObserver(self: Announcement) {
+    const { trace, backend } = this.#settings;
+    if (trace === undefined) {
+      return {};
+    }
+    const recorder = this.#owned.use(
+      new TraceRecorder(trace.file, {
+        format: "basilpin-trace",
+        version: TRACE_VERSION,
+        role: "node",
+        self,
+        backendAddress: backend.address,
+      }),
+    );
+    return {
+      observe: (event: NodeEvent, atMs: number) =>
+        recorder.record({ atMs, event }),
+    };
+  }
+
   #createCalls(dispatch: (event: NodeEvent) => void): CallServer {
     const { listen, backend } = this.#settings;
     return new CallServer({
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -70,6 +70,10 @@
   }),
   security: SECURITY,
   log: LOG,
+  /** Records all events of the node to a file, for `basilpin trace`. */
+  trace: v.optional(v.strictObject({
+    file: v.pipe(v.string("a file name"), v.minLength(1, "a file name")),
+  })),
 });
 
 const CONTROL_SETTINGS = v.strictObject({
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -46,6 +46,8 @@
   readonly behaviour?: Partial<Behaviour>;
   /** Paths called downstream by `METHOD /prefix`. */
   readonly downstream?: Readonly<Record<string, readonly string[]>>;
+  /** File that the node records its events to. */
+  readonly trace?: string;
 }
 
 /** What a finished command printed. */
@@ -114,6 +116,9 @@
       backend: { address: backendAddress, slots, connections: 400 },
       control: { replicas: this.#controls.map((control) => control.link) },
       security: { transport: "plaintext" },
+      ...(options.trace === undefined
+        ? {}
+        : { trace: { file: options.trace } }),
     });
     const backend = await this.startBackend({
       ...options,
