Judge a test run by its results file

Cause: nothing tied docs/PROOFS.md to tests that ran, and a known failure could only be skipped. Conclusion: the page can't drift from the run.

--- /dev/null
+++ b/scripts/check_results.ts
@@ -0,0 +1,66 @@
+/**
+ * Checks the last test run: each failure is listed in KNOWN-RED.txt (three at
+ * most), and each test that docs/PROOFS.md names has run and passed.
+ */
+import { existsSync, readFileSync } from "node:fs";
+import process from "node:process";
+import { RESULTS_FILE } from "./test_reporter.ts";
+import type { TestResults } from "./test_reporter.ts";
+
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const PROOFS_FILE = "docs/PROOFS.md";
+const MAX_KNOWN_RED = 3;
+/** Tests stand in the page as `test: full title`. */
+const PROOF_TEST = /`test: ([^`]+)`/g;
+
+function readKnownRed(): readonly string[] {
+  if (!existsSync(KNOWN_RED_FILE)) {
+    return [];
+  }
+  const lines = readFileSync(KNOWN_RED_FILE, "utf8").split("\n");
+  return lines.filter((line) => line.trim() !== "");
+}
+
+function checkFailures(
+  results: TestResults,
+  knownRed: readonly string[],
+): readonly string[] {
+  const faults = results.failed
+    .filter((title) => !knownRed.some((line) => line.startsWith(title)))
+    .map((title) => `Failed: ${title}`);
+  if (knownRed.length > MAX_KNOWN_RED) {
+    faults.push(`${KNOWN_RED_FILE} holds more than ${MAX_KNOWN_RED} tests`);
+  }
+  return faults;
+}
+
+function checkProofs(results: TestResults): readonly string[] {
+  const passed = new Set(results.passed);
+  const known = new Set([...results.passed, ...results.failed]);
+  const page = readFileSync(PROOFS_FILE, "utf8");
+  return [...page.matchAll(PROOF_TEST)]
+    .map(([, title]) => title!)
+    .filter((title) => !passed.has(title))
+    .map((title) =>
+      known.has(title)
+        ? `${PROOFS_FILE} names a test that failed: ${title}`
+        : `${PROOFS_FILE} names a test that did not run: ${title}`
+    );
+}
+
+const results = JSON.parse(readFileSync(RESULTS_FILE, "utf8")) as TestResults;
+const knownRed = readKnownRed();
+for (const line of knownRed) {
+  process.stdout.write(`Known red: ${line}\n`);
+}
+const faults = [
+  ...checkFailures(results, knownRed),
+  ...checkProofs(results),
+];
+process.stdout.write(
+  `${results.passed.length} passed, ${results.failed.length} failed\n`,
+);
+if (faults.length > 0) {
+  process.stderr.write(`${faults.join("\n")}\n`);
+  process.exit(1);
+}
