Draw the time line as one HTML page, over all control replicas

Cause: a time line of many processes can't be read as text, and only the first replica's events were fetched.

--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,16 +1,21 @@
 /** `basilpin timeline`: events over all processes, in order. */
+import { writeFileSync } from "node:fs";
 import type { Command } from "commander";
 import { err, ok, type Result } from "neverthrow";
 import { compareRecords } from "../../platform/telemetry/common/timeline_event.ts";
 import type { TimelineRecord } from "../../platform/telemetry/common/timeline_event.ts";
+import { createCliError } from "../cli_error.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
 import type { CommandContext } from "../command_context.ts";
-import { writeColumns, writeJson } from "../output.ts";
+import { EXIT_CODES } from "../exit_codes.ts";
+import { writeColumns, writeJson, writeLine } from "../output.ts";
+import { createTimelinePage } from "../timeline_page.ts";
 import { fetchStatus } from "./status.ts";
 
 interface TimelineOptions {
   readonly request?: string;
+  readonly html?: string;
 }
 
 /** Adds the time line command. */
@@ -18,6 +23,7 @@
   program.command("timeline")
     .description("events over all processes, in order")
     .option("--request <id>", "only the events of one request")
+    .option("--html <file>", "write one page to look at in a browser")
     .addHelpText("after", "\nExample: basilpin timeline --request 3f2a-1")
     .action(async (options, command) =>
       finishCommand(await showTimeline(createContext(command), options))
@@ -29,15 +35,18 @@
   options: TimelineOptions,
 ): Promise<Result<void, CliError>> {
   const merged = await fetchTimeline(context);
-  return merged.map((records) => {
+  return merged.andThen((records) => {
     const wanted = records.filter((record) =>
       options.request === undefined ||
       ("requestId" in record.event &&
         record.event.requestId === options.request)
     );
+    if (options.html !== undefined) {
+      return writePage(options.html, createTimelinePage(wanted));
+    }
     if (context.isJson) {
       writeJson(wanted);
-      return;
+      return ok(undefined);
     }
     writeColumns(
       ["TIME", "PROCESS", "EVENT", ""],
@@ -48,9 +57,24 @@
         describeEvent(record),
       ]),
     );
+    return ok(undefined);
   });
 }
 
+function writePage(file: string, page: string): Result<void, CliError> {
+  try {
+    writeFileSync(file, page);
+  } catch (error) {
+    return err(createCliError({
+      exitCode: EXIT_CODES.usage,
+      message: `Can't write ${file}: ${(error as Error).message}`,
+      advice: "Name a file in a folder that you may write to",
+    }));
+  }
+  writeLine(`Written to ${file}`);
+  return ok(undefined);
+}
+
 /** Fetches the rings of all processes and merges them. */
 export async function fetchTimeline(
   context: CommandContext,
@@ -60,19 +84,16 @@
   if (status.isErr()) {
     return err(status.error);
   }
-  const control = await context.client.ask(call);
-  if (control.isErr()) {
-    return err(control.error);
-  }
+  const addresses = new Set([
+    ...context.client.replicas,
+    ...status.value.nodes.map((node) => node.operator),
+  ]);
   const replies = await Promise.all(
-    status.value.nodes.map((node) =>
-      context.client.askOne(node.operator, call)
-    ),
+    [...addresses].map((address) => context.client.askOne(address, call)),
   );
   const rings = replies.map((reply) =>
     reply.isOk() ? reply.value.body as readonly TimelineRecord[] : []
   );
-  rings.push(control.value.body as readonly TimelineRecord[]);
   return ok(rings.flat().toSorted(compareRecords));
 }
 
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -35,6 +35,11 @@
     this.#options = options;
   }
 
+  /** `host:port` of the control replicas. */
+  get replicas(): readonly string[] {
+    return this.#options.replicas;
+  }
+
   /**
    * Asks the replicas in turn until one answers. A request that changes
    * something carries an id of its own, so that asking twice does no harm.
