Add the consensus reducer

Cause: the replicated state needs a leader, terms, a log and quorum commit. Answers are held until the write that they promise is synced.

--- /dev/null
+++ b/src/platform/consensus/common/commit.ts
@@ -0,0 +1,152 @@
+/** Commits and applies entries (Raft, 5.3, 5.4.2). */
+import {
+  appendEffects,
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import type { CommittedCommand, ConsensusEffect } from "./consensus_events.ts";
+import type {
+  ConsensusState,
+  ConsensusStep,
+  StepContext,
+} from "./consensus_types.ts";
+import { decodeEntry } from "./entry_payload.ts";
+import type { LogEntry } from "./log_types.ts";
+import { listCounted } from "./quorum.ts";
+import { settleForwardedReads, settleReads } from "./read_index.ts";
+import { lookupTerm, selectEntries } from "./replicated_log.ts";
+import { becomeFollower } from "./term.ts";
+
+/** Commits, as leader, what a quorum has synced. */
+export function advanceCommit(
+  context: StepContext,
+  state: ConsensusState,
+): ConsensusStep {
+  if (state.role.type !== "Leader") {
+    return createReduction(state);
+  }
+  const index = computeQuorumIndex(context, state);
+  const entryTerm = lookupTerm(state.log, index);
+  const mayCommit = entryTerm !== undefined &&
+    context.rules.canCommitByCount(entryTerm, state.term);
+  return mayCommit ? commitUpTo(context, state, index) : createReduction(state);
+}
+
+/** Commits and applies the entries up to `index`. */
+export function commitUpTo(
+  context: StepContext,
+  state: ConsensusState,
+  index: number,
+): ConsensusStep {
+  if (index <= state.commitIndex) {
+    return createReduction(state);
+  }
+  const entries = selectEntries(state.log, state.commitIndex, index);
+  const applied = appendEffects(
+    createReduction<ConsensusState, ConsensusEffect>(
+      { ...state, commitIndex: index },
+      [createApply(entries, index)],
+    ),
+    ...listConfigurations(entries),
+  );
+  const settled = chainReduction(
+    chainReduction(applied, settleProposals),
+    (s) => settleReads(context, s),
+  );
+  return chainReduction(
+    chainReduction(chainReduction(settled, settleForwardedReads), askSnapshot),
+    (s) => leaveWhereRemoved(context, s),
+  );
+}
+
+function computeQuorumIndex(
+  context: StepContext,
+  state: ConsensusState,
+): number {
+  const { role, replicaId, persistence } = state;
+  if (role.type !== "Leader") {
+    return 0;
+  }
+  const matches = listCounted(context, state)
+    .map((id) =>
+      id === replicaId
+        ? persistence.durableIndex
+        : role.progress.get(id)?.matchIndex ?? 0
+    )
+    .sort((a, b) => b - a);
+  return matches[Math.floor(state.configuration.voters.length / 2)] ?? 0;
+}
+
+function createApply(
+  entries: readonly LogEntry[],
+  lastIndex: number,
+): ConsensusEffect {
+  const commands = entries.flatMap((entry): readonly CommittedCommand[] => {
+    const content = decodeEntry(entry);
+    const { index, term } = entry;
+    return content.type === "Command"
+      ? [{ index, term, payload: content.payload }]
+      : [];
+  });
+  return { type: "ApplyEntries", lastIndex, commands };
+}
+
+function listConfigurations(
+  entries: readonly LogEntry[],
+): readonly ConsensusEffect[] {
+  return entries.flatMap((entry): readonly ConsensusEffect[] => {
+    const content = decodeEntry(entry);
+    return content.type === "Configuration"
+      ? [{
+        type: "ConfigurationChanged",
+        index: entry.index,
+        configuration: content.configuration,
+      }]
+      : [];
+  });
+}
+
+function settleProposals(state: ConsensusState): ConsensusStep {
+  const { role, commitIndex } = state;
+  if (role.type !== "Leader") {
+    return createReduction(state);
+  }
+  const done = role.proposals.filter((p) => p.index <= commitIndex);
+  if (done.length === 0) {
+    return createReduction(state);
+  }
+  const proposals = role.proposals.filter((p) => p.index > commitIndex);
+  return createReduction<ConsensusState, ConsensusEffect>(
+    { ...state, role: { ...role, proposals } },
+    done.map(({ requestId, index }) => ({
+      type: "ProposalCommitted",
+      requestId,
+      index,
+    })),
+  );
+}
+
+function askSnapshot(state: ConsensusState): ConsensusStep {
+  const { commitIndex, snapshot, snapshotAskedIndex, options } = state;
+  const since = Math.max(snapshot?.lastIndex ?? 0, snapshotAskedIndex);
+  if (commitIndex - since < options.snapshotEveryEntries) {
+    return createReduction(state);
+  }
+  return createReduction({ ...state, snapshotAskedIndex: commitIndex }, [
+    { type: "TakeSnapshot", lastIndex: commitIndex },
+  ]);
+}
+
+function leaveWhereRemoved(
+  context: StepContext,
+  state: ConsensusState,
+): ConsensusStep {
+  const { role, configuration, configurationIndex, commitIndex } = state;
+  const isRemoved = !configuration.voters.includes(state.replicaId);
+  if (role.type !== "Leader" || !isRemoved) {
+    return createReduction(state);
+  }
+  return configurationIndex > commitIndex
+    ? createReduction(state)
+    : becomeFollower(context, state, { term: state.term, leaderId: undefined });
+}
--- /dev/null
+++ b/src/platform/consensus/common/compaction.ts
@@ -0,0 +1,36 @@
+/** Replaces the start of the log by a snapshot of the state machine. */
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { findConfigurationAt } from "./configuration.ts";
+import type { ConsensusState, ConsensusStep } from "./consensus_types.ts";
+import { writeSnapshot } from "./persistence.ts";
+import { lookupTerm, truncateHead } from "./replicated_log.ts";
+
+/** The state machine, encoded as of the applied entry `lastIndex`. */
+export interface EncodedState {
+  readonly lastIndex: number;
+  readonly payload: Uint8Array;
+}
+
+/** Keeps a snapshot and drops the log before it, but for a few entries. */
+export function compactLog(
+  state: ConsensusState,
+  encoded: EncodedState,
+): ConsensusStep {
+  const { lastIndex, payload } = encoded;
+  const lastTerm = lookupTerm(state.log, lastIndex);
+  const isNewer = lastIndex > (state.snapshot?.lastIndex ?? 0) &&
+    lastIndex <= state.commitIndex;
+  if (!isNewer || lastTerm === undefined) {
+    return createReduction(state);
+  }
+  const configuration = findConfigurationAt(state, lastIndex);
+  const snapshot = { lastIndex, lastTerm, configuration, payload };
+  const base = lastIndex - state.options.trailingEntries;
+  return chainReduction(
+    writeSnapshot(state, snapshot, false),
+    (s) => createReduction({ ...s, log: truncateHead(s.log, base) }),
+  );
+}
--- /dev/null
+++ b/src/platform/consensus/common/configuration.ts
@@ -0,0 +1,59 @@
+/** The configuration that a log implies: its newest, committed or not. */
+import type { ConsensusState, ReplicatedLog } from "./consensus_types.ts";
+import { decodeEntry, isConfigurationEntry } from "./entry_payload.ts";
+import type { Configuration, LogEntry, Snapshot } from "./log_types.ts";
+
+/** A configuration and the index of its entry. */
+export interface IndexedConfiguration {
+  readonly configuration: Configuration;
+  readonly configurationIndex: number;
+}
+
+const NO_CONFIGURATION: Configuration = { voters: [], learners: [] };
+
+/** Finds the newest configuration of a log and the snapshot before it. */
+export function findConfiguration(
+  log: ReplicatedLog,
+  snapshot: Snapshot | undefined,
+): IndexedConfiguration {
+  const entry = log.entries.findLast(isConfigurationEntry);
+  const snapshotIndex = snapshot?.lastIndex ?? 0;
+  if (entry !== undefined && entry.index > snapshotIndex) {
+    return readEntry(entry);
+  }
+  return {
+    configuration: snapshot?.configuration ?? NO_CONFIGURATION,
+    configurationIndex: snapshotIndex,
+  };
+}
+
+/** Finds the configuration that was in force at `index`. */
+export function findConfigurationAt(
+  state: ConsensusState,
+  index: number,
+): Configuration {
+  const { log, snapshot } = state;
+  const entries = log.entries.filter((entry) => entry.index <= index);
+  return findConfiguration({ ...log, entries }, snapshot).configuration;
+}
+
+/** Takes up what changed in the log from `from` on. */
+export function refreshConfiguration(
+  state: ConsensusState,
+  from: number,
+): ConsensusState {
+  const { log, snapshot } = state;
+  const isTruncated = state.configurationIndex >= from;
+  const added = log.entries.slice(from - log.baseIndex - 1);
+  return isTruncated || added.some(isConfigurationEntry)
+    ? { ...state, ...findConfiguration(log, snapshot) }
+    : state;
+}
+
+function readEntry(entry: LogEntry): IndexedConfiguration {
+  const content = decodeEntry(entry);
+  const configuration = content.type === "Configuration"
+    ? content.configuration
+    : NO_CONFIGURATION;
+  return { configuration, configurationIndex: entry.index };
+}
--- a/src/platform/consensus/common/consensus_events.ts
+++ b/src/platform/consensus/common/consensus_events.ts
@@ -25,7 +25,7 @@
   }
   /** Time passed; comes several times per heartbeat interval. */
   | { readonly type: "Ticked" }
-  /** `requestId` is unique at this replica since its start. */
+  /** A `requestId` is unique at its replica, over restarts too. */
   | {
     readonly type: "PayloadProposed";
     readonly requestId: string;
@@ -159,8 +159,7 @@
   | {
     readonly type: "ReplicaSilent";
     readonly replicaId: string;
-    /** Last heard from, on the clock of the events, in milliseconds. */
-    readonly heardAtMs: number;
+    readonly silentForMs: number;
   }
   /** Said by the leader: a silent replica is heard again. */
   | { readonly type: "ReplicaHeard"; readonly replicaId: string }
--- /dev/null
+++ b/src/platform/consensus/common/consensus_receiver.ts
@@ -0,0 +1,103 @@
+/** Hands each message to the part of the algorithm that it belongs to. */
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import type {
+  AppendResponse,
+  ConsensusMessage,
+  SnapshotChunkResponse,
+} from "./consensus_messages.ts";
+import type {
+  ConsensusState,
+  ConsensusStep,
+  StepContext,
+} from "./consensus_types.ts";
+import {
+  answerPreVote,
+  answerVote,
+  receivePreVote,
+  receiveVote,
+  startElection,
+} from "./election.ts";
+import { orderElection } from "./leadership_transfer.ts";
+import { acceptAppend } from "./log_acceptance.ts";
+import { isVoter } from "./quorum.ts";
+import { receiveReadIndex, settleReads, startRead } from "./read_index.ts";
+import { noteContact } from "./replica_contact.ts";
+import { receiveAppendResponse } from "./replication.ts";
+import { acceptChunk, receiveChunkResponse } from "./snapshot_transfer.ts";
+import { becomeFollower } from "./term.ts";
+
+/** A message and who sent it. */
+export interface ReceivedMessage {
+  readonly from: string;
+  readonly message: ConsensusMessage;
+}
+
+/** Receives a message of another replica, or the replica's own vote. */
+export function receiveMessage(
+  context: StepContext,
+  state: ConsensusState,
+  received: ReceivedMessage,
+): ConsensusStep {
+  const { from, message } = received;
+  switch (message.type) {
+    case "PreVoteRequest":
+      return answerPreVote(context, state, { from, message });
+    case "PreVoteResponse":
+      return receivePreVote(context, state, { from, message });
+    case "VoteRequest":
+      return answerVote(context, state, { from, message });
+    case "VoteResponse":
+      return receiveVote(context, state, { from, message });
+    case "AppendRequest":
+      return acceptAppend(context, state, { from, message });
+    case "SnapshotChunk":
+      return acceptChunk(context, state, { from, message });
+    case "AppendResponse":
+    case "SnapshotChunkResponse":
+      return receiveProgress(context, state, { from, message });
+    case "ElectionOrder":
+      return message.term === state.term && isVoter(state) &&
+          state.role.type !== "Leader"
+        ? startElection(context, state, true)
+        : createReduction(state);
+    case "ReadIndexRequest": {
+      const { requestId } = message;
+      return startRead(context, state, { requestId, from });
+    }
+    case "ReadIndexResponse":
+      return receiveReadIndex(state, message);
+  }
+}
+
+function receiveProgress(
+  context: StepContext,
+  state: ConsensusState,
+  received: {
+    readonly from: string;
+    readonly message: AppendResponse | SnapshotChunkResponse;
+  },
+): ConsensusStep {
+  const { from, message } = received;
+  const { term, round } = message;
+  if (term > state.term) {
+    return becomeFollower(context, state, { term, leaderId: undefined });
+  }
+  if (term < state.term || state.role.type !== "Leader") {
+    return createReduction(state);
+  }
+  const noted = noteContact(context, state, { from, round });
+  const matched = chainReduction(
+    noted,
+    (s) =>
+      message.type === "AppendResponse"
+        ? receiveAppendResponse(context, s, { from, message })
+        : receiveChunkResponse(s, from, message),
+  );
+  return chainReduction(
+    chainReduction(matched, (s) => settleReads(context, s)),
+    orderElection,
+  );
+}
--- a/src/platform/consensus/common/consensus_reducer.ts
+++ b/src/platform/consensus/common/consensus_reducer.ts
@@ -1,14 +1,125 @@
 /** The one reducer of a replica: Raft (Ongaro & Ousterhout, 2014). */
-import type { Reduction } from "../../../base/common/reduction.ts";
-import { createReduction } from "../../../base/common/reduction.ts";
-import type { ConsensusEffect, ConsensusEvent } from "./consensus_events.ts";
-import type { ConsensusState } from "./consensus_types.ts";
-
-/** Steps a replica; `nowMs` should be monotonic, in milliseconds. */
-export function reduceConsensus(
-  state: ConsensusState,
-  _event: ConsensusEvent,
-  _nowMs: number,
-): Reduction<ConsensusState, ConsensusEffect> {
-  return createReduction(state);
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { advanceCommit } from "./commit.ts";
+import { compactLog } from "./compaction.ts";
+import { startChange } from "./configuration_change.ts";
+import type { ConsensusEvent } from "./consensus_events.ts";
+import { receiveMessage } from "./consensus_receiver.ts";
+import { RAFT_RULES } from "./consensus_rules.ts";
+import type { ConsensusRules } from "./consensus_rules.ts";
+import type {
+  ConsensusState,
+  ConsensusStep,
+  StepContext,
+} from "./consensus_types.ts";
+import { checkElectionTimeout } from "./election.ts";
+import { expireTransfer, startTransfer } from "./leadership_transfer.ts";
+import { completePersist, sendNow } from "./persistence.ts";
+import { startProposal } from "./proposal.ts";
+import { expireReads, hasWaitingReads, startRead } from "./read_index.ts";
+import { checkQuorumContact, reportSilence } from "./replica_contact.ts";
+import { sendHeartbeats } from "./replication.ts";
+
+/** A function that steps a replica; `nowMs` is a clock that may jump. */
+export type ConsensusReducer = (
+  state: ConsensusState,
+  event: ConsensusEvent,
+  nowMs: number,
+) => ConsensusStep;
+
+/** Builds the reducer that keeps to `rules`. */
+export function buildConsensusReducer(rules: ConsensusRules): ConsensusReducer {
+  return (state, event, nowMs) => {
+    const clock = {
+      nowMs,
+      elapsedMs: state.clock.elapsedMs +
+        Math.max(0, nowMs - state.clock.nowMs),
+    };
+    const context = { nowMs: clock.elapsedMs, rules };
+    return chainReduction(
+      reduceEvent(context, { ...state, clock }, event),
+      (s) => startReadRound(context, s),
+    );
+  };
+}
+
+/** Steps a replica by the published rules; `nowMs` is a clock that may jump. */
+export const reduceConsensus: ConsensusReducer = buildConsensusReducer(
+  RAFT_RULES,
+);
+
+function reduceEvent(
+  context: StepContext,
+  state: ConsensusState,
+  event: ConsensusEvent,
+): ConsensusStep {
+  switch (event.type) {
+    case "MessageReceived":
+      return receiveMessage(context, state, event);
+    case "Ticked":
+      return tick(context, state);
+    case "PayloadProposed":
+      return startProposal(context, state, event);
+    case "PersistCompleted":
+      return releaseSynced(context, state, event.persistId);
+    case "SnapshotTaken":
+      return compactLog(state, event);
+    case "ReadRequested":
+      return startRead(context, state, { ...event, from: undefined });
+    case "ConfigurationChangeProposed":
+      return startChange(context, state, event);
+    case "LeadershipTransferRequested":
+      return startTransfer(context, state, event.targetId);
+  }
+}
+
+function tick(context: StepContext, state: ConsensusState): ConsensusStep {
+  const step = expireReads(context, state);
+  if (state.role.type !== "Leader") {
+    return chainReduction(step, (s) => checkElectionTimeout(context, s));
+  }
+  const checks = [checkQuorumContact, reportSilence, expireTransfer, beat];
+  return checks.reduce(
+    (done, check) => chainReduction(done, (s) => check(context, s)),
+    step,
+  );
+}
+
+function beat(context: StepContext, state: ConsensusState): ConsensusStep {
+  const { role, options } = state;
+  const isDue = role.type === "Leader" &&
+    context.nowMs - role.heartbeatAtMs >= options.heartbeatMs;
+  return isDue ? sendHeartbeats(context, state) : createReduction(state);
+}
+
+function startReadRound(
+  context: StepContext,
+  state: ConsensusState,
+): ConsensusStep {
+  return hasWaitingReads(state)
+    ? sendHeartbeats(context, state)
+    : createReduction(state);
+}
+
+function releaseSynced(
+  context: StepContext,
+  state: ConsensusState,
+  persistId: number,
+): ConsensusStep {
+  const { state: next, due } = completePersist(state, persistId);
+  const step = due.reduce(
+    (sent, { to, message }) =>
+      chainReduction(
+        sent,
+        (s) =>
+          to === s.replicaId
+            ? receiveMessage(context, s, { from: to, message })
+            : sendNow(s, to, message),
+      ),
+    createReduction(next) as ConsensusStep,
+  );
+  return chainReduction(step, (s) => advanceCommit(context, s));
 }
--- a/src/platform/consensus/common/consensus_types.ts
+++ b/src/platform/consensus/common/consensus_types.ts
@@ -26,6 +26,8 @@
   readonly snapshotEveryEntries: number;
   /** Entries kept in memory behind a snapshot, for slow replicas. */
   readonly trailingEntries: number;
+  /** Entries on their way to one replica, unanswered. */
+  readonly maxInFlightEntries: number;
 }
 
 /** The log in memory: the entries after `baseIndex`. */
@@ -39,17 +41,15 @@
 export interface ReplicaProgress {
   readonly matchIndex: number;
   readonly nextIndex: number;
-  /** Entries up to here were sent and not yet answered. */
+  /** Where the logs meet isn't known: one message per heartbeat. */
   readonly isProbing: boolean;
-  /** When the last append or chunk left, in milliseconds. */
-  readonly sentAtMs: number;
   readonly heardAtMs: number;
   /** Highest heartbeat round that it answered. */
   readonly ackedRound: number;
   readonly isSilent: boolean;
-  /** Set while a snapshot is sent. */
-  readonly snapshotOffsetBytes: number | undefined;
-  /** Last index of the snapshot that is sent. */
+  /** Next byte of the snapshot that is sent. */
+  readonly snapshotOffsetBytes: number;
+  /** Last index of the snapshot that is sent; 0 for none. */
   readonly snapshotIndex: number;
 }
 
@@ -143,10 +143,19 @@
   readonly readIndex: number | undefined;
 }
 
+/** Turns a clock that may jump back into one that doesn't. */
+export interface ReplicaClock {
+  /** The time that came with the last event. */
+  readonly nowMs: number;
+  /** The sum of the steps forward; every other time is on this clock. */
+  readonly elapsedMs: number;
+}
+
 /** The state of one replica. */
 export interface ConsensusState {
   readonly replicaId: string;
   readonly options: ConsensusOptions;
+  readonly clock: ReplicaClock;
   readonly term: number;
   readonly votedFor: string | undefined;
   readonly role: Role;
@@ -174,7 +183,7 @@
 
 /** What a step is made with, besides state and event. */
 export interface StepContext {
-  /** Monotonic where the platform has such a clock, in milliseconds. */
+  /** The replica's own clock, which never jumps back. */
   readonly nowMs: number;
   readonly rules: ConsensusRules;
 }
--- /dev/null
+++ b/src/platform/consensus/common/replication.ts
@@ -0,0 +1,179 @@
+/** The leader's side of log replication (Raft, 5.3). */
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { advanceCommit } from "./commit.ts";
+import type { AppendRequest, AppendResponse } from "./consensus_messages.ts";
+import type {
+  ConsensusState,
+  ConsensusStep,
+  LeaderRole,
+  ReplicaProgress,
+  StepContext,
+} from "./consensus_types.ts";
+import { sendNow } from "./persistence.ts";
+import { updateProgress } from "./progress.ts";
+import { settleReads } from "./read_index.ts";
+import {
+  findLastOfTerm,
+  locateLogEnd,
+  lookupTerm,
+  selectBatch,
+} from "./replicated_log.ts";
+import { sendChunk } from "./snapshot_transfer.ts";
+
+/** Starts a heartbeat round: every replica gets a message. */
+export function sendHeartbeats(
+  context: StepContext,
+  state: ConsensusState,
+): ConsensusStep {
+  const { role } = state;
+  if (role.type !== "Leader") {
+    return createReduction(state);
+  }
+  const round = role.round + 1;
+  const heartbeatAtMs = context.nowMs;
+  const next = { ...state, role: { ...role, round, heartbeatAtMs } };
+  const step = [...role.progress.keys()].reduce(
+    (sent, id) => chainReduction(sent, (s) => sendEntries(s, id)),
+    createReduction(next) as ConsensusStep,
+  );
+  return chainReduction(step, (s) => settleReads(context, s));
+}
+
+/** Sends new entries to the replicas that keep up. */
+export function sendNewEntries(
+  _context: StepContext,
+  state: ConsensusState,
+): ConsensusStep {
+  if (state.role.type !== "Leader") {
+    return createReduction(state);
+  }
+  return [...state.role.progress.keys()].reduce(
+    (sent, id) => chainReduction(sent, (s) => sendMissing(s, id)),
+    createReduction(state) as ConsensusStep,
+  );
+}
+
+/** Takes a replica's answer to an append. */
+export function receiveAppendResponse(
+  context: StepContext,
+  state: ConsensusState,
+  response: { readonly from: string; readonly message: AppendResponse },
+): ConsensusStep {
+  const { from, message } = response;
+  const { role } = state;
+  const progress = role.type === "Leader" ? role.progress.get(from) : undefined;
+  if (role.type !== "Leader" || progress === undefined) {
+    return createReduction(state);
+  }
+  return message.isAccepted
+    ? acceptMatch(context, state, response)
+    : restoreMatch(state, role, response);
+}
+
+function acceptMatch(
+  context: StepContext,
+  state: ConsensusState,
+  response: { readonly from: string; readonly message: AppendResponse },
+): ConsensusStep {
+  const { from, message } = response;
+  const next = updateProgress(state, from, (progress) => {
+    const matchIndex = Math.max(progress.matchIndex, message.matchIndex);
+    const nextIndex = Math.max(progress.nextIndex, matchIndex + 1);
+    return { ...progress, matchIndex, nextIndex, isProbing: false };
+  });
+  return chainReduction(
+    advanceCommit(context, next),
+    (s) => sendMissing(s, from),
+  );
+}
+
+function restoreMatch(
+  state: ConsensusState,
+  role: LeaderRole,
+  response: { readonly from: string; readonly message: AppendResponse },
+): ConsensusStep {
+  const { from, message } = response;
+  const before = role.progress.get(from)!;
+  const { conflictTerm, conflictIndex } = message;
+  const lastOfTerm = conflictTerm === undefined
+    ? undefined
+    : findLastOfTerm(state.log, conflictTerm, before.nextIndex - 2);
+  const wanted = lastOfTerm === undefined ? conflictIndex : lastOfTerm + 1;
+  const nextIndex = Math.max(before.matchIndex + 1, wanted);
+  if (nextIndex >= before.nextIndex) {
+    return createReduction(state);
+  }
+  const next = updateProgress(state, from, (progress) => ({
+    ...progress,
+    nextIndex,
+    isProbing: true,
+  }));
+  return sendEntries(next, from);
+}
+
+/** Sends what a replica that keeps up lacks, within the bounds. */
+function sendMissing(state: ConsensusState, replicaId: string): ConsensusStep {
+  let step: ConsensusStep = createReduction(state);
+  while (isMissing(step.state, replicaId)) {
+    step = chainReduction(step, (s) => sendEntries(s, replicaId));
+  }
+  return step;
+}
+
+function isMissing(state: ConsensusState, replicaId: string): boolean {
+  const progress = lookupProgress(state, replicaId);
+  if (progress === undefined || progress.isProbing) {
+    return false;
+  }
+  const { lastIndex } = locateLogEnd(state.log);
+  const inFlight = progress.nextIndex - 1 - progress.matchIndex;
+  return progress.nextIndex <= lastIndex &&
+    progress.nextIndex > state.log.baseIndex &&
+    inFlight < state.options.maxInFlightEntries;
+}
+
+function sendEntries(state: ConsensusState, replicaId: string): ConsensusStep {
+  const progress = lookupProgress(state, replicaId);
+  if (state.role.type !== "Leader" || progress === undefined) {
+    return createReduction(state);
+  }
+  const previousIndex = progress.nextIndex - 1;
+  const previousTerm = lookupTerm(state.log, previousIndex);
+  // A replica without an entry may lack the founding snapshot too.
+  const isFirst = previousIndex === 0 && progress.isProbing;
+  if (previousTerm === undefined || isFirst) {
+    return sendChunk(state, replicaId);
+  }
+  const { maxBatchEntries: maxEntries, maxBatchBytes: maxBytes } =
+    state.options;
+  const entries = selectBatch(state.log, previousIndex, {
+    maxEntries,
+    maxBytes,
+  });
+  const message: AppendRequest = {
+    type: "AppendRequest",
+    term: state.term,
+    round: state.role.round,
+    previousIndex,
+    previousTerm,
+    entries,
+    commitIndex: state.commitIndex,
+  };
+  const nextIndex = progress.isProbing
+    ? progress.nextIndex
+    : progress.nextIndex + entries.length;
+  const next = updateProgress(state, replicaId, (p) => ({ ...p, nextIndex }));
+  return sendNow(next, replicaId, message);
+}
+
+function lookupProgress(
+  state: ConsensusState,
+  replicaId: string,
+): ReplicaProgress | undefined {
+  return state.role.type === "Leader"
+    ? state.role.progress.get(replicaId)
+    : undefined;
+}
