--- /dev/null
+++ b/src/platform/consensus/test/fault_schedule.ts
@@ -0,0 +1,254 @@
+/** Runs a schedule of faults, drawn as numbers, over a replica set. */
+import type { ConsensusReducer } from "../common/consensus_reducer.ts";
+import type { Configuration } from "../common/log_types.ts";
+import { EMPTY_DISK } from "../common/recovery.ts";
+import { ReplicaSet } from "./replica_set.ts";
+import { Violation } from "./safety_checker.ts";
+
+const CONFIGURATIONS: readonly Configuration[] = [
+  { voters: ["a", "b", "c"], learners: [] },
+  { voters: ["a", "b", "c"], learners: ["x"] },
+  { voters: ["a", "b", "c", "d", "e"], learners: [] },
+];
+const NEW_ID = "n";
+const HEALING_ROUNDS = 150;
+const MAX_GENERATIONS = 40;
+
+/** A step's parameters, all from one drawn number. */
+interface Draw {
+  /** The replica that the step is about. */
+  readonly id: string;
+  readonly otherId: string;
+  /** 16 bits. */
+  readonly bits: number;
+}
+
+interface Run {
+  readonly set: ReplicaSet;
+  /** The replica whose disk was wiped. */
+  wipedId: string | undefined;
+}
+
+type Fault = (run: Run, draw: Draw) => void;
+
+const FAULTS: readonly (readonly [number, Fault])[] = [
+  [8, runRound],
+  [5, deliverSome],
+  [2, (run, draw) => run.set.sync(draw.id)],
+  [4, proposeAtLeader],
+  [1, (run, draw) => void run.set.propose(draw.id)],
+  [3, (run, draw) => void run.set.read(draw.id)],
+  [2, readAtLeader],
+  [1, (run, { id, otherId }) => void run.set.cuts.add(`${id}>${otherId}`)],
+  [2, cutOff],
+  [2, (run) => run.set.cuts.clear()],
+  [2, (run, draw) => run.set.restart(draw.id, draw.bits % 4)],
+  [4, startCampaign],
+  [1, (run, draw) => void run.set.packets.splice(draw.bits % 7, 3)],
+  [2, repeatPackets],
+  [1, (run, draw) => jumpClock(run, draw, -(draw.bits % 500))],
+  [1, pauseOrResume],
+  [4, changeReplicas],
+  [1, transferLeadership],
+  [1, wipeDisk],
+];
+const WHEEL: readonly Fault[] = FAULTS.flatMap(([weight, fault]) =>
+  Array.from({ length: weight }, () => fault)
+);
+
+/** Runs a schedule, then heals; throws where a promise is broken. */
+export function runSchedule(
+  draws: ArrayLike<number>,
+  reduce: ConsensusReducer,
+): void {
+  const run = createRun(draws[0] ?? 0, reduce);
+  for (const number of Array.from(draws)) {
+    const mixed = Math.imul(number, 0x9e3779b1) >>> 0;
+    const ids = [...run.set.replicas.keys()];
+    const fault = WHEEL[(mixed >>> 24) % WHEEL.length]!;
+    fault(run, {
+      id: ids[(mixed >>> 4) % ids.length]!,
+      otherId: ids[(mixed >>> 8) % ids.length]!,
+      bits: (mixed >>> 8) & 0xffff,
+    });
+  }
+  checkRecovery(run);
+}
+
+function createRun(first: number, reduce: ConsensusReducer): Run {
+  const configuration = CONFIGURATIONS[first % CONFIGURATIONS.length]!;
+  const set = new ReplicaSet({ reduce, configuration });
+  const run: Run = { set, wipedId: undefined };
+  jumpClock(run, { id: "a", otherId: "b", bits: 0 }, 200);
+  runRounds(run, 2);
+  return run;
+}
+
+function runRound(run: Run, draw: Draw): void {
+  const { set } = run;
+  set.nowMs += 10;
+  let position = 0;
+  for (const id of set.replicas.keys()) {
+    set.push(id, { type: "Ticked" });
+    // A disk in four is slow in a round.
+    if (((draw.bits >> (2 * position)) & 3) !== 0) {
+      set.sync(id);
+    }
+    position++;
+  }
+  for (const packet of takePackets(set)) {
+    set.deliver(packet);
+  }
+}
+
+function runRounds(run: Run, rounds: number): void {
+  const { set } = run;
+  for (let round = 0; round < rounds; round++) {
+    set.nowMs += 10;
+    set.replicas.forEach((_, id) => set.push(id, { type: "Ticked" }));
+    let generation = 0;
+    while (isBusy(set) && generation < MAX_GENERATIONS) {
+      set.replicas.forEach((_, id) => set.sync(id));
+      takePackets(set).forEach((packet) => set.deliver(packet));
+      generation++;
+    }
+  }
+}
+
+function isBusy(set: ReplicaSet): boolean {
+  return set.packets.length > 0 ||
+    [...set.replicas.values()].some((r) => r.writes.length > 0);
+}
+
+function takePackets(set: ReplicaSet): ReplicaSet["packets"] {
+  const { packets } = set;
+  set.packets = [];
+  return packets;
+}
+
+function deliverSome(run: Run, draw: Draw): void {
+  const { set } = run;
+  for (let count = draw.bits % 5; count >= 0; count--) {
+    const position = (draw.bits >> count) % (set.packets.length || 1);
+    set.packets.splice(position, 1).forEach((packet) => set.deliver(packet));
+  }
+}
+
+function repeatPackets(run: Run, draw: Draw): void {
+  const { set } = run;
+  const from = draw.bits % (set.packets.length || 1);
+  set.packets.push(...set.packets.slice(from, from + 4));
+}
+
+function proposeAtLeader(run: Run, draw: Draw): void {
+  const leaders = run.set.listLeaders();
+  run.set.propose(leaders[draw.bits % leaders.length] ?? draw.id);
+}
+
+function readAtLeader(run: Run, draw: Draw): void {
+  const leaders = run.set.listLeaders();
+  run.set.read(leaders[draw.bits % leaders.length] ?? draw.id);
+}
+
+function cutOff(run: Run, draw: Draw): void {
+  for (const id of run.set.replicas.keys()) {
+    run.set.cuts.add(`${id}>${draw.id}`);
+    run.set.cuts.add(`${draw.id}>${id}`);
+  }
+}
+
+function jumpClock(run: Run, draw: Draw, byMs: number): void {
+  const replica = run.set.replicas.get(draw.id)!;
+  replica.clockOffsetMs += byMs;
+  run.set.push(draw.id, { type: "Ticked" });
+}
+
+/** Jumps the clock past the election timeout. */
+function startCampaign(run: Run, draw: Draw): void {
+  const { set } = run;
+  jumpClock(run, draw, 100);
+  // The others have heard no leader for a while either.
+  if (draw.bits % 2 === 0) {
+    set.nowMs += 60;
+  }
+}
+
+function pauseOrResume(run: Run, draw: Draw): void {
+  const replica = run.set.replicas.get(draw.id)!;
+  replica.isPaused = !replica.isPaused;
+}
+
+function changeReplicas(run: Run, draw: Draw): void {
+  const { set } = run;
+  if (!set.replicas.has(NEW_ID)) {
+    return;
+  }
+  const oldId = run.wipedId ?? "a";
+  set.listLeaders().slice(0, 1 + draw.bits % 2)
+    .forEach((id) => set.replace(id, oldId, NEW_ID));
+}
+
+function transferLeadership(run: Run, draw: Draw): void {
+  run.set.push(draw.id, {
+    type: "LeadershipTransferRequested",
+    targetId: draw.bits % 2 === 0 ? undefined : draw.otherId,
+  });
+}
+
+/** Wipes one voter's disk; it comes back under a new id, once. */
+function wipeDisk(run: Run, draw: Draw): void {
+  const { set } = run;
+  if (run.wipedId !== undefined) {
+    return;
+  }
+  set.replicas.delete(draw.id);
+  run.wipedId = draw.id;
+  set.start(NEW_ID, EMPTY_DISK);
+}
+
+/** Ends all faults; then a proposal and a read go through at each replica. */
+function checkRecovery(run: Run): void {
+  const { set } = run;
+  set.cuts.clear();
+  set.replicas.forEach((replica) => {
+    replica.isPaused = false;
+  });
+  for (let round = 0; round < HEALING_ROUNDS; round++) {
+    runRounds(run, 1);
+    const [leader] = set.listLeaders();
+    if (leader === undefined) {
+      continue;
+    }
+    const { configuration } = set.replicas.get(leader)!.state;
+    const { voters, learners } = configuration;
+    const isReplaced = run.wipedId === undefined ||
+      (voters.includes(NEW_ID) &&
+        ![...voters, ...learners].includes(run.wipedId));
+    if (isReplaced && canServe(run, leader)) {
+      return;
+    }
+    if (run.wipedId !== undefined && !isReplaced) {
+      set.replace(leader, run.wipedId, NEW_ID);
+    }
+  }
+  throw new Violation("no progress after the faults ended");
+}
+
+function canServe(run: Run, leader: string): boolean {
+  const { set } = run;
+  const since = set.told.length;
+  const requestId = set.propose(leader);
+  runRounds(run, 2);
+  const { voters, learners } = set.replicas.get(leader)!.state.configuration;
+  const wanted = [
+    requestId,
+    ...[...voters, ...learners].map((id) => set.read(id)),
+  ];
+  runRounds(run, 1);
+  const done = set.told.slice(since).flatMap(({ effect }) =>
+    effect.type === "ReadReady" || effect.type === "ProposalCommitted"
+      ? [effect.requestId]
+      : []
+  );
+  return wanted.every((id) => done.includes(id));
+}
