--- a/src/platform/consensus/common/consensus_reducer.ts
+++ b/src/platform/consensus/common/consensus_reducer.ts
@@ -33,14 +33,10 @@
 /** Builds the reducer that keeps to `rules`. */
 export function buildConsensusReducer(rules: ConsensusRules): ConsensusReducer {
   return (state, event, nowMs) => {
-    const clock = {
-      nowMs,
-      elapsedMs: state.clock.elapsedMs +
-        Math.max(0, nowMs - state.clock.nowMs),
-    };
-    const context = { nowMs: clock.elapsedMs, rules };
+    const timed = advanceClock(state, nowMs);
+    const context = { nowMs: timed.clock.elapsedMs, rules };
     return chainReduction(
-      reduceEvent(context, { ...state, clock }, event),
+      reduceEvent(context, timed, event),
       (s) => startReadRound(context, s),
     );
   };
@@ -51,6 +47,16 @@
   RAFT_RULES,
 );
 
+function advanceClock(state: ConsensusState, nowMs: number): ConsensusState {
+  const { clock } = state;
+  if (nowMs === clock.nowMs) {
+    return state;
+  }
+  const stepMs = Math.max(0, nowMs - clock.nowMs);
+  const elapsedMs = clock.elapsedMs + stepMs;
+  return { ...state, clock: { nowMs, elapsedMs } };
+}
+
 function reduceEvent(
   context: StepContext,
   state: ConsensusState,
--- a/src/platform/consensus/common/consensus_types.ts
+++ b/src/platform/consensus/common/consensus_types.ts
@@ -172,6 +172,8 @@
   /** When a leader was last heard, in milliseconds. */
   readonly leaderHeardAtMs: number | undefined;
   readonly electionDeadlineMs: number;
+  /** The timeout drawn last; it holds until the next campaign. */
+  readonly electionWaitMs: number;
   /** Makes the timeouts of one term differ. */
   readonly electionAttempts: number;
   readonly incoming: IncomingSnapshot | undefined;
--- a/src/platform/consensus/common/log_acceptance.ts
+++ b/src/platform/consensus/common/log_acceptance.ts
@@ -13,7 +13,7 @@
 import { refreshConfiguration } from "./configuration.ts";
 import { sendOnceSynced, writeLog } from "./persistence.ts";
 import { findFirstOfTerm, locateLogEnd, lookupTerm } from "./replicated_log.ts";
-import { becomeFollower, resetElectionTimeout } from "./term.ts";
+import { becomeFollower } from "./term.ts";
 
 /** An append and who sent it. */
 export interface ReceivedAppend {
@@ -60,7 +60,8 @@
     step,
     (s) =>
       createReduction({
-        ...resetElectionTimeout(context, s),
+        ...s,
+        electionDeadlineMs: context.nowMs + s.electionWaitMs,
         leaderHeardAtMs: context.nowMs,
       }),
   );
--- a/src/platform/consensus/common/recovery.ts
+++ b/src/platform/consensus/common/recovery.ts
@@ -66,6 +66,7 @@
     persistence,
     leaderHeardAtMs: undefined,
     electionDeadlineMs: 0,
+    electionWaitMs: 0,
     electionAttempts: 0,
     incoming: undefined,
     forwardedReads: [],
--- a/src/platform/consensus/common/replica_contact.ts
+++ b/src/platform/consensus/common/replica_contact.ts
@@ -24,10 +24,17 @@
   if (before === undefined) {
     return createReduction(state);
   }
+  const ackedRound = Math.max(before.ackedRound, round);
+  const { nowMs: heardAtMs } = context;
+  const isNoted = before.heardAtMs === heardAtMs &&
+    before.ackedRound === ackedRound && !before.isSilent;
+  if (isNoted) {
+    return createReduction(state);
+  }
   const next = updateProgress(state, from, (progress) => ({
     ...progress,
-    heardAtMs: context.nowMs,
-    ackedRound: Math.max(progress.ackedRound, round),
+    heardAtMs,
+    ackedRound,
     isSilent: false,
   }));
   const step: ConsensusStep = createReduction(next);
--- a/src/platform/consensus/common/replication.ts
+++ b/src/platform/consensus/common/replication.ts
@@ -79,6 +79,13 @@
   response: { readonly from: string; readonly message: AppendResponse },
 ): ConsensusStep {
   const { from, message } = response;
+  const before = lookupProgress(state, from);
+  if (
+    before !== undefined && !before.isProbing &&
+    before.matchIndex >= message.matchIndex
+  ) {
+    return sendMissing(state, from);
+  }
   const next = updateProgress(state, from, (progress) => {
     const matchIndex = Math.max(progress.matchIndex, message.matchIndex);
     const nextIndex = Math.max(progress.nextIndex, matchIndex + 1);
@@ -162,9 +169,10 @@
     entries,
     commitIndex: state.commitIndex,
   };
-  const nextIndex = progress.isProbing
-    ? progress.nextIndex
-    : progress.nextIndex + entries.length;
+  if (progress.isProbing || entries.length === 0) {
+    return sendNow(state, replicaId, message);
+  }
+  const nextIndex = progress.nextIndex + entries.length;
   const next = updateProgress(state, replicaId, (p) => ({ ...p, nextIndex }));
   return sendNow(next, replicaId, message);
 }
--- a/src/platform/consensus/common/term.ts
+++ b/src/platform/consensus/common/term.ts
@@ -83,9 +83,9 @@
   const { electionTimeoutMs } = state.options;
   const electionAttempts = state.electionAttempts + 1;
   const key = `${state.replicaId}:${state.term}:${electionAttempts}`;
-  const extraMs = hashText(key) % electionTimeoutMs;
-  const electionDeadlineMs = context.nowMs + electionTimeoutMs + extraMs;
-  return { ...state, electionAttempts, electionDeadlineMs };
+  const electionWaitMs = electionTimeoutMs + hashText(key) % electionTimeoutMs;
+  const electionDeadlineMs = context.nowMs + electionWaitMs;
+  return { ...state, electionAttempts, electionWaitMs, electionDeadlineMs };
 }
 
 function failPending(
