--- /dev/null
+++ b/scripts/check_consensus.ts
@@ -0,0 +1,27 @@
+/** Runs many random schedules of faults over consensus, on a printed seed. */
+import fc from "fast-check";
+import process from "node:process";
+import { reduceConsensus } from "../src/platform/consensus/common/consensus_reducer.ts";
+import {
+  createSchedules,
+  runSchedule,
+} from "../src/platform/consensus/test/fault_schedule.ts";
+
+const DEFAULT_RUNS = 100_000;
+/** Twice as long as in the tests. */
+const MAX_STEPS = 140;
+
+const [runsText, seedText] = process.argv.slice(2);
+const numRuns = Number(runsText ?? DEFAULT_RUNS);
+const seed = Number(seedText ?? Date.now() % 2 ** 31);
+process.stdout.write(`${numRuns} schedules, seed ${seed}\n`);
+const startedAtMs = performance.now();
+fc.assert(
+  fc.property(
+    createSchedules(MAX_STEPS),
+    (draws) => runSchedule(draws, reduceConsensus),
+  ),
+  { seed, numRuns, plugins: [fc.unbiased()] },
+);
+const tookMs = Math.round(performance.now() - startedAtMs);
+process.stdout.write(`no broken promise, ${tookMs} ms\n`);
--- a/src/platform/consensus/common/commit.ts
+++ b/src/platform/consensus/common/commit.ts
@@ -10,7 +10,7 @@
   ConsensusStep,
   StepContext,
 } from "./consensus_types.ts";
-import { decodeEntry } from "./entry_payload.ts";
+import { decodeEntry, isConfigurationEntry } from "./entry_payload.ts";
 import type { LogEntry } from "./log_types.ts";
 import { listCounted } from "./quorum.ts";
 import { settleForwardedReads, settleReads } from "./read_index.ts";
@@ -94,7 +94,8 @@
 function listConfigurations(
   entries: readonly LogEntry[],
 ): readonly ConsensusEffect[] {
-  return entries.flatMap((entry): readonly ConsensusEffect[] => {
+  const found = entries.filter(isConfigurationEntry);
+  return found.flatMap((entry): readonly ConsensusEffect[] => {
     const content = decodeEntry(entry);
     return content.type === "Configuration"
       ? [{
--- a/src/platform/consensus/test/safety_checker.ts
+++ b/src/platform/consensus/test/safety_checker.ts
@@ -4,7 +4,7 @@
   ConsensusFailure,
 } from "../common/consensus_events.ts";
 import type { ConsensusState } from "../common/consensus_types.ts";
-import { decodeEntry } from "../common/entry_payload.ts";
+import { decodeEntry, isConfigurationEntry } from "../common/entry_payload.ts";
 import type { Configuration, LogEntry } from "../common/log_types.ts";
 import { lookupTerm } from "../common/replicated_log.ts";
 
@@ -156,6 +156,9 @@
       return;
     }
     this.#committedIndex = index;
+    if (!isConfigurationEntry(entry)) {
+      return;
+    }
     const content = decodeEntry(entry);
     if (content.type === "Configuration") {
       this.#configuration = content.configuration;
