Build admission: adaptive limit, fair queue, rates, ramp and level

Cause: admission had fixed slots and one order by importance; nothing adapted to latency, displaced, refused by remaining time or told callers of overload. Change: small reducers for the concurrency limit (gradient on per-kind baselines), GCRA rates, start-time fair queueing inside one importance, displacement, refusal by expected service time, slow start, and an admission level after DAGOR, said on answers and kept by entry nodes. Ruled out: a uniform hash with weights apart from it.

--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -2,6 +2,7 @@
 import { EventLoop } from "../base/node/event_loop.ts";
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { computeCapacity } from "../platform/admission/common/admission_capacity.ts";
 import { TICK_MS } from "../platform/call/common/call_events.ts";
 import type {
   NodeEffect,
@@ -281,6 +282,16 @@
       "Requests that wait for the backend server",
       () => this.#loop.state.admission.queue.length,
     );
+    metrics.createGauge(
+      "admission_limit",
+      "Requests that may run at a time",
+      () => computeCapacity(this.#loop.state.admission, Date.now()),
+    );
+    metrics.createGauge(
+      "admission_level",
+      "Admission level, 0 (none) to 10",
+      () => this.#loop.state.admission.level.place,
+    );
   }
 }
 
--- /dev/null
+++ b/src/platform/admission/common/admission_queue.ts
@@ -0,0 +1,185 @@
+/** Steps on the queue: run what has room, give up what must go. */
+import { setEntry } from "../../../base/common/maps.ts";
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import {
+  computeCapacity,
+  computeQueueSize,
+  findKind,
+  hasRoom,
+  isHopeless,
+  updateKind,
+} from "./admission_capacity.ts";
+import type {
+  AdmissionEffect,
+  AdmissionRequest,
+  AdmissionState,
+  QueuedRequest,
+  RefusalReason,
+} from "./admission_types.ts";
+import { computeStartTag, selectNext, selectVictim } from "./fair_queue.ts";
+import { noteOverload } from "./level_control.ts";
+import { computeRetryAfter } from "./retry_after.ts";
+
+/** A step of the admission. */
+export type AdmissionStep = Reduction<AdmissionState, AdmissionEffect>;
+
+/** A queue that stays busy for so long is overloaded, as in CoDel (RFC 8289). */
+const BUSY_INTERVAL_MS = 100;
+/** Longest wait in an overloaded queue, where a service time isn't longer. */
+const TARGET_WAIT_MS = 50;
+
+/** Runs queued requests while there is room, in the order of the queue. */
+export function runQueued(
+  state: AdmissionState,
+  nowMs: number,
+): AdmissionStep {
+  const next = selectNext(state.queue, {
+    kinds: state.kinds,
+    virtualMs: state.virtualMs,
+    hasRoom: (request) => hasRoom(state, request, nowMs),
+  });
+  if (next === undefined) {
+    return createReduction(state);
+  }
+  const step = isHopeless(state, next, nowMs)
+    ? discardQueued(state, next, "deadline", nowMs)
+    : runRequest(state, next, nowMs);
+  return chainReduction(step, (s) => runQueued(s, nowMs));
+}
+
+/** Gives up what is over the row's queue of `kind`, or over the whole queue. */
+export function trimQueue(
+  state: AdmissionState,
+  arrived: AdmissionRequest,
+  nowMs: number,
+): AdmissionStep {
+  const { kind, queue: most } = arrived.row;
+  const sameKind = state.queue.filter((request) => request.row.kind === kind);
+  const isOver = state.queue.length > computeQueueSize(state, nowMs);
+  const victim = sameKind.length > most
+    ? selectVictim(sameKind)
+    : isOver
+    ? selectVictim(state.queue)
+    : undefined;
+  if (victim === undefined) {
+    return createReduction(state);
+  }
+  const isArrived = victim.attemptId === arrived.attemptId;
+  const reason = isArrived ? "queue_full" : "displaced";
+  return discardQueued(state, victim, reason, nowMs);
+}
+
+/** Gives up queued requests whose time no longer suffices. */
+export function expireQueued(
+  state: AdmissionState,
+  nowMs: number,
+): AdmissionStep {
+  return discardAll(
+    state,
+    state.queue.filter((request) => isHopeless(state, request, nowMs)),
+    "deadline",
+    nowMs,
+  );
+}
+
+/**
+ * Keeps the wait short in a queue that doesn't empty: the least important go,
+ * once they have waited for longer than a service time.
+ */
+export function cutWait(state: AdmissionState, nowMs: number): AdmissionStep {
+  const { queue, busySinceMs } = state;
+  if (nowMs - (busySinceMs ?? nowMs) < BUSY_INTERVAL_MS) {
+    return createReduction(state);
+  }
+  const lowest = Math.min(...queue.map((request) => request.importance));
+  const late = queue.filter((request) =>
+    request.importance === lowest &&
+    nowMs - request.queuedAtMs > computeMostWait(state, request)
+  );
+  return discardAll(state, late, "queue_wait", nowMs);
+}
+
+/** Refuses a request that is in no queue. */
+export function refuseRequest(
+  state: AdmissionState,
+  attemptId: string,
+  reason: RefusalReason,
+  waitMs = 0,
+): AdmissionStep {
+  const { pressure } = state.level;
+  const retryAfterMs = computeRetryAfter(attemptId, pressure, waitMs);
+  return createReduction(state, [
+    { type: "RefuseRequest", attemptId, reason, retryAfterMs },
+  ]);
+}
+
+function runRequest(
+  state: AdmissionState,
+  request: QueuedRequest,
+  nowMs: number,
+): AdmissionStep {
+  const { attemptId, row } = request;
+  const { kind, weight } = row;
+  const startTag = computeStartTag(state, kind);
+  const costMs = Math.max(1, findKind(state, kind).time.expectedMs ?? 1);
+  const charged = updateKind(state, kind, {
+    finishTag: startTag + costMs / weight,
+  });
+  const running = setEntry(state.running, attemptId, {
+    kind,
+    startedAtMs: nowMs,
+    isAnswered: false,
+  });
+  return createReduction({
+    ...charged,
+    running,
+    queue: dropQueued(state.queue, attemptId),
+    virtualMs: startTag,
+  }, [{ type: "RunRequest", attemptId }]);
+}
+
+function discardAll(
+  state: AdmissionState,
+  requests: readonly QueuedRequest[],
+  reason: RefusalReason,
+  nowMs: number,
+): AdmissionStep {
+  return requests.reduce<AdmissionStep>(
+    (step, request) =>
+      chainReduction(step, (s) => discardQueued(s, request, reason, nowMs)),
+    createReduction(state),
+  );
+}
+
+function discardQueued(
+  state: AdmissionState,
+  request: QueuedRequest,
+  reason: RefusalReason,
+  nowMs: number,
+): AdmissionStep {
+  const { attemptId } = request;
+  // Only a full backend server is overloaded, not a row at its own limit.
+  const isFull = state.running.size >= computeCapacity(state, nowMs);
+  const level = isFull ? noteOverload(state.level) : state.level;
+  const queue = dropQueued(state.queue, attemptId);
+  return refuseRequest({ ...state, queue, level }, attemptId, reason);
+}
+
+function computeMostWait(
+  state: AdmissionState,
+  request: QueuedRequest,
+): number {
+  const { expectedMs } = findKind(state, request.row.kind).time;
+  return Math.max(TARGET_WAIT_MS, expectedMs ?? 0);
+}
+
+function dropQueued(
+  queue: readonly QueuedRequest[],
+  attemptId: string,
+): readonly QueuedRequest[] {
+  return queue.filter((request) => request.attemptId !== attemptId);
+}
--- a/src/platform/admission/common/admission_reducer.ts
+++ b/src/platform/admission/common/admission_reducer.ts
@@ -1,91 +1,93 @@
 /** Decides at the backend server's node which requests run, wait or go. */
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
-import { createReduction } from "../../../base/common/reduction.ts";
-import type { Reduction } from "../../../base/common/reduction.ts";
-import type { TableRow } from "../../table/common/table_row.ts";
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import {
+  findKind,
+  hasRoom,
+  isHopeless,
+  updateKind,
+} from "./admission_capacity.ts";
+import { isBelowLevel } from "./admission_level.ts";
+import {
+  cutWait,
+  expireQueued,
+  refuseRequest,
+  runQueued,
+  trimQueue,
+} from "./admission_queue.ts";
+import type { AdmissionStep } from "./admission_queue.ts";
+import type {
+  AdmissionEvent,
+  AdmissionRequest,
+  AdmissionState,
+  KindState,
+  RunningRequest,
+  RunResult,
+} from "./admission_types.ts";
+import { createLimit, noteSlowdown, updateLimit } from "./concurrency_limit.ts";
+import {
+  INITIAL_LEVEL,
+  noteArrival,
+  readLevel,
+  updateLevel,
+} from "./level_control.ts";
+import { INITIAL_RAMP, noteRun, startRamp } from "./ramp.ts";
+import { checkRate } from "./rate_limit.ts";
+import { computeSlowdown, noteLatency } from "./service_time.ts";
 
-/** A request at the door of the backend server. */
-export interface AdmissionRequest {
-  readonly attemptId: string;
-  readonly row: TableRow;
-  /** Of the root request, 0 to 9. */
-  readonly importance: number;
-  /** Orders root requests of one importance. */
-  readonly admissionHash: number;
-  readonly depth: number;
-  /** Wall clock in milliseconds. */
-  readonly deadlineMs: number;
-}
-
-/** A request that runs. */
-export interface RunningRequest {
-  readonly kind: string;
-  readonly startedAtMs: number;
-}
-
-/** A request that waits. */
-export interface QueuedRequest extends AdmissionRequest {
-  readonly queuedAtMs: number;
-}
-
-/** The state of one backend server's door. */
-export interface AdmissionState {
-  /** Requests that the backend server announced to run at a time. */
-  readonly slots: number;
-  readonly running: ReadonlyMap<string, RunningRequest>;
-  readonly queue: readonly QueuedRequest[];
-}
-
-/** Why a request was not run. */
-export type RefusalReason =
-  | "queue_full"
-  | "displaced"
-  | "deadline"
-  | "draining";
-
-/** What happens at the door. */
-export type AdmissionEvent =
-  | { readonly type: "RequestArrived"; readonly request: AdmissionRequest }
-  | { readonly type: "RequestFinished"; readonly attemptId: string }
-  | { readonly type: "RequestWithdrawn"; readonly attemptId: string };
-
-/** What the door decided. */
-export type AdmissionEffect =
-  | { readonly type: "RunRequest"; readonly attemptId: string }
-  | {
-    readonly type: "RefuseRequest";
-    readonly attemptId: string;
-    readonly reason: RefusalReason;
-    /** When the caller should come back. */
-    readonly retryAfterMs: number;
-  };
+/** A kind that no request uses for so long is forgotten. */
+const KIND_TTL_MS = 600_000;
 
-const RETRY_AFTER_MS = 1_000;
-
-/** Creates the door of a backend server that runs `slots` at a time. */
+/** Creates the admission of a backend server that runs `slots` at a time. */
 export function createAdmission(slots: number): AdmissionState {
-  return { slots, running: new Map(), queue: [] };
+  return {
+    slots,
+    running: new Map(),
+    queue: [],
+    kinds: new Map(),
+    virtualMs: 0,
+    busySinceMs: undefined,
+    limit: createLimit(slots),
+    ramp: INITIAL_RAMP,
+    level: INITIAL_LEVEL,
+  };
 }
 
-/** Steps the door. */
+/** Steps the admission. */
 export function reduceAdmission(
   state: AdmissionState,
   event: AdmissionEvent,
   nowMs: number,
-): Reduction<AdmissionState, AdmissionEffect> {
+): AdmissionStep {
+  const ramp = startRamp(state.ramp, nowMs);
+  const step = applyEvent({ ...state, ramp }, event, nowMs);
+  const { queue, busySinceMs } = step.state;
+  const since = queue.length === 0 ? undefined : busySinceMs ?? nowMs;
+  return { ...step, state: { ...step.state, busySinceMs: since } };
+}
+
+function applyEvent(
+  state: AdmissionState,
+  event: AdmissionEvent,
+  nowMs: number,
+): AdmissionStep {
   switch (event.type) {
     case "RequestArrived":
       return admitRequest(state, event.request, nowMs);
+    case "RequestAnswered":
+      return createReduction(noteAnswer(state, event.attemptId, nowMs));
     case "RequestFinished":
-      return startQueued({
-        ...state,
-        running: deleteEntry(state.running, event.attemptId),
-      }, nowMs);
+      return finishRequest(state, event, nowMs);
     case "RequestWithdrawn":
       return createReduction({
         ...state,
         queue: state.queue.filter((q) => q.attemptId !== event.attemptId),
       });
+    case "Ticked":
+      return applyTick(state, nowMs);
   }
 }
 
@@ -93,49 +95,143 @@
   state: AdmissionState,
   request: AdmissionRequest,
   nowMs: number,
-): Reduction<AdmissionState, AdmissionEffect> {
-  const waiting = state.queue.filter((q) => q.row.kind === request.row.kind);
-  if (!hasRoom(state, request) && waiting.length >= request.row.queue) {
-    return createReduction(state, [{
-      type: "RefuseRequest",
-      attemptId: request.attemptId,
-      reason: "queue_full",
-      retryAfterMs: RETRY_AFTER_MS,
-    }]);
+): AdmissionStep {
+  const { attemptId, row } = request;
+  const level = readLevel(state.level);
+  const isBelow = level !== undefined && isBelowLevel(request, level);
+  const counted = isBelow
+    ? state
+    : { ...state, level: noteArrival(state.level, request.importance) };
+  if (isHopeless(counted, request, nowMs)) {
+    return refuseRequest(counted, attemptId, "deadline");
+  }
+  // Work already invested isn't thrown away while the queue has a place.
+  if (isBelow && request.depth === 0 && !hasRoom(counted, request, nowMs)) {
+    return refuseRequest(counted, attemptId, "level");
+  }
+  const { theoreticalMs } = findKind(counted, row.kind);
+  const check = checkRate(theoreticalMs, row.rate, nowMs);
+  if (check.type === "Exceeds") {
+    return refuseRequest(counted, attemptId, "rate", check.waitMs);
+  }
+  const charged = updateKind(counted, row.kind, {
+    usedAtMs: nowMs,
+    theoreticalMs: check.theoreticalMs,
+  });
+  const queue = [...state.queue, { ...request, queuedAtMs: nowMs }];
+  const step = runQueued({ ...charged, queue }, nowMs);
+  return chainReduction(step, (s) => trimQueue(s, request, nowMs));
+}
+
+function noteAnswer(
+  state: AdmissionState,
+  attemptId: string,
+  nowMs: number,
+): AdmissionState {
+  const run = state.running.get(attemptId);
+  if (run === undefined || run.isAnswered) {
+    return state;
   }
-  const queued = { ...request, queuedAtMs: nowMs };
-  return startQueued({ ...state, queue: [...state.queue, queued] }, nowMs);
+  const answered = setEntry(state.running, attemptId, {
+    ...run,
+    isAnswered: true,
+  });
+  const latencyMs = nowMs - run.startedAtMs;
+  const { time } = findKind(state, run.kind);
+  const next = noteDelay(state, run, latencyMs);
+  return updateKind(
+    {
+      ...next,
+      running: answered,
+      ramp: noteRun(state.ramp, true, nowMs),
+    },
+    run.kind,
+    { time: noteLatency(time, latencyMs, nowMs) },
+  );
 }
 
-function startQueued(
+function finishRequest(
   state: AdmissionState,
+  finished: { readonly attemptId: string; readonly result: RunResult },
   nowMs: number,
-): Reduction<AdmissionState, AdmissionEffect> {
-  const ordered = state.queue.toSorted((a, b) => b.importance - a.importance);
-  const next = ordered.find((queued) => hasRoom(state, queued));
-  if (next === undefined) {
+): AdmissionStep {
+  const { attemptId, result } = finished;
+  const run = state.running.get(attemptId);
+  if (run === undefined) {
     return createReduction(state);
   }
-  const { attemptId } = next;
-  const running = setEntry(state.running, attemptId, {
-    kind: next.row.kind,
-    startedAtMs: nowMs,
-  });
-  const queue = state.queue.filter((q) => q.attemptId !== attemptId);
-  const rest = startQueued({ ...state, running, queue }, nowMs);
-  return createReduction(rest.state, [
-    { type: "RunRequest", attemptId },
-    ...rest.effects,
-  ]);
+  const noted = run.isAnswered
+    ? state
+    : noteUnanswered(state, run, result, nowMs);
+  const running = deleteEntry(state.running, attemptId);
+  return runQueued({ ...noted, running }, nowMs);
 }
 
-function hasRoom(state: AdmissionState, request: AdmissionRequest): boolean {
-  if (state.running.size >= state.slots) {
-    return false;
+/** A run without an answer says at least how long the answer didn't come. */
+function noteUnanswered(
+  state: AdmissionState,
+  run: RunningRequest,
+  result: RunResult,
+  nowMs: number,
+): AdmissionState {
+  if (result === "failed") {
+    return { ...state, ramp: noteRun(state.ramp, false, nowMs) };
   }
-  let sameKind = 0;
-  for (const running of state.running.values()) {
-    sameKind += running.kind === request.row.kind ? 1 : 0;
+  const elapsedMs = nowMs - run.startedAtMs;
+  const { time } = findKind(state, run.kind);
+  const isSlow = (computeSlowdown(time, elapsedMs) ?? 0) > 1;
+  return isSlow ? noteDelay(state, run, elapsedMs) : state;
+}
+
+function noteDelay(
+  state: AdmissionState,
+  run: RunningRequest,
+  latencyMs: number,
+): AdmissionState {
+  const { time } = findKind(state, run.kind);
+  const slowdown = computeSlowdown(time, latencyMs);
+  return slowdown === undefined
+    ? state
+    : { ...state, limit: noteSlowdown(state.limit, slowdown) };
+}
+
+function applyTick(state: AdmissionState, nowMs: number): AdmissionStep {
+  const { slots, running, queue } = state;
+  const isIdle = running.size === 0;
+  const limit = updateLimit(state.limit, { slots, isIdle, nowMs });
+  const moved: AdmissionState = {
+    ...state,
+    limit,
+    kinds: forgetKinds(state.kinds, nowMs),
+  };
+  const next = isIdle && queue.length === 0 ? clearTags(moved) : moved;
+  const ran = chainReduction(
+    expireQueued(next, nowMs),
+    (s) => runQueued(s, nowMs),
+  );
+  const cut = chainReduction(ran, (s) => cutWait(s, nowMs));
+  const level = updateLevel(cut.state.level);
+  return { ...cut, state: { ...cut.state, level } };
+}
+
+function forgetKinds(
+  kinds: AdmissionState["kinds"],
+  nowMs: number,
+): AdmissionState["kinds"] {
+  const oldest = nowMs - KIND_TTL_MS;
+  const isStale = (kind: KindState) => kind.usedAtMs < oldest;
+  return [...kinds.values()].some(isStale)
+    ? new Map([...kinds].filter(([, kind]) => !isStale(kind)))
+    : kinds;
+}
+
+/** An idle backend server owes no kind anything. */
+function clearTags(state: AdmissionState): AdmissionState {
+  if (state.virtualMs === 0) {
+    return state;
   }
-  return sameKind < request.row.concurrency;
+  const kinds = new Map(
+    [...state.kinds].map(([name, kind]) => [name, { ...kind, finishTag: 0 }]),
+  );
+  return { ...state, kinds, virtualMs: 0 };
 }
--- /dev/null
+++ b/src/platform/admission/common/level_control.ts
@@ -0,0 +1,96 @@
+/**
+ * Moves the admission level with the load, after DAGOR (Zhou et al., Overload
+ * Control for Scaling WeChat Microservices, SoCC 2018): requests are counted
+ * by importance in short windows; an overloaded window raises the level by as
+ * much as must go, a calm one lowers it.
+ */
+import {
+  type AdmissionLevel,
+  createLevel,
+  MAX_IMPORTANCE,
+} from "./admission_level.ts";
+
+/** The level on a scale from 0 (none) to 10, and the present window. */
+export interface LevelControl {
+  /** Importance in the whole part, share of the hashes in the rest. */
+  readonly place: number;
+  /** Calm windows in a row. */
+  readonly calm: number;
+  /** Arrivals of the window at or over the level, by importance. */
+  readonly arrivals: readonly number[];
+  /** Refusals of the window for want of capacity. */
+  readonly refused: number;
+  /** Share that the last windows refused, 0 to 1. */
+  readonly pressure: number;
+}
+
+const NO_ARRIVALS: readonly number[] = Array(MAX_IMPORTANCE + 1).fill(0);
+
+/** No level, nothing counted. */
+export const INITIAL_LEVEL: LevelControl = {
+  place: 0,
+  calm: 0,
+  arrivals: NO_ARRIVALS,
+  refused: 0,
+  pressure: 0,
+};
+
+/** Some of the most important always pass, however high the load. */
+const HIGHEST_PLACE = MAX_IMPORTANCE + 0.9;
+const LEAST_CUT = 0.05;
+const MOST_CUT = 0.5;
+/** First step down; it doubles with each calm window. */
+const FIRST_STEP = 0.02;
+const PRESSURE_GAIN = 0.2;
+
+/** Counts an arrival. */
+export function noteArrival(
+  control: LevelControl,
+  importance: number,
+): LevelControl {
+  const count = control.arrivals[importance]! + 1;
+  const arrivals = control.arrivals.with(importance, count);
+  return { ...control, arrivals };
+}
+
+/** Counts a request refused for want of capacity. */
+export function noteOverload(control: LevelControl): LevelControl {
+  return { ...control, refused: control.refused + 1 };
+}
+
+/** Ends a window and moves the level. */
+export function updateLevel(control: LevelControl): LevelControl {
+  const total = control.arrivals.reduce((sum, count) => sum + count, 0);
+  const share = Math.min(1, control.refused / Math.max(1, total));
+  const pressure = control.pressure +
+    PRESSURE_GAIN * (share - control.pressure);
+  const window = { arrivals: NO_ARRIVALS, refused: 0, pressure };
+  if (control.refused > 0) {
+    const cut = Math.min(MOST_CUT, Math.max(LEAST_CUT, share));
+    return { ...window, place: raisePlace(control, cut * total), calm: 0 };
+  }
+  const calm = control.calm + 1;
+  const place = Math.max(0, control.place - FIRST_STEP * 2 ** control.calm);
+  return { ...window, place, calm: place === 0 ? 0 : calm };
+}
+
+/** Reads the level; undefined where nothing is to be refused early. */
+export function readLevel(control: LevelControl): AdmissionLevel | undefined {
+  return createLevel(control.place);
+}
+
+/** Hashes are uniform, so a share of an importance is a share of its range. */
+function raisePlace(control: LevelControl, cut: number): number {
+  let place = control.place;
+  let left = cut;
+  for (let i = Math.floor(place); i <= MAX_IMPORTANCE; i += 1) {
+    const count = control.arrivals[i]!;
+    if (count >= left) {
+      const part = count === 0 ? 0 : left / count;
+      return Math.min(HIGHEST_PLACE, place + (i + 1 - place) * part);
+    }
+    left -= count;
+    place = i + 1;
+  }
+  return HIGHEST_PLACE;
+}
--- /dev/null
+++ b/src/platform/admission/common/service_time.ts
@@ -0,0 +1,75 @@
+/** Service time of one kind: what to expect, and its long-term baseline. */
+
+/** Times of one kind, from the start of a run to the head of its answer. */
+export interface ServiceTime {
+  /** Moving average in milliseconds; undefined before the first answer. */
+  readonly expectedMs: number | undefined;
+  /** Long-term mean of the logarithm; undefined until it is known. */
+  readonly baselineLog: number | undefined;
+  readonly sampleSum: number;
+  readonly sampleCount: number;
+  readonly updatedAtMs: number;
+}
+
+/** Nothing is known of a kind yet. */
+export const UNKNOWN_TIME: ServiceTime = {
+  expectedMs: undefined,
+  baselineLog: undefined,
+  sampleSum: 0,
+  sampleCount: 0,
+  updatedAtMs: 0,
+};
+
+/** Answers that make up one update of the baseline. */
+export const BASELINE_SAMPLES = 8;
+/** The baseline rises slowly, so that a slowdown isn't taken for normal. */
+const RISE_MS = 30_000;
+const FALL_MS = 5_000;
+const EXPECTED_RISE = 0.1;
+/** Falls faster: too high an estimate refuses what could be served. */
+const EXPECTED_FALL = 0.3;
+const MIN_LATENCY_MS = 1;
+
+/** Takes in the latency of one answer, in milliseconds. */
+export function noteLatency(
+  time: ServiceTime,
+  latencyMs: number,
+  nowMs: number,
+): ServiceTime {
+  const ms = Math.max(MIN_LATENCY_MS, latencyMs);
+  const old = time.expectedMs ?? ms;
+  const gain = ms > old ? EXPECTED_RISE : EXPECTED_FALL;
+  return moveBaseline({
+    ...time,
+    expectedMs: old + gain * (ms - old),
+    sampleSum: time.sampleSum + Math.log(ms),
+    sampleCount: time.sampleCount + 1,
+  }, nowMs);
+}
+
+/** Computes how many times its baseline a latency is; undefined: unknown. */
+export function computeSlowdown(
+  time: ServiceTime,
+  latencyMs: number,
+): number | undefined {
+  return time.baselineLog === undefined
+    ? undefined
+    : Math.max(MIN_LATENCY_MS, latencyMs) / Math.exp(time.baselineLog);
+}
+
+function moveBaseline(time: ServiceTime, nowMs: number): ServiceTime {
+  if (time.sampleCount < BASELINE_SAMPLES) {
+    return time;
+  }
+  const mean = time.sampleSum / time.sampleCount;
+  const old = time.baselineLog ?? mean;
+  const spanMs = mean > old ? RISE_MS : FALL_MS;
+  const gain = 1 - Math.exp((time.updatedAtMs - nowMs) / spanMs);
+  return {
+    ...time,
+    baselineLog: old + gain * (mean - old),
+    sampleSum: 0,
+    sampleCount: 0,
+    updatedAtMs: nowMs,
+  };
+}
--- /dev/null
+++ b/src/platform/admission/test/admission_level_test.ts
@@ -0,0 +1,110 @@
+/** The level on the wire, at entry nodes, and the times to come back. */
+import { expect } from "chai";
+import fc from "fast-check";
+import {
+  computeAdmissionHash,
+  createLevel,
+  decodeLevel,
+  encodeLevel,
+  HASH_PERIOD_MS,
+  isBelowLevel,
+} from "../common/admission_level.ts";
+import {
+  isRefusedEarly,
+  LEVEL_TTL_MS,
+  type LevelView,
+  MAX_LEVELS,
+  noteLevel,
+} from "../common/level_view.ts";
+import { computeRetryAfter } from "../common/retry_after.ts";
+
+const NOW_MS = 1_000_000;
+const LEVEL = { importance: 3, hash: 2 ** 31 };
+
+function createView(nodeIds: readonly string[]): LevelView {
+  return nodeIds.reduce<LevelView>(
+    (view, nodeId) => noteLevel(view, { nodeId, level: LEVEL }, NOW_MS),
+    new Map(),
+  );
+}
+
+function countRefused(view: LevelView, importance: number, nowMs = NOW_MS) {
+  const ids = Array.from({ length: 1_000 }, (_, n) => `root-${n}`);
+  return ids.filter((id) =>
+    isRefusedEarly(view, {
+      id,
+      importance,
+      admissionHash: 5,
+      members: ["a", "b", "c"],
+    }, nowMs)
+  ).length;
+}
+
+describe("admission level", () => {
+  it("comes back whole from its header", () => {
+    fc.assert(
+      fc.property(fc.double({ min: 0.001, max: 10, noNaN: true }), (place) => {
+        const level = createLevel(place)!;
+        expect(decodeLevel(encodeLevel(level))).to.deep.equal(level);
+      }),
+    );
+    expect(encodeLevel(LEVEL)).to.equal("i=3, h=2147483648");
+    for (const bad of ["", "i=3", "i=10, h=1", "i=3, h=-1", "{", "i=x, h=y"]) {
+      expect(decodeLevel(bad), bad).to.equal(undefined);
+    }
+  });
+
+  it("orders by importance first, then by hash", () => {
+    const isBelow = (importance: number, admissionHash: number) =>
+      isBelowLevel({ importance, admissionHash }, LEVEL);
+    expect(isBelow(2, 2 ** 32 - 1)).to.equal(true);
+    expect(isBelow(3, 2 ** 31 - 1)).to.equal(true);
+    expect(isBelow(3, 2 ** 31)).to.equal(false);
+    expect(isBelow(9, 0)).to.equal(false);
+  });
+
+  it("draws the hash of a caller anew each period, not before", () => {
+    const draw = (nowMs: number) =>
+      computeAdmissionHash({ key: "caller", share: 1, nowMs });
+    expect(draw(HASH_PERIOD_MS - 1)).to.equal(draw(0));
+    expect(draw(HASH_PERIOD_MS)).not.to.equal(draw(0));
+  });
+
+  it("refuses early what most would refuse, but for some probes", () => {
+    const refused = countRefused(createView(["a", "b"]), 3);
+    expect(refused).to.be.within(960, 995);
+    expect(countRefused(createView(["a", "b"]), 9)).to.equal(0);
+    expect(countRefused(createView(["a"]), 3)).to.equal(0);
+  });
+
+  it("forgets a level that was cleared or not renewed", () => {
+    const view = createView(["a", "b"]);
+    const later = NOW_MS + LEVEL_TTL_MS;
+    expect(countRefused(view, 3, later)).to.equal(0);
+    const report = { nodeId: "a", level: undefined };
+    expect(countRefused(noteLevel(view, report, NOW_MS), 3)).to.equal(0);
+  });
+
+  it("keeps a bounded number of levels", () => {
+    const ids = Array.from({ length: MAX_LEVELS + 5 }, (_, n) => `node-${n}`);
+    const view = createView(ids);
+    expect(view.size).to.equal(MAX_LEVELS);
+    expect(view.has("node-0")).to.equal(false);
+    expect(view.has(ids.at(-1)!)).to.equal(true);
+  });
+});
+
+describe("retry after", () => {
+  it("spreads callers, wider under pressure, within bounds", () => {
+    const ids = Array.from({ length: 1_000 }, (_, n) => `root-${n}`);
+    const count = (pressure: number, second: number) =>
+      ids.filter((id) =>
+        Math.floor(computeRetryAfter(id, pressure) / 1_000) === second
+      ).length;
+    expect(count(0, 1)).to.be.within(430, 570);
+    expect(count(0, 2)).to.be.within(430, 570);
+    for (const second of [1, 2, 3, 4, 5, 6, 7, 8]) {
+      expect(count(1, second)).to.be.within(90, 160);
+    }
+  });
+});
--- /dev/null
+++ b/src/platform/admission/test/concurrency_limit_test.ts
@@ -0,0 +1,67 @@
+/** The limit follows latency, each kind against its own baseline. */
+import { expect } from "chai";
+import { computeCapacity } from "../common/admission_capacity.ts";
+import {
+  createLoad,
+  createRequest,
+  createRow,
+  SingleServer,
+} from "./single_server.ts";
+
+const LOOKUP = createRow();
+const BATCH = createRow({ kind: "batch" });
+
+function readCapacity(server: SingleServer): number {
+  return computeCapacity(server.state, server.nowMs);
+}
+
+describe("concurrency limit", () => {
+  it("falls in a slowdown, not below its floor, and recovers", () => {
+    const server = new SingleServer(50);
+    const load = createLoad(
+      server,
+      1,
+      (n) => createRequest(`${n}`, LOOKUP),
+    );
+    server.serviceMs = () => 20;
+    server.pass(2_000, load);
+    expect(readCapacity(server)).to.equal(50);
+    server.serviceMs = () => 400;
+    server.pass(6_000, load);
+    expect(readCapacity(server)).to.be.within(2, 10);
+    server.serviceMs = () => 20;
+    server.pass(2_000, load);
+    expect(readCapacity(server)).to.equal(50);
+  });
+
+  it("takes no kind that is long by nature for a slowdown", () => {
+    const server = new SingleServer(50);
+    server.serviceMs = ({ row }) => row.kind === "batch" ? 1_000 : 10;
+    server.pass(
+      3_000,
+      createLoad(server, 0.5, (n) => {
+        return createRequest(`lookup-${n}`, LOOKUP);
+      }),
+    );
+    server.pass(
+      4_000,
+      createLoad(server, 0.1, (n) => {
+        const row = n % 4 === 0 ? BATCH : LOOKUP;
+        return createRequest(`mixed-${n}`, row);
+      }),
+    );
+    expect(readCapacity(server)).to.equal(50);
+  });
+
+  it("never goes over the announced slots", () => {
+    const server = new SingleServer(3);
+    server.serviceMs = () => 10;
+    let most = 0;
+    const load = createLoad(server, 1, (n) => createRequest(`${n}`, LOOKUP));
+    server.pass(1_000, () => {
+      load();
+      most = Math.max(most, server.state.running.size);
+    });
+    expect(most).to.equal(3);
+  });
+});
--- a/src/platform/call/common/answers.ts
+++ b/src/platform/call/common/answers.ts
@@ -1,6 +1,10 @@
 /** The answers that a node gives itself, and the headers that go with them. */
+import { encodeLevel } from "../../admission/common/admission_level.ts";
+import type { AdmissionLevel } from "../../admission/common/admission_level.ts";
+import type { RefusalReason } from "../../admission/common/admission_types.ts";
 import {
   DRAINING_HEADER,
+  LEVEL_HEADER,
   OUTCOME_HEADER,
   TOKENS_HEADER,
 } from "./call_context.ts";
@@ -14,6 +18,8 @@
   readonly message: string;
   /** When the caller should come back, in milliseconds. */
   readonly retryAfterMs?: number;
+  /** Why it was refused, for the time line; the message where left out. */
+  readonly reason?: RefusalReason;
 }
 
 /** What rides on every answer to another node. */
@@ -21,6 +27,8 @@
   readonly outcome: CallOutcome;
   readonly tokens?: number;
   readonly isDraining?: boolean;
+  /** Undefined: nothing is to be refused early. */
+  readonly level?: AdmissionLevel | undefined;
 }
 
 /** Creates the answer effect of one exchange. */
@@ -45,10 +53,11 @@
 
 /** Writes signals as headers. */
 export function createSignalHeaders(signals: AnswerSignals): SignalHeaders {
-  const { outcome, tokens, isDraining } = signals;
+  const { outcome, tokens, isDraining, level } = signals;
   return {
     [OUTCOME_HEADER]: outcome,
     ...(tokens === undefined ? {} : { [TOKENS_HEADER]: String(tokens) }),
     ...(isDraining === true ? { [DRAINING_HEADER]: "1" } : {}),
+    ...(level === undefined ? {} : { [LEVEL_HEADER]: encodeLevel(level) }),
   };
 }
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -1,4 +1,5 @@
 /** Events and effects of the calls that pass a node. */
+import type { AdmissionLevel } from "../../admission/common/admission_level.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type {
   PeerMessage,
@@ -27,6 +28,8 @@
   readonly bodyBytes: number | undefined;
   /** Whether the whole body is held and can be sent again. */
   readonly isReplayable: boolean;
+  /** Names the caller for the admission hash; see `computeAdmissionHash`. */
+  readonly admissionKey?: string | undefined;
 }
 
 /** The head of an answer to an attempt. */
@@ -36,6 +39,8 @@
   readonly outcome: CallOutcome | undefined;
   readonly tokens: number;
   readonly isDraining: boolean;
+  /** Admission level of the node that answered. */
+  readonly level?: AdmissionLevel | undefined;
 }
 
 /** Whose timer fired. */
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -5,6 +5,8 @@
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
+import { noteLevel } from "../../admission/common/level_view.ts";
+import { computeRetryAfter } from "../../admission/common/retry_after.ts";
 import { takeShare } from "../../retry/common/retry_tokens.ts";
 import {
   isServiceKnown,
@@ -15,6 +17,7 @@
 import type { OwnAnswer } from "./answers.ts";
 import type { CallContext, CallOutcome } from "./call_context.ts";
 import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
+import { isShed } from "./entry_level.ts";
 import {
   closeEntry,
   createEndRecord,
@@ -42,6 +45,9 @@
   if (!isServiceKnown(state.routing, service)) {
     return createReduction(state, [{ type: "SubscribeService", service }]);
   }
+  if (isShed(state, call, nowMs)) {
+    return refuseEarly(state, call);
+  }
   const attemptId = `${exchangeId}.${call.attemptCount + 1}`;
   const { dataCentre } = state.self;
   const { tried } = call;
@@ -70,7 +76,18 @@
   const outcome = answer.outcome ?? "unknown";
   const isRefused = outcome === "not-run";
   const result = isRefused ? "refused" : "answered";
-  const reported = reportAttempt(state, call, { result, ...answer }, nowMs);
+  const { nodeId } = call.attempt!;
+  const levels = noteLevel(
+    state.levels,
+    { nodeId, level: answer.level },
+    nowMs,
+  );
+  const reported = reportAttempt(
+    { ...state, levels },
+    call,
+    { result, ...answer },
+    nowMs,
+  );
   const next = settleAttempt(reported, exchangeId, {
     tokens: answer.tokens,
     isNotRun: isRefused,
@@ -183,6 +200,26 @@
   return { nowMs, settleLocal };
 }
 
+function refuseEarly(state: NodeState, call: EntryCall): NodeStep {
+  const { exchangeId, context, row } = call;
+  const step = endWithAnswer(state, exchangeId, {
+    status: 503,
+    outcome: "not-run",
+    message: `Refused: ${row.service} is overloaded`,
+    retryAfterMs: computeRetryAfter(exchangeId, state.admission.level.pressure),
+  });
+  return appendEffects(step, {
+    type: "RecordEvent",
+    event: {
+      type: "CallRefused",
+      requestId: context.rootId,
+      kind: row.kind,
+      importance: context.importance,
+      reason: "early",
+    },
+  });
+}
+
 function sendAttempt(
   state: NodeState,
   call: EntryCall,
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -1,10 +1,10 @@
 /** Opens entry calls: a root at the edge, a child at the egress. */
-import { hashText } from "../../../base/common/hash.ts";
 import { setEntry } from "../../../base/common/maps.ts";
 import {
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
+import { computeAdmissionHash } from "../../admission/common/admission_level.ts";
 import { takeShare } from "../../retry/common/retry_tokens.ts";
 import { selectRow } from "../../table/common/table_match.ts";
 import type { TableRow } from "../../table/common/table_row.ts";
@@ -65,7 +65,7 @@
     return createReduction(state);
   }
   const opened = listener === "edge"
-    ? openRoot(state, exchangeId, row)
+    ? openRoot(state, received, row, nowMs)
     : openChild(state, received, row, nowMs);
   if (opened.type === "Rejected") {
     return answerUnread(state, received, opened.answer);
@@ -108,14 +108,20 @@
 
 function openRoot(
   state: NodeState,
-  exchangeId: string,
+  received: CallReceived,
   row: TableRow,
+  nowMs: number,
 ): Opened {
+  const { exchangeId, admissionKey } = received;
   const context: CallContext = {
     rootId: exchangeId,
     attemptId: exchangeId,
     importance: row.importance,
-    admissionHash: hashText(exchangeId),
+    admissionHash: computeAdmissionHash({
+      key: admissionKey ?? exchangeId,
+      share: computeShare(state, row),
+      nowMs,
+    }),
     depth: 0,
     remainingMs: row.timeoutMs,
     retryTokens: row.retries,
@@ -123,6 +129,15 @@
   return { type: "Opened", state, context, parentId: undefined };
 }
 
+/** Weight of a kind over the greatest of its service and importance. */
+function computeShare(state: NodeState, row: TableRow): number {
+  const { service, importance, weight } = row;
+  const weights = state.table.rows
+    .filter((r) => r.service === service && r.importance === importance)
+    .map((r) => r.weight);
+  return weight / Math.max(weight, ...weights);
+}
+
 /** A call of the local backend server draws on the attempt that it serves. */
 function openChild(
   state: NodeState,
@@ -131,8 +146,7 @@
   nowMs: number,
 ): Opened {
   if (received.contextHeader === undefined) {
-    const root = openRoot(state, received.exchangeId, { ...row, retries: 0 });
-    return root;
+    return openRoot(state, received, { ...row, retries: 0 }, nowMs);
   }
   const decoded = decodeContext(received.contextHeader);
   if (decoded.isErr() || decoded.value.depth >= MAX_DEPTH) {
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -30,6 +30,7 @@
   expireServed,
   failServed,
   receiveIngress,
+  updateServed,
 } from "./served_reducer.ts";
 import type { NodeStep } from "./served_reducer.ts";
 
@@ -64,7 +65,7 @@
     case "DrainRequested":
       return startDrain(state);
     case "Ticked":
-      return createReduction(state);
+      return updateServed(state, deps);
     case "PeerAsked":
       return answerPeer(state, event.askId, event.message);
     case "PeerReplied":
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -1,6 +1,7 @@
 /** The state of a node: its calls, and the areas that decide on them. */
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
-import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
+import type { AdmissionState } from "../../admission/common/admission_types.ts";
+import type { LevelView } from "../../admission/common/level_view.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
 import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
@@ -71,6 +72,8 @@
   readonly settled: ReadonlyMap<string, "ended" | "fenced">;
   readonly routing: RoutingState;
   readonly admission: AdmissionState;
+  /** Admission levels that other nodes said on answers. */
+  readonly levels: LevelView;
 }
 
 /** Creates the state of a node that has just started. */
@@ -89,6 +92,7 @@
     settled: new Map(),
     routing: INITIAL_ROUTING,
     admission: createAdmission(self.slots),
+    levels: new Map(),
   };
 }
 
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -10,7 +10,9 @@
 import type {
   AdmissionEffect,
   AdmissionEvent,
-} from "../../admission/common/admission_reducer.ts";
+} from "../../admission/common/admission_types.ts";
+import { readLevel } from "../../admission/common/level_control.ts";
+import { computeRetryAfter } from "../../admission/common/retry_after.ts";
 import { selectRow } from "../../table/common/table_match.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
@@ -47,8 +49,6 @@
   readonly settleLocal: SettleLocal;
 }
 
-const DRAINING_RETRY_MS = 1_000;
-
 /** Takes a call from another node. */
 export function receiveIngress(
   state: NodeState,
@@ -105,7 +105,8 @@
       status: 503,
       outcome: "not-run",
       message: "Backend server is draining",
-      retryAfterMs: DRAINING_RETRY_MS,
+      retryAfterMs: computeRetryAfter(attemptId, 0),
+      reason: "draining",
     }, deps);
   }
   const key: TimerKey = { owner: "served", id: attemptId };
@@ -137,20 +138,28 @@
   const call = state.served.get(attemptId)!;
   const relaying: ServedCall = { ...call, phase: "relaying" };
   const served = setEntry(state.served, attemptId, relaying);
-  const next = { ...state, served };
+  const event: AdmissionEvent = { type: "RequestAnswered", attemptId };
+  const step = stepAdmission({ ...state, served }, event, deps);
   if (call.origin === "local") {
     const result: LocalResult = { type: "Answered", answer };
-    return deps.settleLocal(next, attemptId, result, deps.nowMs);
+    return chainReduction(
+      step,
+      (next) => deps.settleLocal(next, attemptId, result, deps.nowMs),
+    );
   }
   const headers = createSignalHeaders({
     outcome: "ran",
     tokens: call.pool.left,
     isDraining: state.self.isDraining,
+    level: readLevel(state.admission.level),
   });
   const { exchangeId } = call;
-  return createReduction(next, [
-    { type: "RelayAnswer", exchangeId, attemptId, headers },
-  ]);
+  return appendEffects(step, {
+    type: "RelayAnswer",
+    exchangeId,
+    attemptId,
+    headers,
+  });
 }
 
 /** The backend server did not answer. */
@@ -169,7 +178,15 @@
     outcome: isSent ? "unknown" : "not-run",
     message: `Backend server did not answer: ${reason}`,
   };
-  return settleServed(state, attemptId, answer, deps);
+  const noted = stepAdmission(
+    state,
+    { type: "RequestFinished", attemptId, result: "failed" },
+    deps,
+  );
+  return chainReduction(
+    noted,
+    (next) => settleServed(next, attemptId, answer, deps),
+  );
 }
 
 /** The answer went through whole, or was cut (`isWhole` false). */
@@ -221,6 +238,11 @@
     : appendEffects(step, { type: "AbortAttempt", attemptId });
 }
 
+/** Time has passed: queued requests may have to go, or may run. */
+export function updateServed(state: NodeState, deps: ServedDeps): NodeStep {
+  return stepAdmission(state, { type: "Ticked" }, deps);
+}
+
 function stepAdmission(
   state: NodeState,
   event: AdmissionEvent,
@@ -245,10 +267,11 @@
       return runServed(state, effect.attemptId, deps);
     case "RefuseRequest":
       return refuseServed(state, effect.attemptId, {
-        status: 503,
+        status: effect.reason === "rate" ? 429 : 503,
         outcome: "not-run",
         message: `Refused: ${effect.reason}`,
         retryAfterMs: effect.retryAfterMs,
+        reason: effect.reason,
       }, deps);
   }
 }
@@ -294,7 +317,9 @@
       type: "AttemptRefused",
       requestId: call.context.rootId,
       attemptId,
-      reason: answer.message,
+      kind: call.row.kind,
+      importance: call.context.importance,
+      reason: answer.reason ?? answer.message,
     },
   });
 }
@@ -319,6 +344,7 @@
   const signals = {
     tokens: call.pool.left,
     isDraining: state.self.isDraining,
+    level: readLevel(step.state.admission.level),
   };
   return appendEffects(step, createAnswer(call.exchangeId, answer, signals));
 }
@@ -332,12 +358,11 @@
   const key: TimerKey = { owner: "served", id: attemptId };
   const served = deleteEntry(state.served, attemptId);
   const settled = rememberSettled(state.settled, attemptId, "ended");
-  const type = call.phase === "queued" ? "RequestWithdrawn" : "RequestFinished";
-  const step = stepAdmission(
-    { ...state, served, settled },
-    { type, attemptId },
-    deps,
-  );
+  const result = call.phase === "relaying" ? "answered" : "cancelled";
+  const event: AdmissionEvent = call.phase === "queued"
+    ? { type: "RequestWithdrawn", attemptId }
+    : { type: "RequestFinished", attemptId, result };
+  const step = stepAdmission({ ...state, served, settled }, event, deps);
   return appendEffects(step, { type: "StopTimer", key });
 }
 
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -3,10 +3,12 @@
 import { Transform } from "node:stream";
 import { Agent, errors } from "undici";
 import type { Dispatcher } from "undici";
+import { decodeLevel } from "../../admission/common/admission_level.ts";
 import {
   CONTEXT_HEADER,
   DRAINING_HEADER,
   encodeContext,
+  LEVEL_HEADER,
   OUTCOME_HEADER,
   TOKENS_HEADER,
 } from "../common/call_context.ts";
@@ -220,6 +222,7 @@
     outcome: OUTCOMES.includes(outcome) ? outcome as CallOutcome : undefined,
     tokens: Number.isInteger(tokens) && tokens >= 0 ? tokens : 0,
     isDraining: answer.headers[DRAINING_HEADER] === "1",
+    level: decodeLevel(String(answer.headers[LEVEL_HEADER] ?? "")),
   };
 }
 
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -203,10 +203,21 @@
       contextHeader: Array.isArray(context) ? context[0] : context,
       bodyBytes,
       isReplayable: body !== undefined,
+      admissionKey: listener === "edge" ? readAdmissionKey(request) : undefined,
     });
   }
 }
 
+/**
+ * What names a caller: the key of its request, which its own resends share,
+ * else its connection; an address alone would be one name for a whole shop.
+ */
+function readAdmissionKey(request: IncomingMessage): string | undefined {
+  const key = request.headers["idempotency-key"];
+  const { remoteAddress, remotePort } = request.socket;
+  return typeof key === "string" ? key : `${remoteAddress}:${remotePort}`;
+}
+
 /** Content-Length; 0 without a body, undefined for a chunked one. */
 function readBodyBytes(request: IncomingMessage): number | undefined {
   if (request.headers["transfer-encoding"] !== undefined) {
--- a/src/platform/telemetry/common/timeline_event.ts
+++ b/src/platform/telemetry/common/timeline_event.ts
@@ -47,8 +47,19 @@
     readonly type: "AttemptRefused";
     readonly requestId: string;
     readonly attemptId: string;
+    readonly kind: string;
+    readonly importance: number;
+    /** A `RefusalReason`, or a sentence. */
     readonly reason: string;
   }
+  /** Refused where it entered, since the backend servers would refuse it. */
+  | {
+    readonly type: "CallRefused";
+    readonly requestId: string;
+    readonly kind: string;
+    readonly importance: number;
+    readonly reason: "early";
+  }
   | {
     readonly type: "CallEnded";
     readonly requestId: string;
--- a/src/platform/telemetry/node/metrics.ts
+++ b/src/platform/telemetry/node/metrics.ts
@@ -22,6 +22,10 @@
   readonly #calls: Counter = this.#meter.createCounter("basilpin_calls", {
     description: "Calls that ended at the node where they entered",
   });
+  readonly #refusals: Counter = this.#meter.createCounter(
+    "basilpin_refusals",
+    { description: "Requests that were not run, by importance and reason" },
+  );
 
   /** Counts an event of the time line. */
   countEvent(event: TimelineEvent): void {
@@ -30,6 +34,10 @@
       const { kind, outcome, status } = event;
       this.#calls.add(1, { kind, outcome, status });
     }
+    if (event.type === "AttemptRefused" || event.type === "CallRefused") {
+      const { kind, importance, reason } = event;
+      this.#refusals.add(1, { kind, importance, reason });
+    }
   }
 
   /** Adds a gauge that is read at each scrape. */
