Say the level of called services on answers, and bound the wait

Cause: a root request that is shed deep in a chain still cost the services above it, since an entry node knew only the level of its own callee. Change: levels are kept by node and kind; answers to a kind carry the higher of the own level and that of the kinds called for it. The wait is bounded only while the backend server is full, least important first. Ruled out: the level of the chosen backend server alone deciding early refusal, as a straggler would then shed for its whole service; half must agree.

--- a/src/platform/admission/common/admission_level.ts
+++ b/src/platform/admission/common/admission_level.ts
@@ -50,6 +50,18 @@
       request.admissionHash < level.hash);
 }
 
+/** Picks the level that refuses more; undefined refuses nothing. */
+export function pickHigherLevel(
+  a: AdmissionLevel | undefined,
+  b: AdmissionLevel | undefined,
+): AdmissionLevel | undefined {
+  if (a === undefined || b === undefined) {
+    return a ?? b;
+  }
+  const order = a.importance - b.importance || a.hash - b.hash;
+  return order >= 0 ? a : b;
+}
+
 /** Creates a level from its place on the scale from 0 to 10. */
 export function createLevel(place: number): AdmissionLevel | undefined {
   if (place <= 0) {
--- a/src/platform/admission/common/admission_queue.ts
+++ b/src/platform/admission/common/admission_queue.ts
@@ -88,11 +88,14 @@
 
 /**
  * Keeps the wait short in a queue that doesn't empty: the least important go,
- * once they have waited for longer than a service time.
+ * once they have waited for longer than a service time, or than a quarter of
+ * the timeout where none is known.
  */
 export function cutWait(state: AdmissionState, nowMs: number): AdmissionStep {
-  const { queue, busySinceMs } = state;
-  if (nowMs - (busySinceMs ?? nowMs) < BUSY_INTERVAL_MS) {
+  const { queue, busySinceMs, running } = state;
+  // Where only a row is full, its own queue and the deadline bound the wait.
+  const isFull = running.size >= computeCapacity(state, nowMs);
+  if (!isFull || nowMs - (busySinceMs ?? nowMs) < BUSY_INTERVAL_MS) {
     return createReduction(state);
   }
   const lowest = Math.min(...queue.map((request) => request.importance));
@@ -173,8 +176,9 @@
   state: AdmissionState,
   request: QueuedRequest,
 ): number {
-  const { expectedMs } = findKind(state, request.row.kind).time;
-  return Math.max(TARGET_WAIT_MS, expectedMs ?? 0);
+  const { kind, timeoutMs } = request.row;
+  const { expectedMs } = findKind(state, kind).time;
+  return Math.max(TARGET_WAIT_MS, expectedMs ?? timeoutMs / 4);
 }
 
 function dropQueued(
--- a/src/platform/admission/common/fair_queue.ts
+++ b/src/platform/admission/common/fair_queue.ts
@@ -45,7 +45,7 @@
 
 /**
  * Selects the request to give up: of the least importance, of the kind that
- * holds most of the queue for its weight, last in rank.
+ * holds most of the queue for its weight, last in rank, the newest.
  */
 export function selectVictim(
   queue: readonly QueuedRequest[],
@@ -53,7 +53,7 @@
   const lowest = Math.min(...queue.map((request) => request.importance));
   const low = queue.filter((request) => request.importance === lowest);
   const held = countKinds(low);
-  return low.toSorted((a, b) =>
+  return low.toReversed().toSorted((a, b) =>
     computeHold(held, b) - computeHold(held, a) || compareRank(b, a)
   )[0];
 }
--- a/src/platform/admission/common/level_view.ts
+++ b/src/platform/admission/common/level_view.ts
@@ -10,25 +10,31 @@
   readonly expiresAtMs: number;
 }
 
-/** Levels by node id, the latest one last. */
+/** Levels by node id and kind, the latest one last. */
 export type LevelView = ReadonlyMap<string, SeenLevel>;
 
 /** A level as it stood on an answer; undefined: the answer named none. */
 export interface LevelReport {
   readonly nodeId: string;
+  readonly kind: string;
   readonly level: AdmissionLevel | undefined;
 }
 
+/** One kind of a service. */
+export interface ServiceKind {
+  readonly kind: string;
+  /** Node ids of the service's backend servers. */
+  readonly members: readonly string[];
+}
+
 /** A request that has cost nothing yet. */
-export interface EarlyRequest extends Ranked {
+export interface EarlyRequest extends Ranked, ServiceKind {
   /** Draws the probes. */
   readonly id: string;
-  /** Node ids of the service's backend servers. */
-  readonly members: readonly string[];
 }
 
 /** Levels that are kept. */
-export const MAX_LEVELS = 1_024;
+export const MAX_LEVELS = 2_048;
 /** A level that no answer renews is forgotten after this time. */
 export const LEVEL_TTL_MS = 1_000;
 /** One in so many goes through, so that a fallen level is learned. */
@@ -40,8 +46,9 @@
   report: LevelReport,
   nowMs: number,
 ): LevelView {
-  const { nodeId, level } = report;
-  const rest = deleteEntry(view, nodeId);
+  const { nodeId, kind, level } = report;
+  const key = createKey(nodeId, kind);
+  const rest = deleteEntry(view, key);
   if (level === undefined) {
     return rest;
   }
@@ -50,7 +57,27 @@
     ? deleteEntry(rest, oldest)
     : rest;
   const expiresAtMs = nowMs + LEVEL_TTL_MS;
-  return setEntry(kept, nodeId, { level, expiresAtMs });
+  return setEntry(kept, key, { level, expiresAtMs });
+}
+
+/**
+ * Reads the level of a service for one kind: the highest one that at least
+ * half of its backend servers are at, so that a straggler alone sheds nothing.
+ */
+export function readServiceLevel(
+  view: LevelView,
+  service: ServiceKind,
+  nowMs: number,
+): AdmissionLevel | undefined {
+  const { members, kind } = service;
+  const levels = members.flatMap((nodeId) => {
+    const seen = view.get(createKey(nodeId, kind));
+    return seen !== undefined && seen.expiresAtMs > nowMs ? [seen.level] : [];
+  });
+  const ordered = levels.toSorted((a, b) =>
+    b.importance - a.importance || b.hash - a.hash
+  );
+  return ordered[Math.max(1, Math.ceil(members.length / 2)) - 1];
 }
 
 /** Whether at least half of the service's backend servers would refuse it. */
@@ -62,10 +89,10 @@
   if (view.size === 0 || hashText(request.id, 3) % PROBE_ONE_IN === 0) {
     return false;
   }
-  const refusing = request.members.filter((nodeId) => {
-    const seen = view.get(nodeId);
-    return seen !== undefined && seen.expiresAtMs > nowMs &&
-      isBelowLevel(request, seen.level);
-  });
-  return refusing.length > 0 && refusing.length * 2 >= request.members.length;
+  const level = readServiceLevel(view, request, nowMs);
+  return level !== undefined && isBelowLevel(request, level);
+}
+
+function createKey(nodeId: string, kind: string): string {
+  return `${nodeId} ${kind}`;
 }
--- a/src/platform/admission/test/admission_level_test.ts
+++ b/src/platform/admission/test/admission_level_test.ts
@@ -23,7 +23,8 @@
 
 function createView(nodeIds: readonly string[]): LevelView {
   return nodeIds.reduce<LevelView>(
-    (view, nodeId) => noteLevel(view, { nodeId, level: LEVEL }, NOW_MS),
+    (view, nodeId) =>
+      noteLevel(view, { nodeId, kind: "k", level: LEVEL }, NOW_MS),
     new Map(),
   );
 }
@@ -33,6 +34,7 @@
   return ids.filter((id) =>
     isRefusedEarly(view, {
       id,
+      kind: "k",
       importance,
       admissionHash: 5,
       members: ["a", "b", "c"],
@@ -81,7 +83,7 @@
     const view = createView(["a", "b"]);
     const later = NOW_MS + LEVEL_TTL_MS;
     expect(countRefused(view, 3, later)).to.equal(0);
-    const report = { nodeId: "a", level: undefined };
+    const report = { nodeId: "a", kind: "k", level: undefined };
     expect(countRefused(noteLevel(view, report, NOW_MS), 3)).to.equal(0);
   });
 
@@ -89,8 +91,8 @@
     const ids = Array.from({ length: MAX_LEVELS + 5 }, (_, n) => `node-${n}`);
     const view = createView(ids);
     expect(view.size).to.equal(MAX_LEVELS);
-    expect(view.has("node-0")).to.equal(false);
-    expect(view.has(ids.at(-1)!)).to.equal(true);
+    expect(view.has("node-0 k")).to.equal(false);
+    expect(view.has(`${ids.at(-1)} k`)).to.equal(true);
   });
 });
 
--- a/src/platform/admission/test/admission_reducer_test.ts
+++ b/src/platform/admission/test/admission_reducer_test.ts
@@ -75,6 +75,54 @@
     ]);
   });
 
+  it("runs all that is more important first", () => {
+    const server = new SingleServer(1);
+    const light = { ...TRANSFER, weight: 0.1 };
+    server.arrive(createRequest("first", LOOKUP));
+    for (let n = 0; n < 2; n += 1) {
+      server.arrive(createRequest(`lookup-${n}`, LOOKUP));
+      server.arrive(createRequest(`transfer-${n}`, light));
+    }
+    while (server.state.running.size > 0) {
+      server.finish(server.run.at(-1)!);
+    }
+    const kinds = server.run.slice(1).map((id) => id.split("-")[0]);
+    expect(kinds).to.deep.equal(["transfer", "transfer", "lookup", "lookup"]);
+  });
+
+  it("gives up the least important first where the wait is long", () => {
+    const server = new SingleServer(1);
+    server.arrive(createRequest("stuck", LOOKUP));
+    server.arrive(createRequest("transfer", TRANSFER));
+    server.arrive(createRequest("lookup", LOOKUP));
+    server.nowMs += 300;
+    const effects = server.send({ type: "Ticked" });
+    expect(effects.map((effect) => effect.attemptId)).to.deep.equal(["lookup"]);
+  });
+
+  it("lets a row's own queue wait while the backend server has room", () => {
+    const server = new SingleServer(4);
+    const narrow = createRow({ kind: "narrow", concurrency: 1, queue: 2 });
+    server.arrive(createRequest("runs", narrow));
+    server.arrive(createRequest("waits", narrow));
+    server.nowMs += 600;
+    expect(server.send({ type: "Ticked" })).to.be.empty;
+    server.finish("runs");
+    expect(server.run).to.deep.equal(["runs", "waits"]);
+  });
+
+  it("prefers the upper hashes, the same in each service", () => {
+    const server = new SingleServer(1);
+    server.arrive(createRequest("first", LOOKUP));
+    for (const admissionHash of [5, 9, 7]) {
+      const id = `hash-${admissionHash}`;
+      server.arrive(createRequest(id, LOOKUP, { admissionHash }));
+    }
+    server.finish("first");
+    server.finish("hash-9");
+    expect(server.run).to.deep.equal(["first", "hash-9", "hash-7"]);
+  });
+
   it("prefers invested work where importance and hash are equal", () => {
     const server = new SingleServer(1);
     server.arrive(createRequest("first", LOOKUP));
--- a/src/platform/admission/test/concurrency_limit_test.ts
+++ b/src/platform/admission/test/concurrency_limit_test.ts
@@ -1,6 +1,7 @@
 /** The limit follows latency, each kind against its own baseline. */
 import { expect } from "chai";
 import { computeCapacity } from "../common/admission_capacity.ts";
+import { MIN_LIMIT } from "../common/concurrency_limit.ts";
 import {
   createLoad,
   createRequest,
@@ -53,6 +54,11 @@
     expect(readCapacity(server)).to.equal(50);
   });
 
+  it("keeps its floor where the ramp would leave less", () => {
+    expect(readCapacity(new SingleServer(3, true))).to.equal(MIN_LIMIT);
+    expect(readCapacity(new SingleServer(1, true))).to.equal(1);
+  });
+
   it("never goes over the announced slots", () => {
     const server = new SingleServer(3);
     server.serviceMs = () => 10;
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -17,7 +17,7 @@
 import type { OwnAnswer } from "./answers.ts";
 import type { CallContext, CallOutcome } from "./call_context.ts";
 import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
-import { isShed } from "./entry_level.ts";
+import { isShed } from "./call_level.ts";
 import {
   closeEntry,
   createEndRecord,
@@ -77,9 +77,10 @@
   const isRefused = outcome === "not-run";
   const result = isRefused ? "refused" : "answered";
   const { nodeId } = call.attempt!;
+  const { kind } = call.row;
   const levels = noteLevel(
     state.levels,
-    { nodeId, level: answer.level },
+    { nodeId, kind, level: answer.level },
     nowMs,
   );
   const reported = reportAttempt(
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -12,6 +12,7 @@
 import type { OwnAnswer } from "./answers.ts";
 import { decodeContext, MAX_DEPTH } from "./call_context.ts";
 import type { CallContext } from "./call_context.ts";
+import { noteCallee } from "./call_level.ts";
 import type { CallReceived, NodeEffect, TimerKey } from "./call_events.ts";
 import { tryAttempt } from "./entry_attempts.ts";
 import { putEntry } from "./entry_state.ts";
@@ -163,13 +164,14 @@
   }
   const { share, pool } = takeShare(parent.pool);
   const served = setEntry(state.served, parent.attemptId, { ...parent, pool });
+  const called = { kind: parent.row.kind, callee: row.kind };
   const context: CallContext = {
     ...parent.context,
     depth: parent.context.depth + 1,
     remainingMs: parent.deadlineMs - nowMs,
     retryTokens: share,
   };
-  const next = { ...state, served };
+  const next = noteCallee({ ...state, served }, called, nowMs);
   return { type: "Opened", state: next, context, parentId: parent.attemptId };
 }
 
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -9,6 +9,7 @@
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
 import type { Table, TableRow } from "../../table/common/table_row.ts";
 import type { CallContext } from "./call_context.ts";
+import type { CalleeView } from "./call_level.ts";
 
 /** An attempt that an entry call made. */
 export interface Attempt {
@@ -74,6 +75,7 @@
   readonly admission: AdmissionState;
   /** Admission levels that other nodes said on answers. */
   readonly levels: LevelView;
+  readonly callees: CalleeView;
 }
 
 /** Creates the state of a node that has just started. */
@@ -93,6 +95,7 @@
     routing: INITIAL_ROUTING,
     admission: createAdmission(self.slots),
     levels: new Map(),
+    callees: new Map(),
   };
 }
 
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -11,12 +11,12 @@
   AdmissionEffect,
   AdmissionEvent,
 } from "../../admission/common/admission_types.ts";
-import { readLevel } from "../../admission/common/level_control.ts";
 import { computeRetryAfter } from "../../admission/common/retry_after.ts";
 import { selectRow } from "../../table/common/table_match.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
 import { decodeContext } from "./call_context.ts";
+import { quoteLevel } from "./call_level.ts";
 import type {
   AttemptAnswer,
   CallReceived,
@@ -151,7 +151,7 @@
     outcome: "ran",
     tokens: call.pool.left,
     isDraining: state.self.isDraining,
-    level: readLevel(state.admission.level),
+    level: quoteLevel(state, call.row.kind, deps.nowMs),
   });
   const { exchangeId } = call;
   return appendEffects(step, {
@@ -344,7 +344,7 @@
   const signals = {
     tokens: call.pool.left,
     isDraining: state.self.isDraining,
-    level: readLevel(step.state.admission.level),
+    level: quoteLevel(step.state, call.row.kind, deps.nowMs),
   };
   return appendEffects(step, createAnswer(call.exchangeId, answer, signals));
 }
--- a/src/platform/call/test/early_refusal_test.ts
+++ b/src/platform/call/test/early_refusal_test.ts
@@ -4,8 +4,8 @@
 import { LEVEL_TTL_MS } from "../../admission/common/level_view.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { VersionedRow } from "../../table/common/table_row.ts";
-import { encodeContext } from "../common/call_context.ts";
-import type { NodeEffect, NodeEvent } from "../common/call_events.ts";
+import { encodeContext, LEVEL_HEADER } from "../common/call_context.ts";
+import type { Listener, NodeEffect, NodeEvent } from "../common/call_events.ts";
 import { reduceNode } from "../common/node_reducer.ts";
 import { createNodeState } from "../common/node_state.ts";
 import type { NodeState } from "../common/node_state.ts";
@@ -20,7 +20,7 @@
   vm: "vm-1",
   ingress: "127.0.0.1:1",
   operator: "127.0.0.1:2",
-  slots: 10,
+  slots: 1,
   connections: 10,
   isDraining: false,
 };
@@ -43,6 +43,7 @@
   version: 1,
 };
 const TRANSFER = { ...ROW, kind: "transfer", path: "/move", importance: 9 };
+const HOLD = { ...ROW, kind: "hold", service: "custody", path: "/hold" };
 const START_MS = 1_000_000;
 const HIGH: AdmissionLevel = { importance: 5, hash: 0 };
 
@@ -50,10 +51,12 @@
 class EntryNode {
   #state: NodeState = createNodeState(SELF, "127.0.0.1:3");
   nowMs = START_MS;
+  /** Level on the last answer that was relayed. */
+  levelHeader: string | undefined;
   #count = 0;
 
   constructor() {
-    const table = { version: 1, rows: [ROW, TRANSFER] };
+    const table = { version: 1, rows: [ROW, TRANSFER, HOLD] };
     this.send({ type: "TableReceived", table, isConfirmed: true });
     const { service } = MEMBER;
     this.send({ type: "MembersListed", service, members: [MEMBER] });
@@ -66,11 +69,20 @@
   }
 
   call(path: string, contextHeader?: string): readonly NodeEffect[] {
+    const listener = contextHeader === undefined ? "edge" : "egress";
+    return this.#receive(listener, path, contextHeader);
+  }
+
+  #receive(
+    listener: Listener,
+    path: string,
+    contextHeader: string | undefined,
+  ): readonly NodeEffect[] {
     this.#count += 1;
     return this.send({
       type: "CallReceived",
       exchangeId: `call-${this.#count}`,
-      listener: contextHeader === undefined ? "edge" : "egress",
+      listener,
       method: "GET",
       path,
       contextHeader,
@@ -89,9 +101,33 @@
       level,
     } as const;
     const { attemptId } = sent;
-    this.send({ type: "AttemptAnswered", attemptId, answer });
+    const told = this.send({ type: "AttemptAnswered", attemptId, answer });
+    const relay = told.find((effect) => effect.type === "RelayAnswer");
+    this.levelHeader = relay?.headers[LEVEL_HEADER];
     this.send({ type: "AttemptEnded", attemptId });
   }
+
+  /** Has another node call the local backend server. */
+  serve(
+    path: string,
+    attemptId: string,
+    importance = 3,
+  ): readonly NodeEffect[] {
+    const context = createContext(attemptId, importance);
+    return this.#receive("ingress", path, context);
+  }
+}
+
+function createContext(attemptId: string, importance = 3): string {
+  return encodeContext({
+    rootId: "root",
+    attemptId,
+    importance,
+    admissionHash: 0,
+    depth: 1,
+    remainingMs: 500,
+    retryTokens: 0,
+  });
 }
 
 function listTypes(effects: readonly NodeEffect[]): readonly string[] {
@@ -117,26 +153,73 @@
     const node = new EntryNode();
     node.answer(node.call("/bales"), HIGH);
     expect(listTypes(node.call("/move"))).to.include("SendAttempt");
-    const child = encodeContext({
-      rootId: "root",
-      attemptId: "parent",
-      importance: 3,
-      admissionHash: 0,
-      depth: 1,
-      remainingMs: 500,
-      retryTokens: 0,
-    });
+    const child = createContext("parent");
     expect(listTypes(node.call("/bales", child))).to.include("SendAttempt");
   });
 
+  it("says the level of a service that is called for a kind", () => {
+    const node = new EntryNode();
+    node.answer(node.serve("/hold", "parent-1"));
+    expect(node.levelHeader).to.equal(undefined);
+    const parent = node.serve("/hold", "parent-2");
+    node.answer(node.call("/bales", createContext("parent-2")), HIGH);
+    node.answer(parent);
+    expect(node.levelHeader).to.equal("i=5, h=0");
+    node.nowMs += LEVEL_TTL_MS;
+    node.answer(node.serve("/hold", "parent-3"));
+    expect(node.levelHeader).to.equal(undefined);
+  });
+
   it("ends once an answer names no level, or none has come for a time", () => {
     const node = new EntryNode();
+    const sent = [node.call("/bales"), node.call("/bales")];
     node.answer(node.call("/bales"), HIGH);
-    node.answer(node.call("/move"));
+    // Answers to what was sent before the level rose.
+    const [early, later] = sent;
+    node.answer(early!);
     expect(listTypes(node.call("/bales"))).to.include("SendAttempt");
-    node.answer(node.call("/move"), HIGH);
+    node.answer(later!, HIGH);
     expect(listTypes(node.call("/bales"))).to.include("CallRefused");
     node.nowMs += LEVEL_TTL_MS;
     expect(listTypes(node.call("/bales"))).to.include("SendAttempt");
   });
 });
+
+describe("refusal of a served attempt", () => {
+  it("answers what is displaced in the same step, as not run", () => {
+    const node = new EntryNode();
+    for (let n = 0; n < 5; n += 1) {
+      node.serve("/hold", `low-${n}`);
+    }
+    const effects = node.serve("/hold", "high", 9);
+    const answer = effects.find((effect) => effect.type === "AnswerCall")!;
+    expect(answer.status).to.equal(503);
+    expect(answer.headers["basilpin-outcome"]).to.equal("not-run");
+    expect(Number(answer.headers["retry-after"])).to.be.within(1, 10);
+    const records = effects.filter((effect) => effect.type === "RecordEvent");
+    expect(records.map(({ event }) => event)).to.deep.include({
+      type: "AttemptRefused",
+      requestId: "root",
+      attemptId: "low-4",
+      kind: "hold",
+      importance: 3,
+      reason: "displaced",
+    });
+  });
+
+  it("answers 429 over the rate of a row", () => {
+    const node = new EntryNode();
+    const answers = Array.from({ length: 300 }, (_, n) => {
+      const id = `served-${n}`;
+      const effects = node.serve("/hold", id);
+      if (effects.some((effect) => effect.type === "SendAttempt")) {
+        node.answer(effects);
+      }
+      return effects.find((effect) => effect.type === "AnswerCall");
+    });
+    const refused = answers.filter((answer) => answer !== undefined);
+    // A quarter of a second's worth may come at once.
+    expect(refused).to.have.length(50);
+    expect(refused.map(({ status }) => status)).to.include.members([429]);
+  });
+});
