Take no delay of a few milliseconds for a slowdown

Cause: latencies are read in whole milliseconds on a busy loop, so a kind of 1 ms that took 9 ms counted as slowed down 9 times. Change: baselines and latencies below 5 ms count as 5 ms. Conclusion: kinds this fast are guarded by slots and queue, not by latency.

--- a/src/platform/admission/common/service_time.ts
+++ b/src/platform/admission/common/service_time.ts
@@ -29,6 +29,8 @@
 /** Falls faster: too high an estimate refuses what could be served. */
 const EXPECTED_FALL = 0.3;
 const MIN_LATENCY_MS = 1;
+/** Below this, a difference may be the delay of this process alone. */
+const MIN_BASELINE_MS = 5;
 
 /** Takes in the latency of one answer, in milliseconds. */
 export function noteLatency(
@@ -42,7 +44,7 @@
   return moveBaseline({
     ...time,
     expectedMs: old + gain * (ms - old),
-    sampleSum: time.sampleSum + Math.log(ms),
+    sampleSum: time.sampleSum + Math.log(Math.max(MIN_BASELINE_MS, ms)),
     sampleCount: time.sampleCount + 1,
   }, nowMs);
 }
@@ -54,7 +56,7 @@
 ): number | undefined {
   return time.baselineLog === undefined
     ? undefined
-    : Math.max(MIN_LATENCY_MS, latencyMs) / Math.exp(time.baselineLog);
+    : Math.max(MIN_BASELINE_MS, latencyMs) / Math.exp(time.baselineLog);
 }
 
 function moveBaseline(time: ServiceTime, nowMs: number): ServiceTime {
--- a/src/platform/admission/test/concurrency_limit_test.ts
+++ b/src/platform/admission/test/concurrency_limit_test.ts
@@ -54,6 +54,16 @@
     expect(readCapacity(server)).to.equal(50);
   });
 
+  it("takes no delay of a few milliseconds for a slowdown", () => {
+    const server = new SingleServer(50);
+    const load = createLoad(server, 1, (n) => createRequest(`${n}`, LOOKUP));
+    server.serviceMs = () => 1;
+    server.pass(1_000, load);
+    server.serviceMs = () => 9;
+    server.pass(1_000, load);
+    expect(readCapacity(server)).to.equal(50);
+  });
+
   it("keeps its floor where the ramp would leave less", () => {
     expect(readCapacity(new SingleServer(3, true))).to.equal(MIN_LIMIT);
     expect(readCapacity(new SingleServer(1, true))).to.equal(1);
