Raise the admission level only by a queue that stands

Cause: a trial with separate processes (two backend servers of 5 slots, 40 ms, entry through a third node, machine shared with other work) showed the level at 9.33 after a burst: lookups were all under it, so the cut ran on into the transfers, of which 26 were refused early and 3 of 200 more at a node. Change: only a queue that stood through a window raises the level; nothing over the importances that were refused is cut; 30 % of the excess goes at a time. Ruled out: a cap of the level at importance 9, as transfers alone may overload.

--- a/src/platform/admission/common/admission_queue.ts
+++ b/src/platform/admission/common/admission_queue.ts
@@ -28,7 +28,7 @@
 export type AdmissionStep = Reduction<AdmissionState, AdmissionEffect>;
 
 /** A queue that stays busy for so long is overloaded, as in CoDel (RFC 8289). */
-const BUSY_INTERVAL_MS = 100;
+export const BUSY_INTERVAL_MS = 100;
 /** Longest wait in an overloaded queue, where a service time isn't longer. */
 const TARGET_WAIT_MS = 50;
 
@@ -167,7 +167,9 @@
   const { attemptId } = request;
   // Only a full backend server is overloaded, not a row at its own limit.
   const isFull = state.running.size >= computeCapacity(state, nowMs);
-  const level = isFull ? noteOverload(state.level) : state.level;
+  const level = isFull
+    ? noteOverload(state.level, request.importance)
+    : state.level;
   const queue = dropQueued(state.queue, attemptId);
   return refuseRequest({ ...state, queue, level }, attemptId, reason);
 }
--- a/src/platform/admission/common/admission_reducer.ts
+++ b/src/platform/admission/common/admission_reducer.ts
@@ -12,6 +12,7 @@
 } from "./admission_capacity.ts";
 import { isBelowLevel } from "./admission_level.ts";
 import {
+  BUSY_INTERVAL_MS,
   cutWait,
   expireQueued,
   refuseRequest,
@@ -210,7 +211,10 @@
     (s) => runQueued(s, nowMs),
   );
   const cut = chainReduction(ran, (s) => cutWait(s, nowMs));
-  const level = updateLevel(cut.state.level);
+  const { busySinceMs } = state;
+  const isStanding = queue.length > 0 &&
+    nowMs - (busySinceMs ?? nowMs) >= BUSY_INTERVAL_MS;
+  const level = updateLevel(cut.state.level, isStanding);
   return { ...cut, state: { ...cut.state, level } };
 }
 
--- a/src/platform/admission/common/level_control.ts
+++ b/src/platform/admission/common/level_control.ts
@@ -20,6 +20,8 @@
   readonly arrivals: readonly number[];
   /** Refusals of the window for want of capacity. */
   readonly refused: number;
+  /** Highest importance among them. */
+  readonly refusedTop: number;
   /** Share that the last windows refused, 0 to 1. */
   readonly pressure: number;
 }
@@ -32,13 +34,16 @@
   calm: 0,
   arrivals: NO_ARRIVALS,
   refused: 0,
+  refusedTop: 0,
   pressure: 0,
 };
 
 /** Some of the most important always pass, however high the load. */
 const HIGHEST_PLACE = MAX_IMPORTANCE + 0.9;
-const LEAST_CUT = 0.05;
-const MOST_CUT = 0.5;
+/** Part of the excess cut at a time, as its effect shows only later. */
+const CUT_GAIN = 0.3;
+const LEAST_CUT = 0.01;
+const MOST_CUT = 0.3;
 /** First step down; it doubles with each calm window. */
 const FIRST_STEP = 0.02;
 const PRESSURE_GAIN = 0.2;
@@ -54,19 +59,29 @@
 }
 
 /** Counts a request refused for want of capacity. */
-export function noteOverload(control: LevelControl): LevelControl {
-  return { ...control, refused: control.refused + 1 };
+export function noteOverload(
+  control: LevelControl,
+  importance: number,
+): LevelControl {
+  const refusedTop = Math.max(control.refusedTop, importance);
+  return { ...control, refused: control.refused + 1, refusedTop };
 }
 
-/** Ends a window and moves the level. */
-export function updateLevel(control: LevelControl): LevelControl {
+/**
+ * Ends a window and moves the level. Only a queue that stood through it
+ * (`isStanding`) tells overload from a burst.
+ */
+export function updateLevel(
+  control: LevelControl,
+  isStanding: boolean,
+): LevelControl {
   const total = control.arrivals.reduce((sum, count) => sum + count, 0);
   const share = Math.min(1, control.refused / Math.max(1, total));
   const pressure = control.pressure +
     PRESSURE_GAIN * (share - control.pressure);
-  const window = { arrivals: NO_ARRIVALS, refused: 0, pressure };
-  if (control.refused > 0) {
-    const cut = Math.min(MOST_CUT, Math.max(LEAST_CUT, share));
+  const window = { ...INITIAL_LEVEL, pressure };
+  if (control.refused > 0 && isStanding) {
+    const cut = Math.min(MOST_CUT, Math.max(LEAST_CUT, CUT_GAIN * share));
     return { ...window, place: raisePlace(control, cut * total), calm: 0 };
   }
   const calm = control.calm + 1;
@@ -79,18 +94,25 @@
   return createLevel(control.place);
 }
 
-/** Hashes are uniform, so a share of an importance is a share of its range. */
+/**
+ * Hashes are uniform, so a share of an importance is a share of its range.
+ * Nothing over the importances that were refused is cut.
+ */
 function raisePlace(control: LevelControl, cut: number): number {
+  const highest = Math.min(HIGHEST_PLACE, control.refusedTop + 1);
+  if (control.place >= highest) {
+    return control.place;
+  }
   let place = control.place;
   let left = cut;
   for (let i = Math.floor(place); i <= MAX_IMPORTANCE; i += 1) {
     const count = control.arrivals[i]!;
     if (count >= left) {
       const part = count === 0 ? 0 : left / count;
-      return Math.min(HIGHEST_PLACE, place + (i + 1 - place) * part);
+      return Math.min(highest, place + (i + 1 - place) * part);
     }
     left -= count;
     place = i + 1;
   }
-  return HIGHEST_PLACE;
+  return highest;
 }
--- a/src/platform/admission/test/admission_level_test.ts
+++ b/src/platform/admission/test/admission_level_test.ts
@@ -9,6 +9,12 @@
   HASH_PERIOD_MS,
   isBelowLevel,
 } from "../common/admission_level.ts";
+import {
+  INITIAL_LEVEL,
+  noteArrival,
+  noteOverload,
+  updateLevel,
+} from "../common/level_control.ts";
 import {
   isRefusedEarly,
   LEVEL_TTL_MS,
@@ -96,6 +102,25 @@
   });
 });
 
+describe("level control", () => {
+  const arrived = [3, 3, 3, 9].reduce(noteArrival, INITIAL_LEVEL);
+
+  it("takes a burst for no overload, only a queue that stands", () => {
+    const refused = noteOverload(arrived, 3);
+    expect(updateLevel(refused, false).place).to.equal(0);
+    expect(updateLevel(refused, true).place).to.be.within(3, 4);
+  });
+
+  it("cuts nothing above the importances that were refused", () => {
+    const shed = { ...INITIAL_LEVEL, place: 3.99 };
+    const passing = noteArrival(noteArrival(shed, 9), 9);
+    const low = updateLevel(noteOverload(passing, 3), true);
+    const high = updateLevel(noteOverload(passing, 9), true);
+    expect(low.place).to.be.at.most(4);
+    expect(high.place).to.be.greaterThan(9);
+  });
+});
+
 describe("retry after", () => {
   it("spreads callers, wider under pressure, within bounds", () => {
     const ids = Array.from({ length: 1_000 }, (_, n) => `root-${n}`);
