--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -1,6 +1,7 @@
 /** The state of a node: its calls, and the areas that decide on them. */
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
-import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
+import type { AdmissionState } from "../../admission/common/admission_types.ts";
+import type { LevelView } from "../../admission/common/level_view.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
 import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
@@ -8,6 +9,7 @@
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
 import type { Table, TableRow } from "../../table/common/table_row.ts";
 import type { CallContext } from "./call_context.ts";
+import type { CalleeView } from "./call_level.ts";
 
 /** An attempt that an entry call made. */
 export interface Attempt {
@@ -71,6 +73,9 @@
   readonly settled: ReadonlyMap<string, "ended" | "fenced">;
   readonly routing: RoutingState;
   readonly admission: AdmissionState;
+  /** Admission levels that other nodes said on answers. */
+  readonly levels: LevelView;
+  readonly callees: CalleeView;
 }
 
 /** Creates the state of a node that has just started. */
@@ -89,6 +94,8 @@
     settled: new Map(),
     routing: INITIAL_ROUTING,
     admission: createAdmission(self.slots),
+    levels: new Map(),
+    callees: new Map(),
   };
 }
 
