Ask receivers about doubtful attempts and bound retries by node

Cause: an attempt that failed after it was sent was called unknown at once, one on a silent connection hung until its deadline, an id forgotten by the bounded memory could be fenced as not run though it ran, and tokens given back with an answer could be spent again below it. Ruled out: a timer per attempt (a check on each tick costs nothing per call).

Change: questions on fresh connections, with incarnation and age; a memory that knows how far back it reaches; retry budget of 10 + 10% in 10 s; children cancelled wherever a served attempt is released; connections replaced once one is found silent; answers without a stated end are refused.

--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -62,6 +62,19 @@
   }
   | { readonly type: "AttemptEnded"; readonly attemptId: string }
   | { readonly type: "AnswerCut"; readonly attemptId: string }
+  /** No byte of a relayed answer for a spell, though the caller reads. */
+  | {
+    readonly type: "AnswerQuiet";
+    readonly attemptId: string;
+    /** Whether bytes came since the last event of this type. */
+    readonly isNew: boolean;
+  }
+  /** Whoever called takes no byte of a relayed answer, or goes on. */
+  | {
+    readonly type: "AnswerBlocked";
+    readonly attemptId: string;
+    readonly isBlocked: boolean;
+  }
   | { readonly type: "CallerLeft"; readonly exchangeId: string }
   | {
     readonly type: "BodyLimitPassed";
@@ -121,6 +134,8 @@
   }
   | { readonly type: "AbortAttempt"; readonly attemptId: string }
   | { readonly type: "DiscardAnswer"; readonly attemptId: string }
+  /** Later attempts at `address` use new connections. */
+  | { readonly type: "DropConnections"; readonly address: string }
   | {
     readonly type: "RelayAnswer";
     readonly exchangeId: string;
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -5,6 +5,10 @@
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
+import {
+  canSendRetry,
+  reduceRetryBudget,
+} from "../../retry/common/retry_budget.ts";
 import { takeShare } from "../../retry/common/retry_tokens.ts";
 import {
   isServiceKnown,
@@ -15,6 +19,8 @@
 import type { OwnAnswer } from "./answers.ts";
 import type { CallContext, CallOutcome } from "./call_context.ts";
 import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
+import { askAttempt } from "./entry_ask.ts";
+import { abortAttempt, cancelChildren } from "./entry_cancel.ts";
 import {
   closeEntry,
   createEndRecord,
@@ -24,11 +30,19 @@
   stepRouting,
 } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
-import { admitAttempt, cancelServed } from "./served_reducer.ts";
+import { admitAttempt } from "./served_reducer.ts";
 import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
 
-const NO_BACKEND_RETRY_MS = 1_000;
+/** When to come back after a "not run" that says no time of its own. */
+const RETRY_AFTER_MS = 1_000;
+/** Status of a node whose backend server did not answer. */
+const LOST_STATUS = 502;
+/** Share of the remaining time that a receiver gets less than its sender. */
+const HOP_MARGIN = 0.05;
+/** Most of that, in milliseconds. */
+const MAX_HOP_MARGIN_MS = 10;
 
+/** Chooses a backend server for the call and sends an attempt. */
 export function tryAttempt(
   state: NodeState,
   exchangeId: string,
@@ -52,7 +66,6 @@
       status: 503,
       outcome: call.isNotRun ? "not-run" : "unknown",
       message: `No backend server of ${service} takes work`,
-      retryAfterMs: NO_BACKEND_RETRY_MS,
     });
   }
   return sendAttempt(state, call, { attemptId, backend }, nowMs);
@@ -66,7 +79,10 @@
   nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
-  const attemptId = call.attempt!.attemptId;
+  if (call.attempt === undefined) {
+    return createReduction(state);
+  }
+  const { attemptId } = call.attempt;
   const outcome = answer.outcome ?? "unknown";
   const isRefused = outcome === "not-run";
   const result = isRefused ? "refused" : "answered";
@@ -75,12 +91,13 @@
     tokens: answer.tokens,
     isNotRun: isRefused,
   });
-  if (isRefused && canRetry(next.entries.get(exchangeId)!)) {
+  const isLost = outcome === "unknown" && answer.status === LOST_STATUS;
+  if ((isRefused || isLost) && canRetry(next, exchangeId, nowMs)) {
     const discard: NodeEffect = { type: "DiscardAnswer", attemptId };
     const step = createReduction<NodeState, NodeEffect>(next, [discard]);
     return chainReduction(step, (s) => retryEntry(s, exchangeId, nowMs));
   }
-  return relayAnswer(next, exchangeId, attemptId, answer);
+  return relayAnswer(next, call, call.attempt, answer);
 }
 
 /** A remote attempt brought no answer. */
@@ -89,18 +106,37 @@
   exchangeId: string,
   failure: { readonly isSent: boolean; readonly reason: string },
   nowMs: number,
+): NodeStep {
+  const attempt = state.entries.get(exchangeId)!.attempt;
+  if (attempt === undefined || attempt.isBroken) {
+    return createReduction(state);
+  }
+  const { isSent, reason } = failure;
+  if (!isSent || canRetryUnknown(state, exchangeId, nowMs)) {
+    const settled = { isNotRun: !isSent, reason };
+    return settleFailure(state, exchangeId, settled, nowMs);
+  }
+  return askAttempt(state, exchangeId, { isBroken: true }, nowMs);
+}
+
+/** Ends an attempt without an answer: retries, or ends the call. */
+export function settleFailure(
+  state: NodeState,
+  exchangeId: string,
+  settled: { readonly isNotRun: boolean; readonly reason: string },
+  nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
+  const { isNotRun, reason } = settled;
   const report = { result: "failed", isDraining: false } as const;
   const reported = reportAttempt(state, call, report, nowMs);
-  const { isSent, reason } = failure;
   const next = settleAttempt(reported, exchangeId, {
-    tokens: isSent ? 0 : call.attempt!.tokens,
-    isNotRun: !isSent,
+    tokens: isNotRun ? call.attempt!.tokens : 0,
+    isNotRun,
   });
   return retryOrEnd(next, exchangeId, {
-    status: isSent ? 502 : 503,
-    outcome: isSent ? "unknown" : "not-run",
+    status: isNotRun ? 503 : LOST_STATUS,
+    outcome: isNotRun ? "not-run" : "unknown",
     message: `Attempt failed: ${reason}`,
   }, nowMs);
 }
@@ -117,20 +153,18 @@
     return createReduction(state);
   }
   if (result.type === "Answered") {
-    const left = state.served.get(attemptId)?.pool.left ?? 0;
-    const answer: AttemptAnswer = {
-      ...result.answer,
-      outcome: "ran",
-      tokens: left,
-    };
+    const answer: AttemptAnswer = { ...result.answer, outcome: "ran" };
     return answerEntry(state, exchangeId, answer, nowMs);
   }
   const call = state.entries.get(exchangeId)!;
+  if (call.attempt === undefined) {
+    return createReduction(state);
+  }
   const isNotRun = result.type === "Refused";
   const kind = isNotRun ? "refused" : "failed";
   const report = { result: kind, isDraining: false } as const;
   const reported = reportAttempt(state, call, report, nowMs);
-  const tokens = isNotRun ? call.attempt!.tokens : 0;
+  const tokens = isNotRun ? call.attempt.tokens : 0;
   const next = settleAttempt(reported, exchangeId, { tokens, isNotRun });
   return retryOrEnd(next, exchangeId, result.answer, nowMs);
 }
@@ -145,42 +179,20 @@
   if (call === undefined || call.isRelaying) {
     return createReduction(state);
   }
-  const isNotRun = call.isNotRun && call.attempt === undefined;
-  const step = abortAttempt(state, exchangeId, nowMs);
-  return chainReduction(step, (next) =>
-    endWithAnswer(next, exchangeId, {
+  const step = abortAttempt(state, exchangeId, createServedDeps(nowMs));
+  return chainReduction(step, (next) => {
+    const { isNotRun } = next.entries.get(exchangeId)!;
+    return endWithAnswer(next, exchangeId, {
       status: 504,
       outcome: isNotRun ? "not-run" : "unknown",
       message: "Deadline passed",
-    }));
-}
-
-export function abortAttempt(
-  state: NodeState,
-  exchangeId: string,
-  nowMs: number,
-): NodeStep {
-  const call = state.entries.get(exchangeId)!;
-  const attemptId = findAttempt(call);
-  if (attemptId === undefined) {
-    return createReduction(state);
-  }
-  const report = { result: "failed", isDraining: false } as const;
-  const next = call.attempt === undefined
-    ? state
-    : settleAttempt(reportAttempt(state, call, report, nowMs), exchangeId, {
-      tokens: 0,
-      isNotRun: false,
     });
-  if (next.served.has(attemptId)) {
-    return cancelServed(next, attemptId, createServedDeps(nowMs));
-  }
-  return createReduction(next, [{ type: "AbortAttempt", attemptId }]);
+  });
 }
 
 /** Creates what the served steps need. */
 export function createServedDeps(nowMs: number): ServedDeps {
-  return { nowMs, settleLocal };
+  return { nowMs, settleLocal, cancelChildren };
 }
 
 function sendAttempt(
@@ -190,23 +202,32 @@
   nowMs: number,
 ): NodeStep {
   const { attemptId, backend } = chosen;
-  const { nodeId, service, ingress } = backend.announcement;
-  const { exchangeId, row, deadlineMs } = call;
+  const { nodeId, service, ingress, incarnation } = backend.announcement;
+  const { exchangeId, row } = call;
   const { share, pool } = takeShare(call.pool);
   const attempt: Attempt = {
     attemptId,
     nodeId,
+    incarnation,
+    address: ingress,
     startedAtMs: nowMs,
     tokens: share,
+    heardAtMs: nowMs,
+    isAsked: false,
+    isBroken: false,
+    misses: 0,
   };
   const context: CallContext = {
     ...call.context,
     attemptId,
-    remainingMs: deadlineMs - nowMs,
+    remainingMs: computeRemainingMs(call, nowMs),
     retryTokens: share,
   };
+  const counted = call.attemptCount === 0
+    ? countAttempt(state, "FirstAttemptSent", nowMs)
+    : state;
   const next = stepRouting(
-    putEntry(state, {
+    putEntry(counted, {
       ...call,
       pool,
       attempt,
@@ -237,6 +258,24 @@
   });
 }
 
+/**
+ * The receiver's time ends a little before its sender's, so that its answer,
+ * which knows whether the attempt ran, arrives before the sender gives up.
+ */
+function computeRemainingMs(call: EntryCall, nowMs: number): number {
+  const remainingMs = call.deadlineMs - nowMs;
+  return remainingMs - Math.min(MAX_HOP_MARGIN_MS, remainingMs * HOP_MARGIN);
+}
+
+function countAttempt(
+  state: NodeState,
+  type: "FirstAttemptSent" | "RetrySent",
+  nowMs: number,
+): NodeState {
+  const step = reduceRetryBudget(state.retryBudget, { type }, nowMs);
+  return { ...state, retryBudget: step.state };
+}
+
 function admitLocal(
   state: NodeState,
   call: EntryCall,
@@ -262,17 +301,33 @@
   nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
-  if (canRetry(call)) {
+  if (canRetry(state, exchangeId, nowMs)) {
     return retryEntry(state, exchangeId, nowMs);
   }
   const outcome: CallOutcome = call.isNotRun ? "not-run" : "unknown";
   return endWithAnswer(state, exchangeId, { ...answer, outcome });
 }
 
-/** A retry needs a token, the whole body, and harmlessness or proof. */
-function canRetry(call: EntryCall): boolean {
+/** A retry needs a token, budget, the whole body, and harmlessness or proof. */
+function canRetry(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): boolean {
+  const call = state.entries.get(exchangeId)!;
   const isHarmless = call.row.idempotent || call.isNotRun;
-  return isHarmless && call.isReplayable && call.pool.left > 0;
+  return isHarmless && call.isReplayable && call.pool.left > 0 &&
+    canSendRetry(state.retryBudget, nowMs);
+}
+
+/** Whether the call may be tried again though its attempt may have run. */
+function canRetryUnknown(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): boolean {
+  return state.entries.get(exchangeId)!.row.idempotent &&
+    canRetry(state, exchangeId, nowMs);
 }
 
 function retryEntry(
@@ -282,16 +337,19 @@
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
   const pool = { left: call.pool.left - 1 };
-  const next = putEntry(state, { ...call, pool });
+  const counted = countAttempt(state, "RetrySent", nowMs);
+  const next = putEntry(counted, { ...call, pool });
   return tryAttempt(next, exchangeId, nowMs);
 }
 
 function relayAnswer(
   state: NodeState,
-  exchangeId: string,
-  attemptId: string,
+  settled: EntryCall,
+  relayed: Attempt,
   answer: AttemptAnswer,
 ): NodeStep {
+  const { exchangeId } = settled;
+  const { attemptId } = relayed;
   const call = state.entries.get(exchangeId)!;
   const outcome = answer.outcome === "not-run" && !call.isNotRun
     ? "unknown"
@@ -301,6 +359,7 @@
   const next = putEntry({ ...state, entryOfAttempt }, {
     ...call,
     isRelaying: true,
+    relayed,
   });
   return createReduction(next, [
     { type: "RelayAnswer", exchangeId, attemptId, headers },
@@ -315,18 +374,16 @@
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
   const step = closeEntry(state, exchangeId);
+  const retryAfterMs = answer.outcome === "not-run"
+    ? answer.retryAfterMs ?? RETRY_AFTER_MS
+    : answer.retryAfterMs;
+  const ended = retryAfterMs === undefined ? answer : {
+    ...answer,
+    retryAfterMs,
+  };
   return appendEffects(
     step,
-    createAnswer(exchangeId, answer),
+    createAnswer(exchangeId, ended),
     createEndRecord(call, answer.status, answer.outcome),
   );
 }
-
-function findAttempt(call: EntryCall): string | undefined {
-  if (call.attempt !== undefined) {
-    return call.attempt.attemptId;
-  }
-  return call.isRelaying
-    ? `${call.exchangeId}.${call.attemptCount}`
-    : undefined;
-}
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -14,7 +14,7 @@
 import type { CallContext } from "./call_context.ts";
 import type { CallReceived, NodeEffect, TimerKey } from "./call_events.ts";
 import { tryAttempt } from "./entry_attempts.ts";
-import { putEntry } from "./entry_state.ts";
+import { addChild, putEntry } from "./entry_state.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
 import type { NodeStep } from "./served_reducer.ts";
 
@@ -155,7 +155,11 @@
     remainingMs: parent.deadlineMs - nowMs,
     retryTokens: share,
   };
-  const next = { ...state, served };
+  const next = addChild(
+    { ...state, served },
+    parent.attemptId,
+    received.exchangeId,
+  );
   return { type: "Opened", state: next, context, parentId: parent.attemptId };
 }
 
--- a/src/platform/call/common/entry_reducer.ts
+++ b/src/platform/call/common/entry_reducer.ts
@@ -1,10 +1,10 @@
-/** Entry calls from outside: members listed, answers ended, callers gone. */
+/** Entry calls from outside: members listed, answers ended. */
 import {
   appendEffects,
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
-import { abortAttempt, tryAttempt } from "./entry_attempts.ts";
+import { tryAttempt } from "./entry_attempts.ts";
 import { closeEntry } from "./entry_state.ts";
 import type { NodeState } from "./node_state.ts";
 import type { NodeStep } from "./served_reducer.ts";
@@ -36,36 +36,3 @@
     ? step
     : appendEffects(step, { type: "DropExchange", exchangeId });
 }
-
-/** The caller hung up: everything below is cancelled. */
-export function cancelEntry(
-  state: NodeState,
-  exchangeId: string,
-  nowMs: number,
-): NodeStep {
-  const step = abortAttempt(state, exchangeId, nowMs);
-  return chainReduction(step, (next) => closeEntry(next, exchangeId));
-}
-
-/** Cancels the calls that a served attempt has made. */
-export function cancelChildren(
-  state: NodeState,
-  parentId: string,
-  nowMs: number,
-): NodeStep {
-  const children = [...state.entries.values()].filter((call) =>
-    call.parentId === parentId
-  );
-  return children.reduce<NodeStep>(
-    (step, child) =>
-      chainReduction(
-        step,
-        (s) =>
-          appendEffects(cancelEntry(s, child.exchangeId, nowMs), {
-            type: "DropExchange",
-            exchangeId: child.exchangeId,
-          }),
-      ),
-    createReduction(state),
-  );
-}
--- a/src/platform/call/common/entry_state.ts
+++ b/src/platform/call/common/entry_state.ts
@@ -69,16 +69,40 @@
   };
 }
 
+/** Notes an open call with the served attempt that made it. */
+export function addChild(
+  state: NodeState,
+  parentId: string,
+  exchangeId: string,
+): NodeState {
+  const children = [...state.childrenOf.get(parentId) ?? [], exchangeId];
+  const childrenOf = setEntry(state.childrenOf, parentId, children);
+  return { ...state, childrenOf };
+}
+
+function dropChild(state: NodeState, call: EntryCall): NodeState {
+  const { parentId, exchangeId } = call;
+  const children = state.childrenOf.get(parentId ?? "");
+  if (parentId === undefined || children === undefined) {
+    return state;
+  }
+  const left = children.filter((child) => child !== exchangeId);
+  const childrenOf = left.length === 0
+    ? deleteEntry(state.childrenOf, parentId)
+    : setEntry(state.childrenOf, parentId, left);
+  return { ...state, childrenOf };
+}
+
 /** Forgets a call and gives its unused tokens back to its parent. */
 export function closeEntry(state: NodeState, exchangeId: string): NodeStep {
   const call = state.entries.get(exchangeId)!;
   const key: TimerKey = { owner: "entry", id: exchangeId };
   const lastAttempt = `${exchangeId}.${call.attemptCount}`;
-  const next: NodeState = {
+  const next = dropChild({
     ...state,
     entries: deleteEntry(state.entries, exchangeId),
     entryOfAttempt: deleteEntry(state.entryOfAttempt, lastAttempt),
-  };
+  }, call);
   const parent = call.parentId === undefined
     ? undefined
     : next.served.get(call.parentId);
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -15,12 +15,10 @@
   failEntry,
 } from "./entry_attempts.ts";
 import { receiveEntry } from "./entry_open.ts";
-import {
-  cancelChildren,
-  cancelEntry,
-  endEntry,
-  resumeEntries,
-} from "./entry_reducer.ts";
+import { watchAttempts } from "./entry_ask.ts";
+import { cancelEntry } from "./entry_cancel.ts";
+import { endEntry, resumeEntries } from "./entry_reducer.ts";
+import { settleAsked, suspectAnswer } from "./entry_reply.ts";
 import { stepRouting } from "./entry_state.ts";
 import { answerPeer } from "./peer_reducer.ts";
 import {
@@ -29,6 +27,7 @@
   endServed,
   expireServed,
   failServed,
+  noteBlocked,
   receiveIngress,
 } from "./served_reducer.ts";
 import type { NodeStep } from "./served_reducer.ts";
@@ -53,6 +52,10 @@
       return applyEnd(state, event.attemptId, true, nowMs);
     case "AnswerCut":
       return applyEnd(state, event.attemptId, false, nowMs);
+    case "AnswerQuiet":
+      return suspectAnswer(state, event, nowMs);
+    case "AnswerBlocked":
+      return noteBlocked(state, event.attemptId, event.isBlocked);
     case "CallerLeft":
       return cancelExchange(state, event.exchangeId, nowMs);
     case "BodyLimitPassed":
@@ -64,11 +67,11 @@
     case "DrainRequested":
       return startDrain(state);
     case "Ticked":
-      return createReduction(state);
+      return watchAttempts(state, nowMs);
     case "PeerAsked":
-      return answerPeer(state, event.askId, event.message);
+      return answerPeer(state, event, nowMs);
     case "PeerReplied":
-      return createReduction(state);
+      return settleAsked(state, event, nowMs);
     case "MembersListed":
       return resumeEntries(stepRouting(state, event), event.service, nowMs);
     case "MemberPublished":
@@ -133,7 +136,7 @@
   nowMs: number,
 ): NodeStep {
   if (state.entries.has(exchangeId)) {
-    return cancelEntry(state, exchangeId, nowMs);
+    return cancelEntry(state, exchangeId, createServedDeps(nowMs));
   }
   const call = [...state.served.values()].find((served) =>
     served.exchangeId === exchangeId
@@ -141,9 +144,7 @@
   if (call === undefined) {
     return createReduction(state);
   }
-  const { attemptId } = call;
-  const step = cancelServed(state, attemptId, createServedDeps(nowMs));
-  return chainReduction(step, (s) => cancelChildren(s, attemptId, nowMs));
+  return cancelServed(state, call.attemptId, createServedDeps(nowMs));
 }
 
 /** A chunked body went over its row's limit while it was sent. */
@@ -171,8 +172,7 @@
   if (key.owner === "entry") {
     return expireEntry(state, key.id, nowMs);
   }
-  const step = expireServed(state, key.id, createServedDeps(nowMs));
-  return chainReduction(step, (s) => cancelChildren(s, key.id, nowMs));
+  return expireServed(state, key.id, createServedDeps(nowMs));
 }
 
 /** A table takes effect only if it is newer than the one in force. */
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -2,7 +2,11 @@
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
 import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
+import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
+import type { RetryBudget } from "../../retry/common/retry_budget.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
+import { NO_SETTLED } from "../../retry/common/settled_attempts.ts";
+import type { SettledAttempts } from "../../retry/common/settled_attempts.ts";
 import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
 import type { RoutingState } from "../../routing/common/routing_reducer.ts";
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
@@ -14,9 +18,21 @@
   readonly attemptId: string;
   /** Node of the chosen backend server. */
   readonly nodeId: string;
+  /** Of that node's process. */
+  readonly incarnation: number;
+  /** `host:port` of that node's ingress. */
+  readonly address: string;
   readonly startedAtMs: number;
   /** Retry tokens that went with it. */
   readonly tokens: number;
+  /** When it was last known to live: sent, or confirmed by its receiver. */
+  readonly heardAtMs: number;
+  /** Whether a question about it is out. */
+  readonly isAsked: boolean;
+  /** Whether its connection failed after a byte was sent. */
+  readonly isBroken: boolean;
+  /** Questions in a row that showed no sign of life. */
+  readonly misses: number;
 }
 
 /** A call that entered here, from a caller or the local backend server. */
@@ -38,6 +54,8 @@
   /** Whether every attempt that ended is provably not run. */
   readonly isNotRun: boolean;
   readonly isRelaying: boolean;
+  /** The attempt whose answer is relayed. */
+  readonly relayed?: Attempt;
 }
 
 /** An attempt that the local backend server is to run. */
@@ -50,7 +68,7 @@
   readonly deadlineMs: number;
   /** Retry tokens for the calls that the backend server makes. */
   readonly pool: TokenPool;
-  readonly phase: "queued" | "running" | "relaying";
+  readonly phase: "queued" | "running" | "relaying" | "blocked";
 }
 
 /** All that a node knows. */
@@ -67,8 +85,11 @@
   readonly entryOfAttempt: ReadonlyMap<string, string>;
   /** By attempt id. */
   readonly served: ReadonlyMap<string, ServedCall>;
-  /** Attempt ids that ended or were fenced here, oldest first. */
-  readonly settled: ReadonlyMap<string, "ended" | "fenced">;
+  /** Entry calls that a served attempt made and that are open. */
+  readonly childrenOf: ReadonlyMap<string, readonly string[]>;
+  /** Attempts that ended, were refused or were fenced here. */
+  readonly settled: SettledAttempts;
+  readonly retryBudget: RetryBudget;
   readonly routing: RoutingState;
   readonly admission: AdmissionState;
 }
@@ -86,7 +107,9 @@
     entries: new Map(),
     entryOfAttempt: new Map(),
     served: new Map(),
-    settled: new Map(),
+    childrenOf: new Map(),
+    settled: NO_SETTLED,
+    retryBudget: EMPTY_BUDGET,
     routing: INITIAL_ROUTING,
     admission: createAdmission(self.slots),
   };
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -5,55 +5,53 @@
   PeerMessage,
   PeerReply,
 } from "../../peer/common/peer_messages.ts";
+import {
+  fenceSettled,
+  findSettled,
+} from "../../retry/common/settled_attempts.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
 
-/** Settled attempt ids that a node remembers. */
-export const MAX_SETTLED = 4_096;
+type FenceAttempt = Extract<PeerMessage, { type: "FenceAttempt" }>;
 
 /** Answers one question. */
 export function answerPeer(
   state: NodeState,
-  askId: number,
-  message: PeerMessage,
+  asked: { readonly askId: number; readonly message: PeerMessage },
+  nowMs: number,
 ): Reduction<NodeState, NodeEffect> {
+  const { askId, message } = asked;
   switch (message.type) {
     case "FenceAttempt":
-      return fenceAttempt(state, askId, message.attemptId);
+      return fenceAttempt(state, askId, message, nowMs);
   }
 }
 
-/** Remembers a settled attempt; the oldest one is forgotten first. */
-export function rememberSettled(
-  settled: NodeState["settled"],
-  attemptId: string,
-  how: "ended" | "fenced",
-): NodeState["settled"] {
-  const next = new Map(settled);
-  next.set(attemptId, how);
-  for (const oldest of next.keys()) {
-    if (next.size <= MAX_SETTLED) {
-      break;
-    }
-    next.delete(oldest);
-  }
-  return next;
-}
-
 function fenceAttempt(
   state: NodeState,
   askId: number,
-  attemptId: string,
+  message: FenceAttempt,
+  nowMs: number,
 ): Reduction<NodeState, NodeEffect> {
+  const { attemptId } = message;
   const served = state.served.get(attemptId);
   if (served !== undefined) {
     return reply(state, askId, { type: "AttemptKnown", phase: served.phase });
   }
-  if (state.settled.get(attemptId) === "ended") {
+  const as = findSettled(state.settled, attemptId);
+  if (as === "ended") {
     return reply(state, askId, { type: "AttemptKnown", phase: "ended" });
   }
-  const settled = rememberSettled(state.settled, attemptId, "fenced");
-  return reply({ ...state, settled }, askId, { type: "AttemptFenced" });
+  if (as !== undefined) {
+    return reply(state, askId, { type: "AttemptFenced" });
+  }
+  const isSameProcess = message.incarnation === state.self.incarnation;
+  const settled = isSameProcess
+    ? fenceSettled(state.settled, message, nowMs)
+    : undefined;
+  return settled === undefined
+    ? reply(state, askId, { type: "AttemptForgotten" })
+    : reply({ ...state, settled }, askId, { type: "AttemptFenced" });
 }
 
 function reply(
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -11,6 +11,11 @@
   AdmissionEffect,
   AdmissionEvent,
 } from "../../admission/common/admission_reducer.ts";
+import { EMPTY_POOL } from "../../retry/common/retry_tokens.ts";
+import {
+  findSettled,
+  rememberSettled,
+} from "../../retry/common/settled_attempts.ts";
 import { selectRow } from "../../table/common/table_match.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
@@ -21,7 +26,6 @@
   NodeEffect,
   TimerKey,
 } from "./call_events.ts";
-import { rememberSettled } from "./peer_reducer.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
 
 /** A step of the node. */
@@ -41,10 +45,18 @@
   nowMs: number,
 ) => NodeStep;
 
+/** Cancels the calls that a served attempt made; passed in, as above. */
+export type CancelChildren = (
+  state: NodeState,
+  parentId: string,
+  deps: ServedDeps,
+) => NodeStep;
+
 /** What the steps of served attempts need besides the state. */
 export interface ServedDeps {
   readonly nowMs: number;
   readonly settleLocal: SettleLocal;
+  readonly cancelChildren: CancelChildren;
 }
 
 const DRAINING_RETRY_MS = 1_000;
@@ -64,12 +76,9 @@
       message: `Context header is malformed: ${context.error.reason}`,
     });
   }
-  if (state.settled.has(context.value.attemptId)) {
-    return answerAtOnce(state, exchangeId, {
-      status: 503,
-      outcome: "not-run",
-      message: "Attempt was given up before it arrived",
-    });
+  const refusal = findRepeat(state, context.value.attemptId);
+  if (refusal !== undefined) {
+    return answerAtOnce(state, exchangeId, refusal);
   }
   const row = selectRow(state.table, call);
   if (row === undefined) {
@@ -91,6 +100,25 @@
   }, deps);
 }
 
+/** Answers an attempt id that was here before: none runs twice. */
+function findRepeat(
+  state: NodeState,
+  attemptId: string,
+): OwnAnswer | undefined {
+  const settled = findSettled(state.settled, attemptId);
+  if (settled === undefined && !state.served.has(attemptId)) {
+    return undefined;
+  }
+  const isNotRun = settled === "fenced" || settled === "refused";
+  return {
+    status: isNotRun ? 503 : 409,
+    outcome: isNotRun ? "not-run" : "unknown",
+    message: isNotRun
+      ? "Attempt was given up before it arrived"
+      : "Attempt has arrived before",
+  };
+}
+
 /** Puts an attempt before the door of the local backend server. */
 export function admitAttempt(
   state: NodeState,
@@ -135,16 +163,19 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
-  const relaying: ServedCall = { ...call, phase: "relaying" };
+  const { left } = call.pool;
+  // The tokens go back with this answer, so none may be spent here any more.
+  const relaying: ServedCall = { ...call, phase: "relaying", pool: EMPTY_POOL };
   const served = setEntry(state.served, attemptId, relaying);
   const next = { ...state, served };
   if (call.origin === "local") {
-    const result: LocalResult = { type: "Answered", answer };
+    const returned = { ...answer, tokens: left };
+    const result: LocalResult = { type: "Answered", answer: returned };
     return deps.settleLocal(next, attemptId, result, deps.nowMs);
   }
   const headers = createSignalHeaders({
     outcome: "ran",
-    tokens: call.pool.left,
+    tokens: left,
     isDraining: state.self.isDraining,
   });
   const { exchangeId } = call;
@@ -153,6 +184,24 @@
   ]);
 }
 
+/** Whoever asked stopped taking the answer, or goes on. */
+export function noteBlocked(
+  state: NodeState,
+  attemptId: string,
+  isBlocked: boolean,
+): NodeStep {
+  const call = state.served.get(attemptId);
+  if (call === undefined) {
+    return createReduction(state);
+  }
+  const relaying: ServedCall = {
+    ...call,
+    phase: isBlocked ? "blocked" : "relaying",
+  };
+  const served = setEntry(state.served, attemptId, relaying);
+  return createReduction({ ...state, served });
+}
+
 /** The backend server did not answer. */
 export function failServed(
   state: NodeState,
@@ -207,7 +256,7 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId);
-  if (call === undefined || call.phase === "relaying") {
+  if (call === undefined || isAnswered(call)) {
     return createReduction(state);
   }
   const isQueued = call.phase === "queued";
@@ -221,6 +270,10 @@
     : appendEffects(step, { type: "AbortAttempt", attemptId });
 }
 
+function isAnswered(call: ServedCall): boolean {
+  return call.phase === "relaying" || call.phase === "blocked";
+}
+
 function stepAdmission(
   state: NodeState,
   event: AdmissionEvent,
@@ -331,14 +384,24 @@
   const call = state.served.get(attemptId)!;
   const key: TimerKey = { owner: "served", id: attemptId };
   const served = deleteEntry(state.served, attemptId);
-  const settled = rememberSettled(state.settled, attemptId, "ended");
-  const type = call.phase === "queued" ? "RequestWithdrawn" : "RequestFinished";
+  const isQueued = call.phase === "queued";
+  const as = isQueued ? "refused" : "ended";
+  const settled = rememberSettled(
+    state.settled,
+    { attemptId, as },
+    deps.nowMs,
+  );
+  const type = isQueued ? "RequestWithdrawn" : "RequestFinished";
   const step = stepAdmission(
     { ...state, served, settled },
     { type, attemptId },
     deps,
   );
-  return appendEffects(step, { type: "StopTimer", key });
+  const stopped = appendEffects(step, { type: "StopTimer", key });
+  return chainReduction(
+    stopped,
+    (next) => deps.cancelChildren(next, attemptId, deps),
+  );
 }
 
 function answerAtOnce(
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -1,7 +1,7 @@
 /** Sends attempts to other nodes and to the backend server. */
 import type { Readable } from "node:stream";
 import { Transform } from "node:stream";
-import { Agent, errors } from "undici";
+import { errors, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import {
   CONTEXT_HEADER,
@@ -19,6 +19,7 @@
 } from "../common/call_events.ts";
 import { copyHeaders } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
+import { RelayWatch } from "./relay_watch.ts";
 
 type SendAttempt = Extract<NodeEffect, { type: "SendAttempt" }>;
 
@@ -35,32 +36,32 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const KEEP_ALIVE_MS = 30_000;
+/** Longest idle time of a connection that is used again. */
+const KEEP_ALIVE_MS = 10_000;
+/** Statuses whose answers have no body (RFC 9112, section 6.3). */
+const BODILESS: readonly number[] = [204, 304];
 const OUTCOMES: readonly string[] = ["ran", "not-run", "unknown"];
 
-/** Errors raised before a byte of the request was written. */
-function isUnsent(error: unknown): boolean {
-  const code = (error as { code?: string }).code ?? "";
+/**
+ * Whether an error was raised before a byte of the request was written: only
+ * a connection that was never made proves it. One that was open may report
+ * the same codes long after it carried the request.
+ */
+export function isUnsent(error: unknown): boolean {
   return error instanceof errors.ConnectTimeoutError ||
-    ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"].includes(code);
+    (error as NodeJS.ErrnoException).syscall === "connect";
 }
 
 /** Runs the attempts of one node over keep-alive connections. */
 export class AttemptSender implements AsyncDisposable {
   readonly #options: AttemptSenderOptions;
-  readonly #agent: Agent;
+  readonly #pools = new Map<string, Pool>();
   readonly #open = new Map<string, OpenAttempt>();
+  readonly #watch: RelayWatch;
 
   constructor(options: AttemptSenderOptions) {
     this.#options = options;
-    this.#agent = new Agent({
-      connections: options.connections,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-    });
+    this.#watch = new RelayWatch(options.dispatch);
   }
 
   /** Sends an attempt; its result comes as events. */
@@ -83,6 +84,13 @@
     open?.answer?.body.on("error", () => {}).destroy();
   }
 
+  /** Lets what is in progress at `address` end; later attempts reconnect. */
+  dropConnections(address: string): void {
+    const pool = this.#pools.get(address);
+    this.#pools.delete(address);
+    pool?.close().catch(() => {});
+  }
+
   /** Reads an unwanted answer to its end, so that the connection lives on. */
   discard(attemptId: string): void {
     const answer = this.#open.get(attemptId)?.answer;
@@ -110,7 +118,9 @@
     for (const attemptId of [...this.#open.keys()]) {
       this.abort(attemptId);
     }
-    await this.#agent.destroy();
+    await this.#watch[Symbol.asyncDispose]();
+    const pools = [...this.#pools.values()];
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
   async #request(
@@ -121,8 +131,7 @@
     const { request } = exchange;
     const headers = copyHeaders(request.rawHeaders);
     headers.push(CONTEXT_HEADER, encodeContext(effect.context));
-    const answer = await this.#agent.request({
-      origin: `http://${effect.address}`,
+    const answer = await this.#findPool(effect.address).request({
       path: request.url ?? "/",
       method: (request.method ?? "GET") as Dispatcher.HttpMethod,
       headers,
@@ -130,6 +139,10 @@
       signal: open.abort.signal,
     });
     open.answer = answer;
+    if (!isFramed(answer, request.method ?? "GET")) {
+      answer.body.on("error", () => {}).destroy();
+      throw new Error("Answer does not say where it ends");
+    }
     if (!this.#open.has(effect.attemptId)) {
       answer.body.on("error", () => {}).destroy();
       return;
@@ -141,6 +154,33 @@
     });
   }
 
+  #findPool(address: string): Pool {
+    const known = this.#pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new Pool(`http://${address}`, {
+      connections: this.#options.connections,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+    });
+    this.#pools.set(address, pool);
+    pool.on("disconnect", () => this.#closeUnused(address, pool));
+    return pool;
+  }
+
+  /** Forgets a pool that holds no connection and no request. */
+  #closeUnused(address: string, pool: Pool): void {
+    const { connected, size } = pool.stats;
+    if (connected === 0 && size === 0 && this.#pools.get(address) === pool) {
+      this.dropConnections(address);
+    }
+  }
+
   #createBody(
     effect: SendAttempt,
     exchange: Exchange,
@@ -179,6 +219,7 @@
   #pipe(attemptId: string, body: Readable, exchange: Exchange): void {
     const { response } = exchange;
     const { dispatch } = this.#options;
+    this.#watch.add(attemptId, body, response);
     body.on("error", () => {
       if (this.#open.delete(attemptId)) {
         dispatch({ type: "AnswerCut", attemptId });
@@ -205,6 +246,17 @@
   }
 }
 
+/**
+ * Whether an answer says where it ends. One that ends with its connection
+ * looks the same whole and cut, so it can't be passed on as complete.
+ */
+function isFramed(answer: Dispatcher.ResponseData, method: string): boolean {
+  const { headers, statusCode } = answer;
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined ||
+    method === "HEAD" || BODILESS.includes(statusCode);
+}
+
 function readAnswer(
   answer: Dispatcher.ResponseData,
   peer: SendAttempt["peer"],
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -33,6 +33,7 @@
     | "SendAttempt"
     | "AbortAttempt"
     | "DiscardAnswer"
+    | "DropConnections"
     | "RelayAnswer"
     | "DropExchange"
     | "AnswerPeer";
@@ -86,6 +87,10 @@
       this.#sender.discard(effect.attemptId);
       return;
     }
+    if (effect.type === "DropConnections") {
+      this.#sender.dropConnections(effect.address);
+      return;
+    }
     if (effect.type === "AnswerPeer") {
       this.#answerPeer(effect.askId, effect.reply);
       return;
@@ -116,7 +121,13 @@
     exchange: Exchange,
     effect: Exclude<
       CallEffect,
-      { type: "AbortAttempt" | "DiscardAnswer" | "AnswerPeer" }
+      {
+        type:
+          | "AbortAttempt"
+          | "DiscardAnswer"
+          | "DropConnections"
+          | "AnswerPeer";
+      }
     >,
   ): void {
     switch (effect.type) {
