--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -223,9 +223,7 @@
     remainingMs: computeRemainingMs(call, nowMs),
     retryTokens: share,
   };
-  const counted = call.attemptCount === 0
-    ? countAttempt(state, "FirstAttemptSent", nowMs)
-    : state;
+  const counted = countAttempt(state, call, nowMs);
   const next = stepRouting(
     putEntry(counted, {
       ...call,
@@ -269,9 +267,10 @@
 
 function countAttempt(
   state: NodeState,
-  type: "FirstAttemptSent" | "RetrySent",
+  call: EntryCall,
   nowMs: number,
 ): NodeState {
+  const type = call.attemptCount === 0 ? "FirstAttemptSent" : "RetrySent";
   const step = reduceRetryBudget(state.retryBudget, { type }, nowMs);
   return { ...state, retryBudget: step.state };
 }
@@ -337,8 +336,7 @@
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
   const pool = { left: call.pool.left - 1 };
-  const counted = countAttempt(state, "RetrySent", nowMs);
-  const next = putEntry(counted, { ...call, pool });
+  const next = putEntry(state, { ...call, pool });
   return tryAttempt(next, exchangeId, nowMs);
 }
 
