--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -293,7 +293,7 @@
     dataCentre: settings.data_centre,
     region: settings.region,
     vm: settings.vm,
-    ingress: settings.listen.ingress,
+    ingress: settings.advertise?.ingress ?? settings.listen.ingress,
     operator: settings.listen.operator,
     slots: settings.backend.slots,
     connections: settings.backend.connections,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -57,6 +57,8 @@
     ingress: ADDRESS,
     operator: ADDRESS,
   }),
+  /** Where other nodes reach this one, if not at its listener. */
+  advertise: v.optional(v.strictObject({ ingress: ADDRESS })),
   backend: v.strictObject({
     address: ADDRESS,
     slots: createCount(100_000),
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -230,6 +230,7 @@
       pool,
       attempt,
       attemptCount: call.attemptCount + 1,
+      isReplacing: false,
       tried: [...call.tried, nodeId],
     }),
     { type: "AttemptStarted", service, nodeId },
@@ -270,6 +271,9 @@
   call: EntryCall,
   nowMs: number,
 ): NodeState {
+  if (call.isReplacing === true) {
+    return state;
+  }
   const type = call.attemptCount === 0 ? "FirstAttemptSent" : "RetrySent";
   const step = reduceRetryBudget(state.retryBudget, { type }, nowMs);
   return { ...state, retryBudget: step.state };
@@ -315,8 +319,10 @@
 ): boolean {
   const call = state.entries.get(exchangeId)!;
   const isHarmless = call.row.idempotent || call.isNotRun;
-  return isHarmless && call.isReplayable && call.pool.left > 0 &&
+  // An attempt that never arrived put no load on any backend server.
+  const isInBudget = call.isReplacing === true ||
     canSendRetry(state.retryBudget, nowMs);
+  return isHarmless && call.isReplayable && call.pool.left > 0 && isInBudget;
 }
 
 /** Whether the call may be tried again though its attempt may have run. */
--- a/src/platform/call/common/entry_reply.ts
+++ b/src/platform/call/common/entry_reply.ts
@@ -146,14 +146,17 @@
   );
 }
 
-/** The node answered on a new connection, so a retry may choose it again. */
+/**
+ * The attempt never arrived: the next one stands for it. The node answered on
+ * a new connection, so it may be chosen again.
+ */
 function allowAgain(
   state: NodeState,
   call: EntryCall,
   attempt: Attempt,
 ): NodeState {
   const tried = call.tried.filter((nodeId) => nodeId !== attempt.nodeId);
-  return putEntry(state, { ...call, tried });
+  return putEntry(state, { ...call, tried, isReplacing: true });
 }
 
 /**
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -54,6 +54,8 @@
   /** Whether every attempt that ended is provably not run. */
   readonly isNotRun: boolean;
   readonly isRelaying: boolean;
+  /** Whether the next attempt stands for one that never arrived. */
+  readonly isReplacing?: boolean;
   /** The attempt whose answer is relayed. */
   readonly relayed?: Attempt;
 }
--- a/standin/backend.ts
+++ b/standin/backend.ts
@@ -25,6 +25,8 @@
   readonly queue: number;
   /** Takes requests and never answers. */
   readonly isFrozen: boolean;
+  /** Goes on when whoever called has left. */
+  readonly ignoresCancel: boolean;
   /** Path prefix of requests that end the process; empty for none. */
   readonly crashPath: string;
   /** What `GET /load` reports; undefined for the truth. */
@@ -47,6 +49,7 @@
   coldMs: 0,
   queue: 1_000,
   isFrozen: false,
+  ignoresCancel: false,
   crashPath: "",
   reportedLoad: undefined,
 };
@@ -195,7 +198,7 @@
   }
   const cancel = new AbortController();
   response.on("close", () => {
-    if (!response.writableFinished) {
+    if (!response.writableFinished && !behaviour.ignoresCancel) {
       cancel.abort();
     }
   });
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -43,6 +43,8 @@
   readonly service: string;
   readonly dataCentre: string;
   readonly slots?: number;
+  /** `host:port` where other nodes reach this one, if not its listener. */
+  readonly advertise?: string;
   readonly behaviour?: Partial<Behaviour>;
   /** Paths called downstream by `METHOD /prefix`. */
   readonly downstream?: Readonly<Record<string, readonly string[]>>;
@@ -113,6 +115,9 @@
       data_centre: dataCentre,
       service,
       listen: { edge, egress, ingress, operator },
+      ...(options.advertise === undefined
+        ? {}
+        : { advertise: { ingress: options.advertise } }),
       backend: { address: backendAddress, slots, connections: 400 },
       control: { replicas: this.#controls.map((control) => control.link) },
       security: { transport: "plaintext" },
