Test whole answers against raw backend servers

Cause: no test held the node's listeners against short, cut, unframed or late answers, nor its buffers against a side that doesn't read.

Change: 11 tests with raw sockets behind a real node. An answer that only the end of its connection ends can't be told from a cut one, so it is answered 502, unknown. Ruled out: passing it on and breaking the connection afterwards, which no HTTP/1.0 backend server would gain from.

--- /dev/null
+++ b/src/platform/call/test/whole_answer_test.ts
@@ -0,0 +1,241 @@
+/** Answers of raw backend servers through a node's real listeners. */
+import { createServer as createTcpServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { Readable } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { request } from "undici";
+import { EventLoop } from "../../../base/node/event_loop.ts";
+import { parseAddress } from "../../../base/node/listen.ts";
+import type { NodeEffect, NodeEvent } from "../common/call_events.ts";
+import { reduceNode } from "../common/node_reducer.ts";
+import type { NodeState } from "../common/node_state.ts";
+import { isUnsent } from "../node/attempt_sender.ts";
+import { CallServer } from "../node/call_server.ts";
+import type { CallEffect } from "../node/call_server.ts";
+import { findAddress } from "../../../../standin/ports.ts";
+import { createMember, createNode, ROW } from "./node_network.ts";
+
+const HUGE_BYTES = 256 * 1024 * 1024;
+/** Socket buffers of two hops, and the node's own. */
+const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
+const CHUNK = Buffer.alloc(64 * 1024, 1);
+const SEEN: ReadonlySet<NodeEffect["type"]> = new Set([
+  "AnswerCall",
+  "SendAttempt",
+  "AbortAttempt",
+  "DiscardAnswer",
+  "RelayAnswer",
+  "DropExchange",
+]);
+
+/** A backend server that answers with raw bytes, for each request head. */
+type Respond = (socket: Socket, path: string) => void;
+
+describe("whole answers", () => {
+  const sockets = new Set<Socket>();
+  let respond: Respond = () => {};
+  let backend: Server;
+  let calls: CallServer;
+  let edge: string;
+  let loop: EventLoop<NodeState, NodeEvent, NodeEffect>;
+
+  before(async () => {
+    backend = createTcpServer((socket) => {
+      sockets.add(socket);
+      socket.on("error", () => {});
+      socket.on("data", (data) => {
+        const path = /^[A-Z]+ (\S+) HTTP/.exec(data.toString("latin1"))?.[1];
+        if (path !== undefined) {
+          respond(socket, path);
+        }
+      });
+    });
+    await new Promise<void>((resolve) =>
+      backend.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = backend.address() as AddressInfo;
+    const self = createMember(0);
+    const row = { ...ROW, idempotent: false, maxBodyBytes: 2 * HUGE_BYTES };
+    loop = new EventLoop<NodeState, NodeEvent, NodeEffect>({
+      initial: {
+        ...createNode(self, row, [self]),
+        backendAddress: `127.0.0.1:${port}`,
+      },
+      reduce: reduceNode,
+      readClock: Date.now,
+      perform: (effect) => {
+        if (SEEN.has(effect.type)) {
+          calls.perform(effect as CallEffect);
+        }
+      },
+    });
+    edge = await findAddress();
+    calls = new CallServer({
+      listeners: {
+        edge: parseAddress(edge)!,
+        egress: parseAddress(await findAddress())!,
+        ingress: parseAddress(await findAddress())!,
+      },
+      dispatch: (event) => loop.dispatch(event),
+      connections: 4,
+    });
+    await calls.open();
+  });
+
+  after(async () => {
+    await calls[Symbol.asyncDispose]();
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+    await new Promise((resolve) => backend.close(resolve));
+  });
+
+  async function fetchOne(path: string) {
+    const answer = await request(`http://${edge}${path}`);
+    const outcome = answer.headers["basilpin-outcome"];
+    const body = await answer.body.text().catch(() => "cut");
+    return { status: answer.statusCode, outcome, body };
+  }
+
+  const SHORT: Readonly<Record<string, string>> = {
+    "a short answer": "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort",
+    "a chunked answer without its end":
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n",
+    "a chunk that is cut":
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nff\r\nshort",
+  };
+  for (const [name, bytes] of Object.entries(SHORT)) {
+    it(`cuts the caller off after ${name}`, async () => {
+      respond = (socket) => socket.end(bytes);
+      expect((await fetchOne("/short")).body).to.equal("cut");
+    });
+  }
+
+  const UNKNOWN: Readonly<Record<string, string>> = {
+    "an answer that only the connection's end ends":
+      "HTTP/1.1 200 OK\r\n\r\nshort",
+    "half a head": "HTTP/1.1 200 OK\r\ncontent-le",
+    "no byte": "",
+  };
+  for (const [name, bytes] of Object.entries(UNKNOWN)) {
+    it(`says unknown after ${name}`, async () => {
+      respond = (socket) => socket.end(bytes);
+      const { status, outcome } = await fetchOne("/short");
+      expect({ status, outcome }).to.deep.equal({
+        status: 502,
+        outcome: "unknown",
+      });
+    });
+  }
+
+  it("gives no caller the bytes that follow another's answer", async () => {
+    const own = (path: string) =>
+      `HTTP/1.1 200 OK\r\ncontent-length: ${path.length}\r\n\r\n${path}`;
+    respond = (socket, path) => {
+      const more = path === "/first" ? own("/forged") : "";
+      socket.write(own(path) + more);
+    };
+    expect((await fetchOne("/first")).body).to.be.oneOf(["/first", "cut"]);
+    for (let i = 0; i < 8; i++) {
+      expect((await fetchOne(`/n${i}`)).body).to.equal(`/n${i}`);
+    }
+  });
+
+  it("gives each caller its own answer, late ones to nobody", async () => {
+    respond = (socket, path) => {
+      const lateMs = (Number(path.slice(2)) * 7) % 30;
+      const head = `HTTP/1.1 200 OK\r\ncontent-length: ${path.length}\r\n\r\n`;
+      setTimeout(() => socket.write(head + path), lateMs);
+    };
+    const bodies = await Promise.all(
+      Array.from({ length: 200 }, async (_, i) => {
+        const leave = new AbortController();
+        if (i % 3 === 0) {
+          setTimeout(() => leave.abort(), i % 20);
+        }
+        const { signal } = leave;
+        return await request(`http://${edge}/n${i}`, { signal })
+          .then(({ body }) => body.text()).catch(() => undefined);
+      }),
+    );
+    const got = bodies.filter((body) => body !== undefined);
+    expect(got.length).to.be.at.least(133);
+    bodies.forEach((body, i) => {
+      expect(body).to.be.oneOf(
+        i % 3 === 0 ? [undefined, `/n${i}`] : [`/n${i}`],
+      );
+    });
+    expect(loop.state.entries.size).to.equal(0);
+    expect(loop.state.served.size).to.equal(0);
+  });
+
+  /** Polls a count of bytes until it stands still. */
+  async function waitStill(readBytes: () => number): Promise<number> {
+    let last = -1;
+    for (let same = 0; same < 10; await sleep(30)) {
+      const bytes = readBytes();
+      same = bytes === last && bytes > 0 ? same + 1 : 0;
+      last = bytes;
+    }
+    return last;
+  }
+
+  it("holds back a large answer that its caller doesn't read", async () => {
+    let written = 0;
+    respond = (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${HUGE_BYTES}\r\n\r\n`);
+      const send = () => {
+        while (written < HUGE_BYTES) {
+          written += CHUNK.length;
+          if (!socket.write(CHUNK)) {
+            socket.once("drain", send);
+            return;
+          }
+        }
+      };
+      send();
+    };
+    const answer = await request(`http://${edge}/huge`);
+    const held = await waitStill(() => written);
+    expect(held).to.be.below(MAX_BUFFERED_BYTES);
+    let read = 0;
+    for await (const chunk of answer.body) {
+      read += (chunk as Uint8Array).length;
+    }
+    expect(read).to.equal(HUGE_BYTES);
+  });
+
+  it("holds back a large body that its backend server doesn't read", async () => {
+    respond = (socket) => socket.pause();
+    let sent = 0;
+    async function* produce() {
+      while (sent < HUGE_BYTES) {
+        sent += CHUNK.length;
+        yield CHUNK;
+        await Promise.resolve();
+      }
+    }
+    const leave = new AbortController();
+    const upload = request(`http://${edge}/upload`, {
+      method: "POST",
+      body: Readable.from(produce()),
+      signal: leave.signal,
+    }).catch(() => undefined);
+    const held = await waitStill(() => sent);
+    expect(held).to.be.below(MAX_BUFFERED_BYTES);
+    leave.abort();
+    await upload;
+  });
+
+  it("calls an attempt unsent only where no connection was made", async () => {
+    const refused = await request(`http://${await findAddress()}/`).catch(
+      (error: unknown) => error,
+    );
+    expect(isUnsent(refused)).to.equal(true);
+    for (const code of ["EHOSTUNREACH", "ECONNRESET", "ECONNREFUSED"]) {
+      const late = Object.assign(new Error(code), { code, syscall: "read" });
+      expect(isUnsent(late)).to.equal(false);
+    }
+  });
+});
