Ask about the quiet attempts of a receiver in one question

Cause: one fresh connection for each quiet attempt would load a receiver most while it is slow, 16 at a time from every sender. Ruled out: asking about a sample, which finds the silent one of many living attempts late.

Change: one question to each receiver for all its quiet attempts, those quiet for half a spell included; tests that tokens returned with an answer aren't spent again and that silent connections aren't used again.

--- a/src/daemon/test/silent_connection_test.ts
+++ b/src/daemon/test/silent_connection_test.ts
@@ -91,6 +91,28 @@
     expect(relay.count).to.be.above(taken);
   });
 
+  it("are not used by later calls once one was found silent", async () => {
+    const edit = async (retries: number) => {
+      const cells = `retries=${retries}`;
+      const done = await fleet.run(
+        "table",
+        "edit",
+        "bale-lookup",
+        cells,
+        "--wait",
+      );
+      expect(done.exitCode, done.stderr).to.equal(0);
+    };
+    await callLookups();
+    await edit(0);
+    expect(relay.breakOpen("silent")).to.be.above(1);
+    const first = await request(`http://${entry.edge}/bales/first`);
+    await first.body.dump();
+    expect(first.headers["basilpin-outcome"]).to.equal("not-run");
+    expect(new Set(await callLookups())).to.deep.equal(new Set(["200 ran"]));
+    await edit(3);
+  });
+
   it("a transfer that did not arrive is retried and runs once", async () => {
     await callLookups();
     relay.breakOpen("silent");
--- a/src/platform/call/common/entry_ask.ts
+++ b/src/platform/call/common/entry_ask.ts
@@ -1,7 +1,6 @@
 /** Asks receivers about attempts that are quiet or whose connection failed. */
 import {
   appendEffects,
-  chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
 import { ASK_TIMEOUT_MS } from "../../retry/common/settled_attempts.ts";
@@ -14,10 +13,14 @@
 export const QUIET_MS = 1_000;
 /** Part of a kind's timeout after which it is asked about, where shorter. */
 const QUIET_SHARE = 1 / 3;
-/** Questions to one node that may be out at a time. */
-const MAX_ASKS = 16;
-/** Begins the request ids of these questions. */
-const ASK_PREFIX = "attempt:";
+/** Part of its spell after which an attempt goes along in a question. */
+const COMPANION_SHARE = 1 / 2;
+/** Most attempts in one question. */
+const MAX_ASKED = 512;
+/** Begins the request ids of these questions; attempt ids follow. */
+const ASK_PREFIX = "attempts:";
+/** Parts the attempt ids: no id has one. */
+const ID_SEPARATOR = ",";
 
 /** Marks an attempt as asked about, and asks on a new connection. */
 export function askAttempt(
@@ -32,24 +35,46 @@
   const next = putAttempt(state, call, attempt);
   return current.isAsked
     ? createReduction(next)
-    : createReduction(next, [createAsk(attempt, nowMs)]);
+    : createReduction(next, [createAsk([attempt], nowMs)]);
 }
 
-/** Asks about every attempt that has been quiet for a spell. */
+/**
+ * Asks about the attempts that have been quiet for a spell, in one question
+ * to each receiver. Those that have been quiet for half of it go along, so
+ * that a slow receiver is not asked more than twice in a spell.
+ */
 export function watchAttempts(state: NodeState, nowMs: number): NodeStep {
-  const asked = countAsks(state);
-  return [...state.entries.values()].reduce<NodeStep>((step, call) => {
-    const address = call.attempt?.address ?? "";
-    const count = asked.get(address) ?? 0;
-    if (!isQuiet(state, call, nowMs) || count >= MAX_ASKS) {
-      return step;
+  const calls = [...state.entries.values()];
+  const quiet = calls.filter((call) => isQuiet(state, call, nowMs, 1));
+  if (quiet.length === 0) {
+    return createReduction(state);
+  }
+  const receivers = new Set(quiet.map((call) => formatReceiver(call.attempt!)));
+  const asked = calls.filter((call) =>
+    isQuiet(state, call, nowMs, COMPANION_SHARE) &&
+    receivers.has(formatReceiver(call.attempt!))
+  );
+  return askTogether(state, asked, nowMs);
+}
+
+function askTogether(
+  state: NodeState,
+  calls: readonly EntryCall[],
+  nowMs: number,
+): NodeStep {
+  const groups = new Map<string, Attempt[]>();
+  let next = state;
+  for (const call of calls) {
+    const attempt: Attempt = { ...call.attempt!, isAsked: true };
+    const name = formatReceiver(attempt);
+    const group = groups.get(name) ?? [];
+    if (group.length < MAX_ASKED) {
+      groups.set(name, [...group, attempt]);
+      next = putAttempt(next, call, attempt);
     }
-    asked.set(address, count + 1);
-    return chainReduction(
-      step,
-      (s) => askAttempt(s, call.exchangeId, {}, nowMs),
-    );
-  }, createReduction(state));
+  }
+  const asks = [...groups.values()].map((group) => createAsk(group, nowMs));
+  return createReduction(next, asks);
 }
 
 /** Replaces the attempt that a call waits for or relays. */
@@ -63,11 +88,11 @@
     : putEntry(state, { ...call, attempt });
 }
 
-/** Returns the attempt that a question was about, if it was about one. */
-export function parseAsk(requestId: string): string | undefined {
+/** Returns the attempts that a question was about; none of another's. */
+export function parseAsk(requestId: string): readonly string[] {
   return requestId.startsWith(ASK_PREFIX)
-    ? requestId.slice(ASK_PREFIX.length)
-    : undefined;
+    ? requestId.slice(ASK_PREFIX.length).split(ID_SEPARATOR)
+    : [];
 }
 
 /** Marks the connections to a receiver as not to be used again. */
@@ -85,31 +110,37 @@
   return Math.min(QUIET_MS, call.row.timeoutMs * QUIET_SHARE);
 }
 
-function isQuiet(state: NodeState, call: EntryCall, nowMs: number): boolean {
+/** Whether an attempt has been quiet for `share` of its spell. */
+function isQuiet(
+  state: NodeState,
+  call: EntryCall,
+  nowMs: number,
+  share: number,
+): boolean {
   const { attempt } = call;
   return attempt !== undefined && !attempt.isAsked &&
     attempt.nodeId !== state.self.nodeId &&
-    nowMs - attempt.heardAtMs >= computeQuietMs(call);
+    nowMs - attempt.heardAtMs >= share * computeQuietMs(call);
 }
 
-function countAsks(state: NodeState): Map<string, number> {
-  const asked = new Map<string, number>();
-  for (const { attempt } of state.entries.values()) {
-    if (attempt?.isAsked === true) {
-      asked.set(attempt.address, (asked.get(attempt.address) ?? 0) + 1);
-    }
-  }
-  return asked;
+/** One process at one address. */
+function formatReceiver({ address, incarnation }: Attempt): string {
+  return `${address} ${incarnation}`;
 }
 
-function createAsk(attempt: Attempt, nowMs: number): NodeEffect {
-  const { attemptId, address, incarnation, startedAtMs } = attempt;
-  const ageMs = nowMs - startedAtMs;
+/** Asks one receiver about attempts that were all sent to it. */
+function createAsk(attempts: readonly Attempt[], nowMs: number): NodeEffect {
+  const { address, incarnation } = attempts[0]!;
+  const ids = attempts.map(({ attemptId }) => attemptId);
+  const asked = attempts.map(({ attemptId, startedAtMs }) => ({
+    attemptId,
+    ageMs: nowMs - startedAtMs,
+  }));
   return {
     type: "AskPeer",
-    requestId: `${ASK_PREFIX}${attemptId}`,
+    requestId: `${ASK_PREFIX}${ids.join(ID_SEPARATOR)}`,
     address,
-    message: { type: "FenceAttempt", attemptId, incarnation, ageMs },
+    message: { type: "FenceAttempts", incarnation, attempts: asked },
     timeoutMs: ASK_TIMEOUT_MS,
     isFresh: true,
   };
--- a/src/platform/call/common/entry_reply.ts
+++ b/src/platform/call/common/entry_reply.ts
@@ -4,7 +4,10 @@
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
-import type { AttemptPhase } from "../../peer/common/peer_messages.ts";
+import type {
+  AttemptPhase,
+  FoundAttempt,
+} from "../../peer/common/peer_messages.ts";
 import type { NodeEvent } from "./call_events.ts";
 import {
   askAttempt,
@@ -35,20 +38,35 @@
 /** How long an answer that is on its way may take, in milliseconds. */
 const ANSWER_GRACE_MS = 250;
 
-/** The receiver of an attempt replied, or did not. */
+/** The receiver of attempts replied, or did not. */
 export function settleAsked(
   state: NodeState,
   replied: PeerReplied,
   nowMs: number,
 ): NodeStep {
-  const attemptId = parseAsk(replied.requestId) ?? "";
+  const { requestId, reply } = replied;
+  return parseAsk(requestId).reduce<NodeStep>(
+    (step, attemptId, index) =>
+      chainReduction(step, (next) => {
+        const finding = readFinding(reply?.found[index]);
+        return settleFinding(next, { attemptId, finding }, nowMs);
+      }),
+    createReduction(state),
+  );
+}
+
+function settleFinding(
+  state: NodeState,
+  found: { readonly attemptId: string; readonly finding: Finding },
+  nowMs: number,
+): NodeStep {
+  const { attemptId, finding } = found;
   const exchangeId = state.entryOfAttempt.get(attemptId);
   const call = state.entries.get(exchangeId ?? "");
   const attempt = call?.attempt ?? call?.relayed;
   if (call === undefined || attempt?.attemptId !== attemptId) {
     return createReduction(state);
   }
-  const finding = readFinding(replied);
   const heard: Attempt = { ...attempt, isAsked: false };
   if (call.attempt === undefined) {
     return settleRelay(state, call, { heard, finding });
@@ -74,14 +92,14 @@
     : createReduction(state);
 }
 
-function readFinding({ reply }: PeerReplied): Finding {
-  switch (reply?.type) {
+function readFinding(found: FoundAttempt | undefined): Finding {
+  switch (found?.type) {
     case "AttemptFenced":
       return "not-run";
     case "AttemptForgotten":
       return "forgotten";
     case "AttemptKnown":
-      return readPhase(reply.phase);
+      return readPhase(found.phase);
     default:
       return "silent";
   }
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -1,9 +1,13 @@
 /** Answers to other nodes' questions about attempts. */
-import { createReduction } from "../../../base/common/reduction.ts";
+import {
+  appendEffects,
+  createReduction,
+} from "../../../base/common/reduction.ts";
 import type { Reduction } from "../../../base/common/reduction.ts";
 import type {
+  AskedAttempt,
+  FoundAttempt,
   PeerMessage,
-  PeerReply,
 } from "../../peer/common/peer_messages.ts";
 import {
   fenceSettled,
@@ -12,7 +16,7 @@
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
 
-type FenceAttempt = Extract<PeerMessage, { type: "FenceAttempt" }>;
+type FenceAttempts = Extract<PeerMessage, { type: "FenceAttempts" }>;
 
 /** Answers one question. */
 export function answerPeer(
@@ -22,42 +26,57 @@
 ): Reduction<NodeState, NodeEffect> {
   const { askId, message } = asked;
   switch (message.type) {
-    case "FenceAttempt":
-      return fenceAttempt(state, askId, message, nowMs);
+    case "FenceAttempts":
+      return fenceAttempts(state, askId, message, nowMs);
   }
 }
 
-function fenceAttempt(
+function fenceAttempts(
   state: NodeState,
   askId: number,
-  message: FenceAttempt,
+  message: FenceAttempts,
   nowMs: number,
 ): Reduction<NodeState, NodeEffect> {
-  const { attemptId } = message;
+  const isSameProcess = message.incarnation === state.self.incarnation;
+  const found: FoundAttempt[] = [];
+  let next = state;
+  for (const asked of message.attempts) {
+    const known = findAttempt(next, asked.attemptId);
+    const settled = known === undefined && isSameProcess
+      ? fenceAttempt(next, asked, nowMs)
+      : undefined;
+    next = settled ?? next;
+    const isFenced = settled !== undefined;
+    const type = isFenced ? "AttemptFenced" : "AttemptForgotten";
+    found.push(known ?? { type });
+  }
+  return appendEffects(createReduction<NodeState, NodeEffect>(next), {
+    type: "AnswerPeer",
+    askId,
+    reply: { type: "AttemptsFound", found },
+  });
+}
+
+function findAttempt(
+  state: NodeState,
+  attemptId: string,
+): FoundAttempt | undefined {
   const served = state.served.get(attemptId);
   if (served !== undefined) {
-    return reply(state, askId, { type: "AttemptKnown", phase: served.phase });
+    return { type: "AttemptKnown", phase: served.phase };
   }
   const as = findSettled(state.settled, attemptId);
   if (as === "ended") {
-    return reply(state, askId, { type: "AttemptKnown", phase: "ended" });
+    return { type: "AttemptKnown", phase: "ended" };
   }
-  if (as !== undefined) {
-    return reply(state, askId, { type: "AttemptFenced" });
-  }
-  const isSameProcess = message.incarnation === state.self.incarnation;
-  const settled = isSameProcess
-    ? fenceSettled(state.settled, message, nowMs)
-    : undefined;
-  return settled === undefined
-    ? reply(state, askId, { type: "AttemptForgotten" })
-    : reply({ ...state, settled }, askId, { type: "AttemptFenced" });
+  return as === undefined ? undefined : { type: "AttemptFenced" };
 }
 
-function reply(
+function fenceAttempt(
   state: NodeState,
-  askId: number,
-  answer: PeerReply,
-): Reduction<NodeState, NodeEffect> {
-  return createReduction(state, [{ type: "AnswerPeer", askId, reply: answer }]);
+  asked: AskedAttempt,
+  nowMs: number,
+): NodeState | undefined {
+  const settled = fenceSettled(state.settled, asked, nowMs);
+  return settled === undefined ? undefined : { ...state, settled };
 }
--- a/src/platform/call/test/entry_retry_test.ts
+++ b/src/platform/call/test/entry_retry_test.ts
@@ -1,6 +1,6 @@
 /** What is retried, asked about and said of calls, on one node. */
 import { expect } from "chai";
-import type { PeerReply } from "../../peer/common/peer_messages.ts";
+import type { FoundAttempt } from "../../peer/common/peer_messages.ts";
 import { BUDGET_FLOOR, BUDGET_SHARE } from "../../retry/common/retry_budget.ts";
 import type { VersionedRow } from "../../table/common/table_row.ts";
 import { encodeContext } from "../common/call_context.ts";
@@ -66,8 +66,11 @@
     this.step({ type: "AttemptAnswered", attemptId, answer });
   }
 
-  reply(attemptId: string, reply: PeerReply | undefined): void {
-    const requestId = `attempt:${attemptId}`;
+  reply(attemptId: string, found: FoundAttempt | undefined): void {
+    const requestId = `attempts:${attemptId}`;
+    const reply = found === undefined
+      ? undefined
+      : { type: "AttemptsFound", found: [found] } as const;
     this.step({ type: "PeerReplied", requestId, reply });
   }
 
@@ -78,10 +81,10 @@
   }
 }
 
-const FENCED: PeerReply = { type: "AttemptFenced" };
-const FORGOTTEN: PeerReply = { type: "AttemptForgotten" };
-const RUNNING: PeerReply = { type: "AttemptKnown", phase: "running" };
-const ENDED: PeerReply = { type: "AttemptKnown", phase: "ended" };
+const FENCED: FoundAttempt = { type: "AttemptFenced" };
+const FORGOTTEN: FoundAttempt = { type: "AttemptForgotten" };
+const RUNNING: FoundAttempt = { type: "AttemptKnown", phase: "running" };
+const ENDED: FoundAttempt = { type: "AttemptKnown", phase: "ended" };
 
 describe("a non-idempotent attempt that failed after it was sent", () => {
   it("is asked about on a new connection, and retried once fenced", () => {
@@ -91,9 +94,10 @@
     const ask = node.find("AskPeer")!;
     expect(ask.isFresh).to.equal(true);
     expect(ask.address).to.equal(first.address);
-    expect(ask.message).to.include({
-      attemptId: first.attemptId,
+    expect(ask.message).to.deep.equal({
+      type: "FenceAttempts",
       incarnation: 1,
+      attempts: [{ attemptId: first.attemptId, ageMs: 0 }],
     });
     expect(node.find("SendAttempt")).to.equal(undefined);
     node.reply(first.attemptId, FENCED);
@@ -183,6 +187,27 @@
     expect(node.state.entries.has("x")).to.equal(true);
   });
 
+  it("is asked about together with others at its receiver", () => {
+    const node = new Subject(TRANSFER, [1, 2]);
+    const sent = ["a", "b", "c", "d"].map((id) => node.call(id));
+    node.step({ type: "Ticked" }, 600);
+    node.call("late");
+    node.step({ type: "Ticked" }, 400);
+    const asked = node.effects.flatMap((effect) =>
+      effect.type === "AskPeer"
+        ? effect.message.attempts.map(({ attemptId }) => [
+          attemptId,
+          effect.address,
+        ])
+        : []
+    );
+    expect(asked).to.have.deep.members(
+      sent.map(({ attemptId, address }) => [attemptId, address]),
+    );
+    const receivers = new Set(sent.map(({ address }) => address));
+    expect(node.effects.length).to.equal(receivers.size);
+  });
+
   it("is retried on new connections once it is fenced", () => {
     const node = new Subject(TRANSFER, [1]);
     const first = node.call("x");
@@ -267,15 +292,18 @@
     node.call(`in-${attemptId}`, { listener: "ingress", contextHeader });
   }
 
-  function ask(node: Subject, attemptId: string, incarnation = 1): PeerReply {
+  function ask(
+    node: Subject,
+    attemptId: string,
+    incarnation = 1,
+  ): FoundAttempt {
     const message = {
-      type: "FenceAttempt",
-      attemptId,
+      type: "FenceAttempts",
       incarnation,
-      ageMs: 100,
+      attempts: [{ attemptId, ageMs: 100 }],
     } as const;
     node.step({ type: "PeerAsked", askId: 1, message }, 10_000);
-    return node.find("AnswerPeer")!.reply;
+    return node.find("AnswerPeer")!.reply.found[0]!;
   }
 
   it("never runs an attempt that it has fenced", () => {
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -2,18 +2,31 @@
 
 /** What one node asks another. */
 export type PeerMessage =
-  /** What became of an attempt? One that was never seen can't run later. */
+  /** What became of attempts? One that was never seen can't run later. */
   {
-    readonly type: "FenceAttempt";
-    readonly attemptId: string;
-    /** Of the node that the attempt was sent to. */
+    readonly type: "FenceAttempts";
+    /** Of the node that the attempts were sent to. */
     readonly incarnation: number;
-    /** Time since the attempt was sent, in milliseconds. */
-    readonly ageMs: number;
+    readonly attempts: readonly AskedAttempt[];
   };
 
+/** An attempt that its receiver is asked about. */
+export interface AskedAttempt {
+  readonly attemptId: string;
+  /** Time since the attempt was sent, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** The answer. */
 export type PeerReply =
+  /** What was found of each attempt, in the order of the question. */
+  {
+    readonly type: "AttemptsFound";
+    readonly found: readonly FoundAttempt[];
+  };
+
+/** What a receiver knows of an attempt. */
+export type FoundAttempt =
   /** The attempt did not run here, and will be refused from now on. */
   | { readonly type: "AttemptFenced" }
   /** This process can't tell: it started later, or has forgotten. */
--- a/src/platform/retry/test/retry_tokens_test.ts
+++ b/src/platform/retry/test/retry_tokens_test.ts
@@ -167,6 +167,28 @@
     console.log(`      ${JSON.stringify({ trees, spent, exact, most })}`);
   });
 
+  it("are not spent again by calls made after the answer's head", () => {
+    const runs: BackendRun[] = [];
+    const network = new NodeNetwork({ ...ROW, retries: 8 }, 3, {
+      runBackend: (_network, run) => runs.push(run),
+      isAnswerLost: () => false,
+      isReplyLost: () => false,
+    });
+    network.call("n0", "edge");
+    network.run();
+    const { nodeId, send } = runs[0]!;
+    const { attemptId } = send;
+    network.post(nodeId, {
+      type: "AttemptAnswered",
+      attemptId,
+      answer: { status: 200, outcome: "ran", tokens: 0, isDraining: false },
+    });
+    network.call(nodeId, "egress", encodeContext(send.context));
+    network.run();
+    expect(send.context.retryTokens).to.equal(4);
+    expect(runs[1]!.send.context.retryTokens).to.equal(0);
+  });
+
   it("give none to a context that is replayed after its attempt", () => {
     const runs: BackendRun[] = [];
     const network = new NodeNetwork({ ...ROW, retries: 8 }, 3, {
