Replace silent connections to the backend server, and use a steady clock

Cause: a backend server's connections that all went silent cost one call each until its deadline, and a step of the wall clock moved deadlines and the age on which fencing rests. Ruled out: a probe connection per quiet run, since the deadline decides at this hop in any case.

Change: an attempt that expires though the backend server has answered nothing since it came replaces the connections to it; loops and timers read a clock that is not set; a process test of the deadline through three services.

--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -2,6 +2,7 @@
 import { EventLoop } from "../base/node/event_loop.ts";
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { TICK_MS } from "../platform/call/common/call_events.ts";
 import type {
   NodeEffect,
@@ -50,7 +51,7 @@
       initial: createNodeState(self, backendAddress),
       ...this.#createObserver(self),
       reduce: reduceNode,
-      readClock: Date.now,
+      readClock: readSteadyMs,
       perform: (effect) => this.#perform(effect),
     });
     const dispatch = (event: NodeEvent) => this.#loop.dispatch(event);
--- a/src/daemon/test/cancellation_test.ts
+++ b/src/daemon/test/cancellation_test.ts
@@ -96,10 +96,40 @@
     for (const report of after) {
       expect(report.started).to.equal(CALLS);
     }
+    await checkIdle();
+  });
+
+  it("leaves nothing running after the deadline of the first hop", async () => {
+    const edited = await fleet.run(
+      "table",
+      "edit",
+      "custody-transfer",
+      "timeout_ms=800",
+      "--wait",
+    );
+    expect(edited.exitCode, edited.stderr).to.equal(0);
+    const before = await waitRuns(() => true);
+    const answer = await request(`http://${chain[1]!.edge}/transfers`, {
+      method: "POST",
+      headers: { "idempotency-key": "late" },
+      body: "{}",
+    });
+    await answer.body.dump();
+    expect(answer.statusCode).to.equal(504);
+    expect(answer.headers["basilpin-outcome"]).to.equal("unknown");
+    const after = await waitRuns(({ running }) => running === 0);
+    after.forEach((report, i) => {
+      expect(report.started).to.equal(before[i]!.started + 1);
+    });
+    expect(after[2]!.cancelled).to.equal(before[2]!.cancelled + 1);
+    await checkIdle();
+  });
+
+  async function checkIdle(): Promise<void> {
     for (const node of chain) {
       const status = await request(`http://${node.operator}/status`);
       const body = await status.body.json();
       expect(body).to.include({ entryCalls: 0, running: 0, queued: 0 });
     }
-  });
+  }
 });
--- a/src/daemon/timer_set.ts
+++ b/src/daemon/timer_set.ts
@@ -1,4 +1,5 @@
 /** Timers by key, so that a reducer can start and stop them as effects. */
+import { readSteadyMs } from "../base/node/steady_clock.ts";
 import type { TimerKey } from "../platform/call/common/call_events.ts";
 
 /** Owns the timers of one loop. */
@@ -17,7 +18,7 @@
     const timer = setTimeout(() => {
       this.#timers.delete(name);
       this.#fire(key);
-    }, Math.max(0, atMs - Date.now()));
+    }, Math.max(0, atMs - readSteadyMs()));
     this.#timers.set(name, timer);
   }
 
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -87,6 +87,8 @@
   readonly entryOfAttempt: ReadonlyMap<string, string>;
   /** By attempt id. */
   readonly served: ReadonlyMap<string, ServedCall>;
+  /** When the local backend server last sent the head of an answer. */
+  readonly backendHeardMs: number;
   /** Entry calls that a served attempt made and that are open. */
   readonly childrenOf: ReadonlyMap<string, readonly string[]>;
   /** Attempts that ended, were refused or were fenced here. */
@@ -109,6 +111,7 @@
     entries: new Map(),
     entryOfAttempt: new Map(),
     served: new Map(),
+    backendHeardMs: 0,
     childrenOf: new Map(),
     settled: NO_SETTLED,
     retryBudget: EMPTY_BUDGET,
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -167,7 +167,7 @@
   // The tokens go back with this answer, so none may be spent here any more.
   const relaying: ServedCall = { ...call, phase: "relaying", pool: EMPTY_POOL };
   const served = setEntry(state.served, attemptId, relaying);
-  const next = { ...state, served };
+  const next = { ...state, served, backendHeardMs: deps.nowMs };
   if (call.origin === "local") {
     const returned = { ...answer, tokens: left };
     const result: LocalResult = { type: "Answered", answer: returned };
@@ -265,9 +265,25 @@
     outcome: isQueued ? "not-run" : "unknown",
     message: "Deadline passed",
   }, deps);
-  return isQueued
-    ? step
-    : appendEffects(step, { type: "AbortAttempt", attemptId });
+  return isQueued ? step : appendEffects(step, ...createAborts(state, call));
+}
+
+/**
+ * Aborts an attempt whose time is over. Where the backend server has answered
+ * nothing since the attempt came, its other connections may be silent too:
+ * later attempts use new ones.
+ */
+function createAborts(
+  state: NodeState,
+  call: ServedCall,
+): readonly NodeEffect[] {
+  const { attemptId, context, deadlineMs } = call;
+  const abort: NodeEffect = { type: "AbortAttempt", attemptId };
+  const arrivedMs = deadlineMs - context.remainingMs;
+  const address = state.backendAddress;
+  return state.backendHeardMs >= arrivedMs
+    ? [abort]
+    : [abort, { type: "DropConnections", address }];
 }
 
 function isAnswered(call: ServedCall): boolean {
--- a/src/platform/call/test/entry_retry_test.ts
+++ b/src/platform/call/test/entry_retry_test.ts
@@ -333,6 +333,33 @@
   });
 });
 
+describe("an attempt whose backend server does not answer in time", () => {
+  for (const isOtherHeard of [false, true]) {
+    const not = isOtherHeard ? "does not replace" : "replaces";
+    const when = isOtherHeard ? "another was" : "no other was";
+    it(`${not} the connections to it where ${when} answered`, () => {
+      const node = new Subject(TRANSFER, [0]);
+      const { attemptId } = node.call("x");
+      const other = node.call("other");
+      if (isOtherHeard) {
+        node.step({
+          type: "AttemptAnswered",
+          attemptId: other.attemptId,
+          answer: { status: 200, outcome: "ran", tokens: 0, isDraining: false },
+        }, 500);
+      }
+      node.step(
+        { type: "TimerFired", key: { owner: "served", id: attemptId } },
+        ROW.timeoutMs,
+      );
+      expect(node.find("AbortAttempt")!.attemptId).to.equal(attemptId);
+      expect(node.find("DropConnections")?.address)
+        .to.equal(isOtherHeard ? undefined : node.state.backendAddress);
+      expect(node.outcome).to.equal("unknown");
+    });
+  }
+});
+
 describe("cancellation", () => {
   it("of a call reaches the calls that its backend server made", () => {
     const node = new Subject(ROW, [0]);
