--- a/src/platform/call/common/answers.ts
+++ b/src/platform/call/common/answers.ts
@@ -23,13 +23,17 @@
   readonly isDraining?: boolean;
 }
 
+/** When to come back after a "not run" that says no time of its own. */
+const RETRY_AFTER_MS = 1_000;
+
 /** Creates the answer effect of one exchange. */
 export function createAnswer(
   exchangeId: string,
   answer: OwnAnswer,
   signals: Omit<AnswerSignals, "outcome"> = {},
 ): AnswerCall {
-  const { outcome, retryAfterMs } = answer;
+  const { outcome } = answer;
+  const retryAfterMs = answer.retryAfterMs ?? findRetryAfter(answer);
   const headers = createSignalHeaders({ ...signals, outcome });
   const retryAfter = retryAfterMs === undefined
     ? {}
@@ -43,6 +47,11 @@
   };
 }
 
+/** A "not run" that a later try may change says when to come back. */
+function findRetryAfter({ outcome, status }: OwnAnswer): number | undefined {
+  return outcome === "not-run" && status >= 500 ? RETRY_AFTER_MS : undefined;
+}
+
 /** Writes signals as headers. */
 export function createSignalHeaders(signals: AnswerSignals): SignalHeaders {
   const { outcome, tokens, isDraining } = signals;
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -33,8 +33,6 @@
 import { admitAttempt } from "./served_reducer.ts";
 import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
 
-/** When to come back after a "not run" that says no time of its own. */
-const RETRY_AFTER_MS = 1_000;
 /** Status of a node whose backend server did not answer. */
 const LOST_STATUS = 502;
 /** Share of the remaining time that a receiver gets less than its sender. */
@@ -378,16 +376,9 @@
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
   const step = closeEntry(state, exchangeId);
-  const retryAfterMs = answer.outcome === "not-run"
-    ? answer.retryAfterMs ?? RETRY_AFTER_MS
-    : answer.retryAfterMs;
-  const ended = retryAfterMs === undefined ? answer : {
-    ...answer,
-    retryAfterMs,
-  };
   return appendEffects(
     step,
-    createAnswer(exchangeId, ended),
+    createAnswer(exchangeId, answer),
     createEndRecord(call, answer.status, answer.outcome),
   );
 }
