--- a/src/platform/call/common/entry_ask.ts
+++ b/src/platform/call/common/entry_ask.ts
@@ -23,7 +23,7 @@
 const ID_SEPARATOR = ",";
 
 /** Marks an attempt as asked about, and asks on a new connection. */
-export function askAttempt(
+export function suspectAttempt(
   state: NodeState,
   exchangeId: string,
   change: Partial<Attempt>,
@@ -54,10 +54,10 @@
     isQuiet(state, call, nowMs, COMPANION_SHARE) &&
     receivers.has(formatReceiver(call.attempt!))
   );
-  return askTogether(state, asked, nowMs);
+  return suspectTogether(state, asked, nowMs);
 }
 
-function askTogether(
+function suspectTogether(
   state: NodeState,
   calls: readonly EntryCall[],
   nowMs: number,
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -5,10 +5,6 @@
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
-import {
-  canSendRetry,
-  reduceRetryBudget,
-} from "../../retry/common/retry_budget.ts";
 import { takeShare } from "../../retry/common/retry_tokens.ts";
 import {
   isServiceKnown,
@@ -19,8 +15,14 @@
 import type { OwnAnswer } from "./answers.ts";
 import type { CallContext, CallOutcome } from "./call_context.ts";
 import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
-import { askAttempt } from "./entry_ask.ts";
+import { suspectAttempt } from "./entry_ask.ts";
 import { abortAttempt, cancelChildren } from "./entry_cancel.ts";
+import {
+  canRetry,
+  canRetryUnknown,
+  computeRemainingMs,
+  countAttempt,
+} from "./entry_rules.ts";
 import {
   closeEntry,
   createEndRecord,
@@ -35,11 +37,6 @@
 
 /** Status of a node whose backend server did not answer. */
 const LOST_STATUS = 502;
-/** Share of the remaining time that a receiver gets less than its sender. */
-const HOP_MARGIN = 0.05;
-/** Most of that, in milliseconds. */
-const MAX_HOP_MARGIN_MS = 10;
-
 /** Chooses a backend server for the call and sends an attempt. */
 export function tryAttempt(
   state: NodeState,
@@ -114,7 +111,7 @@
     const settled = { isNotRun: !isSent, reason };
     return settleFailure(state, exchangeId, settled, nowMs);
   }
-  return askAttempt(state, exchangeId, { isBroken: true }, nowMs);
+  return suspectAttempt(state, exchangeId, { isBroken: true }, nowMs);
 }
 
 /** Ends an attempt without an answer: retries, or ends the call. */
@@ -255,28 +252,6 @@
   });
 }
 
-/**
- * The receiver's time ends a little before its sender's, so that its answer,
- * which knows whether the attempt ran, arrives before the sender gives up.
- */
-function computeRemainingMs(call: EntryCall, nowMs: number): number {
-  const remainingMs = call.deadlineMs - nowMs;
-  return remainingMs - Math.min(MAX_HOP_MARGIN_MS, remainingMs * HOP_MARGIN);
-}
-
-function countAttempt(
-  state: NodeState,
-  call: EntryCall,
-  nowMs: number,
-): NodeState {
-  if (call.isReplacing === true) {
-    return state;
-  }
-  const type = call.attemptCount === 0 ? "FirstAttemptSent" : "RetrySent";
-  const step = reduceRetryBudget(state.retryBudget, { type }, nowMs);
-  return { ...state, retryBudget: step.state };
-}
-
 function admitLocal(
   state: NodeState,
   call: EntryCall,
@@ -309,30 +284,6 @@
   return endWithAnswer(state, exchangeId, { ...answer, outcome });
 }
 
-/** A retry needs a token, budget, the whole body, and harmlessness or proof. */
-function canRetry(
-  state: NodeState,
-  exchangeId: string,
-  nowMs: number,
-): boolean {
-  const call = state.entries.get(exchangeId)!;
-  const isHarmless = call.row.idempotent || call.isNotRun;
-  // An attempt that never arrived put no load on any backend server.
-  const isInBudget = call.isReplacing === true ||
-    canSendRetry(state.retryBudget, nowMs);
-  return isHarmless && call.isReplayable && call.pool.left > 0 && isInBudget;
-}
-
-/** Whether the call may be tried again though its attempt may have run. */
-function canRetryUnknown(
-  state: NodeState,
-  exchangeId: string,
-  nowMs: number,
-): boolean {
-  return state.entries.get(exchangeId)!.row.idempotent &&
-    canRetry(state, exchangeId, nowMs);
-}
-
 function retryEntry(
   state: NodeState,
   exchangeId: string,
--- a/src/platform/call/common/entry_reply.ts
+++ b/src/platform/call/common/entry_reply.ts
@@ -10,11 +10,11 @@
 } from "../../peer/common/peer_messages.ts";
 import type { NodeEvent } from "./call_events.ts";
 import {
-  askAttempt,
   computeQuietMs,
   dropConnections,
   parseAsk,
   putAttempt,
+  suspectAttempt,
 } from "./entry_ask.ts";
 import { settleFailure } from "./entry_attempts.ts";
 import { closeEntry, putEntry } from "./entry_state.ts";
@@ -88,7 +88,7 @@
   const isRemote = call?.relayed?.attemptId === attemptId &&
     call.relayed.nodeId !== state.self.nodeId;
   return exchangeId !== undefined && isRemote
-    ? askAttempt(state, exchangeId, isNew ? { misses: 0 } : {}, nowMs)
+    ? suspectAttempt(state, exchangeId, isNew ? { misses: 0 } : {}, nowMs)
     : createReduction(state);
 }
 
