--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -3,6 +3,7 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { computeCapacity } from "../platform/admission/common/admission_capacity.ts";
+import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { TICK_MS } from "../platform/call/common/call_events.ts";
 import type {
   NodeEffect,
@@ -51,7 +52,7 @@
       initial: createNodeState(self, backendAddress),
       ...this.#createObserver(self),
       reduce: reduceNode,
-      readClock: Date.now,
+      readClock: readSteadyMs,
       perform: (effect) => this.#perform(effect),
     });
     const dispatch = (event: NodeEvent) => this.#loop.dispatch(event);
@@ -304,7 +305,7 @@
     dataCentre: settings.data_centre,
     region: settings.region,
     vm: settings.vm,
-    ingress: settings.listen.ingress,
+    ingress: settings.advertise?.ingress ?? settings.listen.ingress,
     operator: settings.listen.operator,
     slots: settings.backend.slots,
     connections: settings.backend.connections,
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -18,6 +18,14 @@
 import type { CallContext, CallOutcome } from "./call_context.ts";
 import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
 import { isShed } from "./call_level.ts";
+import { suspectAttempt } from "./entry_ask.ts";
+import { abortAttempt, cancelChildren } from "./entry_cancel.ts";
+import {
+  canRetry,
+  canRetryUnknown,
+  computeRemainingMs,
+  countAttempt,
+} from "./entry_rules.ts";
 import {
   closeEntry,
   createEndRecord,
@@ -27,11 +35,12 @@
   stepRouting,
 } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
-import { admitAttempt, cancelServed } from "./served_reducer.ts";
+import { admitAttempt } from "./served_reducer.ts";
 import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
 
-const NO_BACKEND_RETRY_MS = 1_000;
-
+/** Status of a node whose backend server did not answer. */
+const LOST_STATUS = 502;
+/** Chooses a backend server for the call and sends an attempt. */
 export function tryAttempt(
   state: NodeState,
   exchangeId: string,
@@ -58,7 +67,6 @@
       status: 503,
       outcome: call.isNotRun ? "not-run" : "unknown",
       message: `No backend server of ${service} takes work`,
-      retryAfterMs: NO_BACKEND_RETRY_MS,
     });
   }
   return sendAttempt(state, call, { attemptId, backend }, nowMs);
@@ -72,7 +80,10 @@
   nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
-  const attemptId = call.attempt!.attemptId;
+  if (call.attempt === undefined) {
+    return createReduction(state);
+  }
+  const { attemptId } = call.attempt;
   const outcome = answer.outcome ?? "unknown";
   const isRefused = outcome === "not-run";
   const result = isRefused ? "refused" : "answered";
@@ -93,12 +104,13 @@
     tokens: answer.tokens,
     isNotRun: isRefused,
   });
-  if (isRefused && canRetry(next.entries.get(exchangeId)!)) {
+  const isLost = outcome === "unknown" && answer.status === LOST_STATUS;
+  if ((isRefused || isLost) && canRetry(next, exchangeId, nowMs)) {
     const discard: NodeEffect = { type: "DiscardAnswer", attemptId };
     const step = createReduction<NodeState, NodeEffect>(next, [discard]);
     return chainReduction(step, (s) => retryEntry(s, exchangeId, nowMs));
   }
-  return relayAnswer(next, exchangeId, attemptId, answer);
+  return relayAnswer(next, call, call.attempt, answer);
 }
 
 /** A remote attempt brought no answer. */
@@ -107,18 +119,37 @@
   exchangeId: string,
   failure: { readonly isSent: boolean; readonly reason: string },
   nowMs: number,
+): NodeStep {
+  const attempt = state.entries.get(exchangeId)!.attempt;
+  if (attempt === undefined || attempt.isBroken) {
+    return createReduction(state);
+  }
+  const { isSent, reason } = failure;
+  if (!isSent || canRetryUnknown(state, exchangeId, nowMs)) {
+    const settled = { isNotRun: !isSent, reason };
+    return settleFailure(state, exchangeId, settled, nowMs);
+  }
+  return suspectAttempt(state, exchangeId, { isBroken: true }, nowMs);
+}
+
+/** Ends an attempt without an answer: retries, or ends the call. */
+export function settleFailure(
+  state: NodeState,
+  exchangeId: string,
+  settled: { readonly isNotRun: boolean; readonly reason: string },
+  nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
+  const { isNotRun, reason } = settled;
   const report = { result: "failed", isDraining: false } as const;
   const reported = reportAttempt(state, call, report, nowMs);
-  const { isSent, reason } = failure;
   const next = settleAttempt(reported, exchangeId, {
-    tokens: isSent ? 0 : call.attempt!.tokens,
-    isNotRun: !isSent,
+    tokens: isNotRun ? call.attempt!.tokens : 0,
+    isNotRun,
   });
   return retryOrEnd(next, exchangeId, {
-    status: isSent ? 502 : 503,
-    outcome: isSent ? "unknown" : "not-run",
+    status: isNotRun ? 503 : LOST_STATUS,
+    outcome: isNotRun ? "not-run" : "unknown",
     message: `Attempt failed: ${reason}`,
   }, nowMs);
 }
@@ -135,20 +166,18 @@
     return createReduction(state);
   }
   if (result.type === "Answered") {
-    const left = state.served.get(attemptId)?.pool.left ?? 0;
-    const answer: AttemptAnswer = {
-      ...result.answer,
-      outcome: "ran",
-      tokens: left,
-    };
+    const answer: AttemptAnswer = { ...result.answer, outcome: "ran" };
     return answerEntry(state, exchangeId, answer, nowMs);
   }
   const call = state.entries.get(exchangeId)!;
+  if (call.attempt === undefined) {
+    return createReduction(state);
+  }
   const isNotRun = result.type === "Refused";
   const kind = isNotRun ? "refused" : "failed";
   const report = { result: kind, isDraining: false } as const;
   const reported = reportAttempt(state, call, report, nowMs);
-  const tokens = isNotRun ? call.attempt!.tokens : 0;
+  const tokens = isNotRun ? call.attempt.tokens : 0;
   const next = settleAttempt(reported, exchangeId, { tokens, isNotRun });
   return retryOrEnd(next, exchangeId, result.answer, nowMs);
 }
@@ -163,42 +192,20 @@
   if (call === undefined || call.isRelaying) {
     return createReduction(state);
   }
-  const isNotRun = call.isNotRun && call.attempt === undefined;
-  const step = abortAttempt(state, exchangeId, nowMs);
-  return chainReduction(step, (next) =>
-    endWithAnswer(next, exchangeId, {
+  const step = abortAttempt(state, exchangeId, createServedDeps(nowMs));
+  return chainReduction(step, (next) => {
+    const { isNotRun } = next.entries.get(exchangeId)!;
+    return endWithAnswer(next, exchangeId, {
       status: 504,
       outcome: isNotRun ? "not-run" : "unknown",
       message: "Deadline passed",
-    }));
-}
-
-export function abortAttempt(
-  state: NodeState,
-  exchangeId: string,
-  nowMs: number,
-): NodeStep {
-  const call = state.entries.get(exchangeId)!;
-  const attemptId = findAttempt(call);
-  if (attemptId === undefined) {
-    return createReduction(state);
-  }
-  const report = { result: "failed", isDraining: false } as const;
-  const next = call.attempt === undefined
-    ? state
-    : settleAttempt(reportAttempt(state, call, report, nowMs), exchangeId, {
-      tokens: 0,
-      isNotRun: false,
     });
-  if (next.served.has(attemptId)) {
-    return cancelServed(next, attemptId, createServedDeps(nowMs));
-  }
-  return createReduction(next, [{ type: "AbortAttempt", attemptId }]);
+  });
 }
 
 /** Creates what the served steps need. */
 export function createServedDeps(nowMs: number): ServedDeps {
-  return { nowMs, settleLocal };
+  return { nowMs, settleLocal, cancelChildren };
 }
 
 function refuseEarly(state: NodeState, call: EntryCall): NodeStep {
@@ -228,27 +235,35 @@
   nowMs: number,
 ): NodeStep {
   const { attemptId, backend } = chosen;
-  const { nodeId, service, ingress } = backend.announcement;
-  const { exchangeId, row, deadlineMs } = call;
+  const { nodeId, service, ingress, incarnation } = backend.announcement;
+  const { exchangeId, row } = call;
   const { share, pool } = takeShare(call.pool);
   const attempt: Attempt = {
     attemptId,
     nodeId,
+    incarnation,
+    address: ingress,
     startedAtMs: nowMs,
     tokens: share,
+    heardAtMs: nowMs,
+    isAsked: false,
+    isBroken: false,
+    misses: 0,
   };
   const context: CallContext = {
     ...call.context,
     attemptId,
-    remainingMs: deadlineMs - nowMs,
+    remainingMs: computeRemainingMs(call, nowMs),
     retryTokens: share,
   };
+  const counted = countAttempt(state, call, nowMs);
   const next = stepRouting(
-    putEntry(state, {
+    putEntry(counted, {
       ...call,
       pool,
       attempt,
       attemptCount: call.attemptCount + 1,
+      isReplacing: false,
       tried: [...call.tried, nodeId],
     }),
     { type: "AttemptStarted", service, nodeId },
@@ -300,19 +315,13 @@
   nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
-  if (canRetry(call)) {
+  if (canRetry(state, exchangeId, nowMs)) {
     return retryEntry(state, exchangeId, nowMs);
   }
   const outcome: CallOutcome = call.isNotRun ? "not-run" : "unknown";
   return endWithAnswer(state, exchangeId, { ...answer, outcome });
 }
 
-/** A retry needs a token, the whole body, and harmlessness or proof. */
-function canRetry(call: EntryCall): boolean {
-  const isHarmless = call.row.idempotent || call.isNotRun;
-  return isHarmless && call.isReplayable && call.pool.left > 0;
-}
-
 function retryEntry(
   state: NodeState,
   exchangeId: string,
@@ -326,10 +335,12 @@
 
 function relayAnswer(
   state: NodeState,
-  exchangeId: string,
-  attemptId: string,
+  settled: EntryCall,
+  relayed: Attempt,
   answer: AttemptAnswer,
 ): NodeStep {
+  const { exchangeId } = settled;
+  const { attemptId } = relayed;
   const call = state.entries.get(exchangeId)!;
   const outcome = answer.outcome === "not-run" && !call.isNotRun
     ? "unknown"
@@ -339,6 +350,7 @@
   const next = putEntry({ ...state, entryOfAttempt }, {
     ...call,
     isRelaying: true,
+    relayed,
   });
   return createReduction(next, [
     { type: "RelayAnswer", exchangeId, attemptId, headers },
@@ -359,12 +371,3 @@
     createEndRecord(call, answer.status, answer.outcome),
   );
 }
-
-function findAttempt(call: EntryCall): string | undefined {
-  if (call.attempt !== undefined) {
-    return call.attempt.attemptId;
-  }
-  return call.isRelaying
-    ? `${call.exchangeId}.${call.attemptCount}`
-    : undefined;
-}
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -1,65 +1,82 @@
 /** Answers to other nodes' questions about attempts. */
-import { createReduction } from "../../../base/common/reduction.ts";
+import {
+  appendEffects,
+  createReduction,
+} from "../../../base/common/reduction.ts";
 import type { Reduction } from "../../../base/common/reduction.ts";
 import type {
+  AskedAttempt,
+  FoundAttempt,
   PeerMessage,
-  PeerReply,
 } from "../../peer/common/peer_messages.ts";
+import {
+  fenceSettled,
+  findSettled,
+} from "../../retry/common/settled_attempts.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
 
-/** Settled attempt ids that a node remembers. */
-export const MAX_SETTLED = 4_096;
+type FenceAttempts = Extract<PeerMessage, { type: "FenceAttempts" }>;
 
 /** Answers one question. */
 export function answerPeer(
   state: NodeState,
-  askId: number,
-  message: PeerMessage,
+  asked: { readonly askId: number; readonly message: PeerMessage },
+  nowMs: number,
 ): Reduction<NodeState, NodeEffect> {
+  const { askId, message } = asked;
   switch (message.type) {
-    case "FenceAttempt":
-      return fenceAttempt(state, askId, message.attemptId);
+    case "FenceAttempts":
+      return fenceAttempts(state, askId, message, nowMs);
   }
 }
 
-/** Remembers a settled attempt; the oldest one is forgotten first. */
-export function rememberSettled(
-  settled: NodeState["settled"],
-  attemptId: string,
-  how: "ended" | "fenced",
-): NodeState["settled"] {
-  const next = new Map(settled);
-  next.set(attemptId, how);
-  for (const oldest of next.keys()) {
-    if (next.size <= MAX_SETTLED) {
-      break;
-    }
-    next.delete(oldest);
+function fenceAttempts(
+  state: NodeState,
+  askId: number,
+  message: FenceAttempts,
+  nowMs: number,
+): Reduction<NodeState, NodeEffect> {
+  const isSameProcess = message.incarnation === state.self.incarnation;
+  const found: FoundAttempt[] = [];
+  let next = state;
+  for (const asked of message.attempts) {
+    const known = findAttempt(next, asked.attemptId);
+    const settled = known === undefined && isSameProcess
+      ? fenceAttempt(next, asked, nowMs)
+      : undefined;
+    next = settled ?? next;
+    const isFenced = settled !== undefined;
+    const type = isFenced ? "AttemptFenced" : "AttemptForgotten";
+    found.push(known ?? { type });
   }
-  return next;
+  return appendEffects(createReduction<NodeState, NodeEffect>(next), {
+    type: "AnswerPeer",
+    askId,
+    reply: { type: "AttemptsFound", found },
+  });
 }
 
-function fenceAttempt(
+function findAttempt(
   state: NodeState,
-  askId: number,
   attemptId: string,
-): Reduction<NodeState, NodeEffect> {
+): FoundAttempt | undefined {
   const served = state.served.get(attemptId);
   if (served !== undefined) {
-    return reply(state, askId, { type: "AttemptKnown", phase: served.phase });
+    return { type: "AttemptKnown", phase: served.phase };
   }
-  if (state.settled.get(attemptId) === "ended") {
-    return reply(state, askId, { type: "AttemptKnown", phase: "ended" });
+  const as = findSettled(state.settled, attemptId);
+  if (as === "ended") {
+    return { type: "AttemptKnown", phase: "ended" };
   }
-  const settled = rememberSettled(state.settled, attemptId, "fenced");
-  return reply({ ...state, settled }, askId, { type: "AttemptFenced" });
+  return as === undefined ? undefined : { type: "AttemptFenced" };
 }
 
-function reply(
+function fenceAttempt(
   state: NodeState,
-  askId: number,
-  answer: PeerReply,
-): Reduction<NodeState, NodeEffect> {
-  return createReduction(state, [{ type: "AnswerPeer", askId, reply: answer }]);
+  asked: AskedAttempt,
+  nowMs: number,
+): NodeState | undefined {
+  const settled = fenceSettled(state.settled, asked, nowMs);
+  return settled === undefined ? undefined : { ...state, settled };
 }
