Claim keyed requests before they run, and give resends the first answer

Cause: two nodes that got the same keyed request each ran it. A check at the entry node was ruled out, since resends come in elsewhere. Change: a node that is about to run a non-idempotent keyed request claims its key at a majority of three holders of the service, holds the answer whole (up to 64 KiB), brings it to the holders and then passes it on. Control plans the holder sets and pushes them; nodes copy and report. A claimed run goes on to its deadline when its caller leaves.

--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -11,6 +11,7 @@
   ControlEvent,
   ControlState,
 } from "../platform/control/common/control_reducer.ts";
+import { listHolders } from "../platform/control/common/holders.ts";
 import { LinkServer } from "../platform/link/node/link_server.ts";
 import type { EditOutcome } from "../platform/table/common/table_reducer.ts";
 import { parseEditBody } from "./edit_body.ts";
@@ -182,6 +183,7 @@
       dataCentre: this.#settings.data_centre,
       tableVersion: tableState.table.version,
       nodes,
+      holders: listHolders(this.#loop.state.holders),
     };
   }
 }
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -116,6 +116,9 @@
       case "AskPeer":
         this.#askPeer(effect);
         return;
+      case "ReportCopied":
+        this.#link.send(effect);
+        return;
       case "ConfirmTable":
         this.#link.send(this.#createHeartbeat());
         return;
@@ -213,6 +216,12 @@
       case "MemberLoss":
         this.#loop.dispatch({ ...message, type: "MemberLost" });
         return;
+      case "HolderSetUpdate":
+        this.#loop.dispatch({
+          type: "HolderSetsReceived",
+          sets: message.sets,
+        });
+        return;
       case "DrainOrder":
         this.#loop.dispatch({ type: "DrainRequested" });
         return;
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -1,5 +1,10 @@
 /** Events and effects of the calls that pass a node. */
 import type { AdmissionLevel } from "../../admission/common/admission_level.ts";
+import type {
+  HolderSets,
+  RequestKey,
+  StoredAnswer,
+} from "../../claims/common/claim_types.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type {
   PeerMessage,
@@ -30,6 +35,8 @@
   readonly isReplayable: boolean;
   /** Names the caller for the admission hash; see `computeAdmissionHash`. */
   readonly admissionKey?: string | undefined;
+  /** From the `Idempotency-Key` header; undefined without one. */
+  readonly requestKey?: RequestKey;
 }
 
 /** The head of an answer to an attempt. */
@@ -45,7 +52,7 @@
 
 /** Whose timer fired. */
 export interface TimerKey {
-  readonly owner: "entry" | "served";
+  readonly owner: "entry" | "served" | "claim";
   /** Exchange id or attempt id. */
   readonly id: string;
 }
@@ -65,6 +72,14 @@
     readonly isSent: boolean;
     readonly reason: string;
   }
+  /** The whole answer to an attempt that was sent with `collectBytes`. */
+  | {
+    readonly type: "AnswerCollected";
+    readonly attemptId: string;
+    readonly status: number;
+    /** Undefined where the body is over `collectBytes`. */
+    readonly answer: StoredAnswer | undefined;
+  }
   | { readonly type: "AttemptEnded"; readonly attemptId: string }
   | { readonly type: "AnswerCut"; readonly attemptId: string }
   | { readonly type: "CallerLeft"; readonly exchangeId: string }
@@ -78,6 +93,7 @@
     readonly table: Table;
     readonly isConfirmed: boolean;
   }
+  | { readonly type: "HolderSetsReceived"; readonly sets: HolderSets }
   | { readonly type: "DrainRequested" }
   /** Comes every `TICK_MS`. */
   | { readonly type: "Ticked" }
@@ -123,6 +139,14 @@
     readonly context: CallContext;
     /** Longest body, in bytes. */
     readonly maxBodyBytes: number;
+    /** Set where the answer is to be held whole, up to so many bytes. */
+    readonly collectBytes?: number;
+  }
+  /** Puts a kept answer in place of the one that an attempt would bring. */
+  | {
+    readonly type: "ProvideAnswer";
+    readonly attemptId: string;
+    readonly answer: StoredAnswer;
   }
   | { readonly type: "AbortAttempt"; readonly attemptId: string }
   | { readonly type: "DiscardAnswer"; readonly attemptId: string }
@@ -159,5 +183,11 @@
     /** Whether a connection of its own is opened for it. */
     readonly isFresh: boolean;
   }
+  /** Tells control that the records of an older epoch are copied. */
+  | {
+    readonly type: "ReportCopied";
+    readonly service: string;
+    readonly epoch: number;
+  }
   | { readonly type: "ConfirmTable"; readonly version: number }
   | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
--- /dev/null
+++ b/src/platform/call/common/claim_steps.ts
@@ -0,0 +1,114 @@
+/** Steps that at most once adds to a served attempt's life. */
+import { createReduction } from "../../../base/common/reduction.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import {
+  checkClaim,
+  hasWon,
+  withdrawClaim,
+} from "../../claims/common/claim_reducer.ts";
+import { MAX_KEY_LENGTH } from "../../claims/common/claim_types.ts";
+import type { RequestKey } from "../../claims/common/claim_types.ts";
+import { applyOwn, claimAttempt } from "../../claims/common/node_claims.ts";
+import type { NodeClaims } from "../../claims/common/node_claims.ts";
+import { forgetRun } from "../../claims/common/outcome_steps.ts";
+import type { TableRow } from "../../table/common/table_row.ts";
+import type { OwnAnswer } from "./answers.ts";
+import type { NodeEffect } from "./call_events.ts";
+import type { NodeState, ServedCall } from "./node_state.ts";
+
+type Step = Reduction<NodeState, NodeEffect>;
+
+const NO_HOLDERS_RETRY_MS = 1_000;
+
+/** Answer to a request whose service has no holders yet. */
+export const NO_HOLDERS: OwnAnswer = {
+  status: 503,
+  outcome: "not-run",
+  message: "Holders of idempotency keys are not known yet",
+  retryAfterMs: NO_HOLDERS_RETRY_MS,
+};
+
+/** Checks a request's key against its row; undefined where it will do. */
+export function checkKey(
+  row: TableRow,
+  requestKey: RequestKey | undefined,
+): OwnAnswer | undefined {
+  const isMissing = row.key === "required" && requestKey === undefined;
+  if (isMissing) {
+    const message = `Requests of kind ${row.kind} need an Idempotency-Key`;
+    return { status: 400, outcome: "not-run", message };
+  }
+  const isTooLong = (requestKey?.key.length ?? 0) > MAX_KEY_LENGTH;
+  if (row.key !== "none" && isTooLong) {
+    const message = `Idempotency-Key is over ${MAX_KEY_LENGTH} characters`;
+    return { status: 400, outcome: "not-run", message };
+  }
+  return undefined;
+}
+
+/** Whether an attempt may run only with its key's holders behind it. */
+export function isClaimNeeded(call: ServedCall): boolean {
+  const { row, requestKey } = call;
+  return !row.idempotent && row.key !== "none" && requestKey !== undefined;
+}
+
+/** Whether an attempt is answered with what an earlier one brought. */
+export function isReplay(call: ServedCall): boolean {
+  return isClaimNeeded(call) && call.collectedStatus === undefined;
+}
+
+/** Asks the holders; undefined where there are none. */
+export function claimServed(
+  state: NodeState,
+  call: ServedCall,
+): Step | undefined {
+  const { attemptId, requestKey } = call;
+  const { ingress } = state.self;
+  const by = { attemptId, ingress };
+  const step = claimAttempt(state.claims, requestKey!, by);
+  return step && applyClaims(state, step);
+}
+
+/** Whether the holders are still being asked for an attempt. */
+export function isClaiming(state: NodeState, attemptId: string): boolean {
+  return checkClaim(state.claims.own, attemptId) === "claiming";
+}
+
+/** Whether an attempt runs, or has run, with its key's holders behind it. */
+export function isClaimWon(state: NodeState, attemptId: string): boolean {
+  return hasWon(state.claims.own, attemptId);
+}
+
+/** The backend server saw nothing of an attempt: its claim is given back. */
+export function withdrawServed(state: NodeState, attemptId: string): Step {
+  const { claims } = state;
+  return applyClaims(
+    state,
+    applyOwn(claims, withdrawClaim(claims.own, attemptId)),
+  );
+}
+
+/** An attempt is over: a claim that was never won is given back. */
+export function endClaim(state: NodeState, attemptId: string): Step {
+  const { claims } = state;
+  const coordination = claims.own.coordinations.get(attemptId);
+  if (coordination === undefined || coordination.phase === "recording") {
+    return createReduction(state);
+  }
+  if (coordination.phase !== "running") {
+    return withdrawServed(state, attemptId);
+  }
+  const own = forgetRun(claims.own, attemptId);
+  return createReduction({ ...state, claims: { ...claims, own } });
+}
+
+/** Binds a step that only asks others to the node. */
+function applyClaims(
+  state: NodeState,
+  step: Reduction<NodeClaims, { readonly type: string }>,
+): Step {
+  const asks = step.effects.filter((effect): effect is NodeEffect =>
+    effect.type === "AskPeer"
+  );
+  return createReduction({ ...state, claims: step.state }, asks);
+}
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -290,6 +290,7 @@
     deadlineMs: call.deadlineMs,
     pool: { left: context.retryTokens },
     phase: "queued",
+    requestKey: call.requestKey,
   }, createServedDeps(nowMs));
 }
 
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -10,6 +10,7 @@
 import type { TableRow } from "../../table/common/table_row.ts";
 import { createAnswer } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
+import { checkKey } from "./claim_steps.ts";
 import { decodeContext, MAX_DEPTH } from "./call_context.ts";
 import type { CallContext } from "./call_context.ts";
 import { noteCallee } from "./call_level.ts";
@@ -52,7 +53,10 @@
         `Body is over ${row.maxBodyBytes} bytes, the limit of ${row.kind}`,
     });
   }
-  return openEntry(state, received, row, nowMs);
+  const refusal = checkKey(row, received.requestKey);
+  return refusal === undefined
+    ? openEntry(state, received, row, nowMs)
+    : answerUnread(state, received, refusal);
 }
 
 function openEntry(
@@ -87,6 +91,7 @@
     tried: [],
     isNotRun: true,
     isRelaying: false,
+    requestKey: received.requestKey,
   };
   const key: TimerKey = { owner: "entry", id: exchangeId };
   const step = createReduction<NodeState, NodeEffect>(
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -4,6 +4,8 @@
   appendEffects,
   chainReduction,
 } from "../../../base/common/reduction.ts";
+import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
+import type { ClaimReply } from "../../claims/common/claim_messages.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
@@ -32,7 +34,14 @@
   receiveIngress,
   updateServed,
 } from "./served_reducer.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+import {
+  keepAnswer,
+  resumeServed,
+  takeHolderReply,
+  takeHolderSets,
+  tickServedClaims,
+} from "./served_claims.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
 export function reduceNode(
@@ -48,6 +57,8 @@
         : receiveEntry(state, event, nowMs);
     case "AttemptAnswered":
       return applyAnswer(state, event, nowMs);
+    case "AnswerCollected":
+      return keepAnswer(state, event.attemptId, event, deps);
     case "AttemptFailed":
       return applyFailure(state, event, nowMs);
     case "AttemptEnded":
@@ -64,12 +75,17 @@
       return takeTable(state, event.table, event.isConfirmed);
     case "DrainRequested":
       return startDrain(state);
+    case "HolderSetsReceived":
+      return takeHolderSets(state, event.sets, deps);
     case "Ticked":
-      return updateServed(state, deps);
+      return chainReduction(
+        updateServed(state, deps),
+        (next) => tickServedClaims(next, deps),
+      );
     case "PeerAsked":
-      return answerPeer(state, event.askId, event.message);
+      return answerPeer(state, event.askId, event.message, nowMs);
     case "PeerReplied":
-      return createReduction(state);
+      return applyReply(state, event, deps);
     case "MembersListed":
       return resumeEntries(stepRouting(state, event), event.service, nowMs);
     case "MemberPublished":
@@ -80,6 +96,17 @@
   }
 }
 
+function applyReply(
+  state: NodeState,
+  event: Extract<NodeEvent, { type: "PeerReplied" }>,
+  deps: ServedDeps,
+): NodeStep {
+  const { requestId, reply } = event;
+  return requestId.startsWith(CLAIM_PREFIX)
+    ? takeHolderReply(state, requestId, reply as ClaimReply | undefined, deps)
+    : createReduction(state);
+}
+
 function applyAnswer(
   state: NodeState,
   event: Extract<NodeEvent, { type: "AttemptAnswered" }>,
@@ -144,7 +171,13 @@
   }
   const { attemptId } = call;
   const step = cancelServed(state, attemptId, createServedDeps(nowMs));
-  return chainReduction(step, (s) => cancelChildren(s, attemptId, nowMs));
+  return chainReduction(
+    step,
+    (s) =>
+      s.served.has(attemptId)
+        ? createReduction(s)
+        : cancelChildren(s, attemptId, nowMs),
+  );
 }
 
 /** A chunked body went over its row's limit while it was sent. */
@@ -172,6 +205,9 @@
   if (key.owner === "entry") {
     return expireEntry(state, key.id, nowMs);
   }
+  if (key.owner === "claim") {
+    return resumeServed(state, key.id, createServedDeps(nowMs));
+  }
   const step = expireServed(state, key.id, createServedDeps(nowMs));
   return chainReduction(step, (s) => cancelChildren(s, key.id, nowMs));
 }
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -2,6 +2,9 @@
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
 import type { AdmissionState } from "../../admission/common/admission_types.ts";
 import type { LevelView } from "../../admission/common/level_view.ts";
+import type { RequestKey } from "../../claims/common/claim_types.ts";
+import { INITIAL_NODE_CLAIMS } from "../../claims/common/node_claims.ts";
+import type { NodeClaims } from "../../claims/common/node_claims.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
 import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
@@ -40,6 +43,7 @@
   /** Whether every attempt that ended is provably not run. */
   readonly isNotRun: boolean;
   readonly isRelaying: boolean;
+  readonly requestKey: RequestKey | undefined;
 }
 
 /** An attempt that the local backend server is to run. */
@@ -53,6 +57,11 @@
   /** Retry tokens for the calls that the backend server makes. */
   readonly pool: TokenPool;
   readonly phase: "queued" | "running" | "relaying";
+  readonly requestKey: RequestKey | undefined;
+  /** Status of an answer that is held whole until its outcome is kept. */
+  readonly collectedStatus?: number;
+  /** Whether it runs on, for its key's sake, though nobody waits for it. */
+  readonly isDetached?: boolean;
 }
 
 /** All that a node knows. */
@@ -76,6 +85,7 @@
   /** Admission levels that other nodes said on answers. */
   readonly levels: LevelView;
   readonly callees: CalleeView;
+  readonly claims: NodeClaims;
 }
 
 /** Creates the state of a node that has just started. */
@@ -96,6 +106,7 @@
     admission: createAdmission(self.slots),
     levels: new Map(),
     callees: new Map(),
+    claims: INITIAL_NODE_CLAIMS,
   };
 }
 
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -5,6 +5,7 @@
   PeerMessage,
   PeerReply,
 } from "../../peer/common/peer_messages.ts";
+import { answerClaimMessage } from "../../claims/common/node_claims.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
 
@@ -16,11 +17,16 @@
   state: NodeState,
   askId: number,
   message: PeerMessage,
+  nowMs: number,
 ): Reduction<NodeState, NodeEffect> {
-  switch (message.type) {
-    case "FenceAttempt":
-      return fenceAttempt(state, askId, message.attemptId);
+  if (message.type === "FenceAttempt") {
+    return fenceAttempt(state, askId, message.attemptId);
   }
+  const { incarnation } = state.self;
+  const at = { incarnation, nowMs };
+  const answered = answerClaimMessage(state.claims, message, at);
+  const next = { ...state, claims: answered.claims };
+  return reply(next, askId, answered.reply);
 }
 
 /** Remembers a settled attempt; the oldest one is forgotten first. */
--- /dev/null
+++ b/src/platform/call/common/served_claims.ts
@@ -0,0 +1,227 @@
+/** Carries out what the claims of served attempts come to. */
+import { assertNever } from "../../../base/common/never.ts";
+import { setEntry } from "../../../base/common/maps.ts";
+import {
+  appendEffects,
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import type { ClaimReply } from "../../claims/common/claim_messages.ts";
+import { resumeClaim } from "../../claims/common/claim_reducer.ts";
+import type { Verdict } from "../../claims/common/claim_state.ts";
+import type {
+  HolderSets,
+  StoredAnswer,
+} from "../../claims/common/claim_types.ts";
+import {
+  applyOwn,
+  takeReply,
+  takeSets,
+  tickClaims,
+} from "../../claims/common/node_claims.ts";
+import type {
+  NodeClaimEffect,
+  NodeClaimStep,
+} from "../../claims/common/node_claims.ts";
+import { recordRun } from "../../claims/common/outcome_steps.ts";
+import type { OwnAnswer } from "./answers.ts";
+import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
+import type { NodeState } from "./node_state.ts";
+import {
+  answerServed,
+  endServed,
+  refuseServed,
+  sendServed,
+  settleServed,
+} from "./served_reducer.ts";
+import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+
+const RETRY_AFTER_MS = 1_000;
+
+/** Takes the reply to a question about claims. */
+export function takeHolderReply(
+  state: NodeState,
+  requestId: string,
+  reply: ClaimReply | undefined,
+  deps: ServedDeps,
+): NodeStep {
+  return applySteps(state, takeReply(state.claims, requestId, reply), deps);
+}
+
+/** Takes the holder sets that control told. */
+export function takeHolderSets(
+  state: NodeState,
+  sets: HolderSets,
+  deps: ServedDeps,
+): NodeStep {
+  if (sets.active.service !== state.self.service) {
+    return createReduction(state);
+  }
+  return applySteps(state, takeSets(state.claims, sets, state.self), deps);
+}
+
+/** Time has passed. */
+export function tickServedClaims(
+  state: NodeState,
+  deps: ServedDeps,
+): NodeStep {
+  const step = tickClaims(state.claims, state.self, deps.nowMs);
+  return applySteps(state, step, deps);
+}
+
+/** The pause of a claim is over. */
+export function resumeServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const { claims } = state;
+  const step = applyOwn(claims, resumeClaim(claims.own, attemptId));
+  return applySteps(state, step, deps);
+}
+
+/** The whole answer of a claimed attempt is here: the holders come first. */
+export function keepAnswer(
+  state: NodeState,
+  attemptId: string,
+  collected: {
+    readonly status: number;
+    readonly answer: StoredAnswer | undefined;
+  },
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId);
+  if (call === undefined) {
+    return createReduction(state, [{ type: "DiscardAnswer", attemptId }]);
+  }
+  const { status, answer } = collected;
+  const held = { ...call, collectedStatus: status };
+  const next = { ...state, served: setEntry(state.served, attemptId, held) };
+  const { claims } = next;
+  const step = applyOwn(claims, recordRun(claims.own, attemptId, answer));
+  return applySteps(next, step, deps);
+}
+
+function applySteps(
+  state: NodeState,
+  step: NodeClaimStep,
+  deps: ServedDeps,
+): NodeStep {
+  return step.effects.reduce<NodeStep>(
+    (done, effect) =>
+      chainReduction(done, (next) => applyEffect(next, effect, deps)),
+    createReduction({ ...state, claims: step.state }),
+  );
+}
+
+function applyEffect(
+  state: NodeState,
+  effect: NodeClaimEffect,
+  deps: ServedDeps,
+): NodeStep {
+  switch (effect.type) {
+    case "AskPeer":
+    case "ReportCopied":
+      return createReduction<NodeState, NodeEffect>(state, [effect]);
+    case "StartClaimTimer": {
+      const key = { owner: "claim", id: effect.attemptId } as const;
+      const atMs = deps.nowMs + effect.delayMs;
+      return createReduction(state, [{ type: "StartTimer", key, atMs }]);
+    }
+    case "RunClaimed":
+      return state.served.has(effect.attemptId)
+        ? sendServed(state, effect.attemptId, deps)
+        : createReduction(state);
+    case "RelayClaimed":
+      return relayClaimed(state, effect.attemptId, deps);
+    case "SettleClaim":
+      return state.served.has(effect.attemptId)
+        ? settleClaim(state, effect.attemptId, effect.verdict, deps)
+        : createReduction(state);
+    default:
+      return assertNever(effect);
+  }
+}
+
+function relayClaimed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId);
+  if (call?.collectedStatus === undefined) {
+    return createReduction(state);
+  }
+  if (call.isDetached === true) {
+    const step = endServed(state, attemptId, true, deps);
+    return appendEffects(step, { type: "DiscardAnswer", attemptId });
+  }
+  const answer = createHead(call.collectedStatus);
+  return answerServed(state, attemptId, answer, deps);
+}
+
+function settleClaim(
+  state: NodeState,
+  attemptId: string,
+  verdict: Verdict,
+  deps: ServedDeps,
+): NodeStep {
+  if (verdict.type === "Answered") {
+    const { answer } = verdict;
+    const provide: NodeEffect = { type: "ProvideAnswer", attemptId, answer };
+    return chainReduction(
+      createReduction<NodeState, NodeEffect>(state, [provide]),
+      (next) => answerServed(next, attemptId, createHead(answer.status), deps),
+    );
+  }
+  const answer = createRefusal(verdict);
+  return answer.outcome === "not-run"
+    ? refuseServed(state, attemptId, answer, deps)
+    : settleServed(state, attemptId, answer, deps);
+}
+
+function createHead(status: number): AttemptAnswer {
+  return { status, outcome: "ran", tokens: 0, isDraining: false };
+}
+
+function createRefusal(
+  verdict: Exclude<Verdict, { type: "Answered" }>,
+): OwnAnswer {
+  switch (verdict.type) {
+    case "AnswerNotKept":
+      return {
+        status: 409,
+        outcome: "unknown",
+        message: "The request of this key has run before; " +
+          "its answer was too large to keep",
+      };
+    case "OtherRequest":
+      return {
+        status: 422,
+        outcome: "not-run",
+        message: "Another request has this Idempotency-Key",
+      };
+    case "StillRunning":
+      return {
+        status: 409,
+        outcome: "unknown",
+        message: "The request of this key is still running",
+        retryAfterMs: RETRY_AFTER_MS,
+      };
+    case "OutcomeUnknown":
+      return {
+        status: 409,
+        outcome: "unknown",
+        message: "The request of this key may have run before; " +
+          "its outcome is unknown",
+      };
+    case "Undecided":
+      return {
+        status: 503,
+        outcome: "not-run",
+        message: `This attempt was not run: no majority of the key's ` +
+          `holders (${verdict.reason})`,
+        retryAfterMs: RETRY_AFTER_MS,
+      };
+  }
+}
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -15,6 +15,17 @@
 import { selectRow } from "../../table/common/table_match.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
+import {
+  checkKey,
+  claimServed,
+  endClaim,
+  isClaiming,
+  isClaimNeeded,
+  isClaimWon,
+  isReplay,
+  NO_HOLDERS,
+  withdrawServed,
+} from "./claim_steps.ts";
 import { decodeContext } from "./call_context.ts";
 import { quoteLevel } from "./call_level.ts";
 import type {
@@ -25,6 +36,7 @@
 } from "./call_events.ts";
 import { rememberSettled } from "./peer_reducer.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
+import { MAX_STORED_BYTES } from "../../claims/common/claim_types.ts";
 
 /** A step of the node. */
 export type NodeStep = Reduction<NodeState, NodeEffect>;
@@ -88,6 +100,7 @@
     deadlineMs: deps.nowMs + context.value.remainingMs,
     pool: { left: context.value.retryTokens },
     phase: "queued",
+    requestKey: call.requestKey,
   }, deps);
 }
 
@@ -138,7 +151,10 @@
   const call = state.served.get(attemptId)!;
   const relaying: ServedCall = { ...call, phase: "relaying" };
   const served = setEntry(state.served, attemptId, relaying);
-  const event: AdmissionEvent = { type: "RequestAnswered", attemptId };
+  // A kept answer says nothing of the backend server's latency.
+  const event: AdmissionEvent = isReplay(call)
+    ? { type: "RequestFinished", attemptId, result: "cancelled" }
+    : { type: "RequestAnswered", attemptId };
   const step = stepAdmission({ ...state, served }, event, deps);
   if (call.origin === "local") {
     const result: LocalResult = { type: "Answered", answer };
@@ -173,15 +189,22 @@
   deps: ServedDeps,
 ): NodeStep {
   const { attemptId, isSent, reason } = failure;
+  const withdrawn: NodeStep = isSent
+    ? createReduction(state)
+    : withdrawServed(state, attemptId);
   const answer: OwnAnswer = {
     status: isSent ? 502 : 503,
     outcome: isSent ? "unknown" : "not-run",
     message: `Backend server did not answer: ${reason}`,
   };
-  const noted = stepAdmission(
-    state,
-    { type: "RequestFinished", attemptId, result: "failed" },
-    deps,
+  const noted = chainReduction(
+    withdrawn,
+    (next) =>
+      stepAdmission(
+        next,
+        { type: "RequestFinished", attemptId, result: "failed" },
+        deps,
+      ),
   );
   return chainReduction(
     noted,
@@ -204,13 +227,21 @@
     : appendEffects(step, { type: "DropExchange", exchangeId });
 }
 
-/** Whoever asked is gone: frees the slot and cancels the work. */
+/**
+ * Whoever asked is gone: frees the slot and cancels the work. A claimed one
+ * runs on to its deadline, so that a resend of its key gets the whole answer.
+ */
 export function cancelServed(
   state: NodeState,
   attemptId: string,
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
+  if (call.phase === "running" && isClaimWon(state, attemptId)) {
+    const detached: ServedCall = { ...call, isDetached: true };
+    const served = setEntry(state.served, attemptId, detached);
+    return createReduction({ ...state, served });
+  }
   const step = releaseServed(state, attemptId, deps);
   return call.phase === "queued"
     ? step
@@ -227,7 +258,7 @@
   if (call === undefined || call.phase === "relaying") {
     return createReduction(state);
   }
-  const isQueued = call.phase === "queued";
+  const isQueued = call.phase === "queued" || isClaiming(state, attemptId);
   const step = settleServed(state, attemptId, {
     status: 504,
     outcome: isQueued ? "not-run" : "unknown",
@@ -282,11 +313,32 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
-  const { exchangeId, context, row, deadlineMs, pool } = call;
   const running: ServedCall = { ...call, phase: "running" };
   const served = setEntry(state.served, attemptId, running);
+  const next = { ...state, served };
+  const refusal = checkKey(call.row, call.requestKey);
+  if (refusal !== undefined) {
+    return refuseServed(next, attemptId, refusal, deps);
+  }
+  return isClaimNeeded(call)
+    ? claimServed(next, running) ??
+      refuseServed(next, attemptId, NO_HOLDERS, deps)
+    : sendServed(next, attemptId, deps);
+}
+
+/** Hands an attempt to the local backend server. */
+export function sendServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const { exchangeId, context, row, deadlineMs, pool } = call;
   const remainingMs = deadlineMs - deps.nowMs;
-  return createReduction({ ...state, served }, [
+  const collecting = isClaimNeeded(call)
+    ? { collectBytes: MAX_STORED_BYTES }
+    : {};
+  return createReduction(state, [
     {
       type: "RecordEvent",
       event: { type: "AttemptRun", requestId: context.rootId, attemptId },
@@ -299,11 +351,13 @@
       peer: "backend",
       context: { ...context, remainingMs, retryTokens: pool.left },
       maxBodyBytes: row.maxBodyBytes,
+      ...collecting,
     },
   ]);
 }
 
-function refuseServed(
+/** Ends an attempt that did not run. */
+export function refuseServed(
   state: NodeState,
   attemptId: string,
   answer: OwnAnswer,
@@ -325,7 +379,7 @@
 }
 
 /** Ends an attempt with an answer of the node's own. */
-function settleServed(
+export function settleServed(
   state: NodeState,
   attemptId: string,
   answer: OwnAnswer,
@@ -362,7 +416,11 @@
   const event: AdmissionEvent = call.phase === "queued"
     ? { type: "RequestWithdrawn", attemptId }
     : { type: "RequestFinished", attemptId, result };
-  const step = stepAdmission({ ...state, served, settled }, event, deps);
+  const ended = endClaim({ ...state, served, settled }, attemptId);
+  const step = chainReduction(
+    ended,
+    (next) => stepAdmission(next, event, deps),
+  );
   return appendEffects(step, { type: "StopTimer", key });
 }
 
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -19,6 +19,13 @@
   NodeEvent,
   SignalHeaders,
 } from "../common/call_events.ts";
+import type { StoredAnswer } from "../../claims/common/claim_types.ts";
+import {
+  collectAnswer,
+  createSource,
+  flattenHeaders,
+} from "./answer_collector.ts";
+import type { SourceAnswer } from "./answer_collector.ts";
 import { copyHeaders } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
 
@@ -33,7 +40,7 @@
 
 interface OpenAttempt {
   readonly abort: AbortController;
-  answer: Dispatcher.ResponseData | undefined;
+  answer: SourceAnswer | undefined;
 }
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -89,7 +96,13 @@
   discard(attemptId: string): void {
     const answer = this.#open.get(attemptId)?.answer;
     this.#open.delete(attemptId);
-    answer?.body.dump().catch(() => {});
+    answer?.body.on("error", () => {}).resume();
+  }
+
+  /** Puts a kept answer where the one of an attempt would be. */
+  provide(attemptId: string, answer: StoredAnswer): void {
+    const abort = new AbortController();
+    this.#open.set(attemptId, { abort, answer: createSource(answer) });
   }
 
   /** Passes an answer on; a cut one breaks the caller's connection too. */
@@ -100,7 +113,7 @@
       return;
     }
     const { response } = exchange;
-    const headers = copyHeaders(flattenHeaders(answer.headers));
+    const headers = copyHeaders(answer.headers);
     for (const [name, value] of Object.entries(signals)) {
       headers.push(name, value);
     }
@@ -131,7 +144,16 @@
       body: this.#createBody(effect, exchange),
       signal: open.abort.signal,
     });
-    open.answer = answer;
+    const { collectBytes } = effect;
+    if (collectBytes !== undefined) {
+      await this.#collect(effect.attemptId, open, answer, collectBytes);
+      return;
+    }
+    open.answer = {
+      statusCode: answer.statusCode,
+      headers: flattenHeaders(answer.headers),
+      body: answer.body,
+    };
     if (!this.#open.has(effect.attemptId)) {
       answer.body.on("error", () => {}).destroy();
       return;
@@ -143,6 +165,26 @@
     });
   }
 
+  async #collect(
+    attemptId: string,
+    open: OpenAttempt,
+    answer: Dispatcher.ResponseData,
+    maxBytes: number,
+  ): Promise<void> {
+    const { source, stored } = await collectAnswer(answer, maxBytes);
+    open.answer = source;
+    if (!this.#open.has(attemptId)) {
+      source.body.on("error", () => {}).destroy();
+      return;
+    }
+    this.#options.dispatch({
+      type: "AnswerCollected",
+      attemptId,
+      status: answer.statusCode,
+      answer: stored,
+    });
+  }
+
   #createBody(
     effect: SendAttempt,
     exchange: Exchange,
@@ -225,16 +267,3 @@
     level: decodeLevel(String(answer.headers[LEVEL_HEADER] ?? "")),
   };
 }
-
-function flattenHeaders(
-  headers: Dispatcher.ResponseData["headers"],
-): readonly string[] {
-  const flat: string[] = [];
-  for (const [name, value] of Object.entries(headers)) {
-    const values = Array.isArray(value) ? value : [value ?? ""];
-    for (const one of values) {
-      flat.push(name, one);
-    }
-  }
-  return flat;
-}
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -1,5 +1,5 @@
 /** The listeners of a node: HTTP in, events out, effects carried out. */
-import { randomBytes } from "node:crypto";
+import { createHash, randomBytes } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
@@ -13,7 +13,12 @@
   PeerReply,
 } from "../../peer/common/peer_messages.ts";
 import { CONTEXT_HEADER } from "../common/call_context.ts";
-import type { Listener, NodeEffect, NodeEvent } from "../common/call_events.ts";
+import type {
+  CallReceived,
+  Listener,
+  NodeEffect,
+  NodeEvent,
+} from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { readPath, writeAnswer } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
@@ -33,6 +38,7 @@
     | "SendAttempt"
     | "AbortAttempt"
     | "DiscardAnswer"
+    | "ProvideAnswer"
     | "RelayAnswer"
     | "DropExchange"
     | "AnswerPeer";
@@ -86,6 +92,10 @@
       this.#sender.discard(effect.attemptId);
       return;
     }
+    if (effect.type === "ProvideAnswer") {
+      this.#sender.provide(effect.attemptId, effect.answer);
+      return;
+    }
     if (effect.type === "AnswerPeer") {
       this.#answerPeer(effect.askId, effect.reply);
       return;
@@ -116,7 +126,13 @@
     exchange: Exchange,
     effect: Exclude<
       CallEffect,
-      { type: "AbortAttempt" | "DiscardAnswer" | "AnswerPeer" }
+      {
+        type:
+          | "AbortAttempt"
+          | "DiscardAnswer"
+          | "ProvideAnswer"
+          | "AnswerPeer";
+      }
     >,
   ): void {
     switch (effect.type) {
@@ -204,6 +220,7 @@
       bodyBytes,
       isReplayable: body !== undefined,
       admissionKey: listener === "edge" ? readAdmissionKey(request) : undefined,
+      ...readRequestKey(request, body),
     });
   }
 }
@@ -218,6 +235,21 @@
   return typeof key === "string" ? key : `${remoteAddress}:${remotePort}`;
 }
 
+/** The digest is of the length alone where the body isn't held whole. */
+function readRequestKey(
+  request: IncomingMessage,
+  body: Uint8Array | undefined,
+): Pick<CallReceived, "requestKey"> {
+  const key = request.headers["idempotency-key"];
+  if (typeof key !== "string" || key === "") {
+    return {};
+  }
+  const digest = createHash("sha256");
+  digest.update(`${request.method} ${request.url}\n`);
+  digest.update(body ?? `${request.headers["content-length"]}`);
+  return { requestKey: { key, fingerprint: digest.digest("base64url") } };
+}
+
 /** Content-Length; 0 without a body, undefined for a chunked one. */
 function readBodyBytes(request: IncomingMessage): number | undefined {
   if (request.headers["transfer-encoding"] !== undefined) {
--- a/src/platform/claims/common/claim_types.ts
+++ b/src/platform/claims/common/claim_types.ts
@@ -20,7 +20,8 @@
   readonly status: number;
   /** Names and values in turn. */
   readonly headers: readonly string[];
-  readonly body: Uint8Array;
+  /** Text, so that it can stand in a recorded trace. */
+  readonly bodyBase64: string;
 }
 
 /** What came of the attempt that ran. */
@@ -74,7 +75,7 @@
 
 /** How long a key is remembered, in milliseconds. */
 export const KEY_LIFETIME_MS = 24 * 3_600_000;
-/** Largest answer that is kept whole. */
+/** Largest answer body that is kept whole, in bytes. */
 export const MAX_STORED_BYTES = 64 * 1024;
 /** Longest idempotency key, in characters. */
 export const MAX_KEY_LENGTH = 255;
--- a/src/platform/claims/common/record_map.ts
+++ b/src/platform/claims/common/record_map.ts
@@ -65,7 +65,7 @@
   }
   const answer = record.outcome?.answer;
   const headers = answer?.headers.join("").length ?? 0;
-  return RECORD_BYTES + headers + (answer?.body.length ?? 0);
+  return RECORD_BYTES + headers + (answer?.bodyBase64.length ?? 0);
 }
 
 function choose(key: string): number {
--- a/src/platform/claims/test/at_most_once_test.ts
+++ b/src/platform/claims/test/at_most_once_test.ts
@@ -42,8 +42,7 @@
   }
   const answered = model.verdicts.filter((one) => one.type === "Answered");
   for (const verdict of answered) {
-    const body = new TextDecoder().decode(verdict.answer.body);
-    expect(body).to.equal(verdict.key);
+    expect(verdict.answer.bodyBase64).to.equal(verdict.key);
     expect(model.runs.get(verdict.key)).to.equal(1);
   }
   return {
--- a/src/platform/claims/test/claim_model.ts
+++ b/src/platform/claims/test/claim_model.ts
@@ -180,8 +180,8 @@
     if (attemptId === undefined) {
       return;
     }
-    const body = new TextEncoder().encode(this.#keys.get(attemptId));
-    const answer = { status: 200, headers: [], body };
+    const bodyBase64 = this.#keys.get(attemptId)!;
+    const answer = { status: 200, headers: [], bodyBase64 };
     this.#apply(node, recordRun(node.claims, attemptId, answer));
   }
 
--- a/src/platform/control/common/control_reducer.ts
+++ b/src/platform/control/common/control_reducer.ts
@@ -10,6 +10,8 @@
   ControlMessage,
   NodeMessage,
 } from "../../link/common/link_messages.ts";
+import { acceptCopy, INITIAL_HOLDERS, stepHolders } from "./holders.ts";
+import type { HoldersState } from "./holders.ts";
 import {
   INITIAL_MEMBERSHIP,
   listMembers,
@@ -44,6 +46,7 @@
   readonly tableState: TableState;
   readonly membership: MembershipState;
   readonly links: ReadonlyMap<number, Link>;
+  readonly holders: HoldersState;
 }
 
 /** What happens at a control replica. */
@@ -84,6 +87,7 @@
   tableState: INITIAL_TABLE_STATE,
   membership: INITIAL_MEMBERSHIP,
   links: new Map(),
+  holders: INITIAL_HOLDERS,
 };
 
 const NEW_LINK: Link = { nodeId: undefined, services: [], tableVersion: 0 };
@@ -93,6 +97,15 @@
   state: ControlState,
   event: ControlEvent,
   nowMs: number,
+): ControlStep {
+  const step = reduceEvent(state, event, nowMs);
+  return chainReduction(step, (next) => stepHolders(state, next, event));
+}
+
+function reduceEvent(
+  state: ControlState,
+  event: ControlEvent,
+  nowMs: number,
 ): ControlStep {
   switch (event.type) {
     case "NodeMessageReceived":
@@ -129,6 +142,8 @@
       return subscribe(state, linkId, message.service);
     case "Heartbeat":
       return renew(state, linkId, message, nowMs);
+    case "ReportCopied":
+      return createReduction(acceptCopy(state, link.nodeId, message));
     case "Leave": {
       const nodeId = link.nodeId ?? "";
       return stepMembership(state, { type: "NodeLeft", nodeId }, nowMs);
--- a/src/platform/link/common/link_messages.ts
+++ b/src/platform/link/common/link_messages.ts
@@ -1,5 +1,6 @@
 /** Messages between nodes and control replicas, sent as msgpack over ws. */
 import type { Announcement } from "../../membership/common/announcement.ts";
+import type { HolderSets } from "../../claims/common/claim_types.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { HybridTime } from "../../telemetry/common/timeline_event.ts";
 
@@ -12,6 +13,12 @@
     readonly tableVersion: number;
     readonly clock: HybridTime;
   }
+  /** The records of an older epoch are copied. */
+  | {
+    readonly type: "ReportCopied";
+    readonly service: string;
+    readonly epoch: number;
+  }
   | { readonly type: "Leave" };
 
 /** What a control replica says to a node. */
@@ -33,6 +40,7 @@
     readonly service: string;
     readonly nodeId: string;
   }
+  | { readonly type: "HolderSetUpdate"; readonly sets: HolderSets }
   | { readonly type: "DrainOrder" }
   | { readonly type: "HeartbeatAnswer"; readonly clock: HybridTime };
 
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -1,12 +1,19 @@
 /** Messages between nodes beside the calls: msgpack over HTTP, one answer each. */
 
+import type {
+  ClaimMessage,
+  ClaimReply,
+} from "../../claims/common/claim_messages.ts";
+
 /** What one node asks another. */
 export type PeerMessage =
+  | ClaimMessage
   /** What became of an attempt? One that was never seen can't run later. */
-  { readonly type: "FenceAttempt"; readonly attemptId: string };
+  | { readonly type: "FenceAttempt"; readonly attemptId: string };
 
 /** The answer. */
 export type PeerReply =
+  | ClaimReply
   /** The attempt was never seen here, and will be refused from now on. */
   | { readonly type: "AttemptFenced" }
   /** The attempt is, or was, here. */
