--- a/bench/load.ts
+++ b/bench/load.ts
@@ -8,6 +8,15 @@
   readonly url: string;
   readonly workers: number;
   readonly requests: number;
+  /** What each request is sent with; a plain GET where it is left out. */
+  readonly createOptions?: () => RequestShape;
+}
+
+/** How one request differs from a plain GET. */
+export interface RequestShape {
+  readonly method: "GET" | "POST";
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
 }
 
 /** Latencies in milliseconds. */
@@ -29,7 +38,10 @@
     while (left > 0) {
       left -= 1;
       const startedAt = performance.now();
-      const answer = await request(options.url, { dispatcher: agent });
+      const answer = await request(options.url, {
+        dispatcher: agent,
+        ...options.createOptions?.(),
+      });
       await answer.body.dump();
       const micros = (performance.now() - startedAt) * MICROS;
       histogram.recordValue(Math.max(1, Math.round(micros)));
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -132,7 +132,12 @@
 
   #askPeer(effect: Extract<NodeEffect, { type: "AskPeer" }>): void {
     const { requestId } = effect;
-    this.#peers.send(effect).then((reply) => {
+    const isOwn = effect.address === this.#loop.state.self.ingress &&
+      !effect.isFresh;
+    const asked = isOwn
+      ? this.#calls.ask(effect.message)
+      : this.#peers.send(effect);
+    asked.then((reply) => {
       this.#loop.dispatch({ type: "PeerReplied", requestId, reply });
     });
   }
@@ -271,11 +276,18 @@
       entryCalls: state.entries.size,
       running: state.admission.running.size,
       queued: state.admission.queue.length,
+      holderEpoch: state.claims.holder.voiceEpoch,
+      keys: state.claims.holder.records.count,
     };
   }
 
   #createGauges(): void {
     const { metrics } = this.#telemetry;
+    metrics.createGauge(
+      "idempotency_keys",
+      "Keys whose records this node holds",
+      () => this.#loop.state.claims.holder.records.count,
+    );
     metrics.createGauge(
       "table_version",
       "Version of the table in force",
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -58,7 +58,7 @@
   readonly #idPrefix = randomBytes(6).toString("hex");
   readonly #servers: Server[] = [];
   #nextId = 0;
-  readonly #asks = new Map<number, ServerResponse>();
+  readonly #asks = new Map<number, (reply: PeerReply) => void>();
   #nextAsk = 0;
 
   constructor(options: CallServerOptions) {
@@ -184,16 +184,28 @@
         return;
       }
       const askId = this.#nextAsk++;
-      this.#asks.set(askId, response);
+      this.#asks.set(askId, (reply) => {
+        const bytes = encodeMessage(reply);
+        response.writeHead(200, { "content-length": bytes.length }).end(bytes);
+      });
       response.on("close", () => this.#asks.delete(askId));
       this.#options.dispatch({ type: "PeerAsked", askId, message });
     });
   }
 
+  /** Asks this node itself, without a connection. */
+  ask(message: PeerMessage): Promise<PeerReply> {
+    const askId = this.#nextAsk++;
+    return new Promise((resolve) => {
+      this.#asks.set(askId, resolve);
+      this.#options.dispatch({ type: "PeerAsked", askId, message });
+    });
+  }
+
   #answerPeer(askId: number, reply: PeerReply): void {
-    const response = this.#asks.get(askId);
-    const body = encodeMessage(reply);
-    response?.writeHead(200, { "content-length": body.length }).end(body);
+    const answer = this.#asks.get(askId);
+    this.#asks.delete(askId);
+    answer?.(reply);
   }
 
   #accept(
--- a/src/platform/claims/common/claim_messages.ts
+++ b/src/platform/claims/common/claim_messages.ts
@@ -67,7 +67,7 @@
 }
 
 /** Longest wait for a holder's reply, in milliseconds. */
-export const HOLDER_TIMEOUT_MS = 250;
+export const HOLDER_TIMEOUT_MS = 1_000;
 
 /** Request ids of this area begin with this. */
 export const CLAIM_PREFIX = "claim/";
--- a/src/platform/claims/common/holder_reducer.ts
+++ b/src/platform/claims/common/holder_reducer.ts
@@ -50,6 +50,8 @@
 export const MAX_RECORDS = 50_000;
 /** Most bytes that the records of one node take. */
 export const MAX_RECORD_BYTES = 16 * 1024 * 1024;
+/** Kept free for the answers of requests that run now. */
+const ANSWER_ROOM_BYTES = MAX_RECORD_BYTES / 8;
 const PAGE_BYTES = 128 * 1024;
 const COPY_PREFIX = `${CLAIM_PREFIX}copy/`;
 
@@ -317,5 +319,6 @@
 }
 
 function isFull(records: RecordMap): boolean {
-  return records.count >= MAX_RECORDS || records.sizeBytes >= MAX_RECORD_BYTES;
+  return records.count >= MAX_RECORDS ||
+    records.sizeBytes >= MAX_RECORD_BYTES - ANSWER_ROOM_BYTES;
 }
