Refuse peer messages of a type that this version doesn't know

Cause: such a message reached an exhaustive switch and ended the process; a fault of the body's encoding was ruled out, as it decodes well. Change: the ingress answers 400 to types that aren't listed. Conclusion: an unknown message costs its sender an error, and no more.

--- a/src/daemon/test/at_most_once_test.ts
+++ b/src/daemon/test/at_most_once_test.ts
@@ -2,6 +2,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
+import { encodeMessage } from "../../base/node/message_codec.ts";
+import { PEER_PATH } from "../../platform/peer/common/peer_messages.ts";
 import { Fleet, readRuns } from "../../../standin/fleet.ts";
 import type { HolderReport } from "../../platform/control/common/holders.ts";
 import type { FleetControl, FleetNode } from "../../../standin/fleet.ts";
@@ -157,6 +159,16 @@
     }
   });
 
+  it("lives on after a message of a type that it doesn't know", async () => {
+    const answer = await request(
+      `http://${nodes[0]!.ingress}${PEER_PATH}`,
+      { method: "POST", body: encodeMessage({ type: "Unheard" }) },
+    );
+    await answer.body.dump();
+    expect(answer.statusCode).to.equal(400);
+    expect((await transfer(nodes[0]!, "k-alive")).status).to.equal(200);
+  });
+
   it("keeps the first answer when who ran it dies", async () => {
     const first = await transfer(nodes[0]!, "k-3");
     await killRunner("k-3");
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -7,7 +7,7 @@
   decodeMessage,
   encodeMessage,
 } from "../../../base/node/message_codec.ts";
-import { PEER_PATH } from "../../peer/common/peer_messages.ts";
+import { isKnownMessage, PEER_PATH } from "../../peer/common/peer_messages.ts";
 import type {
   PeerMessage,
   PeerReply,
@@ -179,7 +179,7 @@
     }
     collectBody(request, bodyBytes, (body) => {
       const message = decodeMessage<PeerMessage>(body);
-      if (message === undefined) {
+      if (message === undefined || !isKnownMessage(message)) {
         response.writeHead(400).end();
         return;
       }
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -22,5 +22,19 @@
 /** How far a known attempt is. */
 export type AttemptPhase = "queued" | "running" | "relaying" | "ended";
 
+const MESSAGE_TYPES: Readonly<Record<PeerMessage["type"], true>> = {
+  FenceAttempt: true,
+  ClaimKey: true,
+  ReleaseClaim: true,
+  RecordOutcome: true,
+  CheckClaim: true,
+  SealEpoch: true,
+};
+
+/** Whether a message is of a type that this version knows. */
+export function isKnownMessage(message: { readonly type: string }): boolean {
+  return Object.hasOwn(MESSAGE_TYPES, message.type);
+}
+
 /** Path of these messages on the ingress listener. */
 export const PEER_PATH = "/.basilpin/peer";
