--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -117,6 +117,9 @@
       case "AskPeer":
         this.#askPeer(effect);
         return;
+      case "ReportCopied":
+        this.#link.send(effect);
+        return;
       case "ConfirmTable":
         this.#link.send(this.#createHeartbeat());
         return;
@@ -130,7 +133,12 @@
 
   #askPeer(effect: Extract<NodeEffect, { type: "AskPeer" }>): void {
     const { requestId } = effect;
-    this.#peers.send(effect).then((reply) => {
+    const isOwn = effect.address === this.#loop.state.self.ingress &&
+      !effect.isFresh;
+    const asked = isOwn
+      ? this.#calls.ask(effect.message)
+      : this.#peers.send(effect);
+    asked.then((reply) => {
       this.#loop.dispatch({ type: "PeerReplied", requestId, reply });
     });
   }
@@ -214,6 +222,12 @@
       case "MemberLoss":
         this.#loop.dispatch({ ...message, type: "MemberLost" });
         return;
+      case "HolderSetUpdate":
+        this.#loop.dispatch({
+          type: "HolderSetsReceived",
+          sets: message.sets,
+        });
+        return;
       case "DrainOrder":
         this.#loop.dispatch({ type: "DrainRequested" });
         return;
@@ -263,11 +277,18 @@
       entryCalls: state.entries.size,
       running: state.admission.running.size,
       queued: state.admission.queue.length,
+      holderEpoch: state.claims.holder.voiceEpoch,
+      keys: state.claims.holder.records.count,
     };
   }
 
   #createGauges(): void {
     const { metrics } = this.#telemetry;
+    metrics.createGauge(
+      "idempotency_keys",
+      "Keys whose records this node holds",
+      () => this.#loop.state.claims.holder.records.count,
+    );
     metrics.createGauge(
       "table_version",
       "Version of the table in force",
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -305,6 +305,7 @@
     deadlineMs: call.deadlineMs,
     pool: { left: context.retryTokens },
     phase: "queued",
+    requestKey: call.requestKey,
   }, createServedDeps(nowMs));
 }
 
--- a/src/platform/call/common/entry_reply.ts
+++ b/src/platform/call/common/entry_reply.ts
@@ -45,10 +45,11 @@
   nowMs: number,
 ): NodeStep {
   const { requestId, reply } = replied;
+  const found = reply?.type === "AttemptsFound" ? reply.found : [];
   return parseAsk(requestId).reduce<NodeStep>(
     (step, attemptId, index) =>
       chainReduction(step, (next) => {
-        const finding = readFinding(reply?.found[index]);
+        const finding = readFinding(found[index]);
         return settleFinding(next, { attemptId, finding }, nowMs);
       }),
     createReduction(state),
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -4,6 +4,8 @@
   appendEffects,
   chainReduction,
 } from "../../../base/common/reduction.ts";
+import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
+import type { ClaimReply } from "../../claims/common/claim_messages.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
@@ -31,7 +33,14 @@
   receiveIngress,
   updateServed,
 } from "./served_reducer.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+import {
+  keepAnswer,
+  resumeServed,
+  takeHolderReply,
+  takeHolderSets,
+  tickServedClaims,
+} from "./served_claims.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
 export function reduceNode(
@@ -47,6 +56,8 @@
         : receiveEntry(state, event, nowMs);
     case "AttemptAnswered":
       return applyAnswer(state, event, nowMs);
+    case "AnswerCollected":
+      return keepAnswer(state, event.attemptId, event, deps);
     case "AttemptFailed":
       return applyFailure(state, event, nowMs);
     case "AttemptEnded":
@@ -67,15 +78,21 @@
       return takeTable(state, event.table, event.isConfirmed);
     case "DrainRequested":
       return startDrain(state);
+    case "HolderSetsReceived":
+      return takeHolderSets(state, event.sets, deps);
     case "Ticked":
       return chainReduction(
         updateServed(state, deps),
-        (next) => watchAttempts(next, nowMs),
+        (next) =>
+          chainReduction(
+            watchAttempts(next, nowMs),
+            (watched) => tickServedClaims(watched, deps),
+          ),
       );
     case "PeerAsked":
       return answerPeer(state, event, nowMs);
     case "PeerReplied":
-      return settleAsked(state, event, nowMs);
+      return applyReply(state, event, deps);
     case "MembersListed":
       return resumeEntries(stepRouting(state, event), event.service, nowMs);
     case "MemberPublished":
@@ -86,6 +103,17 @@
   }
 }
 
+function applyReply(
+  state: NodeState,
+  event: Extract<NodeEvent, { type: "PeerReplied" }>,
+  deps: ServedDeps,
+): NodeStep {
+  const { requestId, reply } = event;
+  return requestId.startsWith(CLAIM_PREFIX)
+    ? takeHolderReply(state, requestId, reply as ClaimReply | undefined, deps)
+    : settleAsked(state, event, deps.nowMs);
+}
+
 function applyAnswer(
   state: NodeState,
   event: Extract<NodeEvent, { type: "AttemptAnswered" }>,
@@ -176,6 +204,9 @@
   if (key.owner === "entry") {
     return expireEntry(state, key.id, nowMs);
   }
+  if (key.owner === "claim") {
+    return resumeServed(state, key.id, createServedDeps(nowMs));
+  }
   return expireServed(state, key.id, createServedDeps(nowMs));
 }
 
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -2,6 +2,9 @@
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
 import type { AdmissionState } from "../../admission/common/admission_types.ts";
 import type { LevelView } from "../../admission/common/level_view.ts";
+import type { RequestKey } from "../../claims/common/claim_types.ts";
+import { INITIAL_NODE_CLAIMS } from "../../claims/common/node_claims.ts";
+import type { NodeClaims } from "../../claims/common/node_claims.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
 import type { RetryBudget } from "../../retry/common/retry_budget.ts";
@@ -60,6 +63,7 @@
   readonly isReplacing?: boolean;
   /** The attempt whose answer is relayed. */
   readonly relayed?: Attempt;
+  readonly requestKey: RequestKey | undefined;
 }
 
 /** An attempt that the local backend server is to run. */
@@ -73,6 +77,11 @@
   /** Retry tokens for the calls that the backend server makes. */
   readonly pool: TokenPool;
   readonly phase: "queued" | "running" | "relaying" | "blocked";
+  readonly requestKey: RequestKey | undefined;
+  /** Status of an answer that is held whole until its outcome is kept. */
+  readonly collectedStatus?: number;
+  /** Whether it runs on, for its key's sake, though nobody waits for it. */
+  readonly isDetached?: boolean;
 }
 
 /** All that a node knows. */
@@ -101,6 +110,7 @@
   /** Admission levels that other nodes said on answers. */
   readonly levels: LevelView;
   readonly callees: CalleeView;
+  readonly claims: NodeClaims;
 }
 
 /** Creates the state of a node that has just started. */
@@ -124,6 +134,7 @@
     admission: createAdmission(self.slots),
     levels: new Map(),
     callees: new Map(),
+    claims: INITIAL_NODE_CLAIMS,
   };
 }
 
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -13,6 +13,7 @@
   fenceSettled,
   findSettled,
 } from "../../retry/common/settled_attempts.ts";
+import { answerClaimMessage } from "../../claims/common/node_claims.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
 
@@ -25,10 +26,16 @@
   nowMs: number,
 ): Reduction<NodeState, NodeEffect> {
   const { askId, message } = asked;
-  switch (message.type) {
-    case "FenceAttempts":
-      return fenceAttempts(state, askId, message, nowMs);
+  if (message.type === "FenceAttempts") {
+    return fenceAttempts(state, askId, message, nowMs);
   }
+  const { incarnation } = state.self;
+  const at = { incarnation, nowMs };
+  const answered = answerClaimMessage(state.claims, message, at);
+  const next = { ...state, claims: answered.claims };
+  return createReduction(next, [
+    { type: "AnswerPeer", askId, reply: answered.reply },
+  ]);
 }
 
 function fenceAttempts(
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -20,6 +20,17 @@
 import { selectRow } from "../../table/common/table_match.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
+import {
+  checkKey,
+  claimServed,
+  endClaim,
+  isClaiming,
+  isClaimNeeded,
+  isClaimWon,
+  isReplay,
+  NO_HOLDERS,
+  withdrawServed,
+} from "./claim_steps.ts";
 import { decodeContext } from "./call_context.ts";
 import { quoteLevel } from "./call_level.ts";
 import type {
@@ -29,6 +40,7 @@
   TimerKey,
 } from "./call_events.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
+import { MAX_STORED_BYTES } from "../../claims/common/claim_types.ts";
 
 /** A step of the node. */
 export type NodeStep = Reduction<NodeState, NodeEffect>;
@@ -97,6 +109,7 @@
     deadlineMs: deps.nowMs + context.value.remainingMs,
     pool: { left: context.value.retryTokens },
     phase: "queued",
+    requestKey: call.requestKey,
   }, deps);
 }
 
@@ -168,7 +181,10 @@
   // The tokens go back with this answer, so none may be spent here any more.
   const relaying: ServedCall = { ...call, phase: "relaying", pool: EMPTY_POOL };
   const served = setEntry(state.served, attemptId, relaying);
-  const event: AdmissionEvent = { type: "RequestAnswered", attemptId };
+  // A kept answer says nothing of the backend server's latency.
+  const event: AdmissionEvent = isReplay(call)
+    ? { type: "RequestFinished", attemptId, result: "cancelled" }
+    : { type: "RequestAnswered", attemptId };
   const heard = { ...state, served, backendHeardMs: deps.nowMs };
   const step = stepAdmission(heard, event, deps);
   if (call.origin === "local") {
@@ -223,15 +239,22 @@
   deps: ServedDeps,
 ): NodeStep {
   const { attemptId, isSent, reason } = failure;
+  const withdrawn: NodeStep = isSent
+    ? createReduction(state)
+    : withdrawServed(state, attemptId);
   const answer: OwnAnswer = {
     status: isSent ? 502 : 503,
     outcome: isSent ? "unknown" : "not-run",
     message: `Backend server did not answer: ${reason}`,
   };
-  const noted = stepAdmission(
-    state,
-    { type: "RequestFinished", attemptId, result: "failed" },
-    deps,
+  const noted = chainReduction(
+    withdrawn,
+    (next) =>
+      stepAdmission(
+        next,
+        { type: "RequestFinished", attemptId, result: "failed" },
+        deps,
+      ),
   );
   return chainReduction(
     noted,
@@ -254,13 +277,21 @@
     : appendEffects(step, { type: "DropExchange", exchangeId });
 }
 
-/** Whoever asked is gone: frees the slot and cancels the work. */
+/**
+ * Whoever asked is gone: frees the slot and cancels the work. A claimed one
+ * runs on to its deadline, so that a resend of its key gets the whole answer.
+ */
 export function cancelServed(
   state: NodeState,
   attemptId: string,
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
+  if (call.phase === "running" && isClaimWon(state, attemptId)) {
+    const detached: ServedCall = { ...call, isDetached: true };
+    const served = setEntry(state.served, attemptId, detached);
+    return createReduction({ ...state, served });
+  }
   const step = releaseServed(state, attemptId, deps);
   return call.phase === "queued"
     ? step
@@ -277,7 +308,7 @@
   if (call === undefined || isAnswered(call)) {
     return createReduction(state);
   }
-  const isQueued = call.phase === "queued";
+  const isQueued = call.phase === "queued" || isClaiming(state, attemptId);
   const step = settleServed(state, attemptId, {
     status: 504,
     outcome: isQueued ? "not-run" : "unknown",
@@ -352,11 +383,32 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
-  const { exchangeId, context, row, deadlineMs, pool } = call;
   const running: ServedCall = { ...call, phase: "running" };
   const served = setEntry(state.served, attemptId, running);
+  const next = { ...state, served };
+  const refusal = checkKey(call.row, call.requestKey);
+  if (refusal !== undefined) {
+    return refuseServed(next, attemptId, refusal, deps);
+  }
+  return isClaimNeeded(call)
+    ? claimServed(next, running) ??
+      refuseServed(next, attemptId, NO_HOLDERS, deps)
+    : sendServed(next, attemptId, deps);
+}
+
+/** Hands an attempt to the local backend server. */
+export function sendServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const { exchangeId, context, row, deadlineMs, pool } = call;
   const remainingMs = deadlineMs - deps.nowMs;
-  return createReduction({ ...state, served }, [
+  const collecting = isClaimNeeded(call)
+    ? { collectBytes: MAX_STORED_BYTES }
+    : {};
+  return createReduction(state, [
     {
       type: "RecordEvent",
       event: { type: "AttemptRun", requestId: context.rootId, attemptId },
@@ -369,11 +421,13 @@
       peer: "backend",
       context: { ...context, remainingMs, retryTokens: pool.left },
       maxBodyBytes: row.maxBodyBytes,
+      ...collecting,
     },
   ]);
 }
 
-function refuseServed(
+/** Ends an attempt that did not run. */
+export function refuseServed(
   state: NodeState,
   attemptId: string,
   answer: OwnAnswer,
@@ -395,7 +449,7 @@
 }
 
 /** Ends an attempt with an answer of the node's own. */
-function settleServed(
+export function settleServed(
   state: NodeState,
   attemptId: string,
   answer: OwnAnswer,
@@ -428,7 +482,9 @@
   const key: TimerKey = { owner: "served", id: attemptId };
   const served = deleteEntry(state.served, attemptId);
   const isQueued = call.phase === "queued";
-  const as = isQueued ? "refused" : "ended";
+  // A claim that is still asked for has not reached the backend server.
+  const isUnsent = isQueued || isClaiming(state, attemptId);
+  const as = isUnsent ? "refused" : "ended";
   const settled = rememberSettled(
     state.settled,
     { attemptId, as },
@@ -438,7 +494,11 @@
   const event: AdmissionEvent = isQueued
     ? { type: "RequestWithdrawn", attemptId }
     : { type: "RequestFinished", attemptId, result };
-  const step = stepAdmission({ ...state, served, settled }, event, deps);
+  const ended = endClaim({ ...state, served, settled }, attemptId);
+  const step = chainReduction(
+    ended,
+    (next) => stepAdmission(next, event, deps),
+  );
   const stopped = appendEffects(step, { type: "StopTimer", key });
   return chainReduction(
     stopped,
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -1,5 +1,5 @@
 /** The listeners of a node: HTTP in, events out, effects carried out. */
-import { randomBytes } from "node:crypto";
+import { createHash, randomBytes } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
@@ -7,13 +7,18 @@
   decodeMessage,
   encodeMessage,
 } from "../../../base/node/message_codec.ts";
-import { PEER_PATH } from "../../peer/common/peer_messages.ts";
+import { isKnownMessage, PEER_PATH } from "../../peer/common/peer_messages.ts";
 import type {
   PeerMessage,
   PeerReply,
 } from "../../peer/common/peer_messages.ts";
 import { CONTEXT_HEADER } from "../common/call_context.ts";
-import type { Listener, NodeEffect, NodeEvent } from "../common/call_events.ts";
+import type {
+  CallReceived,
+  Listener,
+  NodeEffect,
+  NodeEvent,
+} from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { readPath, writeAnswer } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
@@ -34,6 +39,7 @@
     | "AbortAttempt"
     | "DiscardAnswer"
     | "DropConnections"
+    | "ProvideAnswer"
     | "RelayAnswer"
     | "DropExchange"
     | "AnswerPeer";
@@ -53,7 +59,7 @@
   readonly #idPrefix = randomBytes(6).toString("hex");
   readonly #servers: Server[] = [];
   #nextId = 0;
-  readonly #asks = new Map<number, ServerResponse>();
+  readonly #asks = new Map<number, (reply: PeerReply) => void>();
   #nextAsk = 0;
 
   constructor(options: CallServerOptions) {
@@ -91,6 +97,10 @@
       this.#sender.dropConnections(effect.address);
       return;
     }
+    if (effect.type === "ProvideAnswer") {
+      this.#sender.provide(effect.attemptId, effect.answer);
+      return;
+    }
     if (effect.type === "AnswerPeer") {
       this.#answerPeer(effect.askId, effect.reply);
       return;
@@ -126,6 +136,7 @@
           | "AbortAttempt"
           | "DiscardAnswer"
           | "DropConnections"
+          | "ProvideAnswer"
           | "AnswerPeer";
       }
     >,
@@ -174,21 +185,33 @@
     }
     collectBody(request, bodyBytes, (body) => {
       const message = decodeMessage<PeerMessage>(body);
-      if (message === undefined) {
+      if (message === undefined || !isKnownMessage(message)) {
         response.writeHead(400).end();
         return;
       }
       const askId = this.#nextAsk++;
-      this.#asks.set(askId, response);
+      this.#asks.set(askId, (reply) => {
+        const bytes = encodeMessage(reply);
+        response.writeHead(200, { "content-length": bytes.length }).end(bytes);
+      });
       response.on("close", () => this.#asks.delete(askId));
       this.#options.dispatch({ type: "PeerAsked", askId, message });
     });
   }
 
+  /** Asks this node itself, without a connection. */
+  ask(message: PeerMessage): Promise<PeerReply> {
+    const askId = this.#nextAsk++;
+    return new Promise((resolve) => {
+      this.#asks.set(askId, resolve);
+      this.#options.dispatch({ type: "PeerAsked", askId, message });
+    });
+  }
+
   #answerPeer(askId: number, reply: PeerReply): void {
-    const response = this.#asks.get(askId);
-    const body = encodeMessage(reply);
-    response?.writeHead(200, { "content-length": body.length }).end(body);
+    const answer = this.#asks.get(askId);
+    this.#asks.delete(askId);
+    answer?.(reply);
   }
 
   #accept(
@@ -215,6 +238,7 @@
       bodyBytes,
       isReplayable: body !== undefined,
       admissionKey: listener === "edge" ? readAdmissionKey(request) : undefined,
+      ...readRequestKey(request, body),
     });
   }
 }
@@ -229,6 +253,21 @@
   return typeof key === "string" ? key : `${remoteAddress}:${remotePort}`;
 }
 
+/** The digest is of the length alone where the body isn't held whole. */
+function readRequestKey(
+  request: IncomingMessage,
+  body: Uint8Array | undefined,
+): Pick<CallReceived, "requestKey"> {
+  const key = request.headers["idempotency-key"];
+  if (typeof key !== "string" || key === "") {
+    return {};
+  }
+  const digest = createHash("sha256");
+  digest.update(`${request.method} ${request.url}\n`);
+  digest.update(body ?? `${request.headers["content-length"]}`);
+  return { requestKey: { key, fingerprint: digest.digest("base64url") } };
+}
+
 /** Content-Length; 0 without a body, undefined for a chunked one. */
 function readBodyBytes(request: IncomingMessage): number | undefined {
   if (request.headers["transfer-encoding"] !== undefined) {
--- a/src/platform/call/test/entry_retry_test.ts
+++ b/src/platform/call/test/entry_retry_test.ts
@@ -194,7 +194,7 @@
     node.call("late");
     node.step({ type: "Ticked" }, 400);
     const asked = node.effects.flatMap((effect) =>
-      effect.type === "AskPeer"
+      effect.type === "AskPeer" && effect.message.type === "FenceAttempts"
         ? effect.message.attempts.map(({ attemptId }) => [
           attemptId,
           effect.address,
@@ -303,7 +303,11 @@
       attempts: [{ attemptId, ageMs: 100 }],
     } as const;
     node.step({ type: "PeerAsked", askId: 1, message }, 10_000);
-    return node.find("AnswerPeer")!.reply.found[0]!;
+    const { reply } = node.find("AnswerPeer")!;
+    if (reply.type !== "AttemptsFound") {
+      throw new Error(`Unexpected reply ${reply.type}`);
+    }
+    return reply.found[0]!;
   }
 
   it("never runs an attempt that it has fenced", () => {
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -1,9 +1,15 @@
 /** Messages between nodes beside the calls: msgpack over HTTP, one answer each. */
 
+import type {
+  ClaimMessage,
+  ClaimReply,
+} from "../../claims/common/claim_messages.ts";
+
 /** What one node asks another. */
 export type PeerMessage =
+  | ClaimMessage
   /** What became of attempts? One that was never seen can't run later. */
-  {
+  | {
     readonly type: "FenceAttempts";
     /** Of the node that the attempts were sent to. */
     readonly incarnation: number;
@@ -19,8 +25,9 @@
 
 /** The answer. */
 export type PeerReply =
+  | ClaimReply
   /** What was found of each attempt, in the order of the question. */
-  {
+  | {
     readonly type: "AttemptsFound";
     readonly found: readonly FoundAttempt[];
   };
@@ -43,5 +50,19 @@
   | "blocked"
   | "ended";
 
+const MESSAGE_TYPES: Readonly<Record<PeerMessage["type"], true>> = {
+  FenceAttempts: true,
+  ClaimKey: true,
+  ReleaseClaim: true,
+  RecordOutcome: true,
+  CheckClaim: true,
+  SealEpoch: true,
+};
+
+/** Whether a message is of a type that this version knows. */
+export function isKnownMessage(message: { readonly type: string }): boolean {
+  return Object.hasOwn(MESSAGE_TYPES, message.type);
+}
+
 /** Path of these messages on the ingress listener. */
 export const PEER_PATH = "/.basilpin/peer";
