--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -36,18 +36,20 @@
 } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
 import { admitAttempt } from "./served_reducer.ts";
+import { noteService } from "./subscription_step.ts";
 import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
 
 /** Status of a node whose backend server did not answer. */
 const LOST_STATUS = 502;
 /** Chooses a backend server for the call and sends an attempt. */
 export function tryAttempt(
-  state: NodeState,
+  before: NodeState,
   exchangeId: string,
   nowMs: number,
 ): NodeStep {
-  const call = state.entries.get(exchangeId)!;
+  const call = before.entries.get(exchangeId)!;
   const { service } = call.row;
+  const state = noteService(before, service, nowMs);
   if (call.deadlineMs <= nowMs) {
     return expireEntry(state, exchangeId, nowMs);
   }
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -32,6 +32,7 @@
   updateServed,
 } from "./served_reducer.ts";
 import type { NodeStep } from "./served_reducer.ts";
+import { dropDisused } from "./subscription_step.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
 export function reduceNode(
@@ -69,8 +70,11 @@
       return startDrain(state);
     case "Ticked":
       return chainReduction(
-        updateServed(state, deps),
-        (next) => watchAttempts(next, nowMs),
+        chainReduction(
+          updateServed(state, deps),
+          (s) => watchAttempts(s, nowMs),
+        ),
+        (s) => dropDisused(s, nowMs),
       );
     case "PeerAsked":
       return answerPeer(state, event, nowMs);
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -2,6 +2,8 @@
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
 import type { AdmissionState } from "../../admission/common/admission_types.ts";
 import type { LevelView } from "../../admission/common/level_view.ts";
+import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
+import type { Subscriptions } from "../../link/common/subscriptions.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
 import type { RetryBudget } from "../../retry/common/retry_budget.ts";
@@ -97,6 +99,8 @@
   readonly settled: SettledAttempts;
   readonly retryBudget: RetryBudget;
   readonly routing: RoutingState;
+  /** Services that are called, and so subscribed to. */
+  readonly subscriptions: Subscriptions;
   readonly admission: AdmissionState;
   /** Admission levels that other nodes said on answers. */
   readonly levels: LevelView;
@@ -121,6 +125,7 @@
     settled: NO_SETTLED,
     retryBudget: EMPTY_BUDGET,
     routing: INITIAL_ROUTING,
+    subscriptions: new Map(),
     admission: createAdmission(self.slots),
     levels: new Map(),
     callees: new Map(),
