--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -44,15 +44,9 @@
       `Control replica ${report.id} (${report.dataCentre}): ` +
         `table version ${report.tableVersion}`,
     );
-    writeColumns(
-      ["REPLICA", "TABLE", "LAST HEARD", "STATE"],
-      report.replicas.map((replica) => [
-        replica.id,
-        String(replica.tableVersion),
-        formatAge(replica.lastHeardMs),
-        replica.isSilent ? "SILENT" : "heard",
-      ]),
-    );
+    if (report.replicas.length > 0) {
+      writeReplicas(report);
+    }
     writeColumns(
       [
         "NODE",
@@ -76,6 +70,18 @@
   });
 }
 
+function writeReplicas(report: StatusAnswer): void {
+  writeColumns(
+    ["REPLICA", "TABLE", "LAST HEARD", "STATE"],
+    report.replicas.map((replica) => [
+      replica.id,
+      String(replica.tableVersion),
+      formatAge(replica.lastHeardMs),
+      replica.isSilent ? "SILENT" : "heard",
+    ]),
+  );
+}
+
 function describeState(node: StatusAnswer["nodes"][number]): string {
   if (node.isSilent) {
     return "SILENT";
--- a/src/platform/membership/test/presence_test.ts
+++ b/src/platform/membership/test/presence_test.ts
@@ -53,6 +53,21 @@
       .to.deep.equal([]);
   });
 
+  it("keeps a node that another replica, no longer hearing it, removes", () => {
+    const replicas = new Replicas("a", "b");
+    replicas.pass(1_000);
+    replicas.announce("a", "n1", 1);
+    replicas.cuts.add("b>a");
+    replicas.announce("b", "n1", 2);
+    replicas.pass(LONG_MS, [["b", "n1"]]);
+    expect(replicas.list("a")).to.deep.equal([]);
+    expect(replicas.list("b")).to.deep.equal(["n1"]);
+    expect(replicas.published).to.not.deep.include({
+      at: "b",
+      told: "lost n1",
+    });
+  });
+
   it("takes no late word of an older link", () => {
     const replicas = new Replicas("a", "b");
     replicas.pass(1_000);
@@ -74,6 +89,18 @@
     expect(replicas.list("b")).to.deep.equal(["n1"]);
   });
 
+  it("fetches a change that was lost before the next one", () => {
+    const replicas = new Replicas("a", "b");
+    replicas.announce("a", "n1");
+    replicas.pass(1_000);
+    replicas.cut("a", "b");
+    replicas.announce("a", "n2");
+    replicas.cuts.clear();
+    replicas.announce("a", "n3");
+    replicas.pass(1_000);
+    expect(replicas.list("b")).to.deep.equal(["n1", "n2", "n3"]);
+  });
+
   it("hears of a replica through a third one", () => {
     const replicas = new Replicas("a", "b", "c");
     replicas.cut("a", "b");
@@ -104,9 +131,11 @@
     replicas.start("a");
     replicas.pass(3_000);
     expect(replicas.list("b")).to.deep.equal(["n1"]);
+    replicas.announce("a", "n2", 1);
+    expect(replicas.list("b")).to.deep.equal(["n1", "n2"]);
     replicas.announce("a", "n1", 2);
-    replicas.pass(LONG_MS, [["a", "n1"]]);
-    expect(replicas.list("b")).to.deep.equal(["n1"]);
+    replicas.pass(LONG_MS, [["a", "n1"], ["a", "n2"]]);
+    expect(replicas.list("b")).to.deep.equal(["n1", "n2"]);
     const lost = replicas.published.filter(({ told }) => told === "lost n1");
     expect(lost).to.deep.equal([]);
   });
@@ -127,7 +156,7 @@
     replicas.announce("a", "n1");
     replicas.announce("b", "n2");
     replicas.nowMs += 60_000;
-    replicas.pass(1_000, [["a", "n1"], ["b", "n2"]]);
+    replicas.pass(1_000);
     expect(replicas.list("a")).to.deep.equal(["n1", "n2"]);
   });
 
