Keep the warm-up's lists out of the windows of bench:capacity

It was the complete member list that each subscriber gets 15 s after a replica's start.

Change: the bench waits for the warm-up before its first window.

--- a/bench/capacity_control.ts
+++ b/bench/capacity_control.ts
@@ -6,6 +6,7 @@
 import type { StatusAnswer } from "../src/cli/commands/status.ts";
 import { formatRow } from "../src/platform/table/common/table_schema.ts";
 import type { Table } from "../src/platform/table/common/table_row.ts";
+import { WARM_UP_MS } from "../src/platform/membership/common/membership_state.ts";
 import { Fleet } from "../standin/fleet.ts";
 import type { FleetControl } from "../standin/fleet.ts";
 import { LightFleet } from "./light_fleet.ts";
@@ -56,7 +57,8 @@
     await fleet.run("--control", operator, "table", "apply", TABLE);
   }
   await waitMembers(controls, nodes);
-  await sleep(SETTLE_MS);
+  // The complete lists at the end of the warm-up belong to no window.
+  await sleep(WARM_UP_MS);
   const idle = await measureWindow(controls, light, () => sleep(IDLE_MS));
   const sentAtMs = new Map<number, number>();
   const edits = await measureWindow(
