--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -2,7 +2,6 @@
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
 import type { AdmissionState } from "../../admission/common/admission_types.ts";
 import type { LevelView } from "../../admission/common/level_view.ts";
-import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
 import type { Subscriptions } from "../../link/common/subscriptions.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
