--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -41,6 +41,7 @@
   takeHolderSets,
   tickServedClaims,
 } from "./served_claims.ts";
+import { dropDisused } from "./subscription_step.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
 export function reduceNode(
@@ -81,14 +82,7 @@
     case "HolderSetsReceived":
       return takeHolderSets(state, event.sets, deps);
     case "Ticked":
-      return chainReduction(
-        updateServed(state, deps),
-        (next) =>
-          chainReduction(
-            watchAttempts(next, nowMs),
-            (watched) => tickServedClaims(watched, deps),
-          ),
-      );
+      return tickNode(state, deps);
     case "PeerAsked":
       return answerPeer(state, event, nowMs);
     case "PeerReplied":
@@ -103,6 +97,17 @@
   }
 }
 
+/** What a node looks after as time passes. */
+function tickNode(state: NodeState, deps: ServedDeps): NodeStep {
+  const steps: readonly ((next: NodeState) => NodeStep)[] = [
+    (next) => updateServed(next, deps),
+    (next) => watchAttempts(next, deps.nowMs),
+    (next) => tickServedClaims(next, deps),
+    (next) => dropDisused(next, deps.nowMs),
+  ];
+  return steps.reduce<NodeStep>(chainReduction, createReduction(state));
+}
+
 function applyReply(
   state: NodeState,
   event: Extract<NodeEvent, { type: "PeerReplied" }>,
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -5,6 +5,7 @@
 import type { RequestKey } from "../../claims/common/claim_types.ts";
 import { INITIAL_NODE_CLAIMS } from "../../claims/common/node_claims.ts";
 import type { NodeClaims } from "../../claims/common/node_claims.ts";
+import type { Subscriptions } from "../../link/common/subscriptions.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
 import type { RetryBudget } from "../../retry/common/retry_budget.ts";
@@ -106,6 +107,8 @@
   readonly settled: SettledAttempts;
   readonly retryBudget: RetryBudget;
   readonly routing: RoutingState;
+  /** Services that are called, and so subscribed to. */
+  readonly subscriptions: Subscriptions;
   readonly admission: AdmissionState;
   /** Admission levels that other nodes said on answers. */
   readonly levels: LevelView;
@@ -131,6 +134,7 @@
     settled: NO_SETTLED,
     retryBudget: EMPTY_BUDGET,
     routing: INITIAL_ROUTING,
+    subscriptions: new Map(),
     admission: createAdmission(self.slots),
     levels: new Map(),
     callees: new Map(),
--- a/src/platform/control/common/holders.ts
+++ b/src/platform/control/common/holders.ts
@@ -13,19 +13,14 @@
   ServiceHolders,
 } from "../../claims/common/holder_set_reducer.ts";
 import type { NodeMessage } from "../../link/common/link_messages.ts";
-import { listMembers } from "../../membership/common/membership_reducer.ts";
+import { listMembers } from "../../membership/common/membership_state.ts";
 import type {
   ControlEffect,
   ControlEvent,
   ControlState,
   ControlStep,
-} from "./control_reducer.ts";
-
-/** The holder sets by service. */
-export type HoldersState = ReadonlyMap<string, ServiceHolders>;
-
-/** No service has been seen. */
-export const INITIAL_HOLDERS: HoldersState = new Map();
+  HoldersState,
+} from "./control_state.ts";
 
 /** What operators see of one service's holders. */
 export interface HolderReport {
