Exchange presence among control replicas and push table deltas

Cause: one replica held all leases and sent whole tables; a replica's death emptied its nodes' lists, and a second replica knew nothing of the first one's nodes. Ruled out: a lease renewal per node in the exchange (it grows with the fleet times the replicas) and presence in the log (it is soft state).

Change: each replica owns the nodes that it hears; changes go to the others as sequenced deltas, and a digest a second renews all nodes of an owner, carries the versions that they confirmed, is relayed by third replicas, and makes the receiver fetch what it misses. Process, link number and change decide which word of a node is newer. A replica that hears fewer than half of the others removes nobody. Tables go out as deltas from the version last sent; heartbeats repair. The link's choice of replica is a reducer with backoff and jitter. Services that aren't called for ten minutes are unsubscribed.

No cost measured yet.

--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,23 +1,16 @@
 /** `basilpin status`: nodes, control replicas, versions in force. */
 import type { Command } from "commander";
 import type { Result } from "neverthrow";
-import type { Announcement } from "../../platform/membership/common/announcement.ts";
+import type { ControlReport } from "../../platform/control/common/control_report.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
 import type { CommandContext } from "../command_context.ts";
 import { writeColumns, writeJson, writeLine } from "../output.ts";
 
-/** A node as a control replica reports it. */
-export interface NodeReport extends Announcement {
-  readonly tableVersion: number | null;
-}
-
-/** What a control replica reports. */
-export interface ControlReport {
+/** What a control replica answers. */
+export interface StatusAnswer extends ControlReport {
   readonly id: string;
   readonly dataCentre: string;
-  readonly tableVersion: number;
-  readonly nodes: readonly NodeReport[];
 }
 
 /** Adds the status command. */
@@ -33,9 +26,9 @@
 /** Fetches the report of the first replica that answers. */
 export async function fetchStatus(
   context: CommandContext,
-): Promise<Result<ControlReport, CliError>> {
+): Promise<Result<StatusAnswer, CliError>> {
   const reply = await context.client.ask({ method: "GET", path: "/status" });
-  return reply.map(({ body }) => body as ControlReport);
+  return reply.map(({ body }) => body as StatusAnswer);
 }
 
 async function showStatus(
@@ -52,14 +45,44 @@
         `table version ${report.tableVersion}`,
     );
     writeColumns(
-      ["NODE", "SERVICE", "DATA CENTRE", "TABLE", "STATE"],
+      ["REPLICA", "TABLE", "LAST HEARD", "STATE"],
+      report.replicas.map((replica) => [
+        replica.id,
+        String(replica.tableVersion),
+        formatAge(replica.lastHeardMs),
+        replica.isSilent ? "SILENT" : "heard",
+      ]),
+    );
+    writeColumns(
+      [
+        "NODE",
+        "SERVICE",
+        "DATA CENTRE",
+        "TABLE",
+        "HEARD BY",
+        "LAST HEARD",
+        "STATE",
+      ],
       report.nodes.map((node) => [
         node.nodeId,
         node.service,
         node.dataCentre,
         String(node.tableVersion ?? "-"),
-        node.isDraining ? "draining" : "serving",
+        node.heardBy,
+        formatAge(node.lastHeardMs),
+        describeState(node),
       ]),
     );
   });
 }
+
+function describeState(node: StatusAnswer["nodes"][number]): string {
+  if (node.isSilent) {
+    return "SILENT";
+  }
+  return node.isDraining ? "draining" : "serving";
+}
+
+function formatAge(ageMs: number): string {
+  return `${(ageMs / 1_000).toFixed(1)} s`;
+}
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -2,15 +2,20 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { EventLoop } from "../base/node/event_loop.ts";
 import { parseAddress } from "../base/node/listen.ts";
-import {
-  INITIAL_CONTROL,
-  reduceControl,
-} from "../platform/control/common/control_reducer.ts";
+import { reduceControl } from "../platform/control/common/control_reducer.ts";
+import { createControl } from "../platform/control/common/control_state.ts";
 import type {
   ControlEffect,
   ControlEvent,
   ControlState,
-} from "../platform/control/common/control_reducer.ts";
+} from "../platform/control/common/control_state.ts";
+import { createControlReport } from "../platform/control/common/control_report.ts";
+import { isPresenceMessage } from "../platform/link/common/link_messages.ts";
+import type {
+  InboundMessage,
+  OutboundMessage,
+} from "../platform/link/common/link_messages.ts";
+import { ReplicaLinks } from "../platform/link/node/replica_links.ts";
 import { LinkServer } from "../platform/link/node/link_server.ts";
 import type { EditOutcome } from "../platform/table/common/table_reducer.ts";
 import { parseEditBody } from "./edit_body.ts";
@@ -32,6 +37,7 @@
   readonly #telemetry: Telemetry;
   readonly #loop: EventLoop<ControlState, ControlEvent, ControlEffect>;
   readonly #links: LinkServer;
+  readonly #replicas: ReplicaLinks;
   readonly #operator: OperatorServer;
   readonly #edits = new Map<number, (outcome: EditOutcome) => void>();
   #nextEdit = 1;
@@ -40,12 +46,13 @@
     this.#settings = settings;
     this.#telemetry = this.#owned.use(new Telemetry(settings));
     this.#loop = new EventLoop({
-      initial: INITIAL_CONTROL,
+      initial: createControl(settings.id, Date.now()),
       reduce: reduceControl,
       readClock: Date.now,
       perform: (effect) => this.#perform(effect),
     });
     this.#links = this.#owned.use(this.#createLinks());
+    this.#replicas = this.#owned.use(this.#createReplicas());
     this.#operator = this.#owned.use(this.#createOperator());
     this.#telemetry.metrics.createGauge(
       "table_version",
@@ -63,6 +70,7 @@
   async open(): Promise<void> {
     await this.#links.open();
     await this.#operator.open();
+    this.#replicas.open();
     const tick = setInterval(
       () => this.#loop.dispatch({ type: "Ticked" }),
       TICK_MS,
@@ -84,6 +92,12 @@
       case "SendToLink":
         this.#links.send(effect.linkId, effect.message);
         return;
+      case "SendToReplicas":
+        this.#replicas.sendAll(effect.message);
+        return;
+      case "SendToReplica":
+        this.#replicas.send(effect.replica, effect.message);
+        return;
       case "AnswerEdit":
         this.#edits.get(effect.requestId)?.(effect.outcome);
         this.#edits.delete(effect.requestId);
@@ -97,16 +111,40 @@
   #createLinks(): LinkServer {
     return new LinkServer({
       address: parseAddress(this.#settings.listen.link)!,
-      onMessage: (linkId, message) => {
-        if (message.type === "Heartbeat") {
-          this.#telemetry.timeline.observeClock(message.clock);
-        }
-        this.#loop.dispatch({ type: "NodeMessageReceived", linkId, message });
-      },
+      onMessage: (linkId, message) => this.#receive(linkId, message),
       onClose: (linkId) => this.#loop.dispatch({ type: "LinkClosed", linkId }),
     });
   }
 
+  #receive(linkId: number, message: InboundMessage): void {
+    if (isPresenceMessage(message)) {
+      const channel = { type: "Accepted", linkId } as const;
+      this.#loop.dispatch({ type: "PresenceReceived", channel, message });
+      return;
+    }
+    if (message.type === "Heartbeat") {
+      this.#telemetry.timeline.observeClock(message.clock);
+    }
+    this.#loop.dispatch({ type: "NodeMessageReceived", linkId, message });
+  }
+
+  #createReplicas(): ReplicaLinks {
+    return new ReplicaLinks({
+      id: this.#settings.id,
+      replicas: this.#settings.presence_peers,
+      onMessage: (message, replica) => this.#receiveReply(message, replica),
+    });
+  }
+
+  #receiveReply(message: OutboundMessage, replica: string): void {
+    if (message.type === "HeartbeatAnswer") {
+      this.#telemetry.timeline.observeClock(message.clock);
+    } else if (isPresenceMessage(message)) {
+      const channel = { type: "Dialled", replica } as const;
+      this.#loop.dispatch({ type: "PresenceReceived", channel, message });
+    }
+  }
+
   #createOperator(): OperatorServer {
     const { timeline, metrics } = this.#telemetry;
     const routes = new Map<string, OperatorRoute>([
@@ -168,20 +206,11 @@
   }
 
   #createStatus() {
-    const { tableState, membership, links } = this.#loop.state;
-    const versions = new Map(
-      [...links.values()].map((link) => [link.nodeId, link.tableVersion]),
-    );
-    const nodes = [...membership.members.values()].map((member) => ({
-      ...member.announcement,
-      tableVersion: versions.get(member.announcement.nodeId) ?? null,
-    }));
     return {
       role: "control",
       id: this.#settings.id,
       dataCentre: this.#settings.data_centre,
-      tableVersion: tableState.table.version,
-      nodes,
+      ...createControlReport(this.#loop.state, Date.now()),
     };
   }
 }
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -11,9 +11,14 @@
 import { createNodeState, isIdle } from "../platform/call/common/node_state.ts";
 import type { NodeState } from "../platform/call/common/node_state.ts";
 import { CallServer } from "../platform/call/node/call_server.ts";
-import type { ControlMessage } from "../platform/link/common/link_messages.ts";
+import type {
+  ControlMessage,
+  NodeMessage,
+} from "../platform/link/common/link_messages.ts";
+import { readControlMessage } from "../platform/link/common/node_inbox.ts";
 import { LinkClient } from "../platform/link/node/link_client.ts";
 import type { Announcement } from "../platform/membership/common/announcement.ts";
+import { isServiceKnown } from "../platform/routing/common/routing_reducer.ts";
 import { PeerClient } from "../platform/peer/node/peer_client.ts";
 import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
 import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
@@ -34,12 +39,12 @@
   readonly #telemetry: Telemetry;
   readonly #loop: EventLoop<NodeState, NodeEvent, NodeEffect>;
   readonly #calls: CallServer;
-  readonly #link: LinkClient;
+  readonly #link: LinkClient<ControlMessage, NodeMessage>;
   readonly #timers: TimerSet;
   readonly #peers: PeerClient;
   readonly #operator: OperatorServer;
-  readonly #services = new Set<string>();
   #replica: string | undefined;
+  #linkNumber = 0;
 
   constructor(settings: NodeSettings) {
     this.#settings = settings;
@@ -103,14 +108,13 @@
         this.#timers.stop(effect.key);
         return;
       case "SubscribeService":
-        this.#services.add(effect.service);
         this.#link.send({ type: "Subscribe", service: effect.service });
         return;
+      case "UnsubscribeService":
+        this.#link.send({ type: "Unsubscribe", service: effect.service });
+        return;
       case "SendAnnouncement":
-        this.#link.send({
-          type: "Announce",
-          announcement: effect.announcement,
-        });
+        this.#announce(effect.announcement);
         return;
       case "AskPeer":
         this.#askPeer(effect);
@@ -167,14 +171,21 @@
     });
   }
 
-  #createLink(): LinkClient {
-    return new LinkClient({
+  #createLink(): LinkClient<ControlMessage, NodeMessage> {
+    return new LinkClient<ControlMessage, NodeMessage>({
+      id: this.#settings.id,
       replicas: this.#settings.control.replicas,
       onMessage: (message) => this.#receive(message),
-      onOpen: (replica) => this.#announce(replica),
+      onOpen: (replica, linkNumber) => {
+        this.#replica = replica;
+        this.#linkNumber = linkNumber;
+        this.#introduce();
+      },
       onClose: () => {
         this.#replica = undefined;
       },
+      readConfirmed: (message) =>
+        "isConfirmed" in message ? message.isConfirmed : undefined,
       createHeartbeat: () => this.#createHeartbeat(),
     });
   }
@@ -187,37 +198,39 @@
     } as const;
   }
 
-  #announce(replica: string): void {
-    this.#replica = replica;
-    const announcement = this.#loop.state.self;
-    this.#link.send({ type: "Announce", announcement });
-    for (const service of this.#services) {
+  /** Tells a replica that is newly linked all that it has to know. */
+  #introduce(): void {
+    const { self, subscriptions } = this.#loop.state;
+    this.#announce(self);
+    for (const service of subscriptions.keys()) {
       this.#link.send({ type: "Subscribe", service });
     }
   }
 
+  #announce(announcement: Announcement): void {
+    this.#link.send({
+      type: "Announce",
+      announcement,
+      linkNumber: this.#linkNumber,
+      tableVersion: this.#loop.state.table.version,
+    });
+  }
+
   #receive(message: ControlMessage): void {
-    switch (message.type) {
-      case "TableUpdate": {
-        const { table, isConfirmed } = message;
-        this.#loop.dispatch({ type: "TableReceived", table, isConfirmed });
-        return;
-      }
-      case "MemberList":
-        this.#loop.dispatch({ ...message, type: "MembersListed" });
-        return;
-      case "MemberUpdate":
-        this.#loop.dispatch({ ...message, type: "MemberPublished" });
-        return;
-      case "MemberLoss":
-        this.#loop.dispatch({ ...message, type: "MemberLost" });
-        return;
-      case "DrainOrder":
-        this.#loop.dispatch({ type: "DrainRequested" });
-        return;
-      case "HeartbeatAnswer":
-        this.#telemetry.timeline.observeClock(message.clock);
-        return;
+    if (message.type === "HeartbeatAnswer") {
+      this.#telemetry.timeline.observeClock(message.clock);
+      return;
+    }
+    const { state } = this.#loop;
+    const { events, reply } = readControlMessage(message, {
+      table: state.table,
+      isServiceKnown: (service) => isServiceKnown(state.routing, service),
+    });
+    for (const event of events) {
+      this.#loop.dispatch(event);
+    }
+    if (reply !== undefined) {
+      this.#link.send(reply);
     }
   }
 
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -87,6 +87,7 @@
     v.minLength(1, "a folder"),
   ),
   listen: v.strictObject({ link: ADDRESS, operator: ADDRESS }),
+  presence_peers: v.optional(v.array(ADDRESS, "a list of host:port"), []),
   security: SECURITY,
   log: LOG,
 });
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -137,6 +137,7 @@
   }
   | { readonly type: "StopTimer"; readonly key: TimerKey }
   | { readonly type: "SubscribeService"; readonly service: string }
+  | { readonly type: "UnsubscribeService"; readonly service: string }
   | { readonly type: "SendAnnouncement"; readonly announcement: Announcement }
   | {
     readonly type: "AnswerPeer";
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -24,18 +24,20 @@
   stepRouting,
 } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
+import { noteService } from "./subscription_step.ts";
 import { admitAttempt, cancelServed } from "./served_reducer.ts";
 import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
 
 const NO_BACKEND_RETRY_MS = 1_000;
 
 export function tryAttempt(
-  state: NodeState,
+  before: NodeState,
   exchangeId: string,
   nowMs: number,
 ): NodeStep {
-  const call = state.entries.get(exchangeId)!;
+  const call = before.entries.get(exchangeId)!;
   const { service } = call.row;
+  const state = noteService(before, service, nowMs);
   if (call.deadlineMs <= nowMs) {
     return expireEntry(state, exchangeId, nowMs);
   }
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -32,6 +32,7 @@
   receiveIngress,
 } from "./served_reducer.ts";
 import type { NodeStep } from "./served_reducer.ts";
+import { dropDisused } from "./subscription_step.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
 export function reduceNode(
@@ -64,7 +65,7 @@
     case "DrainRequested":
       return startDrain(state);
     case "Ticked":
-      return createReduction(state);
+      return dropDisused(state, nowMs);
     case "PeerAsked":
       return answerPeer(state, event.askId, event.message);
     case "PeerReplied":
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -1,6 +1,7 @@
 /** The state of a node: its calls, and the areas that decide on them. */
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
 import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
+import type { Subscriptions } from "../../link/common/subscriptions.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
 import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
@@ -70,6 +71,8 @@
   /** Attempt ids that ended or were fenced here, oldest first. */
   readonly settled: ReadonlyMap<string, "ended" | "fenced">;
   readonly routing: RoutingState;
+  /** Services that are called, and so subscribed to. */
+  readonly subscriptions: Subscriptions;
   readonly admission: AdmissionState;
 }
 
@@ -88,6 +91,7 @@
     served: new Map(),
     settled: new Map(),
     routing: INITIAL_ROUTING,
+    subscriptions: new Map(),
     admission: createAdmission(self.slots),
   };
 }
--- /dev/null
+++ b/src/platform/control/common/control_state.ts
@@ -0,0 +1,140 @@
+/** The state of a control replica, its events and its effects. */
+import { setEntry } from "../../../base/common/maps.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import type {
+  NodeMessage,
+  OutboundMessage,
+} from "../../link/common/link_messages.ts";
+import { createMembership } from "../../membership/common/membership_state.ts";
+import type { MembershipState } from "../../membership/common/membership_state.ts";
+import type {
+  PresenceChannel,
+  PresenceMessage,
+} from "../../membership/common/presence_messages.ts";
+import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
+import type {
+  EditOutcome,
+  TableEdit,
+  TableState,
+} from "../../table/common/table_reducer.ts";
+import type { Table } from "../../table/common/table_row.ts";
+import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+
+/** One node's link to this replica. */
+export interface Link {
+  readonly nodeId: string | undefined;
+  readonly services: readonly string[];
+  /** Version that the node confirmed to be in force. */
+  readonly tableVersion: number;
+  /** Version that was sent last; the node may not have it yet. */
+  readonly sentVersion: number;
+  /** Wall clock in milliseconds. */
+  readonly sentAtMs: number;
+}
+
+/** All that a control replica knows. */
+export interface ControlState {
+  readonly tableState: TableState;
+  /** Whether a quorum vouched for the table. */
+  readonly isTableConfirmed: boolean;
+  /** Earlier tables that deltas start from, oldest first. */
+  readonly recentTables: readonly Table[];
+  readonly membership: MembershipState;
+  /** Whether subscribers were sent complete lists since the start. */
+  readonly isWarm: boolean;
+  readonly links: ReadonlyMap<number, Link>;
+}
+
+/** What happens at a control replica. */
+export type ControlEvent =
+  | {
+    readonly type: "NodeMessageReceived";
+    readonly linkId: number;
+    readonly message: NodeMessage;
+  }
+  | {
+    readonly type: "PresenceReceived";
+    readonly channel: PresenceChannel;
+    readonly message: PresenceMessage;
+  }
+  | { readonly type: "LinkClosed"; readonly linkId: number }
+  | {
+    readonly type: "EditRequested";
+    readonly requestId: number;
+    readonly edit: TableEdit;
+  }
+  | { readonly type: "DrainOrdered"; readonly nodeId: string }
+  | { readonly type: "Ticked" };
+
+/** What a control replica does about it. */
+export type ControlEffect =
+  | {
+    readonly type: "SendToLink";
+    readonly linkId: number;
+    readonly message: OutboundMessage;
+  }
+  /** To every other replica that is linked. */
+  | { readonly type: "SendToReplicas"; readonly message: PresenceMessage }
+  | {
+    readonly type: "SendToReplica";
+    readonly replica: string;
+    readonly message: PresenceMessage;
+  }
+  | {
+    readonly type: "AnswerEdit";
+    readonly requestId: number;
+    readonly outcome: EditOutcome;
+  }
+  | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
+
+/** A step of a control replica. */
+export type ControlStep = Reduction<ControlState, ControlEffect>;
+
+/** A link that said nothing yet. */
+export const NEW_LINK: Link = {
+  nodeId: undefined,
+  services: [],
+  tableVersion: 0,
+  sentVersion: 0,
+  sentAtMs: 0,
+};
+
+/** Creates a replica that knows nothing yet. */
+export function createControl(replicaId: string, nowMs: number): ControlState {
+  return {
+    tableState: INITIAL_TABLE_STATE,
+    isTableConfirmed: true,
+    recentTables: [],
+    membership: createMembership(replicaId, nowMs),
+    isWarm: false,
+    links: new Map(),
+  };
+}
+
+/** Changes what is known of a link. */
+export function updateLink(
+  state: ControlState,
+  linkId: number,
+  change: Partial<Link>,
+): ControlState {
+  const link = { ...(state.links.get(linkId) ?? NEW_LINK), ...change };
+  return { ...state, links: setEntry(state.links, linkId, link) };
+}
+
+/** Finds links by what is known of them. */
+export function findLinks(
+  state: ControlState,
+  isWanted: (link: Link) => boolean,
+): readonly number[] {
+  return [...state.links]
+    .filter(([, link]) => isWanted(link))
+    .map(([linkId]) => linkId);
+}
+
+/** Creates the effect that sends on a link. */
+export function createSend(
+  linkId: number,
+  message: OutboundMessage,
+): ControlEffect {
+  return { type: "SendToLink", linkId, message };
+}
--- a/src/platform/link/common/link_messages.ts
+++ b/src/platform/link/common/link_messages.ts
@@ -1,19 +1,33 @@
 /** Messages between nodes and control replicas, sent as msgpack over ws. */
 import type { Announcement } from "../../membership/common/announcement.ts";
+import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
+import type { TableDelta } from "../../table/common/table_delta.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { HybridTime } from "../../telemetry/common/timeline_event.ts";
 
 /** What a node says to its control replica. */
 export type NodeMessage =
-  | { readonly type: "Announce"; readonly announcement: Announcement }
+  | {
+    readonly type: "Announce";
+    readonly announcement: Announcement;
+    /** Counts the links that this process opened. */
+    readonly linkNumber: number;
+    readonly tableVersion: number;
+  }
   | { readonly type: "Subscribe"; readonly service: string }
+  | { readonly type: "Unsubscribe"; readonly service: string }
   | {
     readonly type: "Heartbeat";
     readonly tableVersion: number;
     readonly clock: HybridTime;
   }
+  /** A delta didn't fit the version that the node is at. */
+  | { readonly type: "TableFetch"; readonly tableVersion: number }
   | { readonly type: "Leave" };
 
+/** What arrives on a control replica's listener. */
+export type InboundMessage = NodeMessage | PresenceMessage;
+
 /** What a control replica says to a node. */
 export type ControlMessage =
   | {
@@ -22,10 +36,17 @@
     /** Whether the replica has proved that it is current. */
     readonly isConfirmed: boolean;
   }
+  | {
+    readonly type: "TableChange";
+    readonly delta: TableDelta;
+    readonly isConfirmed: boolean;
+  }
   | {
     readonly type: "MemberList";
     readonly service: string;
     readonly members: readonly Announcement[];
+    /** Whether who isn't listed is no member. */
+    readonly isComplete: boolean;
   }
   | { readonly type: "MemberUpdate"; readonly announcement: Announcement }
   | {
@@ -34,9 +55,32 @@
     readonly nodeId: string;
   }
   | { readonly type: "DrainOrder" }
-  | { readonly type: "HeartbeatAnswer"; readonly clock: HybridTime };
+  | {
+    readonly type: "HeartbeatAnswer";
+    readonly clock: HybridTime;
+    readonly isConfirmed: boolean;
+  };
+
+/** What a control replica sends on the links that it accepted. */
+export type OutboundMessage = ControlMessage | PresenceMessage;
 
 /** How often a node says that it lives. */
 export const HEARTBEAT_MS = 1_000;
 /** Silence after which the other end is given up. */
 export const LINK_SILENCE_MS = 3_500;
+
+/** Whether a message is one that replicas exchange. */
+export function isPresenceMessage(
+  message: InboundMessage | OutboundMessage,
+): message is PresenceMessage {
+  switch (message.type) {
+    case "PresenceDelta":
+    case "PresenceList":
+    case "PresenceDigest":
+    case "PresenceFetch":
+    case "DrainRelay":
+      return true;
+    default:
+      return false;
+  }
+}
--- /dev/null
+++ b/src/platform/link/common/link_reducer.ts
@@ -0,0 +1,226 @@
+/** Which control replica a process holds its link to, and when it changes. */
+import { hashText } from "../../../base/common/hash.ts";
+import { createReduction } from "../../../base/common/reduction.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import { LINK_SILENCE_MS } from "./link_messages.ts";
+
+/** The one link of a process. Times are wall clocks in milliseconds. */
+export interface LinkState {
+  /** Seeds the jitter. */
+  readonly id: string;
+  /** `host:port`, nearest first. */
+  readonly replicas: readonly string[];
+  readonly index: number;
+  /** Counts the links that were opened; names the present one. */
+  readonly linkNumber: number;
+  readonly phase: "waiting" | "connecting" | "open";
+  /** When the next link is opened, while waiting. */
+  readonly openAtMs: number;
+  readonly heardMs: number;
+  readonly openedAtMs: number;
+  /** Links that failed since one worked. */
+  readonly failures: number;
+  readonly unconfirmedSinceMs: number | undefined;
+  /** Replicas left in a row for want of a quorum. */
+  readonly unconfirmedCount: number;
+  /** When the nearest replica is tried again, from `openedAtMs` on. */
+  readonly returnAfterMs: number;
+}
+
+/** What happens to the link. */
+export type LinkEvent =
+  | { readonly type: "LinkOpened"; readonly linkNumber: number }
+  | { readonly type: "LinkClosed"; readonly linkNumber: number }
+  | {
+    readonly type: "MessageReceived";
+    readonly linkNumber: number;
+    /** What the replica said of itself, if anything. */
+    readonly isConfirmed: boolean | undefined;
+  }
+  | { readonly type: "Ticked" };
+
+/** What is done about it. */
+export type LinkEffect =
+  | {
+    readonly type: "OpenLink";
+    readonly replica: string;
+    readonly linkNumber: number;
+  }
+  | { readonly type: "CloseLink"; readonly linkNumber: number };
+
+/** A step of the link. */
+export type LinkStep = Reduction<LinkState, LinkEffect>;
+
+/** Longest time that opening a link may take. */
+export const CONNECT_MS = 1_500;
+/** First backoff, in milliseconds; doubled with each round. */
+export const FIRST_BACKOFF_MS = 250;
+/** Longest backoff, in milliseconds. */
+export const MAX_BACKOFF_MS = 5_000;
+/** How long a replica without a quorum is kept at first. */
+export const UNCONFIRMED_MS = 5_000;
+/** When a process goes back to its nearest replica, at the least. */
+export const RETURN_MS = 60_000;
+const MAX_RETURN_MS = 960_000;
+const MAX_DOUBLINGS = 6;
+
+/** Creates a link that opens at the first tick. */
+export function createLink(
+  id: string,
+  replicas: readonly string[],
+): LinkState {
+  return {
+    id,
+    replicas,
+    index: 0,
+    linkNumber: 0,
+    phase: "waiting",
+    openAtMs: 0,
+    heardMs: 0,
+    openedAtMs: 0,
+    failures: 0,
+    unconfirmedSinceMs: undefined,
+    unconfirmedCount: 0,
+    returnAfterMs: RETURN_MS,
+  };
+}
+
+/** Steps the link. */
+export function reduceLink(
+  state: LinkState,
+  event: LinkEvent,
+  nowMs: number,
+): LinkStep {
+  if (event.type === "Ticked") {
+    return tick(state, nowMs);
+  }
+  if (event.linkNumber !== state.linkNumber || state.phase === "waiting") {
+    return createReduction(state);
+  }
+  switch (event.type) {
+    case "LinkOpened":
+      return createReduction({
+        ...state,
+        phase: "open",
+        heardMs: nowMs,
+        openedAtMs: nowMs,
+        unconfirmedSinceMs: undefined,
+      });
+    case "LinkClosed":
+      return createReduction(failLink(state, nowMs));
+    case "MessageReceived":
+      return createReduction(noteMessage(state, event.isConfirmed, nowMs));
+  }
+}
+
+function tick(state: LinkState, nowMs: number): LinkStep {
+  switch (state.phase) {
+    case "waiting":
+      return nowMs < state.openAtMs
+        ? createReduction(state)
+        : openLink(state, nowMs);
+    case "connecting":
+      return nowMs - state.heardMs > CONNECT_MS
+        ? closeLink(state, failLink(state, nowMs))
+        : createReduction(state);
+    case "open":
+      return checkOpen(state, nowMs);
+  }
+}
+
+function checkOpen(state: LinkState, nowMs: number): LinkStep {
+  if (nowMs - state.heardMs > LINK_SILENCE_MS) {
+    return closeLink(state, failLink(state, nowMs));
+  }
+  const { unconfirmedSinceMs, unconfirmedCount, replicas } = state;
+  const patienceMs = UNCONFIRMED_MS *
+    2 ** Math.min(unconfirmedCount, MAX_DOUBLINGS);
+  const isUnconfirmed = unconfirmedSinceMs !== undefined &&
+    nowMs - unconfirmedSinceMs > patienceMs;
+  if (isUnconfirmed && replicas.length > 1) {
+    const index = (state.index + 1) % replicas.length;
+    return closeLink(state, {
+      ...waitLink(state, index, nowMs),
+      unconfirmedCount: unconfirmedCount + 1,
+    });
+  }
+  const isReturnDue = state.index > 0 && unconfirmedCount === 0 &&
+    nowMs - state.openedAtMs > state.returnAfterMs * (1 + computeJitter(state));
+  if (!isReturnDue) {
+    return createReduction(state);
+  }
+  const returnAfterMs = Math.min(MAX_RETURN_MS, state.returnAfterMs * 2);
+  return closeLink(state, { ...waitLink(state, 0, nowMs), returnAfterMs });
+}
+
+function openLink(state: LinkState, nowMs: number): LinkStep {
+  const linkNumber = state.linkNumber + 1;
+  const replica = state.replicas[state.index]!;
+  const next: LinkState = {
+    ...state,
+    linkNumber,
+    phase: "connecting",
+    heardMs: nowMs,
+  };
+  return createReduction(next, [{ type: "OpenLink", replica, linkNumber }]);
+}
+
+function closeLink(before: LinkState, next: LinkState): LinkStep {
+  const { linkNumber } = before;
+  return createReduction(next, [{ type: "CloseLink", linkNumber }]);
+}
+
+function noteMessage(
+  state: LinkState,
+  isConfirmed: boolean | undefined,
+  nowMs: number,
+): LinkState {
+  const heard: LinkState = {
+    ...state,
+    heardMs: nowMs,
+    failures: 0,
+    returnAfterMs: state.index === 0 ? RETURN_MS : state.returnAfterMs,
+  };
+  switch (isConfirmed) {
+    case undefined:
+      return heard;
+    case true:
+      return { ...heard, unconfirmedSinceMs: undefined, unconfirmedCount: 0 };
+    case false: {
+      const unconfirmedSinceMs = state.unconfirmedSinceMs ?? nowMs;
+      return { ...heard, unconfirmedSinceMs };
+    }
+  }
+}
+
+/** A link that worked is replaced by the nearest other one. */
+function failLink(state: LinkState, nowMs: number): LinkState {
+  const { replicas, index, failures } = state;
+  const isWorking = state.phase === "open" && failures === 0;
+  const nearest = index === 0 ? 1 : 0;
+  const next = isWorking ? nearest : index + 1;
+  const failed = { ...state, failures: failures + 1 };
+  return waitLink(failed, next % replicas.length, nowMs);
+}
+
+/** Waits with a backoff that grows with each round over all replicas. */
+function waitLink(state: LinkState, index: number, nowMs: number): LinkState {
+  const round = Math.floor(state.failures / state.replicas.length);
+  const backoffMs = Math.min(
+    MAX_BACKOFF_MS,
+    FIRST_BACKOFF_MS * 2 ** Math.min(round, MAX_DOUBLINGS),
+  );
+  const delayMs = backoffMs * (1 + computeJitter(state)) / 2;
+  return {
+    ...state,
+    index,
+    phase: "waiting",
+    openAtMs: nowMs + delayMs,
+    unconfirmedSinceMs: undefined,
+  };
+}
+
+/** From 0 to 1; differs between processes and between links. */
+function computeJitter(state: LinkState): number {
+  return hashText(`${state.id}/${state.linkNumber}`) / 2 ** 32;
+}
--- a/src/platform/link/node/link_client.ts
+++ b/src/platform/link/node/link_client.ts
@@ -1,63 +1,84 @@
-/** The node's end of its one link to a control replica. */
+/** One link to a control replica: the socket that the link reducer asks for. */
 import { WebSocket } from "ws";
-import type { ControlMessage, NodeMessage } from "../common/link_messages.ts";
-import { HEARTBEAT_MS, LINK_SILENCE_MS } from "../common/link_messages.ts";
+import { EventLoop } from "../../../base/node/event_loop.ts";
 import {
   decodeMessage,
   encodeMessage,
 } from "../../../base/node/message_codec.ts";
+import { HEARTBEAT_MS } from "../common/link_messages.ts";
+import { CONNECT_MS, createLink, reduceLink } from "../common/link_reducer.ts";
+import type {
+  LinkEffect,
+  LinkEvent,
+  LinkState,
+} from "../common/link_reducer.ts";
+
+interface Tagged {
+  readonly type: string;
+}
 
 /** What the client is built from. */
-export interface LinkClientOptions {
+export interface LinkClientOptions<In extends Tagged, Out extends Tagged> {
+  /** Id of this process; seeds the jitter. */
+  readonly id: string;
   /** `host:port` of the control replicas, nearest first. */
   readonly replicas: readonly string[];
-  readonly onMessage: (message: ControlMessage) => void;
+  readonly onMessage: (message: In, replica: string) => void;
   /** A link is open: announce and subscribe anew. */
-  readonly onOpen: (replica: string) => void;
+  readonly onOpen: (replica: string, linkNumber: number) => void;
   readonly onClose: (replica: string) => void;
-  readonly createHeartbeat: () => NodeMessage;
+  /** Whether the sender says that it is current; undefined: not said. */
+  readonly readConfirmed: (message: In) => boolean | undefined;
+  /** Undefined where other messages show often enough that this end lives. */
+  readonly createHeartbeat: (() => Out) | undefined;
 }
 
-const RECONNECT_MS = 250;
-const CONNECT_TIMEOUT_MS = 1_500;
+const TICK_MS = 100;
+const CLOSE_MS = 250;
 
-/** Keeps one link open and goes to the next replica when it fails. */
-export class LinkClient implements AsyncDisposable {
-  readonly #options: LinkClientOptions;
+/** Keeps one link open and goes to another replica when it fails. */
+export class LinkClient<In extends Tagged, Out extends Tagged>
+  implements AsyncDisposable {
+  readonly #options: LinkClientOptions<In, Out>;
+  readonly #loop: EventLoop<LinkState, LinkEvent, LinkEffect>;
   #socket: WebSocket | undefined;
-  #replica = 0;
+  #tick: NodeJS.Timeout | undefined;
   #isClosed = false;
-  #reconnect: NodeJS.Timeout | undefined;
 
-  constructor(options: LinkClientOptions) {
+  constructor(options: LinkClientOptions<In, Out>) {
     this.#options = options;
+    this.#loop = new EventLoop({
+      initial: createLink(options.id, options.replicas),
+      reduce: reduceLink,
+      readClock: Date.now,
+      perform: (effect) => this.#perform(effect),
+    });
   }
 
   /** Starts connecting. */
   open(): void {
-    if (this.#isClosed) {
-      return;
-    }
-    const { replicas } = this.#options;
-    const replica = replicas[this.#replica % replicas.length]!;
-    const socket = new WebSocket(`ws://${replica}/`, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
-      perMessageDeflate: false,
-    });
-    this.#socket = socket;
-    this.#watch(socket, replica);
+    this.#tick = setInterval(
+      () => this.#loop.dispatch({ type: "Ticked" }),
+      TICK_MS,
+    );
+    this.#loop.dispatch({ type: "Ticked" });
   }
 
   /** Sends if a link is open; presence is told anew when one opens. */
-  send(message: NodeMessage): void {
+  send(message: Out): void {
+    this.sendBytes(encodeMessage(message));
+  }
+
+  /** Sends an encoded message if a link is open. */
+  sendBytes(bytes: Uint8Array): void {
     if (this.#socket?.readyState === WebSocket.OPEN) {
-      this.#socket.send(encodeMessage(message));
+      this.#socket.send(bytes);
     }
   }
 
   [Symbol.asyncDispose](): Promise<void> {
     this.#isClosed = true;
-    clearTimeout(this.#reconnect);
+    clearInterval(this.#tick);
     const socket = this.#socket;
     if (socket === undefined || socket.readyState === WebSocket.CLOSED) {
       return Promise.resolve();
@@ -65,39 +86,64 @@
     return new Promise((resolve) => {
       socket.on("close", () => resolve());
       socket.close();
-      setTimeout(() => socket.terminate(), RECONNECT_MS).unref();
+      setTimeout(() => socket.terminate(), CLOSE_MS).unref();
     });
   }
 
-  #watch(socket: WebSocket, replica: string): void {
-    const { onMessage, onOpen, onClose, createHeartbeat } = this.#options;
-    const silence = setTimeout(() => socket.terminate(), LINK_SILENCE_MS);
-    const heartbeat = setInterval(
-      () => this.send(createHeartbeat()),
-      HEARTBEAT_MS,
-    );
-    socket.on("open", () => onOpen(replica));
+  #perform(effect: LinkEffect): void {
+    switch (effect.type) {
+      case "OpenLink":
+        this.#connect(effect.replica, effect.linkNumber);
+        return;
+      case "CloseLink":
+        this.#socket?.terminate();
+        return;
+    }
+  }
+
+  #connect(replica: string, linkNumber: number): void {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#socket?.terminate();
+    const socket = new WebSocket(`ws://${replica}/`, {
+      handshakeTimeout: CONNECT_MS,
+      perMessageDeflate: false,
+    });
+    this.#socket = socket;
+    this.#watch(socket, replica, linkNumber);
+  }
+
+  #watch(socket: WebSocket, replica: string, linkNumber: number): void {
+    const { onOpen, onClose, createHeartbeat } = this.#options;
+    const heartbeat = createHeartbeat === undefined
+      ? undefined
+      : setInterval(() => this.send(createHeartbeat()), HEARTBEAT_MS);
+    socket.on("open", () => {
+      this.#loop.dispatch({ type: "LinkOpened", linkNumber });
+      onOpen(replica, linkNumber);
+    });
     socket.on("message", (data: Buffer) => {
-      silence.refresh();
-      const message = decodeMessage<ControlMessage>(data);
-      if (message !== undefined) {
-        onMessage(message);
+      if (socket === this.#socket) {
+        this.#receive(data, replica, linkNumber);
       }
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
-      clearTimeout(silence);
       clearInterval(heartbeat);
-      onClose(replica);
-      this.#retry();
+      this.#loop.dispatch({ type: "LinkClosed", linkNumber });
+      if (socket === this.#socket) {
+        onClose(replica);
+      }
     });
   }
 
-  #retry(): void {
-    if (this.#isClosed) {
-      return;
+  #receive(data: Buffer, replica: string, linkNumber: number): void {
+    const message = decodeMessage<In>(data);
+    if (message !== undefined) {
+      const isConfirmed = this.#options.readConfirmed(message);
+      this.#loop.dispatch({ type: "MessageReceived", linkNumber, isConfirmed });
+      this.#options.onMessage(message, replica);
     }
-    this.#replica += 1;
-    this.#reconnect = setTimeout(() => this.open(), RECONNECT_MS);
   }
 }
--- a/src/platform/link/node/link_server.ts
+++ b/src/platform/link/node/link_server.ts
@@ -4,7 +4,10 @@
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
-import type { ControlMessage, NodeMessage } from "../common/link_messages.ts";
+import type {
+  InboundMessage,
+  OutboundMessage,
+} from "../common/link_messages.ts";
 import { LINK_SILENCE_MS } from "../common/link_messages.ts";
 import {
   decodeMessage,
@@ -14,11 +17,12 @@
 /** What the server is built from. */
 export interface LinkServerOptions {
   readonly address: ListenAddress;
-  readonly onMessage: (linkId: number, message: NodeMessage) => void;
+  readonly onMessage: (linkId: number, message: InboundMessage) => void;
   readonly onClose: (linkId: number) => void;
 }
 
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
+const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
 /** Accepts links and tells them apart by number. */
 export class LinkServer implements AsyncDisposable {
@@ -31,6 +35,9 @@
   });
   readonly #links = new Map<number, WebSocket>();
   #nextLink = 1;
+  #last:
+    | { readonly message: OutboundMessage; readonly bytes: Uint8Array }
+    | undefined;
 
   constructor(options: LinkServerOptions) {
     this.#options = options;
@@ -42,9 +49,17 @@
     await listen(this.#http, this.#options.address);
   }
 
-  /** Sends to one link; a closed one is passed over. */
-  send(linkId: number, message: ControlMessage): void {
-    this.#links.get(linkId)?.send(encodeMessage(message));
+  /** Sends to one link; a closed one is passed over, a clogged one closed. */
+  send(linkId: number, message: OutboundMessage): void {
+    const socket = this.#links.get(linkId);
+    if (socket === undefined) {
+      return;
+    }
+    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+      socket.terminate();
+      return;
+    }
+    socket.send(this.#encode(message));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -56,13 +71,21 @@
     await new Promise<void>((resolve) => this.#http.close(() => resolve()));
   }
 
+  /** A message to many links is encoded once. */
+  #encode(message: OutboundMessage): Uint8Array {
+    if (this.#last?.message !== message) {
+      this.#last = { message, bytes: encodeMessage(message) };
+    }
+    return this.#last.bytes;
+  }
+
   #accept(socket: WebSocket): void {
     const linkId = this.#nextLink++;
     this.#links.set(linkId, socket);
     const silence = setTimeout(() => socket.terminate(), LINK_SILENCE_MS);
     socket.on("message", (data: Buffer) => {
       silence.refresh();
-      const message = decodeMessage<NodeMessage>(data);
+      const message = decodeMessage<InboundMessage>(data);
       if (message === undefined) {
         socket.terminate();
         return;
--- /dev/null
+++ b/src/platform/link/node/replica_links.ts
@@ -0,0 +1,66 @@
+/** The links that a control replica opens to the others. */
+import { DisposalStack } from "../../../base/common/disposal.ts";
+import { encodeMessage } from "../../../base/node/message_codec.ts";
+import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
+import type { OutboundMessage } from "../common/link_messages.ts";
+import { LinkClient } from "./link_client.ts";
+
+/** What the links are built from. */
+export interface ReplicaLinksOptions {
+  /** Id of this replica. */
+  readonly id: string;
+  /** `host:port` of the other replicas' link listeners. */
+  readonly replicas: readonly string[];
+  readonly onMessage: (message: OutboundMessage, replica: string) => void;
+}
+
+/** Holds one link to every other replica. */
+export class ReplicaLinks implements AsyncDisposable {
+  readonly #owned = new DisposalStack();
+  readonly #clients: ReadonlyMap<
+    string,
+    LinkClient<OutboundMessage, PresenceMessage>
+  >;
+
+  constructor(options: ReplicaLinksOptions) {
+    const { id, replicas, onMessage } = options;
+    this.#clients = new Map(replicas.map((replica) => [
+      replica,
+      this.#owned.use(
+        new LinkClient<OutboundMessage, PresenceMessage>({
+          id,
+          replicas: [replica],
+          onMessage,
+          onOpen: () => {},
+          onClose: () => {},
+          readConfirmed: () => undefined,
+          createHeartbeat: undefined,
+        }),
+      ),
+    ]));
+  }
+
+  /** Starts connecting. */
+  open(): void {
+    for (const client of this.#clients.values()) {
+      client.open();
+    }
+  }
+
+  /** Sends to every replica that is linked; encoded once. */
+  sendAll(message: PresenceMessage): void {
+    const bytes = encodeMessage(message);
+    for (const client of this.#clients.values()) {
+      client.sendBytes(bytes);
+    }
+  }
+
+  /** Sends to one replica by its address. */
+  send(replica: string, message: PresenceMessage): void {
+    this.#clients.get(replica)?.send(message);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned[Symbol.asyncDispose]();
+  }
+}
--- a/src/platform/membership/common/membership_reducer.ts
+++ b/src/platform/membership/common/membership_reducer.ts
@@ -1,124 +1,188 @@
-/** Leased presence of the nodes, as one control replica holds it. */
+/** Presence of the nodes: leases of those heard here, and the exchange. */
 import { createReduction } from "../../../base/common/reduction.ts";
-import type { Reduction } from "../../../base/common/reduction.ts";
+import { chainReduction } from "../../../base/common/reduction.ts";
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
-import { isNewerAnnouncement } from "./announcement.ts";
 import type { Announcement } from "./announcement.ts";
-
-/** A node whose lease runs. */
-export interface Member {
-  readonly announcement: Announcement;
-  /** Wall clock in milliseconds. */
-  readonly leaseEndsAtMs: number;
-}
-
-/** All members by node id. */
-export interface MembershipState {
-  readonly members: ReadonlyMap<string, Member>;
-}
+import { DIGEST_MS, LEASE_MS, PAUSE_MS } from "./membership_state.ts";
+import type { DirectNode, MembershipState } from "./membership_state.ts";
+import { createDigest, expireOwners, receivePresence } from "./presence.ts";
+import { putMember, removeMember } from "./presence.ts";
+import type { MembershipEffect, MembershipStep } from "./presence.ts";
+import type {
+  Presence,
+  PresenceChannel,
+  PresenceMessage,
+} from "./presence_messages.ts";
 
 /** What happens to presence. */
 export type MembershipEvent =
-  | { readonly type: "NodeAnnounced"; readonly announcement: Announcement }
-  | { readonly type: "NodeHeartbeatReceived"; readonly nodeId: string }
-  | { readonly type: "NodeLeft"; readonly nodeId: string }
-  | { readonly type: "Ticked" };
-
-/** What subscribers of a service are told. */
-export type MembershipEffect =
-  | { readonly type: "PublishMember"; readonly announcement: Announcement }
   | {
-    readonly type: "PublishMemberLoss";
+    readonly type: "NodeAnnounced";
+    readonly announcement: Announcement;
+    readonly linkNumber: number;
+    readonly tableVersion: number;
+  }
+  | {
+    readonly type: "NodeHeartbeatReceived";
     readonly nodeId: string;
-    readonly service: string;
-  };
-
-/** How long a node is a member after it was last heard. */
-export const LEASE_MS = 5_000;
-
-/** Nobody announced yet. */
-export const INITIAL_MEMBERSHIP: MembershipState = { members: new Map() };
+    readonly tableVersion: number;
+  }
+  | { readonly type: "NodeLeft"; readonly nodeId: string }
+  | {
+    readonly type: "PresenceReceived";
+    readonly channel: PresenceChannel;
+    readonly message: PresenceMessage;
+  }
+  /** `tableVersion` is the one in force at this replica. */
+  | { readonly type: "Ticked"; readonly tableVersion: number };
 
 /** Steps the presence of the nodes. */
 export function reduceMembership(
   state: MembershipState,
   event: MembershipEvent,
   nowMs: number,
-): Reduction<MembershipState, MembershipEffect> {
+): MembershipStep {
   switch (event.type) {
     case "NodeAnnounced":
-      return acceptAnnouncement(state, event.announcement, nowMs);
+      return acceptAnnouncement(state, event, nowMs);
     case "NodeHeartbeatReceived":
-      return createReduction(renewLease(state, event.nodeId, nowMs));
+      return createReduction(renewLease(state, event, nowMs));
     case "NodeLeft":
-      return removeMembers(state, [event.nodeId]);
+      return dropDirect(state, [event.nodeId]);
+    case "PresenceReceived":
+      return receivePresence(state, event, nowMs);
     case "Ticked":
-      return removeMembers(state, findExpired(state, nowMs));
+      return tick(state, event.tableVersion, nowMs);
   }
 }
 
-/** Lists the members of one service. */
-export function listMembers(
-  state: MembershipState,
-  service: string,
-): readonly Announcement[] {
-  return [...state.members.values()]
-    .map((member) => member.announcement)
-    .filter((announcement) => announcement.service === service);
-}
-
+/** An older link's announcement, arriving late, changes nothing. */
 function acceptAnnouncement(
   state: MembershipState,
-  announcement: Announcement,
+  event: Extract<MembershipEvent, { type: "NodeAnnounced" }>,
   nowMs: number,
-): Reduction<MembershipState, MembershipEffect> {
-  const current = state.members.get(announcement.nodeId);
-  if (!isNewerAnnouncement(announcement, current?.announcement)) {
-    return createReduction(renewLease(state, announcement.nodeId, nowMs));
+): MembershipStep {
+  const { announcement, linkNumber, tableVersion } = event;
+  const { nodeId } = announcement;
+  const presence: Presence = { announcement, linkNumber };
+  const step = putMember(state, presence, state.self);
+  if (step.state === state) {
+    return createReduction(renewLease(state, event, nowMs));
   }
-  const member = { announcement, leaseEndsAtMs: nowMs + LEASE_MS };
-  const members = setEntry(state.members, announcement.nodeId, member);
-  return createReduction({ members }, [{
-    type: "PublishMember",
-    announcement,
-  }]);
+  const node: DirectNode = { heardMs: nowMs, tableVersion };
+  const next: MembershipState = {
+    ...step.state,
+    sequence: state.sequence + 1,
+    direct: setEntry(state.direct, nodeId, node),
+  };
+  const delta: MembershipEffect = {
+    type: "SendPresence",
+    message: {
+      type: "PresenceDelta",
+      owner: state.self,
+      fromSequence: state.sequence,
+      sequence: next.sequence,
+      put: [presence],
+      removed: [],
+    },
+  };
+  return createReduction(next, [...step.effects, delta]);
 }
 
 function renewLease(
   state: MembershipState,
-  nodeId: string,
+  heard:
+    & { readonly tableVersion: number }
+    & (
+      | { readonly nodeId: string }
+      | { readonly announcement: Announcement }
+    ),
   nowMs: number,
 ): MembershipState {
-  const member = state.members.get(nodeId);
-  if (member === undefined) {
+  const nodeId = "nodeId" in heard ? heard.nodeId : heard.announcement.nodeId;
+  if (!state.direct.has(nodeId)) {
     return state;
   }
-  const renewed = { ...member, leaseEndsAtMs: nowMs + LEASE_MS };
-  return { members: setEntry(state.members, nodeId, renewed) };
+  const { tableVersion } = heard;
+  const node: DirectNode = { heardMs: nowMs, tableVersion };
+  return { ...state, direct: setEntry(state.direct, nodeId, node) };
 }
 
-function findExpired(
+function tick(
   state: MembershipState,
+  tableVersion: number,
   nowMs: number,
-): readonly string[] {
-  return [...state.members]
-    .filter(([, member]) => member.leaseEndsAtMs < nowMs)
+): MembershipStep {
+  const isPaused = Math.abs(nowMs - state.lastTickMs) > PAUSE_MS;
+  const awake = isPaused ? resetLeases(state, nowMs) : state;
+  const silent = [...awake.direct]
+    .filter(([, node]) => nowMs - node.heardMs > LEASE_MS)
     .map(([nodeId]) => nodeId);
+  const step = dropDirect({ ...awake, lastTickMs: nowMs }, silent);
+  return chainReduction(
+    chainReduction(step, (s) => expireOwners(s, nowMs)),
+    (s) => sendDigest(s, tableVersion, nowMs),
+  );
+}
+
+/** This process stood still or its clock jumped: nobody else was silent. */
+function resetLeases(state: MembershipState, nowMs: number): MembershipState {
+  const direct = [...state.direct].map(([nodeId, node]) =>
+    [nodeId, { ...node, heardMs: nowMs }] as const
+  );
+  const owners = [...state.owners].map(([name, owner]) =>
+    [name, { ...owner, heardMs: nowMs }] as const
+  );
+  return {
+    ...state,
+    lastDigestMs: nowMs - DIGEST_MS,
+    direct: new Map(direct),
+    owners: new Map(owners),
+  };
 }
 
-function removeMembers(
+function sendDigest(
+  state: MembershipState,
+  tableVersion: number,
+  nowMs: number,
+): MembershipStep {
+  if (nowMs - state.lastDigestMs < DIGEST_MS) {
+    return createReduction(state);
+  }
+  const next = { ...state, lastDigestMs: nowMs, beat: state.beat + 1 };
+  const message = createDigest(next, tableVersion, nowMs);
+  return createReduction(next, [{ type: "SendPresence", message }]);
+}
+
+/** Removes nodes that are heard here and tells the other replicas. */
+function dropDirect(
   state: MembershipState,
   nodeIds: readonly string[],
-): Reduction<MembershipState, MembershipEffect> {
-  let members = state.members;
-  const effects: MembershipEffect[] = [];
-  for (const nodeId of nodeIds) {
-    const member = members.get(nodeId);
-    if (member !== undefined) {
-      const { service } = member.announcement;
-      members = deleteEntry(members, nodeId);
-      effects.push({ type: "PublishMemberLoss", nodeId, service });
-    }
+): MembershipStep {
+  const removed = nodeIds.filter((nodeId) => state.direct.has(nodeId));
+  if (removed.length === 0) {
+    return createReduction(state);
   }
-  return createReduction({ members }, effects);
+  const start: MembershipState = { ...state, sequence: state.sequence + 1 };
+  const delta: MembershipEffect = {
+    type: "SendPresence",
+    message: {
+      type: "PresenceDelta",
+      owner: state.self,
+      fromSequence: state.sequence,
+      sequence: start.sequence,
+      put: [],
+      removed,
+    },
+  };
+  return removed.reduce<MembershipStep>(
+    (step, nodeId) =>
+      chainReduction(step, (s) =>
+        removeMember(
+          { ...s, direct: deleteEntry(s.direct, nodeId) },
+          nodeId,
+          s.self,
+        )),
+    createReduction(start, [delta]),
+  );
 }
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -73,9 +73,25 @@
     return this.#controls.map((control) => control.operator).join(",");
   }
 
+  /** Starts control replicas that exchange presence, all in one go. */
+  async startControls(
+    replicas: readonly (readonly [id: string, dataCentre: string])[],
+  ): Promise<readonly FleetControl[]> {
+    const links = await Promise.all(replicas.map(() => findAddress()));
+    return await Promise.all(replicas.map(([id, dataCentre], index) => {
+      const link = links[index]!;
+      const peers = links.filter((other) => other !== link);
+      return this.startControl(id, dataCentre, { link, peers });
+    }));
+  }
+
   /** Starts a control replica. */
-  async startControl(id: string, dataCentre: string): Promise<FleetControl> {
-    const link = await findAddress();
+  async startControl(
+    id: string,
+    dataCentre: string,
+    place: { readonly link?: string; readonly peers?: readonly string[] } = {},
+  ): Promise<FleetControl> {
+    const link = place.link ?? await findAddress();
     const operator = await findAddress();
     const settings = this.writeSettings(id, {
       role: "control",
@@ -84,6 +100,7 @@
       region: "local",
       data_centre: dataCentre,
       data_folder: join(this.folder, id),
+      presence_peers: place.peers ?? [],
       listen: { link, operator },
       security: { transport: "plaintext" },
     });
