Measure control's cost per node and per edit; test the loss of control

A fleet can start replicas that know each other. A list sent at the end of the warm-up said that it was incomplete; the new test found it and it is mended.

--- /dev/null
+++ b/bench/light_nodes.ts
@@ -0,0 +1,180 @@
+/** Many light nodes in one process: real links and tables, no calls. */
+import { performance } from "node:perf_hooks";
+import process from "node:process";
+import { INITIAL_ROUTING } from "../src/platform/routing/common/routing_reducer.ts";
+import { isServiceKnown } from "../src/platform/routing/common/routing_reducer.ts";
+import type {
+  ControlMessage,
+  NodeMessage,
+} from "../src/platform/link/common/link_messages.ts";
+import { readControlMessage } from "../src/platform/link/common/node_inbox.ts";
+import { LinkClient } from "../src/platform/link/node/link_client.ts";
+import type { LinkTraffic } from "../src/platform/link/node/link_client.ts";
+import type { Announcement } from "../src/platform/membership/common/announcement.ts";
+import { EMPTY_TABLE } from "../src/platform/table/common/table_row.ts";
+import type { Table } from "../src/platform/table/common/table_row.ts";
+
+/** What the bench asks of a process of light nodes. */
+export type LightRequest =
+  | {
+    readonly type: "Start";
+    /** Numbers of the nodes. */
+    readonly numbers: readonly number[];
+    readonly replicas: readonly string[];
+  }
+  | { readonly type: "Read" }
+  /** Every node announces a change. */
+  | { readonly type: "Announce" };
+
+/** What a process of light nodes answers. */
+export interface LightReport {
+  readonly traffic: LinkTraffic;
+  /** Processor time since the start, in milliseconds. */
+  readonly cpuMs: number;
+  /** Epoch milliseconds at which each node had each version in force. */
+  readonly inForceAtMs: readonly (readonly [number, number])[];
+}
+
+/** Nodes of one service: 12,000 nodes in 390 services. */
+const NODES_PER_SERVICE = 31;
+const SUBSCRIBED_SERVICES = 4;
+const MICROS = 1_000;
+
+class LightNode {
+  readonly #link: LinkClient<ControlMessage, NodeMessage>;
+  readonly #inForceAtMs: (readonly [number, number])[];
+  #announcement: Announcement;
+  #table: Table = EMPTY_TABLE;
+  #linkNumber = 0;
+
+  constructor(
+    number: number,
+    replicas: readonly string[],
+    inForceAtMs: (readonly [number, number])[],
+  ) {
+    this.#inForceAtMs = inForceAtMs;
+    this.#announcement = createAnnouncement(number);
+    const nearest = number % replicas.length;
+    this.#link = new LinkClient<ControlMessage, NodeMessage>({
+      id: this.#announcement.nodeId,
+      replicas: [...replicas.slice(nearest), ...replicas.slice(0, nearest)],
+      onMessage: (message) => this.#receive(message),
+      onOpen: (_replica, linkNumber) => this.#introduce(number, linkNumber),
+      onClose: () => {},
+      readConfirmed: () => undefined,
+      createHeartbeat: () => this.#createHeartbeat(),
+    });
+    this.#link.open();
+  }
+
+  get traffic(): LinkTraffic {
+    return this.#link.readTraffic();
+  }
+
+  announce(): void {
+    const sequence = this.#announcement.sequence + 1;
+    this.#announcement = { ...this.#announcement, sequence };
+    this.#sendAnnouncement();
+  }
+
+  #introduce(number: number, linkNumber: number): void {
+    this.#linkNumber = linkNumber;
+    this.#sendAnnouncement();
+    const first = Math.floor(number / NODES_PER_SERVICE);
+    for (let index = 0; index < SUBSCRIBED_SERVICES; index++) {
+      const service = `service-${first + index}`;
+      this.#link.send({ type: "Subscribe", service });
+    }
+  }
+
+  #sendAnnouncement(): void {
+    this.#link.send({
+      type: "Announce",
+      announcement: this.#announcement,
+      linkNumber: this.#linkNumber,
+      tableVersion: this.#table.version,
+    });
+  }
+
+  #receive(message: ControlMessage): void {
+    const { events, reply } = readControlMessage(message, {
+      table: this.#table,
+      isServiceKnown: (service) => isServiceKnown(INITIAL_ROUTING, service),
+    });
+    for (const event of events) {
+      if (
+        event.type === "TableReceived" &&
+        event.table.version > this.#table.version
+      ) {
+        this.#table = event.table;
+        this.#inForceAtMs.push([event.table.version, readEpochMs()]);
+        this.#link.send(this.#createHeartbeat());
+      }
+    }
+    if (reply !== undefined) {
+      this.#link.send(reply);
+    }
+  }
+
+  #createHeartbeat(): NodeMessage {
+    const clock = { wallMs: Date.now(), counter: 0 };
+    return { type: "Heartbeat", tableVersion: this.#table.version, clock };
+  }
+}
+
+function createAnnouncement(number: number): Announcement {
+  return {
+    nodeId: `light-${number}`,
+    incarnation: Date.now(),
+    sequence: 0,
+    service: `service-${Math.floor(number / NODES_PER_SERVICE)}`,
+    dataCentre: "kenitra-a",
+    region: "ma-north",
+    vm: `light-${number}`,
+    ingress: "127.0.0.1:7000",
+    operator: "127.0.0.1:7001",
+    slots: 50,
+    connections: 400,
+    isDraining: false,
+  };
+}
+
+function readEpochMs(): number {
+  return performance.timeOrigin + performance.now();
+}
+
+const nodes: LightNode[] = [];
+const inForceAtMs: (readonly [number, number])[] = [];
+
+function createReport(): LightReport {
+  const sum = (pick: (traffic: LinkTraffic) => number) =>
+    nodes.reduce((total, node) => total + pick(node.traffic), 0);
+  const { user, system } = process.cpuUsage();
+  return {
+    traffic: {
+      sentBytes: sum((traffic) => traffic.sentBytes),
+      sentCount: sum((traffic) => traffic.sentCount),
+      receivedBytes: sum((traffic) => traffic.receivedBytes),
+      receivedCount: sum((traffic) => traffic.receivedCount),
+    },
+    cpuMs: (user + system) / MICROS,
+    inForceAtMs: [...inForceAtMs],
+  };
+}
+
+process.on("message", (request: LightRequest) => {
+  switch (request.type) {
+    case "Start":
+      for (const number of request.numbers) {
+        nodes.push(new LightNode(number, request.replicas, inForceAtMs));
+      }
+      break;
+    case "Announce":
+      nodes.forEach((node) => node.announce());
+      break;
+    case "Read":
+      break;
+  }
+  process.send!(createReport());
+});
+process.on("disconnect", () => process.exit(0));
--- a/src/platform/control/common/presence_step.ts
+++ b/src/platform/control/common/presence_step.ts
@@ -88,12 +88,13 @@
     if (s.isWarm || !isComplete(s.membership, nowMs)) {
       return createReduction(s);
     }
-    const sends = [...s.links].flatMap(([linkId, link]) =>
+    const warm = { ...s, isWarm: true };
+    const sends = [...warm.links].flatMap(([linkId, link]) =>
       link.services.map((service) =>
-        createSend(linkId, createMemberList(s, service))
+        createSend(linkId, createMemberList(warm, service))
       )
     );
-    return createReduction({ ...s, isWarm: true }, sends);
+    return createReduction(warm, sends);
   });
 }
 
--- /dev/null
+++ b/src/platform/control/test/control_reducer_test.ts
@@ -0,0 +1,241 @@
+/** A control replica: tables to nodes, subscribers, drains, reports. */
+import { expect } from "chai";
+import type {
+  NodeMessage,
+  OutboundMessage,
+} from "../../link/common/link_messages.ts";
+import { WARM_UP_MS } from "../../membership/common/membership_state.ts";
+import { createAnnouncement } from "../../membership/test/replicas.ts";
+import { applyTableDelta } from "../../table/common/table_delta.ts";
+import { EMPTY_TABLE } from "../../table/common/table_row.ts";
+import type { Table, TableRow } from "../../table/common/table_row.ts";
+import { createControlReport } from "../common/control_report.ts";
+import { reduceControl } from "../common/control_reducer.ts";
+import { createControl } from "../common/control_state.ts";
+import type {
+  ControlEffect,
+  ControlEvent,
+  ControlState,
+} from "../common/control_state.ts";
+import { MAX_RECENT_TABLES, REPAIR_MS } from "../common/table_push.ts";
+
+const ROW: TableRow = {
+  kind: "lookup",
+  service: "provenance",
+  method: "GET",
+  path: "/bales/*",
+  weight: 1,
+  importance: 5,
+  concurrency: 10,
+  rate: 100,
+  queue: 10,
+  timeoutMs: 1_000,
+  retries: 1,
+  idempotent: true,
+  key: "none",
+  maxBodyBytes: 1_000,
+};
+const CLOCK = { wallMs: 0, counter: 0 };
+
+/** One replica, and all that it did. */
+class ControlRun {
+  nowMs = 1_000_000;
+  state: ControlState = createControl("control-a", this.nowMs);
+  effects: ControlEffect[] = [];
+
+  dispatch(event: ControlEvent): readonly ControlEffect[] {
+    const step = reduceControl(this.state, event, this.nowMs);
+    this.state = step.state;
+    this.effects.push(...step.effects);
+    return step.effects;
+  }
+
+  /** Returns what was sent on the links. */
+  tell(linkId: number, message: NodeMessage): readonly OutboundMessage[] {
+    const event = { type: "NodeMessageReceived", linkId, message } as const;
+    return this.dispatch(event).flatMap((effect) =>
+      effect.type === "SendToLink" ? [effect.message] : []
+    );
+  }
+
+  announce(linkId: number, nodeId: string, tableVersion = 0) {
+    const announcement = createAnnouncement(nodeId);
+    return this.tell(linkId, {
+      type: "Announce",
+      announcement,
+      linkNumber: 1,
+      tableVersion,
+    });
+  }
+
+  beat(linkId: number, tableVersion: number) {
+    return this.tell(linkId, { type: "Heartbeat", tableVersion, clock: CLOCK });
+  }
+
+  edit(weight: number): readonly ControlEffect[] {
+    const fromVersion = this.state.tableState.table.rows[0]?.version ?? 0;
+    const row = { ...ROW, weight };
+    return this.dispatch({
+      type: "EditRequested",
+      requestId: weight,
+      edit: {
+        editId: `edit-${weight}`,
+        operator: "operator",
+        atMs: this.nowMs,
+        change: { type: "PutRow", row, fromVersion },
+      },
+    });
+  }
+}
+
+function applyMessage(table: Table, message: OutboundMessage): Table {
+  switch (message.type) {
+    case "TableUpdate":
+      return message.table;
+    case "TableChange":
+      return applyTableDelta(table, message.delta) ?? table;
+    default:
+      return table;
+  }
+}
+
+describe("table to the nodes", () => {
+  it("sends every linked node the change alone", () => {
+    const run = new ControlRun();
+    run.edit(1);
+    run.announce(1, "n1");
+    run.announce(2, "n2");
+    const sent = run.edit(2).flatMap((effect) =>
+      effect.type === "SendToLink" ? [effect] : []
+    );
+    expect(sent.map(({ linkId, message }) => [linkId, message.type]))
+      .to.deep.equal([[1, "TableChange"], [2, "TableChange"]]);
+    expect(sent[0]!.message).to.equal(sent[1]!.message);
+  });
+
+  it("brings a node at any version to the present table", () => {
+    for (const behind of [1, 10, MAX_RECENT_TABLES, MAX_RECENT_TABLES + 5]) {
+      const run = new ControlRun();
+      const tables = [EMPTY_TABLE];
+      for (let weight = 1; weight <= MAX_RECENT_TABLES + 10; weight++) {
+        run.edit(weight);
+        tables.push(run.state.tableState.table);
+      }
+      const from = tables.at(-1 - behind)!;
+      const [message] = run.announce(1, "n1", from.version);
+      expect(message!.type).to.equal(
+        behind <= MAX_RECENT_TABLES ? "TableChange" : "TableUpdate",
+      );
+      expect(applyMessage(from, message!)).to.deep.equal(tables.at(-1));
+    }
+  });
+
+  it("sends nothing older than what the node has", () => {
+    const run = new ControlRun();
+    run.edit(1);
+    const types = run.announce(1, "n1", 9).map(({ type }) => type);
+    expect(types).to.deep.equal([]);
+  });
+
+  it("repairs a change that the node doesn't confirm", () => {
+    const run = new ControlRun();
+    run.announce(1, "n1");
+    run.edit(1);
+    expect(run.beat(1, 0).map(({ type }) => type))
+      .to.deep.equal(["HeartbeatAnswer"]);
+    run.nowMs += REPAIR_MS;
+    const [message] = run.beat(1, 0);
+    expect(applyMessage(EMPTY_TABLE, message!).version).to.equal(1);
+    run.nowMs += REPAIR_MS;
+    expect(run.beat(1, 1).map(({ type }) => type))
+      .to.deep.equal(["HeartbeatAnswer"]);
+  });
+
+  it("answers a node that a delta didn't fit", () => {
+    const run = new ControlRun();
+    run.announce(1, "n1");
+    run.edit(1);
+    const [message] = run.tell(1, { type: "TableFetch", tableVersion: 0 });
+    expect(applyMessage(EMPTY_TABLE, message!).version).to.equal(1);
+  });
+});
+
+describe("subscribers of a control replica", () => {
+  it("are told of the service that they call alone", () => {
+    const run = new ControlRun();
+    run.tell(1, { type: "Subscribe", service: "provenance" });
+    run.tell(2, { type: "Subscribe", service: "custody" });
+    run.effects = [];
+    run.announce(3, "n1");
+    const links = run.effects.flatMap((effect) =>
+      effect.type === "SendToLink" && effect.message.type === "MemberUpdate"
+        ? [effect.linkId]
+        : []
+    );
+    expect(links).to.deep.equal([1]);
+  });
+
+  it("are told nothing more once they unsubscribe", () => {
+    const run = new ControlRun();
+    run.tell(1, { type: "Subscribe", service: "provenance" });
+    run.tell(1, { type: "Unsubscribe", service: "provenance" });
+    const types = run.announce(3, "n1").map(({ type }) => type);
+    expect(types).to.not.contain("MemberUpdate");
+  });
+
+  it("get a complete list once the replica is warm", () => {
+    const run = new ControlRun();
+    const list = run.tell(1, { type: "Subscribe", service: "provenance" });
+    expect(list[0]).to.include({ type: "MemberList", isComplete: false });
+    for (let spent = 0; spent <= WARM_UP_MS; spent += 250) {
+      run.nowMs += 250;
+      run.dispatch({ type: "Ticked" });
+    }
+    const lists = run.effects.flatMap((effect) =>
+      effect.type === "SendToLink" && effect.message.type === "MemberList"
+        ? [effect.message.isComplete]
+        : []
+    );
+    expect(lists).to.deep.equal([false, true]);
+  });
+});
+
+describe("drain orders", () => {
+  it("reach a node that another replica hears", () => {
+    const run = new ControlRun();
+    const [relay] = run.dispatch({ type: "DrainOrdered", nodeId: "n1" });
+    expect(relay).to.deep.equal({
+      type: "SendToReplicas",
+      message: { type: "DrainRelay", nodeId: "n1" },
+    });
+    const other = new ControlRun();
+    other.announce(4, "n1");
+    const [order] = other.dispatch({
+      type: "PresenceReceived",
+      channel: { type: "Accepted", linkId: 1 },
+      message: { type: "DrainRelay", nodeId: "n1" },
+    });
+    expect(order).to.deep.equal({
+      type: "SendToLink",
+      linkId: 4,
+      message: { type: "DrainOrder" },
+    });
+  });
+});
+
+describe("report of a control replica", () => {
+  it("names who is silent and who is behind", () => {
+    const run = new ControlRun();
+    run.announce(1, "n1");
+    run.announce(2, "n2");
+    run.edit(1);
+    run.nowMs += 3_500;
+    run.beat(1, 1);
+    const report = createControlReport(run.state, run.nowMs);
+    expect(report.nodes.map((node) => [
+      node.nodeId,
+      node.tableVersion,
+      node.isSilent,
+    ])).to.deep.equal([["n1", 1, false], ["n2", 0, true]]);
+  });
+});
--- a/src/platform/link/node/link_client.ts
+++ b/src/platform/link/node/link_client.ts
@@ -33,6 +33,14 @@
   readonly createHeartbeat: (() => Out) | undefined;
 }
 
+/** Payloads of the messages of a link, without frames and packets. */
+export interface LinkTraffic {
+  readonly sentBytes: number;
+  readonly sentCount: number;
+  readonly receivedBytes: number;
+  readonly receivedCount: number;
+}
+
 const TICK_MS = 100;
 const CLOSE_MS = 250;
 
@@ -44,6 +52,10 @@
   #socket: WebSocket | undefined;
   #tick: NodeJS.Timeout | undefined;
   #isClosed = false;
+  #sentBytes = 0;
+  #sentCount = 0;
+  #receivedBytes = 0;
+  #receivedCount = 0;
 
   constructor(options: LinkClientOptions<In, Out>) {
     this.#options = options;
@@ -72,10 +84,22 @@
   /** Sends an encoded message if a link is open. */
   sendBytes(bytes: Uint8Array): void {
     if (this.#socket?.readyState === WebSocket.OPEN) {
+      this.#sentBytes += bytes.length;
+      this.#sentCount += 1;
       this.#socket.send(bytes);
     }
   }
 
+  /** Reads what went over all links since the start. */
+  readTraffic(): LinkTraffic {
+    return {
+      sentBytes: this.#sentBytes,
+      sentCount: this.#sentCount,
+      receivedBytes: this.#receivedBytes,
+      receivedCount: this.#receivedCount,
+    };
+  }
+
   [Symbol.asyncDispose](): Promise<void> {
     this.#isClosed = true;
     clearInterval(this.#tick);
@@ -139,6 +163,8 @@
   }
 
   #receive(data: Buffer, replica: string, linkNumber: number): void {
+    this.#receivedBytes += data.length;
+    this.#receivedCount += 1;
     const message = decodeMessage<In>(data);
     if (message !== undefined) {
       const isConfirmed = this.#options.readConfirmed(message);
--- /dev/null
+++ b/src/platform/link/test/link_reducer_test.ts
@@ -0,0 +1,163 @@
+/** Which replica a link goes to, and when. */
+import { expect } from "chai";
+import { LINK_SILENCE_MS } from "../common/link_messages.ts";
+import {
+  createLink,
+  MAX_BACKOFF_MS,
+  reduceLink,
+  RETURN_MS,
+  UNCONFIRMED_MS,
+} from "../common/link_reducer.ts";
+import type { LinkEvent, LinkState } from "../common/link_reducer.ts";
+
+const TICK_MS = 100;
+
+/** One link over replicas that a test lets live, die or lose the quorum. */
+class LinkRun {
+  nowMs = 1_000_000;
+  state: LinkState;
+  readonly alive = new Set<string>();
+  readonly unconfirmed = new Set<string>();
+  readonly silent = new Set<string>();
+  readonly opened: string[] = [];
+  readonly openedAtMs: number[] = [];
+  #current: string | undefined;
+
+  constructor(id: string, replicas: readonly string[]) {
+    this.state = createLink(id, replicas);
+    replicas.forEach((replica) => this.alive.add(replica));
+  }
+
+  get replica(): string | undefined {
+    return this.#current;
+  }
+
+  kill(replica: string): void {
+    this.alive.delete(replica);
+    if (this.#current === replica) {
+      this.#close();
+    }
+  }
+
+  pass(ms: number): void {
+    for (const endMs = this.nowMs + ms; this.nowMs < endMs;) {
+      this.nowMs += TICK_MS;
+      if (this.#current !== undefined && !this.silent.has(this.#current)) {
+        const isConfirmed = !this.unconfirmed.has(this.#current);
+        const { linkNumber } = this.state;
+        this.#dispatch({ type: "MessageReceived", linkNumber, isConfirmed });
+      }
+      this.#dispatch({ type: "Ticked" });
+    }
+  }
+
+  #close(): void {
+    this.#current = undefined;
+    const { linkNumber } = this.state;
+    this.#dispatch({ type: "LinkClosed", linkNumber });
+  }
+
+  #dispatch(event: LinkEvent): void {
+    const step = reduceLink(this.state, event, this.nowMs);
+    this.state = step.state;
+    for (const effect of step.effects) {
+      if (effect.type === "CloseLink") {
+        this.#current = undefined;
+        continue;
+      }
+      this.opened.push(effect.replica);
+      this.openedAtMs.push(this.nowMs);
+      const { linkNumber } = effect;
+      if (this.alive.has(effect.replica)) {
+        this.#current = effect.replica;
+        this.#dispatch({ type: "LinkOpened", linkNumber });
+      } else {
+        this.#dispatch({ type: "LinkClosed", linkNumber });
+      }
+    }
+  }
+}
+
+describe("link to a control replica", () => {
+  it("opens to the nearest replica", () => {
+    const run = new LinkRun("n1", ["a", "b", "c"]);
+    run.pass(1_000);
+    expect(run.replica).to.equal("a");
+  });
+
+  it("goes to the next one when its replica dies", () => {
+    const run = new LinkRun("n1", ["a", "b", "c"]);
+    run.pass(1_000);
+    run.kill("a");
+    run.pass(1_000);
+    expect(run.opened).to.deep.equal(["a", "b"]);
+  });
+
+  it("changes the replica on silence", () => {
+    const run = new LinkRun("n1", ["a", "b"]);
+    run.pass(1_000);
+    run.silent.add("a");
+    run.pass(LINK_SILENCE_MS + 1_000);
+    expect(run.replica).to.equal("b");
+  });
+
+  it("takes the nearest one that works, when a farther one dies", () => {
+    const run = new LinkRun("n1", ["a", "b", "c"]);
+    run.kill("a");
+    run.kill("b");
+    run.pass(2_000);
+    expect(run.replica).to.equal("c");
+    run.alive.add("a");
+    run.kill("c");
+    run.pass(2_000);
+    expect(run.replica).to.equal("a");
+  });
+
+  it("leaves a replica without a quorum for one that has it", () => {
+    const run = new LinkRun("n1", ["a", "b"]);
+    run.unconfirmed.add("a");
+    run.pass(UNCONFIRMED_MS + 1_000);
+    expect(run.replica).to.equal("b");
+    run.pass(RETURN_MS / 2);
+    expect(run.opened).to.deep.equal(["a", "b"]);
+  });
+
+  it("changes ever more rarely where no replica has a quorum", () => {
+    const run = new LinkRun("n1", ["a", "b"]);
+    run.unconfirmed.add("a").add("b");
+    run.pass(600_000);
+    expect(run.opened.length).to.be.lessThan(10);
+  });
+
+  it("backs off up to a bound while all are dead, and differs by id", () => {
+    const times = ["n1", "n2"].map((id) => {
+      const run = new LinkRun(id, ["a", "b"]);
+      run.alive.clear();
+      run.pass(60_000);
+      const gaps = run.openedAtMs.slice(1)
+        .map((atMs, index) => atMs - run.openedAtMs[index]!);
+      expect(Math.max(...gaps)).to.be.at.most(MAX_BACKOFF_MS + TICK_MS);
+      expect(run.opened.length).to.be.lessThan(40);
+      return run.openedAtMs;
+    });
+    expect(times[0]).to.not.deep.equal(times[1]);
+  });
+
+  it("goes back to the nearest replica after a while", () => {
+    const run = new LinkRun("n1", ["a", "b"]);
+    run.pass(1_000);
+    run.kill("a");
+    run.pass(1_000);
+    run.alive.add("a");
+    run.pass(RETURN_MS * 2 + 1_000);
+    expect(run.replica).to.equal("a");
+  });
+
+  it("ignores what a former link says", () => {
+    const run = new LinkRun("n1", ["a", "b"]);
+    run.pass(1_000);
+    const before = run.state;
+    const late: LinkEvent = { type: "LinkClosed", linkNumber: 0 };
+    expect(reduceLink(before, late, run.nowMs).state).to.equal(before);
+  });
+});
--- a/src/platform/membership/common/membership_reducer.ts
+++ b/src/platform/membership/common/membership_reducer.ts
@@ -1,12 +1,15 @@
 /** Presence of the nodes: leases of those heard here, and the exchange. */
-import { createReduction } from "../../../base/common/reduction.ts";
-import { chainReduction } from "../../../base/common/reduction.ts";
-import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import {
+  appendEffects,
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { setEntry } from "../../../base/common/maps.ts";
 import type { Announcement } from "./announcement.ts";
 import { DIGEST_MS, LEASE_MS, PAUSE_MS } from "./membership_state.ts";
 import type { DirectNode, MembershipState } from "./membership_state.ts";
 import { createDigest, expireOwners, receivePresence } from "./presence.ts";
-import { putMember, removeMember } from "./presence.ts";
+import { changeOwned, isNewerPresence } from "./presence.ts";
 import type { MembershipEffect, MembershipStep } from "./presence.ts";
 import type {
   Presence,
@@ -65,10 +68,12 @@
   const { announcement, linkNumber, tableVersion } = event;
   const { nodeId } = announcement;
   const presence: Presence = { announcement, linkNumber };
-  const step = putMember(state, presence, state.self);
-  if (step.state === state) {
-    return createReduction(renewLease(state, event, nowMs));
+  if (!isNewerPresence(presence, state.members.get(nodeId))) {
+    const heard = { nodeId, tableVersion };
+    return createReduction(renewLease(state, heard, nowMs));
   }
+  const change = { owner: state.self, put: [presence], removed: [] };
+  const step = changeOwned(state, change);
   const node: DirectNode = { heardMs: nowMs, tableVersion };
   const next: MembershipState = {
     ...step.state,
@@ -91,19 +96,13 @@
 
 function renewLease(
   state: MembershipState,
-  heard:
-    & { readonly tableVersion: number }
-    & (
-      | { readonly nodeId: string }
-      | { readonly announcement: Announcement }
-    ),
+  heard: { readonly nodeId: string; readonly tableVersion: number },
   nowMs: number,
 ): MembershipState {
-  const nodeId = "nodeId" in heard ? heard.nodeId : heard.announcement.nodeId;
+  const { nodeId, tableVersion } = heard;
   if (!state.direct.has(nodeId)) {
     return state;
   }
-  const { tableVersion } = heard;
   const node: DirectNode = { heardMs: nowMs, tableVersion };
   return { ...state, direct: setEntry(state.direct, nodeId, node) };
 }
@@ -163,26 +162,14 @@
   if (removed.length === 0) {
     return createReduction(state);
   }
-  const start: MembershipState = { ...state, sequence: state.sequence + 1 };
-  const delta: MembershipEffect = {
+  const direct = new Map(state.direct);
+  removed.forEach((nodeId) => direct.delete(nodeId));
+  const sequence = state.sequence + 1;
+  const { self: owner, sequence: fromSequence } = state;
+  const change = { owner, put: [], removed };
+  const step = changeOwned({ ...state, sequence, direct }, change);
+  return appendEffects(step, {
     type: "SendPresence",
-    message: {
-      type: "PresenceDelta",
-      owner: state.self,
-      fromSequence: state.sequence,
-      sequence: start.sequence,
-      put: [],
-      removed,
-    },
-  };
-  return removed.reduce<MembershipStep>(
-    (step, nodeId) =>
-      chainReduction(step, (s) =>
-        removeMember(
-          { ...s, direct: deleteEntry(s.direct, nodeId) },
-          nodeId,
-          s.self,
-        )),
-    createReduction(start, [delta]),
-  );
+    message: { type: "PresenceDelta", ...change, fromSequence, sequence },
+  });
 }
--- a/src/platform/membership/common/presence.ts
+++ b/src/platform/membership/common/presence.ts
@@ -1,8 +1,11 @@
 /** The exchange of presence among control replicas, with anti-entropy. */
-import { createReduction } from "../../../base/common/reduction.ts";
-import { chainReduction } from "../../../base/common/reduction.ts";
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
 import type { Reduction } from "../../../base/common/reduction.ts";
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import { isNewerAnnouncement } from "./announcement.ts";
 import type { Announcement } from "./announcement.ts";
 import {
   FORGET_OWNER_MS,
@@ -55,49 +58,46 @@
   return order > 0;
 }
 
-/** Puts a member where it is newer; the same state where it isn't. */
-export function putMember(
-  state: MembershipState,
-  presence: Presence,
-  owner: string,
-): MembershipStep {
-  const { announcement, linkNumber } = presence;
-  const { nodeId } = announcement;
-  const current = state.members.get(nodeId);
-  if (!isNewerPresence(presence, current)) {
-    return createReduction(state);
-  }
-  const member = { announcement, linkNumber, owner };
-  const isLostHere = current?.owner === state.self && owner !== state.self;
-  const next: MembershipState = {
-    ...state,
-    members: setEntry(state.members, nodeId, member),
-    direct: isLostHere ? deleteEntry(state.direct, nodeId) : state.direct,
-  };
-  const known = current?.announcement;
-  const isSaid = known?.incarnation === announcement.incarnation &&
-    known.sequence === announcement.sequence;
-  return createReduction(
-    next,
-    isSaid ? [] : [{ type: "PublishMember", announcement }],
-  );
+/** Nodes that one replica puts and removes. */
+export interface OwnedChange {
+  readonly owner: string;
+  readonly put: readonly Presence[];
+  /** Node ids; of those, nodes that another replica hears by now stay. */
+  readonly removed: readonly string[];
 }
 
-/** Removes a member, unless another replica hears it by now. */
-export function removeMember(
+/** Applies what is newer of a change; copies the maps once for all of it. */
+export function changeOwned(
   state: MembershipState,
-  nodeId: string,
-  owner: string,
+  change: OwnedChange,
 ): MembershipStep {
-  const member = state.members.get(nodeId);
-  if (member?.owner !== owner) {
-    return createReduction(state);
+  const { owner } = change;
+  const members = new Map(state.members);
+  const direct = new Map(state.direct);
+  const effects: MembershipEffect[] = [];
+  for (const nodeId of change.removed) {
+    const member = members.get(nodeId);
+    if (member?.owner === owner) {
+      const { service } = member.announcement;
+      members.delete(nodeId);
+      effects.push({ type: "PublishMemberLoss", nodeId, service });
+    }
   }
-  const { service } = member.announcement;
-  const members = deleteEntry(state.members, nodeId);
-  return createReduction({ ...state, members }, [
-    { type: "PublishMemberLoss", nodeId, service },
-  ]);
+  for (const presence of change.put) {
+    const { announcement, linkNumber } = presence;
+    const { nodeId } = announcement;
+    const current = members.get(nodeId);
+    if (isNewerPresence(presence, current)) {
+      members.set(nodeId, { announcement, linkNumber, owner });
+      if (owner !== state.self) {
+        direct.delete(nodeId);
+      }
+      if (isNewerAnnouncement(announcement, current?.announcement)) {
+        effects.push({ type: "PublishMember", announcement });
+      }
+    }
+  }
+  return createReduction({ ...state, members, direct }, effects);
 }
 
 /** Takes a message of another replica. */
@@ -190,21 +190,13 @@
   const owners = isForgotten
     ? deleteEntry(state.owners, name)
     : setEntry(state.owners, name, { ...owner, sequence: UNKNOWN_SEQUENCE });
-  const step = createReduction<MembershipState, MembershipEffect>({
-    ...state,
-    owners,
-  });
+  const next = { ...state, owners };
   if (owner.sequence === UNKNOWN_SEQUENCE) {
-    return step;
+    return createReduction(next);
   }
-  return findOwned(state, name).reduce(
-    (last, presence) =>
-      chainReduction(
-        last,
-        (s) => removeMember(s, presence.announcement.nodeId, name),
-      ),
-    step,
-  );
+  const removed = findOwned(state, name)
+    .map((presence) => presence.announcement.nodeId);
+  return changeOwned(next, { owner: name, put: [], removed });
 }
 
 function applyDelta(
@@ -226,11 +218,7 @@
     sequence,
     heardMs: nowMs,
   });
-  const start = createReduction<MembershipState, MembershipEffect>({
-    ...state,
-    owners,
-  });
-  return changeOwned(start, delta);
+  return changeOwned({ ...state, owners }, delta);
 }
 
 function applyList(
@@ -251,28 +239,8 @@
     ? { beat: 0, sequence, heardMs: nowMs, tableVersion: 0, behind: new Map() }
     : { ...owner, sequence };
   const owners = setEntry(state.owners, name, next);
-  const start = createReduction<MembershipState, MembershipEffect>({
-    ...state,
-    owners,
-  });
-  return changeOwned(start, { owner: name, put: nodes, removed });
-}
-
-function changeOwned(
-  start: MembershipStep,
-  change: Pick<PresenceDelta, "owner" | "put" | "removed">,
-): MembershipStep {
-  const { owner, put, removed } = change;
-  const reduced = removed.reduce(
-    (step, nodeId) =>
-      chainReduction(step, (s) => removeMember(s, nodeId, owner)),
-    start,
-  );
-  return put.reduce(
-    (step, presence) =>
-      chainReduction(step, (s) => putMember(s, presence, owner)),
-    reduced,
-  );
+  const change = { owner: name, put: nodes, removed };
+  return changeOwned({ ...state, owners }, change);
 }
 
 /** Only a beat that was never seen proves that the owner lives. */
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -44,6 +44,8 @@
   readonly dataCentre: string;
   readonly slots?: number;
   readonly behaviour?: Partial<Behaviour>;
+  /** Flags of the node's runtime. */
+  readonly flags?: readonly string[];
   /** Paths called downstream by `METHOD /prefix`. */
   readonly downstream?: Readonly<Record<string, readonly string[]>>;
   /** File that the node records its events to. */
@@ -78,36 +80,26 @@
     replicas: readonly (readonly [id: string, dataCentre: string])[],
   ): Promise<readonly FleetControl[]> {
     const links = await Promise.all(replicas.map(() => findAddress()));
-    return await Promise.all(replicas.map(([id, dataCentre], index) => {
-      const link = links[index]!;
-      const peers = links.filter((other) => other !== link);
-      return this.startControl(id, dataCentre, { link, peers });
-    }));
+    const started = await Promise.all(
+      replicas.map(([id, dataCentre], index) => {
+        const link = links[index]!;
+        const peers = links.filter((other) => other !== link);
+        return this.#openControl(id, dataCentre, { link, peers });
+      }),
+    );
+    this.#controls.push(...started);
+    return started;
   }
 
   /** Starts a control replica. */
-  async startControl(
-    id: string,
-    dataCentre: string,
-    place: { readonly link?: string; readonly peers?: readonly string[] } = {},
-  ): Promise<FleetControl> {
-    const link = place.link ?? await findAddress();
-    const operator = await findAddress();
-    const settings = this.writeSettings(id, {
-      role: "control",
-      id,
-      vm: id,
-      region: "local",
-      data_centre: dataCentre,
-      data_folder: join(this.folder, id),
-      presence_peers: place.peers ?? [],
-      listen: { link, operator },
-      security: { transport: "plaintext" },
+  async startControl(id: string, dataCentre: string): Promise<FleetControl> {
+    const link = await findAddress();
+    const started = await this.#openControl(id, dataCentre, {
+      link,
+      peers: [],
     });
-    const started = await this.startDaemon(id, settings);
-    const control = { ...started, link, operator };
-    this.#controls.push(control);
-    return control;
+    this.#controls.push(started);
+    return started;
   }
 
   /** Starts a backend server and the node beside it. */
@@ -143,7 +135,7 @@
       egress,
       address: backendAddress,
     });
-    const node = await this.startDaemon(id, settings);
+    const node = await this.startDaemon(id, settings, options.flags);
     await this.waitMember(id);
     const addresses = { edge, egress, ingress, operator, backendAddress };
     return { ...node, ...addresses, service, backend };
@@ -189,9 +181,13 @@
   }
 
   /** Starts `basilpind` on a settings file. */
-  async startDaemon(id: string, settings: string): Promise<FleetProcess> {
+  async startDaemon(
+    id: string,
+    settings: string,
+    flags: readonly string[] = [],
+  ): Promise<FleetProcess> {
     const main = join(ROOT, "src/daemon/main.js");
-    return await this.start(id, [main, "--settings", settings]);
+    return await this.start(id, [...flags, main, "--settings", settings]);
   }
 
   /** Writes a settings file and returns its name. */
@@ -246,6 +242,28 @@
     return await exited;
   }
 
+  async #openControl(
+    id: string,
+    dataCentre: string,
+    place: { readonly link: string; readonly peers: readonly string[] },
+  ): Promise<FleetControl> {
+    const { link, peers } = place;
+    const operator = await findAddress();
+    const settings = this.writeSettings(id, {
+      role: "control",
+      id,
+      vm: id,
+      region: "local",
+      data_centre: dataCentre,
+      data_folder: join(this.folder, id),
+      presence_peers: peers,
+      listen: { link, operator },
+      security: { transport: "plaintext" },
+    });
+    const started = await this.startDaemon(id, settings);
+    return { ...started, link, operator };
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const exits = [...this.#children].map((child) => {
       const exited = waitExit(child);
