--- /dev/null
+++ b/src/platform/storage/test/data_folder_test.ts
@@ -0,0 +1,85 @@
+/** Data folders on the disk: lock, identity and durability of real files. */
+import {
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  truncateSync,
+  writeFileSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { expect } from "chai";
+import { openDataFolder } from "../node/data_folder.ts";
+import type { DataFolder } from "../node/data_folder.ts";
+import { LOCK_FILE } from "../node/folder_lock.ts";
+import { createEntry, createWrite, listEntries } from "./storage_fixture.ts";
+
+describe("data folder", () => {
+  let root: string;
+  let folder: string;
+
+  beforeEach(() => {
+    root = mkdtempSync(join(tmpdir(), "basilpin-storage-"));
+    folder = join(root, "data");
+  });
+
+  afterEach(() => rmSync(root, { recursive: true, force: true }));
+
+  it("keeps entries and identity over restarts, and cuts a tail", async () => {
+    const first = await openOk();
+    expect(first.isNew).to.equal(true);
+    for (const index of [1, 2, 3]) {
+      const written = await first.storage.append(
+        createWrite([createEntry(index)]),
+      );
+      written._unsafeUnwrap();
+    }
+    await close(first);
+    const log = join(folder, "log-0000000001");
+    truncateSync(log, readFileSync(log).length - 1);
+    const second = await openOk();
+    await close(second);
+    expect(second.isNew).to.equal(false);
+    expect(second.replicaId).to.equal(first.replicaId);
+    expect(second.cutBytes).to.be.greaterThan(0);
+    expect(listEntries(second.recovered.entries))
+      .to.deep.equal(["1:1", "1:2"]);
+  });
+
+  it("gives a wiped folder a new identity", async () => {
+    const first = await openOk();
+    await close(first);
+    rmSync(folder, { recursive: true });
+    const second = await openOk();
+    await close(second);
+    expect(second.isNew).to.equal(true);
+    expect(second.replicaId).to.match(/^control-a~/);
+    expect(second.replicaId).not.to.equal(first.replicaId);
+  });
+
+  it("has one writer, and takes over from one that has ended", async () => {
+    const first = await openOk();
+    const second = await openDataFolder(folder, "control-a");
+    expect(second._unsafeUnwrapErr())
+      .to.deep.equal({ type: "FolderLocked", folder, pid: process.pid });
+    const lock = join(folder, LOCK_FILE);
+    const held = readFileSync(lock, "utf8");
+    await close(first);
+    const stamp = JSON.parse(held) as { pid: number; startedAt: string };
+    const reused = { ...stamp, startedAt: "1@an-earlier-boot" };
+    writeFileSync(lock, JSON.stringify(reused));
+    const third = await openOk();
+    expect(readFileSync(lock, "utf8")).to.equal(held);
+    await close(third);
+  });
+
+  async function openOk(): Promise<DataFolder> {
+    return (await openDataFolder(folder, "control-a"))._unsafeUnwrap();
+  }
+});
+
+async function close({ storage, lock }: DataFolder): Promise<void> {
+  await storage[Symbol.asyncDispose]();
+  await lock[Symbol.asyncDispose]();
+}
