--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -123,7 +123,11 @@
 }
 
 await using fleet = new Fleet();
-await fleet.startControl("control-a", "kenitra-a");
+await fleet.startControls([
+  ["control-a", "kenitra-a"],
+  ["control-b", "kenitra-b"],
+  ["control-c", "larache-a"],
+]);
 writeLine("Starting 16 nodes and backend servers ...");
 const nodes = await startNodes(fleet);
 writeLine((await fleet.run("table", "apply", TABLE, "--wait")).stdout);
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,6 +1,7 @@
 /** `basilpin status`: nodes, control replicas, versions in force. */
 import type { Command } from "commander";
 import type { Result } from "neverthrow";
+import type { ClusterReport } from "../../platform/control/common/cluster_report.ts";
 import type { ControlReport } from "../../platform/control/common/control_report.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
@@ -9,6 +10,7 @@
 
 /** What a control replica answers. */
 export interface StatusAnswer extends ControlReport {
+  readonly cluster: ClusterReport;
   readonly id: string;
   readonly dataCentre: string;
 }
@@ -45,12 +47,14 @@
         `table version ${report.tableVersion}`,
     );
     writeColumns(
-      ["REPLICA", "TABLE", "LAST HEARD", "STATE"],
-      report.replicas.map((replica) => [
-        replica.id,
-        String(replica.tableVersion),
-        formatAge(replica.lastHeardMs),
-        replica.isSilent ? "SILENT" : "heard",
+      ["REPLICA", "ROLE", "TERM", "COMMITTED", "LAST HEARD", "STATE"],
+      report.cluster.members.map((member) => [
+        member.id,
+        member.role,
+        String(member.term),
+        String(member.commitIndex),
+        formatAge(member.lastHeardMs),
+        member.isSilent ? "SILENT" : "heard",
       ]),
     );
     writeColumns(
--- a/src/cli/test/session_test.ts
+++ b/src/cli/test/session_test.ts
@@ -14,6 +14,7 @@
     .replace(/127\.0\.0\.1:\d+/g, "ADDRESS")
     .replace(/[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f-]{22}/g, "EDIT-ID")
     .replace(/\d{4}-\d\d-\d\dT[\d:.]+Z/g, "TIME")
+    .replace(/\b\d+\.\d s\b/g, "AGE")
     .replace(/"(atMs|incarnation)": \d+/g, '"$1": NUMBER');
 }
 
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -2,68 +2,90 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { EventLoop } from "../base/node/event_loop.ts";
 import { parseAddress } from "../base/node/listen.ts";
-import { reduceControl } from "../platform/control/common/control_reducer.ts";
+import { createClusterReport } from "../platform/control/common/cluster_report.ts";
+import { createControlReport } from "../platform/control/common/control_report.ts";
 import { createControl } from "../platform/control/common/control_state.ts";
+import { reduceReplica } from "../platform/control/common/replica_reducer.ts";
 import type {
-  ControlEffect,
-  ControlEvent,
-  ControlState,
-} from "../platform/control/common/control_state.ts";
-import { createControlReport } from "../platform/control/common/control_report.ts";
+  ReplicaEffect,
+  ReplicaEvent,
+  ReplicaState,
+} from "../platform/control/common/replica_reducer.ts";
+import { restoreReplication } from "../platform/control/common/replication_reducer.ts";
+import { isClusterMessage } from "../platform/link/common/cluster_messages.ts";
 import { isPresenceMessage } from "../platform/link/common/link_messages.ts";
 import type {
   InboundMessage,
   OutboundMessage,
 } from "../platform/link/common/link_messages.ts";
-import { ReplicaLinks } from "../platform/link/node/replica_links.ts";
 import { LinkServer } from "../platform/link/node/link_server.ts";
-import type { EditOutcome } from "../platform/table/common/table_reducer.ts";
-import { parseEditBody } from "./edit_body.ts";
+import { ReplicaLinks } from "../platform/link/node/replica_links.ts";
+import type { StorageError } from "../platform/storage/common/storage_error.ts";
+import type { DataFolder } from "../platform/storage/node/data_folder.ts";
+import { ClusterLinks, listPeers } from "./cluster_links.ts";
+import { ControlRequests } from "./control_requests.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type {
   OperatorAnswer,
   OperatorRequest,
   OperatorRoute,
 } from "./operator_server.ts";
+import { ReplicaDisk } from "./replica_disk.ts";
 import type { ControlSettings } from "./settings.ts";
 import { Telemetry } from "./telemetry.ts";
 
 const TICK_MS = 250;
+const REPLICATION_TICK_MS = 50;
+const HANDOVER_MS = 3_000;
+const POLL_MS = 20;
+
+/** What a control replica is built from. */
+export interface ControlDaemonOptions {
+  readonly settings: ControlSettings;
+  /** Owned by the daemon from here on. */
+  readonly folder: DataFolder;
+  /** A write failed: the process must end. */
+  readonly onStorageError: (error: StorageError) => void;
+}
 
 /** A running control replica. */
 export class ControlDaemon implements AsyncDisposable {
   readonly #settings: ControlSettings;
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
-  readonly #loop: EventLoop<ControlState, ControlEvent, ControlEffect>;
+  readonly #loop: EventLoop<ReplicaState, ReplicaEvent, ReplicaEffect>;
+  readonly #disk: ReplicaDisk;
   readonly #links: LinkServer;
   readonly #replicas: ReplicaLinks;
+  readonly #cluster: ClusterLinks;
+  readonly #requests: ControlRequests;
   readonly #operator: OperatorServer;
-  readonly #edits = new Map<number, (outcome: EditOutcome) => void>();
-  #nextEdit = 1;
 
-  constructor(settings: ControlSettings) {
+  constructor(options: ControlDaemonOptions) {
+    const { settings, folder, onStorageError } = options;
     this.#settings = settings;
     this.#telemetry = this.#owned.use(new Telemetry(settings));
+    const dispatch = (event: ReplicaEvent) => this.#loop.dispatch(event);
+    this.#disk = this.#owned.use(
+      new ReplicaDisk({ folder, dispatch, onError: onStorageError }),
+    );
     this.#loop = new EventLoop({
-      initial: createControl(settings.id, Date.now()),
-      reduce: reduceControl,
+      initial: createState(settings, folder),
+      reduce: reduceReplica,
       readClock: Date.now,
       perform: (effect) => this.#perform(effect),
     });
     this.#links = this.#owned.use(this.#createLinks());
     this.#replicas = this.#owned.use(this.#createReplicas());
+    this.#cluster = new ClusterLinks({
+      dialled: this.#replicas,
+      accepted: this.#links,
+      peers: listPeers(settings),
+    });
+    this.#requests = new ControlRequests(dispatch);
     this.#operator = this.#owned.use(this.#createOperator());
-    this.#telemetry.metrics.createGauge(
-      "table_version",
-      "Version of the table",
-      () => this.#loop.state.tableState.table.version,
-    );
-    this.#telemetry.metrics.createGauge(
-      "members",
-      "Nodes whose lease runs",
-      () => this.#loop.state.membership.members.size,
-    );
+    this.#createGauges();
+    this.#reportFolder(folder);
   }
 
   /** Opens the listeners. */
@@ -71,23 +93,36 @@
     await this.#links.open();
     await this.#operator.open();
     this.#replicas.open();
-    const tick = setInterval(
-      () => this.#loop.dispatch({ type: "Ticked" }),
-      TICK_MS,
-    );
-    this.#owned.defer(() => clearInterval(tick));
+    this.#startTicks("Ticked", TICK_MS);
+    this.#startTicks("ReplicationTicked", REPLICATION_TICK_MS);
     this.#telemetry.record({ type: "ProcessStarted", role: "control" });
   }
 
-  /** Nothing is in progress that could be cut. */
-  async drain(): Promise<void> {}
+  /** Hands leadership over, so that a planned stop needs no election. */
+  async drain(): Promise<void> {
+    const endMs = Date.now() + HANDOVER_MS;
+    this.#loop.dispatch({ type: "StopPlanned" });
+    while (this.#isHandingOver() && Date.now() < endMs) {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#telemetry.record({ type: "ProcessStopped" });
     await this.#owned[Symbol.asyncDispose]();
   }
 
-  #perform(effect: ControlEffect): void {
+  #startTicks(type: "Ticked" | "ReplicationTicked", everyMs: number): void {
+    const tick = setInterval(() => this.#loop.dispatch({ type }), everyMs);
+    this.#owned.defer(() => clearInterval(tick));
+  }
+
+  #isHandingOver(): boolean {
+    const { role } = this.#loop.state.replication.consensus;
+    return role.type === "Leader" && role.transfer !== undefined;
+  }
+
+  #perform(effect: ReplicaEffect): void {
     switch (effect.type) {
       case "SendToLink":
         this.#links.send(effect.linkId, effect.message);
@@ -98,9 +133,19 @@
       case "SendToReplica":
         this.#replicas.send(effect.replica, effect.message);
         return;
+      case "SendToPeer":
+        this.#cluster.send(effect.peer, effect.message);
+        return;
+      case "PersistLog":
+      case "PersistSnapshot":
+      case "StoreFounding":
+        this.#disk.perform(effect);
+        return;
       case "AnswerEdit":
-        this.#edits.get(effect.requestId)?.(effect.outcome);
-        this.#edits.delete(effect.requestId);
+        this.#requests.answerEdit(effect.requestId, effect.result);
+        return;
+      case "AnswerRead":
+        this.#requests.answerRead(effect.requestId, effect.isCurrent);
         return;
       case "RecordEvent":
         this.#telemetry.record(effect.event);
@@ -117,6 +162,11 @@
   }
 
   #receive(linkId: number, message: InboundMessage): void {
+    if (isClusterMessage(message)) {
+      this.#cluster.observe(message, linkId);
+      this.#loop.dispatch({ type: "ClusterMessageReceived", message });
+      return;
+    }
     if (isPresenceMessage(message)) {
       const channel = { type: "Accepted", linkId } as const;
       this.#loop.dispatch({ type: "PresenceReceived", channel, message });
@@ -131,7 +181,7 @@
   #createReplicas(): ReplicaLinks {
     return new ReplicaLinks({
       id: this.#settings.id,
-      replicas: this.#settings.presence_peers,
+      replicas: listPeers(this.#settings).map(({ link }) => link),
       onMessage: (message, replica) => this.#receiveReply(message, replica),
     });
   }
@@ -139,6 +189,8 @@
   #receiveReply(message: OutboundMessage, replica: string): void {
     if (message.type === "HeartbeatAnswer") {
       this.#telemetry.timeline.observeClock(message.clock);
+    } else if (isClusterMessage(message)) {
+      this.#loop.dispatch({ type: "ClusterMessageReceived", message });
     } else if (isPresenceMessage(message)) {
       const channel = { type: "Dialled", replica } as const;
       this.#loop.dispatch({ type: "PresenceReceived", channel, message });
@@ -147,20 +199,18 @@
 
   #createOperator(): OperatorServer {
     const { timeline, metrics } = this.#telemetry;
+    const readTable = () => this.#loop.state.replication.tableState;
     const routes = new Map<string, OperatorRoute>([
       ["GET /livez", () => ({ status: 200, body: { isAlive: true } })],
-      ["GET /readyz", () => ({ status: 200, body: { isReady: true } })],
+      ["GET /readyz", () => this.#answerReady()],
       ["GET /status", () => ({ status: 200, body: this.#createStatus() })],
       ["GET /timeline", () => ({ status: 200, body: timeline.list() })],
-      ["GET /table", () => ({
-        status: 200,
-        body: this.#loop.state.tableState.table,
-      })],
-      ["GET /table/history", () => ({
-        status: 200,
-        body: this.#loop.state.tableState.history,
-      })],
-      ["POST /table/edits", (request) => this.#takeEdit(request)],
+      ["GET /table", () => this.#requests.read(() => readTable().table)],
+      [
+        "GET /table/history",
+        () => this.#requests.read(() => readTable().history),
+      ],
+      ["POST /table/edits", (request) => this.#requests.takeEdit(request)],
       ["POST /drain", (request) => this.#orderDrain(request)],
     ]);
     return new OperatorServer({
@@ -171,32 +221,15 @@
     });
   }
 
-  #takeEdit(request: OperatorRequest): Promise<OperatorAnswer> {
-    return parseEditBody(request.body).match(
-      async ({ editId, change }) => {
-        const { operator } = request;
-        const edit = { editId, operator, atMs: Date.now(), change };
-        const outcome = await this.#requestEdit(edit);
-        const status = outcome.type === "EditConflicted" ? 409 : 200;
-        return { status, body: outcome };
-      },
-      (message) => Promise.resolve({ status: 400, body: { message } }),
-    );
-  }
-
-  #requestEdit(
-    edit: Extract<ControlEvent, { type: "EditRequested" }>["edit"],
-  ): Promise<EditOutcome> {
-    const requestId = this.#nextEdit++;
-    return new Promise((resolve) => {
-      this.#edits.set(requestId, resolve);
-      this.#loop.dispatch({ type: "EditRequested", requestId, edit });
-    });
+  /** Ready is a replica that has proved its table to be current. */
+  #answerReady(): OperatorAnswer {
+    const isReady = this.#loop.state.control.isTableConfirmed;
+    return { status: isReady ? 200 : 503, body: { isReady } };
   }
 
   #orderDrain(request: OperatorRequest): OperatorAnswer {
     const nodeId = request.query.get("node") ?? "";
-    const { members } = this.#loop.state.membership;
+    const { members } = this.#loop.state.control.membership;
     if (!members.has(nodeId)) {
       const message = `No node ${JSON.stringify(nodeId)}; see basilpin status`;
       return { status: 404, body: { message } };
@@ -206,11 +239,78 @@
   }
 
   #createStatus() {
+    const { control, replication } = this.#loop.state;
+    const nowMs = Date.now();
     return {
       role: "control",
       id: this.#settings.id,
       dataCentre: this.#settings.data_centre,
-      ...createControlReport(this.#loop.state, Date.now()),
+      ...createControlReport(control, nowMs),
+      cluster: createClusterReport(replication, nowMs),
     };
   }
+
+  #createGauges(): void {
+    const { metrics } = this.#telemetry;
+    const readState = () => this.#loop.state;
+    metrics.createGauge(
+      "table_version",
+      "Version of the table",
+      () => readState().replication.tableState.table.version,
+    );
+    metrics.createGauge(
+      "members",
+      "Nodes whose lease runs",
+      () => readState().control.membership.members.size,
+    );
+    metrics.createGauge(
+      "table_confirmed",
+      "Whether a quorum vouched for the table lately (1 or 0)",
+      () => readState().control.isTableConfirmed ? 1 : 0,
+    );
+    metrics.createGauge(
+      "silent_replicas",
+      "Other control replicas that are not heard",
+      () =>
+        [...readState().replication.peers.values()]
+          .filter((peer) => peer.isSilent).length,
+    );
+    metrics.createGauge(
+      "consensus_term",
+      "Term of the replicated log",
+      () => readState().replication.consensus.term,
+    );
+    metrics.createGauge(
+      "commit_index",
+      "Index up to which the replicated log is committed",
+      () => readState().replication.consensus.commitIndex,
+    );
+  }
+
+  #reportFolder({ replicaId, isNew, cutBytes }: DataFolder): void {
+    const { log } = this.#telemetry;
+    log.info({ replicaId, isNew }, "Data folder is open");
+    if (cutBytes > 0) {
+      log.warn({ cutBytes }, "An incomplete last write was cut off the log");
+    }
+  }
+}
+
+function createState(
+  settings: ControlSettings,
+  folder: DataFolder,
+): ReplicaState {
+  const nowMs = Date.now();
+  const { id, cluster } = settings;
+  const { state: replication } = restoreReplication({
+    cluster: {
+      self: id,
+      voters: cluster?.voters.map((voter) => voter.id) ?? [id],
+      peers: listPeers(settings).map((peer) => peer.id),
+    },
+    replicaId: folder.replicaId,
+    recovered: folder.recovered,
+    nowMs,
+  });
+  return { control: createControl(id, nowMs), replication };
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,6 +2,9 @@
 /** `basilpind`: starts one process in the role that its settings name. */
 import process from "node:process";
 import { Command } from "commander";
+import { describeStorageError } from "../platform/storage/common/storage_error.ts";
+import type { StorageError } from "../platform/storage/common/storage_error.ts";
+import { openDataFolder } from "../platform/storage/node/data_folder.ts";
 import { ControlDaemon } from "./control_daemon.ts";
 import { NodeDaemon } from "./node_daemon.ts";
 import { readSettings } from "./settings.ts";
@@ -17,14 +20,29 @@
   drain(): Promise<void>;
 }
 
-function createDaemon(settings: Settings): Daemon {
-  return settings.role === "node"
-    ? new NodeDaemon(settings)
-    : new ControlDaemon(settings);
+async function createDaemon(settings: Settings): Promise<Daemon> {
+  if (settings.role === "node") {
+    return new NodeDaemon(settings);
+  }
+  const folder = await openDataFolder(settings.data_folder, settings.id);
+  if (folder.isErr()) {
+    return failStorage(folder.error);
+  }
+  return new ControlDaemon({
+    settings,
+    folder: folder.value,
+    onStorageError: failStorage,
+  });
+}
+
+/** A replica that can't vouch for its disk must not answer for anything. */
+function failStorage(error: StorageError): never {
+  process.stderr.write(`${describeStorageError(error)}\n`);
+  process.exit(EXIT_FAILED);
 }
 
 async function runDaemon(settings: Settings): Promise<void> {
-  const daemon = createDaemon(settings);
+  const daemon = await createDaemon(settings);
   try {
     await daemon.open();
   } catch (error) {
--- /dev/null
+++ b/src/daemon/replica_disk.ts
@@ -0,0 +1,82 @@
+/** Carries a replica's writes to its data folder, and says when they last. */
+import { createFoundingSnapshot } from "../platform/consensus/common/recovery.ts";
+import type {
+  ReplicationEffect,
+  ReplicationEvent,
+} from "../platform/control/common/replication_state.ts";
+import type { StorageError } from "../platform/storage/common/storage_error.ts";
+import type { DataFolder } from "../platform/storage/node/data_folder.ts";
+
+/** An effect that ends on the disk. */
+export type DiskEffect = Extract<
+  ReplicationEffect,
+  { type: "PersistLog" | "PersistSnapshot" | "StoreFounding" }
+>;
+
+/** What the disk is wired to. */
+export interface ReplicaDiskOptions {
+  readonly folder: DataFolder;
+  readonly dispatch: (event: ReplicationEvent) => void;
+  /** A write failed: nothing more may be answered for. */
+  readonly onError: (error: StorageError) => void;
+}
+
+/** Owns the open data folder. */
+export class ReplicaDisk implements AsyncDisposable {
+  readonly #options: ReplicaDiskOptions;
+  #isClosed = false;
+
+  constructor(options: ReplicaDiskOptions) {
+    this.#options = options;
+  }
+
+  /** Writes and syncs, in the order of the calls; then says so. */
+  perform(effect: DiskEffect): void {
+    if (this.#isClosed) {
+      return;
+    }
+    const { dispatch, onError } = this.#options;
+    this.#write(effect).then((written) =>
+      written.match(() => dispatch(createDone(effect)), onError)
+    );
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const { storage, lock } = this.#options.folder;
+    this.#isClosed = true;
+    await storage[Symbol.asyncDispose]();
+    await lock[Symbol.asyncDispose]();
+  }
+
+  #write(effect: DiskEffect) {
+    const { storage } = this.#options.folder;
+    switch (effect.type) {
+      case "PersistLog": {
+        const { hardState, truncateFrom, entries } = effect;
+        return storage.append({ hardState, truncateFrom, entries });
+      }
+      case "PersistSnapshot": {
+        const { snapshot, discardsLog } = effect;
+        return storage.saveSnapshot({ snapshot, discardsLog });
+      }
+      case "StoreFounding": {
+        const { configuration } = effect;
+        const payload = new Uint8Array();
+        const snapshot = createFoundingSnapshot(configuration, payload);
+        return storage.saveSnapshot({ snapshot, discardsLog: false });
+      }
+    }
+  }
+}
+
+function createDone(effect: DiskEffect): ReplicationEvent {
+  switch (effect.type) {
+    case "PersistLog":
+    case "PersistSnapshot":
+      return { type: "PersistCompleted", persistId: effect.persistId };
+    case "StoreFounding": {
+      const { configuration } = effect;
+      return { type: "FoundingStored", configuration };
+    }
+  }
+}
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -76,6 +76,17 @@
   })),
 });
 
+const REPLICA = v.strictObject({ id: NAME, link: ADDRESS });
+const CLUSTER = v.strictObject({
+  /** The first one founds the set; the same list at all replicas. */
+  voters: v.pipe(
+    v.array(REPLICA, "a list of { id, link }"),
+    v.check(({ length }) => [1, 3, 5].includes(length), "1, 3 or 5 replicas"),
+  ),
+  /** Replicas that serve nodes but don't vote. */
+  learners: v.optional(v.array(REPLICA, "a list of { id, link }"), []),
+});
+
 const CONTROL_SETTINGS = v.strictObject({
   role: v.literal("control"),
   id: NAME,
@@ -87,7 +98,8 @@
     v.minLength(1, "a folder"),
   ),
   listen: v.strictObject({ link: ADDRESS, operator: ADDRESS }),
-  presence_peers: v.optional(v.array(ADDRESS, "a list of host:port"), []),
+  /** The replicas of the table; left out where this is the only one. */
+  cluster: v.optional(CLUSTER),
   security: SECURITY,
   log: LOG,
 });
--- /dev/null
+++ b/src/platform/control/common/cluster_report.ts
@@ -0,0 +1,55 @@
+/** What a replica tells operators of the replica set. */
+import type { ReplicaRole } from "../../link/common/cluster_messages.ts";
+import { findLeader } from "../../consensus/common/term.ts";
+import { getRole, getSettingsId } from "./replication_state.ts";
+import type { ReplicationState } from "./replication_state.ts";
+
+/** One replica of the table. */
+export interface ClusterMember {
+  readonly id: string;
+  /** Id of its data folder; null where it was never heard. */
+  readonly replicaId: string | null;
+  readonly role: ReplicaRole;
+  readonly term: number;
+  readonly commitIndex: number;
+  readonly isSilent: boolean;
+  /** Since it was heard, or since this replica's start. */
+  readonly lastHeardMs: number;
+}
+
+/** The replica set as one replica sees it. */
+export interface ClusterReport {
+  /** Id in the settings; null for none known. */
+  readonly leader: string | null;
+  readonly members: readonly ClusterMember[];
+}
+
+/** Creates the report at `nowMs`, this replica first. */
+export function createClusterReport(
+  state: ReplicationState,
+  nowMs: number,
+): ClusterReport {
+  const { consensus, cluster, peers } = state;
+  const { replicaId, term, commitIndex } = consensus;
+  const self: ClusterMember = {
+    id: cluster.self,
+    replicaId,
+    role: getRole(state),
+    term,
+    commitIndex,
+    isSilent: false,
+    lastHeardMs: 0,
+  };
+  const others = [...peers].map(([id, peer]): ClusterMember => ({
+    id,
+    replicaId: peer.replicaId ?? null,
+    role: peer.role,
+    term: peer.term,
+    commitIndex: peer.commitIndex,
+    isSilent: peer.isSilent,
+    lastHeardMs: nowMs - peer.heardAtMs,
+  }));
+  const leaderId = findLeader(consensus);
+  const leader = leaderId === undefined ? null : getSettingsId(leaderId);
+  return { leader, members: [self, ...others] };
+}
--- /dev/null
+++ b/src/platform/control/common/consensus_step.ts
@@ -0,0 +1,156 @@
+/** Steps consensus and carries its effects into the table. */
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import type {
+  CommittedCommand,
+  ConsensusEffect,
+  ConsensusEvent,
+} from "../../consensus/common/consensus_events.ts";
+import { reduceConsensus } from "../../consensus/common/consensus_reducer.ts";
+import type { Configuration } from "../../consensus/common/log_types.ts";
+import {
+  decodeEdit,
+  decodeTableState,
+  encodeTableState,
+} from "../../table/common/table_codec.ts";
+import { applyEdit } from "../../table/common/table_reducer.ts";
+import { commitEdit, retryEdit } from "./edit_requests.ts";
+import { getSettingsId } from "./replication_state.ts";
+import type {
+  ReplicationEffect,
+  ReplicationState,
+  ReplicationStep,
+} from "./replication_state.ts";
+import { failRead, finishRead } from "./table_reads.ts";
+
+/** Steps consensus by one event. */
+export function stepConsensus(
+  state: ReplicationState,
+  event: ConsensusEvent,
+  nowMs: number,
+): ReplicationStep {
+  const step = reduceConsensus(state.consensus, event, nowMs);
+  return carryEffects({ ...state, consensus: step.state }, step.effects, nowMs);
+}
+
+/** Carries the effects of consensus out, in order. */
+export function carryEffects(
+  state: ReplicationState,
+  effects: readonly ConsensusEffect[],
+  nowMs: number,
+): ReplicationStep {
+  return effects.reduce<ReplicationStep>(
+    (step, effect) => chainReduction(step, (s) => carry(s, effect, nowMs)),
+    createReduction(state),
+  );
+}
+
+function carry(
+  state: ReplicationState,
+  effect: ConsensusEffect,
+  nowMs: number,
+): ReplicationStep {
+  switch (effect.type) {
+    case "SendMessage":
+      return createReduction(state, [createRelay(state, effect)]);
+    case "PersistLog":
+    case "PersistSnapshot":
+      return createReduction(state, [effect]);
+    case "ApplyEntries":
+      return applyCommands(state, effect.commands);
+    case "InstallSnapshot": {
+      const tableState = decodeTableState(effect.snapshot.payload);
+      return createReduction({ ...state, tableState });
+    }
+    case "TakeSnapshot": {
+      const { lastIndex } = effect;
+      const payload = encodeTableState(state.tableState);
+      const taken = { type: "SnapshotTaken", lastIndex, payload } as const;
+      return stepConsensus(state, taken, nowMs);
+    }
+    case "ProposalCommitted":
+      return commitEdit(state, effect.requestId);
+    case "ProposalFailed":
+      return retryEdit(state, effect.requestId, {
+        isUnknown: effect.failure.type === "OutcomeUnknown",
+      });
+    case "ReadReady":
+      return finishRead(state, effect.requestId);
+    case "ReadFailed":
+      return failRead(state, effect.requestId);
+    case "LeaderChanged":
+      return recordLeader(state, effect);
+    case "ConfigurationChanged":
+      return recordChange(state, effect.configuration);
+    case "ReplicaSilent":
+    case "ReplicaHeard":
+    case "TransferExpired":
+      return createReduction(state);
+  }
+}
+
+function createRelay(
+  state: ReplicationState,
+  effect: Extract<ConsensusEffect, { type: "SendMessage" }>,
+): ReplicationEffect {
+  const { to, message } = effect;
+  const from = state.consensus.replicaId;
+  return {
+    type: "SendToPeer",
+    peer: getSettingsId(to),
+    message: { type: "ConsensusRelay", from, to, message },
+  };
+}
+
+/** The leader alone records what was accepted, so that it is told once. */
+function applyCommands(
+  state: ReplicationState,
+  commands: readonly CommittedCommand[],
+): ReplicationStep {
+  const isLeader = state.consensus.role.type === "Leader";
+  let { tableState } = state;
+  const effects: ReplicationEffect[] = [];
+  for (const { payload } of commands) {
+    const edit = decodeEdit(payload);
+    const before = tableState.table.version;
+    tableState = applyEdit(tableState, edit).state;
+    const { version } = tableState.table;
+    if (isLeader && version > before) {
+      const { editId, operator } = edit;
+      const event = {
+        type: "EditAccepted",
+        version,
+        editId,
+        operator,
+      } as const;
+      effects.push({ type: "RecordEvent", event });
+    }
+  }
+  return createReduction({ ...state, tableState }, effects);
+}
+
+function recordLeader(
+  state: ReplicationState,
+  effect: Extract<ConsensusEffect, { type: "LeaderChanged" }>,
+): ReplicationStep {
+  const { term, leaderId } = effect;
+  const leader = leaderId === undefined ? "none" : getSettingsId(leaderId);
+  const event = { type: "LeaderChanged", term, leader } as const;
+  return createReduction(state, [{ type: "RecordEvent", event }]);
+}
+
+function recordChange(
+  state: ReplicationState,
+  { voters }: Configuration,
+): ReplicationStep {
+  const joined = voters.filter((id) => !state.voters.includes(id));
+  return createReduction(
+    { ...state, voters },
+    joined.map((replica): ReplicationEffect => {
+      const event = { type: "ReplicaJoined", replica } as const;
+      return { type: "RecordEvent", event };
+    }),
+  );
+}
--- a/src/platform/control/common/control_reducer.ts
+++ b/src/platform/control/common/control_reducer.ts
@@ -7,11 +7,8 @@
 } from "../../../base/common/reduction.ts";
 import type { NodeMessage } from "../../link/common/link_messages.ts";
 import type { MembershipEvent } from "../../membership/common/membership_reducer.ts";
-import { applyEdit } from "../../table/common/table_reducer.ts";
-import type { TableEdit } from "../../table/common/table_reducer.ts";
 import { createSend, NEW_LINK, updateLink } from "./control_state.ts";
 import type {
-  ControlEffect,
   ControlEvent,
   ControlState,
   ControlStep,
@@ -25,6 +22,7 @@
   tickMembership,
 } from "./presence_step.ts";
 import {
+  confirmTable,
   pushTable,
   rememberTable,
   resendTable,
@@ -47,8 +45,8 @@
         ...state,
         links: deleteEntry(state.links, event.linkId),
       });
-    case "EditRequested":
-      return commitEdit(state, event.requestId, event.edit, nowMs);
+    case "TableReplaced":
+      return replaceTable(state, event, nowMs);
     case "DrainOrdered":
       return orderDrain(state, event.nodeId);
     case "Ticked":
@@ -141,25 +139,18 @@
   return appendEffects(step, createHeartbeatAnswer(state, linkId, nowMs));
 }
 
-function commitEdit(
+function replaceTable(
   state: ControlState,
-  requestId: number,
-  edit: TableEdit,
+  event: Extract<ControlEvent, { type: "TableReplaced" }>,
   nowMs: number,
 ): ControlStep {
+  const { tableState, isCurrent } = event;
   const before = state.tableState.table;
-  const { state: tableState, outcome } = applyEdit(state.tableState, edit);
-  const answer: ControlEffect = { type: "AnswerEdit", requestId, outcome };
-  const next = { ...state, tableState };
-  const { version } = tableState.table;
-  if (version === before.version) {
-    return createReduction(next, [answer]);
-  }
-  const { editId, operator } = edit;
-  const event = { type: "EditAccepted", version, editId, operator } as const;
-  const step = createReduction<ControlState, ControlEffect>(
-    rememberTable(next, before),
-    [answer, { type: "RecordEvent", event }],
-  );
-  return chainReduction(step, (s) => pushTable(s, nowMs));
+  const replaced = { ...state, tableState, isTableConfirmed: isCurrent };
+  const next = tableState.table.version === before.version
+    ? replaced
+    : rememberTable(replaced, before);
+  return isCurrent && !state.isTableConfirmed
+    ? confirmTable(next, nowMs)
+    : pushTable(next, nowMs);
 }
--- a/src/platform/control/common/control_state.ts
+++ b/src/platform/control/common/control_state.ts
@@ -12,11 +12,7 @@
   PresenceMessage,
 } from "../../membership/common/presence_messages.ts";
 import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
-import type {
-  EditOutcome,
-  TableEdit,
-  TableState,
-} from "../../table/common/table_reducer.ts";
+import type { TableState } from "../../table/common/table_reducer.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
 
@@ -58,10 +54,12 @@
     readonly message: PresenceMessage;
   }
   | { readonly type: "LinkClosed"; readonly linkId: number }
+  /** The replicated table moved on, or what vouches for it changed. */
   | {
-    readonly type: "EditRequested";
-    readonly requestId: number;
-    readonly edit: TableEdit;
+    readonly type: "TableReplaced";
+    readonly tableState: TableState;
+    /** Whether a quorum vouched for it lately. */
+    readonly isCurrent: boolean;
   }
   | { readonly type: "DrainOrdered"; readonly nodeId: string }
   | { readonly type: "Ticked" };
@@ -80,11 +78,6 @@
     readonly replica: string;
     readonly message: PresenceMessage;
   }
-  | {
-    readonly type: "AnswerEdit";
-    readonly requestId: number;
-    readonly outcome: EditOutcome;
-  }
   | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
 
 /** A step of a control replica. */
@@ -103,7 +96,7 @@
 export function createControl(replicaId: string, nowMs: number): ControlState {
   return {
     tableState: INITIAL_TABLE_STATE,
-    isTableConfirmed: true,
+    isTableConfirmed: false,
     recentTables: [],
     membership: createMembership(replicaId, nowMs),
     isWarm: false,
--- /dev/null
+++ b/src/platform/control/common/replica_reducer.ts
@@ -0,0 +1,84 @@
+/** The root reducer of the control role: the table's replica and its nodes. */
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import type { Reduction } from "../../../base/common/reduction.ts";
+import { reduceControl } from "./control_reducer.ts";
+import type {
+  ControlEffect,
+  ControlEvent,
+  ControlState,
+} from "./control_state.ts";
+import { reduceReplication } from "./replication_reducer.ts";
+import { isConfirmed } from "./replication_state.ts";
+import type {
+  ReplicationEffect,
+  ReplicationEvent,
+  ReplicationState,
+} from "./replication_state.ts";
+
+/** All that a control process knows. */
+export interface ReplicaState {
+  readonly control: ControlState;
+  readonly replication: ReplicationState;
+}
+
+/** What happens at a control process. */
+export type ReplicaEvent = ControlEvent | ReplicationEvent;
+
+/** What a control process does about it. */
+export type ReplicaEffect = ControlEffect | ReplicationEffect;
+
+/** A step of a control process. */
+export type ReplicaStep = Reduction<ReplicaState, ReplicaEffect>;
+
+/**
+ * Steps a control process; `nowMs` is the wall clock in milliseconds. What the
+ * nodes are told is brought up to date on both sides of the event, so that a
+ * process that was frozen never passes its table off as current.
+ */
+export function reduceReplica(
+  state: ReplicaState,
+  event: ReplicaEvent,
+  nowMs: number,
+): ReplicaStep {
+  const expired = publishTable(state, nowMs);
+  const stepped = chainReduction(expired, (s) => step(s, event, nowMs));
+  return chainReduction(stepped, (s) => publishTable(s, nowMs));
+}
+
+function step(
+  state: ReplicaState,
+  event: ReplicaEvent,
+  nowMs: number,
+): ReplicaStep {
+  switch (event.type) {
+    case "ClusterMessageReceived":
+    case "PersistCompleted":
+    case "FoundingStored":
+    case "EditRequested":
+    case "TableReadRequested":
+    case "StopPlanned":
+    case "ReplicationTicked": {
+      const done = reduceReplication(state.replication, event, nowMs);
+      const next = { ...state, replication: done.state };
+      return createReduction(next, done.effects);
+    }
+    default: {
+      const done = reduceControl(state.control, event, nowMs);
+      return createReduction({ ...state, control: done.state }, done.effects);
+    }
+  }
+}
+
+function publishTable(state: ReplicaState, nowMs: number): ReplicaStep {
+  const { control, replication } = state;
+  const { tableState } = replication;
+  const isCurrent = isConfirmed(replication, nowMs);
+  const isSame = control.tableState === tableState &&
+    control.isTableConfirmed === isCurrent;
+  return isSame
+    ? createReduction(state)
+    : step(state, { type: "TableReplaced", tableState, isCurrent }, nowMs);
+}
--- /dev/null
+++ b/src/platform/control/common/replication_reducer.ts
@@ -0,0 +1,261 @@
+/** One replica of the table: consensus, founding, repair, edits and reads. */
+import { setEntry } from "../../../base/common/maps.ts";
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { restoreConsensus } from "../../consensus/common/recovery.ts";
+import type { Recovered } from "../../consensus/common/log_types.ts";
+import type {
+  ClusterMessage,
+  ReplicaHello,
+} from "../../link/common/cluster_messages.ts";
+import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
+import { carryEffects, stepConsensus } from "./consensus_step.ts";
+import {
+  expireEdits,
+  receiveReply,
+  resumeEdits,
+  startEdit,
+} from "./edit_requests.ts";
+import {
+  acceptFounding,
+  finishFounding,
+  foundCluster,
+  hasConfiguration,
+  isEmpty,
+  repeatFounding,
+} from "./founding.ts";
+import { pickRepair } from "./replica_repair.ts";
+import {
+  CONSENSUS_OPTIONS,
+  getRequestId,
+  getRole,
+  HELLO_MS,
+  PEER_SILENCE_MS,
+} from "./replication_state.ts";
+import type {
+  Cluster,
+  Peer,
+  ReplicationEffect,
+  ReplicationEvent,
+  ReplicationState,
+  ReplicationStep,
+} from "./replication_state.ts";
+import {
+  expireReads,
+  renewConfirmation,
+  resumeReads,
+  startRead,
+} from "./table_reads.ts";
+
+/** What a replica starts from. */
+export interface ReplicationOptions {
+  readonly cluster: Cluster;
+  readonly replicaId: string;
+  readonly recovered: Recovered;
+  readonly nowMs: number;
+}
+
+/** Restores a replica from what its disk holds. */
+export function restoreReplication(
+  options: ReplicationOptions,
+): ReplicationStep {
+  const { cluster, replicaId, recovered, nowMs } = options;
+  const { state: consensus, effects } = restoreConsensus({
+    replicaId,
+    recovered,
+    options: CONSENSUS_OPTIONS,
+    nowMs,
+  });
+  const peers = new Map(cluster.peers.map((id) => [id, createPeer(nowMs)]));
+  const state: ReplicationState = {
+    cluster,
+    consensus,
+    tableState: INITIAL_TABLE_STATE,
+    peers,
+    edits: new Map(),
+    reads: new Map(),
+    confirmation: {
+      requestId: undefined,
+      startedAtMs: nowMs,
+      confirmedAtMs: undefined,
+    },
+    isStoringFounding: false,
+    voters: consensus.configuration.voters,
+    helloAtMs: 0,
+    startedAtMs: nowMs,
+    nextRequest: 1,
+  };
+  return carryEffects(state, effects, nowMs);
+}
+
+/** Steps a replica; `nowMs` is the wall clock in milliseconds. */
+export function reduceReplication(
+  state: ReplicationState,
+  event: ReplicationEvent,
+  nowMs: number,
+): ReplicationStep {
+  switch (event.type) {
+    case "ClusterMessageReceived":
+      return receiveMessage(state, event.message, nowMs);
+    case "PersistCompleted":
+      return stepConsensus(state, event, nowMs);
+    case "FoundingStored":
+      return createReduction(finishFounding(state, event.configuration));
+    case "EditRequested": {
+      const { requestId, edit } = event;
+      const origin = { type: "Operator", requestId } as const;
+      return startEdit(state, { edit, origin }, nowMs);
+    }
+    case "TableReadRequested":
+      return startRead(state, event.requestId, nowMs);
+    case "StopPlanned": {
+      const type = "LeadershipTransferRequested";
+      return stepConsensus(state, { type, targetId: undefined }, nowMs);
+    }
+    case "ReplicationTicked":
+      return tick(state, nowMs);
+  }
+}
+
+function receiveMessage(
+  state: ReplicationState,
+  message: ClusterMessage,
+  nowMs: number,
+): ReplicationStep {
+  switch (message.type) {
+    case "ReplicaHello":
+      return receiveHello(state, message, nowMs);
+    case "ReplicaFounding":
+      return acceptFounding(state, message.configuration);
+    case "ConsensusRelay": {
+      const { from, to } = message;
+      const event = { type: "MessageReceived", from } as const;
+      return to === state.consensus.replicaId
+        ? stepConsensus(state, { ...event, message: message.message }, nowMs)
+        : createReduction(state);
+    }
+    case "EditForward": {
+      const { edit, from: peer, requestId } = message;
+      const origin = { type: "Peer", peer, requestId } as const;
+      return startEdit(state, { edit, origin }, nowMs);
+    }
+    case "EditReply":
+      return receiveReply(state, message);
+  }
+}
+
+function receiveHello(
+  state: ReplicationState,
+  hello: ReplicaHello,
+  nowMs: number,
+): ReplicationStep {
+  const before = state.peers.get(hello.id);
+  if (before === undefined) {
+    return createReduction(state);
+  }
+  const { type: _type, id, ...said } = hello;
+  const peer: Peer = { ...said, heardAtMs: nowMs, isSilent: false };
+  const next = { ...state, peers: setEntry(state.peers, id, peer) };
+  const event = { type: "ReplicaHeard", replica: id } as const;
+  return createReduction(
+    next,
+    before.isSilent ? [{ type: "RecordEvent", event }] : [],
+  );
+}
+
+function tick(state: ReplicationState, nowMs: number): ReplicationStep {
+  const steps: readonly ((s: ReplicationState) => ReplicationStep)[] = [
+    (s) => stepConsensus(s, { type: "Ticked" }, nowMs),
+    (s) => reportSilence(s, nowMs),
+    foundCluster,
+    (s) => repairReplicas(s, nowMs),
+    (s) => expireEdits(s, nowMs),
+    (s) => resumeEdits(s, nowMs),
+    (s) => expireReads(s, nowMs),
+    (s) => resumeReads(s, nowMs),
+    (s) => renewConfirmation(s, nowMs),
+    (s) => sendHello(s, nowMs),
+  ];
+  return steps.reduce<ReplicationStep>(
+    (done, step) => chainReduction(done, step),
+    createReduction(state),
+  );
+}
+
+function reportSilence(
+  state: ReplicationState,
+  nowMs: number,
+): ReplicationStep {
+  const silent = [...state.peers].filter(([, peer]) =>
+    !peer.isSilent && nowMs - peer.heardAtMs > PEER_SILENCE_MS
+  );
+  if (silent.length === 0) {
+    return createReduction(state);
+  }
+  const peers = new Map(state.peers);
+  const effects = silent.map(([replica, peer]): ReplicationEffect => {
+    peers.set(replica, { ...peer, isSilent: true });
+    const event = { type: "ReplicaSilent", replica } as const;
+    return { type: "RecordEvent", event };
+  });
+  return createReduction({ ...state, peers }, effects);
+}
+
+/** A change that can't be made now is picked again at a later tick. */
+function repairReplicas(
+  state: ReplicationState,
+  nowMs: number,
+): ReplicationStep {
+  const { consensus } = state;
+  const { role, configurationIndex, commitIndex } = consensus;
+  if (role.type !== "Leader" || configurationIndex > commitIndex) {
+    return createReduction(state);
+  }
+  const change = pickRepair(state);
+  if (change === undefined) {
+    return createReduction(state);
+  }
+  const requestId = getRequestId(state);
+  const next = { ...state, nextRequest: state.nextRequest + 1 };
+  const type = "ConfigurationChangeProposed";
+  return stepConsensus(next, { type, requestId, change }, nowMs);
+}
+
+function sendHello(state: ReplicationState, nowMs: number): ReplicationStep {
+  if (Math.abs(nowMs - state.helloAtMs) < HELLO_MS) {
+    return createReduction(state);
+  }
+  const { consensus, cluster } = state;
+  const message: ReplicaHello = {
+    type: "ReplicaHello",
+    id: cluster.self,
+    replicaId: consensus.replicaId,
+    isEmpty: isEmpty(state) && !state.isStoringFounding,
+    hasConfiguration: hasConfiguration(state),
+    role: getRole(state),
+    term: consensus.term,
+    commitIndex: consensus.commitIndex,
+  };
+  const hellos = cluster.peers.map((peer): ReplicationEffect => ({
+    type: "SendToPeer",
+    peer,
+    message,
+  }));
+  const step = createReduction({ ...state, helloAtMs: nowMs }, hellos);
+  return chainReduction(step, repeatFounding);
+}
+
+function createPeer(nowMs: number): Peer {
+  return {
+    replicaId: undefined,
+    isEmpty: false,
+    hasConfiguration: false,
+    role: "joining",
+    term: 0,
+    commitIndex: 0,
+    heardAtMs: nowMs,
+    isSilent: false,
+  };
+}
--- /dev/null
+++ b/src/platform/control/common/replication_state.ts
@@ -0,0 +1,207 @@
+/** The state of one replica of the table, its events and its effects. */
+import type { Reduction } from "../../../base/common/reduction.ts";
+import type { ConsensusEffect } from "../../consensus/common/consensus_events.ts";
+import type {
+  ConsensusOptions,
+  ConsensusState,
+} from "../../consensus/common/consensus_types.ts";
+import type { Configuration } from "../../consensus/common/log_types.ts";
+import type {
+  ClusterMessage,
+  EditResult,
+  ReplicaRole,
+} from "../../link/common/cluster_messages.ts";
+import type {
+  TableEdit,
+  TableState,
+} from "../../table/common/table_reducer.ts";
+import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+
+/** Which replicas there are, by their ids in the settings. */
+export interface Cluster {
+  readonly self: string;
+  /** Those that shall vote; the first one founds the set. */
+  readonly voters: readonly string[];
+  /** All others. */
+  readonly peers: readonly string[];
+}
+
+/** Another replica as this one hears it; times are wall clocks. */
+export interface Peer {
+  /** Undefined until it is heard. */
+  readonly replicaId: string | undefined;
+  readonly isEmpty: boolean;
+  readonly hasConfiguration: boolean;
+  readonly role: ReplicaRole;
+  readonly term: number;
+  readonly commitIndex: number;
+  /** When it was heard last, or this replica's start. */
+  readonly heardAtMs: number;
+  readonly isSilent: boolean;
+}
+
+/** Whom the result of an edit goes to. */
+export type EditOrigin =
+  | { readonly type: "Operator"; readonly requestId: number }
+  | {
+    readonly type: "Peer";
+    readonly peer: string;
+    readonly requestId: string;
+  };
+
+/** An edit that was not answered yet. */
+export interface PendingEdit {
+  readonly edit: TableEdit;
+  readonly origin: EditOrigin;
+  readonly deadlineMs: number;
+  /** Replica id of the leader that has it; undefined: waits for one. */
+  readonly sentTo: string | undefined;
+  readonly sentAtMs: number;
+  /** Whether an attempt may yet be committed. */
+  readonly isUnknown: boolean;
+}
+
+/** A read that was not answered yet. */
+export interface PendingTableRead {
+  readonly requestId: number;
+  readonly deadlineMs: number;
+  readonly isWaiting: boolean;
+}
+
+/** Proof that the table here is current: a read that a quorum confirmed. */
+export interface Confirmation {
+  /** The read in progress. */
+  readonly requestId: string | undefined;
+  readonly startedAtMs: number;
+  /** Start of the last read that was confirmed. */
+  readonly confirmedAtMs: number | undefined;
+}
+
+/** One replica of the table. */
+export interface ReplicationState {
+  readonly cluster: Cluster;
+  readonly consensus: ConsensusState;
+  /** As of the commit index. */
+  readonly tableState: TableState;
+  readonly peers: ReadonlyMap<string, Peer>;
+  readonly edits: ReadonlyMap<string, PendingEdit>;
+  readonly reads: ReadonlyMap<string, PendingTableRead>;
+  readonly confirmation: Confirmation;
+  readonly isStoringFounding: boolean;
+  /** Replica ids that voted when the set was last told to change. */
+  readonly voters: readonly string[];
+  readonly helloAtMs: number;
+  readonly startedAtMs: number;
+  readonly nextRequest: number;
+}
+
+/** What happens to the replica. */
+export type ReplicationEvent =
+  | {
+    readonly type: "ClusterMessageReceived";
+    readonly message: ClusterMessage;
+  }
+  | { readonly type: "PersistCompleted"; readonly persistId: number }
+  | {
+    readonly type: "FoundingStored";
+    readonly configuration: Configuration;
+  }
+  | {
+    readonly type: "EditRequested";
+    readonly requestId: number;
+    readonly edit: TableEdit;
+  }
+  | { readonly type: "TableReadRequested"; readonly requestId: number }
+  /** A planned stop: leadership goes to another voter. */
+  | { readonly type: "StopPlanned" }
+  | { readonly type: "ReplicationTicked" };
+
+/** What the replica does about it. */
+export type ReplicationEffect =
+  | {
+    readonly type: "SendToPeer";
+    /** Id in the settings. */
+    readonly peer: string;
+    readonly message: ClusterMessage;
+  }
+  | Extract<ConsensusEffect, { type: "PersistLog" | "PersistSnapshot" }>
+  /** Stores the founding snapshot; then FoundingStored. */
+  | {
+    readonly type: "StoreFounding";
+    readonly configuration: Configuration;
+  }
+  | {
+    readonly type: "AnswerEdit";
+    readonly requestId: number;
+    readonly result: EditResult;
+  }
+  /** The table as it is now may be read, where `isCurrent`. */
+  | {
+    readonly type: "AnswerRead";
+    readonly requestId: number;
+    readonly isCurrent: boolean;
+  }
+  | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
+
+/** A step of the replica. */
+export type ReplicationStep = Reduction<ReplicationState, ReplicationEffect>;
+
+/** Times of consensus, and its bounds. */
+export const CONSENSUS_OPTIONS: ConsensusOptions = {
+  heartbeatMs: 150,
+  electionTimeoutMs: 1_000,
+  silentAfterMs: 3_000,
+  readTimeoutMs: 1_500,
+  maxBatchEntries: 256,
+  maxBatchBytes: 512 * 1024,
+  maxPendingProposals: 1_024,
+  maxPendingReads: 256,
+  maxPayloadBytes: 2 * 1024 * 1024,
+  snapshotChunkBytes: 256 * 1024,
+  snapshotEveryEntries: 1_000,
+  trailingEntries: 500,
+  maxInFlightEntries: 1_024,
+};
+
+/** How often a replica says that it lives. */
+export const HELLO_MS = 500;
+/** Silence after which a replica is reported. */
+export const PEER_SILENCE_MS = 3_000;
+/** How long an edit or a read may wait for a leader and its commit. */
+export const REQUEST_MS = 6_000;
+/** When an edit is forwarded again that the leader didn't answer. */
+export const RESEND_MS = 1_500;
+/** How often a replica proves that its table is current. */
+export const CONFIRM_EVERY_MS = 1_000;
+/** How long such a proof holds. */
+export const CONFIRM_VALID_MS = 3_000;
+
+/** Reads the id in the settings out of a replica id. */
+export function getSettingsId(replicaId: string): string {
+  const end = replicaId.lastIndexOf("~");
+  return end < 0 ? replicaId : replicaId.slice(0, end);
+}
+
+/** Creates an id for a proposal or a read, unique over restarts. */
+export function getRequestId(state: ReplicationState): string {
+  return `${state.startedAtMs}.${state.nextRequest}`;
+}
+
+/** Whether this replica has proved that its table is current. */
+export function isConfirmed(state: ReplicationState, nowMs: number): boolean {
+  const { confirmedAtMs } = state.confirmation;
+  return confirmedAtMs !== undefined && nowMs >= confirmedAtMs &&
+    nowMs - confirmedAtMs <= CONFIRM_VALID_MS;
+}
+
+/** Gets what this replica is to the others. */
+export function getRole({ consensus }: ReplicationState): ReplicaRole {
+  const { configuration, replicaId, role } = consensus;
+  if (role.type === "Leader") {
+    return "leader";
+  }
+  if (configuration.voters.includes(replicaId)) {
+    return "follower";
+  }
+  return configuration.learners.includes(replicaId) ? "learner" : "joining";
+}
--- a/src/platform/control/common/table_push.ts
+++ b/src/platform/control/common/table_push.ts
@@ -1,5 +1,8 @@
 /** Brings the table to the nodes: deltas where it can, else the whole. */
-import { createReduction } from "../../../base/common/reduction.ts";
+import {
+  chainReduction,
+  createReduction,
+} from "../../../base/common/reduction.ts";
 import type { ControlMessage } from "../../link/common/link_messages.ts";
 import { createTableDelta } from "../../table/common/table_delta.ts";
 import type { Table } from "../../table/common/table_row.ts";
@@ -64,6 +67,18 @@
   ]);
 }
 
+/** Tells every node that its table is current, or what leads to that one. */
+export function confirmTable(state: ControlState, nowMs: number): ControlStep {
+  let step: ControlStep = createReduction(state);
+  for (const [linkId, { nodeId, sentVersion: fromVersion }] of state.links) {
+    if (nodeId !== undefined) {
+      const options = { fromVersion, nowMs };
+      step = chainReduction(step, (s) => sendTable(s, linkId, options));
+    }
+  }
+  return step;
+}
+
 /** Sends again what a node hasn't confirmed in time. */
 export function resendTable(
   state: ControlState,
--- /dev/null
+++ b/src/platform/control/test/replication_test.ts
@@ -0,0 +1,228 @@
+/** Founding, edits, reads and repair of the replica set, on its reducer. */
+import { expect } from "chai";
+import type { TableChange } from "../../table/common/table_reducer.ts";
+import { parseRow } from "../../table/common/table_schema.ts";
+import { Replicas } from "./replicas.ts";
+
+const CELLS = {
+  service: "catalog",
+  method: "GET",
+  path: "/**",
+  weight: "1",
+  importance: "5",
+  concurrency: "10",
+  rate: "100",
+  queue: "10",
+  timeout_ms: "1000",
+  retries: "1",
+  idempotent: "yes",
+  key: "none",
+  max_body_bytes: "0",
+};
+
+function putRow(queue: number, fromVersion: number): TableChange {
+  const cells = { ...CELLS, kind: "lookup", queue: String(queue) };
+  const draft = parseRow({ ...cells, version: String(fromVersion) }, 1);
+  return { type: "PutRow", ...draft._unsafeUnwrap() };
+}
+
+function startSet(ids = ["a", "b", "c"]): Replicas {
+  const replicas = new Replicas(ids);
+  ids.forEach((id) => replicas.start(id));
+  const isUp = () => ids.every((id) => replicas.isConfirmed(id));
+  expect(replicas.run(isUp), "the set serves").to.equal(true);
+  return replicas;
+}
+
+/** Makes an edit and returns what it was answered, as one word. */
+function edit(
+  replicas: Replicas,
+  at: string,
+  queue: number,
+  fromVersion: number,
+  editId = `edit-${queue}`,
+): string {
+  const request = replicas.edit(at, editId, putRow(queue, fromVersion));
+  replicas.run(() => replicas.results.has(request));
+  const result = replicas.results.get(request);
+  return result?.type === "EditAnswered"
+    ? `${result.outcome.type} ${
+      "version" in result.outcome ? result.outcome.version : "-"
+    }`
+    : `${result?.type} ${result?.isUnknown ? "unknown" : "not accepted"}`;
+}
+
+function readVersion(replicas: Replicas, id: string): number {
+  return replicas.get(id).tableState.table.version;
+}
+
+/** Waits until a replica holds a version of the table. */
+function waitVersion(replicas: Replicas, id: string, version: number): void {
+  replicas.run(() => readVersion(replicas, id) === version);
+  expect(readVersion(replicas, id), id).to.equal(version);
+}
+
+function listVoters(replicas: Replicas, id: string): readonly string[] {
+  return replicas.get(id).consensus.configuration.voters.toSorted();
+}
+
+describe("replication", () => {
+  it("is founded once all voters are there, and not before", () => {
+    const replicas = new Replicas(["a", "b", "c"]);
+    replicas.start("a");
+    replicas.start("b");
+    replicas.run(() => false, 10_000);
+    expect(listVoters(replicas, "a")).to.deep.equal([]);
+    replicas.start("c");
+    expect(replicas.run(() => replicas.isConfirmed("c"))).to.equal(true);
+    expect(listVoters(replicas, "c")).to.deep.equal(["a~1", "b~2", "c~3"]);
+  });
+
+  it("tells founding to a voter that missed it", () => {
+    const replicas = new Replicas(["a", "b", "c"]);
+    replicas.isLost = ({ type }, _from, to) =>
+      to === "c" && type === "ReplicaFounding";
+    ["a", "b", "c"].forEach((id) => replicas.start(id));
+    replicas.run(() => replicas.isConfirmed("a"));
+    expect(edit(replicas, "b", 1, 0)).to.equal("EditAccepted 1");
+    replicas.isLost = () => false;
+    waitVersion(replicas, "c", 1);
+    expect(listVoters(replicas, "c")).to.deep.equal(["a~1", "b~2", "c~3"]);
+  });
+
+  it("accepts an edit at any replica, and gives a resend its answer", () => {
+    const replicas = startSet();
+    expect(edit(replicas, "a", 1, 0)).to.equal("EditAccepted 1");
+    expect(edit(replicas, "b", 2, 1)).to.equal("EditAccepted 2");
+    expect(edit(replicas, "c", 3, 2)).to.equal("EditAccepted 3");
+    expect(edit(replicas, "a", 2, 1)).to.equal("EditAccepted 2");
+    expect(readVersion(replicas, replicas.leader!)).to.equal(3);
+  });
+
+  it("accepts exactly one of the edits made from one version", () => {
+    const replicas = startSet();
+    edit(replicas, "a", 1, 0);
+    const requests = ["a", "b", "c"].map((id, at) =>
+      replicas.edit(id, `race-${id}`, putRow(10 + at, 1))
+    );
+    replicas.run(() => requests.every((r) => replicas.results.has(r)));
+    const outcomes = requests.map((request) => {
+      const result = replicas.results.get(request)!;
+      return result.type === "EditAnswered" ? result.outcome.type : "none";
+    });
+    expect(outcomes.toSorted())
+      .to.deep.equal(["EditAccepted", "EditConflicted", "EditConflicted"]);
+  });
+
+  it("keeps answers over a leader that dies before its own", () => {
+    const replicas = startSet();
+    edit(replicas, "a", 1, 0);
+    const old = replicas.leader!;
+    const other = ["a", "b", "c"].find((id) => id !== old)!;
+    replicas.isLost = ({ type }) => type === "EditReply";
+    const lost = replicas.edit(other, "edit-2", putRow(2, 1));
+    replicas.run(() => readVersion(replicas, other) === 2);
+    replicas.kill(old);
+    replicas.isLost = () => false;
+    expect(edit(replicas, other, 2, 1)).to.equal("EditAccepted 2");
+    expect(edit(replicas, other, 3, 2)).to.equal("EditAccepted 3");
+    replicas.run(() => replicas.results.has(lost));
+    const outcome = { type: "EditAccepted", version: 2 };
+    expect(replicas.results.get(lost))
+      .to.deep.equal({ type: "EditAnswered", outcome });
+  });
+
+  it("refuses edits and reads without a quorum", () => {
+    const replicas = startSet();
+    edit(replicas, "a", 1, 0);
+    replicas.kill("b");
+    replicas.kill("c");
+    replicas.run(() => !replicas.isConfirmed("a"));
+    const left = edit(replicas, "a", 2, 1);
+    expect(left).to.match(/^EditRefused/);
+    expect(edit(replicas, "a", 3, 1)).to.equal("EditRefused not accepted");
+    const read = replicas.read("a");
+    replicas.run(() => replicas.reads.has(read));
+    expect(replicas.reads.get(read)).to.equal(false);
+    expect(replicas.isConfirmed("a")).to.equal(false);
+  });
+
+  it("never vouches for a replica behind a cut, and names it", () => {
+    const replicas = startSet();
+    edit(replicas, "a", 1, 0);
+    waitVersion(replicas, "b", 1);
+    replicas.cut("b");
+    replicas.run(() => !replicas.isConfirmed("b"));
+    replicas.run(() => replicas.events.includes("a: ReplicaSilent b"));
+    edit(replicas, "a", 2, 1);
+    replicas.run(() => false, 600_000);
+    expect(replicas.isConfirmed("b")).to.equal(false);
+    expect(readVersion(replicas, "b")).to.equal(1);
+    const { term } = replicas.get("a").consensus;
+    replicas.cut("b", false);
+    replicas.run(() => replicas.isConfirmed("b"));
+    expect(readVersion(replicas, "b")).to.equal(2);
+    replicas.run(() => replicas.events.includes("a: ReplicaHeard b"));
+    expect(replicas.events).to.include("a: ReplicaHeard b");
+    expect(replicas.get("a").consensus.term, "undisturbed").to.equal(term);
+  });
+
+  it("comes back with the table and the answers after all restart", () => {
+    const replicas = startSet();
+    for (let version = 0; version < 1_200; version++) {
+      const done = edit(replicas, "a", version + 1, version);
+      expect(done).to.equal(`EditAccepted ${version + 1}`);
+    }
+    const { snapshot } = replicas.get(replicas.leader!).consensus;
+    expect(snapshot!.lastIndex).to.be.greaterThan(999);
+    ["a", "b", "c"].forEach((id) => replicas.kill(id));
+    ["a", "b", "c"].forEach((id) => replicas.start(id));
+    replicas.run(() => replicas.isConfirmed("b"));
+    expect(readVersion(replicas, "b")).to.equal(1_200);
+    expect(edit(replicas, "c", 5, 4)).to.equal("EditAccepted 5");
+  });
+
+  it("replaces a wiped replica, and then loses another safely", () => {
+    const replicas = startSet();
+    for (let version = 0; version < 20; version++) {
+      edit(replicas, "a", version + 1, version);
+    }
+    const wiped = ["a", "b", "c"].find((id) => id !== replicas.leader)!;
+    replicas.kill(wiped);
+    replicas.wipe(wiped);
+    expect(edit(replicas, replicas.leader!, 21, 20))
+      .to.equal("EditAccepted 21");
+    replicas.start(wiped);
+    const isRepaired = () => {
+      const voters = listVoters(replicas, replicas.leader!);
+      return voters.length === 3 && voters.includes(`${wiped}~4`);
+    };
+    expect(replicas.run(isRepaired), "repaired").to.equal(true);
+    replicas.kill(replicas.leader!);
+    expect(edit(replicas, wiped, 22, 21)).to.equal("EditAccepted 22");
+    waitVersion(replicas, wiped, 22);
+  });
+
+  it("refuses rather than forgets where two are lost before a repair", () => {
+    const replicas = startSet();
+    edit(replicas, "a", 1, 0);
+    waitVersion(replicas, "c", 1);
+    for (const id of ["a", "b"]) {
+      replicas.kill(id);
+      replicas.wipe(id);
+    }
+    replicas.start("a");
+    replicas.start("b");
+    replicas.run(() => false, 60_000);
+    expect(replicas.leader).to.equal(undefined);
+    expect(edit(replicas, "a", 2, 0)).to.equal("EditRefused not accepted");
+    expect(readVersion(replicas, "c")).to.equal(1);
+  });
+
+  it("hands leadership over on a planned stop", () => {
+    const replicas = startSet();
+    const old = replicas.leader!;
+    replicas.dispatch(old, { type: "StopPlanned" });
+    expect(replicas.run(() => replicas.leader !== old, 500)).to.equal(true);
+  });
+});
--- a/src/platform/link/common/link_messages.ts
+++ b/src/platform/link/common/link_messages.ts
@@ -3,6 +3,7 @@
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
 import type { TableDelta } from "../../table/common/table_delta.ts";
 import type { Table } from "../../table/common/table_row.ts";
+import type { ClusterMessage } from "./cluster_messages.ts";
 import type { HybridTime } from "../../telemetry/common/timeline_event.ts";
 
 /** What a node says to its control replica. */
@@ -26,7 +27,7 @@
   | { readonly type: "Leave" };
 
 /** What arrives on a control replica's listener. */
-export type InboundMessage = NodeMessage | PresenceMessage;
+export type InboundMessage = NodeMessage | PresenceMessage | ClusterMessage;
 
 /** What a control replica says to a node. */
 export type ControlMessage =
@@ -62,7 +63,10 @@
   };
 
 /** What a control replica sends on the links that it accepted. */
-export type OutboundMessage = ControlMessage | PresenceMessage;
+export type OutboundMessage =
+  | ControlMessage
+  | PresenceMessage
+  | ClusterMessage;
 
 /** How often a node says that it lives. */
 export const HEARTBEAT_MS = 1_000;
--- a/src/platform/link/node/link_client.ts
+++ b/src/platform/link/node/link_client.ts
@@ -76,6 +76,11 @@
     this.#loop.dispatch({ type: "Ticked" });
   }
 
+  /** Whether a link is open. */
+  get isOpen(): boolean {
+    return this.#socket?.readyState === WebSocket.OPEN;
+  }
+
   /** Sends if a link is open; presence is told anew when one opens. */
   send(message: Out): void {
     this.sendBytes(encodeMessage(message));
@@ -83,10 +88,10 @@
 
   /** Sends an encoded message if a link is open. */
   sendBytes(bytes: Uint8Array): void {
-    if (this.#socket?.readyState === WebSocket.OPEN) {
+    if (this.isOpen) {
       this.#sentBytes += bytes.length;
       this.#sentCount += 1;
-      this.#socket.send(bytes);
+      this.#socket?.send(bytes);
     }
   }
 
--- a/src/platform/link/node/replica_links.ts
+++ b/src/platform/link/node/replica_links.ts
@@ -2,9 +2,13 @@
 import { DisposalStack } from "../../../base/common/disposal.ts";
 import { encodeMessage } from "../../../base/node/message_codec.ts";
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
+import type { ClusterMessage } from "../common/cluster_messages.ts";
 import type { OutboundMessage } from "../common/link_messages.ts";
 import { LinkClient } from "./link_client.ts";
 
+/** What replicas say to each other. */
+export type ReplicaMessage = PresenceMessage | ClusterMessage;
+
 /** What the links are built from. */
 export interface ReplicaLinksOptions {
   /** Id of this replica. */
@@ -19,7 +23,7 @@
   readonly #owned = new DisposalStack();
   readonly #clients: ReadonlyMap<
     string,
-    LinkClient<OutboundMessage, PresenceMessage>
+    LinkClient<OutboundMessage, ReplicaMessage>
   >;
 
   constructor(options: ReplicaLinksOptions) {
@@ -27,7 +31,7 @@
     this.#clients = new Map(replicas.map((replica) => [
       replica,
       this.#owned.use(
-        new LinkClient<OutboundMessage, PresenceMessage>({
+        new LinkClient<OutboundMessage, ReplicaMessage>({
           id,
           replicas: [replica],
           onMessage,
@@ -55,8 +59,13 @@
     }
   }
 
+  /** Whether the link to a replica is open. */
+  isOpen(replica: string): boolean {
+    return this.#clients.get(replica)?.isOpen === true;
+  }
+
   /** Sends to one replica by its address. */
-  send(replica: string, message: PresenceMessage): void {
+  send(replica: string, message: ReplicaMessage): void {
     this.#clients.get(replica)?.send(message);
   }
 
--- a/src/platform/storage/node/storage.ts
+++ b/src/platform/storage/node/storage.ts
@@ -179,6 +179,7 @@
   readonly #segmentBytes: number;
   #log: ReplayedLog;
   #tail: Tail;
+  #snapshotIndex: number | undefined;
   #stopped: StorageError | undefined;
   #queue: Promise<unknown> = Promise.resolve();
 
@@ -189,11 +190,6 @@
     this.#tail = parts.tail;
   }
 
-  /** Index of the last entry that a snapshot took the place of. */
-  get baseIndex(): number {
-    return this.#log.baseIndex;
-  }
-
   /** Appends one write; it may be answered for once this resolves. */
   append(write: LogWrite): ResultAsync<void, StorageError> {
     return this.#enqueue(() => this.#append(write));
@@ -267,7 +263,8 @@
   }
 
   #saveSnapshot(stored: StoredSnapshot): FileResult<void> {
-    return stored.snapshot.lastIndex <= this.#log.baseIndex
+    const { lastIndex } = stored.snapshot;
+    return lastIndex <= (this.#snapshotIndex ?? -1)
       ? okAsync(undefined)
       : writeSnapshot(this.#files, stored)
         .mapErr((error) => isBeforeSync(error) ? error : this.#stop(error))
@@ -277,6 +274,7 @@
   #compact(stored: StoredSnapshot): FileResult<void> {
     return safeTry(async function* (this: Storage) {
       const { lastIndex } = stored.snapshot;
+      this.#snapshotIndex = lastIndex;
       if (lastIndex > this.#log.baseIndex) {
         const log = compactLog(this.#log, stored);
         yield* this.#startSegment({ ...log, type: "SegmentCompacted" });
--- a/src/platform/telemetry/common/timeline_event.ts
+++ b/src/platform/telemetry/common/timeline_event.ts
@@ -24,6 +24,16 @@
     readonly version: number;
     readonly isConfirmed: boolean;
   }
+  | {
+    readonly type: "LeaderChanged";
+    readonly term: number;
+    /** Id in the settings; `none` where no leader is known. */
+    readonly leader: string;
+  }
+  | { readonly type: "ReplicaSilent"; readonly replica: string }
+  | { readonly type: "ReplicaHeard"; readonly replica: string }
+  /** A replica begins to vote. */
+  | { readonly type: "ReplicaJoined"; readonly replica: string }
   | { readonly type: "NodeJoined"; readonly nodeId: string }
   | { readonly type: "NodeLost"; readonly nodeId: string }
   | {
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -63,6 +63,7 @@
 const START_MS = 15_000;
 const POLL_MS = 20;
 const MAX_LOG_LINES = 2_000;
+const VOTER_COUNTS = [5, 3, 1];
 
 /** Owns the processes that it started and a folder for their files. */
 export class Fleet implements AsyncDisposable {
@@ -75,33 +76,44 @@
     return this.#controls.map((control) => control.operator).join(",");
   }
 
-  /** Starts control replicas that exchange presence, all in one go. */
+  /** Starts control replicas, the first 5, 3 or 1 voting; waits for all. */
   async startControls(
     replicas: readonly (readonly [id: string, dataCentre: string])[],
   ): Promise<readonly FleetControl[]> {
     const links = await Promise.all(replicas.map(() => findAddress()));
+    const places = replicas.map(([id], at) => ({ id, link: links[at]! }));
+    const count = VOTER_COUNTS.find((n) => n <= places.length)!;
+    const cluster = {
+      voters: places.slice(0, count),
+      learners: places.slice(count),
+    };
     const started = await Promise.all(
-      replicas.map(([id, dataCentre], index) => {
-        const link = links[index]!;
-        const peers = links.filter((other) => other !== link);
-        return this.#openControl(id, dataCentre, { link, peers });
-      }),
+      replicas.map(([id, dataCentre], at) =>
+        this.#openControl({ id, dataCentre, link: links[at]!, cluster })
+      ),
     );
     this.#controls.push(...started);
+    await Promise.all(started.map(({ operator }) => waitReady(operator)));
     return started;
   }
 
-  /** Starts a control replica. */
+  /** Starts a control replica that votes alone, and waits until it serves. */
   async startControl(id: string, dataCentre: string): Promise<FleetControl> {
     const link = await findAddress();
-    const started = await this.#openControl(id, dataCentre, {
-      link,
-      peers: [],
-    });
+    const cluster = { voters: [{ id, link }] };
+    const started = await this.#openControl({ id, dataCentre, link, cluster });
     this.#controls.push(started);
+    await waitReady(started.operator);
     return started;
   }
 
+  /** Starts a control replica again that was stopped, on its settings. */
+  async restartControl(control: FleetControl): Promise<FleetControl> {
+    const { id, link, operator } = control;
+    const settings = join(this.folder, `${id}.toml`);
+    return { ...await this.startDaemon(id, settings), link, operator };
+  }
+
   /** Starts a backend server and the node beside it. */
   async startNode(options: FleetNodeOptions): Promise<FleetNode> {
     const { id, service, dataCentre, slots = 50 } = options;
@@ -242,12 +254,13 @@
     return await exited;
   }
 
-  async #openControl(
-    id: string,
-    dataCentre: string,
-    place: { readonly link: string; readonly peers: readonly string[] },
-  ): Promise<FleetControl> {
-    const { link, peers } = place;
+  async #openControl(place: {
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly link: string;
+    readonly cluster: object;
+  }): Promise<FleetControl> {
+    const { id, dataCentre, link, cluster } = place;
     const operator = await findAddress();
     const settings = this.writeSettings(id, {
       role: "control",
@@ -256,7 +269,7 @@
       region: "local",
       data_centre: dataCentre,
       data_folder: join(this.folder, id),
-      presence_peers: peers,
+      cluster,
       listen: { link, operator },
       security: { transport: "plaintext" },
     });
@@ -293,6 +306,25 @@
   return await answer.body.json() as RunReport;
 }
 
+/** Waits until a process says that it is ready. */
+export async function waitReady(operator: string): Promise<void> {
+  const endMs = Date.now() + START_MS;
+  while (Date.now() < endMs) {
+    const status = await request(`http://${operator}/readyz`).then(
+      async ({ statusCode, body }) => {
+        await body.dump();
+        return statusCode;
+      },
+      () => 0,
+    );
+    if (status === 200) {
+      return;
+    }
+    await sleep(POLL_MS);
+  }
+  throw new Error(`${operator} did not become ready in time`);
+}
+
 function waitExit(child: ChildProcess): Promise<number> {
   if (child.exitCode !== null || child.signalCode !== null) {
     return Promise.resolve(child.exitCode ?? -1);
