Have a starting node wait for a replica that is current

Cause: a node that started took whatever table its first replica had, current or not. Ruled out: never taking an unconfirmed one, which would leave a node that starts while no quorum is in reach without any table. Change: a starting node keeps the highest unconfirmed table aside for 10 s and takes it only if no confirmed one came; it says unconfirmed and keeps asking. Sending of edits and reads is apart from their outcomes; an edit over 2 MiB is refused at once. Conclusion: in force at a started node is a confirmed table wherever one is in reach.

--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -4,7 +4,6 @@
   appendEffects,
   chainReduction,
 } from "../../../base/common/reduction.ts";
-import type { Table } from "../../table/common/table_row.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
@@ -32,6 +31,7 @@
   receiveIngress,
 } from "./served_reducer.ts";
 import type { NodeStep } from "./served_reducer.ts";
+import { takeCandidate, takeTable } from "./table_intake.ts";
 import { dropDisused } from "./subscription_step.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
@@ -61,11 +61,14 @@
     case "TimerFired":
       return applyTimer(state, event.key, nowMs);
     case "TableReceived":
-      return takeTable(state, event.table, event.isConfirmed);
+      return takeTable(state, event, nowMs);
     case "DrainRequested":
       return startDrain(state);
     case "Ticked":
-      return dropDisused(state, nowMs);
+      return chainReduction(
+        takeCandidate(state, nowMs),
+        (s) => dropDisused(s, nowMs),
+      );
     case "PeerAsked":
       return answerPeer(state, event.askId, event.message);
     case "PeerReplied":
@@ -176,27 +179,6 @@
   return chainReduction(step, (s) => cancelChildren(s, key.id, nowMs));
 }
 
-/** A table takes effect only if it is newer than the one in force. */
-function takeTable(
-  state: NodeState,
-  table: Table,
-  isConfirmed: boolean,
-): NodeStep {
-  if (table.version < state.table.version) {
-    return createReduction(state);
-  }
-  const { version } = table;
-  const next = { ...state, table, isTableConfirmed: isConfirmed };
-  const isSame = version === state.table.version &&
-    isConfirmed === state.isTableConfirmed;
-  const confirm: NodeEffect = { type: "ConfirmTable", version };
-  if (isSame) {
-    return createReduction(next, [confirm]);
-  }
-  const event = { type: "TableInForce", version, isConfirmed } as const;
-  return createReduction(next, [confirm, { type: "RecordEvent", event }]);
-}
-
 function startDrain(state: NodeState): NodeStep {
   if (state.self.isDraining) {
     return createReduction(state);
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -54,6 +54,13 @@
   readonly phase: "queued" | "running" | "relaying";
 }
 
+/** A table that is not in force yet. */
+export interface TableCandidate {
+  readonly table: Table;
+  /** When the first one was found, on the wall clock in milliseconds. */
+  readonly sinceMs: number;
+}
+
 /** All that a node knows. */
 export interface NodeState {
   readonly self: Announcement;
@@ -62,6 +69,8 @@
   readonly table: Table;
   /** Whether a quorum vouched for the table. */
   readonly isTableConfirmed: boolean;
+  /** Highest table that no quorum vouched for, while there is none yet. */
+  readonly tableCandidate: TableCandidate | undefined;
   /** By exchange id. */
   readonly entries: ReadonlyMap<string, EntryCall>;
   /** Exchange ids of entry calls by the attempt under way. */
@@ -86,6 +95,7 @@
     backendAddress,
     table: EMPTY_TABLE,
     isTableConfirmed: false,
+    tableCandidate: undefined,
     entries: new Map(),
     entryOfAttempt: new Map(),
     served: new Map(),
--- a/src/platform/control/common/edit_requests.ts
+++ b/src/platform/control/common/edit_requests.ts
@@ -1,62 +1,14 @@
-/** Edits on their way to the leader, until they are committed or refused. */
+/** What becomes of edits: committed, tried again or refused. */
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
 import {
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
-import { findLeader } from "../../consensus/common/term.ts";
 import type {
   EditReply,
   EditResult,
 } from "../../link/common/cluster_messages.ts";
-import { encodeEdit } from "../../table/common/table_codec.ts";
-import type { TableEdit } from "../../table/common/table_reducer.ts";
-import { stepConsensus } from "./consensus_step.ts";
-import {
-  getRequestId,
-  getSettingsId,
-  REQUEST_MS,
-  RESEND_MS,
-} from "./replication_state.ts";
-import type {
-  EditOrigin,
-  PendingEdit,
-  ReplicationState,
-  ReplicationStep,
-} from "./replication_state.ts";
-
-/** Takes an edit and sends it on its way. */
-export function startEdit(
-  state: ReplicationState,
-  request: { readonly edit: TableEdit; readonly origin: EditOrigin },
-  nowMs: number,
-): ReplicationStep {
-  const requestId = getRequestId(state);
-  const pending: PendingEdit = {
-    ...request,
-    deadlineMs: nowMs + REQUEST_MS,
-    sentTo: undefined,
-    sentAtMs: nowMs,
-    isUnknown: false,
-  };
-  const edits = setEntry(state.edits, requestId, pending);
-  const next = { ...state, edits, nextRequest: state.nextRequest + 1 };
-  return sendEdit(next, requestId, nowMs);
-}
-
-/** Sends the edits on their way that wait, or that a leader didn't answer. */
-export function resumeEdits(
-  state: ReplicationState,
-  nowMs: number,
-): ReplicationStep {
-  const waiting = [...state.edits]
-    .filter(([, edit]) => isDue(state, edit, nowMs));
-  return waiting.reduce<ReplicationStep>(
-    (step, [requestId]) =>
-      chainReduction(step, (s) => sendEdit(s, requestId, nowMs)),
-    createReduction(state),
-  );
-}
+import type { ReplicationState, ReplicationStep } from "./replication_state.ts";
 
 /** Answers an edit that this replica committed as leader. */
 export function commitEdit(
@@ -125,50 +77,6 @@
   );
 }
 
-/** A proposal of this replica's own is always answered by consensus. */
-function isDue(
-  state: ReplicationState,
-  { sentTo, sentAtMs }: PendingEdit,
-  nowMs: number,
-): boolean {
-  if (sentTo === undefined || sentTo === state.consensus.replicaId) {
-    return sentTo === undefined;
-  }
-  return sentTo !== findLeader(state.consensus) ||
-    nowMs - sentAtMs >= RESEND_MS;
-}
-
-function sendEdit(
-  state: ReplicationState,
-  requestId: string,
-  nowMs: number,
-): ReplicationStep {
-  const pending = state.edits.get(requestId)!;
-  const { replicaId } = state.consensus;
-  const leaderId = findLeader(state.consensus);
-  if (leaderId === undefined) {
-    return createReduction(state);
-  }
-  const isUnknown = pending.isUnknown || pending.sentTo !== undefined;
-  const sent = { ...pending, sentTo: leaderId, sentAtMs: nowMs, isUnknown };
-  const next = { ...state, edits: setEntry(state.edits, requestId, sent) };
-  if (leaderId === replicaId) {
-    const payload = encodeEdit({ ...pending.edit, atMs: nowMs });
-    const event = { type: "PayloadProposed", requestId, payload } as const;
-    return stepConsensus(next, event, nowMs);
-  }
-  if (pending.origin.type === "Peer") {
-    return retryEdit(state, requestId, { isUnknown: false });
-  }
-  const { edit } = pending;
-  const from = state.cluster.self;
-  return createReduction(next, [{
-    type: "SendToPeer",
-    peer: getSettingsId(leaderId),
-    message: { type: "EditForward", requestId, from, edit },
-  }]);
-}
-
 function settleEdit(
   state: ReplicationState,
   requestId: string,
--- a/src/platform/control/common/replication_reducer.ts
+++ b/src/platform/control/common/replication_reducer.ts
@@ -12,12 +12,8 @@
 } from "../../link/common/cluster_messages.ts";
 import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
 import { carryEffects, stepConsensus } from "./consensus_step.ts";
-import {
-  expireEdits,
-  receiveReply,
-  resumeEdits,
-  startEdit,
-} from "./edit_requests.ts";
+import { expireEdits, receiveReply } from "./edit_requests.ts";
+import { resumeEdits, startEdit } from "./edit_sending.ts";
 import {
   acceptFounding,
   finishFounding,
@@ -42,12 +38,8 @@
   ReplicationState,
   ReplicationStep,
 } from "./replication_state.ts";
-import {
-  expireReads,
-  renewConfirmation,
-  resumeReads,
-  startRead,
-} from "./table_reads.ts";
+import { renewConfirmation, resumeReads, startRead } from "./read_sending.ts";
+import { expireReads } from "./table_reads.ts";
 
 /** What a replica starts from. */
 export interface ReplicationOptions {
--- a/src/platform/control/common/replication_state.ts
+++ b/src/platform/control/common/replication_state.ts
@@ -1,6 +1,7 @@
 /** The state of one replica of the table, its events and its effects. */
 import type { Reduction } from "../../../base/common/reduction.ts";
 import type { ConsensusEffect } from "../../consensus/common/consensus_events.ts";
+import { DEFAULT_CONSENSUS_OPTIONS } from "../../consensus/common/consensus_options.ts";
 import type {
   ConsensusOptions,
   ConsensusState,
@@ -146,21 +147,12 @@
 /** A step of the replica. */
 export type ReplicationStep = Reduction<ReplicationState, ReplicationEffect>;
 
+/** Largest edit in bytes, as encoded; well below a link's largest message. */
+export const MAX_EDIT_BYTES = 2 * 1024 * 1024;
 /** Times of consensus, and its bounds. */
 export const CONSENSUS_OPTIONS: ConsensusOptions = {
-  heartbeatMs: 150,
-  electionTimeoutMs: 1_000,
-  silentAfterMs: 3_000,
-  readTimeoutMs: 1_500,
-  maxBatchEntries: 256,
-  maxBatchBytes: 512 * 1024,
-  maxPendingProposals: 1_024,
-  maxPendingReads: 256,
-  maxPayloadBytes: 2 * 1024 * 1024,
-  snapshotChunkBytes: 256 * 1024,
-  snapshotEveryEntries: 1_000,
-  trailingEntries: 500,
-  maxInFlightEntries: 1_024,
+  ...DEFAULT_CONSENSUS_OPTIONS,
+  maxPayloadBytes: MAX_EDIT_BYTES,
 };
 
 /** How often a replica says that it lives. */
