Feed the control reducer's tests the replicated table

Cause: the control reducer no longer decides edits, so its tests gave it an event that is gone. Change: the same edits reach it as the replicated table does; each expectation stands as it was, and one on what vouches for the table is new. Conclusion: none of the tests is weaker than before.

--- a/src/platform/control/test/control_reducer_test.ts
+++ b/src/platform/control/test/control_reducer_test.ts
@@ -9,6 +9,7 @@
 import { applyTableDelta } from "../../table/common/table_delta.ts";
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
 import type { Table, TableRow } from "../../table/common/table_row.ts";
+import { applyEdit } from "../../table/common/table_reducer.ts";
 import { createControlReport } from "../common/control_report.ts";
 import { reduceControl } from "../common/control_reducer.ts";
 import { createControl } from "../common/control_state.ts";
@@ -40,7 +41,10 @@
 /** One replica, and all that it did. */
 class ControlRun {
   nowMs = 1_000_000;
-  state: ControlState = createControl("control-a", this.nowMs);
+  state: ControlState = {
+    ...createControl("control-a", this.nowMs),
+    isTableConfirmed: true,
+  };
   effects: ControlEffect[] = [];
 
   dispatch(event: ControlEvent): readonly ControlEffect[] {
@@ -75,15 +79,16 @@
   edit(weight: number): readonly ControlEffect[] {
     const fromVersion = this.state.tableState.table.rows[0]?.version ?? 0;
     const row = { ...ROW, weight };
+    const { state: tableState } = applyEdit(this.state.tableState, {
+      editId: `edit-${weight}`,
+      operator: "operator",
+      atMs: this.nowMs,
+      change: { type: "PutRow", row, fromVersion },
+    });
     return this.dispatch({
-      type: "EditRequested",
-      requestId: weight,
-      edit: {
-        editId: `edit-${weight}`,
-        operator: "operator",
-        atMs: this.nowMs,
-        change: { type: "PutRow", row, fromVersion },
-      },
+      type: "TableReplaced",
+      tableState,
+      isCurrent: true,
     });
   }
 }
@@ -160,6 +165,22 @@
   });
 });
 
+describe("what vouches for the table", () => {
+  it("is told to every node, at once and with each answer", () => {
+    const run = new ControlRun();
+    run.announce(1, "n1");
+    run.edit(1);
+    const { tableState } = run.state;
+    const replace = (isCurrent: boolean) =>
+      run.dispatch({ type: "TableReplaced", tableState, isCurrent });
+    expect(replace(false)).to.deep.equal([]);
+    expect(run.beat(1, 1)[0]).to.include({ isConfirmed: false });
+    const [again] = replace(true);
+    expect(again).to.deep.include({ type: "SendToLink", linkId: 1 });
+    expect(run.beat(1, 1)[0]).to.include({ isConfirmed: true });
+  });
+});
+
 describe("subscribers of a control replica", () => {
   it("are told of the service that they call alone", () => {
     const run = new ControlRun();
