Leave it to consensus to bring the founding to the other voters

Change: the message and what repeated it are gone. Conclusion: founding is decided by one replica and carried by the log's leader.

--- a/src/platform/control/common/replication_reducer.ts
+++ b/src/platform/control/common/replication_reducer.ts
@@ -14,14 +14,7 @@
 import { carryEffects, stepConsensus } from "./consensus_step.ts";
 import { expireEdits, receiveReply } from "./edit_requests.ts";
 import { resumeEdits, startEdit } from "./edit_sending.ts";
-import {
-  acceptFounding,
-  finishFounding,
-  foundCluster,
-  hasConfiguration,
-  isEmpty,
-  repeatFounding,
-} from "./founding.ts";
+import { finishFounding, foundCluster, isEmpty } from "./founding.ts";
 import { pickRepair } from "./replica_repair.ts";
 import {
   CONSENSUS_OPTIONS,
@@ -119,8 +112,6 @@
   switch (message.type) {
     case "ReplicaHello":
       return receiveHello(state, message, nowMs);
-    case "ReplicaFounding":
-      return acceptFounding(state, message.configuration);
     case "ConsensusRelay": {
       const { from, to } = message;
       const event = { type: "MessageReceived", from } as const;
@@ -225,7 +216,6 @@
     id: cluster.self,
     replicaId: consensus.replicaId,
     isEmpty: isEmpty(state) && !state.isStoringFounding,
-    hasConfiguration: hasConfiguration(state),
     role: getRole(state),
     term: consensus.term,
     commitIndex: consensus.commitIndex,
@@ -235,15 +225,13 @@
     peer,
     message,
   }));
-  const step = createReduction({ ...state, helloAtMs: nowMs }, hellos);
-  return chainReduction(step, repeatFounding);
+  return createReduction({ ...state, helloAtMs: nowMs }, hellos);
 }
 
 function createPeer(nowMs: number): Peer {
   return {
     replicaId: undefined,
     isEmpty: false,
-    hasConfiguration: false,
     role: "joining",
     term: 0,
     commitIndex: 0,
--- a/src/platform/control/common/replication_state.ts
+++ b/src/platform/control/common/replication_state.ts
@@ -32,7 +32,6 @@
   /** Undefined until it is heard. */
   readonly replicaId: string | undefined;
   readonly isEmpty: boolean;
-  readonly hasConfiguration: boolean;
   readonly role: ReplicaRole;
   readonly term: number;
   readonly commitIndex: number;
--- a/src/platform/link/common/cluster_messages.ts
+++ b/src/platform/link/common/cluster_messages.ts
@@ -1,6 +1,5 @@
 /** Messages between control replicas that concern the replicated state. */
 import type { ConsensusMessage } from "../../consensus/common/consensus_messages.ts";
-import type { Configuration } from "../../consensus/common/log_types.ts";
 import type {
   EditOutcome,
   TableEdit,
@@ -18,18 +17,11 @@
   readonly replicaId: string;
   /** Nothing was ever written to the folder: no vote, no entry. */
   readonly isEmpty: boolean;
-  readonly hasConfiguration: boolean;
   readonly role: ReplicaRole;
   readonly term: number;
   readonly commitIndex: number;
 }
 
-/** The first configuration, from the replica that founds the set. */
-export interface ReplicaFounding {
-  readonly type: "ReplicaFounding";
-  readonly configuration: Configuration;
-}
-
 /** A message of consensus; dropped where `to` isn't the receiver. */
 export interface ConsensusRelay {
   readonly type: "ConsensusRelay";
@@ -66,7 +58,6 @@
 /** What control replicas say about the replicated state. */
 export type ClusterMessage =
   | ReplicaHello
-  | ReplicaFounding
   | ConsensusRelay
   | EditForward
   | EditReply;
@@ -77,7 +68,6 @@
 ): message is ClusterMessage {
   switch (message.type) {
     case "ReplicaHello":
-    case "ReplicaFounding":
     case "ConsensusRelay":
     case "EditForward":
     case "EditReply":
