Wake a frozen leader in a test of the replica set

Cause: a leader that was frozen holds an old table and believes that it leads. Change: a test freezes the leader, edits through the others, wakes it, and finds that it neither vouches for its old table nor answers a read with it.

--- a/src/daemon/test/cluster_faults_test.ts
+++ b/src/daemon/test/cluster_faults_test.ts
@@ -34,6 +34,7 @@
 
 interface Status {
   readonly tableVersion: number;
+  readonly isTableConfirmed: boolean;
   readonly cluster: ClusterReport;
 }
 
@@ -164,6 +165,25 @@
       .to.deep.equal([200, 409]);
   });
 
+  it("are not misled by a leader that was frozen and wakes up", async () => {
+    await insistEdit(controls, 1);
+    const leader = await findLeader();
+    const others = controls.filter((control) => control !== leader);
+    leader.child.kill("SIGSTOP");
+    await insistEdit(others, 2);
+    await waitStatus(
+      others[0]!,
+      ({ cluster }) => findMember({ cluster }, leader.id).isSilent,
+    );
+    leader.child.kill("SIGCONT");
+    const woken = await readStatus(leader);
+    expect(woken.isTableConfirmed && woken.tableVersion < 2).to.equal(false);
+    const table = await request(`http://${leader.operator}/table`);
+    const { version } = await table.body.json() as { version: number };
+    expect([table.statusCode, version]).to.deep.equal([200, 2]);
+    await waitStatus(leader, (status) => status.isTableConfirmed);
+  });
+
   it("repair a wiped replica, and then lose another", async () => {
     for (let version = 1; version <= 20; version++) {
       await insistEdit(controls, version);
@@ -227,6 +247,6 @@
   });
 });
 
-function findMember({ cluster }: Status, id: string) {
+function findMember({ cluster }: Pick<Status, "cluster">, id: string) {
   return cluster.members.find((member) => member.id === id)!;
 }
