--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -29,6 +29,7 @@
   expireServed,
   failServed,
   receiveIngress,
+  updateServed,
 } from "./served_reducer.ts";
 import type { NodeStep } from "./served_reducer.ts";
 import { takeCandidate, takeTable } from "./table_intake.ts";
@@ -65,10 +66,7 @@
     case "DrainRequested":
       return startDrain(state);
     case "Ticked":
-      return chainReduction(
-        takeCandidate(state, nowMs),
-        (s) => dropDisused(s, nowMs),
-      );
+      return tick(state, nowMs);
     case "PeerAsked":
       return answerPeer(state, event.askId, event.message);
     case "PeerReplied":
@@ -179,6 +177,14 @@
   return chainReduction(step, (s) => cancelChildren(s, key.id, nowMs));
 }
 
+function tick(state: NodeState, nowMs: number): NodeStep {
+  const step = updateServed(state, createServedDeps(nowMs));
+  return chainReduction(
+    chainReduction(step, (s) => takeCandidate(s, nowMs)),
+    (s) => dropDisused(s, nowMs),
+  );
+}
+
 function startDrain(state: NodeState): NodeStep {
   if (state.self.isDraining) {
     return createReduction(state);
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -1,6 +1,7 @@
 /** The state of a node: its calls, and the areas that decide on them. */
 import { createAdmission } from "../../admission/common/admission_reducer.ts";
-import type { AdmissionState } from "../../admission/common/admission_reducer.ts";
+import type { AdmissionState } from "../../admission/common/admission_types.ts";
+import type { LevelView } from "../../admission/common/level_view.ts";
 import type { Subscriptions } from "../../link/common/subscriptions.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
@@ -9,6 +10,7 @@
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
 import type { Table, TableRow } from "../../table/common/table_row.ts";
 import type { CallContext } from "./call_context.ts";
+import type { CalleeView } from "./call_level.ts";
 
 /** An attempt that an entry call made. */
 export interface Attempt {
@@ -83,6 +85,9 @@
   /** Services that are called, and so subscribed to. */
   readonly subscriptions: Subscriptions;
   readonly admission: AdmissionState;
+  /** Admission levels that other nodes said on answers. */
+  readonly levels: LevelView;
+  readonly callees: CalleeView;
 }
 
 /** Creates the state of a node that has just started. */
@@ -103,6 +108,8 @@
     routing: INITIAL_ROUTING,
     subscriptions: new Map(),
     admission: createAdmission(self.slots),
+    levels: new Map(),
+    callees: new Map(),
   };
 }
 
