Test the first answer of a process that was frozen

Cause: with the expiry of the proof taken out, the process test of a frozen leader still passed: its reads are refused by the read index, and what it vouches for is overtaken by messages that waited. Change: a reducer test of the first event. Conclusion: the expiry has its own test.

--- /dev/null
+++ b/src/platform/control/test/replica_reducer_test.ts
@@ -0,0 +1,37 @@
+/** A control process that was frozen: what it tells its nodes first. */
+import { expect } from "chai";
+import { createControl } from "../common/control_state.ts";
+import { reduceReplica } from "../common/replica_reducer.ts";
+import type { ReplicaEvent } from "../common/replica_reducer.ts";
+import { Replicas } from "./replicas.ts";
+
+describe("frozen control process", () => {
+  it("vouches for nothing from its first event on", () => {
+    const replicas = new Replicas(["a"]);
+    replicas.start("a");
+    replicas.run(() => replicas.isConfirmed("a"));
+    const { nowMs } = replicas;
+    const control = createControl("a", nowMs);
+    const state = { control, replication: replicas.get("a") };
+    const clock = { wallMs: 0, counter: 0 };
+    const event: ReplicaEvent = {
+      type: "NodeMessageReceived",
+      linkId: 1,
+      message: { type: "Heartbeat", tableVersion: 0, clock },
+    };
+    const readAnswers = (atMs: number, from = state) => {
+      const step = reduceReplica(from, event, atMs);
+      const answers = step.effects.flatMap((effect) =>
+        effect.type === "SendToLink" &&
+          effect.message.type === "HeartbeatAnswer"
+          ? [effect.message.isConfirmed]
+          : []
+      );
+      return { answers, state: step.state };
+    };
+    const awake = readAnswers(nowMs);
+    expect(awake.answers).to.deep.equal([true]);
+    const woken = readAnswers(nowMs + 3_600_000, awake.state);
+    expect(woken.answers).to.deep.equal([false]);
+  });
+});
