--- /dev/null
+++ b/src/platform/call/common/entry_ask.ts
@@ -0,0 +1,147 @@
+/** Asks receivers about attempts that are quiet or whose connection failed. */
+import {
+  appendEffects,
+  createReduction,
+} from "../../../base/common/reduction.ts";
+import { ASK_TIMEOUT_MS } from "../../retry/common/settled_attempts.ts";
+import type { NodeEffect } from "./call_events.ts";
+import { putEntry } from "./entry_state.ts";
+import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
+import type { NodeStep } from "./served_reducer.ts";
+
+/** An attempt without a head is asked about after this spell. */
+export const QUIET_MS = 1_000;
+/** Part of a kind's timeout after which it is asked about, where shorter. */
+const QUIET_SHARE = 1 / 3;
+/** Part of its spell after which an attempt goes along in a question. */
+const COMPANION_SHARE = 1 / 2;
+/** Most attempts in one question. */
+const MAX_ASKED = 512;
+/** Begins the request ids of these questions; attempt ids follow. */
+const ASK_PREFIX = "attempts:";
+/** Parts the attempt ids: no id has one. */
+const ID_SEPARATOR = ",";
+
+/** Marks an attempt as asked about, and asks on a new connection. */
+export function suspectAttempt(
+  state: NodeState,
+  exchangeId: string,
+  change: Partial<Attempt>,
+  nowMs: number,
+): NodeStep {
+  const call = state.entries.get(exchangeId)!;
+  const current = call.attempt ?? call.relayed!;
+  const attempt: Attempt = { ...current, ...change, isAsked: true };
+  const next = putAttempt(state, call, attempt);
+  return current.isAsked
+    ? createReduction(next)
+    : createReduction(next, [createAsk([attempt], nowMs)]);
+}
+
+/**
+ * Asks about the attempts that have been quiet for a spell, in one question
+ * to each receiver. Those that have been quiet for half of it go along, so
+ * that a slow receiver is not asked more than twice in a spell.
+ */
+export function watchAttempts(state: NodeState, nowMs: number): NodeStep {
+  const calls = [...state.entries.values()];
+  const quiet = calls.filter((call) => isQuiet(state, call, nowMs, 1));
+  if (quiet.length === 0) {
+    return createReduction(state);
+  }
+  const receivers = new Set(quiet.map((call) => formatReceiver(call.attempt!)));
+  const asked = calls.filter((call) =>
+    isQuiet(state, call, nowMs, COMPANION_SHARE) &&
+    receivers.has(formatReceiver(call.attempt!))
+  );
+  return suspectTogether(state, asked, nowMs);
+}
+
+function suspectTogether(
+  state: NodeState,
+  calls: readonly EntryCall[],
+  nowMs: number,
+): NodeStep {
+  const groups = new Map<string, Attempt[]>();
+  let next = state;
+  for (const call of calls) {
+    const attempt: Attempt = { ...call.attempt!, isAsked: true };
+    const name = formatReceiver(attempt);
+    const group = groups.get(name) ?? [];
+    if (group.length < MAX_ASKED) {
+      groups.set(name, [...group, attempt]);
+      next = putAttempt(next, call, attempt);
+    }
+  }
+  const asks = [...groups.values()].map((group) => createAsk(group, nowMs));
+  return createReduction(next, asks);
+}
+
+/** Replaces the attempt that a call waits for or relays. */
+export function putAttempt(
+  state: NodeState,
+  call: EntryCall,
+  attempt: Attempt,
+): NodeState {
+  return call.attempt === undefined
+    ? putEntry(state, { ...call, relayed: attempt })
+    : putEntry(state, { ...call, attempt });
+}
+
+/** Returns the attempts that a question was about; none of another's. */
+export function parseAsk(requestId: string): readonly string[] {
+  return requestId.startsWith(ASK_PREFIX)
+    ? requestId.slice(ASK_PREFIX.length).split(ID_SEPARATOR)
+    : [];
+}
+
+/** Marks the connections to a receiver as not to be used again. */
+export function dropConnections(step: NodeStep, attempt: Attempt): NodeStep {
+  const { attemptId, address } = attempt;
+  return appendEffects(
+    step,
+    { type: "AbortAttempt", attemptId },
+    { type: "DropConnections", address },
+  );
+}
+
+/** The spell after which the attempts of a call are asked about. */
+export function computeQuietMs(call: EntryCall): number {
+  return Math.min(QUIET_MS, call.row.timeoutMs * QUIET_SHARE);
+}
+
+/** Whether an attempt has been quiet for `share` of its spell. */
+function isQuiet(
+  state: NodeState,
+  call: EntryCall,
+  nowMs: number,
+  share: number,
+): boolean {
+  const { attempt } = call;
+  return attempt !== undefined && !attempt.isAsked &&
+    attempt.nodeId !== state.self.nodeId &&
+    nowMs - attempt.heardAtMs >= share * computeQuietMs(call);
+}
+
+/** One process at one address. */
+function formatReceiver({ address, incarnation }: Attempt): string {
+  return `${address} ${incarnation}`;
+}
+
+/** Asks one receiver about attempts that were all sent to it. */
+function createAsk(attempts: readonly Attempt[], nowMs: number): NodeEffect {
+  const { address, incarnation } = attempts[0]!;
+  const ids = attempts.map(({ attemptId }) => attemptId);
+  const asked = attempts.map(({ attemptId, startedAtMs }) => ({
+    attemptId,
+    ageMs: nowMs - startedAtMs,
+  }));
+  return {
+    type: "AskPeer",
+    requestId: `${ASK_PREFIX}${ids.join(ID_SEPARATOR)}`,
+    address,
+    message: { type: "FenceAttempts", incarnation, attempts: asked },
+    timeoutMs: ASK_TIMEOUT_MS,
+    isFresh: true,
+  };
+}
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -15,7 +15,7 @@
 import { noteCallee } from "./call_level.ts";
 import type { CallReceived, NodeEffect, TimerKey } from "./call_events.ts";
 import { tryAttempt } from "./entry_attempts.ts";
-import { putEntry } from "./entry_state.ts";
+import { addChild, putEntry } from "./entry_state.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
 import type { NodeStep } from "./served_reducer.ts";
 
@@ -171,7 +171,11 @@
     remainingMs: parent.deadlineMs - nowMs,
     retryTokens: share,
   };
-  const next = noteCallee({ ...state, served }, called, nowMs);
+  const next = addChild(
+    noteCallee({ ...state, served }, called, nowMs),
+    parent.attemptId,
+    received.exchangeId,
+  );
   return { type: "Opened", state: next, context, parentId: parent.attemptId };
 }
 
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -14,12 +14,10 @@
   failEntry,
 } from "./entry_attempts.ts";
 import { receiveEntry } from "./entry_open.ts";
-import {
-  cancelChildren,
-  cancelEntry,
-  endEntry,
-  resumeEntries,
-} from "./entry_reducer.ts";
+import { watchAttempts } from "./entry_ask.ts";
+import { cancelEntry } from "./entry_cancel.ts";
+import { endEntry, resumeEntries } from "./entry_reducer.ts";
+import { settleAsked, suspectAnswer } from "./entry_reply.ts";
 import { stepRouting } from "./entry_state.ts";
 import { answerPeer } from "./peer_reducer.ts";
 import {
@@ -28,6 +26,7 @@
   endServed,
   expireServed,
   failServed,
+  noteBlocked,
   receiveIngress,
   updateServed,
 } from "./served_reducer.ts";
@@ -55,6 +54,10 @@
       return applyEnd(state, event.attemptId, true, nowMs);
     case "AnswerCut":
       return applyEnd(state, event.attemptId, false, nowMs);
+    case "AnswerQuiet":
+      return suspectAnswer(state, event, nowMs);
+    case "AnswerBlocked":
+      return noteBlocked(state, event.attemptId, event.isBlocked);
     case "CallerLeft":
       return cancelExchange(state, event.exchangeId, nowMs);
     case "BodyLimitPassed":
@@ -68,9 +71,9 @@
     case "Ticked":
       return tick(state, nowMs);
     case "PeerAsked":
-      return answerPeer(state, event.askId, event.message);
+      return answerPeer(state, event, nowMs);
     case "PeerReplied":
-      return createReduction(state);
+      return settleAsked(state, event, nowMs);
     case "MembersListed":
       return resumeEntries(stepRouting(state, event), event.service, nowMs);
     case "MemberPublished":
@@ -135,7 +138,7 @@
   nowMs: number,
 ): NodeStep {
   if (state.entries.has(exchangeId)) {
-    return cancelEntry(state, exchangeId, nowMs);
+    return cancelEntry(state, exchangeId, createServedDeps(nowMs));
   }
   const call = [...state.served.values()].find((served) =>
     served.exchangeId === exchangeId
@@ -143,9 +146,7 @@
   if (call === undefined) {
     return createReduction(state);
   }
-  const { attemptId } = call;
-  const step = cancelServed(state, attemptId, createServedDeps(nowMs));
-  return chainReduction(step, (s) => cancelChildren(s, attemptId, nowMs));
+  return cancelServed(state, call.attemptId, createServedDeps(nowMs));
 }
 
 /** A chunked body went over its row's limit while it was sent. */
@@ -173,14 +174,16 @@
   if (key.owner === "entry") {
     return expireEntry(state, key.id, nowMs);
   }
-  const step = expireServed(state, key.id, createServedDeps(nowMs));
-  return chainReduction(step, (s) => cancelChildren(s, key.id, nowMs));
+  return expireServed(state, key.id, createServedDeps(nowMs));
 }
 
 function tick(state: NodeState, nowMs: number): NodeStep {
   const step = updateServed(state, createServedDeps(nowMs));
   return chainReduction(
-    chainReduction(step, (s) => takeCandidate(s, nowMs)),
+    chainReduction(
+      chainReduction(step, (s) => watchAttempts(s, nowMs)),
+      (s) => takeCandidate(s, nowMs),
+    ),
     (s) => dropDisused(s, nowMs),
   );
 }
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -12,6 +12,11 @@
   AdmissionEvent,
 } from "../../admission/common/admission_types.ts";
 import { computeRetryAfter } from "../../admission/common/retry_after.ts";
+import { EMPTY_POOL } from "../../retry/common/retry_tokens.ts";
+import {
+  findSettled,
+  rememberSettled,
+} from "../../retry/common/settled_attempts.ts";
 import { selectRow } from "../../table/common/table_match.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
@@ -23,7 +28,6 @@
   NodeEffect,
   TimerKey,
 } from "./call_events.ts";
-import { rememberSettled } from "./peer_reducer.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
 
 /** A step of the node. */
@@ -43,10 +47,18 @@
   nowMs: number,
 ) => NodeStep;
 
+/** Cancels the calls that a served attempt made; passed in, as above. */
+export type CancelChildren = (
+  state: NodeState,
+  parentId: string,
+  deps: ServedDeps,
+) => NodeStep;
+
 /** What the steps of served attempts need besides the state. */
 export interface ServedDeps {
   readonly nowMs: number;
   readonly settleLocal: SettleLocal;
+  readonly cancelChildren: CancelChildren;
 }
 
 /** Takes a call from another node. */
@@ -64,12 +76,9 @@
       message: `Context header is malformed: ${context.error.reason}`,
     });
   }
-  if (state.settled.has(context.value.attemptId)) {
-    return answerAtOnce(state, exchangeId, {
-      status: 503,
-      outcome: "not-run",
-      message: "Attempt was given up before it arrived",
-    });
+  const refusal = findRepeat(state, context.value.attemptId);
+  if (refusal !== undefined) {
+    return answerAtOnce(state, exchangeId, refusal);
   }
   const row = selectRow(state.table, call);
   if (row === undefined) {
@@ -91,6 +100,25 @@
   }, deps);
 }
 
+/** Answers an attempt id that was here before: none runs twice. */
+function findRepeat(
+  state: NodeState,
+  attemptId: string,
+): OwnAnswer | undefined {
+  const settled = findSettled(state.settled, attemptId);
+  if (settled === undefined && !state.served.has(attemptId)) {
+    return undefined;
+  }
+  const isNotRun = settled === "fenced" || settled === "refused";
+  return {
+    status: isNotRun ? 503 : 409,
+    outcome: isNotRun ? "not-run" : "unknown",
+    message: isNotRun
+      ? "Attempt was given up before it arrived"
+      : "Attempt has arrived before",
+  };
+}
+
 /** Puts an attempt before the door of the local backend server. */
 export function admitAttempt(
   state: NodeState,
@@ -136,12 +164,16 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
-  const relaying: ServedCall = { ...call, phase: "relaying" };
+  const { left } = call.pool;
+  // The tokens go back with this answer, so none may be spent here any more.
+  const relaying: ServedCall = { ...call, phase: "relaying", pool: EMPTY_POOL };
   const served = setEntry(state.served, attemptId, relaying);
   const event: AdmissionEvent = { type: "RequestAnswered", attemptId };
-  const step = stepAdmission({ ...state, served }, event, deps);
+  const heard = { ...state, served, backendHeardMs: deps.nowMs };
+  const step = stepAdmission(heard, event, deps);
   if (call.origin === "local") {
-    const result: LocalResult = { type: "Answered", answer };
+    const returned = { ...answer, tokens: left };
+    const result: LocalResult = { type: "Answered", answer: returned };
     return chainReduction(
       step,
       (next) => deps.settleLocal(next, attemptId, result, deps.nowMs),
@@ -149,7 +181,7 @@
   }
   const headers = createSignalHeaders({
     outcome: "ran",
-    tokens: call.pool.left,
+    tokens: left,
     isDraining: state.self.isDraining,
     level: quoteLevel(state, call.row.kind, deps.nowMs),
   });
@@ -162,6 +194,24 @@
   });
 }
 
+/** Whoever asked stopped taking the answer, or goes on. */
+export function noteBlocked(
+  state: NodeState,
+  attemptId: string,
+  isBlocked: boolean,
+): NodeStep {
+  const call = state.served.get(attemptId);
+  if (call === undefined) {
+    return createReduction(state);
+  }
+  const relaying: ServedCall = {
+    ...call,
+    phase: isBlocked ? "blocked" : "relaying",
+  };
+  const served = setEntry(state.served, attemptId, relaying);
+  return createReduction({ ...state, served });
+}
+
 /** The backend server did not answer. */
 export function failServed(
   state: NodeState,
@@ -224,7 +274,7 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId);
-  if (call === undefined || call.phase === "relaying") {
+  if (call === undefined || isAnswered(call)) {
     return createReduction(state);
   }
   const isQueued = call.phase === "queued";
@@ -233,9 +283,29 @@
     outcome: isQueued ? "not-run" : "unknown",
     message: "Deadline passed",
   }, deps);
-  return isQueued
-    ? step
-    : appendEffects(step, { type: "AbortAttempt", attemptId });
+  return isQueued ? step : appendEffects(step, ...createAborts(state, call));
+}
+
+/**
+ * Aborts an attempt whose time is over. Where the backend server has answered
+ * nothing since the attempt came, its other connections may be silent too:
+ * later attempts use new ones.
+ */
+function createAborts(
+  state: NodeState,
+  call: ServedCall,
+): readonly NodeEffect[] {
+  const { attemptId, context, deadlineMs } = call;
+  const abort: NodeEffect = { type: "AbortAttempt", attemptId };
+  const arrivedMs = deadlineMs - context.remainingMs;
+  const address = state.backendAddress;
+  return state.backendHeardMs >= arrivedMs
+    ? [abort]
+    : [abort, { type: "DropConnections", address }];
+}
+
+function isAnswered(call: ServedCall): boolean {
+  return call.phase === "relaying" || call.phase === "blocked";
 }
 
 /** Time has passed: queued requests may have to go, or may run. */
@@ -357,13 +427,23 @@
   const call = state.served.get(attemptId)!;
   const key: TimerKey = { owner: "served", id: attemptId };
   const served = deleteEntry(state.served, attemptId);
-  const settled = rememberSettled(state.settled, attemptId, "ended");
-  const result = call.phase === "relaying" ? "answered" : "cancelled";
-  const event: AdmissionEvent = call.phase === "queued"
+  const isQueued = call.phase === "queued";
+  const as = isQueued ? "refused" : "ended";
+  const settled = rememberSettled(
+    state.settled,
+    { attemptId, as },
+    deps.nowMs,
+  );
+  const result = isAnswered(call) ? "answered" : "cancelled";
+  const event: AdmissionEvent = isQueued
     ? { type: "RequestWithdrawn", attemptId }
     : { type: "RequestFinished", attemptId, result };
   const step = stepAdmission({ ...state, served, settled }, event, deps);
-  return appendEffects(step, { type: "StopTimer", key });
+  const stopped = appendEffects(step, { type: "StopTimer", key });
+  return chainReduction(
+    stopped,
+    (next) => deps.cancelChildren(next, attemptId, deps),
+  );
 }
 
 function answerAtOnce(
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -2,18 +2,46 @@
 
 /** What one node asks another. */
 export type PeerMessage =
-  /** What became of an attempt? One that was never seen can't run later. */
-  { readonly type: "FenceAttempt"; readonly attemptId: string };
+  /** What became of attempts? One that was never seen can't run later. */
+  {
+    readonly type: "FenceAttempts";
+    /** Of the node that the attempts were sent to. */
+    readonly incarnation: number;
+    readonly attempts: readonly AskedAttempt[];
+  };
+
+/** An attempt that its receiver is asked about. */
+export interface AskedAttempt {
+  readonly attemptId: string;
+  /** Time since the attempt was sent, in milliseconds. */
+  readonly ageMs: number;
+}
 
 /** The answer. */
 export type PeerReply =
-  /** The attempt was never seen here, and will be refused from now on. */
+  /** What was found of each attempt, in the order of the question. */
+  {
+    readonly type: "AttemptsFound";
+    readonly found: readonly FoundAttempt[];
+  };
+
+/** What a receiver knows of an attempt. */
+export type FoundAttempt =
+  /** The attempt did not run here, and will be refused from now on. */
   | { readonly type: "AttemptFenced" }
+  /** This process can't tell: it started later, or has forgotten. */
+  | { readonly type: "AttemptForgotten" }
   /** The attempt is, or was, here. */
   | { readonly type: "AttemptKnown"; readonly phase: AttemptPhase };
 
 /** How far a known attempt is. */
-export type AttemptPhase = "queued" | "running" | "relaying" | "ended";
+export type AttemptPhase =
+  | "queued"
+  | "running"
+  | "relaying"
+  /** The answer is relayed, but whoever asked doesn't take more of it. */
+  | "blocked"
+  | "ended";
 
 /** Path of these messages on the ingress listener. */
 export const PEER_PATH = "/.basilpin/peer";
