--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -6,7 +6,6 @@
 } from "../../../base/common/reduction.ts";
 import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
 import type { ClaimReply } from "../../claims/common/claim_messages.ts";
-import type { Table } from "../../table/common/table_row.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
@@ -41,6 +40,7 @@
   takeHolderSets,
   tickServedClaims,
 } from "./served_claims.ts";
+import { takeCandidate, takeTable } from "./table_intake.ts";
 import { dropDisused } from "./subscription_step.ts";
 
 /** Steps a node; `nowMs` is the wall clock in milliseconds. */
@@ -76,7 +76,7 @@
     case "TimerFired":
       return applyTimer(state, event.key, nowMs);
     case "TableReceived":
-      return takeTable(state, event.table, event.isConfirmed);
+      return takeTable(state, event, nowMs);
     case "DrainRequested":
       return startDrain(state);
     case "HolderSetsReceived":
@@ -103,6 +103,7 @@
     (next) => updateServed(next, deps),
     (next) => watchAttempts(next, deps.nowMs),
     (next) => tickServedClaims(next, deps),
+    (next) => takeCandidate(next, deps.nowMs),
     (next) => dropDisused(next, deps.nowMs),
   ];
   return steps.reduce<NodeStep>(chainReduction, createReduction(state));
@@ -215,27 +216,6 @@
   return expireServed(state, key.id, createServedDeps(nowMs));
 }
 
-/** A table takes effect only if it is newer than the one in force. */
-function takeTable(
-  state: NodeState,
-  table: Table,
-  isConfirmed: boolean,
-): NodeStep {
-  if (table.version < state.table.version) {
-    return createReduction(state);
-  }
-  const { version } = table;
-  const next = { ...state, table, isTableConfirmed: isConfirmed };
-  const isSame = version === state.table.version &&
-    isConfirmed === state.isTableConfirmed;
-  const confirm: NodeEffect = { type: "ConfirmTable", version };
-  if (isSame) {
-    return createReduction(next, [confirm]);
-  }
-  const event = { type: "TableInForce", version, isConfirmed } as const;
-  return createReduction(next, [confirm, { type: "RecordEvent", event }]);
-}
-
 function startDrain(state: NodeState): NodeStep {
   if (state.self.isDraining) {
     return createReduction(state);
