Choose backend servers by subset, slowness, ejection and ramp

Cause: every member was a candidate of every call, and the only view was a moving average of all kinds' latency, so a straggler was told apart from a slow kind by nothing, a fast failure looked like a fast server, and a frozen one gave no sample at all. A fixed limit in milliseconds was ruled out: kinds differ by a factor of a hundred. Change: a data-centre-first subset by rendezvous hashing, chosen anew only when membership changes (8 near, 4 far); slowness as a ratio to the usual time of the same kind, stalls without any sample, decaying failures and refusals; ejection with doubling back-off, one probe in 16 attempts at most, never over a third of the subset and none where most look bad; slow start of new incarnations; load hints decide ties within 10% only. What the caller gave up is no failure any more.

--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -8,11 +8,9 @@
 import { noteLevel } from "../../admission/common/level_view.ts";
 import { computeRetryAfter } from "../../admission/common/retry_after.ts";
 import { takeShare } from "../../retry/common/retry_tokens.ts";
-import {
-  isServiceKnown,
-  selectBackend,
-} from "../../routing/common/routing_reducer.ts";
-import type { BackendView } from "../../routing/common/routing_reducer.ts";
+import type { BackendView } from "../../routing/common/backend_view.ts";
+import { isServiceKnown } from "../../routing/common/routing_state.ts";
+import { selectBackend } from "../../routing/common/select_backend.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
 import type { CallContext, CallOutcome } from "./call_context.ts";
@@ -58,9 +56,8 @@
     return refuseEarly(state, call);
   }
   const attemptId = `${exchangeId}.${call.attemptCount + 1}`;
-  const { dataCentre } = state.self;
   const { tried } = call;
-  const route = { service, dataCentre, attemptId, tried };
+  const route = { service, attemptId, tried, nowMs };
   const backend = selectBackend(state.routing, route);
   if (backend === undefined) {
     return endWithAnswer(state, exchangeId, {
@@ -267,6 +264,7 @@
       tried: [...call.tried, nodeId],
     }),
     { type: "AttemptStarted", service, nodeId },
+    nowMs,
   );
   const requestId = context.rootId;
   const step = createReduction<NodeState, NodeEffect>(next, [{
--- a/src/platform/call/common/entry_state.ts
+++ b/src/platform/call/common/entry_state.ts
@@ -3,18 +3,21 @@
 import { createReduction } from "../../../base/common/reduction.ts";
 import { returnShare } from "../../retry/common/retry_tokens.ts";
 import { reduceRouting } from "../../routing/common/routing_reducer.ts";
-import type {
-  AttemptReport,
-  RoutingEvent,
-} from "../../routing/common/routing_reducer.ts";
+import type { AttemptReport } from "../../routing/common/backend_view.ts";
+import type { RoutingEvent } from "../../routing/common/routing_reducer.ts";
 import type { CallOutcome } from "./call_context.ts";
 import type { NodeEffect, TimerKey } from "./call_events.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
 import type { NodeStep } from "./served_reducer.ts";
 
 /** Applies an event to the routing view. */
-export function stepRouting(state: NodeState, event: RoutingEvent): NodeState {
-  return { ...state, routing: reduceRouting(state.routing, event).state };
+export function stepRouting(
+  state: NodeState,
+  event: RoutingEvent,
+  nowMs: number,
+): NodeState {
+  const { state: routing } = reduceRouting(state.routing, event, nowMs);
+  return { ...state, routing };
 }
 
 export function putEntry(state: NodeState, call: EntryCall): NodeState {
@@ -41,11 +44,12 @@
   const report: AttemptReport = {
     service: call.row.service,
     nodeId: attempt.nodeId,
+    kind: call.row.kind,
     latencyMs: nowMs - attempt.startedAtMs,
     result: seen.result,
     isDraining: seen.isDraining,
   };
-  return stepRouting(state, { type: "AttemptFinished", report });
+  return stepRouting(state, { type: "AttemptFinished", report }, nowMs);
 }
 
 /** Takes the attempt off the call, with the tokens that it gave back. */
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -94,12 +94,16 @@
     case "PeerReplied":
       return applyReply(state, event, deps);
     case "MembersListed":
-      return resumeEntries(stepRouting(state, event), event.service, nowMs);
+      return resumeEntries(
+        stepRouting(state, event, nowMs),
+        event.service,
+        nowMs,
+      );
     case "MemberPublished":
     case "MemberLost":
     case "AttemptStarted":
     case "AttemptFinished":
-      return createReduction(stepRouting(state, event));
+      return createReduction(stepRouting(state, event, nowMs));
   }
 }
 
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -11,8 +11,8 @@
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
 import { NO_SETTLED } from "../../retry/common/settled_attempts.ts";
 import type { SettledAttempts } from "../../retry/common/settled_attempts.ts";
-import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
-import type { RoutingState } from "../../routing/common/routing_reducer.ts";
+import { createRouting } from "../../routing/common/routing_state.ts";
+import type { RoutingState } from "../../routing/common/routing_state.ts";
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
 import type { Table, TableRow } from "../../table/common/table_row.ts";
 import type { CallContext } from "./call_context.ts";
@@ -130,7 +130,10 @@
     childrenOf: new Map(),
     settled: NO_SETTLED,
     retryBudget: EMPTY_BUDGET,
-    routing: INITIAL_ROUTING,
+    routing: createRouting({
+      nodeId: self.nodeId,
+      dataCentre: self.dataCentre,
+    }),
     admission: createAdmission(self.slots),
     levels: new Map(),
     callees: new Map(),
--- a/src/platform/routing/common/routing_reducer.ts
+++ b/src/platform/routing/common/routing_reducer.ts
@@ -1,35 +1,15 @@
-/** Which backend server runs a call: the node's own view of each. */
-import { hashText } from "../../../base/common/hash.ts";
+/** Steps the node's view of the backend servers that it calls. */
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
 import { createReduction } from "../../../base/common/reduction.ts";
 import type { Reduction } from "../../../base/common/reduction.ts";
 import { isNewerAnnouncement } from "../../membership/common/announcement.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
-
-/** One backend server as this node sees it. */
-export interface BackendView {
-  readonly announcement: Announcement;
-  /** Attempts of this node that are under way. */
-  readonly inFlight: number;
-  /** Moving average of the time of an attempt, in milliseconds. */
-  readonly latencyMs: number;
-  /** Said on an answer, before the announcement arrived. */
-  readonly isDrainSeen: boolean;
-}
-
-/** Backend servers by node id, for each service that is called. */
-export interface RoutingState {
-  readonly services: ReadonlyMap<string, ReadonlyMap<string, BackendView>>;
-}
-
-/** How an attempt ended, for the view of its backend server. */
-export interface AttemptReport {
-  readonly service: string;
-  readonly nodeId: string;
-  readonly latencyMs: number;
-  readonly result: "answered" | "refused" | "failed";
-  readonly isDraining: boolean;
-}
+import { createView, noteEnd, noteStart } from "./backend_view.ts";
+import type { AttemptReport, BackendView } from "./backend_view.ts";
+import { judgeView } from "./ejection.ts";
+import { EMPTY_SERVICE } from "./routing_state.ts";
+import type { RoutingState, ServiceView } from "./routing_state.ts";
+import { chooseSubset } from "./subset.ts";
 
 /** What happens to the view. */
 export type RoutingEvent =
@@ -51,134 +31,198 @@
   }
   | { readonly type: "AttemptFinished"; readonly report: AttemptReport };
 
-/** What a call asks of the choice. */
-export interface RouteRequest {
-  readonly service: string;
-  readonly dataCentre: string;
-  /** Seeds the choice, so that it replays. */
-  readonly attemptId: string;
-  /** Node ids that this call tried already. */
-  readonly tried: readonly string[];
+interface ServiceChange {
+  readonly name: string;
+  readonly service: ServiceView;
+  /** Whether these are the first members that are known. */
+  readonly isFirst?: boolean;
 }
 
-/** No service is known yet. */
-export const INITIAL_ROUTING: RoutingState = { services: new Map() };
-
-const LATENCY_GAIN = 0.2;
+/** Weight of a sample in the usual time of a kind. */
+const USUAL_GAIN = 0.05;
+/** A sample moves the usual time as if at most this many times as long. */
+const USUAL_CLIP = 3;
+/** Smaller moves of the usual time aren't worth a copy for each call. */
+const USUAL_STEP = 0.01;
+/** Least time that a ratio is taken of: below it, all noise is the same. */
+const MIN_USUAL_MS = 5;
 
 /** Steps the view. Routing asks nothing of the I/O layer. */
 export function reduceRouting(
   state: RoutingState,
   event: RoutingEvent,
+  nowMs: number,
 ): Reduction<RoutingState, never> {
   switch (event.type) {
     case "MemberPublished":
-      return createReduction(putMember(state, event.announcement));
+      return createReduction(putMember(state, event.announcement, nowMs));
     case "MemberLost":
-      return createReduction(dropMember(state, event.service, event.nodeId));
+      return createReduction(dropMember(state, event, nowMs));
     case "MembersListed":
-      return createReduction(listService(state, event.service, event.members));
+      return createReduction(listService(state, event, nowMs));
     case "AttemptStarted":
       return createReduction(
-        updateView(state, event, (view) => ({
-          ...view,
-          inFlight: view.inFlight + 1,
-        })),
+        updateView(state, event, (view) => noteStart(view, nowMs)),
       );
     case "AttemptFinished":
-      return createReduction(
-        updateView(
-          state,
-          event.report,
-          (view) => applyReport(view, event.report),
-        ),
-      );
+      return createReduction(applyReport(state, event.report, nowMs));
   }
 }
 
-/** Selects the less loaded of two backend servers drawn by hash. */
-export function selectBackend(
+function putMember(
   state: RoutingState,
-  request: RouteRequest,
-): BackendView | undefined {
-  const candidates = findCandidates(state, request);
-  if (candidates.length <= 1) {
-    return candidates[0];
+  announcement: Announcement,
+  nowMs: number,
+): RoutingState {
+  const service = state.services.get(announcement.service);
+  const current = service?.members.get(announcement.nodeId);
+  if (!isNewerAnnouncement(announcement, current)) {
+    return state;
   }
-  const first = hashText(request.attemptId, 1) % candidates.length;
-  const step = 1 + hashText(request.attemptId, 2) % (candidates.length - 1);
-  const second = (first + step) % candidates.length;
-  const a = candidates[first]!;
-  const b = candidates[second]!;
-  return computeCost(a) <= computeCost(b) ? a : b;
+  const before = service ?? EMPTY_SERVICE;
+  const members = setEntry(before.members, announcement.nodeId, announcement);
+  const next = { ...before, members };
+  return putService(
+    state,
+    { name: announcement.service, service: next },
+    nowMs,
+  );
 }
 
-/** Whether the members of `service` were ever listed. */
-export function isServiceKnown(state: RoutingState, service: string): boolean {
-  return state.services.has(service);
+function dropMember(
+  state: RoutingState,
+  lost: { readonly service: string; readonly nodeId: string },
+  nowMs: number,
+): RoutingState {
+  const service = state.services.get(lost.service);
+  if (service === undefined) {
+    return state;
+  }
+  const members = deleteEntry(service.members, lost.nodeId);
+  const change = { name: lost.service, service: { ...service, members } };
+  return putService(state, change, nowMs);
 }
 
-function findCandidates(
+/** A list replaces what is known, but for what is older than it. */
+function listService(
   state: RoutingState,
-  request: RouteRequest,
-): readonly BackendView[] {
-  const views = [...(state.services.get(request.service)?.values() ?? [])]
-    .filter((view) => !view.announcement.isDraining && !view.isDrainSeen)
-    .filter((view) => !request.tried.includes(view.announcement.nodeId));
-  const near = views.filter((view) =>
-    view.announcement.dataCentre === request.dataCentre
+  listed: {
+    readonly service: string;
+    readonly members: readonly Announcement[];
+  },
+  nowMs: number,
+): RoutingState {
+  const known = state.services.get(listed.service);
+  const before = known ?? EMPTY_SERVICE;
+  const members = new Map(listed.members.map((member) => {
+    const current = before.members.get(member.nodeId);
+    const isNewer = isNewerAnnouncement(member, current);
+    return [member.nodeId, isNewer ? member : current!];
+  }));
+  const next = { ...before, members };
+  const isFirst = known === undefined;
+  const change = { name: listed.service, service: next, isFirst };
+  return putService(state, change, nowMs);
+}
+
+/**
+ * Chooses the subset anew. Members of the first list are as old as they say;
+ * later ones have just come, whatever their clock.
+ */
+function putService(
+  state: RoutingState,
+  change: ServiceChange,
+  nowMs: number,
+): RoutingState {
+  const { name, service, isFirst = false } = change;
+  const takers = [...service.members.values()].filter((member) =>
+    !member.isDraining &&
+    service.drainSeen.get(member.nodeId) !== member.incarnation
   );
-  return near.length > 0 ? near : views;
+  const known = new Map(
+    service.views.map((view) => [view.announcement.nodeId, view]),
+  );
+  const views = chooseSubset(takers, state.client).map((member) => {
+    const rampFromMs = isFirst ? Math.min(nowMs, member.incarnation) : nowMs;
+    return renewView(known.get(member.nodeId), member, rampFromMs);
+  });
+  return setService(state, name, { ...service, views });
 }
 
-function computeCost(view: BackendView): number {
-  const load = (view.inFlight + 1) / view.announcement.slots;
-  return load * (view.latencyMs + 1);
+function renewView(
+  view: BackendView | undefined,
+  member: Announcement,
+  rampFromMs: number,
+): BackendView {
+  const isSame = view?.announcement.incarnation === member.incarnation;
+  return view !== undefined && isSame
+    ? { ...view, announcement: member }
+    : createView(member, rampFromMs);
 }
 
-function putMember(
+function applyReport(
   state: RoutingState,
-  announcement: Announcement,
+  report: AttemptReport,
+  nowMs: number,
 ): RoutingState {
-  const views = state.services.get(announcement.service) ?? new Map();
-  const current: BackendView | undefined = views.get(announcement.nodeId);
-  if (!isNewerAnnouncement(announcement, current?.announcement)) {
+  const { service: name, nodeId } = report;
+  const before = state.services.get(name);
+  if (before === undefined) {
     return state;
   }
-  const view: BackendView = {
-    inFlight: 0,
-    latencyMs: 0,
-    ...current,
-    announcement,
-    isDrainSeen: false,
-  };
-  const next = setEntry(views, announcement.nodeId, view);
-  return { services: setEntry(state.services, announcement.service, next) };
+  const service = learnUsual(before, report);
+  const index = findView(service, nodeId);
+  const settled = index < 0
+    ? service
+    : judgeReport(service, index, report, nowMs);
+  const member = settled.members.get(nodeId);
+  if (!report.isDraining || member === undefined) {
+    return setService(state, name, settled);
+  }
+  if (settled.drainSeen.get(nodeId) === member.incarnation) {
+    return setService(state, name, settled);
+  }
+  const drainSeen = setEntry(settled.drainSeen, nodeId, member.incarnation);
+  const change = { name, service: { ...settled, drainSeen } };
+  return putService(state, change, nowMs);
 }
 
-function dropMember(
-  state: RoutingState,
-  service: string,
-  nodeId: string,
-): RoutingState {
-  const views = state.services.get(service);
-  if (views === undefined) {
-    return state;
-  }
-  const next = deleteEntry(views, nodeId);
-  return { services: setEntry(state.services, service, next) };
+function judgeReport(
+  service: ServiceView,
+  index: number,
+  report: AttemptReport,
+  nowMs: number,
+): ServiceView {
+  const usual = service.usualMs.get(report.kind) ?? report.latencyMs;
+  const ratio = Math.max(report.latencyMs, MIN_USUAL_MS) /
+    Math.max(usual, MIN_USUAL_MS);
+  const seen = { report, ratio };
+  const noted = service.views.with(
+    index,
+    noteEnd(service.views[index]!, seen, nowMs),
+  );
+  return { ...service, ...judgeView(noted, index, nowMs) };
 }
 
-function listService(
-  state: RoutingState,
-  service: string,
-  members: readonly Announcement[],
-): RoutingState {
-  const listed = new Set(members.map((member) => member.nodeId));
-  const views = state.services.get(service) ?? new Map();
-  const kept = new Map([...views].filter(([id]) => listed.has(id)));
-  const base = { services: setEntry(state.services, service, kept) };
-  return members.reduce<RoutingState>(putMember, base);
+/** Moves the usual time of a kind; only whole answers tell it. */
+function learnUsual(
+  service: ServiceView,
+  report: AttemptReport,
+): ServiceView {
+  if (report.result !== "answered") {
+    return service;
+  }
+  const { kind, latencyMs } = report;
+  const usual = service.usualMs.get(kind);
+  const sample = Math.min(latencyMs, USUAL_CLIP * (usual ?? latencyMs) + 1);
+  const next = usual === undefined
+    ? sample
+    : usual + USUAL_GAIN * (sample - usual);
+  if (usual !== undefined && Math.abs(next - usual) < USUAL_STEP * usual) {
+    return service;
+  }
+  const usualMs = setEntry(service.usualMs, kind, next);
+  return { ...service, usualMs, slowestUsualMs: Math.max(...usualMs.values()) };
 }
 
 function updateView(
@@ -186,23 +230,23 @@
   target: { readonly service: string; readonly nodeId: string },
   update: (view: BackendView) => BackendView,
 ): RoutingState {
-  const views = state.services.get(target.service);
-  const view = views?.get(target.nodeId);
-  if (views === undefined || view === undefined) {
+  const service = state.services.get(target.service);
+  const index = service === undefined ? -1 : findView(service, target.nodeId);
+  if (service === undefined || index < 0) {
     return state;
   }
-  const next = setEntry(views, target.nodeId, update(view));
-  return { services: setEntry(state.services, target.service, next) };
+  const views = service.views.with(index, update(service.views[index]!));
+  return setService(state, target.service, { ...service, views });
+}
+
+function findView(service: ServiceView, nodeId: string): number {
+  return service.views.findIndex((view) => view.announcement.nodeId === nodeId);
 }
 
-function applyReport(view: BackendView, report: AttemptReport): BackendView {
-  const latencyMs = report.result === "answered"
-    ? view.latencyMs + LATENCY_GAIN * (report.latencyMs - view.latencyMs)
-    : view.latencyMs;
-  return {
-    ...view,
-    inFlight: Math.max(0, view.inFlight - 1),
-    latencyMs,
-    isDrainSeen: view.isDrainSeen || report.isDraining,
-  };
+function setService(
+  state: RoutingState,
+  name: string,
+  service: ServiceView,
+): RoutingState {
+  return { ...state, services: setEntry(state.services, name, service) };
 }
--- /dev/null
+++ b/src/platform/routing/common/select_backend.ts
@@ -0,0 +1,111 @@
+/** Chooses the backend server of one attempt from the node's own view. */
+import { hashText } from "../../../base/common/hash.ts";
+import { computeCost, isSaturated } from "./backend_view.ts";
+import type { BackendView } from "./backend_view.ts";
+import { isProbeDue } from "./ejection.ts";
+import type { RoutingState, ServiceView } from "./routing_state.ts";
+
+/** What a call asks of the choice. */
+export interface RouteRequest {
+  readonly service: string;
+  /** Seeds the choice, so that it replays. */
+  readonly attemptId: string;
+  /** Node ids that this call tried already. */
+  readonly tried: readonly string[];
+  readonly nowMs: number;
+}
+
+/** One attempt in so many may be a probe of an ejected backend server. */
+export const PROBE_SHARE = 16;
+/** Fewer near candidates than this are joined by those of elsewhere. */
+const MIN_NEAR = 2;
+/**
+ * Costs within this ratio are a tie, which the hinted load decides. So a load
+ * endpoint that lies moves work only between backend servers whose cost, as
+ * this node saw it, differs by less than this.
+ */
+export const TIE_RATIO = 1.1;
+
+/** Selects the cheaper of two backend servers drawn by hash. */
+export function selectBackend(
+  state: RoutingState,
+  request: RouteRequest,
+): BackendView | undefined {
+  const service = state.services.get(request.service);
+  if (service === undefined) {
+    return undefined;
+  }
+  const untried = findUntried(service, request);
+  const probe = findProbe(service, untried, request);
+  if (probe !== undefined) {
+    return probe;
+  }
+  const usable = untried.filter((view) => view.ejection === undefined);
+  const candidates = service.isMostlyBad || usable.length === 0
+    ? untried
+    : usable;
+  const preferred = preferNear(candidates, state.client.dataCentre, request);
+  return drawTwo(preferred, service, request);
+}
+
+function findUntried(
+  service: ServiceView,
+  request: RouteRequest,
+): readonly BackendView[] {
+  const { tried } = request;
+  return tried.length === 0
+    ? service.views
+    : service.views.filter((view) => !tried.includes(view.announcement.nodeId));
+}
+
+function findProbe(
+  service: ServiceView,
+  views: readonly BackendView[],
+  request: RouteRequest,
+): BackendView | undefined {
+  if (!service.hasEjected) {
+    return undefined;
+  }
+  if (hashText(request.attemptId, 3) % PROBE_SHARE !== 0) {
+    return undefined;
+  }
+  return views.find((view) => isProbeDue(view, request.nowMs));
+}
+
+/** The own data centre while it has at least two that take work. */
+function preferNear(
+  views: readonly BackendView[],
+  dataCentre: string,
+  request: RouteRequest,
+): readonly BackendView[] {
+  const open = views.filter((view) => !isSaturated(view, request.nowMs));
+  const near = open.filter((view) =>
+    view.announcement.dataCentre === dataCentre
+  );
+  if (near.length >= MIN_NEAR) {
+    return near;
+  }
+  return open.length > 0 ? open : views;
+}
+
+function drawTwo(
+  views: readonly BackendView[],
+  service: ServiceView,
+  request: RouteRequest,
+): BackendView | undefined {
+  if (views.length <= 1) {
+    return views[0];
+  }
+  const first = hashText(request.attemptId, 1) % views.length;
+  const step = 1 + hashText(request.attemptId, 2) % (views.length - 1);
+  const a = views[first]!;
+  const b = views[(first + step) % views.length]!;
+  const { slowestUsualMs } = service;
+  const costA = computeCost(a, slowestUsualMs, request.nowMs);
+  const costB = computeCost(b, slowestUsualMs, request.nowMs);
+  const isTie = costA <= costB * TIE_RATIO && costB <= costA * TIE_RATIO;
+  if (isTie && a.hintedLoad !== undefined && b.hintedLoad !== undefined) {
+    return a.hintedLoad <= b.hintedLoad ? a : b;
+  }
+  return costA <= costB ? a : b;
+}
