--- a/src/platform/call/common/call_level.ts
+++ b/src/platform/call/common/call_level.ts
@@ -94,6 +94,8 @@
   }, nowMs);
 }
 
+/** Those that this node sends to; of the others it never hears a level. */
 function listMembers(state: NodeState, service: string): readonly string[] {
-  return [...state.routing.services.get(service)?.keys() ?? []];
+  const views = state.routing.services.get(service)?.views ?? [];
+  return views.map((view) => view.announcement.nodeId);
 }
