--- a/bench/light_nodes.ts
+++ b/bench/light_nodes.ts
@@ -1,8 +1,6 @@
 /** Many light nodes in one process: real links and tables, no calls. */
 import { performance } from "node:perf_hooks";
 import process from "node:process";
-import { INITIAL_ROUTING } from "../src/platform/routing/common/routing_reducer.ts";
-import { isServiceKnown } from "../src/platform/routing/common/routing_reducer.ts";
 import type {
   ControlMessage,
   NodeMessage,
@@ -99,7 +97,7 @@
   #receive(message: ControlMessage): void {
     const { events, reply } = readControlMessage(message, {
       table: this.#table,
-      isServiceKnown: (service) => isServiceKnown(INITIAL_ROUTING, service),
+      isServiceKnown: () => false,
     });
     for (const event of events) {
       if (
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -8,11 +8,9 @@
 import { noteLevel } from "../../admission/common/level_view.ts";
 import { computeRetryAfter } from "../../admission/common/retry_after.ts";
 import { takeShare } from "../../retry/common/retry_tokens.ts";
-import {
-  isServiceKnown,
-  selectBackend,
-} from "../../routing/common/routing_reducer.ts";
-import type { BackendView } from "../../routing/common/routing_reducer.ts";
+import type { BackendView } from "../../routing/common/backend_view.ts";
+import { isServiceKnown } from "../../routing/common/routing_state.ts";
+import { selectBackend } from "../../routing/common/select_backend.ts";
 import { createAnswer, createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
 import type { CallContext, CallOutcome } from "./call_context.ts";
@@ -20,6 +18,7 @@
 import { isShed } from "./call_level.ts";
 import { suspectAttempt } from "./entry_ask.ts";
 import { abortAttempt, cancelChildren } from "./entry_cancel.ts";
+import { canReroute, createReroute } from "./entry_reroute.ts";
 import {
   canRetry,
   canRetryUnknown,
@@ -60,9 +59,8 @@
     return refuseEarly(state, call);
   }
   const attemptId = `${exchangeId}.${call.attemptCount + 1}`;
-  const { dataCentre } = state.self;
   const { tried } = call;
-  const route = { service, dataCentre, attemptId, tried };
+  const route = { service, attemptId, tried, nowMs };
   const backend = selectBackend(state.routing, route);
   if (backend === undefined) {
     return endWithAnswer(state, exchangeId, {
@@ -106,6 +104,12 @@
     tokens: answer.tokens,
     isNotRun: isRefused,
   });
+  const isFree = answer.isDraining && canReroute(next, exchangeId);
+  if (isRefused && isFree) {
+    const discard: NodeEffect = { type: "DiscardAnswer", attemptId };
+    const step = createReduction<NodeState, NodeEffect>(next, [discard]);
+    return chainReduction(step, (s) => rerouteEntry(s, exchangeId, nowMs));
+  }
   const isLost = outcome === "unknown" && answer.status === LOST_STATUS;
   if ((isRefused || isLost) && canRetry(next, exchangeId, nowMs)) {
     const discard: NodeEffect = { type: "DiscardAnswer", attemptId };
@@ -128,7 +132,7 @@
   }
   const { isSent, reason } = failure;
   if (!isSent || canRetryUnknown(state, exchangeId, nowMs)) {
-    const settled = { isNotRun: !isSent, reason };
+    const settled = { isNotRun: !isSent, isUnsent: !isSent, reason };
     return settleFailure(state, exchangeId, settled, nowMs);
   }
   return suspectAttempt(state, exchangeId, { isBroken: true }, nowMs);
@@ -138,7 +142,12 @@
 export function settleFailure(
   state: NodeState,
   exchangeId: string,
-  settled: { readonly isNotRun: boolean; readonly reason: string },
+  settled: {
+    readonly isNotRun: boolean;
+    /** Whether the connection was refused. */
+    readonly isUnsent?: boolean;
+    readonly reason: string;
+  },
   nowMs: number,
 ): NodeStep {
   const call = state.entries.get(exchangeId)!;
@@ -149,6 +158,9 @@
     tokens: isNotRun ? call.attempt!.tokens : 0,
     isNotRun,
   });
+  if (settled.isUnsent === true && canReroute(next, exchangeId)) {
+    return rerouteEntry(next, exchangeId, nowMs);
+  }
   return retryOrEnd(next, exchangeId, {
     status: isNotRun ? 503 : LOST_STATUS,
     outcome: isNotRun ? "not-run" : "unknown",
@@ -269,6 +281,7 @@
       tried: [...call.tried, nodeId],
     }),
     { type: "AttemptStarted", service, nodeId },
+    nowMs,
   );
   const requestId = context.rootId;
   const step = createReduction<NodeState, NodeEffect>(next, [{
@@ -336,6 +349,14 @@
   return tryAttempt(next, exchangeId, nowMs);
 }
 
+function rerouteEntry(
+  state: NodeState,
+  exchangeId: string,
+  nowMs: number,
+): NodeStep {
+  return tryAttempt(createReroute(state, exchangeId), exchangeId, nowMs);
+}
+
 function relayAnswer(
   state: NodeState,
   settled: EntryCall,
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -6,6 +6,7 @@
 } from "../../../base/common/reduction.ts";
 import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
 import type { ClaimReply } from "../../claims/common/claim_messages.ts";
+import { isServiceKnown } from "../../routing/common/routing_state.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
@@ -78,7 +79,7 @@
     case "TableReceived":
       return takeTable(state, event, nowMs);
     case "DrainRequested":
-      return startDrain(state);
+      return startDrain(state, nowMs);
     case "HolderSetsReceived":
       return takeHolderSets(state, event.sets, deps);
     case "Ticked":
@@ -88,12 +89,16 @@
     case "PeerReplied":
       return applyReply(state, event, deps);
     case "MembersListed":
-      return resumeEntries(stepRouting(state, event), event.service, nowMs);
+      return resumeEntries(
+        stepRouting(state, event, nowMs),
+        event.service,
+        nowMs,
+      );
     case "MemberPublished":
     case "MemberLost":
     case "AttemptStarted":
     case "AttemptFinished":
-      return createReduction(stepRouting(state, event));
+      return createReduction(stepRouting(state, event, nowMs));
   }
 }
 
@@ -216,7 +221,8 @@
   return expireServed(state, key.id, createServedDeps(nowMs));
 }
 
-function startDrain(state: NodeState): NodeStep {
+/** The node itself is the first to route its own calls elsewhere. */
+function startDrain(state: NodeState, nowMs: number): NodeStep {
   if (state.self.isDraining) {
     return createReduction(state);
   }
@@ -225,7 +231,11 @@
     isDraining: true,
     sequence: state.self.sequence + 1,
   };
-  return createReduction({ ...state, self }, [
+  const published = { type: "MemberPublished", announcement: self } as const;
+  const next = isServiceKnown(state.routing, self.service)
+    ? stepRouting(state, published, nowMs)
+    : state;
+  return createReduction({ ...next, self }, [
     { type: "SendAnnouncement", announcement: self },
     { type: "RecordEvent", event: { type: "DrainStarted" } },
   ]);
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -12,8 +12,8 @@
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
 import { NO_SETTLED } from "../../retry/common/settled_attempts.ts";
 import type { SettledAttempts } from "../../retry/common/settled_attempts.ts";
-import { INITIAL_ROUTING } from "../../routing/common/routing_reducer.ts";
-import type { RoutingState } from "../../routing/common/routing_reducer.ts";
+import { createRouting } from "../../routing/common/routing_state.ts";
+import type { RoutingState } from "../../routing/common/routing_state.ts";
 import { EMPTY_TABLE } from "../../table/common/table_row.ts";
 import type { Table, TableRow } from "../../table/common/table_row.ts";
 import type { CallContext } from "./call_context.ts";
@@ -57,6 +57,8 @@
   readonly attempt: Attempt | undefined;
   readonly attemptCount: number;
   readonly tried: readonly string[];
+  /** Times that it went elsewhere without a retry token. */
+  readonly rerouteCount: number;
   /** Whether every attempt that ended is provably not run. */
   readonly isNotRun: boolean;
   readonly isRelaying: boolean;
@@ -143,7 +145,10 @@
     childrenOf: new Map(),
     settled: NO_SETTLED,
     retryBudget: EMPTY_BUDGET,
-    routing: INITIAL_ROUTING,
+    routing: createRouting({
+      nodeId: self.nodeId,
+      dataCentre: self.dataCentre,
+    }),
     subscriptions: new Map(),
     admission: createAdmission(self.slots),
     levels: new Map(),
