Print the nodes' processor time for a call in bench:hop

Cause: latencies say little on a busy machine, and a profile of a node put most of its time into a copy of 4,096 settled attempt ids at every end of a call. Change: bench:hop reads the nodes' processor time before and after each load.

--- /dev/null
+++ b/bench/cpu.ts
@@ -0,0 +1,46 @@
+/** Processor time of processes and of the machine, from Linux's /proc. */
+import { readFileSync } from "node:fs";
+import { availableParallelism, cpus } from "node:os";
+
+/** Kernel ticks a second in /proc (USER_HZ). */
+const TICKS_PER_SECOND = 100;
+const MS = 1_000;
+
+/** Reads the processor time that a process has used, in milliseconds. */
+export function readProcessCpuMs(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  // The command in brackets may hold blanks; user and system time are the
+  // 12th and 13th fields after it (proc(5)).
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  return ticks / TICKS_PER_SECOND * MS;
+}
+
+/** Busy and whole time of all cores so far. */
+export interface MachineCpu {
+  readonly busyMs: number;
+  readonly totalMs: number;
+}
+
+/** Reads the machine's processor time. */
+export function readMachineCpu(): MachineCpu {
+  let busyMs = 0;
+  let totalMs = 0;
+  for (const { times } of cpus()) {
+    const used = times.user + times.nice + times.sys + times.irq;
+    busyMs += used;
+    totalMs += used + times.idle;
+  }
+  return { busyMs, totalMs };
+}
+
+/** Computes the busy share of all cores between two readings, 0 to 1. */
+export function computeBusyShare(from: MachineCpu, to: MachineCpu): number {
+  const totalMs = to.totalMs - from.totalMs;
+  return totalMs === 0 ? 0 : (to.busyMs - from.busyMs) / totalMs;
+}
+
+/** How many cores the benches may use. */
+export function countCores(): number {
+  return availableParallelism();
+}
--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -1,5 +1,6 @@
 /** Added latency of one hop and of two against a direct call, in one run. */
 import { Fleet } from "../standin/fleet.ts";
+import { readProcessCpuMs } from "./cpu.ts";
 import { runLoad } from "./load.ts";
 import type { LoadResult } from "./load.ts";
 import {
@@ -22,6 +23,12 @@
   readonly addedP50Ms: number;
   readonly addedP99Ms: number;
   readonly ratioP50: number;
+  /** Processor time of both nodes for one call, in microseconds. */
+  readonly nodeCpuMicros: number;
+}
+
+interface HopResult extends LoadResult {
+  readonly nodeCpuMicros: number;
 }
 
 const options = readBenchOptions("bench:hop", DEFAULT_RUNS);
@@ -46,21 +53,35 @@
   { path: "one node", url: `http://${backend.edge}/bales/1` },
   { path: "two nodes", url: `http://${other.edge}/bales/1` },
 ];
-const results = new Map<string, LoadResult[]>();
+const results = new Map<string, HopResult[]>();
+
+function readNodeCpuMs(): number {
+  return readProcessCpuMs(backend.child.pid!) +
+    readProcessCpuMs(other.child.pid!);
+}
+
 for (let run = 0; run < options.runs; run++) {
   for (const { path, url } of paths) {
     await runLoad({ url, workers: WORKERS, requests: WARM_UP });
+    const cpuMs = readNodeCpuMs();
     const result = await runLoad({ url, workers: WORKERS, requests: REQUESTS });
+    const nodeCpuMicros = (readNodeCpuMs() - cpuMs) / REQUESTS * 1_000;
     if (result.failed > 0) {
       throw new Error(`${path}: ${result.failed} requests failed`);
     }
-    results.set(path, [...(results.get(path) ?? []), result]);
+    results.set(path, [
+      ...(results.get(path) ?? []),
+      { ...result, nodeCpuMicros },
+    ]);
   }
 }
 const medians = paths.map(({ path }) => ({
   path,
   p50Ms: computeMedian(results.get(path)!.map((result) => result.p50Ms)),
   p99Ms: computeMedian(results.get(path)!.map((result) => result.p99Ms)),
+  nodeCpuMicros: computeMedian(
+    results.get(path)!.map((result) => result.nodeCpuMicros),
+  ),
 }));
 const direct = medians[0]!;
 const figures: readonly Figure[] = medians.map((median) => ({
@@ -70,7 +91,7 @@
   ratioP50: median.p50Ms / direct.p50Ms,
 }));
 writeReport(`medians of ${options.runs} runs of ${REQUESTS} requests, ms`);
-writeReport("path        p50    p99   +p50   +p99  ratio p50");
+writeReport("path        p50    p99   +p50   +p99  ratio p50  node us/call");
 for (const figure of figures) {
   writeReport([
     figure.path.padEnd(9),
@@ -79,6 +100,7 @@
     figure.addedP50Ms.toFixed(3).padStart(6),
     figure.addedP99Ms.toFixed(3).padStart(6),
     figure.ratioP50.toFixed(2).padStart(6),
+    figure.nodeCpuMicros.toFixed(0).padStart(13),
   ].join(" "));
 }
 writeFigures(options, { requests: REQUESTS, runs: options.runs, figures });
