Add the overload bench with three modes side by side

Cause: there was no measure of goodput, refusals and recovery under overload. Change: bench:overload starts a scaled-down deployment without control, with a plain limit and plain retries, and with basilpin, and drives it open-loop with Poisson arrivals from two processes; table, JSON and SVG.

--- /dev/null
+++ b/bench/load_process.ts
@@ -0,0 +1,131 @@
+/**
+ * One process of open-loop load: sends root requests at planned times, never
+ * waiting for earlier ones, and prints what became of them as JSON.
+ */
+import { performance } from "node:perf_hooks";
+import process from "node:process";
+import { Agent, request } from "undici";
+import { createRandom, pickWeighted, planArrivals } from "./arrivals.ts";
+import type { LoadPhase, Random } from "./arrivals.ts";
+import type { RootOutcome, RootResult } from "./outcomes.ts";
+import { WORKLOADS } from "./workload.ts";
+import type { WorkloadKind } from "./workload.ts";
+
+/** The one argument of this program, as JSON. */
+export interface LoadPlan {
+  readonly workload: string;
+  readonly phases: readonly LoadPhase[];
+  readonly seed: number;
+  /** Where a kind of request may be sent. */
+  readonly entries: Readonly<Record<string, readonly string[]>>;
+  /** How often a caller sends a request again, at once. */
+  readonly resends: number;
+  /** Wall clock in milliseconds at which the first phase starts. */
+  readonly startAtMs: number;
+}
+
+const REFUSED_STATUSES: readonly number[] = [429, 503];
+const SPIN_MS = 1;
+
+const plan = JSON.parse(process.argv[2]!) as LoadPlan;
+const workload = WORKLOADS.find(({ name }) => name === plan.workload)!;
+const random = createRandom(plan.seed);
+const agent = new Agent({ connections: 4_096, pipelining: 1 });
+const outcomes: RootOutcome[] = [];
+const originMs = plan.startAtMs - Date.now() + performance.now();
+
+function pickEntry(kind: WorkloadKind, draw: Random): string {
+  const addresses = plan.entries[kind.kind]!;
+  return addresses[Math.floor(draw() * addresses.length)]!;
+}
+
+async function sendOnce(
+  kind: WorkloadKind,
+  path: string,
+  key: string,
+  timeoutMs: number,
+): Promise<RootResult> {
+  const body = kind.bodyBytes === 0 ? null : "b".repeat(kind.bodyBytes);
+  const needsKey = kind.method === "POST";
+  try {
+    const answer = await request(`http://${pickEntry(kind, random)}${path}`, {
+      method: kind.method,
+      dispatcher: agent,
+      headers: needsKey ? { "idempotency-key": key } : {},
+      body,
+      signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+    });
+    const text = await answer.body.text();
+    if (answer.statusCode === 200) {
+      return isWhole(text, kind, path, key) ? "whole" : "failed";
+    }
+    const isRefused = REFUSED_STATUSES.includes(answer.statusCode);
+    return isRefused ? "refused" : "failed";
+  } catch (error) {
+    return (error as Error).name === "TimeoutError" ? "late" : "failed";
+  }
+}
+
+/** Whether the body is the whole answer to this very request. */
+function isWhole(
+  text: string,
+  kind: WorkloadKind,
+  path: string,
+  key: string,
+): boolean {
+  const body = JSON.parse(text) as {
+    request: string;
+    key: string;
+    bodyBytes: number;
+    downstream: readonly number[];
+  };
+  return body.request === `${kind.method} ${path}` &&
+    (kind.method === "GET" || body.key === key) &&
+    body.bodyBytes === kind.bodyBytes &&
+    body.downstream.length === kind.calls.length &&
+    body.downstream.every((status) => status === 200);
+}
+
+async function sendRoot(arrivedAtMs: number, index: number): Promise<void> {
+  const startedAtMs = performance.now() - originMs;
+  const shares = workload.kinds.map(({ share }) => share);
+  const kind = workload.kinds[pickWeighted(shares, random)]!;
+  const id = `${plan.seed}-${index}`;
+  const path = kind.path.endsWith("/") ? `${kind.path}${id}` : kind.path;
+  let result: RootResult = "late";
+  let sends = 0;
+  while (sends <= plan.resends && result !== "whole") {
+    const leftMs = kind.timeoutMs - (performance.now() - originMs) +
+      startedAtMs;
+    if (leftMs <= 0) {
+      break;
+    }
+    sends += 1;
+    result = await sendOnce(kind, path, id, leftMs);
+  }
+  outcomes.push({
+    kind: kind.kind,
+    arrivedAtMs,
+    endedAtMs: performance.now() - originMs,
+    result,
+    sends,
+    lagMs: startedAtMs - arrivedAtMs,
+  });
+}
+
+async function sendAll(): Promise<void> {
+  const arrivals = planArrivals(plan.phases, createRandom(plan.seed + 1));
+  const pending: Promise<void>[] = [];
+  for (const [index, atMs] of arrivals.entries()) {
+    const waitMs = atMs - (performance.now() - originMs);
+    if (waitMs > SPIN_MS) {
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+    }
+    pending.push(sendRoot(atMs, index));
+  }
+  await Promise.all(pending);
+}
+
+await sendAll();
+process.stdout.write(JSON.stringify(outcomes));
+await agent.destroy();
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -7,6 +7,9 @@
 export interface BenchOptions {
   readonly json: string | undefined;
   readonly runs: number;
+  /** Whether a shorter run is wanted. */
+  readonly isQuick: boolean;
+  readonly svg: string | undefined;
 }
 
 /** Reads the options of a bench. */
@@ -14,8 +17,17 @@
   const options = new Command(name)
     .option("--json <file>", "write the figures to a file")
     .option("--runs <count>", "runs that medians are taken over", String(runs))
-    .parse().opts<{ json?: string; runs: string }>();
-  return { json: options.json, runs: Number(options.runs) };
+    .option("--svg <file>", "draw the figures to a file, where it can")
+    .option("--quick", "a shorter run, where there is one")
+    .parse().opts<
+    { json?: string; svg?: string; quick?: boolean; runs: string }
+  >();
+  return {
+    json: options.json,
+    svg: options.svg,
+    isQuick: options.quick === true,
+    runs: Number(options.runs),
+  };
 }
 
 /** Computes the median; the lower one of two. */
--- a/standin/backend.ts
+++ b/standin/backend.ts
@@ -61,6 +61,8 @@
   readonly behaviour: string;
   /** JSON: paths called downstream by method and path prefix. */
   readonly downstream: string;
+  /** JSON: addresses called without a node, by path prefix. */
+  readonly direct: string;
 }
 
 const options = new Command("backend")
@@ -69,11 +71,13 @@
   .option("--slots <count>", "requests run at a time", "50")
   .option("--behaviour <json>", "see Behaviour", "{}")
   .option("--downstream <json>", "see Downstream", "{}")
+  .option("--direct <json>", "addresses called without a node", "{}")
   .parse().opts<Options>();
 
 const slots = Number(options.slots);
 const startedAtMs = Date.now();
 const downstream = JSON.parse(options.downstream) as Record<string, string[]>;
+const direct = JSON.parse(options.direct) as Record<string, string[]>;
 const agent = new Agent({ connections: 256 });
 const waiting: (() => void)[] = [];
 const byKey = new Map<string, number>();
@@ -133,6 +137,14 @@
   return Number(wanted ?? behaviour.serviceMs) * factor;
 }
 
+/** The egress of the node beside it, or a random address of `--direct`. */
+function findTarget(path: string): string {
+  const prefix = Object.keys(direct).find((key) => path.startsWith(key));
+  const addresses = prefix === undefined ? [] : direct[prefix]!;
+  const index = Math.floor(Math.random() * addresses.length);
+  return addresses[index] ?? options.egress;
+}
+
 async function callDownstream(
   request: IncomingMessage,
   signal: AbortSignal,
@@ -142,7 +154,7 @@
   const paths = prefix === undefined ? [] : downstream[prefix]!;
   const context = request.headers[CONTEXT_HEADER];
   return await Promise.all(paths.map(async (path) => {
-    const answer = await send(`http://${options.egress}${path}`, {
+    const answer = await send(`http://${findTarget(path)}${path}`, {
       dispatcher: agent,
       signal,
       headers: context === undefined ? {} : { [CONTEXT_HEADER]: context },
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -158,6 +158,8 @@
     options: Omit<FleetNodeOptions, "service" | "dataCentre"> & {
       readonly address: string;
       readonly egress: string;
+      /** Addresses by path prefix that it calls itself, without a node. */
+      readonly direct?: Readonly<Record<string, readonly string[]>>;
     },
   ): Promise<FleetProcess> {
     const { id, address, egress, slots = 50 } = options;
@@ -173,6 +175,8 @@
       JSON.stringify(options.behaviour ?? {}),
       "--downstream",
       JSON.stringify(options.downstream ?? {}),
+      "--direct",
+      JSON.stringify(options.direct ?? {}),
     ]);
   }
 
@@ -182,6 +186,15 @@
     return await this.start(id, [main, "--settings", settings]);
   }
 
+  /** Starts a built program of this repository by its path in it. */
+  async startProgram(
+    id: string,
+    args: readonly [string, ...string[]],
+  ): Promise<FleetProcess> {
+    const [program, ...rest] = args;
+    return await this.start(id, [join(ROOT, program), ...rest]);
+  }
+
   /** Writes a settings file and returns its name. */
   writeSettings(id: string, settings: object): string {
     const file = join(this.folder, `${id}.toml`);
