Weigh goodput against what the slots allow, all services equally full

Cause: a capacity set by one service left room in the others, so that the mode without control showed more than the nominal capacity. Change: own service times by service, so that all but the services of important work are full at once; the most that the slots allow at a load, important kinds first, as a second yardstick; refusals are put down to the service that gave them.

--- a/bench/load_process.ts
+++ b/bench/load_process.ts
@@ -7,8 +7,8 @@
 import { Agent, request } from "undici";
 import { createRandom, pickWeighted, planArrivals } from "./arrivals.ts";
 import type { LoadPhase, Random } from "./arrivals.ts";
-import type { RootOutcome, RootResult } from "./outcomes.ts";
-import { WORKLOADS } from "./workload.ts";
+import type { RootOutcome } from "./outcomes.ts";
+import { findKind, WORKLOADS } from "./workload.ts";
 import type { WorkloadKind } from "./workload.ts";
 
 /** The one argument of this program, as JSON. */
@@ -24,6 +24,8 @@
   readonly startAtMs: number;
 }
 
+type SendResult = Pick<RootOutcome, "result" | "refusedBy">;
+
 const REFUSED_STATUSES: readonly number[] = [429, 503];
 const SPIN_MS = 1;
 
@@ -44,7 +46,7 @@
   path: string,
   key: string,
   timeoutMs: number,
-): Promise<RootResult> {
+): Promise<SendResult> {
   const body = kind.bodyBytes === 0 ? null : "b".repeat(kind.bodyBytes);
   const needsKey = kind.method === "POST";
   try {
@@ -57,15 +59,28 @@
     });
     const text = await answer.body.text();
     if (answer.statusCode === 200) {
-      return isWhole(text, kind, path, key) ? "whole" : "failed";
+      const isGood = isWhole(text, kind, path, key);
+      return { result: isGood ? "whole" : "failed" };
     }
-    const isRefused = REFUSED_STATUSES.includes(answer.statusCode);
-    return isRefused ? "refused" : "failed";
+    return REFUSED_STATUSES.includes(answer.statusCode)
+      ? { result: "refused", refusedBy: findRefuser(kind, text) }
+      : { result: "failed" };
   } catch (error) {
-    return (error as Error).name === "TimeoutError" ? "late" : "failed";
+    const isLate = (error as Error).name === "TimeoutError";
+    return { result: isLate ? "late" : "failed" };
   }
 }
 
+/** A backend server names the statuses of its own calls; a node doesn't. */
+function findRefuser(kind: WorkloadKind, text: string): string {
+  const refused = /"downstream":(\[[\d,]*\])/.exec(text)?.[1] ?? "[]";
+  const statuses = JSON.parse(refused) as readonly number[];
+  const index = statuses.findIndex((status) => status >= 400);
+  return index < 0
+    ? kind.service
+    : findKind(workload, kind.calls[index]!).service;
+}
+
 /** Whether the body is the whole answer to this very request. */
 function isWhole(
   text: string,
@@ -92,22 +107,22 @@
   const kind = workload.kinds[pickWeighted(shares, random)]!;
   const id = `${plan.seed}-${index}`;
   const path = kind.path.endsWith("/") ? `${kind.path}${id}` : kind.path;
-  let result: RootResult = "late";
+  let last: SendResult = { result: "late" };
   let sends = 0;
-  while (sends <= plan.resends && result !== "whole") {
+  while (sends <= plan.resends && last.result !== "whole") {
     const leftMs = kind.timeoutMs - (performance.now() - originMs) +
       startedAtMs;
     if (leftMs <= 0) {
       break;
     }
     sends += 1;
-    result = await sendOnce(kind, path, id, leftMs);
+    last = await sendOnce(kind, path, id, leftMs);
   }
   outcomes.push({
     kind: kind.kind,
     arrivedAtMs,
     endedAtMs: performance.now() - originMs,
-    result,
+    ...last,
     sends,
     lagMs: startedAtMs - arrivedAtMs,
   });
--- a/bench/outcomes.ts
+++ b/bench/outcomes.ts
@@ -10,6 +10,8 @@
   readonly arrivedAtMs: number;
   readonly endedAtMs: number;
   readonly result: RootResult;
+  /** Service that refused it, its own or one below. */
+  readonly refusedBy?: string;
   /** Times that the caller sent it. */
   readonly sends: number;
   /** How much later than planned it was sent. */
@@ -22,11 +24,11 @@
   readonly toMs: number;
 }
 
-/** Which important and unimportant kinds share a service. */
+/** The importance and the service of a kind. */
 export interface KindRank {
   readonly kind: string;
   readonly isImportant: boolean;
-  readonly services: readonly string[];
+  readonly service: string;
 }
 
 const BUCKET_MS = 100;
@@ -91,8 +93,8 @@
 }
 
 /**
- * Counts important root requests that were refused in a bucket of 100 ms in
- * which an unimportant one that needs the same service was answered whole.
+ * Counts important root requests that a service refused in a bucket of 100 ms
+ * in which it served an unimportant one whole.
  */
 export function countInversions(
   outcomes: readonly RootOutcome[],
@@ -101,19 +103,15 @@
   const byKind = new Map(ranks.map((rank) => [rank.kind, rank]));
   const servedIn = new Set<string>();
   for (const { kind, result, endedAtMs } of outcomes) {
-    const rank = byKind.get(kind)!;
-    if (result === "whole" && !rank.isImportant) {
-      rank.services.forEach((service) =>
-        servedIn.add(formatBucket(service, endedAtMs))
-      );
+    const { isImportant, service } = byKind.get(kind)!;
+    if (result === "whole" && !isImportant) {
+      servedIn.add(formatBucket(service, endedAtMs));
     }
   }
-  return outcomes.filter(({ kind, result, endedAtMs }) => {
-    const { isImportant, services } = byKind.get(kind)!;
+  return outcomes.filter(({ kind, result, refusedBy, endedAtMs }) => {
+    const { isImportant, service } = byKind.get(kind)!;
     return isImportant && result === "refused" &&
-      services.some((service) =>
-        servedIn.has(formatBucket(service, endedAtMs))
-      );
+      servedIn.has(formatBucket(refusedBy ?? service, endedAtMs));
   }).length;
 }
 
--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -126,6 +126,7 @@
     measured.scenario.padEnd(9),
     measured.goodput.toFixed(0).padStart(7),
     formatPercent(measured.goodput / peak).padStart(7),
+    formatPercent(measured.goodput / measured.idealGoodput).padStart(7),
     formatPercent(measured.refusedImportant).padStart(8),
     formatPercent(measured.refusedUnimportant).padStart(8),
     formatPercent(measured.lostImportant).padStart(8),
@@ -154,11 +155,11 @@
       `${runsPerRoot} runs a root request without retries`,
   );
   writeReport(
-    "mode     load       whole  of the  refused  refused     lost     lost" +
+    "mode     load       whole  of the  of the  refused  refused     lost     lost" +
       "  imp.   back  runs/whole sends/ lag p99 machine",
   );
   writeReport(
-    "                     /s      peak  import.    other  import.    other" +
+    "                     /s      peak   ideal  import.    other  import.    other" +
       " inver.  after       root   root    ms     CPU",
   );
   const peak = findPeak(figures, workload);
--- a/bench/overload_fleet.ts
+++ b/bench/overload_fleet.ts
@@ -5,7 +5,6 @@
   findKind,
   listServices,
   SERVERS_PER_SERVICE,
-  SERVICE_MS,
   SLOTS,
 } from "./workload.ts";
 import type { Workload } from "./workload.ts";
@@ -27,7 +26,6 @@
 type Downstream = Readonly<Record<string, readonly string[]>>;
 type Addresses = Readonly<Record<string, readonly string[]>>;
 
-const BEHAVIOUR = { serviceMs: SERVICE_MS };
 const DATA_CENTRES = ["dc-a", "dc-b"];
 const PROXY_QUEUE = 100;
 const PROXY_RETRIES = 3;
@@ -110,7 +108,7 @@
         service,
         dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]!,
         slots: SLOTS,
-        behaviour: BEHAVIOUR,
+        behaviour: { serviceMs: workload.serviceMs[service]! },
         downstream: createDownstream(workload),
       });
       (edges[service] ??= []).push(node.edge);
@@ -139,7 +137,7 @@
         id: `${service}-${index}`,
         address,
         slots: SLOTS,
-        behaviour: BEHAVIOUR,
+        behaviour: { serviceMs: workload.serviceMs[service]! },
         downstream: createDownstream(workload),
         ...wire(service, index),
       });
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -15,12 +15,7 @@
 } from "./outcomes.ts";
 import type { RootOutcome } from "./outcomes.ts";
 import type { Deployment } from "./overload_fleet.ts";
-import {
-  computeCapacity,
-  IMPORTANT,
-  listTreeServices,
-  SERVICE_MS,
-} from "./workload.ts";
+import { computeCapacity, computeIdealGoodput, IMPORTANT } from "./workload.ts";
 import type { Workload } from "./workload.ts";
 
 /** One surge. */
@@ -45,6 +40,8 @@
 export interface ScenarioFigures {
   /** Whole answers a second in the surge. */
   readonly goodput: number;
+  /** The most that the slots allow at this load, important kinds first. */
+  readonly idealGoodput: number;
   /** Shares of the root requests that arrived in the surge. */
   readonly refusedImportant: number;
   readonly refusedUnimportant: number;
@@ -94,10 +91,11 @@
   );
   if (straggler !== undefined) {
     await sleep(LEAD_MS + times.beforeMs);
-    const serviceMs = SERVICE_MS * STRAGGLER_FACTOR;
-    await setBehaviour(straggler, { serviceMs });
+    const serviceMs = workload.serviceMs[scenario.straggler!]!;
+    const slowMs = serviceMs * STRAGGLER_FACTOR;
+    await setBehaviour(straggler, { serviceMs: slowMs });
     await sleep(times.surgeMs);
-    await setBehaviour(straggler, { serviceMs: SERVICE_MS });
+    await setBehaviour(straggler, { serviceMs });
   }
   const outcomes = (await loading).flat();
   const cpuShare = computeBusyShare(cpuBefore, readMachineCpu());
@@ -106,7 +104,12 @@
   if (!outcomes.some(({ result }) => result === "whole")) {
     throw new Error(`No whole answer in ${scenario.name}: the load is broken`);
   }
-  return { ...computeFigures(workload, outcomes, times, runs), cpuShare };
+  const perSecond = scenario.multiple * computeCapacity(workload);
+  return {
+    ...computeFigures(workload, outcomes, times, runs),
+    idealGoodput: computeIdealGoodput(workload, perSecond),
+    cpuShare,
+  };
 }
 
 function createPlan(
@@ -135,7 +138,7 @@
   outcomes: readonly RootOutcome[],
   times: ScenarioTimes,
   runs: number,
-): Omit<ScenarioFigures, "cpuShare"> {
+): Omit<ScenarioFigures, "cpuShare" | "idealGoodput"> {
   const { beforeMs, surgeMs, afterMs } = times;
   const surgeEndMs = beforeMs + surgeMs;
   const before = { fromMs: RAMP_MS, toMs: beforeMs };
@@ -144,7 +147,7 @@
   const ranks = workload.kinds.map((kind) => ({
     kind: kind.kind,
     isImportant: kind.importance >= IMPORTANT,
-    services: listTreeServices(workload, kind),
+    service: kind.service,
   }));
   const isImportant = new Map(ranks.map((r) => [r.kind, r.isImportant]));
   const important = outcomes.filter(({ kind }) => isImportant.get(kind));
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -21,6 +21,8 @@
 export interface Workload {
   readonly name: string;
   readonly table: string;
+  /** Own time of one request at a service, in milliseconds. */
+  readonly serviceMs: Readonly<Record<string, number>>;
   readonly kinds: readonly WorkloadKind[];
 }
 
@@ -28,11 +30,10 @@
 export const SERVERS_PER_SERVICE = 2;
 /** Requests that one backend server runs at a time. */
 export const SLOTS = 4;
-/** Own time of one request at a backend server, in milliseconds. */
-export const SERVICE_MS = 60;
 /** Kinds from this importance up must be the last refused. */
 export const IMPORTANT = 8;
 
+const SLOT_MS_PER_SECOND = SERVERS_PER_SERVICE * SLOTS * 1_000;
 const BATCH_BYTES = 20_000;
 const ORDER_BYTES = 40;
 
@@ -57,6 +58,7 @@
   {
     name: "coton-loukkos",
     table: "examples/coton-loukkos/table.csv",
+    serviceMs: { provenance: 65, custody: 25, classing: 400, warehouse: 114 },
     kinds: [
       {
         ...LOOKUP,
@@ -65,7 +67,7 @@
         path: "/bales/",
         importance: 3,
         timeoutMs: 2_000,
-        share: 0.5,
+        share: 0.55,
       },
       {
         ...ORDER,
@@ -73,7 +75,7 @@
         service: "custody",
         path: "/transfers",
         importance: 9,
-        share: 0.15,
+        share: 0.06,
         calls: ["bale-lookup", "stock-check"],
       },
       { ...BATCH, service: "classing", share: 0.1 },
@@ -84,13 +86,14 @@
         path: "/stock/",
         importance: 4,
         timeoutMs: 2_000,
-        share: 0.25,
+        share: 0.29,
       },
     ],
   },
   {
     name: "toy-trust",
     table: "examples/toy-trust/table.csv",
+    serviceMs: { catalog: 78, storedesk: 93, tillside: 25, buyerbox: 400 },
     kinds: [
       {
         ...LOOKUP,
@@ -99,7 +102,7 @@
         path: "/prices/",
         importance: 4,
         timeoutMs: 1_500,
-        share: 0.4,
+        share: 0.47,
       },
       {
         ...LOOKUP,
@@ -108,7 +111,7 @@
         path: "/stock/",
         importance: 4,
         timeoutMs: 1_500,
-        share: 0.3,
+        share: 0.34,
       },
       {
         ...ORDER,
@@ -116,7 +119,7 @@
         service: "tillside",
         path: "/refunds",
         importance: 9,
-        share: 0.1,
+        share: 0.04,
         calls: ["stock-lookup", "price-lookup"],
       },
       {
@@ -125,7 +128,7 @@
         service: "storedesk",
         path: "/restock",
         importance: 8,
-        share: 0.1,
+        share: 0.05,
         calls: [],
       },
       { ...BATCH, service: "buyerbox", share: 0.1 },
@@ -138,15 +141,6 @@
   return [...new Set(workload.kinds.map(({ service }) => service))];
 }
 
-/** Lists the services that a kind of request needs. */
-export function listTreeServices(
-  workload: Workload,
-  kind: WorkloadKind,
-): readonly string[] {
-  const called = kind.calls.map((name) => findKind(workload, name).service);
-  return [kind.service, ...called];
-}
-
 /** Computes the mean number of runs that a whole root request needs. */
 export function computeRunsPerRoot(workload: Workload): number {
   const { kinds } = workload;
@@ -156,23 +150,60 @@
   );
 }
 
-/**
- * Computes the root requests a second that fill the busiest service. A slot
- * stays taken while the calls that its request makes are under way.
- */
+/** Computes the root requests a second that fill the busiest service. */
 export function computeCapacity(workload: Workload): number {
   const slotMs = new Map<string, number>();
-  const addTime = (service: string, ms: number) =>
-    slotMs.set(service, (slotMs.get(service) ?? 0) + ms);
   for (const kind of workload.kinds) {
-    const ownMs = kind.calls.length > 0 ? 2 * SERVICE_MS : SERVICE_MS;
-    addTime(kind.service, kind.share * ownMs);
-    for (const name of kind.calls) {
-      addTime(findKind(workload, name).service, kind.share * SERVICE_MS);
+    for (const [service, ms] of listHolds(workload, kind)) {
+      slotMs.set(service, (slotMs.get(service) ?? 0) + kind.share * ms);
+    }
+  }
+  return SLOT_MS_PER_SECOND / Math.max(...slotMs.values());
+}
+
+/**
+ * Computes the most whole answers a second at `perSecond` root requests a
+ * second, where the more important kinds are served first.
+ */
+export function computeIdealGoodput(
+  workload: Workload,
+  perSecond: number,
+): number {
+  const left = new Map<string, number>();
+  const byImportance = workload.kinds.toSorted((a, b) =>
+    b.importance - a.importance
+  );
+  let goodput = 0;
+  for (const kind of byImportance) {
+    const holds = listHolds(workload, kind);
+    const room = holds.map(([service, ms]) =>
+      (left.get(service) ?? SLOT_MS_PER_SECOND) / ms
+    );
+    const served = Math.min(kind.share * perSecond, ...room);
+    goodput += served;
+    for (const [service, ms] of holds) {
+      const before = left.get(service) ?? SLOT_MS_PER_SECOND;
+      left.set(service, before - served * ms);
     }
   }
-  const slots = SERVERS_PER_SERVICE * SLOTS;
-  return slots * 1_000 / Math.max(...slotMs.values());
+  return goodput;
+}
+
+/**
+ * Lists the slot time that one request takes at each service. A slot stays
+ * taken while the calls that its request makes are under way.
+ */
+function listHolds(
+  workload: Workload,
+  kind: WorkloadKind,
+): readonly (readonly [string, number])[] {
+  const calls = kind.calls.map((name): readonly [string, number] => {
+    const { service } = findKind(workload, name);
+    return [service, workload.serviceMs[service]!];
+  });
+  const longestMs = Math.max(0, ...calls.map(([, ms]) => ms));
+  const ownMs = workload.serviceMs[kind.service]! + longestMs;
+  return [[kind.service, ownMs], ...calls];
 }
 
 /** Finds a kind by its name. */
--- a/src/base/test/bench_figures_test.ts
+++ b/src/base/test/bench_figures_test.ts
@@ -13,9 +13,9 @@
 import type { RootOutcome, RootResult } from "../../../bench/outcomes.ts";
 import {
   computeCapacity,
+  computeIdealGoodput,
   computeRunsPerRoot,
   SERVERS_PER_SERVICE,
-  SERVICE_MS,
   SLOTS,
 } from "../../../bench/workload.ts";
 import type { WorkloadKind } from "../../../bench/workload.ts";
@@ -104,17 +104,18 @@
 
   it("counts important refusals beside a served unimportant request", () => {
     const ranks = [
-      { kind: "lookup", isImportant: false, services: ["shop"] },
-      { kind: "photo", isImportant: false, services: ["photos"] },
-      { kind: "refund", isImportant: true, services: ["till", "shop"] },
+      { kind: "lookup", isImportant: false, service: "shop" },
+      { kind: "photo", isImportant: false, service: "photos" },
+      { kind: "refund", isImportant: true, service: "till" },
     ];
     const outcomes = [
       createOutcome(10, "whole", "lookup"),
-      createOutcome(20, "refused", "refund"),
+      { ...createOutcome(20, "refused", "refund"), refusedBy: "shop" },
+      createOutcome(30, "refused", "refund"),
       createOutcome(210, "whole", "photo"),
-      createOutcome(220, "refused", "refund"),
+      { ...createOutcome(220, "refused", "refund"), refusedBy: "shop" },
       createOutcome(410, "refused", "lookup"),
-      createOutcome(420, "refused", "refund"),
+      { ...createOutcome(420, "refused", "refund"), refusedBy: "shop" },
     ];
     expect(countInversions(outcomes, ranks)).to.equal(1);
   });
@@ -137,9 +138,15 @@
       service: "till",
       calls: ["lookup"],
     };
-    const workload = { name: "w", table: "", kinds: [lookup, refund] };
+    const serviceMs = { shop: 20, till: 10 };
+    const kinds = [lookup, { ...refund, importance: 9 }];
+    const workload = { name: "w", table: "", serviceMs, kinds };
     const slots = SERVERS_PER_SERVICE * SLOTS;
-    expect(computeCapacity(workload)).to.equal(slots * 1_000 / SERVICE_MS);
+    const capacity = slots * 1_000 / 20;
+    expect(computeCapacity(workload)).to.equal(capacity);
     expect(computeRunsPerRoot(workload)).to.equal(1.5);
+    expect(computeIdealGoodput(workload, capacity)).to.equal(capacity);
+    const crowded = computeIdealGoodput(workload, 2 * capacity);
+    expect(crowded).to.be.closeTo(slots * 1_000 / 30 + slots * 1_000 / 60, 1);
   });
 });
