--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -179,6 +179,8 @@
     options: Omit<FleetNodeOptions, "service" | "dataCentre"> & {
       readonly address: string;
       readonly egress: string;
+      /** Addresses by path prefix that it calls itself, without a node. */
+      readonly direct?: Readonly<Record<string, readonly string[]>>;
     },
   ): Promise<FleetProcess> {
     const { id, address, egress, slots = 50 } = options;
@@ -194,6 +196,8 @@
       JSON.stringify(options.behaviour ?? {}),
       "--downstream",
       JSON.stringify(options.downstream ?? {}),
+      "--direct",
+      JSON.stringify(options.direct ?? {}),
     ]);
   }
 
@@ -207,6 +211,15 @@
     return await this.start(id, [...flags, main, "--settings", settings]);
   }
 
+  /** Starts a built program of this repository by its path in it. */
+  async startProgram(
+    id: string,
+    args: readonly [string, ...string[]],
+  ): Promise<FleetProcess> {
+    const [program, ...rest] = args;
+    return await this.start(id, [join(ROOT, program), ...rest]);
+  }
+
   /** Writes a settings file and returns its name. */
   writeSettings(id: string, settings: object): string {
     const file = join(this.folder, `${id}.toml`);
