--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -44,7 +44,8 @@
   transport: v.picklist(["plaintext"], '"plaintext"'),
 });
 
-const NODE_SETTINGS = v.strictObject({
+/** Schema of the node role. */
+export const NODE_SETTINGS = v.strictObject({
   role: v.literal("node"),
   id: NAME,
   vm: NAME,
@@ -89,7 +90,8 @@
   learners: v.optional(v.array(REPLICA, "a list of { id, link }"), []),
 });
 
-const CONTROL_SETTINGS = v.strictObject({
+/** Schema of the control role. */
+export const CONTROL_SETTINGS = v.strictObject({
   role: v.literal("control"),
   id: NAME,
   vm: NAME,
--- /dev/null
+++ b/src/daemon/settings_reference.ts
@@ -0,0 +1,97 @@
+/** The settings reference for operators, made from the schema. */
+import type { GenericSchema } from "valibot";
+import { CONTROL_SETTINGS, NODE_SETTINGS } from "./settings.ts";
+
+/** One key of the settings. */
+export interface SettingReference {
+  /** Dotted, as errors name it. */
+  readonly key: string;
+  readonly allowed: string;
+  readonly isOptional: boolean;
+  readonly note: string;
+}
+
+/** Both roles' keys; a key without a note has an empty one. */
+export interface SettingsReference {
+  readonly node: readonly SettingReference[];
+  readonly control: readonly SettingReference[];
+}
+
+/** What each key is for; dotted keys are the same in both roles. */
+const NOTES: Readonly<Record<string, string>> = {
+  "role": "Which of the two roles the process takes",
+  "id": "Name of the process, unique in the system",
+  "vm": "Name of the VM, as it shows in status",
+  "region": "Region of the VM",
+  "data_centre": "Data centre of the VM; calls stay in it where they can",
+  "service": "Service that the backend server beside the node runs",
+  "listen.edge": "Where callers send requests",
+  "listen.egress": "Where the local backend server sends its own calls",
+  "listen.ingress": "Where other nodes send calls",
+  "listen.operator": "Status, time line, metrics and, on control, the table",
+  "listen.link": "Where nodes and other control replicas connect",
+  "advertise.ingress": "Where other nodes reach ingress, if not as listened",
+  "backend.address": "The backend server beside the node",
+  "backend.slots": "Requests that the backend server runs at a time",
+  "backend.connections": "Connections that the backend server takes",
+  "control.replicas": "Link addresses of the control replicas, nearest first",
+  "cluster.voters[].id": "Name of a voter; the first voter founds the set",
+  "cluster.voters[].link": "Its link address",
+  "cluster.learners[].id": "Name of a replica that serves but doesn't vote",
+  "cluster.learners[].link": "Its link address",
+  "data_folder": "Folder for the log and snapshots, on a disk that stays",
+  "security.transport": "Whether connections are protected",
+  "log.level": "Least level that is logged; info where left out",
+  "trace.file": "Records each event of the node for basilpin trace",
+};
+
+interface SchemaNode {
+  readonly type: string;
+  readonly entries?: Readonly<Record<string, GenericSchema>>;
+  readonly item?: GenericSchema;
+  readonly wrapped?: GenericSchema;
+  readonly pipe?: readonly { readonly message?: unknown }[];
+  readonly literal?: unknown;
+  readonly message?: unknown;
+}
+
+/** Lists all keys of both roles in the order of the schema. */
+export function createSettingsReference(): SettingsReference {
+  return {
+    node: listKeys(NODE_SETTINGS, "", false),
+    control: listKeys(CONTROL_SETTINGS, "", false),
+  };
+}
+
+function listKeys(
+  schema: GenericSchema,
+  key: string,
+  isOptional: boolean,
+): readonly SettingReference[] {
+  const node = schema as unknown as SchemaNode;
+  if (node.wrapped !== undefined) {
+    return listKeys(node.wrapped, key, true);
+  }
+  if (node.entries !== undefined) {
+    return Object.entries(node.entries).flatMap(([name, entry]) =>
+      listKeys(entry, key === "" ? name : `${key}.${name}`, isOptional)
+    );
+  }
+  const item = node.item as unknown as SchemaNode | undefined;
+  if (item?.entries !== undefined) {
+    return listKeys(node.item!, `${key}[]`, isOptional);
+  }
+  const note = NOTES[key] ?? "";
+  return [{ key, allowed: describeAllowed(node), isOptional, note }];
+}
+
+/** The last check of a schema says it best. */
+function describeAllowed(node: SchemaNode): string {
+  if (node.literal !== undefined) {
+    return JSON.stringify(node.literal);
+  }
+  const messages = (node.pipe ?? [])
+    .map(({ message }) => message)
+    .filter((message) => typeof message === "string");
+  return messages.at(-1) ?? String(node.message ?? node.type);
+}
