--- /dev/null
+++ b/scripts/check_verbs.ts
@@ -0,0 +1,40 @@
+/** Checks that functions begin with a verb of docs/VERBS.md. */
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+
+const PAGE = "docs/VERBS.md";
+const FUNCTION =
+  /^\s*(?:export )?(?:async )?function\*? ([a-z]+)([A-Z]\w*)?\s*[<(]/gm;
+const VERB_ROW = /^\|\s*([a-z, ]+?)\s*\|/gm;
+
+function readVerbs(): ReadonlySet<string> {
+  const page = readFileSync(PAGE, "utf8");
+  const rows = [...page.matchAll(VERB_ROW)].map(([, cell]) => cell!);
+  return new Set(
+    rows.flatMap((cell) => cell.split(",").map((verb) => verb.trim())),
+  );
+}
+
+function listSources(): readonly string[] {
+  return readdirSync("src", { recursive: true, encoding: "utf8" })
+    .filter((name) => name.endsWith(".ts") && !name.includes("/test/"))
+    .map((name) => join("src", name));
+}
+
+const verbs = readVerbs();
+const faults: string[] = [];
+let count = 0;
+for (const file of listSources()) {
+  for (const [, verb, rest] of readFileSync(file, "utf8").matchAll(FUNCTION)) {
+    count += 1;
+    if (!verbs.has(verb!)) {
+      faults.push(`${file}: ${verb}${rest ?? ""}`);
+    }
+  }
+}
+process.stdout.write(`${count} functions, ${faults.length} verb faults\n`);
+if (faults.length > 0) {
+  process.stderr.write(`${faults.join("\n")}\n`);
+  process.exit(1);
+}
--- a/src/cli/commands/table.ts
+++ b/src/cli/commands/table.ts
@@ -58,7 +58,7 @@
       ),
   ).action(async (kind, cells, options, command) =>
     finishCommand(
-      await editRow(createContext(command), { kind, cells, options }),
+      await changeRow(createContext(command), { kind, cells, options }),
     )
   );
   table.command("history")
@@ -105,7 +105,7 @@
   return await sendEdit(context, { type: "ReplaceRows", rows }, options);
 }
 
-async function editRow(
+async function changeRow(
   context: CommandContext,
   edit: {
     readonly kind: string;
--- a/src/platform/claims/common/claim_reducer.ts
+++ b/src/platform/claims/common/claim_reducer.ts
@@ -142,7 +142,7 @@
   const pending = set.members.length - cast.length;
   const verdict = findOutcome(coordination, pending);
   if (verdict !== undefined) {
-    return loseClaim(next, coordination, verdict);
+    return failClaim(next, coordination, verdict);
   }
   const granted = cast.filter((vote) => vote.type === "Granted").length;
   const majority = countMajority(set.members);
@@ -159,10 +159,10 @@
   const others = listOthers(coordination);
   if (others.length === 0) {
     const reason = findReason(cast);
-    return loseClaim(next, coordination, { type: "Undecided", reason });
+    return failClaim(next, coordination, { type: "Undecided", reason });
   }
   return coordination.isLastRound
-    ? loseClaim(next, coordination, { type: "OutcomeUnknown" })
+    ? failClaim(next, coordination, { type: "OutcomeUnknown" })
     : askOthers(state, coordination, others);
 }
 
@@ -227,14 +227,14 @@
     checks.get(other.attemptId) === "running"
   );
   if (isOther) {
-    return loseClaim(next, coordination, { type: "OtherRequest" });
+    return failClaim(next, coordination, { type: "OtherRequest" });
   }
   const isLower = others.every((other) =>
     checks.get(other.attemptId) !== "claiming" ||
     claim.attemptId < other.attemptId
   );
   if (phases.includes("running") || !isLower || round >= MAX_ROUNDS) {
-    return loseClaim(next, coordination, { type: "StillRunning" });
+    return failClaim(next, coordination, { type: "StillRunning" });
   }
   if (phases.includes("unknown")) {
     return askVotes(state, { ...coordination, isLastRound: true });
@@ -259,7 +259,7 @@
   );
 }
 
-function loseClaim(
+function failClaim(
   state: ClaimState,
   coordination: Coordination,
   verdict: Verdict,
--- a/src/platform/claims/common/holder_reducer.ts
+++ b/src/platform/claims/common/holder_reducer.ts
@@ -109,7 +109,7 @@
     return { state, asks: [], copiedEpoch };
   }
   if (wanted.previous === undefined) {
-    return gainVoice(state, wanted.epoch);
+    return activateVoice(state, wanted.epoch);
   }
   if (state.copying?.epoch === wanted.epoch) {
     return askMissing(state, state.copying);
@@ -142,7 +142,7 @@
   }
   const done = [...new Set([...copying.done, nodeId!])];
   if (done.length >= countMajority(copying.from.members)) {
-    return gainVoice({ ...state, records }, copying.epoch);
+    return activateVoice({ ...state, records }, copying.epoch);
   }
   const next = { ...state, records, copying: { ...copying, done } };
   return { state: next, asks: [], copiedEpoch: undefined };
@@ -313,7 +313,7 @@
   };
 }
 
-function gainVoice(state: HolderState, epoch: number): HolderStep {
+function activateVoice(state: HolderState, epoch: number): HolderStep {
   const next = { ...state, voiceEpoch: epoch, copying: undefined };
   return { state: next, asks: [], copiedEpoch: epoch };
 }
--- a/src/platform/routing/common/select_backend.ts
+++ b/src/platform/routing/common/select_backend.ts
@@ -44,7 +44,7 @@
   const candidates = service.isMostlyBad || usable.length === 0
     ? untried
     : usable;
-  const preferred = preferNear(candidates, state.client.dataCentre, request);
+  const preferred = selectNear(candidates, state.client.dataCentre, request);
   return drawTwo(preferred, service, request);
 }
 
@@ -73,7 +73,7 @@
 }
 
 /** The own data centre while it has at least two that take work. */
-function preferNear(
+function selectNear(
   views: readonly BackendView[],
   dataCentre: string,
   request: RouteRequest,
--- a/src/platform/storage/node/disk_files.ts
+++ b/src/platform/storage/node/disk_files.ts
@@ -10,28 +10,29 @@
 export function openDiskFiles(folder: string): Files {
   const locate = (name: string) => join(folder, name);
   return {
-    list: () => wrap("list", folder, readdir(folder)),
-    read: (name) => wrap("read", locate(name), readFile(locate(name))),
+    list: () => convertErrors("list", folder, readdir(folder)),
+    read: (name) => convertErrors("read", locate(name), readFile(locate(name))),
     create: (name) =>
-      wrap("create", locate(name), open(locate(name), "w"))
+      convertErrors("create", locate(name), open(locate(name), "w"))
         .map((handle) => openDiskFile(locate(name), handle)),
     open: (name) =>
-      wrap("open", locate(name), open(locate(name), "r+"))
+      convertErrors("open", locate(name), open(locate(name), "r+"))
         .map((handle) => openDiskFile(locate(name), handle)),
     rename: (from, to) =>
-      wrap("rename", locate(from), rename(locate(from), locate(to))),
-    remove: (name) => wrap("remove", locate(name), rm(locate(name))),
-    syncFolder: () => wrap("sync", folder, syncFolder(folder)),
+      convertErrors("rename", locate(from), rename(locate(from), locate(to))),
+    remove: (name) => convertErrors("remove", locate(name), rm(locate(name))),
+    syncFolder: () => convertErrors("sync", folder, syncFolder(folder)),
   };
 }
 
 function openDiskFile(file: string, handle: FileHandle): OpenFile {
   return {
     write: (bytes, positionBytes) =>
-      wrap("write", file, writeAll(handle, bytes, positionBytes)),
-    sync: () => wrap("sync", file, handle.sync()),
-    truncate: (sizeBytes) => wrap("truncate", file, handle.truncate(sizeBytes)),
-    close: () => wrap("close", file, handle.close()),
+      convertErrors("write", file, writeAll(handle, bytes, positionBytes)),
+    sync: () => convertErrors("sync", file, handle.sync()),
+    truncate: (sizeBytes) =>
+      convertErrors("truncate", file, handle.truncate(sizeBytes)),
+    close: () => convertErrors("close", file, handle.close()),
   };
 }
 
@@ -62,7 +63,7 @@
   }
 }
 
-function wrap<T>(
+function convertErrors<T>(
   operation: FileOperation,
   file: string,
   promise: Promise<T>,
--- a/src/platform/storage/node/record_codec.ts
+++ b/src/platform/storage/node/record_codec.ts
@@ -43,7 +43,7 @@
 ): Uint8Array {
   const record = Buffer.alloc(RECORD_HEADER_BYTES + payload.length);
   record.writeUInt32LE(payload.length, 0);
-  record.writeUInt32LE(sumHeader(payload.length, offsetBytes), 4);
+  record.writeUInt32LE(computeHeaderSum(payload.length, offsetBytes), 4);
   record.writeUInt32LE(crc32(payload), 8);
   record.set(payload, RECORD_HEADER_BYTES);
   return record;
@@ -54,7 +54,7 @@
  * torn: it reaches past the end of the file, or sectors of it were never
  * written and nothing follows it. Anything else that doesn't hold is damage.
  */
-export function scanFile(
+export function readFileRecords(
   file: string,
   bytes: Uint8Array,
 ): Result<ScannedFile, StorageError> {
@@ -108,7 +108,10 @@
     return "torn";
   }
   const length = buffer.readUInt32LE(offsetBytes);
-  if (buffer.readUInt32LE(offsetBytes + 4) !== sumHeader(length, offsetBytes)) {
+  if (
+    buffer.readUInt32LE(offsetBytes + 4) !==
+      computeHeaderSum(length, offsetBytes)
+  ) {
     return judgeBadRecord(buffer, offsetBytes, buffer.length);
   }
   const end = start + length;
@@ -155,14 +158,17 @@
   for (let at = startBytes + 1; at <= last; at++) {
     const length = buffer.readUInt32LE(at);
     const isPlausible = at + RECORD_HEADER_BYTES + length <= buffer.length;
-    if (isPlausible && buffer.readUInt32LE(at + 4) === sumHeader(length, at)) {
+    if (
+      isPlausible &&
+      buffer.readUInt32LE(at + 4) === computeHeaderSum(length, at)
+    ) {
       return true;
     }
   }
   return false;
 }
 
-function sumHeader(lengthBytes: number, offsetBytes: number): number {
+function computeHeaderSum(lengthBytes: number, offsetBytes: number): number {
   const place = Buffer.alloc(12);
   place.writeUInt32LE(lengthBytes, 0);
   place.writeBigUInt64LE(BigInt(offsetBytes), 4);
--- a/src/platform/storage/node/segment_file.ts
+++ b/src/platform/storage/node/segment_file.ts
@@ -7,8 +7,8 @@
 import type { StorageError } from "../common/storage_error.ts";
 import {
   FILE_HEADER_BYTES,
+  readFileRecords,
   RECORD_HEADER_BYTES,
-  scanFile,
 } from "./record_codec.ts";
 import type { ScannedFile } from "./record_codec.ts";
 import { createDamage, decodeRecord } from "./whole_file.ts";
@@ -60,7 +60,7 @@
     const segments: Segment[] = [];
     for (const name of listSegments(names)) {
       const bytes = yield* files.read(name);
-      segments.push({ name, scanned: yield* scanFile(name, bytes) });
+      segments.push({ name, scanned: yield* readFileRecords(name, bytes) });
     }
     const first = yield* findFirst(segments);
     const needed = segments.slice(first);
--- a/src/platform/storage/node/whole_file.ts
+++ b/src/platform/storage/node/whole_file.ts
@@ -10,7 +10,7 @@
   encodeFileHeader,
   encodeRecord,
   FILE_HEADER_BYTES,
-  scanFile,
+  readFileRecords,
 } from "./record_codec.ts";
 
 /** Ends the names of files that are not yet whole. */
@@ -55,7 +55,10 @@
 ): FileResult<T> {
   return safeTry(async function* () {
     const bytes = yield* files.read(name);
-    const { payloads, endBytes, tornBytes } = yield* scanFile(name, bytes);
+    const { payloads, endBytes, tornBytes } = yield* readFileRecords(
+      name,
+      bytes,
+    );
     if (payloads.length !== 1 || tornBytes > 0) {
       return err(createDamage(name, endBytes, "file is incomplete"));
     }
--- a/src/platform/table/common/table_match.ts
+++ b/src/platform/table/common/table_match.ts
@@ -19,7 +19,7 @@
   let best: VersionedRow | undefined;
   let bestRank = "";
   for (const row of table.rows) {
-    if (!matchesRow(row, request)) {
+    if (!isRowMatch(row, request)) {
       continue;
     }
     const rank = computeRank(row);
@@ -31,7 +31,7 @@
   return best;
 }
 
-function matchesRow(row: VersionedRow, request: RequestLine): boolean {
+function isRowMatch(row: VersionedRow, request: RequestLine): boolean {
   if (row.method !== "*" && row.method !== request.method) {
     return false;
   }
