--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -245,10 +245,15 @@
 
   /** Runs the `basilpin` command against the fleet's control replicas. */
   async run(...args: readonly string[]): Promise<CommandResult> {
-    const child = spawn(process.execPath, [
-      join(ROOT, "src/cli/main.js"),
-      ...args,
-    ], {
+    return await this.runProgram("src/cli/main.js", ...args);
+  }
+
+  /** Runs a built program of this repository to its end. */
+  async runProgram(
+    program: string,
+    ...args: readonly string[]
+  ): Promise<CommandResult> {
+    const child = spawn(process.execPath, [join(ROOT, program), ...args], {
       stdio: ["ignore", "pipe", "pipe"],
       env: { ...process.env, BASILPIN_CONTROL: this.controlAddresses },
     });
