Protect the listeners by TLS and changes by credentials

Cause: every listener took plain HTTP from anyone, and the history named whoever the header basilpin-operator said. TLS by a proxy in front was ruled out: it would be one more process on every VM. Comparing host names was ruled out: processes are reached by IP addresses that change.

Change: [security] transport = "tls" with certificate, key and authority; mutual on ingress, the peer channel and the links; edge_tls for callers. What is left unprotected is said in the log. That showed that roarr wrote no line at all unless ROARR_LOG was set in the environment: it is switched on now, and lines for single requests are built only at the levels debug and trace. The reference of the settings follows the two forms of [security].

Conclusion: without a key of the authority ingress and links are out of reach, and without a token nothing is changed.

--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -32,7 +32,7 @@
 }
 
 const options = readBenchOptions("bench:hop", DEFAULT_RUNS);
-await using fleet = new Fleet();
+await using fleet = new Fleet({ isTls: options.isTls });
 await fleet.startControl("control-a", "kenitra-a");
 const behaviour = { serviceMs: 0 };
 const backend = await fleet.startNode({
@@ -90,7 +90,10 @@
   addedP99Ms: median.p99Ms - direct.p99Ms,
   ratioP50: median.p50Ms / direct.p50Ms,
 }));
-writeReport(`medians of ${options.runs} runs of ${REQUESTS} requests, ms`);
+writeReport(
+  `medians of ${options.runs} runs of ${REQUESTS} requests, ms` +
+    (options.isTls ? ", TLS between the nodes" : ""),
+);
 writeReport("path        p50    p99   +p50   +p99  ratio p50  node us/call");
 for (const figure of figures) {
   writeReport([
@@ -103,4 +106,9 @@
     figure.nodeCpuMicros.toFixed(0).padStart(13),
   ].join(" "));
 }
-writeFigures(options, { requests: REQUESTS, runs: options.runs, figures });
+writeFigures(options, {
+  requests: REQUESTS,
+  runs: options.runs,
+  isTls: options.isTls,
+  figures,
+});
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -10,6 +10,8 @@
   /** Whether a shorter run is wanted. */
   readonly isQuick: boolean;
   readonly svg: string | undefined;
+  /** Whether the processes use TLS among them, where the bench can. */
+  readonly isTls: boolean;
 }
 
 /** Reads the options of a bench. */
@@ -18,14 +20,22 @@
     .option("--json <file>", "write the figures to a file")
     .option("--runs <count>", "runs that medians are taken over", String(runs))
     .option("--svg <file>", "draw the figures to a file, where it can")
+    .option("--tls", "TLS among the processes, where the bench can")
     .option("--quick", "a shorter run, where there is one")
     .parse().opts<
-    { json?: string; svg?: string; quick?: boolean; runs: string }
+    {
+      json?: string;
+      svg?: string;
+      quick?: boolean;
+      tls?: boolean;
+      runs: string;
+    }
   >();
   return {
     json: options.json,
     svg: options.svg,
     isQuick: options.quick === true,
+    isTls: options.tls === true,
     runs: Number(options.runs),
   };
 }
--- a/src/cli/command_context.ts
+++ b/src/cli/command_context.ts
@@ -4,10 +4,12 @@
 import type { Command } from "commander";
 import type { Result } from "neverthrow";
 import type { CliError } from "./cli_error.ts";
+import { readAccess } from "./operator_access.ts";
+import type { AccessOptions } from "./operator_access.ts";
 import { OperatorClient } from "./operator_client.ts";
 
 /** Options that all commands share. */
-export interface GlobalOptions {
+export interface GlobalOptions extends AccessOptions {
   readonly control: string;
   readonly operator: string;
   readonly json: boolean;
@@ -24,8 +26,9 @@
   const options = command.optsWithGlobals<GlobalOptions>();
   const replicas = options.control.split(",").map((part) => part.trim());
   const { operator } = options;
+  const access = readAccess(options, process.env["BASILPIN_TOKEN"]);
   return {
-    client: new OperatorClient({ replicas, operator }),
+    client: new OperatorClient({ replicas, operator, access }),
     isJson: options.json === true,
   };
 }
--- a/src/cli/commands/table.ts
+++ b/src/cli/commands/table.ts
@@ -169,8 +169,7 @@
   const call = { method: "POST", path: "/table/edits", body } as const;
   const reply = await context.client.ask(call);
   if (reply.isErr()) {
-    const advice = `Send it again with --edit-id ${editId}: it is applied once`;
-    return err({ ...reply.error, advice });
+    return err(addResend(reply.error, editId));
   }
   if (reply.value.status === 400) {
     return err(createCliError({
@@ -195,6 +194,18 @@
     : ok(undefined);
 }
 
+/** Only of an edit that may have arrived the outcome is unknown. */
+function addResend(error: CliError, editId: string): CliError {
+  const { exitCode, advice } = error;
+  return exitCode === EXIT_CODES.unreachable
+    ? {
+      ...error,
+      advice: `${advice}; then send it again with --edit-id ${editId}: ` +
+        "it is applied once",
+    }
+    : error;
+}
+
 async function fetchTable(
   context: CommandContext,
 ): Promise<Result<Table, CliError>> {
--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -11,6 +11,8 @@
   unreachable: 4,
   /** The edit was accepted, but some nodes haven't confirmed it. */
   unconfirmed: 5,
+  /** The credential is missing or unknown; nothing was changed. */
+  denied: 6,
 } as const;
 
 /** The code of one outcome. */
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -20,6 +20,15 @@
     process.env["BASILPIN_CONTROL"] ?? DEFAULT_CONTROL,
   )
   .option("--operator <name>", "who makes the change", readUserName())
+  .option(
+    "--token-file <file>",
+    "file with your token; without it, that of BASILPIN_TOKEN",
+  )
+  .option(
+    "--authority <file>",
+    "PEM of the authority of the processes, where they use TLS",
+    process.env["BASILPIN_AUTHORITY"],
+  )
   .option("--json", "print JSON")
   .exitOverride((error) => {
     process.exit(error.exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.usage);
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,9 +1,13 @@
 /** HTTP requests to the operators' listeners, one replica after the other. */
 import { err, ok, type Result } from "neverthrow";
-import { request } from "undici";
+import { Agent, request } from "undici";
+import { createConnector, formatOrigin } from "../base/node/tls.ts";
+import { describeFailure } from "./call_failure.ts";
+import type { CallFailure } from "./call_failure.ts";
 import { createCliError } from "./cli_error.ts";
 import type { CliError } from "./cli_error.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
+import type { OperatorAccess } from "./operator_access.ts";
 
 /** One request to a control replica or a node. */
 export interface OperatorCall {
@@ -23,6 +27,8 @@
   /** `host:port` of the control replicas. */
   readonly replicas: readonly string[];
   readonly operator: string;
+  /** An error is what every request ends with. */
+  readonly access: Result<OperatorAccess, CliError>;
 }
 
 const TIMEOUT_MS = 10_000;
@@ -30,6 +36,7 @@
 /** Asks control replicas, and single processes by their address. */
 export class OperatorClient {
   readonly #options: OperatorClientOptions;
+  #agent: Agent | undefined;
 
   constructor(options: OperatorClientOptions) {
     this.#options = options;
@@ -45,22 +52,33 @@
    * something carries an id of its own, so that asking twice does no harm.
    */
   async ask(call: OperatorCall): Promise<Result<OperatorReply, CliError>> {
+    const { access } = this.#options;
+    if (access.isErr()) {
+      return err(access.error);
+    }
     const reasons: string[] = [];
+    let advice = "Check --control and that a quorum of the replicas runs";
     for (const replica of this.#options.replicas) {
       const reply = await this.askOne(replica, call);
+      if (reply.isOk() && reply.value.status === 401) {
+        return err(createDenial(replica, reply.value));
+      }
       if (reply.isOk() && reply.value.status !== 503) {
         return ok(reply.value);
       }
+      if (reply.isErr()) {
+        advice = reply.error.advice ?? advice;
+      }
       reasons.push(
         reply.isErr()
-          ? `${replica}: ${reply.error}`
+          ? `${replica}: ${reply.error.reason}`
           : `${replica}: ${readMessage(reply.value)}`,
       );
     }
     return err(createCliError({
       exitCode: EXIT_CODES.unreachable,
       message: `No control replica answered (${reasons.join("; ")})`,
-      advice: "Check --control and that a quorum of the replicas runs",
+      advice,
     }));
   }
 
@@ -68,15 +86,23 @@
   async askOne(
     address: string,
     call: OperatorCall,
-  ): Promise<Result<OperatorReply, string>> {
+  ): Promise<Result<OperatorReply, CallFailure>> {
+    const { access } = this.#options;
+    if (access.isErr()) {
+      return err({ reason: access.error.message, advice: undefined });
+    }
+    const { authority, token } = access.value;
+    const isTls = authority !== undefined;
     try {
       const { statusCode, body } = await request(
-        `http://${address}${call.path}`,
+        `${formatOrigin(address, isTls)}${call.path}`,
         {
+          dispatcher: this.#findAgent(authority),
           method: call.method,
           headers: {
             "content-type": "application/json",
             "basilpin-operator": this.#options.operator,
+            ...createAuthorization(call, token),
           },
           body: call.body === undefined ? null : JSON.stringify(call.body),
           signal: AbortSignal.timeout(TIMEOUT_MS),
@@ -84,10 +110,34 @@
       );
       return ok({ status: statusCode, body: await body.json() });
     } catch (error) {
-      const { code, message } = error as { code?: string; message: string };
-      return err(code ?? message);
+      return err(describeFailure(error, isTls));
     }
   }
+
+  #findAgent(authority: string | undefined): Agent {
+    const trust = authority === undefined ? undefined : { authority };
+    this.#agent ??= new Agent({ connect: createConnector(trust) });
+    return this.#agent;
+  }
+}
+
+/** A token is shown only where a change is asked for. */
+function createAuthorization(
+  { method }: OperatorCall,
+  token: string | undefined,
+): Readonly<Record<string, string>> {
+  return method === "GET" || token === undefined
+    ? {}
+    : { authorization: `Bearer ${token}` };
+}
+
+function createDenial(replica: string, reply: OperatorReply): CliError {
+  return createCliError({
+    exitCode: EXIT_CODES.denied,
+    message: `${replica}: ${readMessage(reply)}`,
+    advice: "Nothing was changed; name the file of your token by " +
+      "--token-file, or set BASILPIN_TOKEN",
+  });
 }
 
 /** Reads the sentence that an answer carries. */
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -32,6 +32,8 @@
   OperatorRoute,
 } from "./operator_server.ts";
 import { ReplicaDisk } from "./replica_disk.ts";
+import { reportSecurity } from "./security.ts";
+import type { Security } from "./security.ts";
 import type { ControlSettings } from "./settings.ts";
 import { Telemetry } from "./telemetry.ts";
 
@@ -43,6 +45,7 @@
 /** What a control replica is built from. */
 export interface ControlDaemonOptions {
   readonly settings: ControlSettings;
+  readonly security: Security;
   /** Owned by the daemon from here on. */
   readonly folder: DataFolder;
   /** A write failed: the process must end. */
@@ -52,6 +55,7 @@
 /** A running control replica. */
 export class ControlDaemon implements AsyncDisposable {
   readonly #settings: ControlSettings;
+  readonly #security: Security;
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
   readonly #loop: EventLoop<ReplicaState, ReplicaEvent, ReplicaEffect>;
@@ -63,9 +67,11 @@
   readonly #operator: OperatorServer;
 
   constructor(options: ControlDaemonOptions) {
-    const { settings, folder, onStorageError } = options;
+    const { settings, security, folder, onStorageError } = options;
     this.#settings = settings;
+    this.#security = security;
     this.#telemetry = this.#owned.use(new Telemetry(settings));
+    reportSecurity(this.#telemetry.log, security);
     const dispatch = (event: ReplicaEvent) => this.#loop.dispatch(event);
     this.#disk = this.#owned.use(
       new ReplicaDisk({ folder, dispatch, onError: onStorageError }),
@@ -157,6 +163,7 @@
   #createLinks(): LinkServer {
     return new LinkServer({
       address: parseAddress(this.#settings.listen.link)!,
+      tls: this.#security.tls,
       onMessage: (linkId, message) => this.#receive(linkId, message),
       onClose: (linkId) => this.#loop.dispatch({ type: "LinkClosed", linkId }),
     });
@@ -182,6 +189,7 @@
   #createReplicas(): ReplicaLinks {
     return new ReplicaLinks({
       id: this.#settings.id,
+      tls: this.#security.tls,
       replicas: listPeers(this.#settings).map(({ link }) => link),
       onMessage: (message, replica) => this.#receiveReply(message, replica),
     });
@@ -216,6 +224,7 @@
     ]);
     return new OperatorServer({
       address: parseAddress(this.#settings.listen.operator)!,
+      security: this.#security,
       routes,
       answerScrape: (request, response) =>
         metrics.answerScrape(request, response),
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -7,6 +7,8 @@
 import { openDataFolder } from "../platform/storage/node/data_folder.ts";
 import { ControlDaemon } from "./control_daemon.ts";
 import { NodeDaemon } from "./node_daemon.ts";
+import { readSecurity } from "./security.ts";
+import type { Security } from "./security.ts";
 import { readSettings } from "./settings.ts";
 import type { Settings } from "./settings.ts";
 
@@ -20,9 +22,12 @@
   drain(): Promise<void>;
 }
 
-async function createDaemon(settings: Settings): Promise<Daemon> {
+async function createDaemon(
+  settings: Settings,
+  security: Security,
+): Promise<Daemon> {
   if (settings.role === "node") {
-    return new NodeDaemon(settings);
+    return new NodeDaemon(settings, security);
   }
   const folder = await openDataFolder(settings.data_folder, settings.id);
   if (folder.isErr()) {
@@ -30,6 +35,7 @@
   }
   return new ControlDaemon({
     settings,
+    security,
     folder: folder.value,
     onStorageError: failStorage,
   });
@@ -41,8 +47,11 @@
   process.exit(EXIT_FAILED);
 }
 
-async function runDaemon(settings: Settings): Promise<void> {
-  const daemon = await createDaemon(settings);
+async function runDaemon(
+  settings: Settings,
+  security: Security,
+): Promise<void> {
+  const daemon = await createDaemon(settings, security);
   try {
     await daemon.open();
   } catch (error) {
@@ -74,13 +83,17 @@
 program.parse();
 const options = program.opts<{ settings: string; check?: boolean }>();
 
-await readSettings(options.settings).match(
-  async (settings) => {
+const checked = readSettings(options.settings).andThen((settings) =>
+  readSecurity(options.settings, settings)
+    .map((security) => ({ settings, security }))
+);
+await checked.match(
+  async ({ settings, security }) => {
     if (options.check === true) {
       process.stdout.write(`${options.settings} is valid\n`);
       return;
     }
-    await runDaemon(settings);
+    await runDaemon(settings, security);
   },
   (error) => {
     process.stderr.write(`${error.message}\n`);
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -26,6 +26,8 @@
 import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type { OperatorRoute } from "./operator_server.ts";
+import { reportSecurity } from "./security.ts";
+import type { Security } from "./security.ts";
 import type { NodeSettings } from "./settings.ts";
 import { Telemetry } from "./telemetry.ts";
 import { TimerSet } from "./timer_set.ts";
@@ -37,6 +39,7 @@
 /** A running node. */
 export class NodeDaemon implements AsyncDisposable {
   readonly #settings: NodeSettings;
+  readonly #security: Security;
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
   readonly #loop: EventLoop<NodeState, NodeEvent, NodeEffect>;
@@ -48,9 +51,11 @@
   #replica: string | undefined;
   #linkNumber = 0;
 
-  constructor(settings: NodeSettings) {
+  constructor(settings: NodeSettings, security: Security) {
     this.#settings = settings;
+    this.#security = security;
     this.#telemetry = this.#owned.use(new Telemetry(settings));
+    reportSecurity(this.#telemetry.log, security);
     const self = createAnnouncement(settings);
     const backendAddress = settings.backend.address;
     this.#loop = new EventLoop({
@@ -65,7 +70,7 @@
       new TimerSet((key) => dispatch({ type: "TimerFired", key })),
     );
     this.#calls = this.#owned.use(this.#createCalls(dispatch));
-    this.#peers = this.#owned.use(new PeerClient());
+    this.#peers = this.#owned.use(new PeerClient(security.tls));
     this.#link = this.#owned.use(this.#createLink());
     this.#operator = this.#owned.use(this.#createOperator());
     this.#createGauges();
@@ -186,12 +191,15 @@
       },
       dispatch,
       connections: backend.connections,
+      tls: this.#security.tls,
+      isEdgeTls: this.#security.isEdgeTls,
     });
   }
 
   #createLink(): LinkClient<ControlMessage, NodeMessage> {
     return new LinkClient<ControlMessage, NodeMessage>({
       id: this.#settings.id,
+      tls: this.#security.tls,
       replicas: this.#settings.control.replicas,
       onMessage: (message) => this.#receive(message),
       onOpen: (replica, linkNumber) => {
@@ -266,6 +274,7 @@
     ]);
     return new OperatorServer({
       address: parseAddress(this.#settings.listen.operator)!,
+      security: this.#security,
       routes,
       answerScrape: (request, response) =>
         metrics.answerScrape(request, response),
--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -1,7 +1,9 @@
 /** The operators' HTTP listener, on either role. */
-import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen, type ListenAddress } from "../base/node/listen.ts";
+import { createServer } from "../base/node/tls.ts";
+import { findOperator } from "./operator_credentials.ts";
+import type { Security } from "./security.ts";
 
 /** What a route answers. */
 export interface OperatorAnswer {
@@ -14,6 +16,7 @@
   readonly query: URLSearchParams;
   /** Parsed JSON; undefined where there was no body. */
   readonly body: unknown;
+  /** By the credential, or where there are none, as the request says. */
   readonly operator: string;
 }
 
@@ -25,6 +28,7 @@
 /** What the listener is built from. */
 export interface OperatorServerOptions {
   readonly address: ListenAddress;
+  readonly security: Pick<Security, "tls" | "credentials">;
   /** Routes by method and path, such as `GET /status`. */
   readonly routes: ReadonlyMap<string, OperatorRoute>;
   readonly answerScrape: (
@@ -42,7 +46,9 @@
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
-    this.#server = createServer((request, response) => {
+    const { tls } = options.security;
+    const server = { tls, isMutual: false };
+    this.#server = createServer(server, (request, response) => {
       this.#receive(request, response).catch(() => response.destroy());
     });
   }
@@ -66,6 +72,12 @@
       this.#options.answerScrape(request, response);
       return;
     }
+    const operator = this.#readOperator(request);
+    if (operator === undefined) {
+      request.resume();
+      writeJson(response, createDenial(request.headers.authorization));
+      return;
+    }
     const name = `${request.method} ${url.pathname}`;
     const route = this.#options.routes.get(name);
     const body = await readBody(request);
@@ -76,17 +88,39 @@
       : await route({
         query: url.searchParams,
         body: body.value,
-        operator: String(request.headers["basilpin-operator"] ?? "unknown"),
+        operator,
       });
-    const text = `${JSON.stringify(answer.body)}\n`;
-    response.writeHead(answer.status, {
-      "content-type": "application/json",
-      "content-length": Buffer.byteLength(text),
-    });
-    response.end(text);
+    writeJson(response, answer);
+  }
+
+  /** Undefined where a change is asked for without a known token. */
+  #readOperator(request: IncomingMessage): string | undefined {
+    const { credentials } = this.#options.security;
+    const isRead = request.method === "GET" || request.method === "HEAD";
+    return credentials === undefined || isRead
+      ? String(request.headers["basilpin-operator"] ?? "unknown")
+      : findOperator(credentials, request.headers.authorization);
   }
 }
 
+function writeJson(response: ServerResponse, answer: OperatorAnswer): void {
+  const isDenied = answer.status === 401;
+  const text = `${JSON.stringify(answer.body)}\n`;
+  response.writeHead(answer.status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    ...(isDenied ? { "www-authenticate": "Bearer" } : {}),
+  });
+  response.end(text);
+}
+
+function createDenial(header: string | undefined): OperatorAnswer {
+  const message = header === undefined
+    ? "A change needs an operator's token, and none was sent"
+    : "No operator has this token";
+  return { status: 401, body: { message } };
+}
+
 function createNotFound(
   name: string,
   routes: readonly string[],
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -40,9 +40,31 @@
   }),
   { level: "info" },
 );
-const SECURITY = v.strictObject({
-  transport: v.picklist(["plaintext"], '"plaintext"'),
+const FILE = v.pipe(v.string("a file name"), v.minLength(1, "a file name"));
+const PLAINTEXT = v.strictObject({ transport: v.literal("plaintext") });
+const TLS = v.strictObject({
+  transport: v.literal("tls"),
+  /** PEM files: what this process presents, its key, whom it trusts. */
+  certificate: FILE,
+  key: FILE,
+  authority: FILE,
 });
+const TRANSPORTS = '"tls" or "plaintext"';
+const CONTROL_SECURITY = v.variant("transport", [PLAINTEXT, TLS], TRANSPORTS);
+const NODE_SECURITY = v.variant("transport", [
+  PLAINTEXT,
+  v.strictObject({
+    ...TLS.entries,
+    /**
+     * Whether callers reach the edge listener by TLS; they present no
+     * certificate. The hops to and from the local backend server (egress and
+     * `backend.address`) stay plain: they are meant for loopback.
+     */
+    edge_tls: v.optional(v.boolean("true or false"), false),
+  }),
+], TRANSPORTS);
+/** Whose tokens allow changes; where it is left out, anyone may edit. */
+const OPERATORS = v.optional(v.strictObject({ file: FILE }));
 
 /** Schema of the node role. */
 export const NODE_SETTINGS = v.strictObject({
@@ -71,11 +93,12 @@
       v.minLength(1, "at least one host:port"),
     ),
   }),
-  security: SECURITY,
+  security: NODE_SECURITY,
+  operators: OPERATORS,
   log: LOG,
   /** Records all events of the node to a file, for `basilpin trace`. */
   trace: v.optional(v.strictObject({
-    file: v.pipe(v.string("a file name"), v.minLength(1, "a file name")),
+    file: FILE,
   })),
 });
 
@@ -104,7 +127,8 @@
   listen: v.strictObject({ link: ADDRESS, operator: ADDRESS }),
   /** The replicas of the table; left out where this is the only one. */
   cluster: v.optional(CLUSTER),
-  security: SECURITY,
+  security: CONTROL_SECURITY,
+  operators: OPERATORS,
   log: LOG,
 });
 
--- a/src/daemon/settings_reference.ts
+++ b/src/daemon/settings_reference.ts
@@ -41,6 +41,12 @@
   "cluster.learners[].link": "Its link address",
   "data_folder": "Folder for the log and snapshots, on a disk that stays",
   "security.transport": "Whether connections are protected",
+  "security.certificate": "With tls: certificate of this process, PEM",
+  "security.key": "With tls: its private key, PEM",
+  "security.authority": "With tls: issuer of all processes' certificates, PEM",
+  "security.edge_tls":
+    "With tls: whether callers use it too; false if left out",
+  "operators.file": "Operators' names and SHA-256 of their tokens, TOML",
   "log.level": "Least level that is logged; info where left out",
   "trace.file": "Records each event of the node for basilpin trace",
 };
@@ -52,6 +58,9 @@
   readonly wrapped?: GenericSchema;
   readonly pipe?: readonly { readonly message?: unknown }[];
   readonly literal?: unknown;
+  /** What decides which of `options` holds. */
+  readonly key?: string;
+  readonly options?: readonly GenericSchema[];
   readonly message?: unknown;
 }
 
@@ -77,6 +86,9 @@
       listKeys(entry, key === "" ? name : `${key}.${name}`, isOptional)
     );
   }
+  if (node.type === "variant") {
+    return listOptions(node, key, isOptional);
+  }
   const item = node.item as unknown as SchemaNode | undefined;
   if (item?.entries !== undefined) {
     return listKeys(node.item!, `${key}[]`, isOptional);
@@ -85,6 +97,22 @@
   return [{ key, allowed: describeAllowed(node), isOptional, note }];
 }
 
+/** Keys that only some options have are needed with those alone. */
+function listOptions(
+  { key: tag = "", options = [], message }: SchemaNode,
+  key: string,
+  isOptional: boolean,
+): readonly SettingReference[] {
+  const tagKey = `${key}.${tag}`;
+  const keys = options.flatMap((option) => listKeys(option, key, true))
+    .filter((found) => found.key !== tagKey);
+  const note = NOTES[tagKey] ?? "";
+  return [
+    { key: tagKey, allowed: String(message), isOptional, note },
+    ...keys,
+  ];
+}
+
 /** The last check of a schema says it best. */
 function describeAllowed(node: SchemaNode): string {
   if (node.literal !== undefined) {
--- a/src/daemon/telemetry.ts
+++ b/src/daemon/telemetry.ts
@@ -11,11 +11,14 @@
   readonly log: Logger;
   readonly metrics = new Metrics();
   readonly timeline: Timeline;
+  /** A line for each request is built only where it is written. */
+  readonly #isRequestLogged: boolean;
 
   constructor(settings: Settings) {
     const { id, role, data_centre: dataCentre, log } = settings;
     this.log = createLog({ level: log.level, role, process: id, dataCentre });
     this.timeline = new Timeline({ process: id, dataCentre });
+    this.#isRequestLogged = log.level === "debug" || log.level === "trace";
   }
 
   /** Keeps, counts and logs an event. */
@@ -23,10 +26,10 @@
     this.timeline.record(event, Date.now());
     this.metrics.countEvent(event);
     const { type, ...context } = event;
-    if ("requestId" in event) {
-      this.log.debug(context, type);
-    } else {
+    if (!("requestId" in event)) {
       this.log.info(context, type);
+    } else if (this.#isRequestLogged) {
+      this.log.debug(context, type);
     }
   }
 
--- a/src/daemon/test/settings_test.ts
+++ b/src/daemon/test/settings_test.ts
@@ -1,13 +1,54 @@
 /** Settings: what is wrong is told in one line. */
-import { readFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { expect } from "chai";
 import { Snapshots } from "../../base/test/snapshot.ts";
+import { readSecurity } from "../security.ts";
 import { parseSettings, readSettings } from "../settings.ts";
 
 const snapshots = new Snapshots(import.meta.url);
 const NODE = readFileSync("examples/coton-loukkos/node.toml", "utf8");
 
+const KEYS = "standin/certificates";
+
+/** Settings with TLS, the transport of the example replaced. */
+function writeTls(
+  lines: Readonly<Record<string, string | undefined>> = {},
+): string {
+  const security = Object.entries({
+    transport: "tls",
+    certificate: `${KEYS}/process.pem`,
+    key: `${KEYS}/process_key.pem`,
+    authority: `${KEYS}/authority.pem`,
+    ...lines,
+  }).filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name} = ${JSON.stringify(value)}`);
+  return NODE.replace(
+    'transport = "plaintext"',
+    security.join("\n"),
+  );
+}
+
 describe("settings", () => {
+  let folder: string;
+
+  before(() => {
+    folder = mkdtempSync(join(tmpdir(), "basilpin-"));
+  });
+
+  after(() => {
+    rmSync(folder, { recursive: true });
+  });
+
+  function readFault(text: string): string {
+    const fault = parseSettings("node.toml", text)
+      .andThen((settings) => readSecurity("node.toml", settings))
+      ._unsafeUnwrapErr();
+    expect(fault.message.split("\n")).to.have.length(1);
+    return fault.message.replaceAll(folder, "FOLDER");
+  }
+
   for (const deployment of ["coton-loukkos", "toy-trust"]) {
     for (const role of ["node", "control"]) {
       it(`takes the example of a ${role} of ${deployment}`, () => {
@@ -36,4 +77,53 @@
       snapshots.match(name, message);
     });
   }
+
+  it("takes TLS and reads the keys that it names", () => {
+    const settings = parseSettings("node.toml", writeTls())._unsafeUnwrap();
+    const security = readSecurity("node.toml", settings)._unsafeUnwrap();
+    expect(security.tls?.certificate).to.contain("BEGIN CERTIFICATE");
+    expect(security.isEdgeTls).to.equal(false);
+    expect(security.credentials).to.equal(undefined);
+  });
+
+  const badKeys: Readonly<Record<string, string>> = {
+    "an unknown transport": writeTls({ transport: "ssl" }),
+    "TLS without a key": writeTls({ key: undefined }),
+    "TLS keys beside plain text": writeTls({ transport: "plaintext" }),
+    "a missing certificate": writeTls({ certificate: "missing.pem" }),
+    "a certificate that is a folder": writeTls({ certificate: KEYS }),
+    "a certificate that is no PEM": writeTls({ certificate: "package.json" }),
+    "a certificate where the key should be": writeTls({
+      key: `${KEYS}/process.pem`,
+    }),
+    "the key of another certificate": writeTls({
+      key: `${KEYS}/stranger_key.pem`,
+    }),
+    "an authority that is a key": writeTls({
+      authority: `${KEYS}/process_key.pem`,
+    }),
+    "a missing file of operators":
+      `${NODE}\n[operators]\nfile = "missing.toml"\n`,
+  };
+  for (const [name, text] of Object.entries(badKeys)) {
+    it(`tells of ${name} in one line`, () => {
+      snapshots.match(name, readFault(text));
+    });
+  }
+
+  const badOperators: Readonly<Record<string, string>> = {
+    "a token in clear": 'amal = "secret"\n',
+    "an empty file of operators": "",
+    "operators that are no TOML": "amal: 12\n",
+  };
+  for (const [name, text] of Object.entries(badOperators)) {
+    it(`tells of ${name} in one line`, () => {
+      const file = join(folder, "operators.toml");
+      writeFileSync(file, text);
+      const settings = `${NODE}\n[operators]\nfile = "${file}"\n`;
+      const message = readFault(settings);
+      expect(message).not.to.contain("secret");
+      snapshots.match(name, message);
+    });
+  }
 });
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -3,6 +3,8 @@
 import { Transform } from "node:stream";
 import { errors, Pool } from "undici";
 import type { Dispatcher } from "undici";
+import { createConnector, formatOrigin } from "../../../base/node/tls.ts";
+import type { Connector, TlsKeys } from "../../../base/node/tls.ts";
 import { decodeLevel } from "../../admission/common/admission_level.ts";
 import {
   CONTEXT_HEADER,
@@ -37,6 +39,8 @@
   readonly dispatch: (event: NodeEvent) => void;
   /** Most connections to one address. */
   readonly connections: number;
+  /** Presented to other nodes, which must be of the authority. */
+  readonly tls?: TlsKeys | undefined;
 }
 
 interface OpenAttempt {
@@ -67,10 +71,16 @@
   readonly #pools = new Map<string, Pool>();
   readonly #open = new Map<string, OpenAttempt>();
   readonly #watch: RelayWatch;
+  /** Nodes are reached by TLS; the backend server is on loopback. */
+  readonly #connectors: Readonly<Record<SendAttempt["peer"], Connector>>;
 
   constructor(options: AttemptSenderOptions) {
     this.#options = options;
     this.#watch = new RelayWatch(options.dispatch);
+    this.#connectors = {
+      node: createConnector(options.tls, CONNECT_TIMEOUT_MS),
+      backend: createConnector(undefined, CONNECT_TIMEOUT_MS),
+    };
   }
 
   /** Sends an attempt; its result comes as events. */
@@ -146,7 +156,7 @@
     const { request } = exchange;
     const headers = copyHeaders(request.rawHeaders);
     headers.push(CONTEXT_HEADER, encodeContext(effect.context));
-    const answer = await this.#findPool(effect.address).request({
+    const answer = await this.#findPool(effect).request({
       path: request.url ?? "/",
       method: (request.method ?? "GET") as Dispatcher.HttpMethod,
       headers,
@@ -178,15 +188,16 @@
     });
   }
 
-  #findPool(address: string): Pool {
+  #findPool({ address, peer }: SendAttempt): Pool {
     const known = this.#pools.get(address);
     if (known !== undefined) {
       return known;
     }
-    const pool = new Pool(`http://${address}`, {
+    const isTls = peer === "node" && this.#options.tls !== undefined;
+    const pool = new Pool(formatOrigin(address, isTls), {
       connections: this.#options.connections,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: this.#connectors[peer],
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -1,8 +1,9 @@
 /** The listeners of a node: HTTP in, events out, effects carried out. */
 import { createHash, randomBytes } from "node:crypto";
-import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
+import { createServer } from "../../../base/node/tls.ts";
+import type { TlsKeys } from "../../../base/node/tls.ts";
 import {
   decodeMessage,
   encodeMessage,
@@ -29,6 +30,10 @@
   readonly dispatch: (event: NodeEvent) => void;
   /** Most connections to one backend server. */
   readonly connections: number;
+  /** Presented on ingress, which then takes only nodes of the authority. */
+  readonly tls?: TlsKeys | undefined;
+  /** Whether callers reach the edge by TLS too. */
+  readonly isEdgeTls?: boolean;
 }
 
 /** Effects that concern exchanges and attempts. */
@@ -65,8 +70,8 @@
 
   constructor(options: CallServerOptions) {
     this.#options = options;
-    const { dispatch, connections } = options;
-    this.#sender = new AttemptSender({ dispatch, connections });
+    const { dispatch, connections, tls } = options;
+    this.#sender = new AttemptSender({ dispatch, connections, tls });
   }
 
   /** Opens the listeners. */
@@ -74,6 +79,7 @@
     const { listeners } = this.#options;
     for (const name of ["ingress", "egress", "edge"] as const) {
       const server = createServer({
+        ...this.#createTlsOptions(name),
         keepAliveTimeout: KEEP_ALIVE_MS,
         requestTimeout: 0,
       }, (request, response) => {
@@ -84,6 +90,16 @@
     }
   }
 
+  /** Egress is for the local backend server and stays plain. */
+  #createTlsOptions(listener: Listener) {
+    const { tls, isEdgeTls = false } = this.#options;
+    const isTls = listener === "ingress" || (listener === "edge" && isEdgeTls);
+    return {
+      tls: isTls ? tls : undefined,
+      isMutual: listener === "ingress",
+    };
+  }
+
   /** Carries out one effect. */
   perform(effect: CallEffect): void {
     if (effect.type === "AbortAttempt") {
--- a/src/platform/link/node/link_client.ts
+++ b/src/platform/link/node/link_client.ts
@@ -5,6 +5,8 @@
   decodeMessage,
   encodeMessage,
 } from "../../../base/node/message_codec.ts";
+import { createSocketOptions } from "../../../base/node/tls.ts";
+import type { TlsKeys } from "../../../base/node/tls.ts";
 import { HEARTBEAT_MS } from "../common/link_messages.ts";
 import { CONNECT_MS, createLink, reduceLink } from "../common/link_reducer.ts";
 import type {
@@ -21,6 +23,8 @@
 export interface LinkClientOptions<In extends Tagged, Out extends Tagged> {
   /** Id of this process; seeds the jitter. */
   readonly id: string;
+  /** Presented to the replicas; plain links without it. */
+  readonly tls?: TlsKeys | undefined;
   /** `host:port` of the control replicas, nearest first. */
   readonly replicas: readonly string[];
   readonly onMessage: (message: In, replica: string) => void;
@@ -135,7 +139,10 @@
       return;
     }
     this.#socket?.terminate();
-    const socket = new WebSocket(`ws://${replica}/`, {
+    const { tls } = this.#options;
+    const scheme = tls === undefined ? "ws" : "wss";
+    const socket = new WebSocket(`${scheme}://${replica}/`, {
+      ...createSocketOptions(tls),
       handshakeTimeout: CONNECT_MS,
       perMessageDeflate: false,
     });
--- a/src/platform/link/node/link_server.ts
+++ b/src/platform/link/node/link_server.ts
@@ -1,9 +1,10 @@
 /** The control replica's end of the links to nodes. */
-import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
+import { createServer } from "../../../base/node/tls.ts";
+import type { TlsKeys } from "../../../base/node/tls.ts";
 import type {
   InboundMessage,
   OutboundMessage,
@@ -17,6 +18,8 @@
 /** What the server is built from. */
 export interface LinkServerOptions {
   readonly address: ListenAddress;
+  /** With it, only clients of the authority are taken. */
+  readonly tls?: TlsKeys | undefined;
   readonly onMessage: (linkId: number, message: InboundMessage) => void;
   readonly onClose: (linkId: number) => void;
 }
@@ -27,12 +30,8 @@
 /** Accepts links and tells them apart by number. */
 export class LinkServer implements AsyncDisposable {
   readonly #options: LinkServerOptions;
-  readonly #http: Server = createServer();
-  readonly #sockets = new WebSocketServer({
-    server: this.#http,
-    maxPayload: MAX_MESSAGE_BYTES,
-    perMessageDeflate: false,
-  });
+  readonly #http: Server;
+  readonly #sockets: WebSocketServer;
   readonly #links = new Map<number, WebSocket>();
   #nextLink = 1;
   #last:
@@ -41,6 +40,12 @@
 
   constructor(options: LinkServerOptions) {
     this.#options = options;
+    this.#http = createServer({ tls: options.tls, isMutual: true });
+    this.#sockets = new WebSocketServer({
+      server: this.#http,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
     this.#sockets.on("connection", (socket) => this.#accept(socket));
   }
 
--- a/src/platform/link/node/replica_links.ts
+++ b/src/platform/link/node/replica_links.ts
@@ -1,6 +1,7 @@
 /** The links that a control replica opens to the others. */
 import { DisposalStack } from "../../../base/common/disposal.ts";
 import { encodeMessage } from "../../../base/node/message_codec.ts";
+import type { TlsKeys } from "../../../base/node/tls.ts";
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
 import type { ClusterMessage } from "../common/cluster_messages.ts";
 import type { OutboundMessage } from "../common/link_messages.ts";
@@ -13,6 +14,7 @@
 export interface ReplicaLinksOptions {
   /** Id of this replica. */
   readonly id: string;
+  readonly tls?: TlsKeys | undefined;
   /** `host:port` of the other replicas' link listeners. */
   readonly replicas: readonly string[];
   readonly onMessage: (message: OutboundMessage, replica: string) => void;
@@ -27,12 +29,13 @@
   >;
 
   constructor(options: ReplicaLinksOptions) {
-    const { id, replicas, onMessage } = options;
+    const { id, tls, replicas, onMessage } = options;
     this.#clients = new Map(replicas.map((replica) => [
       replica,
       this.#owned.use(
         new LinkClient<OutboundMessage, ReplicaMessage>({
           id,
+          tls,
           replicas: [replica],
           onMessage,
           onOpen: () => {},
--- a/src/platform/peer/node/peer_client.ts
+++ b/src/platform/peer/node/peer_client.ts
@@ -4,6 +4,8 @@
   decodeMessage,
   encodeMessage,
 } from "../../../base/node/message_codec.ts";
+import { createConnector, formatOrigin } from "../../../base/node/tls.ts";
+import type { Connector, TlsKeys } from "../../../base/node/tls.ts";
 import { PEER_PATH } from "../common/peer_messages.ts";
 import type { PeerMessage, PeerReply } from "../common/peer_messages.ts";
 
@@ -20,14 +22,26 @@
 
 /** Owns the connections to the peers. */
 export class PeerClient implements AsyncDisposable {
-  readonly #agent = new Agent({ connections: 4, pipelining: 1 });
+  readonly #isTls: boolean;
+  readonly #connect: Connector;
+  readonly #agent: Agent;
+
+  /** With `tls`, peers must be of the authority and are shown a certificate. */
+  constructor(tls: TlsKeys | undefined) {
+    this.#isTls = tls !== undefined;
+    this.#connect = createConnector(tls);
+    const connect = this.#connect;
+    this.#agent = new Agent({ connections: 4, pipelining: 1, connect });
+  }
 
   /** Sends a message; undefined where no answer came in time. */
   async send(request: PeerRequest): Promise<PeerReply | undefined> {
-    const agent = request.isFresh ? new Agent() : this.#agent;
+    const agent = request.isFresh
+      ? new Agent({ connect: this.#connect })
+      : this.#agent;
     try {
       const answer = await agent.request({
-        origin: `http://${request.address}`,
+        origin: formatOrigin(request.address, this.#isTls),
         path: PEER_PATH,
         method: "POST",
         body: encodeMessage(request.message),
--- a/src/platform/telemetry/node/log.ts
+++ b/src/platform/telemetry/node/log.ts
@@ -1,5 +1,6 @@
 /** Structured logs: one JSON object a line, by roarr. */
 import process from "node:process";
+import "./log_switch.ts";
 import { logLevels, ROARR, Roarr } from "roarr";
 import type { Logger, Message } from "roarr";
 
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -1,14 +1,15 @@
 /** Starts the product's processes and stand-ins on loopback, and ends them. */
+import { createHash } from "node:crypto";
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { stringify } from "smol-toml";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import type { Behaviour, RunReport } from "./backend.ts";
 import { findAddress } from "./ports.ts";
 
@@ -61,17 +62,44 @@
   readonly stderr: string;
 }
 
+/** What a fleet is protected by; plain text and no credentials without. */
+export interface FleetOptions {
+  /** TLS by the test certificates. */
+  readonly isTls?: boolean;
+  /** Whether callers reach the edge by TLS too. */
+  readonly isEdgeTls?: boolean;
+  /** Operators' tokens by name. */
+  readonly tokens?: Readonly<Record<string, string>>;
+}
+
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
 const START_MS = 15_000;
 const POLL_MS = 20;
 const MAX_LOG_LINES = 2_000;
 const VOTER_COUNTS = [5, 3, 1];
 
+/** Names a file of the test certificates, which are not built. */
+export function findCertificate(name: string): string {
+  return join(ROOT, "..", "standin", "certificates", `${name}.pem`);
+}
+
 /** Owns the processes that it started and a folder for their files. */
 export class Fleet implements AsyncDisposable {
   readonly folder = mkdtempSync(join(tmpdir(), "basilpin-"));
   readonly #children = new Set<ChildProcess>();
   readonly #controls: FleetControl[] = [];
+  readonly #options: FleetOptions;
+  /** Asks operators' listeners; trusts the authority of the tests. */
+  readonly #agent = new Agent({
+    connect: {
+      ca: readFileSync(findCertificate("authority")),
+      checkServerIdentity: () => undefined,
+    },
+  });
+
+  constructor(options: FleetOptions = {}) {
+    this.#options = options;
+  }
 
   /** Operator addresses of the control replicas, as the CLI takes them. */
   get controlAddresses(): string {
@@ -95,7 +123,7 @@
       ),
     );
     this.#controls.push(...started);
-    await Promise.all(started.map(({ operator }) => waitReady(operator)));
+    await Promise.all(started.map(({ operator }) => this.#waitReady(operator)));
     return started;
   }
 
@@ -105,7 +133,7 @@
     const cluster = { voters: [{ id, link }] };
     const started = await this.#openControl({ id, dataCentre, link, cluster });
     this.#controls.push(started);
-    await waitReady(started.operator);
+    await this.#waitReady(started.operator);
     return started;
   }
 
@@ -141,7 +169,7 @@
         : { advertise: { ingress: options.advertise } }),
       backend: { address: backendAddress, slots, connections: 400 },
       control: { replicas: this.#controls.map((control) => control.link) },
-      security: { transport: "plaintext" },
+      ...this.#createSecurity("node"),
       ...(options.trace === undefined
         ? {}
         : { trace: { file: options.trace } }),
@@ -163,7 +191,7 @@
     const endMs = Date.now() + START_MS;
     while (Date.now() < endMs) {
       for (const { operator } of this.#controls) {
-        const answer = await request(`http://${operator}/status`)
+        const answer = await this.#ask(operator, "/status")
           .then(({ body }) => body.text(), () => "");
         if (answer.includes(`"nodeId":"${nodeId}"`)) {
           return;
@@ -255,7 +283,13 @@
   ): Promise<CommandResult> {
     const child = spawn(process.execPath, [join(ROOT, program), ...args], {
       stdio: ["ignore", "pipe", "pipe"],
-      env: { ...process.env, BASILPIN_CONTROL: this.controlAddresses },
+      env: {
+        ...process.env,
+        BASILPIN_CONTROL: this.controlAddresses,
+        ...(this.#options.isTls === true
+          ? { BASILPIN_AUTHORITY: findCertificate("authority") }
+          : {}),
+      },
     });
     this.#children.add(child);
     let stdout = "";
@@ -294,13 +328,52 @@
       data_folder: join(this.folder, id),
       cluster,
       listen: { link, operator },
-      security: { transport: "plaintext" },
+      ...this.#createSecurity("control"),
     });
     const started = await this.startDaemon(id, settings);
     return { ...started, link, operator };
   }
 
+  #createSecurity(role: "node" | "control"): object {
+    const { isTls = false, isEdgeTls = false, tokens } = this.#options;
+    const security = isTls
+      ? {
+        transport: "tls",
+        certificate: findCertificate("process"),
+        key: findCertificate("process_key"),
+        authority: findCertificate("authority"),
+        ...(role === "node" ? { edge_tls: isEdgeTls } : {}),
+      }
+      : { transport: "plaintext" };
+    return {
+      security,
+      ...(tokens === undefined
+        ? {}
+        : { operators: { file: this.#writeCredentials(tokens) } }),
+    };
+  }
+
+  #writeCredentials(tokens: Readonly<Record<string, string>>): string {
+    const entries = Object.entries(tokens).map(([name, token]) => [
+      name,
+      createHash("sha256").update(token).digest("hex"),
+    ]);
+    return this.writeSettings("operators", Object.fromEntries(entries));
+  }
+
+  async #ask(operator: string, path: string) {
+    const scheme = this.#options.isTls === true ? "https" : "http";
+    return await request(`${scheme}://${operator}${path}`, {
+      dispatcher: this.#agent,
+    });
+  }
+
+  #waitReady(operator: string): Promise<void> {
+    return waitAnswer(operator, () => this.#ask(operator, "/readyz"));
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.#agent.destroy();
     const exits = [...this.#children].map((child) => {
       const exited = waitExit(child);
       child.kill("SIGKILL");
@@ -330,10 +403,17 @@
 }
 
 /** Waits until a process says that it is ready. */
-export async function waitReady(operator: string): Promise<void> {
+export function waitReady(operator: string): Promise<void> {
+  return waitAnswer(operator, () => request(`http://${operator}/readyz`));
+}
+
+async function waitAnswer(
+  operator: string,
+  ask: () => ReturnType<typeof request>,
+): Promise<void> {
   const endMs = Date.now() + START_MS;
   while (Date.now() < endMs) {
-    const status = await request(`http://${operator}/readyz`).then(
+    const status = await ask().then(
       async ({ statusCode, body }) => {
         await body.dump();
         return statusCode;
