Take the platform's health and load endpoints as hints

Cause: callers' views had a place for a load hint, but nothing filled it. A hint that comes late or lies must not steer work, so it was ruled out that the node refuses, ramps or ejects by it.

Change: with backend.health_path or backend.load_path set, a node polls them once a second (500 ms at most, 4 KB at most, never overlapping) and says the hint on answers in basilpin-load, whole per cent. "Unhealthy" is said as 100. An answer without a hint ends the one that was known. The connections of the poller come off those that calls may use.

Conclusion: a hint decides ties only; what the node saw decides the rest.

--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -21,6 +21,10 @@
 import { LinkClient } from "../platform/link/node/link_client.ts";
 import type { Announcement } from "../platform/membership/common/announcement.ts";
 import { isServiceKnown } from "../platform/routing/common/routing_state.ts";
+import {
+  HINT_CONNECTIONS,
+  HintPoller,
+} from "../platform/routing/node/hint_poller.ts";
 import { PeerClient } from "../platform/peer/node/peer_client.ts";
 import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
 import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
@@ -86,6 +90,7 @@
       TICK_MS,
     );
     this.#owned.defer(() => clearInterval(tick));
+    this.#startHints();
     this.#telemetry.record({ type: "ProcessStarted", role: "node" });
   }
 
@@ -181,8 +186,26 @@
     };
   }
 
+  /** The platform's endpoints are asked where the settings name them. */
+  #startHints(): void {
+    const { address, health_path, load_path } = this.#settings.backend;
+    if (!hasHints(this.#settings)) {
+      return;
+    }
+    const poller = this.#owned.use(
+      new HintPoller({
+        address,
+        healthPath: health_path,
+        loadPath: load_path,
+        onHint: (hint) => this.#loop.dispatch(hint),
+      }),
+    );
+    poller.start();
+  }
+
   #createCalls(dispatch: (event: NodeEvent) => void): CallServer {
     const { listen, backend } = this.#settings;
+    const hintConnections = hasHints(this.#settings) ? HINT_CONNECTIONS : 0;
     return new CallServer({
       listeners: {
         edge: parseAddress(listen.edge)!,
@@ -190,7 +213,7 @@
         ingress: parseAddress(listen.ingress)!,
       },
       dispatch,
-      connections: backend.connections,
+      connections: Math.max(1, backend.connections - hintConnections),
       tls: this.#security.tls,
       isEdgeTls: this.#security.isEdgeTls,
     });
@@ -301,6 +324,7 @@
       entryCalls: state.entries.size,
       running: state.admission.running.size,
       queued: state.admission.queue.length,
+      loadHint: state.loadHint ?? null,
       holderEpoch: state.claims.holder.voiceEpoch,
       keys: state.claims.holder.records.count,
     };
@@ -341,6 +365,10 @@
   }
 }
 
+function hasHints({ backend }: NodeSettings): boolean {
+  return backend.health_path !== undefined || backend.load_path !== undefined;
+}
+
 function createAnnouncement(settings: NodeSettings): Announcement {
   return {
     nodeId: settings.id,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -31,6 +31,11 @@
   );
 }
 
+const PATH = v.pipe(
+  v.string("a path"),
+  v.regex(/^\/[!-~]{0,255}$/, "a path that begins with /"),
+);
+
 const LOG = v.optional(
   v.strictObject({
     level: v.picklist(
@@ -86,6 +91,9 @@
     address: ADDRESS,
     slots: createCount(100_000),
     connections: createCount(1_000_000),
+    /** The platform's own endpoints of the backend server: hints only. */
+    health_path: v.optional(PATH),
+    load_path: v.optional(PATH),
   }),
   control: v.strictObject({
     replicas: v.pipe(
--- a/src/daemon/settings_reference.ts
+++ b/src/daemon/settings_reference.ts
@@ -34,6 +34,10 @@
   "backend.address": "The backend server beside the node",
   "backend.slots": "Requests that the backend server runs at a time",
   "backend.connections": "Connections that the backend server takes",
+  "backend.health_path":
+    "Answers 2xx while healthy; a hint that decides only ties",
+  "backend.load_path":
+    'Answers {"load": 0 to 1}; a hint that decides only ties',
   "control.replicas": "Link addresses of the control replicas, nearest first",
   "cluster.voters[].id": "Name of a voter; the first voter founds the set",
   "cluster.voters[].link": "Its link address",
--- a/src/platform/call/common/answers.ts
+++ b/src/platform/call/common/answers.ts
@@ -5,6 +5,7 @@
 import {
   DRAINING_HEADER,
   LEVEL_HEADER,
+  LOAD_HEADER,
   OUTCOME_HEADER,
   TOKENS_HEADER,
 } from "./call_context.ts";
@@ -29,6 +30,8 @@
   readonly isDraining?: boolean;
   /** Undefined: nothing is to be refused early. */
   readonly level?: AdmissionLevel | undefined;
+  /** What the platform's endpoints hint at, whole per cent. */
+  readonly load?: number | undefined;
 }
 
 /** When to come back after a "not run" that says no time of its own. */
@@ -62,11 +65,12 @@
 
 /** Writes signals as headers. */
 export function createSignalHeaders(signals: AnswerSignals): SignalHeaders {
-  const { outcome, tokens, isDraining, level } = signals;
+  const { outcome, tokens, isDraining, level, load } = signals;
   return {
     [OUTCOME_HEADER]: outcome,
     ...(tokens === undefined ? {} : { [TOKENS_HEADER]: String(tokens) }),
     ...(isDraining === true ? { [DRAINING_HEADER]: "1" } : {}),
     ...(level === undefined ? {} : { [LEVEL_HEADER]: encodeLevel(level) }),
+    ...(load === undefined ? {} : { [LOAD_HEADER]: String(load) }),
   };
 }
--- a/src/platform/call/common/call_context.ts
+++ b/src/platform/call/common/call_context.ts
@@ -12,6 +12,8 @@
 export const TOKENS_HEADER = "basilpin-tokens";
 /** Says on an answer that the node takes no new work. */
 export const DRAINING_HEADER = "basilpin-draining";
+/** Says on an answer the load hint of its backend server, whole per cent. */
+export const LOAD_HEADER = "basilpin-load";
 /** Every header of the system begins with this. */
 export const HEADER_PREFIX = "basilpin-";
 
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -10,6 +10,7 @@
   PeerMessage,
   PeerReply,
 } from "../../peer/common/peer_messages.ts";
+import type { HintReceived } from "../../routing/common/load_hint.ts";
 import type { RoutingEvent } from "../../routing/common/routing_reducer.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
@@ -48,6 +49,8 @@
   readonly isDraining: boolean;
   /** Admission level of the node that answered. */
   readonly level?: AdmissionLevel | undefined;
+  /** Load hint of its backend server, whole per cent. */
+  readonly hintedLoad?: number | undefined;
 }
 
 /** Whose timer fired. */
@@ -121,6 +124,7 @@
     readonly requestId: string;
     readonly reply: PeerReply | undefined;
   }
+  | HintReceived
   | RoutingEvent;
 
 /** How often a node ticks, in milliseconds. */
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -189,7 +189,8 @@
   }
   const isNotRun = result.type === "Refused";
   const kind = isNotRun ? "refused" : "failed";
-  const report = { result: kind, isDraining: false } as const;
+  const { loadHint: hintedLoad } = state;
+  const report = { result: kind, isDraining: false, hintedLoad } as const;
   const reported = reportAttempt(state, call, report, nowMs);
   const tokens = isNotRun ? call.attempt.tokens : 0;
   const next = settleAttempt(reported, exchangeId, { tokens, isNotRun });
--- a/src/platform/call/common/entry_state.ts
+++ b/src/platform/call/common/entry_state.ts
@@ -37,7 +37,7 @@
 export function reportAttempt(
   state: NodeState,
   call: EntryCall,
-  seen: Pick<AttemptReport, "result" | "isDraining">,
+  seen: Pick<AttemptReport, "result" | "isDraining" | "hintedLoad">,
   nowMs: number,
 ): NodeState {
   const attempt = call.attempt!;
@@ -48,6 +48,7 @@
     latencyMs: nowMs - attempt.startedAtMs,
     result: seen.result,
     isDraining: seen.isDraining,
+    hintedLoad: seen.hintedLoad,
   };
   return stepRouting(state, { type: "AttemptFinished", report }, nowMs);
 }
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -6,6 +6,7 @@
 } from "../../../base/common/reduction.ts";
 import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
 import type { ClaimReply } from "../../claims/common/claim_messages.ts";
+import { computeLoadHint } from "../../routing/common/load_hint.ts";
 import { isServiceKnown } from "../../routing/common/routing_state.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
@@ -88,6 +89,8 @@
       return answerPeer(state, event, nowMs);
     case "PeerReplied":
       return applyReply(state, event, deps);
+    case "HintReceived":
+      return createReduction({ ...state, loadHint: computeLoadHint(event) });
     case "MembersListed":
       return resumeEntries(
         stepRouting(state, event, nowMs),
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -118,6 +118,8 @@
   readonly settled: SettledAttempts;
   readonly retryBudget: RetryBudget;
   readonly routing: RoutingState;
+  /** Load hint of the local backend server, whole per cent. */
+  readonly loadHint: number | undefined;
   /** Services that are called, and so subscribed to. */
   readonly subscriptions: Subscriptions;
   readonly admission: AdmissionState;
@@ -149,6 +151,7 @@
       nodeId: self.nodeId,
       dataCentre: self.dataCentre,
     }),
+    loadHint: undefined,
     subscriptions: new Map(),
     admission: createAdmission(self.slots),
     levels: new Map(),
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -188,7 +188,8 @@
   const heard = { ...state, served, backendHeardMs: deps.nowMs };
   const step = stepAdmission(heard, event, deps);
   if (call.origin === "local") {
-    const returned = { ...answer, tokens: left };
+    const hintedLoad = state.loadHint;
+    const returned = { ...answer, tokens: left, hintedLoad };
     const result: LocalResult = { type: "Answered", answer: returned };
     return chainReduction(
       step,
@@ -200,6 +201,7 @@
     tokens: left,
     isDraining: state.self.isDraining,
     level: quoteLevel(state, call.row.kind, deps.nowMs),
+    load: state.loadHint,
   });
   const { exchangeId } = call;
   return appendEffects(step, {
@@ -469,6 +471,7 @@
     tokens: call.pool.left,
     isDraining: state.self.isDraining,
     level: quoteLevel(step.state, call.row.kind, deps.nowMs),
+    load: state.loadHint,
   };
   return appendEffects(step, createAnswer(call.exchangeId, answer, signals));
 }
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -11,6 +11,7 @@
   DRAINING_HEADER,
   encodeContext,
   LEVEL_HEADER,
+  LOAD_HEADER,
   OUTCOME_HEADER,
   TOKENS_HEADER,
 } from "../common/call_context.ts";
@@ -28,6 +29,7 @@
   flattenHeaders,
 } from "./answer_collector.ts";
 import type { SourceAnswer } from "./answer_collector.ts";
+import { decodeLoadHint } from "../../routing/common/load_hint.ts";
 import { copyHeaders } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
 import { RelayWatch } from "./relay_watch.ts";
@@ -328,5 +330,6 @@
     tokens: Number.isInteger(tokens) && tokens >= 0 ? tokens : 0,
     isDraining: answer.headers[DRAINING_HEADER] === "1",
     level: decodeLevel(String(answer.headers[LEVEL_HEADER] ?? "")),
+    hintedLoad: decodeLoadHint(String(answer.headers[LOAD_HEADER] ?? "")),
   };
 }
--- a/src/platform/routing/common/backend_view.ts
+++ b/src/platform/routing/common/backend_view.ts
@@ -24,7 +24,7 @@
   /** Ejections in a row; sets the next back-off. */
   readonly ejectionCount: number;
   readonly restoredAtMs: number;
-  /** Load by the platform's own endpoint: a hint that may mislead. */
+  /** Load by the platform's own endpoints, per cent: it may mislead. */
   readonly hintedLoad: number | undefined;
 }
 
@@ -44,7 +44,7 @@
   /** `cancelled`: given up on this side, by the caller or its deadline. */
   readonly result: "answered" | "refused" | "failed" | "cancelled";
   readonly isDraining: boolean;
-  /** Load hint that came with the answer. */
+  /** Load hint that came with the answer, per cent. */
   readonly hintedLoad?: number | undefined;
 }
 
@@ -110,6 +110,7 @@
   const { report, ratio } = seen;
   const { result } = report;
   const isOver = result !== "cancelled";
+  const hasAnswer = isOver && result !== "failed";
   const isTimed = result === "answered" || (!isOver && ratio > view.slowness);
   const failed = result === "failed" ? 1 : 0;
   const refused = result === "refused" ? 1 : 0;
@@ -122,7 +123,7 @@
     samples: view.samples + (isTimed ? 1 : 0),
     failures: isOver ? mix(view.failures, failed, RESULT_GAIN) : view.failures,
     refusals: isOver ? mix(view.refusals, refused, RESULT_GAIN) : view.refusals,
-    hintedLoad: report.hintedLoad ?? view.hintedLoad,
+    hintedLoad: hasAnswer ? report.hintedLoad : view.hintedLoad,
   };
 }
 
--- /dev/null
+++ b/src/platform/routing/node/hint_poller.ts
@@ -0,0 +1,92 @@
+/** Polls the platform's health and load endpoints of the local backend server. */
+import { Agent } from "undici";
+import type { HintReceived } from "../common/load_hint.ts";
+
+/** What is polled, and who hears of it. */
+export interface HintPollerOptions {
+  /** `host:port` of the backend server. */
+  readonly address: string;
+  /** Path that answers 2xx while the backend server is healthy. */
+  readonly healthPath: string | undefined;
+  /** Path that answers JSON with `load`, from 0 (idle) to 1 (full). */
+  readonly loadPath: string | undefined;
+  readonly onHint: (hint: HintReceived) => void;
+}
+
+/** Connections that the poller may hold at a time: one for each path. */
+export const HINT_CONNECTIONS = 2;
+const INTERVAL_MS = 1_000;
+/** A slower answer is none; shorter than the interval. */
+const TIMEOUT_MS = 500;
+const MAX_ANSWER_BYTES = 4_096;
+
+/** Owns the polling of one backend server. */
+export class HintPoller implements AsyncDisposable {
+  readonly #options: HintPollerOptions;
+  readonly #agent = new Agent({
+    connections: HINT_CONNECTIONS,
+    pipelining: 1,
+    maxResponseSize: MAX_ANSWER_BYTES,
+  });
+  #timer: NodeJS.Timeout | undefined;
+  #isClosed = false;
+
+  constructor(options: HintPollerOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to poll; the next poll waits until the last one has ended. */
+  start(): void {
+    this.#timer = setTimeout(async () => {
+      await this.#poll();
+      if (!this.#isClosed) {
+        this.start();
+      }
+    }, INTERVAL_MS);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#isClosed = true;
+    clearTimeout(this.#timer);
+    await this.#agent.destroy();
+  }
+
+  async #poll(): Promise<void> {
+    const { healthPath, loadPath, onHint } = this.#options;
+    const [health, load] = await Promise.all([
+      this.#fetch(healthPath),
+      this.#fetch(loadPath),
+    ]);
+    if (!this.#isClosed) {
+      const isHealthy = health?.isSuccess;
+      onHint({ type: "HintReceived", isHealthy, load: readLoad(load?.text) });
+    }
+  }
+
+  async #fetch(path: string | undefined) {
+    if (path === undefined) {
+      return undefined;
+    }
+    try {
+      const { statusCode, body } = await this.#agent.request({
+        origin: `http://${this.#options.address}`,
+        path,
+        method: "GET",
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      const text = await body.text();
+      return { isSuccess: statusCode >= 200 && statusCode < 300, text };
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+function readLoad(text: string | undefined): number | undefined {
+  try {
+    const { load } = JSON.parse(text ?? "");
+    return typeof load === "number" ? load : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/standin/backend.ts
+++ b/standin/backend.ts
@@ -31,6 +31,10 @@
   readonly crashPath: string;
   /** What `GET /load` reports; undefined for the truth. */
   readonly reportedLoad: number | undefined;
+  /** `GET /load` never answers. */
+  readonly isLoadFrozen: boolean;
+  /** What `GET /health` reports. */
+  readonly isHealthy: boolean;
 }
 
 /** What `GET /standin/runs` reports. */
@@ -52,6 +56,8 @@
   ignoresCancel: false,
   crashPath: "",
   reportedLoad: undefined,
+  isLoadFrozen: false,
+  isHealthy: true,
 };
 
 interface Options {
@@ -233,9 +239,14 @@
   response: ServerResponse,
 ): Promise<void> {
   switch (request.url) {
-    case "/health":
-      return writeJson(response, 200, { isHealthy: true });
+    case "/health": {
+      const { isHealthy } = behaviour;
+      return writeJson(response, isHealthy ? 200 : 503, { isHealthy });
+    }
     case "/load": {
+      if (behaviour.isLoadFrozen) {
+        return;
+      }
       const load = behaviour.reportedLoad ?? counts.running / slots;
       return writeJson(response, 200, { load });
     }
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -51,6 +51,8 @@
   readonly flags?: readonly string[];
   /** Paths called downstream by `METHOD /prefix`. */
   readonly downstream?: Readonly<Record<string, readonly string[]>>;
+  /** Has the node ask the endpoints of its backend server. */
+  readonly hasHints?: boolean;
   /** File that the node records its events to. */
   readonly trace?: string;
 }
@@ -76,6 +78,7 @@
 const START_MS = 15_000;
 const POLL_MS = 20;
 const MAX_LOG_LINES = 2_000;
+const HINT_PATHS = { health_path: "/health", load_path: "/load" };
 const VOTER_COUNTS = [5, 3, 1];
 
 /** Names a file of the test certificates, which are not built. */
@@ -167,7 +170,12 @@
       ...(options.advertise === undefined
         ? {}
         : { advertise: { ingress: options.advertise } }),
-      backend: { address: backendAddress, slots, connections: 400 },
+      backend: {
+        address: backendAddress,
+        slots,
+        connections: 400,
+        ...(options.hasHints === true ? HINT_PATHS : {}),
+      },
       control: { replicas: this.#controls.map((control) => control.link) },
       ...this.#createSecurity("node"),
       ...(options.trace === undefined
