Forget a load hint for which a backend server got no work

Cause: with one call at a time, costs are always a tie, so a hint of 100% kept all work away, and with it the answer that would have bettered the hint. The endpoint itself was ruled out: the starved node had the new hint.

Change: a hint counts for 2 s after its backend server's last answer.

Without the change the new test finds 0 attempts where some are due.

Conclusion: a lying hint moves idle work for 2 s at a time, never for good.

--- a/src/platform/routing/common/select_backend.ts
+++ b/src/platform/routing/common/select_backend.ts
@@ -25,6 +25,11 @@
  * this node saw it, differs by less than this.
  */
 export const TIE_RATIO = 1.1;
+/**
+ * A hint is forgotten when its backend server has answered nothing for so
+ * long: one that gets no work, for its hint's sake, could never better it.
+ */
+export const HINT_TTL_MS = 2_000;
 
 /** Selects the cheaper of two backend servers drawn by hash. */
 export function selectBackend(
@@ -104,8 +109,15 @@
   const costA = computeCost(a, slowestUsualMs, request.nowMs);
   const costB = computeCost(b, slowestUsualMs, request.nowMs);
   const isTie = costA <= costB * TIE_RATIO && costB <= costA * TIE_RATIO;
-  if (isTie && a.hintedLoad !== undefined && b.hintedLoad !== undefined) {
-    return a.hintedLoad <= b.hintedLoad ? a : b;
+  const hintA = findHint(a, request.nowMs);
+  const hintB = findHint(b, request.nowMs);
+  if (isTie && hintA !== undefined && hintB !== undefined) {
+    return hintA <= hintB ? a : b;
   }
   return costA <= costB ? a : b;
 }
+
+function findHint(view: BackendView, nowMs: number): number | undefined {
+  const isFresh = nowMs - view.seenAtMs < HINT_TTL_MS;
+  return isFresh ? view.hintedLoad : undefined;
+}
--- a/src/platform/routing/test/routing_test.ts
+++ b/src/platform/routing/test/routing_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { computeEjectionLimit } from "../common/ejection.ts";
-import { selectBackend } from "../common/select_backend.ts";
+import { HINT_TTL_MS, selectBackend } from "../common/select_backend.ts";
 import { chooseSubset, FAR_SIZE, NEAR_SIZE } from "../common/subset.ts";
 import { CLIENT, createMember, SERVICE, Simulation } from "./fakes.ts";
 
@@ -217,6 +217,20 @@
     expect(lying).to.be.below(1 / IDS.length);
   });
 
+  it("forgets a hint for which a backend server got no work", () => {
+    const simulation = new Simulation();
+    simulation.list([createMember("m-1"), createMember("m-2")]);
+    let hints: Readonly<Record<string, number>> = { "m-1": 0, "m-2": 100 };
+    // One attempt at a time, so that all is a tie.
+    simulation.serve = (id) => ({ takesMs: 1, hintedLoad: hints[id]! });
+    simulation.run(1_000);
+    const shunned = simulation.run(HINT_TTL_MS);
+    expect(share(shunned, "m-2")).to.be.within(0.0001, 0.1);
+    hints = { "m-1": 100, "m-2": 0 };
+    simulation.run(2 * HINT_TTL_MS);
+    expect(share(simulation.run(1_000), "m-2")).to.be.greaterThan(0.9);
+  });
+
   it("never returns to a backend server that the call tried", () => {
     const simulation = createSimulation();
     const { state, nowMs } = simulation;
