Hold the resends of each caller to a small budget

Cause: a caller that resends hard feeds the overload, and its resends counted as new requests at the edge. Retry tokens and the node's retry budget were ruled out: they bound what the system sends again, not what callers do.

Change: at the edge, the same Idempotency-Key, or the same x-request-id and target, from one caller (x-caller-id, else the remote address) is a resend. A caller has 10 and a tenth of its distinct requests in 10 to 20 s; beyond it a resend gets 429 with Retry-After at once, and the time line and the counter of refusals name it "resend". A first request is never refused by this. It is said to be "not run" only where its row is idempotent: the first one of the same key may have run, so the others are "unknown". At most two generations of 4,096 ids are kept.

Conclusion: within the budget a resend still gets the kept answer.

--- a/src/daemon/test/at_most_once_test.ts
+++ b/src/daemon/test/at_most_once_test.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import { encodeMessage } from "../../base/node/message_codec.ts";
 import { PEER_PATH } from "../../platform/peer/common/peer_messages.ts";
+import { RESEND_FLOOR } from "../../platform/retry/common/resend_budget.ts";
 import { Fleet, readRuns } from "../../../standin/fleet.ts";
 import type { HolderReport } from "../../platform/control/common/holders.ts";
 import type { FleetControl, FleetNode } from "../../../standin/fleet.ts";
@@ -120,6 +121,21 @@
     expect(await countRuns("k-1")).to.equal(1);
   });
 
+  it("gives resends the kept answer while their caller's budget lasts", async () => {
+    const headers = { "x-caller-id": "weighbridge" };
+    const first = await transfer(nodes[0]!, "k-resent", headers);
+    expect(first.status).to.equal(200);
+    for (let n = 0; n < RESEND_FLOOR; n += 1) {
+      const resent = await transfer(nodes[0]!, "k-resent", headers);
+      expect(resent).to.deep.equal(first);
+    }
+    const beyond = await transfer(nodes[0]!, "k-resent", headers);
+    expect([beyond.status, beyond.outcome]).to.deep.equal([429, "unknown"]);
+    const other = { "x-caller-id": "broker" };
+    expect(await transfer(nodes[0]!, "k-resent", other)).to.deep.equal(first);
+    expect(await countRuns("k-resent")).to.equal(1);
+  });
+
   it("refuses another request with the key of the first", async () => {
     await transfer(nodes[0]!, "k-2");
     const answer = await request(`http://${nodes[1]!.edge}/transfers`, {
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -38,6 +38,10 @@
   readonly admissionKey?: string | undefined;
   /** From the `Idempotency-Key` header; undefined without one. */
   readonly requestKey?: RequestKey;
+  /** Names the caller for its budget of resends; only at the edge. */
+  readonly caller?: string | undefined;
+  /** `x-request-id` and the target; undefined without that header. */
+  readonly requestId?: string;
 }
 
 /** The head of an answer to an attempt. */
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -1,6 +1,7 @@
 /** Opens entry calls: a root at the edge, a child at the egress. */
 import { setEntry } from "../../../base/common/maps.ts";
 import {
+  appendEffects,
   chainReduction,
   createReduction,
 } from "../../../base/common/reduction.ts";
@@ -18,6 +19,7 @@
 import { tryAttempt } from "./entry_attempts.ts";
 import { addChild, putEntry } from "./entry_state.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
+import { checkResend } from "./resend_step.ts";
 import type { NodeStep } from "./served_reducer.ts";
 
 type Opened =
@@ -54,9 +56,32 @@
     });
   }
   const refusal = checkKey(row, received.requestKey);
-  return refusal === undefined
-    ? openEntry(state, received, row, nowMs)
-    : answerUnread(state, received, refusal);
+  if (refusal !== undefined) {
+    return answerUnread(state, received, refusal);
+  }
+  const checked = checkResend(state, received, row, nowMs);
+  return checked.refusal === undefined
+    ? openEntry(checked.state, received, row, nowMs)
+    : refuseResend(checked.state, received, row, checked.refusal);
+}
+
+function refuseResend(
+  state: NodeState,
+  received: CallReceived,
+  row: TableRow,
+  refusal: OwnAnswer,
+): NodeStep {
+  const { kind, importance } = row;
+  return appendEffects(answerUnread(state, received, refusal), {
+    type: "RecordEvent",
+    event: {
+      type: "CallRefused",
+      requestId: received.exchangeId,
+      kind,
+      importance,
+      reason: "resend",
+    },
+  });
 }
 
 function openEntry(
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -7,6 +7,8 @@
 import type { NodeClaims } from "../../claims/common/node_claims.ts";
 import type { Subscriptions } from "../../link/common/subscriptions.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
+import { EMPTY_RESENDS } from "../../retry/common/resend_budget.ts";
+import type { ResendBudgets } from "../../retry/common/resend_budget.ts";
 import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
 import type { RetryBudget } from "../../retry/common/retry_budget.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
@@ -117,6 +119,8 @@
   /** Attempts that ended, were refused or were fenced here. */
   readonly settled: SettledAttempts;
   readonly retryBudget: RetryBudget;
+  /** Resends by the callers of this node. */
+  readonly resends: ResendBudgets;
   readonly routing: RoutingState;
   /** Load hint of the local backend server, whole per cent. */
   readonly loadHint: number | undefined;
@@ -147,6 +151,7 @@
     childrenOf: new Map(),
     settled: NO_SETTLED,
     retryBudget: EMPTY_BUDGET,
+    resends: EMPTY_RESENDS,
     routing: createRouting({
       nodeId: self.nodeId,
       dataCentre: self.dataCentre,
--- /dev/null
+++ b/src/platform/call/common/resend_step.ts
@@ -0,0 +1,63 @@
+/** Checks a call from outside against its caller's budget of resends. */
+import { computeRetryAfter } from "../../admission/common/retry_after.ts";
+import { reduceResendBudget } from "../../retry/common/resend_budget.ts";
+import type { TableRow } from "../../table/common/table_row.ts";
+import type { OwnAnswer } from "./answers.ts";
+import type { CallReceived } from "./call_events.ts";
+import type { NodeState } from "./node_state.ts";
+
+/** What the budget comes to. */
+export interface CheckedResend {
+  readonly state: NodeState;
+  /** Undefined: the call goes on. */
+  readonly refusal: OwnAnswer | undefined;
+}
+
+/** Longer ids aren't remembered, and so never refused. */
+const MAX_ID_LENGTH = 512;
+
+/**
+ * Counts a call against the budget; what names no caller or no id passes.
+ *
+ * This comes after the checks of the row, which cost nothing and whose answer
+ * no resend changes, and before the call is opened: a resend within the budget
+ * goes on to its key's holders and gets the kept answer. Beyond the budget it
+ * isn't "not run" unless it may run again without harm: the first one of the
+ * same key may have run, and a caller told otherwise might send a new one.
+ */
+export function checkResend(
+  state: NodeState,
+  received: CallReceived,
+  row: TableRow,
+  nowMs: number,
+): CheckedResend {
+  const { caller, exchangeId } = received;
+  const id = readId(received);
+  if (caller === undefined || id === undefined) {
+    return { state, refusal: undefined };
+  }
+  const type = "RequestReceived";
+  const step = reduceResendBudget(state.resends, { type, caller, id }, nowMs);
+  const next = { ...state, resends: step.state };
+  if (step.effects.length === 0) {
+    return { state: next, refusal: undefined };
+  }
+  const { pressure } = state.admission.level;
+  const refusal: OwnAnswer = {
+    status: 429,
+    outcome: row.idempotent ? "not-run" : "unknown",
+    message: "Refused: too many resends by this caller",
+    retryAfterMs: computeRetryAfter(exchangeId, pressure),
+  };
+  return { state: next, refusal };
+}
+
+/** One id may be on several requests of a caller: the target belongs to it. */
+function readId(received: CallReceived): string | undefined {
+  const { method, path, requestKey, requestId } = received;
+  const name = requestKey === undefined
+    ? requestId
+    : `key ${path} ${requestKey.key}`;
+  const isUsable = name !== undefined && name.length <= MAX_ID_LENGTH;
+  return isUsable ? `${method} ${name}` : undefined;
+}
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -54,6 +54,7 @@
 const REPLAY_BYTES = 64 * 1024;
 /** Largest message from another node. */
 const MAX_PEER_BYTES = 256 * 1024;
+const MAX_CALLER_LENGTH = 64;
 const KEEP_ALIVE_MS = 60_000;
 
 /** Owns the three listeners and the exchanges on them. */
@@ -271,6 +272,7 @@
       bodyBytes,
       isReplayable: body !== undefined,
       admissionKey: listener === "edge" ? readAdmissionKey(request) : undefined,
+      ...(listener === "edge" ? readSender(request) : {}),
       ...readRequestKey(request, body),
     });
   }
@@ -286,6 +288,20 @@
   return typeof key === "string" ? key : `${remoteAddress}:${remotePort}`;
 }
 
+/** What its caller's resends of a request are recognised by. */
+function readSender(
+  { headers, socket, url }: IncomingMessage,
+): Pick<CallReceived, "caller" | "requestId"> {
+  const name = headers["x-caller-id"];
+  const isNamed = typeof name === "string" && name !== "" &&
+    name.length <= MAX_CALLER_LENGTH;
+  const caller = isNamed ? `id ${name}` : `at ${socket.remoteAddress}`;
+  const id = headers["x-request-id"];
+  return typeof id === "string" && id !== ""
+    ? { caller, requestId: `${url} ${id}` }
+    : { caller };
+}
+
 /** The digest is of the length alone where the body isn't held whole. */
 function readRequestKey(
   request: IncomingMessage,
--- a/src/platform/telemetry/common/timeline_event.ts
+++ b/src/platform/telemetry/common/timeline_event.ts
@@ -62,13 +62,16 @@
     /** A `RefusalReason`, or a sentence. */
     readonly reason: string;
   }
-  /** Refused where it entered, since the backend servers would refuse it. */
+  /**
+   * Refused where it entered: the backend servers would refuse it (`early`),
+   * or its caller sends too much again (`resend`).
+   */
   | {
     readonly type: "CallRefused";
     readonly requestId: string;
     readonly kind: string;
     readonly importance: number;
-    readonly reason: "early";
+    readonly reason: "early" | "resend";
   }
   | {
     readonly type: "CallEnded";
