Refuse no resend of a request that isn't idempotent

Cause: the budget of resends refused a transfer's resend with 429, whatever its importance, while lookups were served, and its caller never got the kept answer of the key; "the last work refused" was broken by it (found in review). Conclusion: hard resends of lookups are held, those of transfers get their answer.

--- a/src/platform/call/common/resend_step.ts
+++ b/src/platform/call/common/resend_step.ts
@@ -20,10 +20,9 @@
  * Counts a call against the budget; what names no caller or no id passes.
  *
  * This comes after the checks of the row, which cost nothing and whose answer
- * no resend changes, and before the call is opened: a resend within the budget
- * goes on to its key's holders and gets the kept answer. Beyond the budget it
- * isn't "not run" unless it may run again without harm: the first one of the
- * same key may have run, and a caller told otherwise might send a new one.
+ * no resend changes, and before the call is opened. Rows that aren't idempotent
+ * have no such budget: they are the last work to be refused, a resend of a key
+ * never runs again, and whoever lost the first answer needs it.
  */
 export function checkResend(
   state: NodeState,
@@ -33,7 +32,7 @@
 ): CheckedResend {
   const { caller, exchangeId } = received;
   const id = readId(received);
-  if (caller === undefined || id === undefined) {
+  if (!row.idempotent || caller === undefined || id === undefined) {
     return { state, refusal: undefined };
   }
   const type = "RequestReceived";
@@ -45,7 +44,7 @@
   const { pressure } = state.admission.level;
   const refusal: OwnAnswer = {
     status: 429,
-    outcome: row.idempotent ? "not-run" : "unknown",
+    outcome: "not-run",
     message: "Refused: too many resends by this caller",
     retryAfterMs: computeRetryAfter(exchangeId, pressure),
   };
