Measure a node's memory alone

Cause: the memory part of bench:capacity ran only after ten minutes of control load, one process after the other, and never after a scrape.

--- a/bench/capacity_memory.ts
+++ b/bench/capacity_memory.ts
@@ -41,9 +41,13 @@
   ],
 ];
 
-/** Measures all kinds; each figure is a median over `runs` processes. */
+/**
+ * Measures all kinds; each figure is a median over `runs` processes. A quick
+ * run leaves the flags of the runtime as `basilpind` sets them.
+ */
 export async function measureMemory(
   runs: number,
+  isQuick = false,
 ): Promise<readonly MemoryFigure[]> {
   const figures: MemoryFigure[] = [
     await measureModules("bare runtime", [], runs),
@@ -54,7 +58,7 @@
     const name = `and with ${names.join(", ")}`;
     figures.push(await measureModules(name, loaded, runs));
   }
-  for (const flags of FLAG_SETS) {
+  for (const flags of isQuick ? [[]] : FLAG_SETS) {
     figures.push(...await measureNode(flags, runs));
   }
   return figures;
@@ -67,29 +71,34 @@
 ): Promise<MemoryFigure> {
   const imports = modules.map((module) => `import ${JSON.stringify(module)};`);
   const program = `${imports.join("")}setInterval(()=>{},1e6);`;
-  const values: number[] = [];
-  for (let run = 0; run < runs; run++) {
-    const child = spawn(
-      process.execPath,
-      ["--input-type=module", "-e", program],
-      { stdio: "ignore" },
-    );
-    const exited = once(child, "exit");
-    await sleep(SETTLE_MS);
-    values.push(readResidentMib(child.pid!));
-    child.kill("SIGKILL");
-    await exited;
-  }
+  const values = await Promise.all(
+    Array.from({ length: runs }, () => measureProgram(program)),
+  );
   return { name, mib: computeMedian(values) };
 }
 
-/** A node at rest, and one after requests. */
+async function measureProgram(program: string): Promise<number> {
+  const child = spawn(
+    process.execPath,
+    ["--input-type=module", "-e", program],
+    { stdio: "ignore" },
+  );
+  const exited = once(child, "exit");
+  await sleep(SETTLE_MS);
+  const mib = readResidentMib(child.pid!);
+  child.kill("SIGKILL");
+  await exited;
+  return mib;
+}
+
+/** A node at rest, one after requests, and that one after a scrape. */
 async function measureNode(
   flags: readonly string[],
   runs: number,
 ): Promise<readonly MemoryFigure[]> {
   const idle: number[] = [];
   const used: number[] = [];
+  const scraped: number[] = [];
   for (let run = 0; run < runs; run++) {
     await using fleet = new Fleet();
     await fleet.startControl("control-0", "kenitra-a");
@@ -107,6 +116,9 @@
     await runLoad({ url, workers: 4, requests: REQUESTS });
     await sleep(SETTLE_MS);
     used.push(readResidentMib(node.child.pid!));
+    await scrape(node.operator);
+    await sleep(SETTLE_MS);
+    scraped.push(readResidentMib(node.child.pid!));
   }
   const suffix = flags.length === 0 ? "" : ` ${flags.join(" ")}`;
   return [
@@ -115,5 +127,14 @@
       name: `node after ${REQUESTS} requests${suffix}`,
       mib: computeMedian(used),
     },
+    { name: `node scraped after that${suffix}`, mib: computeMedian(scraped) },
   ];
 }
+
+async function scrape(operator: string): Promise<void> {
+  const answer = await fetch(`http://${operator}/metrics`);
+  if (!answer.ok) {
+    throw new Error(`Scrape was answered with ${answer.status}`);
+  }
+  await answer.text();
+}
