Load only the modules of a process's role

Cause: basilpind imported control and its storage at a node, too. Change: each role's modules are imported once the settings name the role.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,9 +4,6 @@
 import { Command } from "commander";
 import { describeStorageError } from "../platform/storage/common/storage_error.ts";
 import type { StorageError } from "../platform/storage/common/storage_error.ts";
-import { openDataFolder } from "../platform/storage/node/data_folder.ts";
-import { ControlDaemon } from "./control_daemon.ts";
-import { NodeDaemon } from "./node_daemon.ts";
 import { readSecurity } from "./security.ts";
 import type { Security } from "./security.ts";
 import { readSettings } from "./settings.ts";
@@ -22,13 +19,19 @@
   drain(): Promise<void>;
 }
 
+/** Loads the modules of one role only: a node has little memory to spare. */
 async function createDaemon(
   settings: Settings,
   security: Security,
 ): Promise<Daemon> {
   if (settings.role === "node") {
+    const { NodeDaemon } = await import("./node_daemon.ts");
     return new NodeDaemon(settings, security);
   }
+  const { ControlDaemon } = await import("./control_daemon.ts");
+  const { openDataFolder } = await import(
+    "../platform/storage/node/data_folder.ts"
+  );
   const folder = await openDataFolder(settings.data_folder, settings.id);
   if (folder.isErr()) {
     return failStorage(folder.error);
