Keep members by service in the presence state

Cause: each subscription scanned all members; at 12,000 of them a mass move is a burst of subscriptions. Ruled out: a cache beside the state, which a replay would not have. The layer check now also reads imports of the form import("..."), which it passed over. Conclusion: subscriptions no longer scan. An announcement still copies the map of all members, and that is now the greater cost of a mass move.

--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -16,8 +16,9 @@
   cli: 2,
   mod: 3,
 };
-const IMPORT = /(?:from|import)\s+"(\.[^"]+)"/g;
-const BUILTIN_IO = /from\s+"(node:(?:fs|http|net|tls|child_process)[^"]*)"/g;
+const IMPORT = /(?:from|import)\s*\(?\s*"(\.[^"]+)"/g;
+const BUILTIN_IO =
+  /(?:from|import)\s*\(?\s*"(node:(?:fs|http|net|tls|child_process)[^"]*)"/g;
 
 function listFiles(folder: string): readonly string[] {
   return readdirSync(folder).flatMap((name) => {
--- a/src/platform/membership/common/membership_state.ts
+++ b/src/platform/membership/common/membership_state.ts
@@ -1,5 +1,6 @@
 /** Presence as one control replica holds it. */
 import type { Announcement } from "./announcement.ts";
+import type { MemberIndex } from "./member_index.ts";
 import type { Presence } from "./presence_messages.ts";
 
 /** A node whose lease runs, and the replica that hears it. */
@@ -36,6 +37,8 @@
   /** Counts the changes of the nodes that this replica hears. */
   readonly sequence: number;
   readonly members: ReadonlyMap<string, Member>;
+  /** The same members by service. */
+  readonly index: MemberIndex;
   readonly direct: ReadonlyMap<string, DirectNode>;
   readonly owners: ReadonlyMap<string, Owner>;
 }
@@ -66,6 +69,7 @@
     beat: 0,
     sequence: 0,
     members: new Map(),
+    index: new Map(),
     direct: new Map(),
     owners: new Map(),
   };
@@ -81,9 +85,7 @@
   state: MembershipState,
   service: string,
 ): readonly Announcement[] {
-  return [...state.members.values()]
-    .map((member) => member.announcement)
-    .filter((announcement) => announcement.service === service);
+  return [...state.index.get(service)?.values() ?? []];
 }
 
 /** Whether a node that isn't listed is no member. */
--- a/src/platform/membership/common/presence.ts
+++ b/src/platform/membership/common/presence.ts
@@ -7,6 +7,8 @@
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
 import { isNewerAnnouncement } from "./announcement.ts";
 import type { Announcement } from "./announcement.ts";
+import { updateIndex } from "./member_index.ts";
+import type { IndexChange } from "./member_index.ts";
 import {
   FORGET_OWNER_MS,
   isOwnerHeard,
@@ -75,11 +77,13 @@
   const members = new Map(state.members);
   const direct = new Map(state.direct);
   const effects: MembershipEffect[] = [];
+  const moved: IndexChange[] = [];
   for (const nodeId of change.removed) {
     const member = members.get(nodeId);
     if (member?.owner === owner) {
       const { service } = member.announcement;
       members.delete(nodeId);
+      moved.push({ before: member.announcement, after: undefined });
       effects.push({ type: "PublishMemberLoss", nodeId, service });
     }
   }
@@ -89,6 +93,7 @@
     const current = members.get(nodeId);
     if (isNewerPresence(presence, current)) {
       members.set(nodeId, { announcement, linkNumber, owner });
+      moved.push({ before: current?.announcement, after: announcement });
       if (owner !== state.self) {
         direct.delete(nodeId);
       }
@@ -97,7 +102,8 @@
       }
     }
   }
-  return createReduction({ ...state, members, direct }, effects);
+  const index = updateIndex(state.index, moved);
+  return createReduction({ ...state, members, index, direct }, effects);
 }
 
 /** Takes a message of another replica. */
