Replicate the holder sets in the log of the table

Cause: each control replica kept holder sets and their epochs to itself, so that three replicas made three sets and a restart began at epoch 1 again. A faulty write was ruled out: the sets were in no log at all.

The leader plans at each tick, a follower forwards reports, and nodes are told committed sets only. A plan names the epoch that it was made from, and a node passes over older proposed sets too.

--- a/src/daemon/control_requests.ts
+++ b/src/daemon/control_requests.ts
@@ -1,7 +1,7 @@
 /** Operators' requests that wait for the replicated state. */
 import type { EditResult } from "../platform/link/common/cluster_messages.ts";
-import { encodeEdit } from "../platform/table/common/table_codec.ts";
 import type { TableEdit } from "../platform/table/common/table_reducer.ts";
+import { encodeCommand } from "../platform/control/common/replicated_codec.ts";
 import { MAX_EDIT_BYTES } from "../platform/control/common/replication_state.ts";
 import type { ReplicationEvent } from "../platform/control/common/replication_state.ts";
 import { parseEditBody } from "./edit_body.ts";
@@ -31,7 +31,8 @@
       async ({ editId, change }) => {
         const { operator } = request;
         const edit = { editId, operator, atMs: Date.now(), change };
-        if (encodeEdit(edit).length > MAX_EDIT_BYTES) {
+        const payload = encodeCommand({ type: "TableEdited", edit });
+        if (payload.length > MAX_EDIT_BYTES) {
           const message = `Edit is over ${MAX_EDIT_BYTES} bytes`;
           return { status: 400, body: { message } };
         }
--- a/src/platform/claims/common/holder_set_reducer.ts
+++ b/src/platform/claims/common/holder_set_reducer.ts
@@ -1,4 +1,4 @@
-/** Decides which nodes hold the keys of a service; to be replicated. */
+/** Decides which nodes hold the keys of a service; it is replicated. */
 import { hashText } from "../../../base/common/hash.ts";
 import { countMajority } from "./claim_types.ts";
 import type { Holder, HolderSet, HolderSets } from "./claim_types.ts";
@@ -22,6 +22,8 @@
     readonly type: "HolderSetProposed";
     readonly service: string;
     readonly members: readonly Holder[];
+    /** The last epoch that the plan was made from; 0 for none. */
+    readonly fromEpoch: number;
   }
   | {
     readonly type: "HolderCopied";
@@ -34,14 +36,19 @@
 /** Most holders of a service. */
 export const MAX_HOLDERS = 3;
 
-/** Applies a command; the same on every replica. */
+/**
+ * Applies a command; the same on every replica. A plan that was made from
+ * other sets than the present ones changes nothing.
+ */
 export function applyHolderCommand(
   current: ServiceHolders | undefined,
   command: HolderCommand,
 ): ServiceHolders | undefined {
   switch (command.type) {
     case "HolderSetProposed":
-      return proposeSet(current, command.service, command.members);
+      return command.fromEpoch === (current?.lastEpoch ?? 0)
+        ? proposeSet(current, command.service, command.members)
+        : current;
     case "HolderCopied":
       return current && activateSet(current, command);
   }
@@ -70,6 +77,16 @@
   return isWhole ? undefined : chooseHolders({ service, live, staying, size });
 }
 
+/** Whether all of some holders are among others. */
+export function hasHolders(
+  members: readonly Holder[],
+  some: readonly Holder[],
+): boolean {
+  return some.every((one) =>
+    members.some((member) => isSameStart(member, one))
+  );
+}
+
 function proposeSet(
   current: ServiceHolders | undefined,
   service: string,
--- a/src/platform/claims/common/node_claims.ts
+++ b/src/platform/claims/common/node_claims.ts
@@ -83,12 +83,19 @@
   sets: HolderSets,
   self: SelfHolder,
 ): NodeClaimStep {
-  if (sets.active.epoch < (claims.sets?.active.epoch ?? 0)) {
+  if (claims.sets !== undefined && isOlder(sets, claims.sets)) {
     return createReduction(claims);
   }
   return followHolders({ ...claims, sets }, self);
 }
 
+/** Both epochs only grow: a replica that is behind tells older ones. */
+function isOlder(sets: HolderSets, known: HolderSets): boolean {
+  const isSameActive = sets.active.epoch === known.active.epoch;
+  return sets.active.epoch < known.active.epoch ||
+    isSameActive && (sets.proposed?.epoch ?? 0) < (known.proposed?.epoch ?? 0);
+}
+
 /** Answers another node. */
 export function answerClaimMessage(
   claims: NodeClaims,
--- a/src/platform/claims/test/claim_model.ts
+++ b/src/platform/claims/test/claim_model.ts
@@ -327,6 +327,7 @@
         type: "HolderSetProposed",
         service: SERVICE,
         members,
+        fromEpoch: this.#sets?.lastEpoch ?? 0,
       });
     }
   }
--- a/src/platform/claims/test/holder_test.ts
+++ b/src/platform/claims/test/holder_test.ts
@@ -46,6 +46,7 @@
     type: "HolderSetProposed",
     service: SERVICE,
     members,
+    fromEpoch: current?.lastEpoch ?? 0,
   });
 }
 
--- a/src/platform/control/common/consensus_step.ts
+++ b/src/platform/control/common/consensus_step.ts
@@ -10,13 +10,17 @@
 } from "../../consensus/common/consensus_events.ts";
 import { reduceConsensus } from "../../consensus/common/consensus_reducer.ts";
 import type { Configuration } from "../../consensus/common/log_types.ts";
-import {
-  decodeEdit,
-  decodeTableState,
-  encodeTableState,
-} from "../../table/common/table_codec.ts";
 import { applyEdit } from "../../table/common/table_reducer.ts";
+import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
 import { commitEdit, retryEdit } from "./edit_requests.ts";
+import { settleProposal } from "./holder_settling.ts";
+import { commitHolders } from "./holders.ts";
+import {
+  decodeCommand,
+  decodeReplicated,
+  encodeReplicated,
+} from "./replicated_codec.ts";
+import type { ReplicatedCommand } from "./replicated_codec.ts";
 import { getSettingsId } from "./replication_state.ts";
 import type {
   ReplicationEffect,
@@ -61,21 +65,26 @@
     case "ApplyEntries":
       return applyCommands(state, effect.commands);
     case "InstallSnapshot": {
-      const tableState = decodeTableState(effect.snapshot.payload);
-      return createReduction({ ...state, tableState });
+      const replicated = decodeReplicated(effect.snapshot.payload);
+      return createReduction({ ...state, ...replicated });
     }
     case "TakeSnapshot": {
       const { lastIndex } = effect;
-      const payload = encodeTableState(state.tableState);
+      const payload = encodeReplicated(state);
       const taken = { type: "SnapshotTaken", lastIndex, payload } as const;
       return stepConsensus(state, taken, nowMs);
     }
     case "ProposalCommitted":
-      return commitEdit(state, effect.requestId);
+      return commitEdit(
+        settleProposal(state, effect.requestId),
+        effect.requestId,
+      );
     case "ProposalFailed":
-      return retryEdit(state, effect.requestId, {
-        isUnknown: effect.failure.type === "OutcomeUnknown",
-      });
+      return retryEdit(
+        settleProposal(state, effect.requestId),
+        effect.requestId,
+        { isUnknown: effect.failure.type === "OutcomeUnknown" },
+      );
     case "ReadReady":
       return finishRead(state, effect.requestId);
     case "ReadFailed":
@@ -104,31 +113,57 @@
   };
 }
 
-/** The leader alone records what was accepted, so that it is told once. */
 function applyCommands(
   state: ReplicationState,
   commands: readonly CommittedCommand[],
 ): ReplicationStep {
-  const isLeader = state.consensus.role.type === "Leader";
-  let { tableState } = state;
-  const effects: ReplicationEffect[] = [];
-  for (const { payload } of commands) {
-    const edit = decodeEdit(payload);
-    const before = tableState.table.version;
-    tableState = applyEdit(tableState, edit).state;
-    const { version } = tableState.table;
-    if (isLeader && version > before) {
-      const { editId, operator } = edit;
-      const event = {
-        type: "EditAccepted",
-        version,
-        editId,
-        operator,
-      } as const;
-      effects.push({ type: "RecordEvent", event });
-    }
+  return commands.reduce<ReplicationStep>(
+    (step, { payload }) =>
+      chainReduction(step, (s) => applyCommand(s, decodeCommand(payload))),
+    createReduction(state),
+  );
+}
+
+/** The leader alone records what was accepted, so that it is told once. */
+function applyCommand(
+  state: ReplicationState,
+  command: ReplicatedCommand,
+): ReplicationStep {
+  const next = command.type === "TableEdited"
+    ? { ...state, tableState: applyEdit(state.tableState, command.edit).state }
+    : { ...state, holders: commitHolders(state.holders, command) };
+  const events = state.consensus.role.type === "Leader"
+    ? listEvents(state, next, command)
+    : [];
+  return createReduction(
+    next,
+    events.map((event): ReplicationEffect => ({ type: "RecordEvent", event })),
+  );
+}
+
+function listEvents(
+  before: ReplicationState,
+  state: ReplicationState,
+  command: ReplicatedCommand,
+): readonly TimelineEvent[] {
+  if (command.type === "TableEdited") {
+    const { editId, operator } = command.edit;
+    const { version } = state.tableState.table;
+    return version > before.tableState.table.version
+      ? [{ type: "EditAccepted", version, editId, operator }]
+      : [];
   }
-  return createReduction({ ...state, tableState }, effects);
+  const { service } = command;
+  const { epoch, members } = state.holders.get(service)?.active ?? {};
+  return epoch === undefined ||
+      epoch === before.holders.get(service)?.active.epoch
+    ? []
+    : [{
+      type: "HoldersChanged",
+      service,
+      epoch,
+      nodeIds: members?.map(({ nodeId }) => nodeId) ?? [],
+    }];
 }
 
 function recordLeader(
--- a/src/platform/control/common/control_reducer.ts
+++ b/src/platform/control/common/control_reducer.ts
@@ -13,7 +13,7 @@
   ControlState,
   ControlStep,
 } from "./control_state.ts";
-import { acceptCopy, stepHolders } from "./holders.ts";
+import { replaceHolders, tellHolders } from "./holder_push.ts";
 import {
   createHeartbeatAnswer,
   createMemberList,
@@ -35,15 +35,6 @@
   state: ControlState,
   event: ControlEvent,
   nowMs: number,
-): ControlStep {
-  const step = reduceEvent(state, event, nowMs);
-  return chainReduction(step, (next) => stepHolders(state, next, event));
-}
-
-function reduceEvent(
-  state: ControlState,
-  event: ControlEvent,
-  nowMs: number,
 ): ControlStep {
   switch (event.type) {
     case "NodeMessageReceived":
@@ -57,6 +48,8 @@
       });
     case "TableReplaced":
       return replaceTable(state, event, nowMs);
+    case "HoldersReplaced":
+      return replaceHolders(state, event.holders);
     case "DrainOrdered":
       return orderDrain(state, event.nodeId);
     case "Ticked":
@@ -84,7 +77,7 @@
     case "Heartbeat":
       return renew(state, linkId, message, nowMs);
     case "ReportCopied":
-      return createReduction(acceptCopy(state, link.nodeId, message));
+      return createReduction(state);
     case "TableFetch": {
       const { tableVersion: fromVersion } = message;
       return sendTable(state, linkId, { fromVersion, nowMs });
@@ -103,11 +96,14 @@
   nowMs: number,
 ): ControlStep {
   const { announcement, linkNumber, tableVersion } = message;
-  const { nodeId } = announcement;
+  const { nodeId, service } = announcement;
   const isNewLink = state.links.get(linkId)?.nodeId === undefined;
-  const next = updateLink(state, linkId, { nodeId, tableVersion });
+  const next = updateLink(state, linkId, { nodeId, service, tableVersion });
   const step: ControlStep = isNewLink
-    ? sendTable(next, linkId, { fromVersion: tableVersion, nowMs })
+    ? chainReduction(
+      sendTable(next, linkId, { fromVersion: tableVersion, nowMs }),
+      (s) => tellHolders(s, linkId),
+    )
     : createReduction(next);
   const event: MembershipEvent = {
     type: "NodeAnnounced",
--- a/src/platform/control/common/control_state.ts
+++ b/src/platform/control/common/control_state.ts
@@ -11,15 +11,17 @@
   PresenceChannel,
   PresenceMessage,
 } from "../../membership/common/presence_messages.ts";
-import type { ServiceHolders } from "../../claims/common/holder_set_reducer.ts";
 import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
 import type { TableState } from "../../table/common/table_reducer.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+import type { HoldersState } from "./holders.ts";
 
 /** One node's link to this replica. */
 export interface Link {
   readonly nodeId: string | undefined;
+  /** The node's own. */
+  readonly service: string | undefined;
   readonly services: readonly string[];
   /** Version that the node confirmed to be in force. */
   readonly tableVersion: number;
@@ -29,9 +31,6 @@
   readonly sentAtMs: number;
 }
 
-/** The holder sets by service. */
-export type HoldersState = ReadonlyMap<string, ServiceHolders>;
-
 /** All that a control replica knows. */
 export interface ControlState {
   readonly tableState: TableState;
@@ -43,7 +42,7 @@
   /** Whether subscribers were sent complete lists since the start. */
   readonly isWarm: boolean;
   readonly links: ReadonlyMap<number, Link>;
-  /** The nodes that keep claims, by service. */
+  /** The nodes that keep claims, by service, as committed. */
   readonly holders: HoldersState;
 }
 
@@ -67,6 +66,8 @@
     /** Whether a quorum vouched for it lately. */
     readonly isCurrent: boolean;
   }
+  /** Committed changes of the holder sets. */
+  | { readonly type: "HoldersReplaced"; readonly holders: HoldersState }
   | { readonly type: "DrainOrdered"; readonly nodeId: string }
   | { readonly type: "Ticked" };
 
@@ -92,6 +93,7 @@
 /** A link that said nothing yet. */
 export const NEW_LINK: Link = {
   nodeId: undefined,
+  service: undefined,
   services: [],
   tableVersion: 0,
   sentVersion: 0,
--- a/src/platform/control/common/edit_sending.ts
+++ b/src/platform/control/common/edit_sending.ts
@@ -5,10 +5,10 @@
   createReduction,
 } from "../../../base/common/reduction.ts";
 import { findLeader } from "../../consensus/common/term.ts";
-import { encodeEdit } from "../../table/common/table_codec.ts";
 import type { TableEdit } from "../../table/common/table_reducer.ts";
 import { stepConsensus } from "./consensus_step.ts";
 import { retryEdit } from "./edit_requests.ts";
+import { encodeCommand } from "./replicated_codec.ts";
 import {
   getRequestId,
   getSettingsId,
@@ -83,7 +83,10 @@
   const sent = { ...pending, sentTo: leaderId, sentAtMs: nowMs, isUnknown };
   const next = { ...state, edits: setEntry(state.edits, requestId, sent) };
   if (leaderId === replicaId) {
-    const payload = encodeEdit({ ...pending.edit, atMs: nowMs });
+    const payload = encodeCommand({
+      type: "TableEdited",
+      edit: { ...pending.edit, atMs: nowMs },
+    });
     const event = { type: "PayloadProposed", requestId, payload } as const;
     return stepConsensus(next, event, nowMs);
   }
--- /dev/null
+++ b/src/platform/control/common/holder_proposals.ts
@@ -0,0 +1,62 @@
+/** Changes of the holder sets on their way into the replicated log. */
+import { setEntry } from "../../../base/common/maps.ts";
+import { createReduction } from "../../../base/common/reduction.ts";
+import type { HolderCommand } from "../../claims/common/holder_set_reducer.ts";
+import { findLeader } from "../../consensus/common/term.ts";
+import { stepConsensus } from "./consensus_step.ts";
+import { commitHolders } from "./holders.ts";
+import { encodeCommand } from "./replicated_codec.ts";
+import { getRequestId, getSettingsId } from "./replication_state.ts";
+import type { ReplicationState, ReplicationStep } from "./replication_state.ts";
+
+/**
+ * Proposes a command where this replica leads, else forwards it to who does.
+ * It may be lost on the way: a node reports, and the leader plans, again.
+ */
+export function startHolderCommand(
+  state: ReplicationState,
+  command: HolderCommand,
+  nowMs: number,
+): ReplicationStep {
+  const leaderId = findLeader(state.consensus);
+  if (leaderId === undefined || leaderId === state.consensus.replicaId) {
+    return proposeCommand(state, command, nowMs);
+  }
+  const peer = getSettingsId(leaderId);
+  const message = { type: "HolderForward", command } as const;
+  return createReduction(state, [{ type: "SendToPeer", peer, message }]);
+}
+
+/** Proposes a command, unless it changes nothing or is on its way already. */
+export function proposeCommand(
+  state: ReplicationState,
+  command: HolderCommand,
+  nowMs: number,
+): ReplicationStep {
+  const name = createName(command);
+  const isNeeded = state.consensus.role.type === "Leader" &&
+    commitHolders(state.holders, command) !== state.holders &&
+    ![...state.holderProposals.values()].includes(name);
+  if (!isNeeded) {
+    return createReduction(state);
+  }
+  const requestId = getRequestId(state);
+  const next: ReplicationState = {
+    ...state,
+    holderProposals: setEntry(state.holderProposals, requestId, name),
+    nextRequest: state.nextRequest + 1,
+  };
+  const payload = encodeCommand(command);
+  const event = { type: "PayloadProposed", requestId, payload } as const;
+  return stepConsensus(next, event, nowMs);
+}
+
+function createName(command: HolderCommand): string {
+  const { type, service } = command;
+  switch (type) {
+    case "HolderSetProposed":
+      return `${type}/${service}`;
+    case "HolderCopied":
+      return `${type}/${service}/${command.epoch}/${command.nodeId}`;
+  }
+}
--- a/src/platform/control/common/holders.ts
+++ b/src/platform/control/common/holders.ts
@@ -1,26 +1,13 @@
-/**
- * Keeps each service's holder sets and tells its nodes. A change is a command
- * that is applied here at once; a replicated log would carry the same ones.
- */
+/** The holder sets of all services, as the replicated log makes them. */
 import { setEntry } from "../../../base/common/maps.ts";
-import { createReduction } from "../../../base/common/reduction.ts";
-import {
-  applyHolderCommand,
-  planHolders,
-} from "../../claims/common/holder_set_reducer.ts";
+import { applyHolderCommand } from "../../claims/common/holder_set_reducer.ts";
 import type {
   HolderCommand,
   ServiceHolders,
 } from "../../claims/common/holder_set_reducer.ts";
-import type { NodeMessage } from "../../link/common/link_messages.ts";
-import { listMembers } from "../../membership/common/membership_state.ts";
-import type {
-  ControlEffect,
-  ControlEvent,
-  ControlState,
-  ControlStep,
-  HoldersState,
-} from "./control_state.ts";
+
+/** The holder sets by service. */
+export type HoldersState = ReadonlyMap<string, ServiceHolders>;
 
 /** What operators see of one service's holders. */
 export interface HolderReport {
@@ -42,7 +29,7 @@
   }));
 }
 
-/** Applies a command to the holder sets. */
+/** Applies a command; one that changes nothing returns the same state. */
 export function commitHolders(
   holders: HoldersState,
   command: HolderCommand,
@@ -54,135 +41,3 @@
     ? holders
     : setEntry(holders, service, next);
 }
-
-/** A node of the proposed set has copied. */
-export function acceptCopy(
-  state: ControlState,
-  nodeId: string | undefined,
-  report: Extract<NodeMessage, { type: "ReportCopied" }>,
-): ControlState {
-  const member = state.membership.members.get(nodeId ?? "");
-  if (member === undefined) {
-    return state;
-  }
-  const { service, epoch } = report;
-  const { incarnation } = member.announcement;
-  const holders = commitHolders(state.holders, {
-    type: "HolderCopied",
-    service,
-    epoch,
-    nodeId: member.announcement.nodeId,
-    incarnation,
-  });
-  return { ...state, holders };
-}
-
-/** Plans where members came or went, and tells nodes what changed. */
-export function stepHolders(
-  before: ControlState,
-  state: ControlState,
-  event: ControlEvent,
-): ControlStep {
-  const services = listAffected(before, state, event);
-  let { holders } = state;
-  for (const service of services) {
-    const nodes = listMembers(state.membership, service);
-    const members = planHolders(holders.get(service), nodes, service);
-    holders = members === undefined ? holders : commitHolders(holders, {
-      type: "HolderSetProposed",
-      service,
-      members,
-    });
-  }
-  const next = { ...state, holders };
-  const updates = services.flatMap((service) =>
-    tellMoved(before, next, service)
-  );
-  return createReduction(next, [...updates, ...tellNew(before, next, event)]);
-}
-
-/** Services of which a node came, went or said something of itself. */
-function listAffected(
-  before: ControlState,
-  state: ControlState,
-  event: ControlEvent,
-): readonly string[] {
-  const old = before.membership.members;
-  const now = state.membership.members;
-  if (event.type === "Ticked" && old.size !== now.size) {
-    const lost = [...old].filter(([nodeId]) => !now.has(nodeId));
-    return [
-      ...new Set(lost.map(([, member]) => member.announcement.service)),
-    ];
-  }
-  if (event.type !== "NodeMessageReceived") {
-    return [];
-  }
-  const { message, linkId } = event;
-  switch (message.type) {
-    case "Announce":
-      return [message.announcement.service];
-    case "ReportCopied":
-      return [message.service];
-    case "Leave": {
-      const nodeId = before.links.get(linkId)?.nodeId ?? "";
-      const service = old.get(nodeId)?.announcement.service;
-      return service === undefined ? [] : [service];
-    }
-    default:
-      return [];
-  }
-}
-
-function tellMoved(
-  before: ControlState,
-  state: ControlState,
-  service: string,
-): readonly ControlEffect[] {
-  const holders = state.holders.get(service);
-  if (holders === undefined || holders === before.holders.get(service)) {
-    return [];
-  }
-  return [...state.links]
-    .filter(([, link]) => findService(state, link.nodeId) === service)
-    .map(([linkId]) => createUpdate(linkId, holders));
-}
-
-function tellNew(
-  before: ControlState,
-  state: ControlState,
-  event: ControlEvent,
-): readonly ControlEffect[] {
-  const isAnnounced = event.type === "NodeMessageReceived" &&
-    event.message.type === "Announce";
-  if (!isAnnounced) {
-    return [];
-  }
-  const { linkId } = event;
-  const { service } = event.message.announcement;
-  const holders = state.holders.get(service);
-  const isNew = before.links.get(linkId)?.nodeId === undefined;
-  return isNew && holders !== undefined &&
-      holders === before.holders.get(service)
-    ? [createUpdate(linkId, holders)]
-    : [];
-}
-
-function findService(
-  state: ControlState,
-  nodeId: string | undefined,
-): string | undefined {
-  return state.membership.members.get(nodeId ?? "")?.announcement.service;
-}
-
-function createUpdate(
-  linkId: number,
-  holders: ServiceHolders,
-): ControlEffect {
-  const { active, proposed } = holders;
-  const message = {
-    type: "HolderSetUpdate",
-    sets: { active, proposed },
-  } as const;
-  return { type: "SendToLink", linkId, message };
-}
--- a/src/platform/control/common/replica_reducer.ts
+++ b/src/platform/control/common/replica_reducer.ts
@@ -4,12 +4,14 @@
   createReduction,
 } from "../../../base/common/reduction.ts";
 import type { Reduction } from "../../../base/common/reduction.ts";
+import type { HolderCommand } from "../../claims/common/holder_set_reducer.ts";
 import { reduceControl } from "./control_reducer.ts";
 import type {
   ControlEffect,
   ControlEvent,
   ControlState,
 } from "./control_state.ts";
+import { planChanges, readCopy } from "./holder_planning.ts";
 import { reduceReplication } from "./replication_reducer.ts";
 import { isConfirmed } from "./replication_state.ts";
 import type {
@@ -43,9 +45,9 @@
   event: ReplicaEvent,
   nowMs: number,
 ): ReplicaStep {
-  const expired = publishTable(state, nowMs);
+  const expired = publish(state, nowMs);
   const stepped = chainReduction(expired, (s) => step(s, event, nowMs));
-  return chainReduction(stepped, (s) => publishTable(s, nowMs));
+  return chainReduction(stepped, (s) => publish(s, nowMs));
 }
 
 function step(
@@ -58,6 +60,7 @@
     case "PersistCompleted":
     case "FoundingStored":
     case "EditRequested":
+    case "HolderChangeRequested":
     case "TableReadRequested":
     case "StopPlanned":
     case "ReplicationTicked": {
@@ -67,11 +70,70 @@
     }
     default: {
       const done = reduceControl(state.control, event, nowMs);
-      return createReduction({ ...state, control: done.state }, done.effects);
+      const next = { ...state, control: done.state };
+      return chainReduction(
+        createReduction<ReplicaState, ReplicaEffect>(next, done.effects),
+        (s) => requestChanges(s, event, nowMs),
+      );
     }
   }
 }
 
+/** Requests what a node's report, or presence as it is now, comes to. */
+function requestChanges(
+  state: ReplicaState,
+  event: ControlEvent,
+  nowMs: number,
+): ReplicaStep {
+  const commands = listChanges(state, event, nowMs);
+  return commands.reduce<ReplicaStep>(
+    (done, command) =>
+      chainReduction(
+        done,
+        (s) => step(s, { type: "HolderChangeRequested", command }, nowMs),
+      ),
+    createReduction(state),
+  );
+}
+
+/**
+ * The leader plans at each tick, so that changes of its own nodes, of those of
+ * other replicas and of the leader itself all come to the same.
+ */
+function listChanges(
+  { control, replication }: ReplicaState,
+  event: ControlEvent,
+  nowMs: number,
+): readonly HolderCommand[] {
+  if (event.type === "Ticked") {
+    const isPlanning = replication.consensus.role.type === "Leader" &&
+      isConfirmed(replication, nowMs);
+    return isPlanning ? planChanges(control, replication.holders) : [];
+  }
+  if (
+    event.type !== "NodeMessageReceived" ||
+    event.message.type !== "ReportCopied"
+  ) {
+    return [];
+  }
+  const command = readCopy(control, event.linkId, event.message);
+  return command === undefined ? [] : [command];
+}
+
+function publish(state: ReplicaState, nowMs: number): ReplicaStep {
+  return chainReduction(
+    publishTable(state, nowMs),
+    (s) => publishHolders(s, nowMs),
+  );
+}
+
+function publishHolders(state: ReplicaState, nowMs: number): ReplicaStep {
+  const { holders } = state.replication;
+  return state.control.holders === holders
+    ? createReduction(state)
+    : step(state, { type: "HoldersReplaced", holders }, nowMs);
+}
+
 function publishTable(state: ReplicaState, nowMs: number): ReplicaStep {
   const { control, replication } = state;
   const { tableState } = replication;
--- a/src/platform/control/common/replication_reducer.ts
+++ b/src/platform/control/common/replication_reducer.ts
@@ -10,12 +10,13 @@
   ClusterMessage,
   ReplicaHello,
 } from "../../link/common/cluster_messages.ts";
-import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
 import { carryEffects, stepConsensus } from "./consensus_step.ts";
 import { expireEdits, receiveReply } from "./edit_requests.ts";
 import { resumeEdits, startEdit } from "./edit_sending.ts";
 import { finishFounding, foundCluster, isEmpty } from "./founding.ts";
+import { proposeCommand, startHolderCommand } from "./holder_proposals.ts";
 import { pickRepair } from "./replica_repair.ts";
+import { INITIAL_REPLICATED_STATE } from "./replicated_codec.ts";
 import {
   CONSENSUS_OPTIONS,
   getRequestId,
@@ -57,7 +58,8 @@
   const state: ReplicationState = {
     cluster,
     consensus,
-    tableState: INITIAL_TABLE_STATE,
+    ...INITIAL_REPLICATED_STATE,
+    holderProposals: new Map(),
     peers,
     edits: new Map(),
     reads: new Map(),
@@ -93,6 +95,8 @@
       const origin = { type: "Operator", requestId } as const;
       return startEdit(state, { edit, origin }, nowMs);
     }
+    case "HolderChangeRequested":
+      return startHolderCommand(state, event.command, nowMs);
     case "TableReadRequested":
       return startRead(state, event.requestId, nowMs);
     case "StopPlanned": {
@@ -124,6 +128,8 @@
       const origin = { type: "Peer", peer, requestId } as const;
       return startEdit(state, { edit, origin }, nowMs);
     }
+    case "HolderForward":
+      return proposeCommand(state, message.command, nowMs);
     case "EditReply":
       return receiveReply(state, message);
   }
--- a/src/platform/control/common/replication_state.ts
+++ b/src/platform/control/common/replication_state.ts
@@ -12,11 +12,13 @@
   EditResult,
   ReplicaRole,
 } from "../../link/common/cluster_messages.ts";
+import type { HolderCommand } from "../../claims/common/holder_set_reducer.ts";
 import type {
   TableEdit,
   TableState,
 } from "../../table/common/table_reducer.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+import type { HoldersState } from "./holders.ts";
 
 /** Which replicas there are, by their ids in the settings. */
 export interface Cluster {
@@ -83,6 +85,10 @@
   readonly consensus: ConsensusState;
   /** As of the commit index. */
   readonly tableState: TableState;
+  /** As of the commit index, by service. */
+  readonly holders: HoldersState;
+  /** Changes of holders that this replica proposed, by request. */
+  readonly holderProposals: ReadonlyMap<string, string>;
   readonly peers: ReadonlyMap<string, Peer>;
   readonly edits: ReadonlyMap<string, PendingEdit>;
   readonly reads: ReadonlyMap<string, PendingTableRead>;
@@ -111,6 +117,11 @@
     readonly requestId: number;
     readonly edit: TableEdit;
   }
+  /** A node reported, or the leader planned. */
+  | {
+    readonly type: "HolderChangeRequested";
+    readonly command: HolderCommand;
+  }
   | { readonly type: "TableReadRequested"; readonly requestId: number }
   /** A planned stop: leadership goes to another voter. */
   | { readonly type: "StopPlanned" }
--- a/src/platform/control/test/control_reducer_test.ts
+++ b/src/platform/control/test/control_reducer_test.ts
@@ -18,6 +18,7 @@
   ControlEvent,
   ControlState,
 } from "../common/control_state.ts";
+import { commitHolders } from "../common/holders.ts";
 import { MAX_RECENT_TABLES, REPAIR_MS } from "../common/table_push.ts";
 
 const ROW: TableRow = {
@@ -76,6 +77,20 @@
     return this.tell(linkId, { type: "Heartbeat", tableVersion, clock: CLOCK });
   }
 
+  /** Makes a node the holder of its service's keys. */
+  hold(nodeId: string): readonly ControlEffect[] {
+    const { service, incarnation, dataCentre, ingress } = createAnnouncement(
+      nodeId,
+    );
+    const holders = commitHolders(this.state.holders, {
+      type: "HolderSetProposed",
+      service,
+      members: [{ nodeId, incarnation, dataCentre, ingress }],
+      fromEpoch: this.state.holders.get(service)?.lastEpoch ?? 0,
+    });
+    return this.dispatch({ type: "HoldersReplaced", holders });
+  }
+
   edit(weight: number): readonly ControlEffect[] {
     const fromVersion = this.state.tableState.table.rows[0]?.version ?? 0;
     const row = { ...ROW, weight };
@@ -138,6 +153,7 @@
   it("sends nothing older than what the node has", () => {
     const run = new ControlRun();
     run.edit(1);
+    run.hold("n1");
     const types = run.announce(1, "n1", 9).map(({ type }) => type);
     // The holders of claims have no version; they are told on every new link.
     expect(types).to.deep.equal(["HolderSetUpdate"]);
--- a/src/platform/control/test/replicas.ts
+++ b/src/platform/control/test/replicas.ts
@@ -1,4 +1,4 @@
-/** Replicas of the table in memory: their disks, and the links between them. */
+/** Control replicas in memory: their disks, their links, and their nodes. */
 import type { Recovered } from "../../consensus/common/log_types.ts";
 import type { ClusterMessage } from "../../link/common/cluster_messages.ts";
 import {
@@ -11,21 +11,27 @@
   ReplayedLog,
   StoredSnapshot,
 } from "../../storage/common/log_replay.ts";
+import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
 import type { TableChange } from "../../table/common/table_reducer.ts";
 import { createFoundingSnapshot } from "../../consensus/common/recovery.ts";
 import type { EditResult } from "../../link/common/cluster_messages.ts";
-import {
-  reduceReplication,
-  restoreReplication,
-} from "../common/replication_reducer.ts";
+import { createControl } from "../common/control_state.ts";
+import { reduceReplica } from "../common/replica_reducer.ts";
+import type {
+  ReplicaEffect,
+  ReplicaEvent,
+  ReplicaState,
+} from "../common/replica_reducer.ts";
+import { restoreReplication } from "../common/replication_reducer.ts";
 import { isConfirmed } from "../common/replication_state.ts";
+import type { ReplicationState } from "../common/replication_state.ts";
 import type {
-  ReplicationEffect,
-  ReplicationEvent,
-  ReplicationState,
-} from "../common/replication_state.ts";
+  NodeMessage,
+  OutboundMessage,
+} from "../../link/common/link_messages.ts";
 
 const TICK_MS = 50;
+const CONTROL_TICK_MS = 250;
 
 interface Disk {
   readonly replicaId: string;
@@ -42,13 +48,18 @@
   readonly reads = new Map<number, boolean>();
   readonly events: string[] = [];
   readonly #ids: readonly string[];
-  readonly #running = new Map<string, ReplicationState>();
+  readonly #running = new Map<string, ReplicaState>();
   readonly #disks = new Map<string, Disk>();
   readonly #queue: (() => void)[] = [];
   readonly #cut = new Set<string>();
   /** Messages for which this holds are lost. */
   isLost: (message: ClusterMessage, from: string, to: string) => boolean = () =>
     false;
+  /** Takes what a replica sends on a link to a node. */
+  onLink: (id: string, linkId: number, message: OutboundMessage) => void =
+    () => {};
+  /** Called before each tick. */
+  onTick: () => void = () => {};
   #nextRequest = 1;
   #folders = 0;
 
@@ -66,7 +77,7 @@
     this.#disks.set(id, disk);
     const recovered: Recovered = recover(disk.log, disk.snapshot)
       ._unsafeUnwrap();
-    const { state } = restoreReplication({
+    const { state: replication } = restoreReplication({
       cluster: {
         self: id,
         voters: this.#ids,
@@ -76,7 +87,13 @@
       recovered,
       nowMs: this.nowMs,
     });
-    this.#running.set(id, state);
+    const control = createControl(id, this.nowMs);
+    this.#running.set(id, { control, replication });
+  }
+
+  /** Whether a replica runs. */
+  isRunning(id: string): boolean {
+    return this.#running.has(id);
   }
 
   /** Kills a replica; its disk stays. */
@@ -100,13 +117,18 @@
 
   /** Gets a running replica. */
   get(id: string): ReplicationState {
-    return this.#running.get(id)!;
+    return this.#running.get(id)!.replication;
+  }
+
+  /** Hands a replica what a node says. */
+  tell(id: string, linkId: number, message: NodeMessage): void {
+    this.dispatch(id, { type: "NodeMessageReceived", linkId, message });
   }
 
   /** Gets the id of the leader that the running replicas agree on. */
   get leader(): string | undefined {
-    return [...this.#running].find(([id, { consensus }]) =>
-      consensus.role.type === "Leader" && !this.#cut.has(id)
+    return [...this.#running].find(([id, { replication }]) =>
+      replication.consensus.role.type === "Leader" && !this.#cut.has(id)
     )?.[0];
   }
 
@@ -138,15 +160,19 @@
         return true;
       }
       this.nowMs += TICK_MS;
+      this.onTick();
       for (const id of this.#ids) {
         this.dispatch(id, { type: "ReplicationTicked" });
+        if (this.nowMs % CONTROL_TICK_MS === 0) {
+          this.dispatch(id, { type: "Ticked" });
+        }
       }
     }
     return isDone();
   }
 
   /** Steps a replica, and then all that follows at once. */
-  dispatch(id: string, event: ReplicationEvent): void {
+  dispatch(id: string, event: ReplicaEvent): void {
     this.#queue.push(() => this.#step(id, event));
     if (this.#queue.length > 1) {
       return;
@@ -157,19 +183,19 @@
     }
   }
 
-  #step(id: string, event: ReplicationEvent): void {
+  #step(id: string, event: ReplicaEvent): void {
     const state = this.#running.get(id);
     if (state === undefined) {
       return;
     }
-    const step = reduceReplication(state, event, this.nowMs);
+    const step = reduceReplica(state, event, this.nowMs);
     this.#running.set(id, step.state);
     for (const effect of step.effects) {
       this.#perform(id, effect);
     }
   }
 
-  #perform(id: string, effect: ReplicationEffect): void {
+  #perform(id: string, effect: ReplicaEffect): void {
     const disk = this.#disks.get(id)!;
     switch (effect.type) {
       case "SendToPeer":
@@ -198,12 +224,29 @@
       case "AnswerRead":
         this.reads.set(effect.requestId, effect.isCurrent);
         return;
+      case "SendToLink":
+        this.onLink(id, effect.linkId, effect.message);
+        return;
+      case "SendToReplicas":
+        this.#ids.filter((other) => other !== id)
+          .forEach((other) => this.#sendPresence(id, other, effect.message));
+        return;
+      case "SendToReplica":
+        this.#sendPresence(id, effect.replica, effect.message);
+        return;
       case "RecordEvent":
         this.events.push(`${id}: ${Object.values(effect.event).join(" ")}`);
         return;
     }
   }
 
+  #sendPresence(from: string, to: string, message: PresenceMessage): void {
+    if (!this.#cut.has(from) && !this.#cut.has(to)) {
+      const channel = { type: "Dialled", replica: from } as const;
+      this.dispatch(to, { type: "PresenceReceived", channel, message });
+    }
+  }
+
   #send(from: string, to: string, message: ClusterMessage): void {
     const isCut = this.#cut.has(from) || this.#cut.has(to);
     if (!isCut && !this.isLost(message, from, to)) {
--- a/src/platform/link/common/cluster_messages.ts
+++ b/src/platform/link/common/cluster_messages.ts
@@ -1,5 +1,6 @@
 /** Messages between control replicas that concern the replicated state. */
 import type { ConsensusMessage } from "../../consensus/common/consensus_messages.ts";
+import type { HolderCommand } from "../../claims/common/holder_set_reducer.ts";
 import type {
   EditOutcome,
   TableEdit,
@@ -39,6 +40,12 @@
   readonly edit: TableEdit;
 }
 
+/** Hands a change of holders to the leader; there is no answer. */
+export interface HolderForward {
+  readonly type: "HolderForward";
+  readonly command: HolderCommand;
+}
+
 /** What became of an edit. */
 export type EditResult =
   | { readonly type: "EditAnswered"; readonly outcome: EditOutcome }
@@ -60,7 +67,8 @@
   | ReplicaHello
   | ConsensusRelay
   | EditForward
-  | EditReply;
+  | EditReply
+  | HolderForward;
 
 /** Whether a message concerns the replicated state. */
 export function isClusterMessage(
@@ -71,6 +79,7 @@
     case "ConsensusRelay":
     case "EditForward":
     case "EditReply":
+    case "HolderForward":
       return true;
     default:
       return false;
--- a/src/platform/telemetry/common/timeline_event.ts
+++ b/src/platform/telemetry/common/timeline_event.ts
@@ -34,6 +34,13 @@
   | { readonly type: "ReplicaHeard"; readonly replica: string }
   /** A replica begins to vote. */
   | { readonly type: "ReplicaJoined"; readonly replica: string }
+  /** Other nodes keep the idempotency keys of a service from here on. */
+  | {
+    readonly type: "HoldersChanged";
+    readonly service: string;
+    readonly epoch: number;
+    readonly nodeIds: readonly string[];
+  }
   | { readonly type: "NodeJoined"; readonly nodeId: string }
   | { readonly type: "NodeLost"; readonly nodeId: string }
   | {
