--- a/src/platform/control/common/holder_planning.ts
+++ b/src/platform/control/common/holder_planning.ts
@@ -17,7 +17,7 @@
   control: ControlState,
   holders: HoldersState,
 ): readonly HolderCommand[] {
-  return [...groupMembers(control)].flatMap(([service, nodes]) => {
+  return [...collectServices(control)].flatMap(([service, nodes]) => {
     const current = holders.get(service);
     const members = planHolders(current, nodes, service);
     const staying = (current?.proposed ?? current?.active)?.members ?? [];
@@ -46,7 +46,7 @@
   return { type: "HolderCopied", service, epoch, nodeId, incarnation };
 }
 
-function groupMembers(
+function collectServices(
   { membership }: ControlState,
 ): ReadonlyMap<string, readonly Announcement[]> {
   const groups = new Map<string, Announcement[]>();
--- a/src/platform/control/test/holder_replication_test.ts
+++ b/src/platform/control/test/holder_replication_test.ts
@@ -137,11 +137,23 @@
   it("replace a lost holder once its lease is over, and not before", () => {
     const { replicas, nodes } = startWarmSet();
     const { epoch, members } = waitWhole(replicas, NODES);
-    nodes.kill(members[0]!);
+    const lost = members.find((id) =>
+      IDS[NODES.indexOf(id) % IDS.length] !== replicas.leader
+    )!;
+    const plans: string[] = [];
+    replicas.isLost = (message, from) => {
+      if (message.type === "HolderForward") {
+        plans.push(`${from}: ${message.command.type}`);
+      }
+      return false;
+    };
+    nodes.kill(lost);
     replicas.run(() => false, LEASE_MS - 1_000);
     expect(readHolders(replicas, "a")).to.include({ epoch, isChanging: false });
-    const live = NODES.filter((id) => id !== members[0]);
+    const live = NODES.filter((id) => id !== lost);
     expect(waitWhole(replicas, live).epoch).to.equal(epoch + 1);
+    expect(plans.join(), "the leader alone plans")
+      .to.not.contain("HolderSetProposed");
   });
 
   it("change by reports that followers hear", () => {
