Record a trace for each fault and replay it

Cause: the replay test had no recordings to replay, so no fault was proved by one; a replay also gave status 0 for answers that were collected or kept, and control replicas could not record at all. Control replicas record too (role control, with what their disk held); bytes stand as base64.

--- a/src/cli/commands/trace.ts
+++ b/src/cli/commands/trace.ts
@@ -8,6 +8,7 @@
 } from "../../platform/trace/common/replay.ts";
 import { parseTrace } from "../../platform/trace/common/trace_format.ts";
 import type {
+  ControlOutcome,
   Trace,
   TraceOutcome,
 } from "../../platform/trace/common/trace_format.ts";
@@ -41,7 +42,9 @@
   return readTrace(file).map(({ header, events, expected }) => {
     const summary = {
       version: header.version,
-      process: header.self.nodeId,
+      process: header.role === "node"
+        ? header.self.nodeId
+        : header.start.cluster.self,
       events: events.length,
       hasOutcome: expected !== undefined,
     };
@@ -89,6 +92,10 @@
 }
 
 function printOutcome(outcome: TraceOutcome): void {
+  if ("edits" in outcome) {
+    printControlOutcome(outcome);
+    return;
+  }
   writeColumns(
     ["CALL", "STATUS", "OUTCOME"],
     outcome.answers.map(({ exchangeId, status, outcome: said }) => [
@@ -103,6 +110,19 @@
   );
 }
 
+function printControlOutcome(outcome: ControlOutcome): void {
+  writeColumns(
+    ["EDIT", "OUTCOME", "VERSION"],
+    outcome.edits.map(({ editId, outcome: said, version }) => [
+      editId,
+      said,
+      String(version),
+    ]),
+  );
+  const reads = outcome.reads.length === 0 ? "none" : outcome.reads.join(", ");
+  writeLine(`Reads: ${reads}; table version: ${outcome.tableVersion}`);
+}
+
 function readTrace(file: string): Result<Trace, CliError> {
   let text: string;
   try {
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -4,15 +4,17 @@
 import { parseAddress } from "../base/node/listen.ts";
 import { createClusterReport } from "../platform/control/common/cluster_report.ts";
 import { createControlReport } from "../platform/control/common/control_report.ts";
-import { createControl } from "../platform/control/common/control_state.ts";
-import { reduceReplica } from "../platform/control/common/replica_reducer.ts";
+import {
+  createReplica,
+  reduceReplica,
+} from "../platform/control/common/replica_reducer.ts";
 import type {
   ReplicaEffect,
   ReplicaEvent,
   ReplicaState,
 } from "../platform/control/common/replica_reducer.ts";
 import { listHolders } from "../platform/control/common/holders.ts";
-import { restoreReplication } from "../platform/control/common/replication_reducer.ts";
+import type { ReplicationOptions } from "../platform/control/common/replication_reducer.ts";
 import { isClusterMessage } from "../platform/link/common/cluster_messages.ts";
 import { isPresenceMessage } from "../platform/link/common/link_messages.ts";
 import type {
@@ -23,6 +25,8 @@
 import { ReplicaLinks } from "../platform/link/node/replica_links.ts";
 import type { StorageError } from "../platform/storage/common/storage_error.ts";
 import type { DataFolder } from "../platform/storage/node/data_folder.ts";
+import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
+import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
 import { ClusterLinks, listPeers } from "./cluster_links.ts";
 import { ControlRequests } from "./control_requests.ts";
 import { OperatorServer } from "./operator_server.ts";
@@ -76,8 +80,10 @@
     this.#disk = this.#owned.use(
       new ReplicaDisk({ folder, dispatch, onError: onStorageError }),
     );
+    const start = createStart(settings, folder);
     this.#loop = new EventLoop({
-      initial: createState(settings, folder),
+      initial: createReplica(start),
+      ...this.#createObserver(start),
       reduce: reduceReplica,
       readClock: Date.now,
       perform: (effect) => this.#perform(effect),
@@ -160,6 +166,26 @@
     }
   }
 
+  /** Records the events where the settings ask for it. */
+  #createObserver(start: ReplicationOptions) {
+    const { trace } = this.#settings;
+    if (trace === undefined) {
+      return {};
+    }
+    const recorder = this.#owned.use(
+      new TraceRecorder(trace.file, {
+        format: "basilpin-trace",
+        version: TRACE_VERSION,
+        role: "control",
+        start,
+      }),
+    );
+    return {
+      observe: (event: ReplicaEvent, atMs: number) =>
+        recorder.record({ atMs, event }),
+    };
+  }
+
   #createLinks(): LinkServer {
     return new LinkServer({
       address: parseAddress(this.#settings.listen.link)!,
@@ -307,13 +333,13 @@
   }
 }
 
-function createState(
+/** What the replica starts from. */
+function createStart(
   settings: ControlSettings,
   folder: DataFolder,
-): ReplicaState {
-  const nowMs = Date.now();
+): ReplicationOptions {
   const { id, cluster } = settings;
-  const { state: replication } = restoreReplication({
+  return {
     cluster: {
       self: id,
       voters: cluster?.voters.map((voter) => voter.id) ?? [id],
@@ -321,7 +347,6 @@
     },
     replicaId: folder.replicaId,
     recovered: folder.recovered,
-    nowMs,
-  });
-  return { control: createControl(id, nowMs), replication };
+    nowMs: Date.now(),
+  };
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -71,6 +71,9 @@
 /** Whose tokens allow changes; where it is left out, anyone may edit. */
 const OPERATORS = v.optional(v.strictObject({ file: FILE }));
 
+/** Records all events of the process to a file, for `basilpin trace`. */
+const TRACE = v.optional(v.strictObject({ file: FILE }));
+
 /** Schema of the node role. */
 export const NODE_SETTINGS = v.strictObject({
   role: v.literal("node"),
@@ -104,10 +107,7 @@
   security: NODE_SECURITY,
   operators: OPERATORS,
   log: LOG,
-  /** Records all events of the node to a file, for `basilpin trace`. */
-  trace: v.optional(v.strictObject({
-    file: FILE,
-  })),
+  trace: TRACE,
 });
 
 const REPLICA = v.strictObject({ id: NAME, link: ADDRESS });
@@ -138,6 +138,7 @@
   security: CONTROL_SECURITY,
   operators: OPERATORS,
   log: LOG,
+  trace: TRACE,
 });
 
 const SETTINGS = v.variant(
--- a/src/platform/control/common/replica_reducer.ts
+++ b/src/platform/control/common/replica_reducer.ts
@@ -4,13 +4,18 @@
   createReduction,
 } from "../../../base/common/reduction.ts";
 import type { Reduction } from "../../../base/common/reduction.ts";
+import { createControl } from "./control_state.ts";
 import { reduceControl } from "./control_reducer.ts";
 import type {
   ControlEffect,
   ControlEvent,
   ControlState,
 } from "./control_state.ts";
-import { reduceReplication } from "./replication_reducer.ts";
+import {
+  reduceReplication,
+  restoreReplication,
+} from "./replication_reducer.ts";
+import type { ReplicationOptions } from "./replication_reducer.ts";
 import { isConfirmed } from "./replication_state.ts";
 import type {
   ReplicationEffect,
@@ -33,6 +38,14 @@
 /** A step of a control process. */
 export type ReplicaStep = Reduction<ReplicaState, ReplicaEffect>;
 
+/** Creates a control process from what its disk holds. */
+export function createReplica(options: ReplicationOptions): ReplicaState {
+  return {
+    control: createControl(options.cluster.self, options.nowMs),
+    replication: restoreReplication(options).state,
+  };
+}
+
 /**
  * Steps a control process; `nowMs` is the wall clock in milliseconds. What the
  * nodes are told is brought up to date on both sides of the event, so that a
--- /dev/null
+++ b/src/platform/trace/common/replay_node.ts
@@ -0,0 +1,113 @@
+/** Replays what a node recorded. */
+import { OUTCOME_HEADER } from "../../call/common/call_context.ts";
+import type { NodeEffect, NodeEvent } from "../../call/common/call_events.ts";
+import { reduceNode } from "../../call/common/node_reducer.ts";
+import { createNodeState } from "../../call/common/node_state.ts";
+import type { NodeState } from "../../call/common/node_state.ts";
+import { compareLists } from "./compare_lists.ts";
+import type { ReplayStep } from "./replay.ts";
+import type { NodeOutcome, NodeTrace, TracedAnswer } from "./trace_format.ts";
+
+/** What the replay of a node gives. */
+export interface NodeReplay {
+  readonly steps: readonly ReplayStep<NodeEffect>[];
+  readonly outcome: NodeOutcome;
+  readonly state: NodeState;
+}
+
+/** Replays a trace from a freshly started node. */
+export function replayNode(trace: NodeTrace): NodeReplay {
+  const { self, backendAddress } = trace.header;
+  let state = createNodeState(self, backendAddress);
+  const steps: ReplayStep<NodeEffect>[] = [];
+  const answers: TracedAnswer[] = [];
+  const statuses = new Map<string, number>();
+  for (const { atMs, event } of trace.events) {
+    noteStatus(statuses, event);
+    const step = reduceNode(state, event, atMs);
+    state = step.state;
+    steps.push({ atMs, eventType: event.type, effects: step.effects });
+    for (const effect of step.effects) {
+      noteStatus(statuses, effect);
+      answers.push(...readAnswer(effect, statuses));
+    }
+  }
+  return { steps, state, outcome: computeOutcome(steps, answers, state) };
+}
+
+/** Names the parts in which two outcomes differ; empty where they agree. */
+export function compareNodeOutcomes(
+  expected: NodeOutcome,
+  actual: NodeOutcome,
+): readonly string[] {
+  const names = ["sentToNodes", "sentToBackend", "open"] as const;
+  const differing = names
+    .filter((name) => expected[name] !== actual[name])
+    .map((name) => `${name}: expected ${expected[name]}, got ${actual[name]}`);
+  const answers = compareLists(
+    "answer",
+    expected.answers.map(describeAnswer),
+    actual.answers.map(describeAnswer),
+  );
+  return [...differing, ...answers];
+}
+
+function computeOutcome(
+  steps: readonly ReplayStep<NodeEffect>[],
+  answers: readonly TracedAnswer[],
+  state: NodeState,
+): NodeOutcome {
+  const effects = steps.flatMap((step) => step.effects);
+  const sent = effects.filter((effect) => effect.type === "SendAttempt");
+  const toNodes = sent.filter((effect) => effect.peer === "node").length;
+  return {
+    answers,
+    sentToNodes: toNodes,
+    sentToBackend: sent.length - toNodes,
+    open: state.entries.size + state.served.size,
+  };
+}
+
+/** Notes the status of an answer that is passed on later. */
+function noteStatus(
+  statuses: Map<string, number>,
+  item: NodeEvent | NodeEffect,
+): void {
+  switch (item.type) {
+    case "AttemptAnswered":
+    case "ProvideAnswer":
+      statuses.set(item.attemptId, item.answer.status);
+      return;
+    case "AnswerCollected":
+      statuses.set(item.attemptId, item.status);
+      return;
+    default:
+      return;
+  }
+}
+
+function readAnswer(
+  effect: NodeEffect,
+  statuses: ReadonlyMap<string, number>,
+): readonly TracedAnswer[] {
+  switch (effect.type) {
+    case "AnswerCall": {
+      const { exchangeId, status, headers } = effect;
+      const outcome = headers[OUTCOME_HEADER] ?? "";
+      return [{ exchangeId, status, outcome }];
+    }
+    case "RelayAnswer": {
+      const { exchangeId, attemptId, headers } = effect;
+      const status = statuses.get(attemptId) ?? 0;
+      return [{ exchangeId, status, outcome: headers[OUTCOME_HEADER] ?? "" }];
+    }
+    case "DropExchange":
+      return [{ exchangeId: effect.exchangeId, status: 0, outcome: "dropped" }];
+    default:
+      return [];
+  }
+}
+
+function describeAnswer(answer: TracedAnswer): string {
+  return `${answer.exchangeId} ${answer.status} ${answer.outcome}`;
+}
--- a/src/platform/trace/test/trace_test.ts
+++ b/src/platform/trace/test/trace_test.ts
@@ -1,15 +1,40 @@
 /** Recordings: their form, and replays against stated outcomes. */
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { expect } from "chai";
 import { request } from "undici";
 import { Fleet } from "../../../../standin/fleet.ts";
 import { compareOutcomes, replayTrace } from "../common/replay.ts";
+import { replayNode } from "../common/replay_node.ts";
 import { formatTraceLine, parseTrace } from "../common/trace_format.ts";
 import type { TraceHeader } from "../common/trace_format.ts";
 
 const FOLDER = "traces";
 
+/** One recording at least for each fault that the product must stand. */
+const RECORDED_FAULTS = [
+  "backend_killed",
+  "cold_start",
+  "control_partition",
+  "crashing_request",
+  "cut_answers",
+  "cut_answers_served",
+  "drain_seen_by_entry",
+  "drain_under_load",
+  "node_killed",
+  "node_killed_itself",
+  "racing_edits_a",
+  "racing_edits_b",
+  "resends",
+  "resent_edit",
+  "resent_edit_unheard",
+  "resent_refund",
+  "restart_after_edits",
+  "silent_connection",
+  "straggler",
+  "surge",
+];
+
 const HEADER: TraceHeader = {
   format: "basilpin-trace",
   version: 1,
@@ -55,6 +80,42 @@
   }
 });
 
+describe("trace of a control replica", () => {
+  it("brings the bytes of its disk and messages back", () => {
+    const payload = new Uint8Array([0, 255, 10]);
+    const header: TraceHeader = {
+      format: "basilpin-trace",
+      version: 1,
+      role: "control",
+      start: {
+        cluster: { self: "a", voters: ["a"], peers: [] },
+        replicaId: "a~1",
+        nowMs: 1,
+        recovered: {
+          hardState: { term: 1, votedFor: "a~1" },
+          snapshot: undefined,
+          entries: [{ index: 1, term: 1, payload: Buffer.from(payload) }],
+        },
+      },
+    };
+    const trace = parseTrace(formatTraceLine(header))._unsafeUnwrap();
+    expect(trace.role === "control" && trace.header.start.recovered.entries)
+      .to.deep.equal([{ index: 1, term: 1, payload }]);
+  });
+
+  it("names each difference from a stated outcome", () => {
+    const edit = { editId: "e", outcome: "EditAccepted", version: 2 } as const;
+    const outcome = { edits: [edit], reads: [2], tableVersion: 2 };
+    expect(compareOutcomes(outcome, outcome)).to.deep.equal([]);
+    const other = { edits: [], reads: [1], tableVersion: 1 };
+    expect(compareOutcomes(outcome, other)).to.deep.equal([
+      "edit 1: expected e EditAccepted 2, got none",
+      "read 1: expected 2, got 1",
+      "table version 1: expected 2, got 1",
+    ]);
+  });
+});
+
 describe("trace replay", () => {
   it("gives what the callers of the recorded node saw", async () => {
     await using fleet = new Fleet();
@@ -81,7 +142,10 @@
     expect(seen).to.deep.equal([200, 200, 503]);
     expect(await fleet.stop(edge)).to.equal(0);
     const recorded = parseTrace(readFileSync(trace, "utf8"))._unsafeUnwrap();
-    const { outcome } = replayTrace(recorded);
+    if (recorded.role !== "node") {
+      throw new Error("Not the recording of a node");
+    }
+    const { outcome } = replayNode(recorded);
     expect(outcome.answers.map(({ status }) => status)).to.deep.equal(seen);
     expect(outcome.sentToNodes).to.equal(2);
     expect(outcome.open).to.equal(0);
@@ -102,8 +166,14 @@
       ]);
   });
 
-  const files = existsSync(FOLDER) ? readdirSync(FOLDER) : [];
-  for (const file of files.filter((name) => name.endsWith(".trace"))) {
+  const files = readdirSync(FOLDER).filter((name) => name.endsWith(".trace"));
+
+  it("has a recording of every fault", () => {
+    const wanted = RECORDED_FAULTS.map((name) => `${name}.trace`);
+    expect(files).to.include.members(wanted);
+  });
+
+  for (const file of files) {
     it(`comes to the stated outcome of ${file}`, () => {
       const text = readFileSync(join(FOLDER, file), "utf8");
       const trace = parseTrace(text)._unsafeUnwrap();
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -8,7 +8,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { stringify } from "smol-toml";
+import { parse, stringify } from "smol-toml";
 import { Agent, request } from "undici";
 import type { Behaviour, RunReport } from "./backend.ts";
 import { findAddress } from "./ports.ts";
@@ -55,6 +55,8 @@
   readonly hasHints?: boolean;
   /** File that the node records its events to. */
   readonly trace?: string;
+  /** Link addresses of control replicas, if not those of the fleet. */
+  readonly replicas?: readonly string[];
 }
 
 /** What a finished command printed. */
@@ -109,6 +111,19 @@
     return this.#controls.map((control) => control.operator).join(",");
   }
 
+  /** File in the fleet's folder that a control replica records to. */
+  findTrace(id: string): string {
+    return join(this.folder, `${id}.trace`);
+  }
+
+  /** Makes a control replica record its events from its next start on. */
+  recordControl(control: FleetControl): void {
+    const file = join(this.folder, `${control.id}.toml`);
+    const settings = parse(readFileSync(file, "utf8"));
+    const trace = { file: this.findTrace(control.id) };
+    writeFileSync(file, stringify({ ...settings, trace }));
+  }
+
   /** Starts control replicas, the first 5, 3 or 1 voting; waits for all. */
   async startControls(
     replicas: readonly (readonly [id: string, dataCentre: string])[],
@@ -176,7 +191,10 @@
         connections: 400,
         ...(options.hasHints === true ? HINT_PATHS : {}),
       },
-      control: { replicas: this.#controls.map((control) => control.link) },
+      control: {
+        replicas: options.replicas ??
+          this.#controls.map((control) => control.link),
+      },
       ...this.#createSecurity("node"),
       ...(options.trace === undefined
         ? {}
