Let the clock of the time line ride on every message

Cause: the hybrid logical clock came with heartbeats alone, once a second, and control answered them with its wall clock rather than its logical one. Clocks of VMs that differ by minutes so put a call after what it caused; ordering by wall clock alone was ruled out for that. Change: the header basilpin-clock on calls, answers to nodes and peer messages; the link layer adds the clock to each message on links. A clock over 1 h ahead of the receiver's is ignored and logged once; callers get and set none.

--- a/bench/light_nodes.ts
+++ b/bench/light_nodes.ts
@@ -61,6 +61,10 @@
       onClose: () => {},
       readConfirmed: () => undefined,
       createHeartbeat: () => this.#createHeartbeat(),
+      clock: {
+        read: () => ({ wallMs: Date.now(), counter: 0 }),
+        observe: () => {},
+      },
     });
     this.#link.open();
   }
@@ -115,8 +119,7 @@
   }
 
   #createHeartbeat(): NodeMessage {
-    const clock = { wallMs: Date.now(), counter: 0 };
-    return { type: "Heartbeat", tableVersion: this.#table.version, clock };
+    return { type: "Heartbeat", tableVersion: this.#table.version };
   }
 }
 
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -192,6 +192,7 @@
       tls: this.#security.tls,
       onMessage: (linkId, message) => this.#receive(linkId, message),
       onClose: (linkId) => this.#loop.dispatch({ type: "LinkClosed", linkId }),
+      clock: this.#telemetry.clock,
     });
   }
 
@@ -206,9 +207,6 @@
       this.#loop.dispatch({ type: "PresenceReceived", channel, message });
       return;
     }
-    if (message.type === "Heartbeat") {
-      this.#telemetry.timeline.observeClock(message.clock);
-    }
     this.#loop.dispatch({ type: "NodeMessageReceived", linkId, message });
   }
 
@@ -218,13 +216,12 @@
       tls: this.#security.tls,
       replicas: listPeers(this.#settings).map(({ link }) => link),
       onMessage: (message, replica) => this.#receiveReply(message, replica),
+      clock: this.#telemetry.clock,
     });
   }
 
   #receiveReply(message: OutboundMessage, replica: string): void {
-    if (message.type === "HeartbeatAnswer") {
-      this.#telemetry.timeline.observeClock(message.clock);
-    } else if (isClusterMessage(message)) {
+    if (isClusterMessage(message)) {
       this.#loop.dispatch({ type: "ClusterMessageReceived", message });
     } else if (isPresenceMessage(message)) {
       const channel = { type: "Dialled", replica } as const;
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -74,7 +74,9 @@
       new TimerSet((key) => dispatch({ type: "TimerFired", key })),
     );
     this.#calls = this.#owned.use(this.#createCalls(dispatch));
-    this.#peers = this.#owned.use(new PeerClient(security.tls));
+    this.#peers = this.#owned.use(
+      new PeerClient({ tls: security.tls, clock: this.#telemetry.clock }),
+    );
     this.#link = this.#owned.use(this.#createLink());
     this.#operator = this.#owned.use(this.#createOperator());
     this.#createGauges();
@@ -216,6 +218,7 @@
       connections: Math.max(1, backend.connections - hintConnections),
       tls: this.#security.tls,
       isEdgeTls: this.#security.isEdgeTls,
+      clock: this.#telemetry.clock,
     });
   }
 
@@ -236,6 +239,7 @@
       readConfirmed: (message) =>
         "isConfirmed" in message ? message.isConfirmed : undefined,
       createHeartbeat: () => this.#createHeartbeat(),
+      clock: this.#telemetry.clock,
     });
   }
 
@@ -243,7 +247,6 @@
     return {
       type: "Heartbeat",
       tableVersion: this.#loop.state.table.version,
-      clock: this.#telemetry.timeline.clock,
     } as const;
   }
 
@@ -267,7 +270,6 @@
 
   #receive(message: ControlMessage): void {
     if (message.type === "HeartbeatAnswer") {
-      this.#telemetry.timeline.observeClock(message.clock);
       return;
     }
     const { state } = this.#loop;
--- a/src/daemon/telemetry.ts
+++ b/src/daemon/telemetry.ts
@@ -1,5 +1,10 @@
 /** Logs, metrics and the time line of one process, behind one recorder. */
 import type { Logger } from "roarr";
+import {
+  checkClock,
+  decodeClock,
+} from "../platform/telemetry/common/process_clock.ts";
+import type { ProcessClock } from "../platform/telemetry/common/process_clock.ts";
 import { Timeline } from "../platform/telemetry/common/timeline.ts";
 import type { TimelineEvent } from "../platform/telemetry/common/timeline_event.ts";
 import { createLog } from "../platform/telemetry/node/log.ts";
@@ -13,6 +18,12 @@
   readonly timeline: Timeline;
   /** A line for each request is built only where it is written. */
   readonly #isRequestLogged: boolean;
+  /** Rides on what this process sends. */
+  readonly clock: ProcessClock = {
+    read: () => this.timeline.clock,
+    observe: (received) => this.#observeClock(received),
+  };
+  #hasWarned = false;
 
   constructor(settings: Settings) {
     const { id, role, data_centre: dataCentre, log } = settings;
@@ -33,6 +44,16 @@
     }
   }
 
+  #observeClock(received: unknown): void {
+    const clock = decodeClock(received) ?? checkClock(received);
+    const isBelieved = clock === undefined ||
+      this.timeline.observeClock(clock, Date.now());
+    if (!isBelieved && !this.#hasWarned) {
+      this.#hasWarned = true;
+      this.log.warn({ ...clock }, "A clock far ahead of this one is ignored");
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.metrics[Symbol.asyncDispose]();
   }
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -22,6 +22,11 @@
   NodeEvent,
   SignalHeaders,
 } from "../common/call_events.ts";
+import {
+  CLOCK_HEADER,
+  encodeClock,
+} from "../../telemetry/common/process_clock.ts";
+import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
 import type { StoredAnswer } from "../../claims/common/claim_types.ts";
 import {
   collectAnswer,
@@ -43,6 +48,7 @@
   readonly connections: number;
   /** Presented to other nodes, which must be of the authority. */
   readonly tls?: TlsKeys | undefined;
+  readonly clock?: ProcessClock | undefined;
 }
 
 interface OpenAttempt {
@@ -158,6 +164,10 @@
     const { request } = exchange;
     const headers = copyHeaders(request.rawHeaders);
     headers.push(CONTEXT_HEADER, encodeContext(effect.context));
+    const clock = effect.peer === "node" ? this.#options.clock : undefined;
+    if (clock !== undefined) {
+      headers.push(CLOCK_HEADER, encodeClock(clock.read()));
+    }
     const answer = await this.#findPool(effect).request({
       path: request.url ?? "/",
       method: (request.method ?? "GET") as Dispatcher.HttpMethod,
@@ -165,6 +175,7 @@
       body: this.#createBody(effect, exchange),
       signal: open.abort.signal,
     });
+    clock?.observe(answer.headers[CLOCK_HEADER]);
     if (!isFramed(answer, request.method ?? "GET")) {
       answer.body.on("error", () => {}).destroy();
       throw new Error("Answer does not say where it ends");
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -13,12 +13,18 @@
   PeerMessage,
   PeerReply,
 } from "../../peer/common/peer_messages.ts";
+import {
+  CLOCK_HEADER,
+  encodeClock,
+} from "../../telemetry/common/process_clock.ts";
+import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
 import { CONTEXT_HEADER } from "../common/call_context.ts";
 import type {
   CallReceived,
   Listener,
   NodeEffect,
   NodeEvent,
+  SignalHeaders,
 } from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { readPath, writeAnswer } from "./exchange.ts";
@@ -34,6 +40,7 @@
   readonly tls?: TlsKeys | undefined;
   /** Whether callers reach the edge by TLS too. */
   readonly isEdgeTls?: boolean;
+  readonly clock?: ProcessClock | undefined;
 }
 
 /** Effects that concern exchanges and attempts. */
@@ -71,8 +78,8 @@
 
   constructor(options: CallServerOptions) {
     this.#options = options;
-    const { dispatch, connections, tls } = options;
-    this.#sender = new AttemptSender({ dispatch, connections, tls });
+    const { dispatch, connections, tls, clock } = options;
+    this.#sender = new AttemptSender({ dispatch, connections, tls, clock });
   }
 
   /** Opens the listeners. */
@@ -174,13 +181,20 @@
   ): void {
     switch (effect.type) {
       case "AnswerCall":
-        writeAnswer(exchange, effect);
+        writeAnswer(exchange, {
+          ...effect,
+          headers: this.#addClock(exchange, effect.headers),
+        });
         return;
       case "SendAttempt":
         this.#sender.send(effect, exchange);
         return;
       case "RelayAnswer":
-        this.#sender.relay(effect.attemptId, exchange, effect.headers);
+        this.#sender.relay(
+          effect.attemptId,
+          exchange,
+          this.#addClock(exchange, effect.headers),
+        );
         return;
       case "DropExchange":
         exchange.response.destroy();
@@ -188,6 +202,14 @@
     }
   }
 
+  /** An answer to a node says the clock. */
+  #addClock(exchange: Exchange, headers: SignalHeaders): SignalHeaders {
+    const { clock } = this.#options;
+    return clock === undefined || !exchange.isFromNode
+      ? headers
+      : { ...headers, [CLOCK_HEADER]: encodeClock(clock.read()) };
+  }
+
   #receive(
     listener: Listener,
     request: IncomingMessage,
@@ -197,12 +219,17 @@
     if (this.#isDraining && listener !== "egress") {
       response.shouldKeepAlive = false;
     }
-    if (listener === "ingress" && request.url === PEER_PATH) {
+    const isFromNode = listener === "ingress";
+    if (isFromNode) {
+      this.#options.clock?.observe(request.headers[CLOCK_HEADER]);
+    }
+    if (isFromNode && request.url === PEER_PATH) {
       this.#receivePeer(request, response);
       return;
     }
     const accept = (body: Uint8Array | undefined) => {
-      this.#accept(listener, { request, response, body, bodyBytes });
+      const arrived = { request, response, isFromNode, body, bodyBytes };
+      this.#accept(listener, arrived);
     };
     if (bodyBytes === undefined || bodyBytes > REPLAY_BYTES) {
       accept(undefined);
@@ -226,7 +253,11 @@
       const askId = this.#nextAsk++;
       this.#asks.set(askId, (reply) => {
         const bytes = encodeMessage(reply);
-        response.writeHead(200, { "content-length": bytes.length }).end(bytes);
+        const { clock } = this.#options;
+        response.writeHead(200, {
+          "content-length": bytes.length,
+          ...(clock && { [CLOCK_HEADER]: encodeClock(clock.read()) }),
+        }).end(bytes);
       });
       response.on("close", () => this.#asks.delete(askId));
       this.#options.dispatch({ type: "PeerAsked", askId, message });
@@ -252,9 +283,9 @@
     listener: Listener,
     arrived: Omit<Exchange, "id"> & { readonly bodyBytes: number | undefined },
   ): void {
-    const { request, response, body, bodyBytes } = arrived;
+    const { request, response, isFromNode, body, bodyBytes } = arrived;
     const id = `${this.#idPrefix}-${(this.#nextId++).toString(36)}`;
-    this.#exchanges.set(id, { id, request, response, body });
+    this.#exchanges.set(id, { id, request, response, isFromNode, body });
     response.on("close", () => {
       this.#exchanges.delete(id);
       if (!response.writableFinished) {
--- a/src/platform/call/node/exchange.ts
+++ b/src/platform/call/node/exchange.ts
@@ -8,6 +8,8 @@
   readonly id: string;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Whether another node made the request. */
+  readonly isFromNode: boolean;
   /** The whole body, where it is small enough to be sent again. */
   readonly body: Uint8Array | undefined;
 }
--- a/src/platform/control/common/control_reducer.ts
+++ b/src/platform/control/common/control_reducer.ts
@@ -148,7 +148,7 @@
     stepMembership(next, event, nowMs),
     (s) => resendTable(s, linkId, nowMs),
   );
-  return appendEffects(step, createHeartbeatAnswer(state, linkId, nowMs));
+  return appendEffects(step, createHeartbeatAnswer(state, linkId));
 }
 
 function replaceTable(
--- a/src/platform/control/common/presence_step.ts
+++ b/src/platform/control/common/presence_step.ts
@@ -53,7 +53,7 @@
   const event = { type: "PresenceReceived", channel, message } as const;
   const step = stepMembership(state, event, nowMs);
   return message.type === "PresenceDigest" && channel.type === "Accepted"
-    ? appendEffects(step, createHeartbeatAnswer(state, channel.linkId, nowMs))
+    ? appendEffects(step, createHeartbeatAnswer(state, channel.linkId))
     : step;
 }
 
@@ -61,11 +61,9 @@
 export function createHeartbeatAnswer(
   state: ControlState,
   linkId: number,
-  nowMs: number,
 ): ControlEffect {
-  const clock = { wallMs: nowMs, counter: 0 };
   const { isTableConfirmed: isConfirmed } = state;
-  return createSend(linkId, { type: "HeartbeatAnswer", clock, isConfirmed });
+  return createSend(linkId, { type: "HeartbeatAnswer", isConfirmed });
 }
 
 /** Orders a drain here and, through the other replicas, elsewhere. */
--- a/src/platform/control/test/control_reducer_test.ts
+++ b/src/platform/control/test/control_reducer_test.ts
@@ -36,7 +36,6 @@
   key: "none",
   maxBodyBytes: 1_000,
 };
-const CLOCK = { wallMs: 0, counter: 0 };
 
 /** One replica, and all that it did. */
 class ControlRun {
@@ -73,7 +72,7 @@
   }
 
   beat(linkId: number, tableVersion: number) {
-    return this.tell(linkId, { type: "Heartbeat", tableVersion, clock: CLOCK });
+    return this.tell(linkId, { type: "Heartbeat", tableVersion });
   }
 
   edit(weight: number): readonly ControlEffect[] {
--- a/src/platform/control/test/replica_reducer_test.ts
+++ b/src/platform/control/test/replica_reducer_test.ts
@@ -13,11 +13,10 @@
     const { nowMs } = replicas;
     const control = createControl("a", nowMs);
     const state = { control, replication: replicas.get("a") };
-    const clock = { wallMs: 0, counter: 0 };
     const event: ReplicaEvent = {
       type: "NodeMessageReceived",
       linkId: 1,
-      message: { type: "Heartbeat", tableVersion: 0, clock },
+      message: { type: "Heartbeat", tableVersion: 0 },
     };
     const readAnswers = (atMs: number, from = state) => {
       const step = reduceReplica(from, event, atMs);
--- a/src/platform/link/common/link_messages.ts
+++ b/src/platform/link/common/link_messages.ts
@@ -5,7 +5,6 @@
 import type { TableDelta } from "../../table/common/table_delta.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { ClusterMessage } from "./cluster_messages.ts";
-import type { HybridTime } from "../../telemetry/common/timeline_event.ts";
 
 /** What a node says to its control replica. */
 export type NodeMessage =
@@ -21,7 +20,6 @@
   | {
     readonly type: "Heartbeat";
     readonly tableVersion: number;
-    readonly clock: HybridTime;
   }
   /** The records of an older epoch are copied. */
   | {
@@ -66,7 +64,6 @@
   | { readonly type: "DrainOrder" }
   | {
     readonly type: "HeartbeatAnswer";
-    readonly clock: HybridTime;
     readonly isConfirmed: boolean;
   };
 
--- a/src/platform/link/node/link_client.ts
+++ b/src/platform/link/node/link_client.ts
@@ -1,12 +1,12 @@
 /** One link to a control replica: the socket that the link reducer asks for. */
 import { WebSocket } from "ws";
 import { EventLoop } from "../../../base/node/event_loop.ts";
-import {
-  decodeMessage,
-  encodeMessage,
-} from "../../../base/node/message_codec.ts";
+import { decodeMessage } from "../../../base/node/message_codec.ts";
 import { createSocketOptions } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
+import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
+import { encodeClocked } from "./clocked_message.ts";
+import type { Clocked } from "./clocked_message.ts";
 import { HEARTBEAT_MS } from "../common/link_messages.ts";
 import { CONNECT_MS, createLink, reduceLink } from "../common/link_reducer.ts";
 import type {
@@ -35,6 +35,8 @@
   readonly readConfirmed: (message: In) => boolean | undefined;
   /** Undefined where other messages show often enough that this end lives. */
   readonly createHeartbeat: (() => Out) | undefined;
+  /** Rides on every message, both ways. */
+  readonly clock?: ProcessClock | undefined;
 }
 
 /** Payloads of the messages of a link, without frames and packets. */
@@ -87,7 +89,7 @@
 
   /** Sends if a link is open; presence is told anew when one opens. */
   send(message: Out): void {
-    this.sendBytes(encodeMessage(message));
+    this.sendBytes(encodeClocked(message, this.#options.clock));
   }
 
   /** Sends an encoded message if a link is open. */
@@ -177,8 +179,9 @@
   #receive(data: Buffer, replica: string, linkNumber: number): void {
     this.#receivedBytes += data.length;
     this.#receivedCount += 1;
-    const message = decodeMessage<In>(data);
+    const message = decodeMessage<Clocked<In>>(data);
     if (message !== undefined) {
+      this.#options.clock?.observe(message.clock);
       const isConfirmed = this.#options.readConfirmed(message);
       this.#loop.dispatch({ type: "MessageReceived", linkNumber, isConfirmed });
       this.#options.onMessage(message, replica);
--- a/src/platform/link/node/link_server.ts
+++ b/src/platform/link/node/link_server.ts
@@ -10,10 +10,10 @@
   OutboundMessage,
 } from "../common/link_messages.ts";
 import { LINK_SILENCE_MS } from "../common/link_messages.ts";
-import {
-  decodeMessage,
-  encodeMessage,
-} from "../../../base/node/message_codec.ts";
+import { decodeMessage } from "../../../base/node/message_codec.ts";
+import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
+import { encodeClocked } from "./clocked_message.ts";
+import type { Clocked } from "./clocked_message.ts";
 
 /** What the server is built from. */
 export interface LinkServerOptions {
@@ -22,6 +22,8 @@
   readonly tls?: TlsKeys | undefined;
   readonly onMessage: (linkId: number, message: InboundMessage) => void;
   readonly onClose: (linkId: number) => void;
+  /** Rides on every message, both ways. */
+  readonly clock: ProcessClock;
 }
 
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
@@ -79,7 +81,8 @@
   /** A message to many links is encoded once. */
   #encode(message: OutboundMessage): Uint8Array {
     if (this.#last?.message !== message) {
-      this.#last = { message, bytes: encodeMessage(message) };
+      const bytes = encodeClocked(message, this.#options.clock);
+      this.#last = { message, bytes };
     }
     return this.#last.bytes;
   }
@@ -90,11 +93,12 @@
     const silence = setTimeout(() => socket.terminate(), LINK_SILENCE_MS);
     socket.on("message", (data: Buffer) => {
       silence.refresh();
-      const message = decodeMessage<InboundMessage>(data);
+      const message = decodeMessage<Clocked<InboundMessage>>(data);
       if (message === undefined) {
         socket.terminate();
         return;
       }
+      this.#options.clock.observe(message.clock);
       this.#options.onMessage(linkId, message);
     });
     socket.on("error", () => socket.terminate());
--- a/src/platform/link/node/replica_links.ts
+++ b/src/platform/link/node/replica_links.ts
@@ -1,10 +1,11 @@
 /** The links that a control replica opens to the others. */
 import { DisposalStack } from "../../../base/common/disposal.ts";
-import { encodeMessage } from "../../../base/node/message_codec.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
+import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
 import type { ClusterMessage } from "../common/cluster_messages.ts";
 import type { OutboundMessage } from "../common/link_messages.ts";
+import { encodeClocked } from "./clocked_message.ts";
 import { LinkClient } from "./link_client.ts";
 
 /** What replicas say to each other. */
@@ -18,18 +19,21 @@
   /** `host:port` of the other replicas' link listeners. */
   readonly replicas: readonly string[];
   readonly onMessage: (message: OutboundMessage, replica: string) => void;
+  readonly clock: ProcessClock;
 }
 
 /** Holds one link to every other replica. */
 export class ReplicaLinks implements AsyncDisposable {
   readonly #owned = new DisposalStack();
+  readonly #clock: ProcessClock;
   readonly #clients: ReadonlyMap<
     string,
     LinkClient<OutboundMessage, ReplicaMessage>
   >;
 
   constructor(options: ReplicaLinksOptions) {
-    const { id, tls, replicas, onMessage } = options;
+    const { id, tls, replicas, onMessage, clock } = options;
+    this.#clock = clock;
     this.#clients = new Map(replicas.map((replica) => [
       replica,
       this.#owned.use(
@@ -42,6 +46,7 @@
           onClose: () => {},
           readConfirmed: () => undefined,
           createHeartbeat: undefined,
+          clock,
         }),
       ),
     ]));
@@ -56,7 +61,7 @@
 
   /** Sends to every replica that is linked; encoded once. */
   sendAll(message: PresenceMessage): void {
-    const bytes = encodeMessage(message);
+    const bytes = encodeClocked(message, this.#clock);
     for (const client of this.#clients.values()) {
       client.sendBytes(bytes);
     }
--- a/src/platform/peer/node/peer_client.ts
+++ b/src/platform/peer/node/peer_client.ts
@@ -6,6 +6,11 @@
 } from "../../../base/node/message_codec.ts";
 import { createConnector, formatOrigin } from "../../../base/node/tls.ts";
 import type { Connector, TlsKeys } from "../../../base/node/tls.ts";
+import {
+  CLOCK_HEADER,
+  encodeClock,
+} from "../../telemetry/common/process_clock.ts";
+import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
 import { PEER_PATH } from "../common/peer_messages.ts";
 import type { PeerMessage, PeerReply } from "../common/peer_messages.ts";
 
@@ -25,9 +30,15 @@
   readonly #isTls: boolean;
   readonly #connect: Connector;
   readonly #agent: Agent;
+  readonly #clock: ProcessClock;
 
   /** With `tls`, peers must be of the authority and are shown a certificate. */
-  constructor(tls: TlsKeys | undefined) {
+  constructor(options: {
+    readonly tls: TlsKeys | undefined;
+    readonly clock: ProcessClock;
+  }) {
+    const { tls, clock } = options;
+    this.#clock = clock;
     this.#isTls = tls !== undefined;
     this.#connect = createConnector(tls);
     const connect = this.#connect;
@@ -44,9 +55,11 @@
         origin: formatOrigin(request.address, this.#isTls),
         path: PEER_PATH,
         method: "POST",
+        headers: { [CLOCK_HEADER]: encodeClock(this.#clock.read()) },
         body: encodeMessage(request.message),
         signal: AbortSignal.timeout(request.timeoutMs),
       });
+      this.#clock.observe(answer.headers[CLOCK_HEADER]);
       const bytes = new Uint8Array(await answer.body.arrayBuffer());
       return answer.statusCode === 200
         ? decodeMessage<PeerReply>(bytes)
--- a/src/platform/telemetry/common/timeline.ts
+++ b/src/platform/telemetry/common/timeline.ts
@@ -7,6 +7,8 @@
 
 /** Records that a process keeps by default. */
 export const TIMELINE_CAPACITY = 4_096;
+/** How far ahead another process's clock is believed, in milliseconds. */
+export const MAX_CLOCK_AHEAD_MS = 3_600_000;
 
 /** Whose time line it is. */
 export interface TimelineOptions {
@@ -33,14 +35,22 @@
     return this.#clock;
   }
 
-  /** Moves the clock past one that came with a message. */
-  observeClock(other: HybridTime): void {
+  /**
+   * Moves the clock past one that came with a message. One that is absurdly
+   * far ahead of this wall clock is ignored: it would spoil every later time.
+   * Returns whether it was believed.
+   */
+  observeClock(other: HybridTime, nowMs: number): boolean {
+    if (other.wallMs > nowMs + MAX_CLOCK_AHEAD_MS) {
+      return false;
+    }
     const isLater = other.wallMs > this.#clock.wallMs ||
       (other.wallMs === this.#clock.wallMs &&
         other.counter > this.#clock.counter);
     if (isLater) {
       this.#clock = other;
     }
+    return true;
   }
 
   /** Keeps an event; the oldest one falls out of a full ring. */
