Name silent replicas in the metrics, and make the demo readable

Cause: the metrics counted silent replicas but did not name them, no test froze one and looked at all three places, and status and timeline waited 10 s for each frozen process. The demo showed no overload. The demo has a calm phase and a surge, and prints goodput, refusals by kind, the version in force and the time line of one transfer.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -3,23 +3,34 @@
  * Sends lookups, transfers and photo batches for some seconds and prints what
  * came of them.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { Fleet } from "../standin/fleet.ts";
 import type { FleetNode } from "../standin/fleet.ts";
-import { writeLine } from "../src/cli/output.ts";
+import type { StatusAnswer } from "../src/cli/commands/status.ts";
+import { writeColumns, writeLine } from "../src/cli/output.ts";
+import type {
+  TimelineEvent,
+  TimelineRecord,
+} from "../src/platform/telemetry/common/timeline_event.ts";
 
 const DATA_CENTRES = ["kenitra-a", "kenitra-b", "larache-a", "larache-b"];
 const SERVICES = ["provenance", "custody", "classing", "warehouse"];
 const SLOTS = 8;
 const RUN_MS = 4_000;
-const WORKERS = 24;
+/** Callers that call at a time, by phase. */
+const PHASES = [["Calm", 24], ["Surge", 240]] as const;
+/** How long a caller waits after an answer that isn't whole. */
+const PAUSE_MS = 50;
 const BATCH_BYTES = 200_000;
 const TABLE = "examples/coton-loukkos/table.csv";
 
 interface Tally {
   sent: number;
   whole: number;
+  /** Refused as "not run". */
   refused: number;
+  /** Other answers, cut ones and outcomes unknown. */
   other: number;
 }
 
@@ -49,7 +60,8 @@
   return { kind: "bale-lookup", method: "GET", path: `/bales/${n}` };
 }
 
-async function sendCall(edge: string, call: Call): Promise<void> {
+/** Makes one call; returns whether its answer was whole. */
+async function sendCall(edge: string, call: Call): Promise<boolean> {
   const tally = tallies.get(call.kind) ??
     { sent: 0, whole: 0, refused: 0, other: 0 };
   tallies.set(call.kind, tally);
@@ -67,15 +79,20 @@
     tally.whole += isWhole ? 1 : 0;
     tally.refused += !isWhole && isRefused ? 1 : 0;
     tally.other += !isWhole && !isRefused ? 1 : 0;
+    return isWhole;
   } catch {
     tally.other += 1;
+    return false;
   }
 }
 
 async function runWorker(nodes: readonly FleetNode[], endMs: number) {
   while (Date.now() < endMs) {
     const node = nodes[sequence % nodes.length]!;
-    await sendCall(node.edge, createCall());
+    const isWhole = await sendCall(node.edge, createCall());
+    if (!isWhole) {
+      await sleep(PAUSE_MS);
+    }
   }
 }
 
@@ -96,47 +113,114 @@
   return await Promise.all(nodes);
 }
 
-function printTallies(): void {
-  writeLine("kind              sent  whole  refused  other");
-  for (const [kind, tally] of tallies) {
-    writeLine([
-      kind.padEnd(16),
-      String(tally.sent).padStart(5),
-      String(tally.whole).padStart(6),
-      String(tally.refused).padStart(8),
-      String(tally.other).padStart(6),
-    ].join(" "));
-  }
+async function runPhase(
+  nodes: readonly FleetNode[],
+  workers: number,
+): Promise<void> {
+  tallies.clear();
+  const endMs = Date.now() + RUN_MS;
+  await Promise.all(
+    Array.from({ length: workers }, () => runWorker(nodes, endMs)),
+  );
+}
+
+function printTallies(phase: string, workers: number): void {
+  const whole = [...tallies.values()].reduce((sum, t) => sum + t.whole, 0);
+  const seconds = RUN_MS / 1_000;
+  writeLine(
+    `${phase}: goodput ${(whole / seconds).toFixed(0)} whole answers/s ` +
+      `over ${seconds} s from ${workers} callers`,
+  );
+  const sorted = [...tallies].toSorted(([a], [b]) => a < b ? -1 : 1);
+  writeColumns(
+    ["KIND", "SENT", "WHOLE", "REFUSED", "OTHER"],
+    sorted.map(([kind, { sent, whole, refused, other }]) => [
+      kind,
+      ...[sent, whole, refused, other].map(String),
+    ]),
+  );
+}
+
+/** Prints which version how many nodes have in force, and the replicas. */
+async function printVersion(fleet: Fleet): Promise<void> {
+  const { stdout } = await fleet.run("status", "--json");
+  const status = JSON.parse(stdout) as StatusAnswer;
+  const current = status.nodes
+    .filter((node) => node.tableVersion === status.tableVersion);
+  writeLine(
+    `Table version ${status.tableVersion} is in force on ` +
+      `${current.length} of ${status.nodes.length} nodes`,
+  );
+  writeColumns(
+    ["REPLICA", "ROLE", "STATE"],
+    status.cluster.members.map(({ id, role, isSilent }) => [
+      id,
+      role,
+      isSilent ? "SILENT" : "heard",
+    ]),
+  );
 }
 
 async function printTransfer(fleet: Fleet): Promise<void> {
-  const all = await fleet.run("timeline", "--json");
-  const records = JSON.parse(all.stdout) as {
-    event: { type: string; kind?: string; requestId?: string };
-  }[];
-  const last = records.findLast(({ event }) =>
+  const { stdout } = await fleet.run("timeline", "--json");
+  const records = JSON.parse(stdout) as readonly TimelineRecord[];
+  const ended = records.findLast(({ event }) =>
     event.type === "CallEnded" && event.kind === "custody-transfer"
   );
-  const id = last?.event.requestId ?? "";
-  writeLine(`\nTime line of custody transfer ${id}`);
-  writeLine((await fleet.run("timeline", "--request", id)).stdout);
+  if (ended?.event.type !== "CallEnded") {
+    writeLine("No custody transfer ended");
+    return;
+  }
+  const { requestId } = ended.event;
+  const one = records.filter(({ event }) =>
+    "requestId" in event && event.requestId === requestId
+  );
+  const startMs = one[0]!.at.wallMs;
+  writeLine(`Time line of custody transfer ${requestId}`);
+  writeColumns(
+    ["AFTER", "PROCESS", "EVENT", ""],
+    one.map(({ at, process, event }) => [
+      `${at.wallMs - startMs} ms`,
+      process,
+      event.type,
+      describeDetails(event),
+    ]),
+  );
+}
+
+function describeDetails(event: TimelineEvent): string {
+  switch (event.type) {
+    case "CallStarted":
+      return event.kind;
+    case "AttemptSent":
+      return `to ${event.to}`;
+    case "AttemptRefused":
+      return event.reason;
+    case "CallEnded":
+      return `${event.kind} ${event.status} ${event.outcome}`;
+    default:
+      return "";
+  }
 }
 
 await using fleet = new Fleet();
+writeLine("Starting 3 control replicas, 16 nodes and backend servers ...");
 await fleet.startControls([
   ["control-a", "kenitra-a"],
   ["control-b", "kenitra-b"],
   ["control-c", "larache-a"],
 ]);
-writeLine("Starting 16 nodes and backend servers ...");
 const nodes = await startNodes(fleet);
-writeLine((await fleet.run("table", "apply", TABLE, "--wait")).stdout);
-const endMs = Date.now() + RUN_MS;
-await Promise.all(
-  Array.from({ length: WORKERS }, () => runWorker(nodes, endMs)),
-);
-const whole = [...tallies.values()].reduce((sum, t) => sum + t.whole, 0);
-writeLine(`Goodput ${(whole / (RUN_MS / 1000)).toFixed(0)} whole answers/s`);
-printTallies();
-writeLine(`\n${(await fleet.run("status")).stdout}`);
+const applied = await fleet.run("table", "apply", TABLE, "--wait");
+if (applied.exitCode !== 0) {
+  throw new Error(`The table was not accepted: ${applied.stderr}`);
+}
+writeLine(applied.stdout);
+for (const [phase, workers] of PHASES) {
+  await runPhase(nodes, workers);
+  printTallies(phase, workers);
+  writeLine("");
+}
+await printVersion(fleet);
+writeLine("");
 await printTransfer(fleet);
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -6,6 +6,7 @@
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
 import type { CommandContext } from "../command_context.ts";
+import { MEMORY_TIMEOUT_MS } from "../operator_client.ts";
 import { writeColumns, writeJson, writeLine } from "../output.ts";
 
 /** What a control replica answers. */
@@ -29,7 +30,11 @@
 export async function fetchStatus(
   context: CommandContext,
 ): Promise<Result<StatusAnswer, CliError>> {
-  const reply = await context.client.ask({ method: "GET", path: "/status" });
+  const reply = await context.client.ask({
+    method: "GET",
+    path: "/status",
+    timeoutMs: MEMORY_TIMEOUT_MS,
+  });
   return reply.map(({ body }) => body as StatusAnswer);
 }
 
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -9,6 +9,7 @@
 import { createContext, finishCommand } from "../command_context.ts";
 import type { CommandContext } from "../command_context.ts";
 import { EXIT_CODES } from "../exit_codes.ts";
+import { MEMORY_TIMEOUT_MS } from "../operator_client.ts";
 import { writeColumns, writeJson, writeLine } from "../output.ts";
 import { createTimelinePage } from "../timeline_page.ts";
 import { fetchStatus } from "./status.ts";
@@ -79,7 +80,11 @@
 export async function fetchTimeline(
   context: CommandContext,
 ): Promise<Result<readonly TimelineRecord[], CliError>> {
-  const call = { method: "GET", path: "/timeline" } as const;
+  const call = {
+    method: "GET",
+    path: "/timeline",
+    timeoutMs: MEMORY_TIMEOUT_MS,
+  } as const;
   const status = await fetchStatus(context);
   if (status.isErr()) {
     return err(status.error);
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -14,6 +14,8 @@
   readonly method: "GET" | "POST";
   readonly path: string;
   readonly body?: unknown;
+  /** Longest wait for the answer; `TIMEOUT_MS` where left out. */
+  readonly timeoutMs?: number;
 }
 
 /** A JSON answer. */
@@ -32,6 +34,8 @@
 }
 
 const TIMEOUT_MS = 10_000;
+/** For what a process answers from memory: a longer silence is a fault. */
+export const MEMORY_TIMEOUT_MS = 2_000;
 
 /** Asks control replicas, and single processes by their address. */
 export class OperatorClient {
@@ -105,7 +109,7 @@
             ...createAuthorization(call, token),
           },
           body: call.body === undefined ? null : JSON.stringify(call.body),
-          signal: AbortSignal.timeout(TIMEOUT_MS),
+          signal: AbortSignal.timeout(call.timeoutMs ?? TIMEOUT_MS),
         },
       );
       return ok({ status: statusCode, body: await body.json() });
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -309,6 +309,13 @@
         [...readState().replication.peers.values()]
           .filter((peer) => peer.isSilent).length,
     );
+    metrics.createLabelledGauge("replica_silent", {
+      description: "Whether another control replica is not heard (1 or 0)",
+      label: "replica",
+      read: () =>
+        [...readState().replication.peers]
+          .map(([id, peer]) => [id, peer.isSilent ? 1 : 0]),
+    });
     metrics.createGauge(
       "consensus_term",
       "Term of the replicated log",
--- a/src/platform/telemetry/node/metrics.ts
+++ b/src/platform/telemetry/node/metrics.ts
@@ -7,11 +7,25 @@
 /** Reads the present value of a gauge. */
 export type ReadGauge = () => number;
 
+/** One value of a gauge. */
+export interface Reading {
+  readonly value: number;
+  readonly attributes: Attributes;
+}
+
 /** A gauge that is read at each scrape. */
 export interface Gauge {
   readonly name: string;
   readonly description: string;
-  readonly read: ReadGauge;
+  readonly read: () => readonly Reading[];
+}
+
+/** A gauge that has one value for each value of a label. */
+export interface LabelledGauge {
+  readonly description: string;
+  readonly label: string;
+  /** Reads value of the label and reading, in turn. */
+  readonly read: () => readonly (readonly [string, number])[];
 }
 
 /** A running count of one set of attributes. */
@@ -56,7 +70,19 @@
 
   /** Adds a gauge that is read at each scrape. */
   createGauge(name: string, description: string, read: ReadGauge): void {
-    this.#gauges.push({ name, description, read });
+    const readOne = () => [{ value: read(), attributes: {} }];
+    this.#gauges.push({ name, description, read: readOne });
+  }
+
+  /** Adds a gauge with one value for each of several named things. */
+  createLabelledGauge(name: string, options: LabelledGauge): void {
+    const { description, label, read } = options;
+    const readAll = () =>
+      read().map(([labelled, value]) => ({
+        value,
+        attributes: { [label]: labelled },
+      }));
+    this.#gauges.push({ name, description, read: readAll });
   }
 
   /** Answers a scrape. */
--- a/src/platform/telemetry/node/metrics_reader.ts
+++ b/src/platform/telemetry/node/metrics_reader.ts
@@ -24,7 +24,11 @@
     }
     for (const { name, description, read } of gauges) {
       meter.createObservableGauge(`basilpin_${name}`, { description })
-        .addCallback((result) => result.observe(read()));
+        .addCallback((result) => {
+          for (const { value, attributes } of read()) {
+            result.observe(value, attributes);
+          }
+        });
     }
   }
 
