--- a/src/daemon/settings_reference.ts
+++ b/src/daemon/settings_reference.ts
@@ -52,7 +52,7 @@
     "With tls: whether callers use it too; false if left out",
   "operators.file": "Operators' names and SHA-256 of their tokens, TOML",
   "log.level": "Least level that is logged; info where left out",
-  "trace.file": "Records each event of the node for basilpin trace",
+  "trace.file": "Records each event of the process for basilpin trace",
 };
 
 interface SchemaNode {
