Narrow the overload bench and print refusals by reason

Cause: finding why a node refuses took reading eight time lines, and a question on one mode and one load took a run of all of them.

--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -6,8 +6,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Fleet } from "../standin/fleet.ts";
 import { countCores } from "./cpu.ts";
-import { MODES, startDeployment } from "./overload_fleet.ts";
-import type { Mode } from "./overload_fleet.ts";
+import { MODES, readRefusals, startDeployment } from "./overload_fleet.ts";
+import type { Deployment, Mode } from "./overload_fleet.ts";
 import { formatPlot } from "./plot.ts";
 import {
   computeMedian,
@@ -56,7 +56,19 @@
   return workload.kinds.find(({ kind }) => kind === deepest.calls[0])!.service;
 }
 
+/** Whether `--only` leaves in one of `names`, all names of one dimension. */
+function isWanted(name: string, names: readonly string[]): boolean {
+  const named = options.only.filter((one) => names.includes(one));
+  return named.length === 0 || named.includes(name);
+}
+
 function listScenarios(workload: Workload): readonly Scenario[] {
+  const scenarios = createScenarios(workload);
+  const names = scenarios.map(({ name }) => name);
+  return scenarios.filter(({ name }) => isWanted(name, names));
+}
+
+function createScenarios(workload: Workload): readonly Scenario[] {
   const multiples = options.isQuick ? QUICK_MULTIPLES : MULTIPLES;
   return [
     ...multiples.map((multiple) => ({
@@ -89,11 +101,23 @@
     });
     const names = { workload: workload.name, mode, scenario: scenario.name };
     measured.push({ ...names, ...figures });
+    if (options.only.includes("refusals")) {
+      await writeRefusals(deployment);
+    }
     await sleep(REST_MS);
   }
   return measured;
 }
 
+/** Prints which nodes refused what and why, since they started. */
+async function writeRefusals(deployment: Deployment): Promise<void> {
+  for (const [nodeId, address] of Object.entries(deployment.operators)) {
+    for (const line of await readRefusals(address)) {
+      writeReport(`${nodeId} ${line}`);
+    }
+  }
+}
+
 /** Takes the median of each figure; a recovery that never came is the worst. */
 function mergeRuns(runs: readonly Measured[]): Measured {
   const first = runs[0]!;
@@ -194,7 +218,7 @@
 for (let run = 0; run < options.runs; run++) {
   const measured: Measured[] = [];
   for (const workload of workloads) {
-    for (const mode of MODES) {
+    for (const mode of MODES.filter((one) => isWanted(one, MODES))) {
       measured.push(...await measureMode(workload, mode, run));
     }
   }
--- a/bench/overload_fleet.ts
+++ b/bench/overload_fleet.ts
@@ -1,4 +1,5 @@
 /** Starts one deployment in each of the three modes that are compared. */
+import { request } from "undici";
 import type { Fleet, FleetControl } from "../standin/fleet.ts";
 import { findAddress } from "../standin/ports.ts";
 import {
@@ -21,6 +22,8 @@
   readonly entries: Readonly<Record<string, readonly string[]>>;
   /** Addresses of the backend servers, by service. */
   readonly backends: Readonly<Record<string, readonly string[]>>;
+  /** Operators' addresses of the nodes, by node id. */
+  readonly operators: Readonly<Record<string, string>>;
 }
 
 type Downstream = Readonly<Record<string, readonly string[]>>;
@@ -46,6 +49,15 @@
   }
 }
 
+/** Lists the refusals of a node by kind, importance and reason. */
+export async function readRefusals(
+  operator: string,
+): Promise<readonly string[]> {
+  const { body } = await request(`http://${operator}/metrics`);
+  const lines = (await body.text()).split("\n");
+  return lines.filter((line) => line.startsWith("basilpin_refusals"));
+}
+
 async function startBare(
   fleet: Fleet,
   workload: Workload,
@@ -56,7 +68,7 @@
     egress: "",
     direct,
   }));
-  return { backends, entries: mapKinds(workload, backends) };
+  return { backends, operators: {}, entries: mapKinds(workload, backends) };
 }
 
 async function startProxied(
@@ -91,7 +103,7 @@
       ]);
     }
   }
-  return { backends, entries: mapToAll(workload, listeners) };
+  return { backends, operators: {}, entries: mapToAll(workload, listeners) };
 }
 
 async function startNodes(
@@ -101,6 +113,7 @@
   const control: FleetControl = await fleet.startControl("control-a", "dc-a");
   const edges: Record<string, string[]> = {};
   const backends: Record<string, string[]> = {};
+  const operators: Record<string, string> = {};
   for (const service of listServices(workload)) {
     for (let index = 0; index < SERVERS_PER_SERVICE; index++) {
       const node = await fleet.startNode({
@@ -113,13 +126,14 @@
       });
       (edges[service] ??= []).push(node.edge);
       (backends[service] ??= []).push(node.backendAddress);
+      operators[node.id] = node.operator;
     }
   }
   const applied = await fleet.run("table", "apply", workload.table, "--wait");
   if (applied.exitCode !== 0) {
     throw new Error(`${control.id} refused the table: ${applied.stderr}`);
   }
-  return { backends, entries: mapToAll(workload, edges) };
+  return { backends, operators, entries: mapToAll(workload, edges) };
 }
 
 async function startBackends(
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -12,6 +12,8 @@
   readonly svg: string | undefined;
   /** Whether the processes use TLS among them, where the bench can. */
   readonly isTls: boolean;
+  /** Names that narrow a run, such as modes and scenarios; empty for all. */
+  readonly only: readonly string[];
 }
 
 /** Reads the options of a bench. */
@@ -21,6 +23,7 @@
     .option("--runs <count>", "runs that medians are taken over", String(runs))
     .option("--svg <file>", "draw the figures to a file, where it can")
     .option("--tls", "TLS among the processes, where the bench can")
+    .option("--only <names>", "narrow the run, comma-separated", "")
     .option("--quick", "a shorter run, where there is one")
     .parse().opts<
     {
@@ -29,6 +32,7 @@
       quick?: boolean;
       tls?: boolean;
       runs: string;
+      only: string;
     }
   >();
   return {
@@ -37,6 +41,7 @@
     isQuick: options.quick === true,
     isTls: options.tls === true,
     runs: Number(options.runs),
+    only: options.only.split(",").filter((name) => name !== ""),
   };
 }
 
