Let the queue hold random arrivals at just the capacity

Cause: at 1x a fifth of the unimportant requests was refused. Ruled out: the adaptive limit (with 4 slots its lowest fixed point is 4, so it can't fall), the retry budget (1.13 runs a root).

Change: four may wait for each one that may run; the wait may take an eighth of the row's timeout; a request cut after its wait counts as overload only where the whole queue takes longer than that. An arrival at a full backend server no longer sorts the queue.

Conclusion: the queue was too short, the level followed. Hard resends are not mended by this.

--- a/src/platform/admission/common/admission_capacity.ts
+++ b/src/platform/admission/common/admission_capacity.ts
@@ -11,6 +11,11 @@
 
 /** Fewest requests that may wait, however low the limit. */
 const MIN_QUEUE = 4;
+/**
+ * Requests that may wait for each one that may run. One for one is too short
+ * for arrivals at random: at a load of just the capacity it refuses a fifth.
+ */
+const QUEUE_TURNS = 4;
 
 const UNUSED_KIND: KindState = {
   usedAtMs: 0,
@@ -27,9 +32,9 @@
   return Math.floor(Math.max(floor, capacity));
 }
 
-/** Computes how many may wait: about one service time's worth. */
+/** Computes how many may wait: a few service times' worth. */
 export function computeQueueSize(state: AdmissionState, nowMs: number): number {
-  return Math.max(MIN_QUEUE, computeCapacity(state, nowMs));
+  return Math.max(MIN_QUEUE, QUEUE_TURNS * computeCapacity(state, nowMs));
 }
 
 /** Whether one more request of its kind may run. */
--- a/src/platform/admission/common/admission_queue.ts
+++ b/src/platform/admission/common/admission_queue.ts
@@ -31,12 +31,23 @@
 export const BUSY_INTERVAL_MS = 100;
 /** Longest wait in an overloaded queue, where a service time isn't longer. */
 const TARGET_WAIT_MS = 50;
+/** Part of a row's timeout that may go into the wait. */
+const WAIT_PART = 8;
+/** The same, where no service time is known. */
+const UNKNOWN_WAIT_PART = 4;
 
 /** Runs queued requests while there is room, in the order of the queue. */
 export function runQueued(
   state: AdmissionState,
   nowMs: number,
 ): AdmissionStep {
+  // Under overload nearly every arrival ends here: it has to be cheap.
+  if (
+    state.queue.length === 0 ||
+    state.running.size >= computeCapacity(state, nowMs)
+  ) {
+    return createReduction(state);
+  }
   const next = selectNext(state.queue, {
     kinds: state.kinds,
     virtualMs: state.virtualMs,
@@ -88,8 +99,8 @@
 
 /**
  * Keeps the wait short in a queue that doesn't empty: the least important go,
- * once they have waited for longer than a service time, or than a quarter of
- * the timeout where none is known.
+ * once they have waited for longer than a service time and an eighth of the
+ * timeout, or than a quarter of it where no service time is known.
  */
 export function cutWait(state: AdmissionState, nowMs: number): AdmissionStep {
   const { queue, busySinceMs, running } = state;
@@ -165,22 +176,41 @@
   nowMs: number,
 ): AdmissionStep {
   const { attemptId } = request;
-  // Only a full backend server is overloaded, not a row at its own limit.
-  const isFull = state.running.size >= computeCapacity(state, nowMs);
-  const level = isFull
+  const isOverload = reason === "queue_wait"
+    ? isLong(state, request, nowMs)
+    // Only a full backend server is overloaded, not a row at its own limit.
+    : state.running.size >= computeCapacity(state, nowMs);
+  const level = isOverload
     ? noteOverload(state.level, request.importance)
     : state.level;
   const queue = dropQueued(state.queue, attemptId);
   return refuseRequest({ ...state, queue, level }, attemptId, reason);
 }
 
+/**
+ * Whether the whole queue takes longer than one may wait. In a shorter one, a
+ * request waits as long only because of those that go before it.
+ */
+function isLong(
+  state: AdmissionState,
+  request: QueuedRequest,
+  nowMs: number,
+): boolean {
+  const { expectedMs } = findKind(state, request.row.kind).time;
+  const turns = state.queue.length / computeCapacity(state, nowMs);
+  return expectedMs === undefined ||
+    turns * expectedMs > computeMostWait(state, request);
+}
+
 function computeMostWait(
   state: AdmissionState,
   request: QueuedRequest,
 ): number {
   const { kind, timeoutMs } = request.row;
   const { expectedMs } = findKind(state, kind).time;
-  return Math.max(TARGET_WAIT_MS, expectedMs ?? timeoutMs / 4);
+  return expectedMs === undefined
+    ? Math.max(TARGET_WAIT_MS, timeoutMs / UNKNOWN_WAIT_PART)
+    : Math.max(TARGET_WAIT_MS, expectedMs, timeoutMs / WAIT_PART);
 }
 
 function dropQueued(
