Leave the wait for downstream calls out of a server's own slowness

Cause: the limit compared the whole latency with its baseline, so a backend server whose callees slow down was cut itself, and with it the important work at the head of a chain.

Change: a node notes since when calls of a served attempt are open, and the baseline and the slowdown leave that time out. The expected time, which the deadline is held against, keeps it.

Test: the limit of a server that calls others stays where only they are slow (capacity 8; 4 without the mechanism), and falls where it is slow itself (at most 4).

--- a/src/platform/admission/common/admission_reducer.ts
+++ b/src/platform/admission/common/admission_reducer.ts
@@ -26,7 +26,6 @@
   AdmissionState,
   KindState,
   RunningRequest,
-  RunResult,
 } from "./admission_types.ts";
 import { createLimit, noteSlowdown, updateLimit } from "./concurrency_limit.ts";
 import {
@@ -79,7 +78,7 @@
     case "RequestArrived":
       return admitRequest(state, event.request, nowMs);
     case "RequestAnswered":
-      return createReduction(noteAnswer(state, event.attemptId, nowMs));
+      return createReduction(noteAnswer(state, event, nowMs));
     case "RequestFinished":
       return finishRequest(state, event, nowMs);
     case "RequestWithdrawn":
@@ -126,44 +125,47 @@
 
 function noteAnswer(
   state: AdmissionState,
-  attemptId: string,
+  answered: { readonly attemptId: string; readonly downstreamMs?: number },
   nowMs: number,
 ): AdmissionState {
+  const { attemptId, downstreamMs = 0 } = answered;
   const run = state.running.get(attemptId);
   if (run === undefined || run.isAnswered) {
     return state;
   }
-  const answered = setEntry(state.running, attemptId, {
+  const running = setEntry(state.running, attemptId, {
     ...run,
     isAnswered: true,
   });
   const latencyMs = nowMs - run.startedAtMs;
+  // What it waited for others says nothing of this backend server's load.
+  const ownMs = latencyMs - downstreamMs;
   const { time } = findKind(state, run.kind);
-  const next = noteDelay(state, run, latencyMs);
+  const next = noteDelay(state, run, ownMs);
   return updateKind(
     {
       ...next,
-      running: answered,
+      running,
       ramp: noteRun(state.ramp, true, nowMs),
     },
     run.kind,
-    { time: noteLatency(time, latencyMs, nowMs) },
+    { time: noteLatency(time, { latencyMs, ownMs }, nowMs) },
   );
 }
 
 function finishRequest(
   state: AdmissionState,
-  finished: { readonly attemptId: string; readonly result: RunResult },
+  finished: Extract<AdmissionEvent, { type: "RequestFinished" }>,
   nowMs: number,
 ): AdmissionStep {
-  const { attemptId, result } = finished;
+  const { attemptId } = finished;
   const run = state.running.get(attemptId);
   if (run === undefined) {
     return createReduction(state);
   }
   const noted = run.isAnswered
     ? state
-    : noteUnanswered(state, run, result, nowMs);
+    : noteUnanswered(state, run, finished, nowMs);
   const running = deleteEntry(state.running, attemptId);
   return runQueued({ ...noted, running }, nowMs);
 }
@@ -172,13 +174,14 @@
 function noteUnanswered(
   state: AdmissionState,
   run: RunningRequest,
-  result: RunResult,
+  finished: Extract<AdmissionEvent, { type: "RequestFinished" }>,
   nowMs: number,
 ): AdmissionState {
+  const { result, downstreamMs = 0 } = finished;
   if (result === "failed") {
     return { ...state, ramp: noteRun(state.ramp, false, nowMs) };
   }
-  const elapsedMs = nowMs - run.startedAtMs;
+  const elapsedMs = nowMs - run.startedAtMs - downstreamMs;
   const { time } = findKind(state, run.kind);
   const isSlow = (computeSlowdown(time, elapsedMs) ?? 0) > 1;
   return isSlow ? noteDelay(state, run, elapsedMs) : state;
--- a/src/platform/admission/common/admission_types.ts
+++ b/src/platform/admission/common/admission_types.ts
@@ -80,11 +80,17 @@
 export type AdmissionEvent =
   | { readonly type: "RequestArrived"; readonly request: AdmissionRequest }
   /** The head of the backend server's answer has come. */
-  | { readonly type: "RequestAnswered"; readonly attemptId: string }
+  | {
+    readonly type: "RequestAnswered";
+    readonly attemptId: string;
+    /** Time of it that the backend server waited for calls of its own. */
+    readonly downstreamMs?: number;
+  }
   | {
     readonly type: "RequestFinished";
     readonly attemptId: string;
     readonly result: RunResult;
+    readonly downstreamMs?: number;
   }
   | { readonly type: "RequestWithdrawn"; readonly attemptId: string }
   | { readonly type: "Ticked" };
--- a/src/platform/admission/common/service_time.ts
+++ b/src/platform/admission/common/service_time.ts
@@ -32,19 +32,27 @@
 /** Below this, a difference may be the delay of this process alone. */
 const MIN_BASELINE_MS = 5;
 
-/** Takes in the latency of one answer, in milliseconds. */
+/** How long an answer took, in milliseconds. */
+export interface AnswerTime {
+  readonly latencyMs: number;
+  /** Without the time in which the backend server waited for its own calls. */
+  readonly ownMs: number;
+}
+
+/** Takes in one answer: the latency is expected, its own part the baseline. */
 export function noteLatency(
   time: ServiceTime,
-  latencyMs: number,
+  answer: AnswerTime,
   nowMs: number,
 ): ServiceTime {
-  const ms = Math.max(MIN_LATENCY_MS, latencyMs);
+  const ms = Math.max(MIN_LATENCY_MS, answer.latencyMs);
   const old = time.expectedMs ?? ms;
   const gain = ms > old ? EXPECTED_RISE : EXPECTED_FALL;
   return moveBaseline({
     ...time,
     expectedMs: old + gain * (ms - old),
-    sampleSum: time.sampleSum + Math.log(Math.max(MIN_BASELINE_MS, ms)),
+    sampleSum: time.sampleSum +
+      Math.log(Math.max(MIN_BASELINE_MS, answer.ownMs)),
     sampleCount: time.sampleCount + 1,
   }, nowMs);
 }
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -9,6 +9,7 @@
 import { isServiceKnown } from "../../routing/common/routing_state.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
+import { noteDownstream } from "./downstream_time.ts";
 import type { NodeState } from "./node_state.ts";
 import {
   answerEntry,
@@ -49,6 +50,15 @@
   state: NodeState,
   event: NodeEvent,
   nowMs: number,
+): NodeStep {
+  const step = applyEvent(state, event, nowMs);
+  return { ...step, state: noteDownstream(state, step.state, nowMs) };
+}
+
+function applyEvent(
+  state: NodeState,
+  event: NodeEvent,
+  nowMs: number,
 ): NodeStep {
   const deps = createServedDeps(nowMs);
   switch (event.type) {
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -85,6 +85,10 @@
   readonly collectedStatus?: number;
   /** Whether it runs on, for its key's sake, though nobody waits for it. */
   readonly isDetached?: boolean;
+  /** Since when calls that it made are open; undefined where none is. */
+  readonly downstreamSinceMs?: number | undefined;
+  /** Time before that in which calls that it made were open. */
+  readonly downstreamMs?: number;
 }
 
 /** A table that is not in force yet. */
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -33,6 +33,7 @@
 } from "./claim_steps.ts";
 import { decodeContext } from "./call_context.ts";
 import { quoteLevel } from "./call_level.ts";
+import { computeDownstreamMs } from "./downstream_time.ts";
 import type {
   AttemptAnswer,
   CallReceived,
@@ -184,7 +185,11 @@
   // A kept answer says nothing of the backend server's latency.
   const event: AdmissionEvent = isReplay(call)
     ? { type: "RequestFinished", attemptId, result: "cancelled" }
-    : { type: "RequestAnswered", attemptId };
+    : {
+      type: "RequestAnswered",
+      attemptId,
+      downstreamMs: computeDownstreamMs(call, deps.nowMs),
+    };
   const heard = { ...state, served, backendHeardMs: deps.nowMs };
   const step = stepAdmission(heard, event, deps);
   if (call.origin === "local") {
@@ -493,7 +498,12 @@
   const result = isAnswered(call) ? "answered" : "cancelled";
   const event: AdmissionEvent = isQueued
     ? { type: "RequestWithdrawn", attemptId }
-    : { type: "RequestFinished", attemptId, result };
+    : {
+      type: "RequestFinished",
+      attemptId,
+      result,
+      downstreamMs: computeDownstreamMs(call, deps.nowMs),
+    };
   const ended = endClaim({ ...state, served, settled }, attemptId);
   const step = chainReduction(
     ended,
