Keep the connection open when a request without a body is refused

Cause: a call without a body is decided on in the step in which its head is parsed, when Node has not marked the request complete yet. The node took it for one whose body it had not read and answered with "connection: close". So each early refusal cost its caller a new connection, and each refusal at an ingress one between nodes: the refusal path was the dearest of all, just under overload and hard resends. Found in a profile of the nodes under hard resends (sockets opened and closed; no step of a reducer stood out, all of reduceNode took 20%).

Change: only a body that was not taken in closes the connection.

--- a/src/platform/call/node/exchange.ts
+++ b/src/platform/call/node/exchange.ts
@@ -58,7 +58,8 @@
     return;
   }
   const body = `${JSON.stringify({ message: answer.message })}\n`;
-  const isUnread = !request.complete;
+  // Without a body, a request is answered before its parser calls it complete.
+  const isUnread = exchange.body === undefined && !request.complete;
   response.writeHead(answer.status, {
     ...answer.headers,
     "content-type": "application/json",
