Let invested work wait longer than a root request

Change: calls of depth over 0 may wait a quarter of the timeout.

Test: lets invested work wait longer than a root request (both went in the same step before).

--- a/src/platform/admission/common/admission_queue.ts
+++ b/src/platform/admission/common/admission_queue.ts
@@ -33,8 +33,8 @@
 const TARGET_WAIT_MS = 50;
 /** Part of a row's timeout that may go into the wait. */
 const WAIT_PART = 8;
-/** The same, where no service time is known. */
-const UNKNOWN_WAIT_PART = 4;
+/** The same for work already invested, and where no service time is known. */
+const LONG_WAIT_PART = 4;
 
 /** Runs queued requests while there is room, in the order of the queue. */
 export function runQueued(
@@ -100,7 +100,8 @@
 /**
  * Keeps the wait short in a queue that doesn't empty: the least important go,
  * once they have waited for longer than a service time and an eighth of the
- * timeout, or than a quarter of it where no service time is known.
+ * timeout: a quarter of it for calls of other services, whose work would be
+ * lost with them, and where no service time is known.
  */
 export function cutWait(state: AdmissionState, nowMs: number): AdmissionStep {
   const { queue, busySinceMs, running } = state;
@@ -208,9 +209,9 @@
 ): number {
   const { kind, timeoutMs } = request.row;
   const { expectedMs } = findKind(state, kind).time;
-  return expectedMs === undefined
-    ? Math.max(TARGET_WAIT_MS, timeoutMs / UNKNOWN_WAIT_PART)
-    : Math.max(TARGET_WAIT_MS, expectedMs, timeoutMs / WAIT_PART);
+  const isShort = expectedMs !== undefined && request.depth === 0;
+  const part = isShort ? WAIT_PART : LONG_WAIT_PART;
+  return Math.max(TARGET_WAIT_MS, expectedMs ?? 0, timeoutMs / part);
 }
 
 function dropQueued(
--- a/src/platform/admission/test/admission_reducer_test.ts
+++ b/src/platform/admission/test/admission_reducer_test.ts
@@ -119,6 +119,23 @@
     expect(effects.map((effect) => effect.attemptId)).to.deep.equal(["lookup"]);
   });
 
+  it("lets invested work wait longer than a root request", () => {
+    const server = new SingleServer(1);
+    server.arrive(createRequest("first", LOOKUP));
+    server.nowMs += 20;
+    server.finish("first");
+    server.arrive(createRequest("stuck", LOOKUP));
+    for (const depth of [0, 1]) {
+      server.arrive(createRequest(`depth-${depth}`, LOOKUP, { depth }));
+    }
+    server.nowMs += 200;
+    const cut = server.send({ type: "Ticked" });
+    expect(cut.map((effect) => effect.attemptId)).to.deep.equal(["depth-0"]);
+    server.nowMs += 100;
+    const later = server.send({ type: "Ticked" });
+    expect(later.map((effect) => effect.attemptId)).to.deep.equal(["depth-1"]);
+  });
+
   it("lets a row's own queue wait while the backend server has room", () => {
     const server = new SingleServer(4);
     const narrow = createRow({ kind: "narrow", concurrency: 1, queue: 2 });
