--- a/bench/overload_fleet.ts
+++ b/bench/overload_fleet.ts
@@ -3,10 +3,10 @@
 import type { Fleet, FleetControl } from "../standin/fleet.ts";
 import { findAddress } from "../standin/ports.ts";
 import {
+  countSlots,
   findKind,
   listServices,
   SERVERS_PER_SERVICE,
-  SLOTS,
 } from "./workload.ts";
 import type { Workload } from "./workload.ts";
 
@@ -93,7 +93,7 @@
         "--backend",
         backend,
         "--limit",
-        String(SLOTS),
+        String(countSlots(workload, service)),
         "--queue",
         String(PROXY_QUEUE),
         "--retries",
@@ -120,7 +120,7 @@
         id: `${service}-${index}`,
         service,
         dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]!,
-        slots: SLOTS,
+        slots: countSlots(workload, service),
         behaviour: { serviceMs: workload.serviceMs[service]! },
         downstream: createDownstream(workload),
       });
@@ -150,7 +150,7 @@
       await fleet.startBackend({
         id: `${service}-${index}`,
         address,
-        slots: SLOTS,
+        slots: countSlots(workload, service),
         behaviour: { serviceMs: workload.serviceMs[service]! },
         downstream: createDownstream(workload),
         ...wire(service, index),
