--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -10,6 +10,7 @@
 import { isServiceKnown } from "../../routing/common/routing_state.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
+import { noteDownstream } from "./downstream_time.ts";
 import type { NodeState } from "./node_state.ts";
 import {
   answerEntry,
@@ -50,6 +51,15 @@
   state: NodeState,
   event: NodeEvent,
   nowMs: number,
+): NodeStep {
+  const step = applyEvent(state, event, nowMs);
+  return { ...step, state: noteDownstream(state, step.state, nowMs) };
+}
+
+function applyEvent(
+  state: NodeState,
+  event: NodeEvent,
+  nowMs: number,
 ): NodeStep {
   const deps = createServedDeps(nowMs);
   switch (event.type) {
