--- a/src/platform/call/test/exchange_test.ts
+++ b/src/platform/call/test/exchange_test.ts
@@ -23,7 +23,8 @@
     server = createServer((incoming, response) => {
       // In the same step as the head comes, as for any call without a body.
       const body = isCollected ? new Uint8Array(0) : undefined;
-      writeAnswer({ id: "x", request: incoming, response, body }, REFUSAL);
+      const parts = { id: "x", request: incoming, response, body };
+      writeAnswer({ ...parts, isFromNode: false }, REFUSAL);
     });
     await new Promise<void>((resolve) => {
       server.listen(0, "127.0.0.1", resolve);
