Take answers off the connection without streams between

A profile of a node showed undici's request(): an abort signal, a promise and a Readable for each attempt, and pipe() behind it. An answer that goes straight on now has a handler of its own; the body is held and the connection paused until it is relayed. Answers that are held whole (claims) go the old way.

Ruled out: the same with undici's newer handler methods; they wrap each head in parsed headers that are copied again here.

--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -1,4 +1,5 @@
 /** Sends attempts to other nodes and to the backend server. */
+import type { ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
 import { Transform } from "node:stream";
 import { errors, Pool } from "undici";
@@ -29,6 +30,8 @@
   flattenHeaders,
 } from "./answer_collector.ts";
 import type { SourceAnswer } from "./answer_collector.ts";
+import { AnswerStream } from "./answer_stream.ts";
+import type { AnswerHead } from "./answer_stream.ts";
 import { decodeLoadHint } from "../../routing/common/load_hint.ts";
 import { copyHeaders } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
@@ -45,11 +48,21 @@
   readonly tls?: TlsKeys | undefined;
 }
 
-interface OpenAttempt {
+/** An attempt whose answer goes straight on. */
+interface StreamedAttempt {
+  readonly type: "Streamed";
+  readonly stream: AnswerStream;
+}
+
+/** An attempt whose answer is held whole first. */
+interface CollectedAttempt {
+  readonly type: "Collected";
   readonly abort: AbortController;
   answer: SourceAnswer | undefined;
 }
 
+type OpenAttempt = StreamedAttempt | CollectedAttempt;
+
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Longest idle time of a connection that is used again. */
 const KEEP_ALIVE_MS = 10_000;
@@ -87,12 +100,17 @@
 
   /** Sends an attempt; its result comes as events. */
   send(effect: SendAttempt, exchange: Exchange): void {
-    const open: OpenAttempt = {
+    if (effect.collectBytes === undefined) {
+      this.#stream(effect, exchange);
+      return;
+    }
+    const open: CollectedAttempt = {
+      type: "Collected",
       abort: new AbortController(),
       answer: undefined,
     };
     this.#open.set(effect.attemptId, open);
-    this.#request(effect, exchange, open).catch((error: unknown) => {
+    this.#collect(effect, exchange, open).catch((error: unknown) => {
       this.#fail(effect.attemptId, error);
     });
   }
@@ -101,6 +119,10 @@
   abort(attemptId: string): void {
     const open = this.#open.get(attemptId);
     this.#open.delete(attemptId);
+    if (open?.type === "Streamed") {
+      open.stream.abort();
+      return;
+    }
     open?.abort.abort();
     open?.answer?.body.on("error", () => {}).destroy();
   }
@@ -114,31 +136,47 @@
 
   /** Reads an unwanted answer to its end, so that the connection lives on. */
   discard(attemptId: string): void {
-    const answer = this.#open.get(attemptId)?.answer;
+    const open = this.#open.get(attemptId);
     this.#open.delete(attemptId);
-    answer?.body.on("error", () => {}).resume();
+    if (open?.type === "Streamed") {
+      open.stream.discard();
+      return;
+    }
+    open?.answer?.body.on("error", () => {}).resume();
   }
 
   /** Puts a kept answer where the one of an attempt would be. */
   provide(attemptId: string, answer: StoredAnswer): void {
     const abort = new AbortController();
-    this.#open.set(attemptId, { abort, answer: createSource(answer) });
+    const source = createSource(answer);
+    this.#open.set(attemptId, { type: "Collected", abort, answer: source });
   }
 
   /** Passes an answer on; a cut one breaks the caller's connection too. */
   relay(attemptId: string, exchange: Exchange, signals: SignalHeaders): void {
-    const answer = this.#open.get(attemptId)?.answer;
-    if (answer === undefined) {
-      exchange.response.destroy();
+    const open = this.#open.get(attemptId);
+    const answer = open?.type === "Streamed" ? open.stream.head : open?.answer;
+    const { response } = exchange;
+    if (open === undefined || answer === undefined) {
+      response.destroy();
       return;
     }
-    const { response } = exchange;
     const headers = copyHeaders(answer.headers);
     for (const [name, value] of Object.entries(signals)) {
       headers.push(name, value);
     }
     response.writeHead(answer.statusCode, headers);
-    this.#pipe(attemptId, answer.body, exchange);
+    this.#watch.add(attemptId, response);
+    response.on("finish", () => {
+      if (this.#open.delete(attemptId)) {
+        this.#options.dispatch({ type: "AttemptEnded", attemptId });
+      }
+    });
+    if (open.type === "Streamed") {
+      open.stream.relay(response);
+      return;
+    }
+    this.#pipe(attemptId, open.answer!.body, response);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -150,44 +188,50 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
-  async #request(
-    effect: SendAttempt,
-    exchange: Exchange,
-    open: OpenAttempt,
-  ): Promise<void> {
+  #stream(effect: SendAttempt, exchange: Exchange): void {
+    const { attemptId } = effect;
+    const stream = new AnswerStream({
+      onHead: (head) => this.#answer(effect, exchange, head),
+      onData: () => this.#watch.noteMove(attemptId),
+      onFailure: (error) => this.#endStream(attemptId, error),
+    });
+    this.#open.set(attemptId, { type: "Streamed", stream });
+    this.#findPool(effect).dispatch(
+      this.#createRequest(effect, exchange),
+      stream,
+    );
+  }
+
+  #answer(effect: SendAttempt, exchange: Exchange, head: AnswerHead): void {
+    const { attemptId, peer } = effect;
+    assertFramed(head, exchange.request.method ?? "GET");
+    if (this.#open.has(attemptId)) {
+      const answer = readAnswer(head, peer);
+      this.#options.dispatch({ type: "AttemptAnswered", attemptId, answer });
+    }
+  }
+
+  /** Without a head the attempt failed; with one its answer is cut. */
+  #endStream(attemptId: string, error: Error): void {
+    const open = this.#open.get(attemptId);
+    if (open?.type === "Streamed" && open.stream.isAnswered) {
+      this.#open.delete(attemptId);
+      this.#options.dispatch({ type: "AnswerCut", attemptId });
+      return;
+    }
+    this.#fail(attemptId, error);
+  }
+
+  #createRequest(effect: SendAttempt, exchange: Exchange) {
     const { request } = exchange;
     const headers = copyHeaders(request.rawHeaders);
     headers.push(CONTEXT_HEADER, encodeContext(effect.context));
-    const answer = await this.#findPool(effect).request({
+    return {
       path: request.url ?? "/",
       method: (request.method ?? "GET") as Dispatcher.HttpMethod,
       headers,
       body: this.#createBody(effect, exchange),
-      signal: open.abort.signal,
-    });
-    if (!isFramed(answer, request.method ?? "GET")) {
-      answer.body.on("error", () => {}).destroy();
-      throw new Error("Answer does not say where it ends");
-    }
-    const { collectBytes } = effect;
-    if (collectBytes !== undefined) {
-      await this.#collect(effect.attemptId, open, answer, collectBytes);
-      return;
-    }
-    open.answer = {
-      statusCode: answer.statusCode,
-      headers: flattenHeaders(answer.headers),
-      body: answer.body,
     };
-    if (!this.#open.has(effect.attemptId)) {
-      answer.body.on("error", () => {}).destroy();
-      return;
-    }
-    this.#options.dispatch({
-      type: "AttemptAnswered",
-      attemptId: effect.attemptId,
-      answer: readAnswer(answer, effect.peer),
-    });
   }
 
   #findPool({ address, peer }: SendAttempt): Pool {
@@ -219,12 +263,24 @@
   }
 
   async #collect(
-    attemptId: string,
-    open: OpenAttempt,
-    answer: Dispatcher.ResponseData,
-    maxBytes: number,
+    effect: SendAttempt,
+    exchange: Exchange,
+    open: CollectedAttempt,
   ): Promise<void> {
-    const { source, stored } = await collectAnswer(answer, maxBytes);
+    const { attemptId, collectBytes } = effect;
+    const answer = await this.#findPool(effect).request({
+      ...this.#createRequest(effect, exchange),
+      signal: open.abort.signal,
+    });
+    const { statusCode } = answer;
+    const head = { statusCode, headers: flattenHeaders(answer.headers) };
+    try {
+      assertFramed(head, exchange.request.method ?? "GET");
+    } catch (error) {
+      answer.body.on("error", () => {}).destroy();
+      throw error;
+    }
+    const { source, stored } = await collectAnswer(answer, collectBytes!);
     open.answer = source;
     if (!this.#open.has(attemptId)) {
       source.body.on("error", () => {}).destroy();
@@ -233,7 +289,7 @@
     this.#options.dispatch({
       type: "AnswerCollected",
       attemptId,
-      status: answer.statusCode,
+      status: statusCode,
       answer: stored,
     });
   }
@@ -273,18 +329,11 @@
     return exchange.request.pipe(limit);
   }
 
-  #pipe(attemptId: string, body: Readable, exchange: Exchange): void {
-    const { response } = exchange;
-    const { dispatch } = this.#options;
-    this.#watch.add(attemptId, body, response);
+  #pipe(attemptId: string, body: Readable, response: ServerResponse): void {
+    body.on("data", () => this.#watch.noteMove(attemptId));
     body.on("error", () => {
       if (this.#open.delete(attemptId)) {
-        dispatch({ type: "AnswerCut", attemptId });
-      }
-    });
-    response.on("finish", () => {
-      if (this.#open.delete(attemptId)) {
-        dispatch({ type: "AttemptEnded", attemptId });
+        this.#options.dispatch({ type: "AnswerCut", attemptId });
       }
     });
     body.pipe(response);
@@ -304,32 +353,47 @@
 }
 
 /**
- * Whether an answer says where it ends. One that ends with its connection
- * looks the same whole and cut, so it can't be passed on as complete.
+ * Throws where an answer doesn't say where it ends. One that ends with its
+ * connection looks the same whole and cut, so it can't be passed on as
+ * complete.
  */
-function isFramed(answer: Dispatcher.ResponseData, method: string): boolean {
-  const { headers, statusCode } = answer;
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined ||
-    method === "HEAD" || BODILESS.includes(statusCode);
+function assertFramed(head: AnswerHead, method: string): void {
+  const isFramed = method === "HEAD" || BODILESS.includes(head.statusCode) ||
+    findHeader(head, "content-length") !== undefined ||
+    findHeader(head, "transfer-encoding") !== undefined;
+  if (!isFramed) {
+    throw new Error("Answer does not say where it ends");
+  }
+}
+
+/** Finds the first value of a header; `name` is in lower case. */
+function findHeader(head: AnswerHead, name: string): string | undefined {
+  const { headers } = head;
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const found = headers[i]!;
+    if (found.length === name.length && found.toLowerCase() === name) {
+      return headers[i + 1];
+    }
+  }
+  return undefined;
 }
 
 function readAnswer(
-  answer: Dispatcher.ResponseData,
+  head: AnswerHead,
   peer: SendAttempt["peer"],
 ): AttemptAnswer {
-  const status = answer.statusCode;
+  const status = head.statusCode;
   if (peer === "backend") {
     return { status, outcome: "ran", tokens: 0, isDraining: false };
   }
-  const outcome = String(answer.headers[OUTCOME_HEADER] ?? "");
-  const tokens = Number(answer.headers[TOKENS_HEADER] ?? 0);
+  const outcome = findHeader(head, OUTCOME_HEADER) ?? "";
+  const tokens = Number(findHeader(head, TOKENS_HEADER) ?? 0);
   return {
     status,
     outcome: OUTCOMES.includes(outcome) ? outcome as CallOutcome : undefined,
     tokens: Number.isInteger(tokens) && tokens >= 0 ? tokens : 0,
-    isDraining: answer.headers[DRAINING_HEADER] === "1",
-    level: decodeLevel(String(answer.headers[LEVEL_HEADER] ?? "")),
-    hintedLoad: decodeLoadHint(String(answer.headers[LOAD_HEADER] ?? "")),
+    isDraining: findHeader(head, DRAINING_HEADER) === "1",
+    level: decodeLevel(findHeader(head, LEVEL_HEADER) ?? ""),
+    hintedLoad: decodeLoadHint(findHeader(head, LOAD_HEADER) ?? ""),
   };
 }
--- a/src/platform/call/node/relay_watch.ts
+++ b/src/platform/call/node/relay_watch.ts
@@ -1,6 +1,5 @@
 /** Watches relayed answers for bytes that stop coming or going. */
 import type { ServerResponse } from "node:http";
-import type { Readable } from "node:stream";
 import type { NodeEvent } from "../common/call_events.ts";
 
 interface WatchedRelay {
@@ -26,20 +25,24 @@
   }
 
   /** Watches one relay until its answer is out or broken. */
-  add(attemptId: string, body: Readable, response: ServerResponse): void {
-    const relay: WatchedRelay = {
+  add(attemptId: string, response: ServerResponse): void {
+    this.#relays.set(attemptId, {
       response,
       isMoved: true,
       isNew: true,
       isBlocked: false,
-    };
-    this.#relays.set(attemptId, relay);
-    body.on("data", () => {
-      relay.isMoved = true;
     });
     response.on("close", () => this.#relays.delete(attemptId));
   }
 
+  /** Notes that bytes of an answer came; one that isn't relayed is unknown. */
+  noteMove(attemptId: string): void {
+    const relay = this.#relays.get(attemptId);
+    if (relay !== undefined) {
+      relay.isMoved = true;
+    }
+  }
+
   [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.#timer);
     return Promise.resolve();
