Match a path against the table without splitting it

Each call split its path once for every row of the table. The two texts are now walked side by side and nothing is copied but a pattern's segment. Ruled out: patterns compiled once per table version; it needs a second field that has to agree with the table everywhere a state is made, and the walk leaves little to win.

--- a/src/platform/table/common/table_match.ts
+++ b/src/platform/table/common/table_match.ts
@@ -32,17 +32,48 @@
 }
 
 function isRowMatch(row: VersionedRow, request: RequestLine): boolean {
-  if (row.method !== "*" && row.method !== request.method) {
-    return false;
+  return (row.method === "*" || row.method === request.method) &&
+    isPathMatch(row.path, request.path);
+}
+
+/** Walks both texts segment by segment, without copying them. */
+function isPathMatch(pattern: string, path: string): boolean {
+  let at = findSegment(pattern, 0);
+  let pathAt = findSegment(path, 0);
+  while (at < pattern.length) {
+    const end = findSlash(pattern, at);
+    const next = findSegment(pattern, end);
+    if (next === pattern.length && pattern.slice(at, end) === "**") {
+      return true;
+    }
+    const pathEnd = findSlash(path, pathAt);
+    if (pathAt === pathEnd) {
+      return false;
+    }
+    const part = pattern.slice(at, end);
+    const isSame = part.length === pathEnd - pathAt &&
+      path.startsWith(part, pathAt);
+    if (part !== "*" && !isSame) {
+      return false;
+    }
+    at = next;
+    pathAt = findSegment(path, pathEnd);
   }
-  const pattern = splitPath(row.path);
-  const path = splitPath(request.path);
-  const isOpen = pattern.at(-1) === "**";
-  const fixed = isOpen ? pattern.slice(0, -1) : pattern;
-  if (isOpen ? path.length < fixed.length : path.length !== fixed.length) {
-    return false;
+  return pathAt === path.length;
+}
+
+/** Finds where the next segment begins; the length where there is none. */
+function findSegment(path: string, from: number): number {
+  let at = from;
+  while (path[at] === "/") {
+    at += 1;
   }
-  return fixed.every((part, i) => part === "*" || part === path[i]);
+  return at;
+}
+
+function findSlash(path: string, from: number): number {
+  const slash = path.indexOf("/", from);
+  return slash < 0 ? path.length : slash;
 }
 
 /** One letter a segment, so that the smaller text is the closer match. */
