Copy 32 settled attempts at a step in place of 128

What a node remembers of ended attempts copied its open block of up to 128 at each call, and looked through up to 63 full ones for a repeat. The newest 32 now stand apart and go into the open block together; blocks hold 512, so 15 are looked through. As many attempts as before are remembered (8,192), and 31 more at most.

--- a/src/platform/retry/common/settled_attempts.ts
+++ b/src/platform/retry/common/settled_attempts.ts
@@ -18,6 +18,9 @@
 
 /** A bounded memory of attempts that knows how far back it reaches. */
 export interface SettledAttempts {
+  /** The newest, a few: only these are copied at each step. */
+  readonly recent: SettledBlock;
+  /** Grows by all of `recent` at a time. */
   readonly open: SettledBlock;
   /** Full blocks, oldest first. */
   readonly closed: readonly SettledBlock[];
@@ -27,10 +30,12 @@
   readonly forgottenMs: number;
 }
 
-/** Attempts in one block: the part that is copied at each step. */
-export const BLOCK_SIZE = 128;
-/** Full blocks that are kept. */
-export const MAX_BLOCKS = 63;
+/** Attempts that are held apart from the open block. */
+const RECENT_SIZE = 32;
+/** Attempts in one block; a multiple of `RECENT_SIZE`. */
+export const BLOCK_SIZE = 512;
+/** Full blocks that are kept; each is looked through for a repeat. */
+export const MAX_BLOCKS = 15;
 /** Fences held at a time; beyond that no attempt is fenced. */
 export const MAX_FENCES = 4_096;
 /**
@@ -44,6 +49,7 @@
 
 /** Nothing has settled yet. */
 export const NO_SETTLED: SettledAttempts = {
+  recent: { attempts: new Map(), lastMs: 0 },
   open: { attempts: new Map(), lastMs: 0 },
   closed: [],
   fences: new Map(),
@@ -58,12 +64,18 @@
   if (settled.fences.has(attemptId)) {
     return "fenced";
   }
-  const inOpen = settled.open.attempts.get(attemptId);
-  if (inOpen !== undefined) {
-    return inOpen;
+  const found = settled.recent.attempts.get(attemptId) ??
+    settled.open.attempts.get(attemptId);
+  if (found !== undefined) {
+    return found;
   }
-  return settled.closed.find((block) => block.attempts.has(attemptId))
-    ?.attempts.get(attemptId);
+  for (const block of settled.closed) {
+    const as = block.attempts.get(attemptId);
+    if (as !== undefined) {
+      return as;
+    }
+  }
+  return undefined;
 }
 
 /** Remembers an attempt that ended; the oldest block is forgotten first. */
@@ -73,13 +85,11 @@
   nowMs: number,
 ): SettledAttempts {
   const { attemptId, as } = attempt;
-  const open: SettledBlock = {
-    attempts: setEntry(settled.open.attempts, attemptId, as),
-    lastMs: nowMs,
-  };
-  return open.attempts.size < BLOCK_SIZE
-    ? { ...settled, open }
-    : closeBlock(settled, open);
+  const attempts = setEntry(settled.recent.attempts, attemptId, as);
+  const recent: SettledBlock = { attempts, lastMs: nowMs };
+  return attempts.size < RECENT_SIZE
+    ? { ...settled, recent }
+    : mergeRecent(settled, recent);
 }
 
 /**
@@ -103,6 +113,17 @@
     : undefined;
 }
 
+function mergeRecent(
+  settled: SettledAttempts,
+  recent: SettledBlock,
+): SettledAttempts {
+  const { lastMs } = recent;
+  const attempts = new Map([...settled.open.attempts, ...recent.attempts]);
+  const open: SettledBlock = { attempts, lastMs };
+  const next = { ...settled, recent: { attempts: new Map(), lastMs }, open };
+  return attempts.size < BLOCK_SIZE ? next : closeBlock(next, open);
+}
+
 function closeBlock(
   settled: SettledAttempts,
   full: SettledBlock,
