--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,7 +1,9 @@
-/** Closed-loop load over keep-alive connections, with a histogram. */
+/** Closed-loop and open-loop load over keep-alive connections, with a histogram. */
 import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import { build } from "hdr-histogram-js";
 import { Agent, request } from "undici";
+import { createRandom, planArrivals } from "./arrivals.ts";
 
 /** What to send. */
 export interface LoadOptions {
@@ -24,9 +26,14 @@
   readonly p50Ms: number;
   readonly p99Ms: number;
   readonly failed: number;
+  /** Requests that were sent. */
+  readonly requests: number;
 }
 
 const MICROS = 1_000;
+const SEED = 1;
+/** Most connections of an open-loop load. */
+const MAX_CONNECTIONS = 64;
 
 /** Sends `requests` in all from `workers` loops, one at a time each. */
 export async function runLoad(options: LoadOptions): Promise<LoadResult> {
@@ -54,5 +61,51 @@
     p50Ms: histogram.getValueAtPercentile(50) / MICROS,
     p99Ms: histogram.getValueAtPercentile(99) / MICROS,
     failed,
+    requests: options.requests,
+  };
+}
+
+/** Requests that come whether or not earlier ones are answered. */
+export interface OpenLoadOptions {
+  readonly url: string;
+  readonly perSecond: number;
+  readonly durationMs: number;
+}
+
+/**
+ * Sends plain GETs at Poisson arrivals, the same ones in every run. Each is
+ * timed from when it was sent: this process's own lateness is left out.
+ */
+export async function runOpenLoad(
+  options: OpenLoadOptions,
+): Promise<LoadResult> {
+  const agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 });
+  const histogram = build({ lowestDiscernibleValue: 1 });
+  const arrivals = planArrivals([options], createRandom(SEED));
+  let failed = 0;
+  const send = async () => {
+    const startedAt = performance.now();
+    const answer = await request(options.url, { dispatcher: agent });
+    await answer.body.dump();
+    const micros = (performance.now() - startedAt) * MICROS;
+    histogram.recordValue(Math.max(1, Math.round(micros)));
+    failed += answer.statusCode === 200 ? 0 : 1;
+  };
+  const startMs = performance.now();
+  const sent: Promise<void>[] = [];
+  for (const atMs of arrivals) {
+    const waitMs = startMs + atMs - performance.now();
+    if (waitMs > 0) {
+      await sleep(waitMs);
+    }
+    sent.push(send());
+  }
+  await Promise.all(sent);
+  await agent.close();
+  return {
+    p50Ms: histogram.getValueAtPercentile(50) / MICROS,
+    p99Ms: histogram.getValueAtPercentile(99) / MICROS,
+    failed,
+    requests: arrivals.length,
   };
 }
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -12,6 +12,8 @@
   readonly svg: string | undefined;
   /** Whether the processes use TLS among them, where the bench can. */
   readonly isTls: boolean;
+  /** Folder for processor profiles of the nodes, where there are any. */
+  readonly profile: string | undefined;
 }
 
 /** Reads the options of a bench. */
@@ -21,6 +23,7 @@
     .option("--runs <count>", "runs that medians are taken over", String(runs))
     .option("--svg <file>", "draw the figures to a file, where it can")
     .option("--tls", "TLS among the processes, where the bench can")
+    .option("--profile <folder>", "profile the nodes, where it can")
     .option("--quick", "a shorter run, where there is one")
     .parse().opts<
     {
@@ -28,12 +31,14 @@
       svg?: string;
       quick?: boolean;
       tls?: boolean;
+      profile?: string;
       runs: string;
     }
   >();
   return {
     json: options.json,
     svg: options.svg,
+    profile: options.profile,
     isQuick: options.quick === true,
     isTls: options.tls === true,
     runs: Number(options.runs),
