--- a/bench/report.ts
+++ b/bench/report.ts
@@ -14,6 +14,8 @@
   readonly isTls: boolean;
   /** Names that narrow a run, such as modes and scenarios; empty for all. */
   readonly only: readonly string[];
+  /** Folder for processor profiles of the nodes, where there are any. */
+  readonly profile: string | undefined;
 }
 
 /** Reads the options of a bench. */
@@ -24,6 +26,7 @@
     .option("--svg <file>", "draw the figures to a file, where it can")
     .option("--tls", "TLS among the processes, where the bench can")
     .option("--only <names>", "narrow the run, comma-separated", "")
+    .option("--profile <folder>", "profile the nodes, where it can")
     .option("--quick", "a shorter run, where there is one")
     .parse().opts<
     {
@@ -31,6 +34,7 @@
       svg?: string;
       quick?: boolean;
       tls?: boolean;
+      profile?: string;
       runs: string;
       only: string;
     }
@@ -38,6 +42,7 @@
   return {
     json: options.json,
     svg: options.svg,
+    profile: options.profile,
     isQuick: options.quick === true,
     isTls: options.tls === true,
     runs: Number(options.runs),
