Run suspects of a crash one at a time, under their owner's lease

Cause: the ledger of suspects decided, but nothing called it: a request that ends each process that runs it ended one with every resend. No fault of the ledger itself was found. Change: a failed attempt at the local backend server is held until a probe shows whether the process died; then all that ran is told to every node of the service before anybody gets an answer. A suspect asks its owner (rendezvous hashing) for a lease right before it is sent. Fingerprint: kind and digest of method, target and body, without the Idempotency-Key, which a resend may change. Conclusion: resends cost two backend servers; copies under way at the time of the first crash can't be recalled.

--- a/src/cli/timeline_page.ts
+++ b/src/cli/timeline_page.ts
@@ -26,9 +26,11 @@
 /** Event types that are drawn as trouble. */
 const TROUBLE: ReadonlySet<string> = new Set([
   "AttemptRefused",
+  "BackendCrashed",
   "EditRefused",
   "NodeLost",
   "ReplicaSilent",
+  "RequestQuarantined",
 ]);
 
 /** Writes the page; `records` are in order. */
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -337,6 +337,11 @@
       "Keys whose records this node holds",
       () => this.#loop.state.claims.holder.records.count,
     );
+    metrics.createGauge(
+      "suspects",
+      "Requests that ran when a backend server of the service died",
+      () => this.#loop.state.quarantine.known.size,
+    );
     metrics.createGauge(
       "table_version",
       "Version of the table in force",
--- /dev/null
+++ b/src/daemon/test/quarantine_test.ts
@@ -0,0 +1,157 @@
+/** A request that crashes backend servers, resent in separate processes. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { request } from "undici";
+import { Fleet } from "../../../standin/fleet.ts";
+import type { FleetNode, FleetProcess } from "../../../standin/fleet.ts";
+
+const TABLE = "examples/coton-loukkos/table.csv";
+const SITES = ["kenitra-a", "kenitra-b", "larache-a", "larache-b"];
+const PATIENCE_MS = 20_000;
+const LONG_MS = 90_000;
+const RESENDS = 40;
+const INNOCENTS = 12;
+const CRASH_PATH = "/stock/crash";
+
+interface Answer {
+  readonly status: number;
+  readonly outcome: string;
+}
+
+interface TimelineEntry {
+  readonly event: { readonly type: string; readonly fingerprint?: string };
+}
+
+describe("a request that crashes backend servers", () => {
+  let fleet: Fleet;
+  let nodes: readonly FleetNode[];
+  let deaths = 0;
+  let isOver = false;
+  let nextId = 0;
+
+  before(async () => {
+    fleet = new Fleet();
+    await fleet.startControl("control-a", SITES[0]!);
+    nodes = await Promise.all(
+      SITES.map((dataCentre, i) =>
+        fleet.startNode({
+          id: `warehouse-${i}`,
+          service: "warehouse",
+          dataCentre,
+          slots: 13,
+          behaviour: { crashPath: CRASH_PATH },
+        })
+      ),
+    );
+    const applied = await fleet.run("table", "apply", TABLE, "--wait");
+    expect(applied.exitCode, applied.stderr).to.equal(0);
+    for (const node of nodes) {
+      watchBackend(node, node.backend);
+    }
+  });
+
+  after(async () => {
+    isOver = true;
+    await fleet[Symbol.asyncDispose]();
+  });
+
+  /** Counts the deaths of a backend server, and starts it again. */
+  function watchBackend(node: FleetNode, backend: FleetProcess): void {
+    backend.child.once("exit", () => {
+      if (isOver) {
+        return;
+      }
+      deaths += 1;
+      const { id, egress, backendAddress: address } = node;
+      const behaviour = { crashPath: CRASH_PATH };
+      fleet.startBackend({ id, address, egress, slots: 13, behaviour })
+        .then((started) => watchBackend(node, started));
+    });
+  }
+
+  async function send(node: FleetNode, path: string): Promise<Answer> {
+    const answer = await request(`http://${node.edge}${path}`, {
+      headers: { "x-request-id": `r-${nextId++}`, "x-standin-ms": "20" },
+    });
+    await answer.body.dump();
+    return {
+      status: answer.statusCode,
+      outcome: String(answer.headers["basilpin-outcome"]),
+    };
+  }
+
+  /** Resends an innocent request, to node after node, until it is whole. */
+  async function sendUntilWhole(path: string): Promise<readonly Answer[]> {
+    const answers: Answer[] = [];
+    await waitFor(async () => {
+      const node = nodes[answers.length % nodes.length]!;
+      answers.push(await send(node, path));
+      return answers.at(-1)!.status === 200;
+    });
+    return answers;
+  }
+
+  async function listEvents(type: string): Promise<readonly TimelineEntry[]> {
+    const lists = await Promise.all(nodes.map(async ({ operator }) => {
+      const answer = await request(`http://${operator}/timeline`);
+      return await answer.body.json() as readonly TimelineEntry[];
+    }));
+    return lists.flat().filter(({ event }) => event.type === type);
+  }
+
+  it("costs two of them at most, however often it is resent", async () => {
+    let isResending = true;
+    const innocents = Array.from({ length: INNOCENTS }, async (_, i) => {
+      const answers: Answer[] = [];
+      for (let n = 0; isResending; n++) {
+        answers.push(...await sendUntilWhole(`/stock/bale-${i}-${n}`));
+      }
+      return answers;
+    });
+    const resent: Answer[] = [];
+    for (let i = 0; i < RESENDS; i++) {
+      resent.push(await send(nodes[i % nodes.length]!, CRASH_PATH));
+      await sleep(50);
+    }
+    isResending = false;
+    const innocentAnswers = (await Promise.all(innocents)).flat();
+    expect(deaths).to.equal(2);
+    const last = resent.slice(-nodes.length);
+    for (const { status, outcome } of last) {
+      expect([status, outcome]).to.deep.equal([422, "not-run"]);
+    }
+    const refused = innocentAnswers.filter(({ status }) => status === 422);
+    expect(refused).to.deep.equal([]);
+    const quarantined = await listEvents("RequestQuarantined");
+    expect(quarantined.length).to.equal(1);
+    expect(quarantined[0]!.event.fingerprint).to.match(/^stock-check\|/);
+  }).timeout(LONG_MS);
+
+  it("leaves no innocent request suspect", async () => {
+    const cleared = await listEvents("SuspectCleared");
+    const crashes = await listEvents("BackendCrashed");
+    expect(crashes.length).to.equal(2);
+    const ran = await listEvents("SuspectRun");
+    expect(ran.length).to.be.at.least(cleared.length);
+  });
+
+  it("runs none of its copies that come at once to all nodes", async () => {
+    const copies = nodes.flatMap((node) =>
+      Array.from({ length: 5 }, () => send(node, CRASH_PATH))
+    );
+    for (const { status } of await Promise.all(copies)) {
+      expect(status).to.equal(422);
+    }
+    expect(deaths).to.equal(2);
+  }).timeout(LONG_MS);
+});
+
+async function waitFor(isMet: () => Promise<boolean>): Promise<void> {
+  const endMs = Date.now() + PATIENCE_MS;
+  while (!await isMet()) {
+    if (Date.now() > endMs) {
+      throw new Error("Did not come about in time");
+    }
+    await sleep(20);
+  }
+}
--- a/src/platform/call/common/call_events.ts
+++ b/src/platform/call/common/call_events.ts
@@ -42,6 +42,11 @@
   readonly caller?: string | undefined;
   /** `x-request-id` and the target; undefined without that header. */
   readonly requestId?: string;
+  /**
+   * Digest of method, target and body; of the length alone where the body
+   * isn't held whole. The same at both ends of a hop.
+   */
+  readonly digest?: string;
 }
 
 /** The head of an answer to an attempt. */
@@ -78,7 +83,11 @@
     /** False only where the peer provably saw nothing of the request. */
     readonly isSent: boolean;
     readonly reason: string;
+    /** Whether the peer broke the connection. */
+    readonly isReset?: boolean;
   }
+  /** Answers `ProbeBackend`. */
+  | { readonly type: "BackendProbed"; readonly isAlive: boolean }
   /** The whole answer to an attempt that was sent with `collectBytes`. */
   | {
     readonly type: "AnswerCollected";
@@ -179,6 +188,8 @@
     readonly attemptId: string;
     readonly headers: SignalHeaders;
   }
+  /** Tries whether the local backend server takes a new connection. */
+  | { readonly type: "ProbeBackend"; readonly address: string }
   /** Breaks the connection, so that a cut answer can't look whole. */
   | { readonly type: "DropExchange"; readonly exchangeId: string }
   | {
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -35,6 +35,7 @@
 } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
 import { admitAttempt } from "./served_reducer.ts";
+import { createFingerprint } from "./quarantine_steps.ts";
 import { noteService } from "./subscription_step.ts";
 import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
 
@@ -322,6 +323,7 @@
     pool: { left: context.retryTokens },
     phase: "queued",
     requestKey: call.requestKey,
+    fingerprint: createFingerprint(call.row, call.digest),
   }, createServedDeps(nowMs));
 }
 
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -118,6 +118,7 @@
     isNotRun: true,
     isRelaying: false,
     requestKey: received.requestKey,
+    digest: received.digest,
   };
   const key: TimerKey = { owner: "entry", id: exchangeId };
   const step = createReduction<NodeState, NodeEffect>(
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -7,6 +7,8 @@
 import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
 import type { ClaimReply } from "../../claims/common/claim_messages.ts";
 import { computeLoadHint } from "../../routing/common/load_hint.ts";
+import { QUARANTINE_PREFIX } from "../../quarantine/common/quarantine_messages.ts";
+import type { QuarantineReply } from "../../quarantine/common/quarantine_messages.ts";
 import { isServiceKnown } from "../../routing/common/routing_state.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
@@ -22,6 +24,15 @@
 import { cancelEntry } from "./entry_cancel.ts";
 import { endEntry, resumeEntries } from "./entry_reducer.ts";
 import { settleAsked, suspectAnswer } from "./entry_reply.ts";
+import {
+  holdFailure,
+  takeFailure,
+  takeProbe,
+  takeQuarantineReply,
+} from "./crash_steps.ts";
+import type { SettleHeld } from "./crash_steps.ts";
+import { tickLedger } from "./quarantine_ledger.ts";
+import { tickLeases } from "./quarantine_steps.ts";
 import { stepRouting } from "./entry_state.ts";
 import { answerPeer } from "./peer_reducer.ts";
 import {
@@ -66,7 +77,9 @@
     case "AttemptEnded":
       return applyEnd(state, event.attemptId, true, nowMs);
     case "AnswerCut":
-      return applyEnd(state, event.attemptId, false, nowMs);
+      return applyCut(state, event.attemptId, nowMs);
+    case "BackendProbed":
+      return takeProbe(state, event.isAlive, createSettleHeld(nowMs), deps);
     case "AnswerQuiet":
       return suspectAnswer(state, event, nowMs);
     case "AnswerBlocked":
@@ -112,6 +125,8 @@
     (next) => watchAttempts(next, deps.nowMs),
     (next) => tickServedClaims(next, deps),
     (next) => takeCandidate(next, deps.nowMs),
+    (next) => tickLeases(next, deps.nowMs),
+    (next) => tickLedger(next, deps.nowMs),
     (next) => dropDisused(next, deps.nowMs),
   ];
   return steps.reduce<NodeStep>(chainReduction, createReduction(state));
@@ -123,6 +138,11 @@
   deps: ServedDeps,
 ): NodeStep {
   const { requestId, reply } = event;
+  if (requestId.startsWith(QUARANTINE_PREFIX)) {
+    const settle = createSettleHeld(deps.nowMs);
+    const told = reply as QuarantineReply | undefined;
+    return takeQuarantineReply(state, { requestId, reply: told }, settle, deps);
+  }
   return requestId.startsWith(CLAIM_PREFIX)
     ? takeHolderReply(state, requestId, reply as ClaimReply | undefined, deps)
     : settleAsked(state, event, deps.nowMs);
@@ -150,7 +170,7 @@
   nowMs: number,
 ): NodeStep {
   if (state.served.has(event.attemptId)) {
-    return failServed(state, event, createServedDeps(nowMs));
+    return takeFailure(state, event, createServedDeps(nowMs));
   }
   const exchangeId = state.entryOfAttempt.get(event.attemptId);
   return exchangeId === undefined
@@ -158,6 +178,27 @@
     : failEntry(state, exchangeId, event, nowMs);
 }
 
+/** An answer of the backend server broke off, or one that another relays. */
+function applyCut(
+  state: NodeState,
+  attemptId: string,
+  nowMs: number,
+): NodeStep {
+  const reason = "Answer was cut";
+  return state.served.has(attemptId)
+    ? holdFailure(state, { attemptId, reason, isReset: true, isCut: true })
+    : applyEnd(state, attemptId, false, nowMs);
+}
+
+/** Ends attempts whose failure was held. */
+function createSettleHeld(nowMs: number): SettleHeld {
+  const deps = createServedDeps(nowMs);
+  return (state, held) =>
+    held.isCut
+      ? applyEnd(state, held.attemptId, false, nowMs)
+      : failServed(state, { ...held, isSent: true }, deps);
+}
+
 function applyEnd(
   state: NodeState,
   attemptId: string,
--- a/src/platform/call/common/node_state.ts
+++ b/src/platform/call/common/node_state.ts
@@ -9,6 +9,9 @@
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { EMPTY_RESENDS } from "../../retry/common/resend_budget.ts";
 import type { ResendBudgets } from "../../retry/common/resend_budget.ts";
+import type { Fingerprint } from "../../quarantine/common/quarantine_reducer.ts";
+import { INITIAL_NODE_QUARANTINE } from "../../quarantine/common/node_quarantine.ts";
+import type { NodeQuarantine } from "../../quarantine/common/node_quarantine.ts";
 import { EMPTY_BUDGET } from "../../retry/common/retry_budget.ts";
 import type { RetryBudget } from "../../retry/common/retry_budget.ts";
 import type { TokenPool } from "../../retry/common/retry_tokens.ts";
@@ -69,6 +72,8 @@
   /** The attempt whose answer is relayed. */
   readonly relayed?: Attempt;
   readonly requestKey: RequestKey | undefined;
+  /** See `CallReceived`. */
+  readonly digest?: string | undefined;
 }
 
 /** An attempt that the local backend server is to run. */
@@ -83,6 +88,8 @@
   readonly pool: TokenPool;
   readonly phase: "queued" | "running" | "relaying" | "blocked";
   readonly requestKey: RequestKey | undefined;
+  /** Kind and digest; undefined where the digest is not known. */
+  readonly fingerprint?: Fingerprint | undefined;
   /** Status of an answer that is held whole until its outcome is kept. */
   readonly collectedStatus?: number;
   /** Whether it runs on, for its key's sake, though nobody waits for it. */
@@ -131,6 +138,7 @@
   readonly levels: LevelView;
   readonly callees: CalleeView;
   readonly claims: NodeClaims;
+  readonly quarantine: NodeQuarantine;
 }
 
 /** Creates the state of a node that has just started. */
@@ -157,11 +165,13 @@
       dataCentre: self.dataCentre,
     }),
     loadHint: undefined,
-    subscriptions: new Map(),
+    // Its own service's members share the suspects.
+    subscriptions: new Map([[self.service, 0]]),
     admission: createAdmission(self.slots),
     levels: new Map(),
     callees: new Map(),
     claims: INITIAL_NODE_CLAIMS,
+    quarantine: INITIAL_NODE_QUARANTINE,
   };
 }
 
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -13,6 +13,7 @@
   fenceSettled,
   findSettled,
 } from "../../retry/common/settled_attempts.ts";
+import { answerQuarantine } from "./quarantine_ledger.ts";
 import { answerClaimMessage } from "../../claims/common/node_claims.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
@@ -29,6 +30,13 @@
   if (message.type === "FenceAttempts") {
     return fenceAttempts(state, askId, message, nowMs);
   }
+  switch (message.type) {
+    case "TellSuspects":
+    case "RequestRun":
+    case "EndRun":
+    case "TellVerdict":
+      return answerQuarantine(state, { askId, message }, nowMs);
+  }
   const { incarnation } = state.self;
   const at = { incarnation, nowMs };
   const answered = answerClaimMessage(state.claims, message, at);
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -40,6 +40,13 @@
   TimerKey,
 } from "./call_events.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
+import {
+  abandonRun,
+  checkSuspect,
+  createFingerprint,
+  endLease,
+  isAwaitingLease,
+} from "./quarantine_steps.ts";
 import { MAX_STORED_BYTES } from "../../claims/common/claim_types.ts";
 
 /** A step of the node. */
@@ -110,6 +117,7 @@
     pool: { left: context.value.retryTokens },
     phase: "queued",
     requestKey: call.requestKey,
+    fingerprint: createFingerprint(row, call.digest),
   }, deps);
 }
 
@@ -272,7 +280,11 @@
   deps: ServedDeps,
 ): NodeStep {
   const call = state.served.get(attemptId)!;
-  const step = releaseServed(state, attemptId, deps);
+  const { nowMs } = deps;
+  const step = chainReduction(
+    endLease(state, attemptId, { isWhole, nowMs }),
+    (next) => releaseServed(next, attemptId, deps),
+  );
   const { exchangeId, origin } = call;
   return isWhole || origin === "local"
     ? step
@@ -294,7 +306,10 @@
     const served = setEntry(state.served, attemptId, detached);
     return createReduction({ ...state, served });
   }
-  const step = releaseServed(state, attemptId, deps);
+  const left = isUnsent(state, call)
+    ? state
+    : abandonRun(state, call, deps.nowMs);
+  const step = releaseServed(left, attemptId, deps);
   return call.phase === "queued"
     ? step
     : appendEffects(step, { type: "AbortAttempt", attemptId });
@@ -310,13 +325,14 @@
   if (call === undefined || isAnswered(call)) {
     return createReduction(state);
   }
-  const isQueued = call.phase === "queued" || isClaiming(state, attemptId);
-  const step = settleServed(state, attemptId, {
+  const isNotRun = isUnsent(state, call);
+  const left = isNotRun ? state : abandonRun(state, call, deps.nowMs);
+  const step = settleServed(left, attemptId, {
     status: 504,
-    outcome: isQueued ? "not-run" : "unknown",
+    outcome: isNotRun ? "not-run" : "unknown",
     message: "Deadline passed",
   }, deps);
-  return isQueued ? step : appendEffects(step, ...createAborts(state, call));
+  return isNotRun ? step : appendEffects(step, ...createAborts(state, call));
 }
 
 /**
@@ -337,6 +353,13 @@
     : [abort, { type: "DropConnections", address }];
 }
 
+/** Whether the backend server has seen nothing of an attempt yet. */
+export function isUnsent(state: NodeState, call: ServedCall): boolean {
+  const { attemptId, phase } = call;
+  return phase === "queued" || isClaiming(state, attemptId) ||
+    isAwaitingLease(state, attemptId);
+}
+
 function isAnswered(call: ServedCall): boolean {
   return call.phase === "relaying" || call.phase === "blocked";
 }
@@ -406,6 +429,16 @@
 ): NodeStep {
   const call = state.served.get(attemptId)!;
   const { exchangeId, context, row, deadlineMs, pool } = call;
+  const suspect = checkSuspect(state, call, deps.nowMs);
+  if (suspect?.type === "Asked") {
+    return suspect.step;
+  }
+  if (suspect?.type === "Refused") {
+    return chainReduction(
+      withdrawServed(state, attemptId),
+      (next) => refuseServed(next, attemptId, suspect.answer, deps),
+    );
+  }
   const remainingMs = deadlineMs - deps.nowMs;
   const collecting = isClaimNeeded(call)
     ? { collectBytes: MAX_STORED_BYTES }
@@ -485,9 +518,7 @@
   const key: TimerKey = { owner: "served", id: attemptId };
   const served = deleteEntry(state.served, attemptId);
   const isQueued = call.phase === "queued";
-  // A claim that is still asked for has not reached the backend server.
-  const isUnsent = isQueued || isClaiming(state, attemptId);
-  const as = isUnsent ? "refused" : "ended";
+  const as = isUnsent(state, call) ? "refused" : "ended";
   const settled = rememberSettled(
     state.settled,
     { attemptId, as },
@@ -497,7 +528,10 @@
   const event: AdmissionEvent = isQueued
     ? { type: "RequestWithdrawn", attemptId }
     : { type: "RequestFinished", attemptId, result };
-  const ended = endClaim({ ...state, served, settled }, attemptId);
+  const released = { ...state, served, settled };
+  const ended = isAwaitingLease(state, attemptId)
+    ? withdrawServed(released, attemptId)
+    : endClaim(released, attemptId);
   const step = chainReduction(
     ended,
     (next) => stepAdmission(next, event, deps),
--- a/src/platform/call/common/subscription_step.ts
+++ b/src/platform/call/common/subscription_step.ts
@@ -20,7 +20,9 @@
 
 /** Unsubscribes from services that weren't called for long. */
 export function dropDisused(state: NodeState, nowMs: number): NodeStep {
-  const disused = findDisused(state.subscriptions, nowMs);
+  const own = state.self.service;
+  const disused = findDisused(state.subscriptions, nowMs)
+    .filter((service) => service !== own);
   if (disused.length === 0) {
     return createReduction(state);
   }
--- a/src/platform/call/node/attempt_sender.ts
+++ b/src/platform/call/node/attempt_sender.ts
@@ -67,6 +67,13 @@
     (error as NodeJS.ErrnoException).syscall === "connect";
 }
 
+/** Whether the peer broke the connection. */
+function isReset(error: unknown): boolean {
+  const { code } = error as NodeJS.ErrnoException;
+  return error instanceof errors.SocketError || code === "ECONNRESET" ||
+    code === "EPIPE";
+}
+
 /** Runs the attempts of one node over keep-alive connections. */
 export class AttemptSender implements AsyncDisposable {
   readonly #options: AttemptSenderOptions;
@@ -299,6 +306,7 @@
       attemptId,
       isSent: !isUnsent(error),
       reason: (error as Error).message,
+      isReset: isReset(error),
     });
   }
 }
--- /dev/null
+++ b/src/platform/call/node/backend_probe.ts
@@ -0,0 +1,23 @@
+/** Tries whether a backend server takes connections. */
+import { connect } from "node:net";
+import { parseAddress } from "../../../base/node/listen.ts";
+
+const PROBE_TIMEOUT_MS = 500;
+
+/**
+ * Opens a connection and closes it. False only where it is refused: a process
+ * that is slow to take connections has not crashed.
+ */
+export function probeBackend(address: string): Promise<boolean> {
+  const { host, port } = parseAddress(address)!;
+  return new Promise((resolve) => {
+    const socket = connect({ host, port });
+    const settle = (isAlive: boolean) => {
+      socket.destroy();
+      resolve(isAlive);
+    };
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => settle(true));
+    socket.on("connect", () => settle(true));
+    socket.on("error", () => settle(false));
+  });
+}
--- a/src/platform/call/node/call_server.ts
+++ b/src/platform/call/node/call_server.ts
@@ -21,6 +21,7 @@
   NodeEvent,
 } from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
+import { probeBackend } from "./backend_probe.ts";
 import { readPath, writeAnswer } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
 
@@ -47,7 +48,8 @@
     | "ProvideAnswer"
     | "RelayAnswer"
     | "DropExchange"
-    | "AnswerPeer";
+    | "AnswerPeer"
+    | "ProbeBackend";
 }>;
 
 /** Largest body that is held whole so that it can be sent again. */
@@ -119,6 +121,12 @@
       this.#sender.provide(effect.attemptId, effect.answer);
       return;
     }
+    if (effect.type === "ProbeBackend") {
+      probeBackend(effect.address).then((isAlive) =>
+        this.#options.dispatch({ type: "BackendProbed", isAlive })
+      );
+      return;
+    }
     if (effect.type === "AnswerPeer") {
       this.#answerPeer(effect.askId, effect.reply);
       return;
@@ -168,7 +176,8 @@
           | "DiscardAnswer"
           | "DropConnections"
           | "ProvideAnswer"
-          | "AnswerPeer";
+          | "AnswerPeer"
+          | "ProbeBackend";
       }
     >,
   ): void {
@@ -273,7 +282,7 @@
       isReplayable: body !== undefined,
       admissionKey: listener === "edge" ? readAdmissionKey(request) : undefined,
       ...(listener === "edge" ? readSender(request) : {}),
-      ...readRequestKey(request, body),
+      ...readDigest(request, body),
     });
   }
 }
@@ -303,18 +312,18 @@
 }
 
 /** The digest is of the length alone where the body isn't held whole. */
-function readRequestKey(
+function readDigest(
   request: IncomingMessage,
   body: Uint8Array | undefined,
-): Pick<CallReceived, "requestKey"> {
+): Pick<CallReceived, "requestKey" | "digest"> {
+  const hash = createHash("sha256");
+  hash.update(`${request.method} ${request.url}\n`);
+  hash.update(body ?? `${request.headers["content-length"]}`);
+  const digest = hash.digest("base64url");
   const key = request.headers["idempotency-key"];
-  if (typeof key !== "string" || key === "") {
-    return {};
-  }
-  const digest = createHash("sha256");
-  digest.update(`${request.method} ${request.url}\n`);
-  digest.update(body ?? `${request.headers["content-length"]}`);
-  return { requestKey: { key, fingerprint: digest.digest("base64url") } };
+  return typeof key !== "string" || key === ""
+    ? { digest }
+    : { digest, requestKey: { key, fingerprint: digest } };
 }
 
 /** Content-Length; 0 without a body, undefined for a chunked one. */
--- a/src/platform/call/test/entry_retry_test.ts
+++ b/src/platform/call/test/entry_retry_test.ts
@@ -331,6 +331,9 @@
     expect(node.find("SendAttempt")).to.equal(undefined);
     expect(node.outcome).to.equal("unknown");
     node.fail("a", true);
+    // It ends once it is known whether the backend server died.
+    expect(ask(node, "a")).to.deep.equal(RUNNING);
+    node.step({ type: "BackendProbed", isAlive: true });
     expect(ask(node, "a")).to.deep.equal(ENDED);
     receive(node, "a");
     expect(node.outcome).to.equal("unknown");
--- a/src/platform/call/test/node_network.ts
+++ b/src/platform/call/test/node_network.ts
@@ -178,6 +178,9 @@
       case "SendAttempt":
         this.#send(nodeId, effect);
         return;
+      case "ProbeBackend":
+        this.post(nodeId, { type: "BackendProbed", isAlive: true });
+        return;
       case "AnswerCall":
         this.#answer(effect.exchangeId, effect.status, effect.headers);
         return;
--- a/src/platform/call/test/whole_answer_test.ts
+++ b/src/platform/call/test/whole_answer_test.ts
@@ -27,6 +27,7 @@
   "DiscardAnswer",
   "RelayAnswer",
   "DropExchange",
+  "ProbeBackend",
 ]);
 
 /** A backend server that answers with raw bytes, for each request head. */
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -4,10 +4,15 @@
   ClaimMessage,
   ClaimReply,
 } from "../../claims/common/claim_messages.ts";
+import type {
+  QuarantineMessage,
+  QuarantineReply,
+} from "../../quarantine/common/quarantine_messages.ts";
 
 /** What one node asks another. */
 export type PeerMessage =
   | ClaimMessage
+  | QuarantineMessage
   /** What became of attempts? One that was never seen can't run later. */
   | {
     readonly type: "FenceAttempts";
@@ -26,6 +31,7 @@
 /** The answer. */
 export type PeerReply =
   | ClaimReply
+  | QuarantineReply
   /** What was found of each attempt, in the order of the question. */
   | {
     readonly type: "AttemptsFound";
@@ -57,6 +63,10 @@
   RecordOutcome: true,
   CheckClaim: true,
   SealEpoch: true,
+  TellSuspects: true,
+  RequestRun: true,
+  EndRun: true,
+  TellVerdict: true,
 };
 
 /** Whether a message is of a type that this version knows. */
--- /dev/null
+++ b/src/platform/quarantine/common/known_suspects.ts
@@ -0,0 +1,74 @@
+/** The suspects of a service as each of its nodes was told; bounded. */
+import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import { MAX_QUARANTINE_MS } from "./quarantine_reducer.ts";
+import type { Fingerprint } from "./quarantine_reducer.ts";
+
+/** What a node was told of one suspect. */
+export interface KnownSuspect {
+  /** Refused until then, wall clock in milliseconds; 0 for a mere suspect. */
+  readonly quarantinedUntilMs: number;
+  /** Forgotten then, wall clock in milliseconds. */
+  readonly expiresAtMs: number;
+}
+
+/** In the order in which they were last told. */
+export type KnownSuspects = ReadonlyMap<Fingerprint, KnownSuspect>;
+
+/** Most suspects that a node keeps; the oldest one goes first. */
+export const MAX_KNOWN_SUSPECTS = 4_096;
+/** A suspect of which nothing is heard is forgotten after this. */
+const KNOWN_MS = 2 * MAX_QUARANTINE_MS;
+
+/** Notes suspects; one that is in quarantine stays there. */
+export function noteSuspects(
+  known: KnownSuspects,
+  fingerprints: readonly Fingerprint[],
+  nowMs: number,
+): KnownSuspects {
+  if (fingerprints.length === 0) {
+    return known;
+  }
+  const next = new Map(known);
+  for (const fingerprint of fingerprints) {
+    const quarantinedUntilMs = next.get(fingerprint)?.quarantinedUntilMs ?? 0;
+    next.delete(fingerprint);
+    const expiresAtMs = nowMs + KNOWN_MS;
+    next.set(fingerprint, { quarantinedUntilMs, expiresAtMs });
+  }
+  for (const oldest of next.keys()) {
+    if (next.size <= MAX_KNOWN_SUSPECTS) {
+      break;
+    }
+    next.delete(oldest);
+  }
+  return next;
+}
+
+/** Notes what the owner decided; `quarantineMs` is the rest of the time. */
+export function noteVerdict(
+  known: KnownSuspects,
+  verdict: {
+    readonly fingerprint: Fingerprint;
+    readonly isCleared: boolean;
+    readonly quarantineMs: number;
+  },
+  nowMs: number,
+): KnownSuspects {
+  const { fingerprint, isCleared, quarantineMs } = verdict;
+  if (isCleared) {
+    return deleteEntry(known, fingerprint);
+  }
+  const noted = noteSuspects(known, [fingerprint], nowMs);
+  const quarantinedUntilMs = quarantineMs > 0 ? nowMs + quarantineMs : 0;
+  const suspect = noted.get(fingerprint)!;
+  return setEntry(noted, fingerprint, { ...suspect, quarantinedUntilMs });
+}
+
+/** Forgets the suspects of which nothing was heard for long. */
+export function expireSuspects(
+  known: KnownSuspects,
+  nowMs: number,
+): KnownSuspects {
+  const live = [...known].filter(([, { expiresAtMs }]) => expiresAtMs > nowMs);
+  return live.length === known.size ? known : new Map(live);
+}
--- a/src/platform/quarantine/common/quarantine_reducer.ts
+++ b/src/platform/quarantine/common/quarantine_reducer.ts
@@ -38,6 +38,11 @@
     readonly nodeId: string;
     /** What the backend server was running. */
     readonly fingerprints: readonly Fingerprint[];
+    /**
+     * The sole suspect among them, where the node knows what else ran: with
+     * one culprit, it is in both crashes. Left out: whoever ran by a lease.
+     */
+    readonly guilty?: readonly Fingerprint[];
   }
   | {
     readonly type: "RunRequested";
@@ -53,6 +58,14 @@
     readonly fingerprint: Fingerprint;
     readonly leaseId: number;
   }
+  /** The lease is given back: the run was never begun, or given up. */
+  | {
+    readonly type: "RunWithdrawn";
+    readonly nodeId: string;
+    readonly fingerprint: Fingerprint;
+    /** Undefined where it is not known; any lease of the node then. */
+    readonly leaseId: number | undefined;
+  }
   | { readonly type: "Ticked" };
 
 /** Answers to those that asked, and what all nodes are told. */
@@ -109,6 +122,8 @@
       return requestRun(state, event, nowMs);
     case "RunFinished":
       return clearSuspect(state, event);
+    case "RunWithdrawn":
+      return withdrawRun(state, event);
     case "Ticked":
       return expireLeases(state, nowMs);
   }
@@ -116,7 +131,8 @@
 
 /**
  * All that ran becomes suspect. A suspect that ran by a lease of the node
- * whose backend server died is guilty: no other suspect ran beside it.
+ * whose backend server died is guilty, unless the node says that another
+ * suspect, which had been there before, ran beside it.
  */
 function noteCrash(
   state: QuarantineState,
@@ -127,10 +143,14 @@
   const effects: QuarantineEffect[] = [];
   for (const fingerprint of crash.fingerprints) {
     const known = suspects.get(fingerprint);
-    const isGuilty = known?.lease?.nodeId === crash.nodeId;
+    const isLeased = known?.lease?.nodeId === crash.nodeId;
+    const isGuilty = crash.guilty?.includes(fingerprint) ?? isLeased;
+    const suspect = known ?? createSuspect(nowMs);
     const next = isGuilty
-      ? quarantine(known!, nowMs)
-      : known ?? createSuspect(nowMs);
+      ? quarantine(suspect, nowMs)
+      : isLeased
+      ? { ...suspect, lease: undefined }
+      : suspect;
     suspects = setEntry(suspects, fingerprint, next);
     effects.push(
       isGuilty
@@ -196,6 +216,24 @@
   ]);
 }
 
+/** Ends a lease that proved nothing: the suspect stays one. */
+function withdrawRun(
+  state: QuarantineState,
+  run: Extract<QuarantineEvent, { type: "RunWithdrawn" }>,
+): QuarantineStep {
+  const { fingerprint, leaseId, nodeId } = run;
+  const suspect = state.suspects.get(fingerprint);
+  const lease = suspect?.lease;
+  const isSame = lease !== undefined && lease.nodeId === nodeId &&
+    (leaseId === undefined || lease.leaseId === leaseId);
+  if (suspect === undefined || !isSame) {
+    return createReduction(state);
+  }
+  const freed: Suspect = { ...suspect, lease: undefined };
+  const suspects = setEntry(state.suspects, fingerprint, freed);
+  return createReduction({ ...state, suspects });
+}
+
 /** A lease that ran out without a word counts as a crash: its node is gone. */
 function expireLeases(state: QuarantineState, nowMs: number): QuarantineStep {
   let { suspects } = state;
--- a/src/platform/telemetry/common/timeline_event.ts
+++ b/src/platform/telemetry/common/timeline_event.ts
@@ -36,6 +36,19 @@
   | { readonly type: "ReplicaJoined"; readonly replica: string }
   | { readonly type: "NodeJoined"; readonly nodeId: string }
   | { readonly type: "NodeLost"; readonly nodeId: string }
+  /** The local backend server died; what it ran is suspect. */
+  | { readonly type: "BackendCrashed"; readonly suspects: number }
+  /** A suspect may run here, alone. */
+  | { readonly type: "SuspectRun"; readonly fingerprint: string }
+  /** A request that crashes backend servers is refused for a time. */
+  | {
+    readonly type: "RequestQuarantined";
+    /** Kind and digest. */
+    readonly fingerprint: string;
+    readonly lengthMs: number;
+  }
+  /** A suspect ran whole, or was forgotten. */
+  | { readonly type: "SuspectCleared"; readonly fingerprint: string }
   | {
     readonly type: "CallStarted";
     readonly requestId: string;
