--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -31,7 +31,7 @@
   takeQuarantineReply,
 } from "./crash_steps.ts";
 import type { SettleHeld } from "./crash_steps.ts";
-import { tickLedger } from "./quarantine_ledger.ts";
+import { tellJoined, tickLedger } from "./quarantine_ledger.ts";
 import { tickLeases } from "./quarantine_steps.ts";
 import { stepRouting } from "./entry_state.ts";
 import { answerPeer } from "./peer_reducer.ts";
@@ -111,6 +111,10 @@
         nowMs,
       );
     case "MemberPublished":
+      return chainReduction(
+        tellJoined(state, event.announcement, nowMs),
+        (next) => createReduction(stepRouting(next, event, nowMs)),
+      );
     case "MemberLost":
     case "AttemptStarted":
     case "AttemptFinished":
--- a/src/platform/call/common/peer_reducer.ts
+++ b/src/platform/call/common/peer_reducer.ts
@@ -34,7 +34,7 @@
     case "TellSuspects":
     case "RequestRun":
     case "EndRun":
-    case "TellVerdict":
+    case "TellVerdicts":
       return answerQuarantine(state, { askId, message }, nowMs);
   }
   const { incarnation } = state.self;
--- a/src/platform/call/common/quarantine_ledger.ts
+++ b/src/platform/call/common/quarantine_ledger.ts
@@ -9,13 +9,18 @@
   noteSuspects,
   noteVerdict,
 } from "../../quarantine/common/known_suspects.ts";
+import type { Announcement } from "../../membership/common/announcement.ts";
 import { QUARANTINE_PREFIX } from "../../quarantine/common/quarantine_messages.ts";
-import type { QuarantineMessage } from "../../quarantine/common/quarantine_messages.ts";
+import type {
+  QuarantineMessage,
+  Verdict,
+} from "../../quarantine/common/quarantine_messages.ts";
 import { reduceQuarantine } from "../../quarantine/common/quarantine_reducer.ts";
 import type {
   QuarantineEffect,
   QuarantineEvent,
 } from "../../quarantine/common/quarantine_reducer.ts";
+import { chooseOwner } from "../../quarantine/common/suspect_owner.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
 import {
@@ -31,6 +36,8 @@
   { type: T }
 >;
 
+/** Most suspects in one message. */
+const MAX_VERDICTS = 1_024;
 const VERDICT_PREFIX = `${QUARANTINE_PREFIX}verdict/`;
 
 /** Answers another node, or this one. */
@@ -76,6 +83,44 @@
   );
 }
 
+/**
+ * Tells a node that joins the service of the suspects. It may be the owner of
+ * some, and have lost them: of each one the node tells that owns it among the
+ * others.
+ */
+export function tellJoined(
+  state: NodeState,
+  joined: Announcement,
+  nowMs: number,
+): Step {
+  const { known } = state.quarantine;
+  const { nodeId, incarnation, service, ingress } = joined;
+  const before = state.routing.services.get(service)?.members.get(nodeId);
+  const isKnown = before?.incarnation === incarnation;
+  const isOther = service !== state.self.service ||
+    nodeId === state.self.nodeId;
+  if (isOther || isKnown || known.size === 0) {
+    return createReduction(state);
+  }
+  const others = listPeers(state).filter((peer) => peer.nodeId !== nodeId);
+  const verdicts = [...known]
+    .filter(([fingerprint]) =>
+      chooseOwner(others, fingerprint)?.nodeId === state.self.nodeId
+    )
+    .slice(-MAX_VERDICTS)
+    .map(([fingerprint, { quarantinedUntilMs }]) => ({
+      fingerprint,
+      isCleared: false,
+      quarantineMs: Math.max(0, quarantinedUntilMs - nowMs),
+    }));
+  return createReduction(state, [
+    createAsk(`${VERDICT_PREFIX}${nodeId}`, ingress, {
+      type: "TellVerdicts",
+      verdicts,
+    }),
+  ]);
+}
+
 /** Time has passed. */
 export function tickLedger(state: NodeState, nowMs: number): Step {
   const { known } = state.quarantine;
@@ -92,8 +137,11 @@
   switch (message.type) {
     case "TellSuspects":
       return noteCrash(state, message, nowMs);
-    case "TellVerdict": {
-      const known = noteVerdict(state.quarantine.known, message, nowMs);
+    case "TellVerdicts": {
+      const known = message.verdicts.reduce(
+        (before, verdict) => noteVerdict(before, verdict, nowMs),
+        state.quarantine.known,
+      );
       return createReduction(putQuarantine(state, { known }));
     }
     case "EndRun":
@@ -178,7 +226,6 @@
       const { fingerprint } = effect;
       const lengthMs = effect.untilMs - nowMs;
       return tellVerdict(state, {
-        type: "TellVerdict",
         fingerprint,
         isCleared: false,
         quarantineMs: lengthMs,
@@ -187,7 +234,6 @@
     case "PublishCleared": {
       const { fingerprint } = effect;
       return tellVerdict(state, {
-        type: "TellVerdict",
         fingerprint,
         isCleared: true,
         quarantineMs: 0,
@@ -198,15 +244,16 @@
 
 function tellVerdict(
   state: NodeState,
-  verdict: Message<"TellVerdict">,
+  verdict: Verdict,
   nowMs: number,
 ): Step {
   const { fingerprint, isCleared, quarantineMs } = verdict;
   const known = noteVerdict(state.quarantine.known, verdict, nowMs);
+  const told = { type: "TellVerdicts", verdicts: [verdict] } as const;
   const tells = listPeers(state)
     .filter(({ nodeId }) => nodeId !== state.self.nodeId)
     .map(({ nodeId, ingress }) =>
-      createAsk(`${VERDICT_PREFIX}${nodeId}`, ingress, verdict)
+      createAsk(`${VERDICT_PREFIX}${nodeId}`, ingress, told)
     );
   return createReduction(putQuarantine(state, { known }), [
     {
--- a/src/platform/peer/common/peer_messages.ts
+++ b/src/platform/peer/common/peer_messages.ts
@@ -66,7 +66,7 @@
   TellSuspects: true,
   RequestRun: true,
   EndRun: true,
-  TellVerdict: true,
+  TellVerdicts: true,
 };
 
 /** Whether a message is of a type that this version knows. */
--- a/src/platform/quarantine/common/known_suspects.ts
+++ b/src/platform/quarantine/common/known_suspects.ts
@@ -1,5 +1,6 @@
 /** The suspects of a service as each of its nodes was told; bounded. */
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import type { Verdict } from "./quarantine_messages.ts";
 import { MAX_QUARANTINE_MS } from "./quarantine_reducer.ts";
 import type { Fingerprint } from "./quarantine_reducer.ts";
 
@@ -44,14 +45,10 @@
   return next;
 }
 
-/** Notes what the owner decided; `quarantineMs` is the rest of the time. */
+/** Notes what the owner decided. */
 export function noteVerdict(
   known: KnownSuspects,
-  verdict: {
-    readonly fingerprint: Fingerprint;
-    readonly isCleared: boolean;
-    readonly quarantineMs: number;
-  },
+  verdict: Verdict,
   nowMs: number,
 ): KnownSuspects {
   const { fingerprint, isCleared, quarantineMs } = verdict;
--- a/src/platform/quarantine/common/quarantine_messages.ts
+++ b/src/platform/quarantine/common/quarantine_messages.ts
@@ -31,14 +31,16 @@
     /** Whether it came to a whole answer; else it proves nothing. */
     readonly isWhole: boolean;
   }
-  /** What the owner decided; told to all nodes of the service. */
-  | {
-    readonly type: "TellVerdict";
-    readonly fingerprint: Fingerprint;
-    readonly isCleared: boolean;
-    /** Rest of the quarantine, in milliseconds; 0 for a mere suspect. */
-    readonly quarantineMs: number;
-  };
+  /** What the owner decided; told to all nodes, and to one that joins. */
+  | { readonly type: "TellVerdicts"; readonly verdicts: readonly Verdict[] };
+
+/** How a suspect stands. */
+export interface Verdict {
+  readonly fingerprint: Fingerprint;
+  readonly isCleared: boolean;
+  /** Rest of the quarantine, in milliseconds; 0 for a mere suspect. */
+  readonly quarantineMs: number;
+}
 
 /** The answers. */
 export type QuarantineReply =
