Count a backend server's death once, however its failures trickle in

Cause: a trial that answered before all nodes were told quarantined a request after 1 death: a failure that came after the first verdict began a second inquiry, which found the same attempts and a known suspect among them. Change: attempts that were judged at a crash count for that crash alone. Conclusion: one death convicts nobody.

--- a/src/platform/call/common/crash_steps.ts
+++ b/src/platform/call/common/crash_steps.ts
@@ -62,8 +62,10 @@
   deps: ServedDeps,
 ): NodeStep {
   const { attemptId, isSent, reason, isReset = false } = failure;
-  if (isSent) {
-    return holdFailure(state, { attemptId, reason, isReset, isCut: false });
+  const isJudged = state.quarantine.watch === undefined &&
+    state.quarantine.lastJudged.has(attemptId);
+  if (isSent && !isJudged) {
+    return keepFailure(state, { attemptId, reason, isReset, isCut: false });
   }
   const { nowMs } = deps;
   return chainReduction(
@@ -73,7 +75,7 @@
 }
 
 /** Holds the end of an attempt until it is clear whether it was a crash. */
-export function holdFailure(state: NodeState, failure: HeldFailure): NodeStep {
+export function keepFailure(state: NodeState, failure: HeldFailure): NodeStep {
   const { watch } = state.quarantine;
   if (watch === undefined) {
     return startWatch(state, [failure]);
@@ -95,7 +97,7 @@
   if (watch === undefined || watch.judged !== undefined) {
     return createReduction(state);
   }
-  if (!isAlive || areAllReset(state, watch)) {
+  if (!isAlive || isAllReset(state, watch)) {
     return chainReduction(
       reportCrash(state, watch, deps.nowMs),
       (next) => settleTold(next, settle),
@@ -215,7 +217,7 @@
 }
 
 /** Whether all that ran was reset at once: a process that is back already. */
-function areAllReset(state: NodeState, watch: CrashWatch): boolean {
+function isAllReset(state: NodeState, watch: CrashWatch): boolean {
   const failed = new Set(watch.held.map(({ attemptId }) => attemptId));
   return failed.size >= MIN_RESETS &&
     watch.held.every(({ isReset }) => isReset) &&
@@ -224,7 +226,10 @@
 
 /** Lists the attempts that the backend server has seen and not ended. */
 function listSent(state: NodeState): readonly ServedCall[] {
-  return [...state.served.values()].filter((call) => !isUnsent(state, call));
+  const { lastJudged } = state.quarantine;
+  return [...state.served.values()].filter((call) =>
+    !isUnsent(state, call) && !lastJudged.has(call.attemptId)
+  );
 }
 
 function reportCrash(
@@ -256,6 +261,7 @@
   const next = putQuarantine(state, {
     leases: new Map(over),
     abandoned: [],
+    lastJudged: judged,
     nextTell: nextTell + 1,
     watch: { ...watch, untold: new Set(ids), judged },
   });
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -25,7 +25,7 @@
 import { endEntry, resumeEntries } from "./entry_reducer.ts";
 import { settleAsked, suspectAnswer } from "./entry_reply.ts";
 import {
-  holdFailure,
+  keepFailure,
   takeFailure,
   takeProbe,
   takeQuarantineReply,
@@ -190,7 +190,7 @@
 ): NodeStep {
   const reason = "Answer was cut";
   return state.served.has(attemptId)
-    ? holdFailure(state, { attemptId, reason, isReset: true, isCut: true })
+    ? keepFailure(state, { attemptId, reason, isReset: true, isCut: true })
     : applyEnd(state, attemptId, false, nowMs);
 }
 
--- a/src/platform/call/common/quarantine_steps.ts
+++ b/src/platform/call/common/quarantine_steps.ts
@@ -138,7 +138,7 @@
 }
 
 /** A run is given up here, while the backend server may go on with it. */
-export function abandonRun(
+export function noteAbandoned(
   state: NodeState,
   call: ServedCall,
   nowMs: number,
--- a/src/platform/call/common/served_reducer.ts
+++ b/src/platform/call/common/served_reducer.ts
@@ -41,11 +41,11 @@
 } from "./call_events.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
 import {
-  abandonRun,
   checkSuspect,
   createFingerprint,
   endLease,
   isAwaitingLease,
+  noteAbandoned,
 } from "./quarantine_steps.ts";
 import { MAX_STORED_BYTES } from "../../claims/common/claim_types.ts";
 
@@ -308,7 +308,7 @@
   }
   const left = isUnsent(state, call)
     ? state
-    : abandonRun(state, call, deps.nowMs);
+    : noteAbandoned(state, call, deps.nowMs);
   const step = releaseServed(left, attemptId, deps);
   return call.phase === "queued"
     ? step
@@ -326,7 +326,7 @@
     return createReduction(state);
   }
   const isNotRun = isUnsent(state, call);
-  const left = isNotRun ? state : abandonRun(state, call, deps.nowMs);
+  const left = isNotRun ? state : noteAbandoned(state, call, deps.nowMs);
   const step = settleServed(left, attemptId, {
     status: 504,
     outcome: isNotRun ? "not-run" : "unknown",
--- a/src/platform/call/test/quarantine_steps_test.ts
+++ b/src/platform/call/test/quarantine_steps_test.ts
@@ -238,6 +238,21 @@
     expect(service.nodes.get("n1")!.quarantine.known.size).to.equal(2);
   });
 
+  it("count once for a crash, though their failures come one by one", () => {
+    const service = new Service();
+    const innocent = service.receive("n0", "innocent");
+    const late = service.receive("n0", GUILTY);
+    service.running.get("n0")!.delete(late);
+    service.crash("n0");
+    expect(service.answers.has(innocent)).to.equal(true);
+    service.running.get("n0")!.add(late);
+    service.crash("n0");
+    expect(service.answers.get(late)).to.equal(502);
+    const crashes = service.events.filter((type) => type === "BackendCrashed");
+    expect(crashes.length).to.equal(1);
+    expect(service.events).not.to.include("RequestQuarantined");
+  });
+
   it("aren't convicted beside another that was there before", () => {
     const service = new Service();
     service.receive("n0", GUILTY);
--- a/src/platform/quarantine/common/node_quarantine.ts
+++ b/src/platform/quarantine/common/node_quarantine.ts
@@ -58,6 +58,8 @@
   readonly leases: ReadonlyMap<string, LocalLease>;
   readonly watch: CrashWatch | undefined;
   readonly abandoned: readonly AbandonedRun[];
+  /** Attempts that ran at the last crash: they count for it alone. */
+  readonly lastJudged: ReadonlySet<string>;
   /** Numbers the messages that it tells. */
   readonly nextTell: number;
 }
@@ -69,5 +71,6 @@
   leases: new Map(),
   watch: undefined,
   abandoned: [],
+  lastJudged: new Set(),
   nextTell: 0,
 };
