--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -7,6 +7,8 @@
 import { CLAIM_PREFIX } from "../../claims/common/claim_messages.ts";
 import type { ClaimReply } from "../../claims/common/claim_messages.ts";
 import { computeLoadHint } from "../../routing/common/load_hint.ts";
+import { QUARANTINE_PREFIX } from "../../quarantine/common/quarantine_messages.ts";
+import type { QuarantineReply } from "../../quarantine/common/quarantine_messages.ts";
 import { isServiceKnown } from "../../routing/common/routing_state.ts";
 import { createAnswer } from "./answers.ts";
 import type { NodeEffect, NodeEvent, TimerKey } from "./call_events.ts";
@@ -23,6 +25,15 @@
 import { cancelEntry } from "./entry_cancel.ts";
 import { endEntry, resumeEntries } from "./entry_reducer.ts";
 import { settleAsked, suspectAnswer } from "./entry_reply.ts";
+import {
+  keepFailure,
+  takeFailure,
+  takeProbe,
+  takeQuarantineReply,
+} from "./crash_steps.ts";
+import type { SettleHeld } from "./crash_steps.ts";
+import { tellJoined, tickLedger } from "./quarantine_ledger.ts";
+import { tickLeases } from "./quarantine_steps.ts";
 import { stepRouting } from "./entry_state.ts";
 import { answerPeer } from "./peer_reducer.ts";
 import {
@@ -76,7 +87,9 @@
     case "AttemptEnded":
       return applyEnd(state, event.attemptId, true, nowMs);
     case "AnswerCut":
-      return applyEnd(state, event.attemptId, false, nowMs);
+      return applyCut(state, event.attemptId, nowMs);
+    case "BackendProbed":
+      return takeProbe(state, event.isAlive, createSettleHeld(nowMs), deps);
     case "AnswerQuiet":
       return suspectAnswer(state, event, nowMs);
     case "AnswerBlocked":
@@ -108,6 +121,10 @@
         nowMs,
       );
     case "MemberPublished":
+      return chainReduction(
+        tellJoined(state, event.announcement, nowMs),
+        (next) => createReduction(stepRouting(next, event, nowMs)),
+      );
     case "MemberLost":
     case "AttemptStarted":
     case "AttemptFinished":
@@ -122,6 +139,8 @@
     (next) => watchAttempts(next, deps.nowMs),
     (next) => tickServedClaims(next, deps),
     (next) => takeCandidate(next, deps.nowMs),
+    (next) => tickLeases(next, deps.nowMs),
+    (next) => tickLedger(next, deps.nowMs),
     (next) => dropDisused(next, deps.nowMs),
   ];
   return steps.reduce<NodeStep>(chainReduction, createReduction(state));
@@ -133,6 +152,11 @@
   deps: ServedDeps,
 ): NodeStep {
   const { requestId, reply } = event;
+  if (requestId.startsWith(QUARANTINE_PREFIX)) {
+    const settle = createSettleHeld(deps.nowMs);
+    const told = reply as QuarantineReply | undefined;
+    return takeQuarantineReply(state, { requestId, reply: told }, settle, deps);
+  }
   return requestId.startsWith(CLAIM_PREFIX)
     ? takeHolderReply(state, requestId, reply as ClaimReply | undefined, deps)
     : settleAsked(state, event, deps.nowMs);
@@ -160,7 +184,7 @@
   nowMs: number,
 ): NodeStep {
   if (state.served.has(event.attemptId)) {
-    return failServed(state, event, createServedDeps(nowMs));
+    return takeFailure(state, event, createServedDeps(nowMs));
   }
   const exchangeId = state.entryOfAttempt.get(event.attemptId);
   return exchangeId === undefined
@@ -168,6 +192,27 @@
     : failEntry(state, exchangeId, event, nowMs);
 }
 
+/** An answer of the backend server broke off, or one that another relays. */
+function applyCut(
+  state: NodeState,
+  attemptId: string,
+  nowMs: number,
+): NodeStep {
+  const reason = "Answer was cut";
+  return state.served.has(attemptId)
+    ? keepFailure(state, { attemptId, reason, isReset: true, isCut: true })
+    : applyEnd(state, attemptId, false, nowMs);
+}
+
+/** Ends attempts whose failure was held. */
+function createSettleHeld(nowMs: number): SettleHeld {
+  const deps = createServedDeps(nowMs);
+  return (state, held) =>
+    held.isCut
+      ? applyEnd(state, held.attemptId, false, nowMs)
+      : failServed(state, { ...held, isSent: true }, deps);
+}
+
 function applyEnd(
   state: NodeState,
   attemptId: string,
