Part the steps of served attempts into four modules

Change: moved as they stand into what arrives, what is admitted and sent, what is answered and ended, and the shared types.

--- a/src/platform/call/common/crash_steps.ts
+++ b/src/platform/call/common/crash_steps.ts
@@ -29,13 +29,9 @@
   putQuarantine,
   takeEndReply,
 } from "./quarantine_steps.ts";
-import {
-  failServed,
-  isUnsent,
-  refuseServed,
-  sendServed,
-} from "./served_reducer.ts";
-import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+import { failServed } from "./served_reducer.ts";
+import { isUnsent, refuseServed, sendServed } from "./served_steps.ts";
+import type { NodeStep, ServedDeps } from "./served_types.ts";
 
 /** Ends a served attempt whose failure was held; passed in by the node. */
 export type SettleHeld = (state: NodeState, held: HeldFailure) => NodeStep;
--- a/src/platform/call/common/entry_ask.ts
+++ b/src/platform/call/common/entry_ask.ts
@@ -7,7 +7,7 @@
 import type { NodeEffect } from "./call_events.ts";
 import { putEntry } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 /** An attempt without a head is asked about after this spell. */
 export const QUIET_MS = 1_000;
--- a/src/platform/call/common/entry_attempts.ts
+++ b/src/platform/call/common/entry_attempts.ts
@@ -34,10 +34,10 @@
   stepRouting,
 } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
-import { admitAttempt } from "./served_reducer.ts";
+import { admitAttempt } from "./served_receive.ts";
 import { createFingerprint } from "./quarantine_steps.ts";
 import { noteService } from "./subscription_step.ts";
-import type { LocalResult, NodeStep, ServedDeps } from "./served_reducer.ts";
+import type { LocalResult, NodeStep, ServedDeps } from "./served_types.ts";
 
 /** Status of a node whose backend server did not answer. */
 const LOST_STATUS = 502;
--- a/src/platform/call/common/entry_cancel.ts
+++ b/src/platform/call/common/entry_cancel.ts
@@ -7,7 +7,7 @@
 import { closeEntry, reportAttempt, settleAttempt } from "./entry_state.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
 import { cancelServed } from "./served_reducer.ts";
-import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+import type { NodeStep, ServedDeps } from "./served_types.ts";
 
 /** Cancels the attempt of a call, wherever it runs. */
 export function abortAttempt(
--- a/src/platform/call/common/entry_open.ts
+++ b/src/platform/call/common/entry_open.ts
@@ -20,7 +20,7 @@
 import { addChild, putEntry } from "./entry_state.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
 import { checkResend } from "./resend_step.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 type Opened =
   | {
--- a/src/platform/call/common/entry_reducer.ts
+++ b/src/platform/call/common/entry_reducer.ts
@@ -7,7 +7,7 @@
 import { tryAttempt } from "./entry_attempts.ts";
 import { closeEntry } from "./entry_state.ts";
 import type { NodeState } from "./node_state.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 /** Members of `service` are known now: calls that waited for them go on. */
 export function resumeEntries(
--- a/src/platform/call/common/entry_reply.ts
+++ b/src/platform/call/common/entry_reply.ts
@@ -19,7 +19,7 @@
 import { settleFailure } from "./entry_attempts.ts";
 import { closeEntry, putEntry } from "./entry_state.ts";
 import type { Attempt, EntryCall, NodeState } from "./node_state.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 type AnswerQuiet = Extract<NodeEvent, { type: "AnswerQuiet" }>;
 type PeerReplied = Extract<NodeEvent, { type: "PeerReplied" }>;
--- a/src/platform/call/common/entry_state.ts
+++ b/src/platform/call/common/entry_state.ts
@@ -8,7 +8,7 @@
 import type { CallOutcome } from "./call_context.ts";
 import type { NodeEffect, TimerKey } from "./call_events.ts";
 import type { EntryCall, NodeState } from "./node_state.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 /** Applies an event to the routing view. */
 export function stepRouting(
--- a/src/platform/call/common/node_reducer.ts
+++ b/src/platform/call/common/node_reducer.ts
@@ -43,10 +43,10 @@
   expireServed,
   failServed,
   noteBlocked,
-  receiveIngress,
-  updateServed,
 } from "./served_reducer.ts";
-import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+import { receiveIngress } from "./served_receive.ts";
+import { updateServed } from "./served_steps.ts";
+import type { NodeStep, ServedDeps } from "./served_types.ts";
 import {
   keepAnswer,
   resumeServed,
--- a/src/platform/call/common/served_claims.ts
+++ b/src/platform/call/common/served_claims.ts
@@ -27,14 +27,9 @@
 import type { OwnAnswer } from "./answers.ts";
 import type { AttemptAnswer, NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
-import {
-  answerServed,
-  endServed,
-  refuseServed,
-  sendServed,
-  settleServed,
-} from "./served_reducer.ts";
-import type { NodeStep, ServedDeps } from "./served_reducer.ts";
+import { answerServed, endServed } from "./served_reducer.ts";
+import { refuseServed, sendServed, settleServed } from "./served_steps.ts";
+import type { NodeStep, ServedDeps } from "./served_types.ts";
 
 const RETRY_AFTER_MS = 1_000;
 
--- /dev/null
+++ b/src/platform/call/common/served_steps.ts
@@ -0,0 +1,226 @@
+/** Admits, sends, refuses and releases served attempts. */
+import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
+import { createReduction } from "../../../base/common/reduction.ts";
+import {
+  appendEffects,
+  chainReduction,
+} from "../../../base/common/reduction.ts";
+import { reduceAdmission } from "../../admission/common/admission_reducer.ts";
+import type {
+  AdmissionEffect,
+  AdmissionEvent,
+} from "../../admission/common/admission_types.ts";
+import { rememberSettled } from "../../retry/common/settled_attempts.ts";
+import { createAnswer } from "./answers.ts";
+import type { OwnAnswer } from "./answers.ts";
+import {
+  checkKey,
+  claimServed,
+  endClaim,
+  isClaiming,
+  isClaimNeeded,
+  NO_HOLDERS,
+  withdrawServed,
+} from "./claim_steps.ts";
+import { quoteLevel } from "./call_level.ts";
+import { computeDownstreamMs } from "./downstream_time.ts";
+import type { TimerKey } from "./call_events.ts";
+import type { NodeState, ServedCall } from "./node_state.ts";
+import { checkSuspect, isAwaitingLease } from "./quarantine_steps.ts";
+import { MAX_STORED_BYTES } from "../../claims/common/claim_types.ts";
+import type { LocalResult, NodeStep, ServedDeps } from "./served_types.ts";
+
+/** Whether the backend server has seen nothing of an attempt yet. */
+export function isUnsent(state: NodeState, call: ServedCall): boolean {
+  const { attemptId, phase } = call;
+  return phase === "queued" || isClaiming(state, attemptId) ||
+    isAwaitingLease(state, attemptId);
+}
+
+export function isAnswered(call: ServedCall): boolean {
+  return call.phase === "relaying" || call.phase === "blocked";
+}
+
+/** Time has passed: queued requests may have to go, or may run. */
+export function updateServed(state: NodeState, deps: ServedDeps): NodeStep {
+  return stepAdmission(state, { type: "Ticked" }, deps);
+}
+
+export function stepAdmission(
+  state: NodeState,
+  event: AdmissionEvent,
+  deps: ServedDeps,
+): NodeStep {
+  const step = reduceAdmission(state.admission, event, deps.nowMs);
+  const next = { ...state, admission: step.state };
+  return step.effects.reduce<NodeStep>(
+    (done, effect) =>
+      chainReduction(done, (s) => applyAdmission(s, effect, deps)),
+    createReduction(next),
+  );
+}
+
+function applyAdmission(
+  state: NodeState,
+  effect: AdmissionEffect,
+  deps: ServedDeps,
+): NodeStep {
+  switch (effect.type) {
+    case "RunRequest":
+      return runServed(state, effect.attemptId, deps);
+    case "RefuseRequest":
+      return refuseServed(state, effect.attemptId, {
+        status: effect.reason === "rate" ? 429 : 503,
+        outcome: "not-run",
+        message: `Refused: ${effect.reason}`,
+        retryAfterMs: effect.retryAfterMs,
+        reason: effect.reason,
+      }, deps);
+  }
+}
+
+function runServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const running: ServedCall = { ...call, phase: "running" };
+  const served = setEntry(state.served, attemptId, running);
+  const next = { ...state, served };
+  const refusal = checkKey(call.row, call.requestKey);
+  if (refusal !== undefined) {
+    return refuseServed(next, attemptId, refusal, deps);
+  }
+  return isClaimNeeded(call)
+    ? claimServed(next, running) ??
+      refuseServed(next, attemptId, NO_HOLDERS, deps)
+    : sendServed(next, attemptId, deps);
+}
+
+/** Hands an attempt to the local backend server. */
+export function sendServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const { exchangeId, context, row, deadlineMs, pool } = call;
+  const suspect = checkSuspect(state, call, deps.nowMs);
+  if (suspect?.type === "Asked") {
+    return suspect.step;
+  }
+  if (suspect?.type === "Refused") {
+    return chainReduction(
+      withdrawServed(state, attemptId),
+      (next) => refuseServed(next, attemptId, suspect.answer, deps),
+    );
+  }
+  const remainingMs = deadlineMs - deps.nowMs;
+  const collecting = isClaimNeeded(call)
+    ? { collectBytes: MAX_STORED_BYTES }
+    : {};
+  return createReduction(state, [
+    {
+      type: "RecordEvent",
+      event: { type: "AttemptRun", requestId: context.rootId, attemptId },
+    },
+    {
+      type: "SendAttempt",
+      exchangeId,
+      attemptId,
+      address: state.backendAddress,
+      peer: "backend",
+      context: { ...context, remainingMs, retryTokens: pool.left },
+      maxBodyBytes: row.maxBodyBytes,
+      ...collecting,
+    },
+  ]);
+}
+
+/** Ends an attempt that did not run. */
+export function refuseServed(
+  state: NodeState,
+  attemptId: string,
+  answer: OwnAnswer,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const step = settleServed(state, attemptId, answer, deps);
+  return appendEffects(step, {
+    type: "RecordEvent",
+    event: {
+      type: "AttemptRefused",
+      requestId: call.context.rootId,
+      attemptId,
+      kind: call.row.kind,
+      importance: call.context.importance,
+      reason: answer.reason ?? answer.message,
+    },
+  });
+}
+
+/** Ends an attempt with an answer of the node's own. */
+export function settleServed(
+  state: NodeState,
+  attemptId: string,
+  answer: OwnAnswer,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const step = releaseServed(state, attemptId, deps);
+  if (call.origin === "local") {
+    const type = answer.outcome === "not-run" ? "Refused" : "Failed";
+    const result: LocalResult = { type, answer };
+    return chainReduction(
+      step,
+      (next) => deps.settleLocal(next, attemptId, result, deps.nowMs),
+    );
+  }
+  const signals = {
+    tokens: call.pool.left,
+    isDraining: state.self.isDraining,
+    level: quoteLevel(step.state, call.row.kind, deps.nowMs),
+    load: state.loadHint,
+  };
+  return appendEffects(step, createAnswer(call.exchangeId, answer, signals));
+}
+
+export function releaseServed(
+  state: NodeState,
+  attemptId: string,
+  deps: ServedDeps,
+): NodeStep {
+  const call = state.served.get(attemptId)!;
+  const key: TimerKey = { owner: "served", id: attemptId };
+  const served = deleteEntry(state.served, attemptId);
+  const isQueued = call.phase === "queued";
+  const as = isUnsent(state, call) ? "refused" : "ended";
+  const settled = rememberSettled(
+    state.settled,
+    { attemptId, as },
+    deps.nowMs,
+  );
+  const result = isAnswered(call) ? "answered" : "cancelled";
+  const event: AdmissionEvent = isQueued
+    ? { type: "RequestWithdrawn", attemptId }
+    : {
+      type: "RequestFinished",
+      attemptId,
+      result,
+      downstreamMs: computeDownstreamMs(call, deps.nowMs),
+    };
+  const released = { ...state, served, settled };
+  const ended = isAwaitingLease(state, attemptId)
+    ? withdrawServed(released, attemptId)
+    : endClaim(released, attemptId);
+  const step = chainReduction(
+    ended,
+    (next) => stepAdmission(next, event, deps),
+  );
+  const stopped = appendEffects(step, { type: "StopTimer", key });
+  return chainReduction(
+    stopped,
+    (next) => deps.cancelChildren(next, attemptId, deps),
+  );
+}
--- a/src/platform/call/common/subscription_step.ts
+++ b/src/platform/call/common/subscription_step.ts
@@ -4,7 +4,7 @@
 import { findDisused, noteUse } from "../../link/common/subscriptions.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 /** Notes that a service is called. */
 export function noteService(
--- a/src/platform/call/common/table_intake.ts
+++ b/src/platform/call/common/table_intake.ts
@@ -3,7 +3,7 @@
 import type { Table } from "../../table/common/table_row.ts";
 import type { NodeEffect } from "./call_events.ts";
 import type { NodeState } from "./node_state.ts";
-import type { NodeStep } from "./served_reducer.ts";
+import type { NodeStep } from "./served_types.ts";
 
 /** How long a starting node looks for a replica that is current. */
 export const CONFIRMED_WAIT_MS = 10_000;
