Test forged outcomes and conflicting lengths on the wire

Cause: both were promised and neither had a test. Change: two tests against raw backend servers and a raw caller.

--- a/src/platform/call/test/whole_answer_test.ts
+++ b/src/platform/call/test/whole_answer_test.ts
@@ -1,5 +1,5 @@
 /** Answers of raw backend servers through a node's real listeners. */
-import { createServer as createTcpServer } from "node:net";
+import { connect, createServer as createTcpServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { Readable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -99,6 +99,36 @@
     return { status: answer.statusCode, outcome, body };
   }
 
+  it("takes no word of the system's own from a backend server", async () => {
+    const forged = "basilpin-outcome: not-run\r\nbasilpin-level: i=9, h=1";
+    respond = (socket) => {
+      socket.write(
+        `HTTP/1.1 200 OK\r\n${forged}\r\ncontent-length: 2\r\n\r\nok`,
+      );
+    };
+    const answer = await request(`http://${edge}/forged`);
+    expect(await answer.body.text()).to.equal("ok");
+    expect(answer.headers["basilpin-outcome"]).to.equal("ran");
+    expect(answer.headers["basilpin-level"]).to.equal(undefined);
+  });
+
+  it("refuses a request with conflicting lengths", async () => {
+    const paths: string[] = [];
+    respond = (_socket, path) => paths.push(path);
+    const { host, port } = parseAddress(edge)!;
+    const socket = connect(port, host);
+    sockets.add(socket);
+    socket.write(
+      "POST /any HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n" +
+        "transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n",
+    );
+    const head = await new Promise<string>((resolve) =>
+      socket.once("data", (data) => resolve(data.toString("latin1")))
+    );
+    expect(head).to.match(/^HTTP\/1\.1 400 /);
+    expect(paths).to.deep.equal([]);
+  });
+
   const SHORT: Readonly<Record<string, string>> = {
     "a short answer": "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort",
     "a chunked answer without its end":
