--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -2,7 +2,6 @@
 import { EventLoop } from "../base/node/event_loop.ts";
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
-import { computeCapacity } from "../platform/admission/common/admission_capacity.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { TICK_MS } from "../platform/call/common/call_events.ts";
 import type {
@@ -29,6 +28,11 @@
 import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
 import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
 import { OperatorServer } from "./operator_server.ts";
+import {
+  answerReady,
+  createNodeStatus,
+  registerNodeGauges,
+} from "./node_report.ts";
 import type { OperatorRoute } from "./operator_server.ts";
 import { reportSecurity } from "./security.ts";
 import type { Security } from "./security.ts";
@@ -79,7 +83,7 @@
     );
     this.#link = this.#owned.use(this.#createLink());
     this.#operator = this.#owned.use(this.#createOperator());
-    this.#createGauges();
+    registerNodeGauges(this.#telemetry.metrics, () => this.#loop.state);
   }
 
   /** Opens the listeners and starts to announce. */
@@ -289,8 +293,11 @@
     const { timeline, metrics } = this.#telemetry;
     const routes = new Map<string, OperatorRoute>([
       ["GET /livez", () => ({ status: 200, body: { isAlive: true } })],
-      ["GET /readyz", () => this.#answerReady()],
-      ["GET /status", () => ({ status: 200, body: this.#createStatus() })],
+      ["GET /readyz", () => answerReady(this.#loop.state)],
+      ["GET /status", () => ({
+        status: 200,
+        body: createNodeStatus(this.#loop.state, this.#replica),
+      })],
       ["GET /timeline", () => ({ status: 200, body: timeline.list() })],
       ["POST /drain", () => {
         this.#loop.dispatch({ type: "DrainRequested" });
@@ -305,71 +312,6 @@
         metrics.answerScrape(request, response),
     });
   }
-
-  #answerReady() {
-    const { table, self } = this.#loop.state;
-    const isReady = table.version > 0 && !self.isDraining;
-    return { status: isReady ? 200 : 503, body: { isReady } };
-  }
-
-  #createStatus() {
-    const { state } = this.#loop;
-    return {
-      role: "node",
-      id: state.self.nodeId,
-      service: state.self.service,
-      dataCentre: state.self.dataCentre,
-      tableVersion: state.table.version,
-      isTableConfirmed: state.isTableConfirmed,
-      isDraining: state.self.isDraining,
-      controlReplica: this.#replica ?? null,
-      entryCalls: state.entries.size,
-      running: state.admission.running.size,
-      queued: state.admission.queue.length,
-      loadHint: state.loadHint ?? null,
-      holderEpoch: state.claims.holder.voiceEpoch,
-      keys: state.claims.holder.records.count,
-    };
-  }
-
-  #createGauges(): void {
-    const { metrics } = this.#telemetry;
-    metrics.createGauge(
-      "idempotency_keys",
-      "Keys whose records this node holds",
-      () => this.#loop.state.claims.holder.records.count,
-    );
-    metrics.createGauge(
-      "suspects",
-      "Requests that ran when a backend server of the service died",
-      () => this.#loop.state.quarantine.known.size,
-    );
-    metrics.createGauge(
-      "table_version",
-      "Version of the table in force",
-      () => this.#loop.state.table.version,
-    );
-    metrics.createGauge(
-      "running",
-      "Requests that the backend server runs",
-      () => this.#loop.state.admission.running.size,
-    );
-    metrics.createGauge(
-      "queued",
-      "Requests that wait for the backend server",
-      () => this.#loop.state.admission.queue.length,
-    );
-    metrics.createGauge(
-      "admission_limit",
-      "Requests that may run at a time",
-      () => computeCapacity(this.#loop.state.admission, Date.now()),
-    );
-    metrics.createGauge(
-      "admission_level",
-      "Admission level, 0 (none) to 10",
-      () => this.#loop.state.admission.level.place,
-    );
-  }
 }
 
 function hasHints({ backend }: NodeSettings): boolean {
--- /dev/null
+++ b/src/daemon/node_report.ts
@@ -0,0 +1,92 @@
+/** What a node tells operators and scrapes of itself. */
+import { readSteadyMs } from "../base/node/steady_clock.ts";
+import { computeCapacity } from "../platform/admission/common/admission_capacity.ts";
+import type { NodeState } from "../platform/call/common/node_state.ts";
+import type { Metrics } from "../platform/telemetry/node/metrics.ts";
+import type { OperatorAnswer } from "./operator_server.ts";
+
+/** Reads the state as it stands. */
+export type ReadNodeState = () => NodeState;
+
+interface NodeGauge {
+  readonly name: string;
+  readonly description: string;
+  readonly read: (state: NodeState) => number;
+}
+
+const GAUGES: readonly NodeGauge[] = [
+  {
+    name: "idempotency_keys",
+    description: "Keys whose records this node holds",
+    read: ({ claims }) => claims.holder.records.count,
+  },
+  {
+    name: "suspects",
+    description: "Requests that ran when a backend server of the service died",
+    read: ({ quarantine }) => quarantine.known.size,
+  },
+  {
+    name: "table_version",
+    description: "Version of the table in force",
+    read: ({ table }) => table.version,
+  },
+  {
+    name: "running",
+    description: "Requests that the backend server runs",
+    read: ({ admission }) => admission.running.size,
+  },
+  {
+    name: "queued",
+    description: "Requests that wait for the backend server",
+    read: ({ admission }) => admission.queue.length,
+  },
+  {
+    name: "admission_limit",
+    description: "Requests that may run at a time",
+    read: ({ admission }) => computeCapacity(admission, readSteadyMs()),
+  },
+  {
+    name: "admission_level",
+    description: "Admission level, 0 (none) to 10",
+    read: ({ admission }) => admission.level.place,
+  },
+];
+
+/** Adds the gauges of a node to its metrics. */
+export function registerNodeGauges(
+  metrics: Metrics,
+  readState: ReadNodeState,
+): void {
+  for (const { name, description, read } of GAUGES) {
+    metrics.createGauge(name, description, () => read(readState()));
+  }
+}
+
+/** Ready is a node that has a table and takes new work. */
+export function answerReady({ table, self }: NodeState): OperatorAnswer {
+  const isReady = table.version > 0 && !self.isDraining;
+  return { status: isReady ? 200 : 503, body: { isReady } };
+}
+
+/** Creates what `GET /status` shows; `replica` is the one that is linked. */
+export function createNodeStatus(
+  state: NodeState,
+  replica: string | undefined,
+) {
+  return {
+    role: "node",
+    id: state.self.nodeId,
+    service: state.self.service,
+    dataCentre: state.self.dataCentre,
+    tableVersion: state.table.version,
+    isTableConfirmed: state.isTableConfirmed,
+    isDraining: state.self.isDraining,
+    controlReplica: replica ?? null,
+    entryCalls: state.entries.size,
+    running: state.admission.running.size,
+    queued: state.admission.queue.length,
+    loadHint: state.loadHint ?? null,
+    holderEpoch: state.claims.holder.voiceEpoch,
+    keys: state.claims.holder.records.count,
+  };
+}
