--- a/src/platform/call/common/served_receive.ts
+++ b/src/platform/call/common/served_receive.ts
@@ -74,7 +74,7 @@
   };
 }
 
-/** Puts an attempt before the door of the local backend server. */
+/** Asks for admission of an attempt at the local backend server. */
 export function admitAttempt(
   state: NodeState,
   call: ServedCall,
