Rename the layer src/platform to src/engine

Cause: the users' platform gets its own folder, platform/; one word must not have two meanings in the tree. Change: folder and imports only, with the layer check's name for it.

--- a/bench/light_nodes.ts
+++ b/bench/light_nodes.ts
@@ -4,13 +4,13 @@
 import type {
   ControlMessage,
   NodeMessage,
-} from "../src/platform/link/common/link_messages.ts";
-import { readControlMessage } from "../src/platform/link/common/node_inbox.ts";
-import { LinkClient } from "../src/platform/link/node/link_client.ts";
-import type { LinkTraffic } from "../src/platform/link/node/link_client.ts";
-import type { Announcement } from "../src/platform/membership/common/announcement.ts";
-import { EMPTY_TABLE } from "../src/platform/table/common/table_row.ts";
-import type { Table } from "../src/platform/table/common/table_row.ts";
+} from "../src/engine/link/common/link_messages.ts";
+import { readControlMessage } from "../src/engine/link/common/node_inbox.ts";
+import { LinkClient } from "../src/engine/link/node/link_client.ts";
+import type { LinkTraffic } from "../src/engine/link/node/link_client.ts";
+import type { Announcement } from "../src/engine/membership/common/announcement.ts";
+import { EMPTY_TABLE } from "../src/engine/table/common/table_row.ts";
+import type { Table } from "../src/engine/table/common/table_row.ts";
 
 /** What the bench asks of a process of light nodes. */
 export type LightRequest =
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -12,7 +12,7 @@
 import type {
   TimelineEvent,
   TimelineRecord,
-} from "../src/platform/telemetry/common/timeline_event.ts";
+} from "../src/engine/telemetry/common/timeline_event.ts";
 
 const DATA_CENTRES = ["kenitra-a", "kenitra-b", "larache-a", "larache-b"];
 const SERVICES = ["provenance", "custody", "classing", "warehouse"];
--- a/scripts/check_consensus.ts
+++ b/scripts/check_consensus.ts
@@ -1,11 +1,11 @@
 /** Runs many random schedules of faults over consensus, on a printed seed. */
 import fc from "fast-check";
 import process from "node:process";
-import { reduceConsensus } from "../src/platform/consensus/common/consensus_reducer.ts";
+import { reduceConsensus } from "../src/engine/consensus/common/consensus_reducer.ts";
 import {
   createSchedules,
   runSchedule,
-} from "../src/platform/consensus/test/fault_schedule.ts";
+} from "../src/engine/consensus/test/fault_schedule.ts";
 
 const DEFAULT_RUNS = 100_000;
 /** Twice as long as in the tests. */
--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -1,4 +1,4 @@
-/** Checks that imports point down only: base, platform, daemon and cli, mod. */
+/** Checks that imports point down only: base, engine, daemon and cli, mod. */
 import { readdirSync, readFileSync, statSync } from "node:fs";
 import { dirname, join, normalize, relative } from "node:path";
 import process from "node:process";
@@ -11,7 +11,7 @@
 
 const RANKS: Readonly<Record<string, number>> = {
   base: 0,
-  platform: 1,
+  engine: 1,
   daemon: 2,
   cli: 2,
   mod: 3,
@@ -34,7 +34,7 @@
 function locate(file: string): Place {
   const [layer = "", second = "", third = ""] = relative("src", file)
     .split("/");
-  if (layer === "platform") {
+  if (layer === "engine") {
     return { layer, area: second, folder: third };
   }
   return { layer: layer.replace(/\.ts$/, ""), area: layer, folder: second };
@@ -58,7 +58,7 @@
   if (from.folder === "common" && to.folder === "node") {
     return "common never imports node";
   }
-  const isOtherArea = from.layer === "platform" && to.layer === "platform" &&
+  const isOtherArea = from.layer === "engine" && to.layer === "engine" &&
     from.area !== to.area;
   if (isOtherArea && to.folder !== "common") {
     return `an area imports only the common of another (${to.area})`;
--- a/scripts/traces/callers.ts
+++ b/scripts/traces/callers.ts
@@ -1,6 +1,6 @@
 /** Callers of a node, and what they saw of their calls. */
 import { request } from "undici";
-import { OUTCOME_HEADER } from "../../src/platform/call/common/call_context.ts";
+import { OUTCOME_HEADER } from "../../src/engine/call/common/call_context.ts";
 
 /** One call to make. */
 export interface CallOptions {
--- a/scripts/traces/control_faults.ts
+++ b/scripts/traces/control_faults.ts
@@ -6,8 +6,8 @@
 import type {
   ControlOutcome,
   TracedEdit,
-} from "../../src/platform/trace/common/trace_format.ts";
-import type { EditOutcome } from "../../src/platform/table/common/table_reducer.ts";
+} from "../../src/engine/trace/common/trace_format.ts";
+import type { EditOutcome } from "../../src/engine/table/common/table_reducer.ts";
 import { Fleet, waitReady } from "../../standin/fleet.ts";
 import type { FleetControl } from "../../standin/fleet.ts";
 import type { Recording } from "./recording.ts";
--- a/scripts/traces/recording.ts
+++ b/scripts/traces/recording.ts
@@ -5,17 +5,17 @@
 import {
   compareOutcomes,
   replayTrace,
-} from "../../src/platform/trace/common/replay.ts";
+} from "../../src/engine/trace/common/replay.ts";
 import {
   formatTraceLine,
   parseTrace,
-} from "../../src/platform/trace/common/trace_format.ts";
+} from "../../src/engine/trace/common/trace_format.ts";
 import type {
   ControlOutcome,
   NodeOutcome,
   NodeTrace,
   Trace,
-} from "../../src/platform/trace/common/trace_format.ts";
+} from "../../src/engine/trace/common/trace_format.ts";
 import { formatCallName } from "./callers.ts";
 import type { ObservedCall } from "./callers.ts";
 
--- a/scripts/write_references.ts
+++ b/scripts/write_references.ts
@@ -6,8 +6,8 @@
 import process from "node:process";
 import { createSettingsReference } from "../src/daemon/settings_reference.ts";
 import type { SettingReference } from "../src/daemon/settings_reference.ts";
-import { COLUMN_REFERENCE } from "../src/platform/table/common/column_reference.ts";
-import { TABLE_COLUMNS } from "../src/platform/table/common/table_row.ts";
+import { COLUMN_REFERENCE } from "../src/engine/table/common/column_reference.ts";
+import { TABLE_COLUMNS } from "../src/engine/table/common/table_row.ts";
 
 const PAGE = "docs/OPERATING.md";
 
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,8 +1,8 @@
 /** `basilpin status`: nodes, control replicas, versions in force. */
 import type { Command } from "commander";
 import type { Result } from "neverthrow";
-import type { ClusterReport } from "../../platform/control/common/cluster_report.ts";
-import type { ControlReport } from "../../platform/control/common/control_report.ts";
+import type { ClusterReport } from "../../engine/control/common/cluster_report.ts";
+import type { ControlReport } from "../../engine/control/common/control_report.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
 import type { CommandContext } from "../command_context.ts";
--- a/src/cli/commands/table.ts
+++ b/src/cli/commands/table.ts
@@ -7,15 +7,15 @@
 import {
   formatTableCsv,
   parseTableCsv,
-} from "../../platform/table/common/table_csv.ts";
-import { TABLE_COLUMNS } from "../../platform/table/common/table_row.ts";
-import type { Table } from "../../platform/table/common/table_row.ts";
+} from "../../engine/table/common/table_csv.ts";
+import { TABLE_COLUMNS } from "../../engine/table/common/table_row.ts";
+import type { Table } from "../../engine/table/common/table_row.ts";
 import type {
   EditOutcome,
   HistoryEntry,
-} from "../../platform/table/common/table_reducer.ts";
-import { formatRow } from "../../platform/table/common/table_schema.ts";
-import type { BadCell } from "../../platform/table/common/table_schema.ts";
+} from "../../engine/table/common/table_reducer.ts";
+import { formatRow } from "../../engine/table/common/table_schema.ts";
+import type { BadCell } from "../../engine/table/common/table_schema.ts";
 import { createCliError } from "../cli_error.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -2,8 +2,8 @@
 import { writeFileSync } from "node:fs";
 import type { Command } from "commander";
 import { err, ok, type Result } from "neverthrow";
-import { compareRecords } from "../../platform/telemetry/common/timeline_event.ts";
-import type { TimelineRecord } from "../../platform/telemetry/common/timeline_event.ts";
+import { compareRecords } from "../../engine/telemetry/common/timeline_event.ts";
+import type { TimelineRecord } from "../../engine/telemetry/common/timeline_event.ts";
 import { createCliError } from "../cli_error.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
--- a/src/cli/commands/trace.ts
+++ b/src/cli/commands/trace.ts
@@ -5,13 +5,13 @@
 import {
   compareOutcomes,
   replayTrace,
-} from "../../platform/trace/common/replay.ts";
-import { parseTrace } from "../../platform/trace/common/trace_format.ts";
+} from "../../engine/trace/common/replay.ts";
+import { parseTrace } from "../../engine/trace/common/trace_format.ts";
 import type {
   ControlOutcome,
   Trace,
   TraceOutcome,
-} from "../../platform/trace/common/trace_format.ts";
+} from "../../engine/trace/common/trace_format.ts";
 import { createCliError } from "../cli_error.ts";
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
--- a/src/cli/test/timeline_page_test.ts
+++ b/src/cli/test/timeline_page_test.ts
@@ -1,7 +1,7 @@
 /** The HTML page of the time line. */
 import { expect } from "chai";
 import { createTimelinePage } from "../timeline_page.ts";
-import type { TimelineRecord } from "../../platform/telemetry/common/timeline_event.ts";
+import type { TimelineRecord } from "../../engine/telemetry/common/timeline_event.ts";
 
 describe("time line page", () => {
   it("gives each process a lane and escapes what callers sent", () => {
--- a/src/cli/timeline_page.ts
+++ b/src/cli/timeline_page.ts
@@ -1,5 +1,5 @@
 /** The time line as one self-contained HTML page: a lane for each process. */
-import type { TimelineRecord } from "../platform/telemetry/common/timeline_event.ts";
+import type { TimelineRecord } from "../engine/telemetry/common/timeline_event.ts";
 
 const STYLE = `
 body { font: 13px system-ui, sans-serif; margin: 1.5em; color: #222; }
--- a/src/daemon/cluster_links.ts
+++ b/src/daemon/cluster_links.ts
@@ -1,7 +1,7 @@
 /** Ways to the other control replicas, by their ids in the settings. */
-import type { ClusterMessage } from "../platform/link/common/cluster_messages.ts";
-import type { LinkServer } from "../platform/link/node/link_server.ts";
-import type { ReplicaLinks } from "../platform/link/node/replica_links.ts";
+import type { ClusterMessage } from "../engine/link/common/cluster_messages.ts";
+import type { LinkServer } from "../engine/link/node/link_server.ts";
+import type { ReplicaLinks } from "../engine/link/node/replica_links.ts";
 import type { ControlSettings } from "./settings.ts";
 
 /** A replica in the settings. */
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -2,31 +2,31 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { EventLoop } from "../base/node/event_loop.ts";
 import { parseAddress } from "../base/node/listen.ts";
-import { createClusterReport } from "../platform/control/common/cluster_report.ts";
-import { createControlReport } from "../platform/control/common/control_report.ts";
+import { createClusterReport } from "../engine/control/common/cluster_report.ts";
+import { createControlReport } from "../engine/control/common/control_report.ts";
 import {
   createReplica,
   reduceReplica,
-} from "../platform/control/common/replica_reducer.ts";
+} from "../engine/control/common/replica_reducer.ts";
 import type {
   ReplicaEffect,
   ReplicaEvent,
   ReplicaState,
-} from "../platform/control/common/replica_reducer.ts";
-import { listHolders } from "../platform/control/common/holders.ts";
-import type { ReplicationOptions } from "../platform/control/common/replication_reducer.ts";
-import { isClusterMessage } from "../platform/link/common/cluster_messages.ts";
-import { isPresenceMessage } from "../platform/link/common/link_messages.ts";
+} from "../engine/control/common/replica_reducer.ts";
+import { listHolders } from "../engine/control/common/holders.ts";
+import type { ReplicationOptions } from "../engine/control/common/replication_reducer.ts";
+import { isClusterMessage } from "../engine/link/common/cluster_messages.ts";
+import { isPresenceMessage } from "../engine/link/common/link_messages.ts";
 import type {
   InboundMessage,
   OutboundMessage,
-} from "../platform/link/common/link_messages.ts";
-import { LinkServer } from "../platform/link/node/link_server.ts";
-import { ReplicaLinks } from "../platform/link/node/replica_links.ts";
-import type { StorageError } from "../platform/storage/common/storage_error.ts";
-import type { DataFolder } from "../platform/storage/node/data_folder.ts";
-import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
-import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
+} from "../engine/link/common/link_messages.ts";
+import { LinkServer } from "../engine/link/node/link_server.ts";
+import { ReplicaLinks } from "../engine/link/node/replica_links.ts";
+import type { StorageError } from "../engine/storage/common/storage_error.ts";
+import type { DataFolder } from "../engine/storage/node/data_folder.ts";
+import { TRACE_VERSION } from "../engine/trace/common/trace_format.ts";
+import { TraceRecorder } from "../engine/trace/node/trace_recorder.ts";
 import { ClusterLinks, listPeers } from "./cluster_links.ts";
 import { ControlRequests } from "./control_requests.ts";
 import { OperatorServer } from "./operator_server.ts";
--- a/src/daemon/control_requests.ts
+++ b/src/daemon/control_requests.ts
@@ -1,9 +1,9 @@
 /** Operators' requests that wait for the replicated state. */
-import type { EditResult } from "../platform/link/common/cluster_messages.ts";
-import type { TableEdit } from "../platform/table/common/table_reducer.ts";
-import { encodeCommand } from "../platform/control/common/replicated_codec.ts";
-import { MAX_EDIT_BYTES } from "../platform/control/common/replication_state.ts";
-import type { ReplicationEvent } from "../platform/control/common/replication_state.ts";
+import type { EditResult } from "../engine/link/common/cluster_messages.ts";
+import type { TableEdit } from "../engine/table/common/table_reducer.ts";
+import { encodeCommand } from "../engine/control/common/replicated_codec.ts";
+import { MAX_EDIT_BYTES } from "../engine/control/common/replication_state.ts";
+import type { ReplicationEvent } from "../engine/control/common/replication_state.ts";
 import { parseEditBody } from "./edit_body.ts";
 import type { OperatorAnswer, OperatorRequest } from "./operator_server.ts";
 
--- a/src/daemon/edit_body.ts
+++ b/src/daemon/edit_body.ts
@@ -1,12 +1,9 @@
 /** Checks the body of an edit that an operator sends. */
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
-import type { TableChange } from "../platform/table/common/table_reducer.ts";
-import { parseRow } from "../platform/table/common/table_schema.ts";
-import type {
-  BadCell,
-  DraftRow,
-} from "../platform/table/common/table_schema.ts";
+import type { TableChange } from "../engine/table/common/table_reducer.ts";
+import { parseRow } from "../engine/table/common/table_schema.ts";
+import type { BadCell, DraftRow } from "../engine/table/common/table_schema.ts";
 
 /** An edit before it has an operator and a time. */
 export interface EditBody {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,8 +2,8 @@
 /** `basilpind`: starts one process in the role that its settings name. */
 import process from "node:process";
 import { Command } from "commander";
-import { describeStorageError } from "../platform/storage/common/storage_error.ts";
-import type { StorageError } from "../platform/storage/common/storage_error.ts";
+import { describeStorageError } from "../engine/storage/common/storage_error.ts";
+import type { StorageError } from "../engine/storage/common/storage_error.ts";
 import { readSecurity } from "./security.ts";
 import type { Security } from "./security.ts";
 import { readSettings } from "./settings.ts";
@@ -30,7 +30,7 @@
   }
   const { ControlDaemon } = await import("./control_daemon.ts");
   const { openDataFolder } = await import(
-    "../platform/storage/node/data_folder.ts"
+    "../engine/storage/node/data_folder.ts"
   );
   const folder = await openDataFolder(settings.data_folder, settings.id);
   if (folder.isErr()) {
--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -3,30 +3,30 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
-import { TICK_MS } from "../platform/call/common/call_events.ts";
+import { TICK_MS } from "../engine/call/common/call_events.ts";
 import type {
   NodeEffect,
   NodeEvent,
-} from "../platform/call/common/call_events.ts";
-import { reduceNode } from "../platform/call/common/node_reducer.ts";
-import { createNodeState, isIdle } from "../platform/call/common/node_state.ts";
-import type { NodeState } from "../platform/call/common/node_state.ts";
-import { CallServer } from "../platform/call/node/call_server.ts";
+} from "../engine/call/common/call_events.ts";
+import { reduceNode } from "../engine/call/common/node_reducer.ts";
+import { createNodeState, isIdle } from "../engine/call/common/node_state.ts";
+import type { NodeState } from "../engine/call/common/node_state.ts";
+import { CallServer } from "../engine/call/node/call_server.ts";
 import type {
   ControlMessage,
   NodeMessage,
-} from "../platform/link/common/link_messages.ts";
-import { readControlMessage } from "../platform/link/common/node_inbox.ts";
-import { LinkClient } from "../platform/link/node/link_client.ts";
-import type { Announcement } from "../platform/membership/common/announcement.ts";
-import { isServiceKnown } from "../platform/routing/common/routing_state.ts";
+} from "../engine/link/common/link_messages.ts";
+import { readControlMessage } from "../engine/link/common/node_inbox.ts";
+import { LinkClient } from "../engine/link/node/link_client.ts";
+import type { Announcement } from "../engine/membership/common/announcement.ts";
+import { isServiceKnown } from "../engine/routing/common/routing_state.ts";
 import {
   HINT_CONNECTIONS,
   HintPoller,
-} from "../platform/routing/node/hint_poller.ts";
-import { PeerClient } from "../platform/peer/node/peer_client.ts";
-import { TRACE_VERSION } from "../platform/trace/common/trace_format.ts";
-import { TraceRecorder } from "../platform/trace/node/trace_recorder.ts";
+} from "../engine/routing/node/hint_poller.ts";
+import { PeerClient } from "../engine/peer/node/peer_client.ts";
+import { TRACE_VERSION } from "../engine/trace/common/trace_format.ts";
+import { TraceRecorder } from "../engine/trace/node/trace_recorder.ts";
 import { OperatorServer } from "./operator_server.ts";
 import {
   answerReady,
--- a/src/daemon/node_report.ts
+++ b/src/daemon/node_report.ts
@@ -1,8 +1,8 @@
 /** What a node tells operators and scrapes of itself. */
 import { readSteadyMs } from "../base/node/steady_clock.ts";
-import { computeCapacity } from "../platform/admission/common/admission_capacity.ts";
-import type { NodeState } from "../platform/call/common/node_state.ts";
-import type { Metrics } from "../platform/telemetry/node/metrics.ts";
+import { computeCapacity } from "../engine/admission/common/admission_capacity.ts";
+import type { NodeState } from "../engine/call/common/node_state.ts";
+import type { Metrics } from "../engine/telemetry/node/metrics.ts";
 import type { OperatorAnswer } from "./operator_server.ts";
 
 /** Reads the state as it stands. */
--- a/src/daemon/replica_disk.ts
+++ b/src/daemon/replica_disk.ts
@@ -1,11 +1,11 @@
 /** Carries a replica's writes to its data folder, and says when they last. */
-import { createFoundingSnapshot } from "../platform/consensus/common/recovery.ts";
+import { createFoundingSnapshot } from "../engine/consensus/common/recovery.ts";
 import type {
   ReplicationEffect,
   ReplicationEvent,
-} from "../platform/control/common/replication_state.ts";
-import type { StorageError } from "../platform/storage/common/storage_error.ts";
-import type { DataFolder } from "../platform/storage/node/data_folder.ts";
+} from "../engine/control/common/replication_state.ts";
+import type { StorageError } from "../engine/storage/common/storage_error.ts";
+import type { DataFolder } from "../engine/storage/node/data_folder.ts";
 
 /** An effect that ends on the disk. */
 export type DiskEffect = Extract<
--- a/src/daemon/telemetry.ts
+++ b/src/daemon/telemetry.ts
@@ -3,12 +3,12 @@
 import {
   checkClock,
   decodeClock,
-} from "../platform/telemetry/common/process_clock.ts";
-import type { ProcessClock } from "../platform/telemetry/common/process_clock.ts";
-import { Timeline } from "../platform/telemetry/common/timeline.ts";
-import type { TimelineEvent } from "../platform/telemetry/common/timeline_event.ts";
-import { createLog } from "../platform/telemetry/node/log.ts";
-import { Metrics } from "../platform/telemetry/node/metrics.ts";
+} from "../engine/telemetry/common/process_clock.ts";
+import type { ProcessClock } from "../engine/telemetry/common/process_clock.ts";
+import { Timeline } from "../engine/telemetry/common/timeline.ts";
+import type { TimelineEvent } from "../engine/telemetry/common/timeline_event.ts";
+import { createLog } from "../engine/telemetry/node/log.ts";
+import { Metrics } from "../engine/telemetry/node/metrics.ts";
 import type { Settings } from "./settings.ts";
 
 /** What a process tells of itself. */
--- a/src/daemon/test/at_most_once_control_test.ts
+++ b/src/daemon/test/at_most_once_control_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import { waitReady } from "../../../standin/fleet.ts";
 import type { FleetControl } from "../../../standin/fleet.ts";
-import type { HolderReport } from "../../platform/control/common/holders.ts";
+import type { HolderReport } from "../../engine/control/common/holders.ts";
 import { KeyedService, SITES, waitFor } from "./keyed_service.ts";
 
 const LONG_MS = 120_000;
--- a/src/daemon/test/at_most_once_test.ts
+++ b/src/daemon/test/at_most_once_test.ts
@@ -2,8 +2,8 @@
 import { expect } from "chai";
 import { request } from "undici";
 import { encodeMessage } from "../../base/node/message_codec.ts";
-import { PEER_PATH } from "../../platform/peer/common/peer_messages.ts";
-import { RESEND_FLOOR } from "../../platform/retry/common/resend_budget.ts";
+import { PEER_PATH } from "../../engine/peer/common/peer_messages.ts";
+import { RESEND_FLOOR } from "../../engine/retry/common/resend_budget.ts";
 import { KeyedService, SITES, waitFor } from "./keyed_service.ts";
 
 const LONG_MS = 120_000;
--- a/src/daemon/test/clock_carriers_test.ts
+++ b/src/daemon/test/clock_carriers_test.ts
@@ -2,19 +2,19 @@
 import { expect } from "chai";
 import { request } from "undici";
 import { parseAddress } from "../../base/node/listen.ts";
-import type { NodeEvent } from "../../platform/call/common/call_events.ts";
-import { CallServer } from "../../platform/call/node/call_server.ts";
-import { LinkClient } from "../../platform/link/node/link_client.ts";
-import { LinkServer } from "../../platform/link/node/link_server.ts";
-import { PeerClient } from "../../platform/peer/node/peer_client.ts";
+import type { NodeEvent } from "../../engine/call/common/call_events.ts";
+import { CallServer } from "../../engine/call/node/call_server.ts";
+import { LinkClient } from "../../engine/link/node/link_client.ts";
+import { LinkServer } from "../../engine/link/node/link_server.ts";
+import { PeerClient } from "../../engine/peer/node/peer_client.ts";
 import {
   checkClock,
   CLOCK_HEADER,
   decodeClock,
-} from "../../platform/telemetry/common/process_clock.ts";
-import type { ProcessClock } from "../../platform/telemetry/common/process_clock.ts";
-import { Timeline } from "../../platform/telemetry/common/timeline.ts";
-import type { HybridTime } from "../../platform/telemetry/common/timeline_event.ts";
+} from "../../engine/telemetry/common/process_clock.ts";
+import type { ProcessClock } from "../../engine/telemetry/common/process_clock.ts";
+import { Timeline } from "../../engine/telemetry/common/timeline.ts";
+import type { HybridTime } from "../../engine/telemetry/common/timeline_event.ts";
 import { findAddress } from "../../../standin/ports.ts";
 
 const NOW_MS = 1_700_000_000_000;
--- a/src/daemon/test/cluster_faults_test.ts
+++ b/src/daemon/test/cluster_faults_test.ts
@@ -4,8 +4,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
-import type { ClusterReport } from "../../platform/control/common/cluster_report.ts";
-import type { EditOutcome } from "../../platform/table/common/table_reducer.ts";
+import type { ClusterReport } from "../../engine/control/common/cluster_report.ts";
+import type { EditOutcome } from "../../engine/table/common/table_reducer.ts";
 import { Fleet, waitReady } from "../../../standin/fleet.ts";
 import type { FleetControl } from "../../../standin/fleet.ts";
 
--- a/src/daemon/test/control_loss_test.ts
+++ b/src/daemon/test/control_loss_test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
-import { LEASE_MS } from "../../platform/membership/common/membership_state.ts";
+import { LEASE_MS } from "../../engine/membership/common/membership_state.ts";
 import type { StatusAnswer } from "../../cli/commands/status.ts";
 import { Fleet } from "../../../standin/fleet.ts";
 import type { FleetControl, FleetNode } from "../../../standin/fleet.ts";
--- a/src/daemon/test/keyed_service.ts
+++ b/src/daemon/test/keyed_service.ts
@@ -2,8 +2,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
-import type { ClusterReport } from "../../platform/control/common/cluster_report.ts";
-import type { HolderReport } from "../../platform/control/common/holders.ts";
+import type { ClusterReport } from "../../engine/control/common/cluster_report.ts";
+import type { HolderReport } from "../../engine/control/common/holders.ts";
 import { Fleet, readRuns } from "../../../standin/fleet.ts";
 import type { FleetControl, FleetNode } from "../../../standin/fleet.ts";
 
--- a/src/daemon/test/silent_replica_test.ts
+++ b/src/daemon/test/silent_replica_test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
-import type { TimelineRecord } from "../../platform/telemetry/common/timeline_event.ts";
+import type { TimelineRecord } from "../../engine/telemetry/common/timeline_event.ts";
 import { Fleet } from "../../../standin/fleet.ts";
 import type { FleetControl } from "../../../standin/fleet.ts";
 
--- a/src/daemon/test/transport_test.ts
+++ b/src/daemon/test/transport_test.ts
@@ -6,7 +6,7 @@
 import { Agent, request } from "undici";
 import { WebSocket } from "ws";
 import { encodeMessage } from "../../base/node/message_codec.ts";
-import { PEER_PATH } from "../../platform/peer/common/peer_messages.ts";
+import { PEER_PATH } from "../../engine/peer/common/peer_messages.ts";
 import { findCertificate, Fleet, readRuns } from "../../../standin/fleet.ts";
 import type { FleetControl, FleetNode } from "../../../standin/fleet.ts";
 
--- a/src/daemon/test/whole_path_test.ts
+++ b/src/daemon/test/whole_path_test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
-import { CONTEXT_HEADER } from "../../platform/call/common/call_context.ts";
+import { CONTEXT_HEADER } from "../../engine/call/common/call_context.ts";
 import { Fleet, readRuns } from "../../../standin/fleet.ts";
 import type { FleetNode } from "../../../standin/fleet.ts";
 
--- a/src/daemon/timer_set.ts
+++ b/src/daemon/timer_set.ts
@@ -1,6 +1,6 @@
 /** Timers by key, so that a reducer can start and stop them as effects. */
 import { readSteadyMs } from "../base/node/steady_clock.ts";
-import type { TimerKey } from "../platform/call/common/call_events.ts";
+import type { TimerKey } from "../engine/call/common/call_events.ts";
 
 /** Owns the timers of one loop. */
 export class TimerSet implements AsyncDisposable {
--- a/standin/backend.ts
+++ b/standin/backend.ts
@@ -11,7 +11,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Command } from "commander";
 import { Agent, request as send } from "undici";
-import { CONTEXT_HEADER } from "../src/platform/call/common/call_context.ts";
+import { CONTEXT_HEADER } from "../src/engine/call/common/call_context.ts";
 
 /** What `POST /standin/behaviour` changes while the stand-in runs. */
 export interface Behaviour {
