--- a/src/daemon/cluster_links.ts
+++ b/src/daemon/cluster_links.ts
@@ -2,6 +2,7 @@
 import type { ClusterMessage } from "../engine/link/common/cluster_messages.ts";
 import type { LinkServer } from "../engine/link/node/link_server.ts";
 import type { ReplicaLinks } from "../engine/link/node/replica_links.ts";
+import type { Cluster } from "../engine/control/common/replication_state.ts";
 import type { ControlSettings } from "./settings.ts";
 
 /** A replica in the settings. */
@@ -13,25 +14,63 @@
 
 /** Lists the other replicas that the settings name. */
 export function listPeers(settings: ControlSettings): readonly ReplicaPlace[] {
+  const { discovery } = settings;
+  if (discovery !== undefined) {
+    return discovery.seeds
+      .filter((link) => link !== settings.listen.link)
+      .map((link) => ({ id: link, link }));
+  }
   const { voters = [], learners = [] } = settings.cluster ?? {};
   return [...voters, ...learners].filter(({ id }) => id !== settings.id);
 }
 
+/** Where replicas find each other, an id is a link address. */
+export function createAddressFinder(
+  settings: ControlSettings,
+): (peer: string) => string | undefined {
+  if (settings.discovery !== undefined) {
+    return (peer) => peer;
+  }
+  const places = listPeers(settings);
+  const addresses = new Map(places.map(({ id, link }) => [id, link]));
+  return (peer) => addresses.get(peer);
+}
+
+/** Creates what the replica knows of the others before it hears them. */
+export function createCluster(settings: ControlSettings): Cluster {
+  const peers = listPeers(settings).map(({ id }) => id);
+  const { discovery, cluster, id, listen } = settings;
+  if (discovery === undefined) {
+    const voters = cluster?.voters.map((voter) => voter.id) ?? [id];
+    return { self: id, voters, peers };
+  }
+  return {
+    self: listen.link,
+    voters: discovery.is_first_start ? discovery.seeds : [],
+    peers,
+    discovery: {
+      maxVoters: discovery.max_voters,
+      replaceAfterMs: discovery.replace_after_ms,
+    },
+  };
+}
+
 /** Sends on the link that this replica opened, else on one it accepted. */
 export class ClusterLinks {
   readonly #dialled: ReplicaLinks;
   readonly #accepted: LinkServer;
-  readonly #addresses: ReadonlyMap<string, string>;
+  readonly #findAddress: (peer: string) => string | undefined;
   readonly #linkIds = new Map<string, number>();
 
   constructor(options: {
     readonly dialled: ReplicaLinks;
     readonly accepted: LinkServer;
-    readonly peers: readonly ReplicaPlace[];
+    /** Where the settings place a replica. */
+    readonly findAddress: (peer: string) => string | undefined;
   }) {
     this.#dialled = options.dialled;
     this.#accepted = options.accepted;
-    this.#addresses = new Map(options.peers.map(({ id, link }) => [id, link]));
+    this.#findAddress = options.findAddress;
   }
 
   /** Notes on which accepted link a replica is heard. */
@@ -43,7 +82,7 @@
 
   /** Sends to a replica; one that isn't linked is passed over. */
   send(peer: string, message: ClusterMessage): void {
-    const address = this.#addresses.get(peer);
+    const address = this.#findAddress(peer);
     if (address !== undefined && this.#dialled.isOpen(address)) {
       this.#dialled.send(address, message);
       return;
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -2,6 +2,7 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { EventLoop } from "../base/node/event_loop.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { createClusterReport } from "../engine/control/common/cluster_report.ts";
 import { createControlReport } from "../engine/control/common/control_report.ts";
 import {
@@ -21,13 +22,22 @@
   InboundMessage,
   OutboundMessage,
 } from "../engine/link/common/link_messages.ts";
+import type { EditResult } from "../engine/link/common/cluster_messages.ts";
+import type { RouteDocument } from "../engine/routes/common/route_table.ts";
+import type { ReplaceRoutes } from "../engine/table/common/table_reducer.ts";
+import type { LinkPace } from "../engine/link/common/link_reducer.ts";
 import { LinkServer } from "../engine/link/node/link_server.ts";
 import { ReplicaLinks } from "../engine/link/node/replica_links.ts";
 import type { StorageError } from "../engine/storage/common/storage_error.ts";
 import type { DataFolder } from "../engine/storage/node/data_folder.ts";
 import { TRACE_VERSION } from "../engine/trace/common/trace_format.ts";
 import { TraceRecorder } from "../engine/trace/node/trace_recorder.ts";
-import { ClusterLinks, listPeers } from "./cluster_links.ts";
+import {
+  ClusterLinks,
+  createAddressFinder,
+  createCluster,
+  listPeers,
+} from "./cluster_links.ts";
 import { ControlRequests } from "./control_requests.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type {
@@ -50,6 +60,7 @@
 export interface ControlDaemonOptions {
   readonly settings: ControlSettings;
   readonly security: Security;
+  readonly linkPace?: LinkPace | undefined;
   /** Owned by the daemon from here on. */
   readonly folder: DataFolder;
   /** A write failed: the process must end. */
@@ -60,6 +71,7 @@
 export class ControlDaemon implements AsyncDisposable {
   readonly #settings: ControlSettings;
   readonly #security: Security;
+  readonly #linkPace: LinkPace | undefined;
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
   readonly #loop: EventLoop<ReplicaState, ReplicaEvent, ReplicaEffect>;
@@ -74,6 +86,7 @@
     const { settings, security, folder, onStorageError } = options;
     this.#settings = settings;
     this.#security = security;
+    this.#linkPace = options.linkPace;
     this.#telemetry = this.#owned.use(new Telemetry(settings));
     reportSecurity(this.#telemetry.log, security);
     const dispatch = (event: ReplicaEvent) => this.#loop.dispatch(event);
@@ -85,7 +98,7 @@
       initial: createReplica(start),
       ...this.#createObserver(start),
       reduce: reduceReplica,
-      readClock: Date.now,
+      readClock: readSteadyMs,
       perform: (effect) => this.#perform(effect),
     });
     this.#links = this.#owned.use(this.#createLinks());
@@ -93,7 +106,7 @@
     this.#cluster = new ClusterLinks({
       dialled: this.#replicas,
       accepted: this.#links,
-      peers: listPeers(settings),
+      findAddress: createAddressFinder(settings),
     });
     this.#requests = new ControlRequests(dispatch);
     this.#operator = this.#owned.use(this.#createOperator());
@@ -111,6 +124,18 @@
     this.#telemetry.record({ type: "ProcessStarted", role: "control" });
   }
 
+  /** Replaces the routes; resolves once it is committed or refused. */
+  replaceRoutes(editId: string, change: ReplaceRoutes): Promise<EditResult> {
+    return this.#requests.replaceRoutes(editId, change);
+  }
+
+  /** Reads the routes; undefined where no quorum vouched for them. */
+  readRoutes(): Promise<RouteDocument | undefined> {
+    return this.#requests.readCurrent(
+      () => this.#loop.state.replication.tableState.document,
+    );
+  }
+
   /** Hands leadership over, so that a planned stop needs no election. */
   async drain(): Promise<void> {
     const endMs = Date.now() + HANDOVER_MS;
@@ -149,6 +174,12 @@
       case "SendToPeer":
         this.#cluster.send(effect.peer, effect.message);
         return;
+      case "LinkPeer":
+        this.#replicas.add(effect.peer);
+        return;
+      case "UnlinkPeer":
+        this.#replicas.remove(effect.peer);
+        return;
       case "PersistLog":
       case "PersistSnapshot":
       case "StoreFounding":
@@ -193,6 +224,7 @@
       onMessage: (linkId, message) => this.#receive(linkId, message),
       onClose: (linkId) => this.#loop.dispatch({ type: "LinkClosed", linkId }),
       clock: this.#telemetry.clock,
+      silenceMs: this.#linkPace?.silenceMs,
     });
   }
 
@@ -217,6 +249,7 @@
       replicas: listPeers(this.#settings).map(({ link }) => link),
       onMessage: (message, replica) => this.#receiveReply(message, replica),
       clock: this.#telemetry.clock,
+      pace: this.#linkPace,
     });
   }
 
@@ -273,7 +306,7 @@
 
   #createStatus() {
     const { control, replication } = this.#loop.state;
-    const nowMs = Date.now();
+    const nowMs = readSteadyMs();
     return {
       role: "control",
       id: this.#settings.id,
@@ -342,15 +375,10 @@
   settings: ControlSettings,
   folder: DataFolder,
 ): ReplicationOptions {
-  const { id, cluster } = settings;
   return {
-    cluster: {
-      self: id,
-      voters: cluster?.voters.map((voter) => voter.id) ?? [id],
-      peers: listPeers(settings).map((peer) => peer.id),
-    },
+    cluster: createCluster(settings),
     replicaId: folder.replicaId,
     recovered: folder.recovered,
-    nowMs: Date.now(),
+    nowMs: readSteadyMs(),
   };
 }
--- a/src/daemon/control_requests.ts
+++ b/src/daemon/control_requests.ts
@@ -1,6 +1,9 @@
 /** Operators' requests that wait for the replicated state. */
 import type { EditResult } from "../engine/link/common/cluster_messages.ts";
-import type { TableEdit } from "../engine/table/common/table_reducer.ts";
+import type {
+  ReplaceRoutes,
+  TableEdit,
+} from "../engine/table/common/table_reducer.ts";
 import { encodeCommand } from "../engine/control/common/replicated_codec.ts";
 import { MAX_EDIT_BYTES } from "../engine/control/common/replication_state.ts";
 import type { ReplicationEvent } from "../engine/control/common/replication_state.ts";
@@ -42,14 +45,20 @@
     );
   }
 
+  /** Replaces the routes; `editId` names the replacement in any resend. */
+  replaceRoutes(editId: string, change: ReplaceRoutes): Promise<EditResult> {
+    const operator = "unknown";
+    return this.#requestEdit({ editId, operator, atMs: Date.now(), change });
+  }
+
+  /** Reads the routes; undefined where no quorum vouched for them. */
+  async readCurrent<T>(readValue: () => T): Promise<T | undefined> {
+    return await this.#confirmRead() ? readValue() : undefined;
+  }
+
   /** Answers with `readBody` once a quorum vouched for the table. */
   async read(readBody: () => unknown): Promise<OperatorAnswer> {
-    const requestId = this.#next++;
-    const isCurrent = await new Promise<boolean>((resolve) => {
-      this.#reads.set(requestId, resolve);
-      this.#dispatch({ type: "TableReadRequested", requestId });
-    });
-    return isCurrent
+    return await this.#confirmRead()
       ? { status: 200, body: readBody() }
       : { status: 503, body: { message: NOT_CURRENT } };
   }
@@ -66,6 +75,14 @@
     this.#reads.delete(requestId);
   }
 
+  #confirmRead(): Promise<boolean> {
+    const requestId = this.#next++;
+    return new Promise((resolve) => {
+      this.#reads.set(requestId, resolve);
+      this.#dispatch({ type: "TableReadRequested", requestId });
+    });
+  }
+
   #requestEdit(edit: TableEdit): Promise<EditResult> {
     const requestId = this.#next++;
     return new Promise((resolve) => {
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -121,6 +121,20 @@
   learners: v.optional(v.array(REPLICA, "a list of { id, link }"), []),
 });
 
+const DISCOVERY = v.strictObject({
+  /** Link addresses of replicas to ask for the others. */
+  seeds: v.pipe(
+    v.array(ADDRESS, "a list of host:port"),
+    v.minLength(1, "at least one host:port"),
+  ),
+  /** Whether the seeds found the set; true for empty folders alone. */
+  is_first_start: v.boolean("true or false"),
+  /** Replicas are promoted up to so many voters. */
+  max_voters: createCount(9),
+  /** A voter that is silent for so long gives way to another replica. */
+  replace_after_ms: createCount(3_600_000),
+});
+
 /** Schema of the control role. */
 export const CONTROL_SETTINGS = v.strictObject({
   role: v.literal("control"),
@@ -135,6 +149,8 @@
   listen: v.strictObject({ link: ADDRESS, operator: ADDRESS }),
   /** The replicas of the table; left out where this is the only one. */
   cluster: v.optional(CLUSTER),
+  /** In place of `cluster`: replicas that find each other from seeds. */
+  discovery: v.optional(DISCOVERY),
   security: CONTROL_SECURITY,
   operators: OPERATORS,
   log: LOG,
--- a/src/daemon/telemetry.ts
+++ b/src/daemon/telemetry.ts
@@ -9,7 +9,15 @@
 import type { TimelineEvent } from "../engine/telemetry/common/timeline_event.ts";
 import { createLog } from "../engine/telemetry/node/log.ts";
 import { Metrics } from "../engine/telemetry/node/metrics.ts";
-import type { Settings } from "./settings.ts";
+import type { LogLevel } from "../engine/telemetry/node/log.ts";
+
+/** Whose telemetry it is. */
+export interface TelemetrySettings {
+  readonly id: string;
+  readonly role: "node" | "control";
+  readonly data_centre: string;
+  readonly log: { readonly level: LogLevel };
+}
 
 /** What a process tells of itself. */
 export class Telemetry implements AsyncDisposable {
@@ -25,7 +33,7 @@
   };
   #hasWarned = false;
 
-  constructor(settings: Settings) {
+  constructor(settings: TelemetrySettings) {
     const { id, role, data_centre: dataCentre, log } = settings;
     this.log = createLog({ level: log.level, role, process: id, dataCentre });
     this.timeline = new Timeline({ process: id, dataCentre });
--- a/src/engine/control/common/control_reducer.ts
+++ b/src/engine/control/common/control_reducer.ts
@@ -22,6 +22,7 @@
   stepMembership,
   tickMembership,
 } from "./presence_step.ts";
+import { confirmRoutes, noteRoutes, pushRoutes } from "./routes_push.ts";
 import {
   confirmTable,
   pushTable,
@@ -95,7 +96,7 @@
   message: Extract<NodeMessage, { type: "Announce" }>,
   nowMs: number,
 ): ControlStep {
-  const { announcement, linkNumber, tableVersion } = message;
+  const { announcement, linkNumber, tableVersion, routesVersion } = message;
   const { nodeId, service } = announcement;
   const isNewLink = state.links.get(linkId)?.nodeId === undefined;
   const next = updateLink(state, linkId, { nodeId, service, tableVersion });
@@ -111,7 +112,13 @@
     linkNumber,
     tableVersion,
   };
-  return chainReduction(step, (s) => stepMembership(s, event, nowMs));
+  return chainReduction(
+    chainReduction(
+      step,
+      (s) => noteRoutes(s, linkId, { routesVersion, nowMs }),
+    ),
+    (s) => stepMembership(s, event, nowMs),
+  );
 }
 
 function subscribe(
@@ -132,7 +139,7 @@
   message: Extract<NodeMessage, { type: "Heartbeat" }>,
   nowMs: number,
 ): ControlStep {
-  const { tableVersion } = message;
+  const { tableVersion, routesVersion } = message;
   const next = updateLink(state, linkId, { tableVersion });
   const nodeId = next.links.get(linkId)?.nodeId ?? "";
   const event: MembershipEvent = {
@@ -141,8 +148,11 @@
     tableVersion,
   };
   const step = chainReduction(
-    stepMembership(next, event, nowMs),
-    (s) => resendTable(s, linkId, nowMs),
+    chainReduction(
+      stepMembership(next, event, nowMs),
+      (s) => resendTable(s, linkId, nowMs),
+    ),
+    (s) => noteRoutes(s, linkId, { routesVersion, nowMs }),
   );
   return appendEffects(step, createHeartbeatAnswer(state, linkId));
 }
@@ -159,6 +169,12 @@
     ? replaced
     : rememberTable(replaced, before);
   return isCurrent && !state.isTableConfirmed
-    ? confirmTable(next, nowMs)
-    : pushTable(next, nowMs);
+    ? chainReduction(
+      confirmTable(next, nowMs),
+      (s) => confirmRoutes(s, nowMs),
+    )
+    : chainReduction(
+      pushTable(next, nowMs),
+      (s) => pushRoutes(s, nowMs),
+    );
 }
--- a/src/engine/control/common/control_state.ts
+++ b/src/engine/control/common/control_state.ts
@@ -29,6 +29,12 @@
   readonly sentVersion: number;
   /** Wall clock in milliseconds. */
   readonly sentAtMs: number;
+  /** Version of the routes that the node confirmed to hold. */
+  readonly routesVersion: number;
+  /** Version of the routes that was sent last. */
+  readonly sentRoutesVersion: number;
+  /** Wall clock in milliseconds. */
+  readonly sentRoutesAtMs: number;
 }
 
 /** All that a control replica knows. */
@@ -44,6 +50,8 @@
   readonly links: ReadonlyMap<number, Link>;
   /** The nodes that keep claims, by service, as committed. */
   readonly holders: HoldersState;
+  /** Link addresses of the replicas, where they find each other. */
+  readonly replicas: readonly string[];
 }
 
 /** What happens at a control replica. */
@@ -98,6 +106,9 @@
   tableVersion: 0,
   sentVersion: 0,
   sentAtMs: 0,
+  routesVersion: 0,
+  sentRoutesVersion: 0,
+  sentRoutesAtMs: 0,
 };
 
 /** Creates a replica that knows nothing yet. */
@@ -110,6 +121,7 @@
     isWarm: false,
     links: new Map(),
     holders: new Map(),
+    replicas: [],
   };
 }
 
--- a/src/engine/control/common/presence_step.ts
+++ b/src/engine/control/common/presence_step.ts
@@ -62,8 +62,12 @@
   state: ControlState,
   linkId: number,
 ): ControlEffect {
-  const { isTableConfirmed: isConfirmed } = state;
-  return createSend(linkId, { type: "HeartbeatAnswer", isConfirmed });
+  const { isTableConfirmed: isConfirmed, replicas } = state;
+  return createSend(linkId, {
+    type: "HeartbeatAnswer",
+    isConfirmed,
+    ...(replicas.length === 0 ? {} : { replicas }),
+  });
 }
 
 /** Orders a drain here and, through the other replicas, elsewhere. */
--- a/src/engine/control/common/replica_reducer.ts
+++ b/src/engine/control/common/replica_reducer.ts
@@ -13,6 +13,7 @@
   ControlState,
 } from "./control_state.ts";
 import { planChanges, readCopy } from "./holder_planning.ts";
+import { listHeardPeers } from "./peer_discovery.ts";
 import {
   reduceReplication,
   restoreReplication,
@@ -29,6 +30,8 @@
 export interface ReplicaState {
   readonly control: ControlState;
   readonly replication: ReplicationState;
+  /** The peers that the nodes were told of last. */
+  readonly publishedPeers?: ReplicationState["peers"];
 }
 
 /** What happens at a control process. */
@@ -135,11 +138,26 @@
 
 function publish(state: ReplicaState, nowMs: number): ReplicaStep {
   return chainReduction(
-    publishTable(state, nowMs),
+    publishTable(publishReplicas(state), nowMs),
     (s) => publishHolders(s, nowMs),
   );
 }
 
+/** Nodes are told of the replicas with the next answer to a heartbeat. */
+function publishReplicas(state: ReplicaState): ReplicaState {
+  const { control, replication } = state;
+  const { cluster, peers } = replication;
+  if (cluster.discovery === undefined || peers === state.publishedPeers) {
+    return state;
+  }
+  const replicas = [cluster.self, ...listHeardPeers(replication)];
+  return {
+    ...state,
+    control: { ...control, replicas },
+    publishedPeers: peers,
+  };
+}
+
 function publishHolders(state: ReplicaState, nowMs: number): ReplicaStep {
   const { holders } = state.replication;
   return state.control.holders === holders
--- a/src/engine/control/common/replica_repair.ts
+++ b/src/engine/control/common/replica_repair.ts
@@ -11,6 +11,7 @@
  */
 export function pickRepair(
   state: ReplicationState,
+  nowMs: number,
 ): ConfigurationChange | undefined {
   const { configuration } = state.consensus;
   const { voters, learners } = configuration;
@@ -24,16 +25,58 @@
   if (joining !== undefined) {
     return { type: "AddLearner", replicaId: joining };
   }
-  const ready = learners.find((id) => running.includes(id) && isDue(state, id));
+  const ready = learners.find((id) =>
+    running.includes(id) && isCaughtUp(state, id) && isWanted(state, id, nowMs)
+  );
   if (ready === undefined) {
-    return undefined;
+    return pickLostLearner(state, nowMs);
   }
-  const old = voters.find((id) => getSettingsId(id) === getSettingsId(ready));
+  const old = voters.find((id) => getSettingsId(id) === getSettingsId(ready)) ??
+    findReplaceable(state, nowMs);
   return old === undefined
     ? { type: "PromoteLearner", replicaId: ready }
     : { type: "RemoveReplica", replicaId: old };
 }
 
+/** A learner that is gone for good would otherwise be sent to for ever. */
+function pickLostLearner(
+  state: ReplicationState,
+  nowMs: number,
+): ConfigurationChange | undefined {
+  const { discovery } = state.cluster;
+  const lost = discovery === undefined
+    ? undefined
+    : state.consensus.configuration.learners
+      .find((id) => isLost(state, id, discovery.replaceAfterMs, nowMs));
+  return lost === undefined
+    ? undefined
+    : { type: "RemoveReplica", replicaId: lost };
+}
+
+/** Finds a voter that was silent for so long that a learner replaces it. */
+function findReplaceable(
+  state: ReplicationState,
+  nowMs: number,
+): string | undefined {
+  const { discovery } = state.cluster;
+  const { voters } = state.consensus.configuration;
+  return discovery === undefined || voters.length < discovery.maxVoters
+    ? undefined
+    : voters.find((id) => isLost(state, id, discovery.replaceAfterMs, nowMs));
+}
+
+function isLost(
+  state: ReplicationState,
+  replicaId: string,
+  afterMs: number,
+  nowMs: number,
+): boolean {
+  const id = getSettingsId(replicaId);
+  const peer = state.peers.get(id);
+  return id !== state.cluster.self &&
+    (peer === undefined || nowMs - peer.heardAtMs > afterMs);
+}
+
 function listRunning(state: ReplicationState): readonly string[] {
   return [...state.peers.values()]
     .filter((peer) => !peer.isSilent)
@@ -46,12 +89,28 @@
   );
 }
 
-/** Whether a learner shall vote, and has what is committed. */
-function isDue(state: ReplicationState, replicaId: string): boolean {
+/** Whether a learner has what is committed. */
+function isCaughtUp(state: ReplicationState, replicaId: string): boolean {
   const { role, commitIndex } = state.consensus;
   const matchIndex = role.type === "Leader"
     ? role.progress.get(replicaId)?.matchIndex ?? 0
     : 0;
-  return state.cluster.voters.includes(getSettingsId(replicaId)) &&
-    matchIndex > 0 && matchIndex >= commitIndex;
+  return matchIndex > 0 && matchIndex >= commitIndex;
+}
+
+/** Whether a learner shall vote, by the settings or for want of voters. */
+function isWanted(
+  state: ReplicationState,
+  replicaId: string,
+  nowMs: number,
+): boolean {
+  const { discovery, voters: listed } = state.cluster;
+  const id = getSettingsId(replicaId);
+  if (discovery === undefined) {
+    return listed.includes(id);
+  }
+  const { voters } = state.consensus.configuration;
+  return voters.length < discovery.maxVoters ||
+    voters.some((voter) => getSettingsId(voter) === id) ||
+    findReplaceable(state, nowMs) !== undefined;
 }
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -14,6 +14,12 @@
 import { expireEdits, receiveReply } from "./edit_requests.ts";
 import { resumeEdits, startEdit } from "./edit_sending.ts";
 import { finishFounding, foundCluster, isEmpty } from "./founding.ts";
+import {
+  createPeer,
+  forgetPeers,
+  learnPeers,
+  listHeardPeers,
+} from "./peer_discovery.ts";
 import { proposeCommand, startHolderCommand } from "./holder_proposals.ts";
 import { pickRepair } from "./replica_repair.ts";
 import { INITIAL_REPLICATED_STATE } from "./replicated_codec.ts";
@@ -115,7 +121,10 @@
 ): ReplicationStep {
   switch (message.type) {
     case "ReplicaHello":
-      return receiveHello(state, message, nowMs);
+      return chainReduction(
+        learnPeers(state, message, nowMs),
+        (s) => receiveHello(s, message, nowMs),
+      );
     case "ConsensusRelay": {
       const { from, to } = message;
       const event = { type: "MessageReceived", from } as const;
@@ -144,7 +153,7 @@
   if (before === undefined) {
     return createReduction(state);
   }
-  const { type: _type, id, ...said } = hello;
+  const { type: _type, id, known: _known, ...said } = hello;
   const peer: Peer = { ...said, heardAtMs: nowMs, isSilent: false };
   const next = { ...state, peers: setEntry(state.peers, id, peer) };
   const event = { type: "ReplicaHeard", replica: id } as const;
@@ -160,6 +169,7 @@
     (s) => reportSilence(s, nowMs),
     foundCluster,
     (s) => repairReplicas(s, nowMs),
+    (s) => forgetPeers(s, nowMs),
     (s) => expireEdits(s, nowMs),
     (s) => resumeEdits(s, nowMs),
     (s) => expireReads(s, nowMs),
@@ -202,7 +212,7 @@
   if (role.type !== "Leader" || configurationIndex > commitIndex) {
     return createReduction(state);
   }
-  const change = pickRepair(state);
+  const change = pickRepair(state, nowMs);
   if (change === undefined) {
     return createReduction(state);
   }
@@ -225,23 +235,14 @@
     role: getRole(state),
     term: consensus.term,
     commitIndex: consensus.commitIndex,
+    ...(cluster.discovery === undefined
+      ? {}
+      : { known: listHeardPeers(state) }),
   };
-  const hellos = cluster.peers.map((peer): ReplicationEffect => ({
+  const hellos = [...state.peers.keys()].map((peer): ReplicationEffect => ({
     type: "SendToPeer",
     peer,
     message,
   }));
   return createReduction({ ...state, helloAtMs: nowMs }, hellos);
 }
-
-function createPeer(nowMs: number): Peer {
-  return {
-    replicaId: undefined,
-    isEmpty: false,
-    role: "joining",
-    term: 0,
-    commitIndex: 0,
-    heardAtMs: nowMs,
-    isSilent: false,
-  };
-}
--- a/src/engine/control/common/replication_state.ts
+++ b/src/engine/control/common/replication_state.ts
@@ -25,8 +25,18 @@
   readonly self: string;
   /** Those that shall vote; the first one founds the set. */
   readonly voters: readonly string[];
-  /** All others. */
+  /** All others that are known at the start. */
   readonly peers: readonly string[];
+  /** Set where replicas find each other; their ids are link addresses. */
+  readonly discovery?: Discovery;
+}
+
+/** How replicas that find each other make up the set of voters. */
+export interface Discovery {
+  /** Learners are promoted up to so many voters. */
+  readonly maxVoters: number;
+  /** A voter that is silent for so long gives way to a ready learner. */
+  readonly replaceAfterMs: number;
 }
 
 /** Another replica as this one hears it; times are wall clocks. */
@@ -141,6 +151,9 @@
     readonly type: "StoreFounding";
     readonly configuration: Configuration;
   }
+  /** Opens a link to a replica that another one told of, or drops it. */
+  | { readonly type: "LinkPeer"; readonly peer: string }
+  | { readonly type: "UnlinkPeer"; readonly peer: string }
   | {
     readonly type: "AnswerEdit";
     readonly requestId: number;
@@ -169,6 +182,8 @@
 export const HELLO_MS = 500;
 /** Silence after which a replica is reported. */
 export const PEER_SILENCE_MS = 3_000;
+/** A replica outside the set that is silent for so long is forgotten. */
+export const FORGET_PEER_MS = 20_000;
 /** How long an edit or a read may wait for a leader and its commit. */
 export const REQUEST_MS = 6_000;
 /** When an edit is forwarded again that the leader didn't answer. */
--- a/src/engine/link/common/cluster_messages.ts
+++ b/src/engine/link/common/cluster_messages.ts
@@ -21,6 +21,8 @@
   readonly role: ReplicaRole;
   readonly term: number;
   readonly commitIndex: number;
+  /** Other replicas that it has heard lately, where they find each other. */
+  readonly known?: readonly string[];
 }
 
 /** A message of consensus; dropped where `to` isn't the receiver. */
--- a/src/engine/link/common/link_messages.ts
+++ b/src/engine/link/common/link_messages.ts
@@ -2,6 +2,7 @@
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { HolderSets } from "../../claims/common/claim_types.ts";
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
+import type { RouteTable } from "../../routes/common/route_table.ts";
 import type { TableDelta } from "../../table/common/table_delta.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { ClusterMessage } from "./cluster_messages.ts";
@@ -14,12 +15,15 @@
     /** Counts the links that this process opened. */
     readonly linkNumber: number;
     readonly tableVersion: number;
+    /** Left out by nodes that take no routes. */
+    readonly routesVersion?: number;
   }
   | { readonly type: "Subscribe"; readonly service: string }
   | { readonly type: "Unsubscribe"; readonly service: string }
   | {
     readonly type: "Heartbeat";
     readonly tableVersion: number;
+    readonly routesVersion?: number;
   }
   /** The records of an older epoch are copied. */
   | {
@@ -47,6 +51,12 @@
     readonly delta: TableDelta;
     readonly isConfirmed: boolean;
   }
+  | {
+    readonly type: "RoutesUpdate";
+    readonly routes: RouteTable;
+    /** Whether the replica has proved that they are current. */
+    readonly isConfirmed: boolean;
+  }
   | {
     readonly type: "MemberList";
     readonly service: string;
@@ -65,6 +75,8 @@
   | {
     readonly type: "HeartbeatAnswer";
     readonly isConfirmed: boolean;
+    /** Link addresses of all replicas, where no settings list them. */
+    readonly replicas?: readonly string[];
   };
 
 /** What a control replica sends on the links that it accepted. */
--- a/src/engine/link/common/link_reducer.ts
+++ b/src/engine/link/common/link_reducer.ts
@@ -8,6 +8,7 @@
 export interface LinkState {
   /** Seeds the jitter. */
   readonly id: string;
+  readonly pace: LinkPace;
   /** `host:port`, nearest first. */
   readonly replicas: readonly string[];
   readonly index: number;
@@ -27,6 +28,14 @@
   readonly returnAfterMs: number;
 }
 
+/** How soon a link is given up, and how long the next one waits. */
+export interface LinkPace {
+  /** Silence after which the other end is given up. */
+  readonly silenceMs: number;
+  /** Longest backoff, in milliseconds. */
+  readonly maxBackoffMs: number;
+}
+
 /** What happens to the link. */
 export type LinkEvent =
   | { readonly type: "LinkOpened"; readonly linkNumber: number }
@@ -37,6 +46,8 @@
     /** What the replica said of itself, if anything. */
     readonly isConfirmed: boolean | undefined;
   }
+  /** The present link stays where its replica is still listed. */
+  | { readonly type: "ReplicasLearned"; readonly replicas: readonly string[] }
   | { readonly type: "Ticked" };
 
 /** What is done about it. */
@@ -61,6 +72,11 @@
 export const UNCONFIRMED_MS = 5_000;
 /** When a process goes back to its nearest replica, at the least. */
 export const RETURN_MS = 60_000;
+/** The pace where the settings name no other. */
+export const DEFAULT_PACE: LinkPace = {
+  silenceMs: LINK_SILENCE_MS,
+  maxBackoffMs: MAX_BACKOFF_MS,
+};
 const MAX_RETURN_MS = 960_000;
 const MAX_DOUBLINGS = 6;
 
@@ -68,9 +84,11 @@
 export function createLink(
   id: string,
   replicas: readonly string[],
+  pace: LinkPace = DEFAULT_PACE,
 ): LinkState {
   return {
     id,
+    pace,
     replicas,
     index: 0,
     linkNumber: 0,
@@ -94,6 +112,9 @@
   if (event.type === "Ticked") {
     return tick(state, nowMs);
   }
+  if (event.type === "ReplicasLearned") {
+    return createReduction(learnReplicas(state, event.replicas));
+  }
   if (event.linkNumber !== state.linkNumber || state.phase === "waiting") {
     return createReduction(state);
   }
@@ -128,8 +149,24 @@
   }
 }
 
+/** The replica in use keeps its place; those that are new come last. */
+function learnReplicas(
+  state: LinkState,
+  learned: readonly string[],
+): LinkState {
+  const current = state.replicas[state.index]!;
+  const kept = state.replicas
+    .filter((replica) => replica === current || learned.includes(replica));
+  const added = learned.filter((replica) => !kept.includes(replica));
+  if (added.length === 0 && kept.length === state.replicas.length) {
+    return state;
+  }
+  const replicas = [...kept, ...added];
+  return { ...state, replicas, index: replicas.indexOf(current) };
+}
+
 function checkOpen(state: LinkState, nowMs: number): LinkStep {
-  if (nowMs - state.heardMs > LINK_SILENCE_MS) {
+  if (nowMs - state.heardMs > state.pace.silenceMs) {
     return closeLink(state, failLink(state, nowMs));
   }
   const { unconfirmedSinceMs, unconfirmedCount, replicas } = state;
@@ -207,7 +244,7 @@
 function waitLink(state: LinkState, index: number, nowMs: number): LinkState {
   const round = Math.floor(state.failures / state.replicas.length);
   const backoffMs = Math.min(
-    MAX_BACKOFF_MS,
+    state.pace.maxBackoffMs,
     FIRST_BACKOFF_MS * 2 ** Math.min(round, MAX_DOUBLINGS),
   );
   const delayMs = backoffMs * (1 + computeJitter(state)) / 2;
--- a/src/engine/link/common/node_inbox.ts
+++ b/src/engine/link/common/node_inbox.ts
@@ -48,6 +48,7 @@
       return createResult({ type: "HolderSetsReceived", sets: message.sets });
     case "DrainOrder":
       return createResult({ type: "DrainRequested" });
+    case "RoutesUpdate":
     case "HeartbeatAnswer":
       return createResult();
   }
--- a/src/engine/link/node/link_client.ts
+++ b/src/engine/link/node/link_client.ts
@@ -1,6 +1,7 @@
 /** One link to a control replica: the socket that the link reducer asks for. */
 import { WebSocket } from "ws";
 import { EventLoop } from "../../../base/node/event_loop.ts";
+import { readSteadyMs } from "../../../base/node/steady_clock.ts";
 import { decodeMessage } from "../../../base/node/message_codec.ts";
 import { createSocketOptions } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
@@ -12,6 +13,7 @@
 import type {
   LinkEffect,
   LinkEvent,
+  LinkPace,
   LinkState,
 } from "../common/link_reducer.ts";
 
@@ -37,6 +39,7 @@
   readonly createHeartbeat: (() => Out) | undefined;
   /** Rides on every message, both ways. */
   readonly clock?: ProcessClock | undefined;
+  readonly pace?: LinkPace | undefined;
 }
 
 /** Payloads of the messages of a link, without frames and packets. */
@@ -66,9 +69,9 @@
   constructor(options: LinkClientOptions<In, Out>) {
     this.#options = options;
     this.#loop = new EventLoop({
-      initial: createLink(options.id, options.replicas),
+      initial: createLink(options.id, options.replicas, options.pace),
       reduce: reduceLink,
-      readClock: Date.now,
+      readClock: readSteadyMs,
       perform: (effect) => this.#perform(effect),
     });
   }
@@ -82,6 +85,11 @@
     this.#loop.dispatch({ type: "Ticked" });
   }
 
+  /** Takes the replicas that a link may go to from here on. */
+  learnReplicas(replicas: readonly string[]): void {
+    this.#loop.dispatch({ type: "ReplicasLearned", replicas });
+  }
+
   /** Whether a link is open. */
   get isOpen(): boolean {
     return this.#socket?.readyState === WebSocket.OPEN;
--- a/src/engine/link/node/link_server.ts
+++ b/src/engine/link/node/link_server.ts
@@ -24,6 +24,8 @@
   readonly onClose: (linkId: number) => void;
   /** Rides on every message, both ways. */
   readonly clock: ProcessClock;
+  /** Silence after which a link is closed. */
+  readonly silenceMs?: number | undefined;
 }
 
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
@@ -90,7 +92,10 @@
   #accept(socket: WebSocket): void {
     const linkId = this.#nextLink++;
     this.#links.set(linkId, socket);
-    const silence = setTimeout(() => socket.terminate(), LINK_SILENCE_MS);
+    const silence = setTimeout(
+      () => socket.terminate(),
+      this.#options.silenceMs ?? LINK_SILENCE_MS,
+    );
     socket.on("message", (data: Buffer) => {
       silence.refresh();
       const message = decodeMessage<Clocked<InboundMessage>>(data);
--- a/src/engine/link/node/replica_links.ts
+++ b/src/engine/link/node/replica_links.ts
@@ -1,11 +1,11 @@
 /** The links that a control replica opens to the others. */
-import { DisposalStack } from "../../../base/common/disposal.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
 import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
 import type { ClusterMessage } from "../common/cluster_messages.ts";
 import type { OutboundMessage } from "../common/link_messages.ts";
 import { encodeClocked } from "./clocked_message.ts";
+import type { LinkPace } from "../common/link_reducer.ts";
 import { LinkClient } from "./link_client.ts";
 
 /** What replicas say to each other. */
@@ -20,48 +20,44 @@
   readonly replicas: readonly string[];
   readonly onMessage: (message: OutboundMessage, replica: string) => void;
   readonly clock: ProcessClock;
+  readonly pace?: LinkPace | undefined;
 }
 
+type ReplicaLink = LinkClient<OutboundMessage, ReplicaMessage>;
+
 /** Holds one link to every other replica. */
 export class ReplicaLinks implements AsyncDisposable {
-  readonly #owned = new DisposalStack();
-  readonly #clock: ProcessClock;
-  readonly #clients: ReadonlyMap<
-    string,
-    LinkClient<OutboundMessage, ReplicaMessage>
-  >;
+  readonly #options: ReplicaLinksOptions;
+  readonly #clients = new Map<string, ReplicaLink>();
 
   constructor(options: ReplicaLinksOptions) {
-    const { id, tls, replicas, onMessage, clock } = options;
-    this.#clock = clock;
-    this.#clients = new Map(replicas.map((replica) => [
-      replica,
-      this.#owned.use(
-        new LinkClient<OutboundMessage, ReplicaMessage>({
-          id,
-          tls,
-          replicas: [replica],
-          onMessage,
-          onOpen: () => {},
-          onClose: () => {},
-          readConfirmed: () => undefined,
-          createHeartbeat: undefined,
-          clock,
-        }),
-      ),
-    ]));
+    this.#options = options;
   }
 
   /** Starts connecting. */
   open(): void {
-    for (const client of this.#clients.values()) {
+    this.#options.replicas.forEach((replica) => this.add(replica));
+  }
+
+  /** Holds a link to one more replica. */
+  add(replica: string): void {
+    if (!this.#clients.has(replica)) {
+      const client = this.#createClient(replica);
+      this.#clients.set(replica, client);
       client.open();
     }
   }
 
+  /** Gives the link to a replica up. */
+  remove(replica: string): void {
+    const client = this.#clients.get(replica);
+    this.#clients.delete(replica);
+    client?.[Symbol.asyncDispose]();
+  }
+
   /** Sends to every replica that is linked; encoded once. */
   sendAll(message: PresenceMessage): void {
-    const bytes = encodeClocked(message, this.#clock);
+    const bytes = encodeClocked(message, this.#options.clock);
     for (const client of this.#clients.values()) {
       client.sendBytes(bytes);
     }
@@ -78,6 +74,24 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await this.#owned[Symbol.asyncDispose]();
+    const clients = [...this.#clients.values()];
+    this.#clients.clear();
+    await Promise.all(clients.map((client) => client[Symbol.asyncDispose]()));
+  }
+
+  #createClient(replica: string): ReplicaLink {
+    const { id, tls, onMessage, clock, pace } = this.#options;
+    return new LinkClient<OutboundMessage, ReplicaMessage>({
+      id,
+      tls,
+      replicas: [replica],
+      onMessage,
+      onOpen: () => {},
+      onClose: () => {},
+      readConfirmed: () => undefined,
+      createHeartbeat: undefined,
+      clock,
+      pace,
+    });
   }
 }
--- /dev/null
+++ b/src/engine/mesh/common/body_parts.ts
@@ -0,0 +1,48 @@
+/** Cuts bodies into parts that fit a frame, and puts them together again. */
+import { MAX_PART_BYTES } from "./frames.ts";
+
+/** Returns the part that rides on the opening frame. */
+export function cutFirstPart(body: Uint8Array): Uint8Array {
+  return body.length <= MAX_PART_BYTES
+    ? body
+    : body.subarray(0, MAX_PART_BYTES);
+}
+
+/** Lists the parts that follow the first one. */
+export function listFurtherParts(body: Uint8Array): readonly Uint8Array[] {
+  const parts: Uint8Array[] = [];
+  for (let at = MAX_PART_BYTES; at < body.length; at += MAX_PART_BYTES) {
+    parts.push(body.subarray(at, at + MAX_PART_BYTES));
+  }
+  return parts;
+}
+
+/** Collects a body whose length is known beforehand. */
+export class BodyCollector {
+  readonly #parts: Uint8Array[] = [];
+  readonly #totalBytes: number;
+  #receivedBytes = 0;
+
+  constructor(totalBytes: number, first: Uint8Array) {
+    this.#totalBytes = totalBytes;
+    this.add(first);
+  }
+
+  /** Whether all bytes have come. */
+  get isWhole(): boolean {
+    return this.#receivedBytes >= this.#totalBytes;
+  }
+
+  /** Adds the next part. */
+  add(part: Uint8Array): void {
+    this.#parts.push(part);
+    this.#receivedBytes += part.length;
+  }
+
+  /** Joins the parts; a body of one part isn't copied. */
+  join(): Uint8Array {
+    return this.#parts.length === 1
+      ? this.#parts[0]!
+      : Buffer.concat(this.#parts);
+  }
+}
--- /dev/null
+++ b/src/engine/mesh/common/frames.ts
@@ -0,0 +1,244 @@
+/** What nodes say to each other about calls; many frames share a message. */
+
+/** Names and values by turns, as they stood on the wire. */
+export type HeaderList = readonly string[];
+
+/** A call for the receiver's backend server. */
+export interface CallOpened {
+  readonly type: "CallOpened";
+  /** Number of the call on this link. */
+  readonly call: number;
+  readonly requestId: string;
+  /** Whose backend server shall run it; another service's node refuses. */
+  readonly service: string;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly target: string;
+  readonly headers: HeaderList;
+  /** Milliseconds until the caller has its final answer. */
+  readonly timeLeftMs: number;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Name of the route; keys what is learnt of its service time. */
+  readonly route: string;
+  readonly isIdempotent: boolean;
+  /** Whether a backend server's own call: work above it is invested. */
+  readonly isNested: boolean;
+  /** Length of the whole body. */
+  readonly bodyBytes: number;
+  /** The body, or its first part. */
+  readonly body: Uint8Array;
+}
+
+/** The next part of a body, of a call or of its answer. */
+export interface BodyPart {
+  readonly type: "BodyPart";
+  readonly call: number;
+  readonly bytes: Uint8Array;
+}
+
+/** The caller has left, or the call's time is up. */
+export interface CallCancelled {
+  readonly type: "CallCancelled";
+  readonly call: number;
+}
+
+/** The backend server's answer. */
+export interface AnswerOpened {
+  readonly type: "AnswerOpened";
+  readonly call: number;
+  readonly status: number;
+  readonly headers: HeaderList;
+  readonly load: LoadFigures;
+  readonly bodyBytes: number;
+  /** The body, or its first part. */
+  readonly body: Uint8Array;
+}
+
+/** Why a call has no answer of the backend server. */
+export type FailureKind =
+  /** No backend server saw it, and none will. */
+  | "refused"
+  /** The backend server said itself that it did not run it. */
+  | "rejected"
+  /** It was handed over and what became of it isn't known. */
+  | "unknown"
+  /** The time limit was reached while it ran. */
+  | "expired";
+
+/** The call ends without an answer. */
+export interface CallFailed {
+  readonly type: "CallFailed";
+  readonly call: number;
+  readonly kind: FailureKind;
+  /** For logs. */
+  readonly reason: string;
+  /** When to come back; 0 where nothing is known. */
+  readonly retryAfterMs: number;
+  readonly load: LoadFigures;
+}
+
+/** Load of one backend server, as its node sees it. */
+export interface LoadFigures {
+  readonly running: number;
+  readonly queued: number;
+  /** Requests that may run at a time; 0 where none may. */
+  readonly limit: number;
+  /** How hard roots that lead here should be refused, 0 to 1. */
+  readonly pressure: number;
+}
+
+/** Said from time to time on links in use; also shows that the sender lives. */
+export interface LoadReported {
+  readonly type: "LoadReported";
+  readonly load: LoadFigures;
+  /** Pressure of the services that this backend server calls. */
+  readonly below: readonly (readonly [string, number])[];
+}
+
+/** One frame. */
+export type MeshFrame =
+  | CallOpened
+  | BodyPart
+  | CallCancelled
+  | AnswerOpened
+  | CallFailed
+  | LoadReported;
+
+/** Largest part of a body in one frame; larger bodies come in several. */
+export const MAX_PART_BYTES = 65_536;
+
+const TAGS = {
+  CallOpened: 1,
+  BodyPart: 2,
+  CallCancelled: 3,
+  AnswerOpened: 4,
+  CallFailed: 5,
+  LoadReported: 6,
+} as const;
+
+const FAILURE_KINDS: readonly FailureKind[] = [
+  "refused",
+  "rejected",
+  "unknown",
+  "expired",
+];
+
+type WireLoad = readonly [number, number, number, number];
+
+/**
+ * Turns a frame into the list that is packed: field names on the wire would
+ * add some 150 bytes to each call.
+ */
+export function flattenFrame(frame: MeshFrame): readonly unknown[] {
+  switch (frame.type) {
+    case "CallOpened":
+      return [
+        TAGS.CallOpened,
+        frame.call,
+        frame.requestId,
+        frame.service,
+        frame.method,
+        frame.target,
+        frame.headers,
+        Math.ceil(frame.timeLeftMs),
+        frame.rank,
+        frame.route,
+        (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0),
+        frame.bodyBytes,
+        frame.body,
+      ];
+    case "BodyPart":
+      return [TAGS.BodyPart, frame.call, frame.bytes];
+    case "CallCancelled":
+      return [TAGS.CallCancelled, frame.call];
+    case "AnswerOpened":
+      return [
+        TAGS.AnswerOpened,
+        frame.call,
+        frame.status,
+        frame.headers,
+        flattenLoad(frame.load),
+        frame.bodyBytes,
+        frame.body,
+      ];
+    case "CallFailed":
+      return [
+        TAGS.CallFailed,
+        frame.call,
+        FAILURE_KINDS.indexOf(frame.kind),
+        frame.reason,
+        Math.ceil(frame.retryAfterMs),
+        flattenLoad(frame.load),
+      ];
+    case "LoadReported":
+      return [TAGS.LoadReported, flattenLoad(frame.load), frame.below];
+  }
+}
+
+/** Reads a frame; undefined for one of a newer format. */
+export function parseFrame(fields: readonly unknown[]): MeshFrame | undefined {
+  const call = fields[1] as number;
+  switch (fields[0]) {
+    case TAGS.CallOpened: {
+      const flags = fields[10] as number;
+      return {
+        type: "CallOpened",
+        call,
+        requestId: fields[2] as string,
+        service: fields[3] as string,
+        method: fields[4] as string,
+        target: fields[5] as string,
+        headers: fields[6] as HeaderList,
+        timeLeftMs: fields[7] as number,
+        rank: fields[8] as number,
+        route: fields[9] as string,
+        isIdempotent: (flags & 1) !== 0,
+        isNested: (flags & 2) !== 0,
+        bodyBytes: fields[11] as number,
+        body: fields[12] as Uint8Array,
+      };
+    }
+    case TAGS.BodyPart:
+      return { type: "BodyPart", call, bytes: fields[2] as Uint8Array };
+    case TAGS.CallCancelled:
+      return { type: "CallCancelled", call };
+    case TAGS.AnswerOpened:
+      return {
+        type: "AnswerOpened",
+        call,
+        status: fields[2] as number,
+        headers: fields[3] as HeaderList,
+        load: parseLoad(fields[4] as WireLoad),
+        bodyBytes: fields[5] as number,
+        body: fields[6] as Uint8Array,
+      };
+    case TAGS.CallFailed:
+      return {
+        type: "CallFailed",
+        call,
+        kind: FAILURE_KINDS[fields[2] as number] ?? "unknown",
+        reason: fields[3] as string,
+        retryAfterMs: fields[4] as number,
+        load: parseLoad(fields[5] as WireLoad),
+      };
+    case TAGS.LoadReported:
+      return {
+        type: "LoadReported",
+        load: parseLoad(fields[1] as WireLoad),
+        below: fields[2] as LoadReported["below"],
+      };
+    default:
+      return undefined;
+  }
+}
+
+/** Pressure goes as whole hundredths: one byte in place of nine. */
+function flattenLoad(load: LoadFigures): WireLoad {
+  const { running, queued, limit, pressure } = load;
+  return [running, queued, limit, Math.round(pressure * 100)];
+}
+
+function parseLoad([running, queued, limit, hundredths]: WireLoad) {
+  return { running, queued, limit, pressure: hundredths / 100 };
+}
--- /dev/null
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -0,0 +1,118 @@
+/** The links that other nodes open to this one. */
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { WebSocketServer } from "ws";
+import type { WebSocket } from "ws";
+import { listen } from "../../../base/node/listen.ts";
+import type { ListenAddress } from "../../../base/node/listen.ts";
+import type { MeshFrame } from "../common/frames.ts";
+import { decodeFrames, FrameWriter } from "./frame_writer.ts";
+import { MAX_MESSAGE_BYTES } from "./mesh_client.ts";
+
+/** What the server is built from. */
+export interface MeshServerOptions {
+  readonly address: ListenAddress;
+  readonly onFrame: (link: number, frame: MeshFrame) => void;
+  readonly onClosed: (link: number) => void;
+  /** Whether calls of a link are in progress: it must not fall silent. */
+  readonly hasCalls: (link: number) => boolean;
+  /** Made anew for each report. */
+  readonly createReport: () => MeshFrame;
+}
+
+interface AcceptedLink {
+  readonly socket: WebSocket;
+  readonly writer: FrameWriter;
+  /** Whether it was heard since the last report. */
+  isActive: boolean;
+}
+
+/** How often the load is said on links in use. */
+export const REPORT_MS = 100;
+/** A link whose peer takes nothing is closed beyond this many bytes. */
+const MAX_BUFFERED_BYTES = 33_554_432;
+
+/** Accepts links and tells them apart by number. */
+export class MeshServer implements AsyncDisposable {
+  readonly #options: MeshServerOptions;
+  readonly #http: Server;
+  readonly #sockets: WebSocketServer;
+  readonly #links = new Map<number, AcceptedLink>();
+  #nextLink = 1;
+  #report: NodeJS.Timeout | undefined;
+
+  constructor(options: MeshServerOptions) {
+    this.#options = options;
+    this.#http = createServer();
+    this.#sockets = new WebSocketServer({
+      server: this.#http,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
+    this.#sockets.on("connection", (socket) => this.#accept(socket));
+  }
+
+  /** Opens the listener and starts to report. */
+  async open(): Promise<void> {
+    await listen(this.#http, this.#options.address);
+    this.#report = setInterval(() => this.#reportLoad(), REPORT_MS);
+  }
+
+  /** Sends a frame; a closed link is passed over, a clogged one closed. */
+  send(link: number, frame: MeshFrame): void {
+    const found = this.#links.get(link);
+    if (found === undefined) {
+      return;
+    }
+    if (found.writer.bufferedBytes > MAX_BUFFERED_BYTES) {
+      found.socket.terminate();
+      return;
+    }
+    found.writer.write(frame);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.#report);
+    for (const { socket } of this.#links.values()) {
+      socket.terminate();
+    }
+    this.#sockets.close();
+    this.#http.closeAllConnections();
+    await new Promise<void>((resolve) => this.#http.close(() => resolve()));
+  }
+
+  #reportLoad(): void {
+    let frame: MeshFrame | undefined;
+    for (const [number, link] of this.#links) {
+      if (link.isActive || this.#options.hasCalls(number)) {
+        link.isActive = false;
+        frame ??= this.#options.createReport();
+        link.writer.write(frame);
+      }
+    }
+  }
+
+  #accept(socket: WebSocket): void {
+    const number = this.#nextLink++;
+    const link = {
+      socket,
+      writer: new FrameWriter(socket),
+      isActive: true,
+    };
+    this.#links.set(number, link);
+    socket.on("message", (data: Buffer) => {
+      link.isActive = true;
+      const frames = decodeFrames(data);
+      if (frames === undefined) {
+        socket.terminate();
+        return;
+      }
+      frames.forEach((frame) => this.#options.onFrame(number, frame));
+    });
+    socket.on("error", () => socket.terminate());
+    socket.on("close", () => {
+      this.#links.delete(number);
+      this.#options.onClosed(number);
+    });
+  }
+}
--- /dev/null
+++ b/src/engine/relay/common/dialect.ts
@@ -0,0 +1,55 @@
+/** How callers and backend servers speak: what an adapter provides. */
+import type { IncomingHttpHeaders } from "node:http";
+import type { HeaderList, LoadFigures } from "../../mesh/common/frames.ts";
+
+/** What a caller says of its request. */
+export interface CallerTerms {
+  /** Undefined where the caller sent none. */
+  readonly requestId: string | undefined;
+  /** How long the caller will wait; undefined where it doesn't say. */
+  readonly patienceMs: number | undefined;
+}
+
+/** What the node says to the backend server about one request. */
+export interface BackendTerms {
+  readonly headers: HeaderList;
+  readonly timeLeftMs: number;
+  /** The incarnation that shall run it, if one is known. */
+  readonly instanceId: string | undefined;
+}
+
+/** An answer's head, as the backend server sent it. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly requestId: string;
+}
+
+/** What an answer's head says. */
+export type AnswerJudgement =
+  /** The backend server's own answer to this request. */
+  | { readonly type: "Answered" }
+  /** The backend server did not run the request. */
+  | { readonly type: "NotRun"; readonly reason: string }
+  /** Another incarnation has the address; it did not run the request. */
+  | { readonly type: "WrongInstance" }
+  /** Not this request's answer: the connection can't be trusted. */
+  | { readonly type: "Foreign"; readonly reason: string };
+
+/** Pure translations at the two edges of the mesh. */
+export interface CallDialect {
+  readonly readTerms: (headers: IncomingHttpHeaders) => CallerTerms;
+  /** Headers that go on, with those of the caller that are the node's own. */
+  readonly createCallHeaders: (
+    rawHeaders: readonly string[],
+    callerService: string,
+  ) => HeaderList;
+  readonly createBackendHeaders: (terms: BackendTerms) => HeaderList;
+  readonly judgeAnswer: (head: AnswerHead) => AnswerJudgement;
+  /** Headers of an answer that go back to the caller. */
+  readonly createAnswerHeaders: (rawHeaders: readonly string[]) => HeaderList;
+  /** Load that the backend server says of itself. */
+  readonly readLoad: (
+    headers: IncomingHttpHeaders,
+  ) => Pick<LoadFigures, "running" | "queued"> | undefined;
+}
--- /dev/null
+++ b/src/engine/relay/common/entry_budget.ts
@@ -0,0 +1,79 @@
+/** Retries that this node may send to each service, by a sliding window. */
+
+/** The budget that the nodes of a fleet share. */
+export interface BudgetTerms {
+  /** Retries as a share of the first attempts. */
+  readonly ratio: number;
+  /** Retries that all nodes together have in any case. */
+  readonly slack: number;
+  readonly windowS: number;
+}
+
+interface Slice {
+  readonly second: number;
+  firsts: number;
+  retries: number;
+}
+
+/**
+ * Part of the ratio that a node uses itself: a retry of a call that makes calls
+ * counts again at each service below, where nobody sees that it is one.
+ */
+const OWN_SHARE = 0.25;
+/** The slack is shared out over at least so many nodes. */
+const MIN_NODES = 8;
+
+/** Counts by service. */
+export class EntryBudget {
+  readonly #terms: BudgetTerms;
+  readonly #services = new Map<string, Slice[]>();
+
+  constructor(terms: BudgetTerms) {
+    this.#terms = terms;
+  }
+
+  /** Counts a first attempt. */
+  noteFirst(service: string, nowMs: number): void {
+    this.#getSlice(service, nowMs).firsts += 1;
+  }
+
+  /** Counts a retry. */
+  noteRetry(service: string, nowMs: number): void {
+    this.#getSlice(service, nowMs).retries += 1;
+  }
+
+  /** Whether one more retry fits, where `nodes` share the budget. */
+  canRetry(service: string, nodes: number, nowMs: number): boolean {
+    const { ratio, slack } = this.#terms;
+    let firsts = 0;
+    let retries = 0;
+    for (const slice of this.#listSlices(service, nowMs)) {
+      firsts += slice.firsts;
+      retries += slice.retries;
+    }
+    const own = slack / 2 / Math.max(MIN_NODES, nodes);
+    return retries + 1 <= own + firsts * ratio * OWN_SHARE;
+  }
+
+  #listSlices(service: string, nowMs: number): Slice[] {
+    const slices = this.#services.get(service) ?? [];
+    this.#services.set(service, slices);
+    const oldest = Math.floor(nowMs / 1_000) - this.#terms.windowS;
+    while (slices.length > 0 && slices[0]!.second < oldest) {
+      slices.shift();
+    }
+    return slices;
+  }
+
+  #getSlice(service: string, nowMs: number): Slice {
+    const slices = this.#listSlices(service, nowMs);
+    const second = Math.floor(nowMs / 1_000);
+    const last = slices.at(-1);
+    if (last?.second === second) {
+      return last;
+    }
+    const slice = { second, firsts: 0, retries: 0 };
+    slices.push(slice);
+    return slice;
+  }
+}
--- /dev/null
+++ b/src/engine/relay/common/gate.ts
@@ -0,0 +1,301 @@
+/**
+ * Decides at the backend server's own node which calls run, wait or are
+ * refused. The node alone reaches its backend server, so what is decided here
+ * holds for all callers. State is updated in place: the step is on the path of
+ * each call, and nothing else keeps the state.
+ */
+import type { LoadFigures } from "../../mesh/common/frames.ts";
+
+/** A call before the backend server. */
+export interface GateCall {
+  readonly id: number;
+  readonly route: string;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  readonly isNested: boolean;
+  readonly arrivedAtMs: number;
+  readonly deadlineMs: number;
+}
+
+/** The backend server beside the node, as it announced itself. */
+export interface LocalBackend {
+  readonly instanceId: string;
+  readonly service: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  /** Requests that it runs at a time. */
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** Until when it is slow after its start. */
+  readonly warmUntilMs: number;
+}
+
+/** What happens at the gate. */
+export type GateEvent =
+  | { readonly type: "CallArrived"; readonly call: GateCall }
+  | {
+    readonly type: "CallEnded";
+    readonly id: number;
+    readonly route: string;
+    /** Time that the backend server took; undefined where it says nothing. */
+    readonly serviceMs: number | undefined;
+  }
+  | { readonly type: "CallWithdrawn"; readonly id: number }
+  | {
+    readonly type: "BackendChanged";
+    readonly backend: LocalBackend | undefined;
+  }
+  | { readonly type: "Ticked" };
+
+/** Why a call is refused before the backend server saw it. */
+export type GateRefusal =
+  | "no_backend"
+  | "draining"
+  | "queue_full"
+  | "deadline"
+  | "displaced";
+
+/** What the gate decides. */
+export type GateEffect =
+  | { readonly type: "RunCall"; readonly id: number }
+  | {
+    readonly type: "RefuseCall";
+    readonly id: number;
+    readonly reason: GateRefusal;
+    readonly retryAfterMs: number;
+  };
+
+interface ServiceTime {
+  meanMs: number;
+}
+
+/** The gate's state; only its reducer changes it. */
+export interface GateState {
+  backend: LocalBackend | undefined;
+  running: number;
+  readonly queue: GateCall[];
+  readonly times: Map<string, ServiceTime>;
+  /** Mean time between two ends of calls while all places were taken. */
+  gapMs: number;
+  lastEndMs: number;
+  /** Smoothed share of the limit that is asked for, above 1 in overload. */
+  demand: number;
+  pressure: number;
+}
+
+/**
+ * Part of the slots that is used. Some backend servers slow down by a third
+ * when the last twentieth is taken: 14 of 15 places do more than 15.
+ */
+const FILL_SHARE = 0.95;
+/** Weight of a new service time in the mean. */
+const TIME_GAIN = 0.1;
+/** Calls that may wait, as a multiple of the places. */
+const QUEUE_SHARE = 2;
+const MIN_QUEUE = 8;
+/** Wait beyond which roots that lead here are refused, in milliseconds. */
+const TARGET_WAIT_MS = 25;
+/** How fast pressure follows, a tick. */
+const PRESSURE_GAIN = 0.06;
+/** Most that one tick may add or take. */
+const MAX_STEP = 0.04;
+const MIN_RETRY_MS = 50;
+const MAX_RETRY_MS = 2_000;
+
+/** Creates the gate of a node that has heard no backend server yet. */
+export function createGate(): GateState {
+  return {
+    backend: undefined,
+    running: 0,
+    queue: [],
+    times: new Map(),
+    gapMs: 0,
+    lastEndMs: 0,
+    demand: 0,
+    pressure: 0,
+  };
+}
+
+/** Steps the gate. */
+export function reduceGate(
+  state: GateState,
+  event: GateEvent,
+  nowMs: number,
+): readonly GateEffect[] {
+  switch (event.type) {
+    case "CallArrived":
+      return admitCall(state, event.call, nowMs);
+    case "CallEnded":
+      noteEnd(state, event, nowMs);
+      return runQueued(state, nowMs);
+    case "CallWithdrawn": {
+      const at = state.queue.findIndex(({ id }) => id === event.id);
+      if (at >= 0) {
+        state.queue.splice(at, 1);
+      }
+      return [];
+    }
+    case "BackendChanged":
+      return changeBackend(state, event.backend, nowMs);
+    case "Ticked":
+      return tick(state, nowMs);
+  }
+}
+
+/** Whether calls may be handed to the backend server. */
+export function isOpen(state: GateState): boolean {
+  return state.backend !== undefined && !state.backend.isDraining;
+}
+
+/** Computes how many calls may run at a time. */
+export function computeLimit(state: GateState): number {
+  const { backend } = state;
+  return backend === undefined || backend.isDraining
+    ? 0
+    : Math.max(1, Math.floor(backend.slots * FILL_SHARE));
+}
+
+/** Creates what callers are told of the load. */
+export function createLoad(state: GateState): LoadFigures {
+  return {
+    running: state.running,
+    queued: state.queue.length,
+    limit: computeLimit(state),
+    pressure: state.pressure,
+  };
+}
+
+/** Computes when a refused caller finds a place again. */
+export function computeRetryAfterMs(state: GateState): number {
+  const waitMs = (state.queue.length + 1) * Math.max(1, state.gapMs);
+  return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
+}
+
+function admitCall(
+  state: GateState,
+  call: GateCall,
+  nowMs: number,
+): readonly GateEffect[] {
+  const { backend, queue } = state;
+  if (backend === undefined) {
+    return [refuseCall(state, call.id, "no_backend")];
+  }
+  if (backend.isDraining) {
+    return [refuseCall(state, call.id, "draining")];
+  }
+  if (isHopeless(state, call, nowMs)) {
+    return [refuseCall(state, call.id, "deadline")];
+  }
+  if (state.running < computeLimit(state) && queue.length === 0) {
+    state.running += 1;
+    return [{ type: "RunCall", id: call.id }];
+  }
+  insertCall(queue, call);
+  const limit = Math.max(MIN_QUEUE, computeLimit(state) * QUEUE_SHARE);
+  if (queue.length <= limit) {
+    return [];
+  }
+  const victim = queue.pop()!;
+  const reason = victim.id === call.id ? "queue_full" : "displaced";
+  return [refuseCall(state, victim.id, reason)];
+}
+
+/** Calls of admitted parents first, then by rank, then by age. */
+function insertCall(queue: GateCall[], call: GateCall): void {
+  let at = queue.length;
+  while (at > 0 && compareCalls(call, queue[at - 1]!) < 0) {
+    at -= 1;
+  }
+  queue.splice(at, 0, call);
+}
+
+function compareCalls(a: GateCall, b: GateCall): number {
+  return Number(b.isNested) - Number(a.isNested) || a.rank - b.rank ||
+    a.arrivedAtMs - b.arrivedAtMs;
+}
+
+/** Whether the time that is left doesn't cover half of a usual run. */
+function isHopeless(state: GateState, call: GateCall, nowMs: number): boolean {
+  const usualMs = state.times.get(call.route)?.meanMs ?? 0;
+  return call.deadlineMs - nowMs <= usualMs / 2;
+}
+
+function runQueued(state: GateState, nowMs: number): readonly GateEffect[] {
+  const effects: GateEffect[] = [];
+  const limit = computeLimit(state);
+  while (state.running < limit && state.queue.length > 0) {
+    const call = state.queue.shift()!;
+    if (isHopeless(state, call, nowMs)) {
+      effects.push(refuseCall(state, call.id, "deadline"));
+    } else {
+      state.running += 1;
+      effects.push({ type: "RunCall", id: call.id });
+    }
+  }
+  return effects;
+}
+
+function noteEnd(
+  state: GateState,
+  event: Extract<GateEvent, { type: "CallEnded" }>,
+  nowMs: number,
+): void {
+  if (state.queue.length > 0) {
+    const gapMs = Math.min(1_000, nowMs - state.lastEndMs);
+    state.gapMs += (gapMs - state.gapMs) * TIME_GAIN;
+  }
+  state.lastEndMs = nowMs;
+  state.running = Math.max(0, state.running - 1);
+  const { serviceMs, route } = event;
+  if (serviceMs === undefined) {
+    return;
+  }
+  const time = state.times.get(route);
+  if (time === undefined) {
+    state.times.set(route, { meanMs: serviceMs });
+  } else {
+    time.meanMs += (serviceMs - time.meanMs) * TIME_GAIN;
+  }
+}
+
+/** Another incarnation runs nothing of what the former one ran. */
+function changeBackend(
+  state: GateState,
+  backend: LocalBackend | undefined,
+  nowMs: number,
+): readonly GateEffect[] {
+  state.backend = backend;
+  if (isOpen(state)) {
+    return runQueued(state, nowMs);
+  }
+  const reason = backend === undefined ? "no_backend" : "draining";
+  return state.queue.splice(0)
+    .map(({ id }) => refuseCall(state, id, reason));
+}
+
+function tick(state: GateState, nowMs: number): readonly GateEffect[] {
+  const late = state.queue.filter((call) => isHopeless(state, call, nowMs));
+  late.forEach((call) => state.queue.splice(state.queue.indexOf(call), 1));
+  updatePressure(state, nowMs);
+  return late.map(({ id }) => refuseCall(state, id, "deadline"));
+}
+
+/** Integrates the wait of the queue's head against the target. */
+function updatePressure(state: GateState, nowMs: number): void {
+  const oldestMs = state.queue.reduce(
+    (least, call) => Math.min(least, call.arrivedAtMs),
+    nowMs,
+  );
+  const error = (nowMs - oldestMs - TARGET_WAIT_MS) / TARGET_WAIT_MS;
+  const step = Math.max(-MAX_STEP, Math.min(MAX_STEP, error * PRESSURE_GAIN));
+  state.pressure = Math.max(0, Math.min(1, state.pressure + step));
+}
+
+function refuseCall(
+  state: GateState,
+  id: number,
+  reason: GateRefusal,
+): GateEffect {
+  const retryAfterMs = computeRetryAfterMs(state);
+  return { type: "RefuseCall", id, reason, retryAfterMs };
+}
--- /dev/null
+++ b/src/engine/relay/node/backend_client.ts
@@ -0,0 +1,183 @@
+/** Sends calls to the local backend server, and reads its answers whole. */
+import type { IncomingHttpHeaders } from "node:http";
+import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+import type { HeaderList } from "../../mesh/common/frames.ts";
+
+/** One request to the backend server. */
+export interface BackendRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: HeaderList;
+  readonly body: Uint8Array;
+}
+
+/** The head of an answer. */
+export interface BackendHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly rawHeaders: readonly string[];
+}
+
+/** How a request ended. */
+export type BackendResult =
+  | {
+    readonly type: "Whole";
+    readonly head: BackendHead;
+    readonly body: Uint8Array;
+  }
+  /** The connection could not be made: nothing was sent. */
+  | { readonly type: "NotSent"; readonly reason: string }
+  /** The answer was cut, refused by `acceptHead`, or never came. */
+  | { readonly type: "Broken"; readonly reason: string };
+
+/** What a request is sent with. */
+export interface BackendSend {
+  readonly request: BackendRequest;
+  /** Says why an answer with this head is not read; undefined to read it. */
+  readonly checkHead: (head: BackendHead) => string | undefined;
+  readonly onEnd: (result: BackendResult) => void;
+}
+
+/** Idle connections are kept for so long where the server doesn't say. */
+const IDLE_MS = 4_000;
+/** Longest that a server may have them kept, by its `Keep-Alive`. */
+const MAX_IDLE_MS = 60_000;
+/** Closed so long before the server would: a request must not cross that. */
+const IDLE_MARGIN_MS = 1_000;
+const CONNECT_MS = 1_000;
+/** Larger answers are not held; the call fails. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
+
+/** Keeps connections to one address. */
+export class BackendClient implements AsyncDisposable {
+  readonly address: string;
+  readonly #pool: Pool;
+
+  constructor(address: string, connections: number) {
+    this.address = address;
+    this.#pool = new Pool(`http://${address}`, {
+      connections,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connectTimeout: CONNECT_MS,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      maxResponseSize: MAX_ANSWER_BYTES,
+    });
+  }
+
+  /** Sends a request; the function returned breaks it off. */
+  send(send: BackendSend): () => void {
+    const handler = new AnswerHandler(send);
+    const { method, target, headers, body } = send.request;
+    this.#pool.dispatch({
+      method: method as Dispatcher.HttpMethod,
+      path: target,
+      headers: headers as string[],
+      body: body.length === 0 && !hasBody(method) ? null : body,
+    }, handler);
+    return () => handler.abort();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#pool.destroy();
+  }
+}
+
+function hasBody(method: string): boolean {
+  return method === "POST" || method === "PUT" || method === "PATCH";
+}
+
+/** Collects one answer. */
+class AnswerHandler implements Dispatcher.DispatchHandler {
+  readonly #send: BackendSend;
+  readonly #chunks: Uint8Array[] = [];
+  #controller: Dispatcher.DispatchController | undefined;
+  #head: BackendHead | undefined;
+  #isEnded = false;
+  #isAborted = false;
+
+  constructor(send: BackendSend) {
+    this.#send = send;
+  }
+
+  abort(): void {
+    this.#isAborted = true;
+    this.#isEnded = true;
+    this.#controller?.abort(new Error("Broken off"));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#isAborted) {
+      controller.abort(new Error("Broken off"));
+    }
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) {
+      return;
+    }
+    const rawHeaders = readRawHeaders(controller);
+    this.#head = { status, headers, rawHeaders };
+    const reason = this.#send.checkHead(this.#head);
+    if (reason !== undefined) {
+      controller.abort(new Error(reason));
+    }
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const body = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks);
+    this.#end({ type: "Whole", head: this.#head!, body });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    const code = (error as NodeJS.ErrnoException).code ?? "";
+    const reason = code === "" ? error.message : code;
+    const type = NOT_SENT_CODES.has(code) ? "NotSent" : "Broken";
+    this.#end({ type, reason });
+  }
+
+  #end(result: BackendResult): void {
+    if (!this.#isEnded) {
+      this.#isEnded = true;
+      this.#send.onEnd(result);
+    }
+  }
+}
+
+/** Names and values as they stood on the wire, in Latin-1. */
+function readRawHeaders(
+  controller: Dispatcher.DispatchController,
+): readonly string[] {
+  const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
+  return raw.map((part) =>
+    typeof part === "string" ? part : part.toString("latin1")
+  );
+}
--- /dev/null
+++ b/src/engine/relay/node/caller_server.ts
@@ -0,0 +1,287 @@
+/** The HTTP listener for callers on this VM, the backend server among them. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { listen } from "../../../base/node/listen.ts";
+import type { ListenAddress } from "../../../base/node/listen.ts";
+import type { HeaderList } from "../../mesh/common/frames.ts";
+import {
+  buildRouteIndex,
+  selectRoute,
+  TargetChooser,
+} from "../../routes/common/route_match.ts";
+import type { RouteIndex } from "../../routes/common/route_match.ts";
+import type { Route, RouteTable } from "../../routes/common/route_table.ts";
+import type { CallDialect } from "../common/dialect.ts";
+import type {
+  EntryFailure,
+  EntryRequest,
+  EntryResult,
+} from "../common/entry_types.ts";
+import type { RelayLog } from "../common/relay_log.ts";
+import { readBody } from "./body_reader.ts";
+
+/** Starts a call and returns what withdraws it. */
+export type StartCall = (
+  request: EntryRequest,
+  service: string,
+  onResult: (result: EntryResult) => void,
+) => () => void;
+
+/** What the listener is built from. */
+export interface CallerServerOptions {
+  readonly address: ListenAddress;
+  readonly dialect: CallDialect;
+  readonly startCall: StartCall;
+  /** Service whose backend server runs on this VM. */
+  readonly getCallerService: () => string;
+  readonly readClock: () => number;
+  readonly draw: () => number;
+  readonly log: RelayLog;
+}
+
+/** Longest wait of a caller that says nothing, where the route allows it. */
+const DEFAULT_PATIENCE_MS = 600_000;
+/** Taken off a caller's time, so that its refusal still reaches it. */
+const RETRY_PART = 3;
+/** When callers come back to a node that knows no routes yet. */
+const NO_ROUTES_RETRY_MS = 300;
+const MEMORY_RETRY_MS = 500;
+/** Bytes of requests held at a time; more are refused. */
+const MAX_HELD_BYTES = 50_331_648;
+/** Larger than any header that a table allows; the table's limit is checked. */
+const MAX_HEADER_BYTES = 131_072;
+
+/** Takes requests, finds their routes, and gives callers their answers. */
+export class CallerServer implements AsyncDisposable {
+  readonly #options: CallerServerOptions;
+  readonly #server: Server;
+  readonly #chooser = new TargetChooser();
+  #routes: RouteTable | undefined;
+  #index: RouteIndex = new Map();
+  #isDraining = false;
+  #open = 0;
+  #heldBytes = 0;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      (request, response) => {
+        this.#take(request, response).catch(() => response.destroy());
+      },
+    );
+  }
+
+  /** Requests without a final answer. */
+  get openCount(): number {
+    return this.#open;
+  }
+
+  /** Opens the listener. */
+  async open(): Promise<void> {
+    await listen(this.#server, this.#options.address);
+  }
+
+  /** Puts other routes in force. */
+  replaceRoutes(routes: RouteTable): void {
+    this.#routes = routes;
+    this.#index = buildRouteIndex(routes);
+    this.#chooser.trim(routes);
+    const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
+    this.#server.headersTimeout = headerTimeoutMs;
+    this.#server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  /** Asks callers to leave with each answer. */
+  drain(): void {
+    this.#isDraining = true;
+  }
+
+  /** Takes no more connections; those in use end with their answers. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  async #take(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const arrivedAtMs = this.#options.readClock();
+    const found = this.#findRoute(request);
+    if ("status" in found) {
+      this.#reply(response, found.status, found.retryAfterMs);
+      return;
+    }
+    this.#open += 1;
+    response.on("close", () => {
+      this.#open -= 1;
+    });
+    const body = await this.#readBody(request, response);
+    if (body !== undefined && !response.closed) {
+      this.#start({ request, response, route: found, body, arrivedAtMs });
+    }
+  }
+
+  #findRoute(
+    request: IncomingMessage,
+  ): Route | { readonly status: number; readonly retryAfterMs?: number } {
+    if (this.#routes === undefined) {
+      return { status: 503, retryAfterMs: NO_ROUTES_RETRY_MS };
+    }
+    const target = request.url ?? "/";
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    const host = request.headers.host ?? "";
+    const route = selectRoute(this.#index, host, path);
+    if (route === undefined) {
+      return { status: 404 };
+    }
+    const headerBytes = request.rawHeaders
+      .reduce((sum, part) => sum + part.length + 2, 0);
+    return headerBytes > this.#routes.limits.maxHeaderBytes
+      ? { status: 431 }
+      : route;
+  }
+
+  async #readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Uint8Array | undefined> {
+    const read = await readBody(request, {
+      maxBytes: this.#routes!.limits.maxBodyBytes,
+      canHold: (bytes) => this.#heldBytes + bytes <= MAX_HELD_BYTES,
+    });
+    switch (read.type) {
+      case "Whole": {
+        const { length } = read.body;
+        this.#heldBytes += length;
+        response.on("close", () => {
+          this.#heldBytes -= length;
+        });
+        return read.body;
+      }
+      case "TooLarge":
+        this.#reply(response, 413);
+        return undefined;
+      case "NoRoom":
+        this.#reply(response, 503, MEMORY_RETRY_MS);
+        return undefined;
+      case "Broken":
+        return undefined;
+    }
+  }
+
+  #start(taken: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly route: Route;
+    readonly body: Uint8Array;
+    readonly arrivedAtMs: number;
+  }): void {
+    const { request, response, route, body, arrivedAtMs } = taken;
+    const { dialect, getCallerService, startCall } = this.#options;
+    const { requestId, patienceMs = DEFAULT_PATIENCE_MS } = dialect
+      .readTerms(request.headers);
+    if (requestId === undefined) {
+      this.#reply(response, 400);
+      return;
+    }
+    const timeMs = Math.min(route.timeoutMs, patienceMs);
+    const entry: EntryRequest = {
+      requestId,
+      route,
+      method: request.method!,
+      target: request.url!,
+      headers: dialect.createCallHeaders(
+        request.rawHeaders,
+        getCallerService(),
+      ),
+      body,
+      arrivedAtMs,
+      deadlineMs: arrivedAtMs + timeMs,
+      isNested: false,
+    };
+    const service = this.#chooser.choose(route);
+    let isDone = false;
+    const withdraw = startCall(entry, service, (result) => {
+      isDone = true;
+      this.#finish(response, result, arrivedAtMs + patienceMs);
+    });
+    response.on("close", () => {
+      if (!isDone) {
+        withdraw();
+      }
+    });
+  }
+
+  #finish(
+    response: ServerResponse,
+    result: EntryResult,
+    leavesAtMs: number,
+  ): void {
+    if (result.type === "Answered") {
+      this.#write(response, result.status, result.headers, result.body);
+      return;
+    }
+    const { failure } = result;
+    this.#reply(
+      response,
+      getStatus(failure),
+      failure.type === "Refused"
+        ? this.#spreadRetry(failure.retryAfterMs, leavesAtMs)
+        : undefined,
+    );
+  }
+
+  /** Callers that were refused together come back apart, while they wait. */
+  #spreadRetry(retryAfterMs: number, leavesAtMs: number): number {
+    const { readClock, draw } = this.#options;
+    const mostMs = Math.max(0, (leavesAtMs - readClock()) / RETRY_PART);
+    return Math.min(retryAfterMs * (0.75 + draw() / 2), mostMs);
+  }
+
+  #reply(
+    response: ServerResponse,
+    status: number,
+    retryAfterMs?: number,
+  ): void {
+    const headers = retryAfterMs === undefined
+      ? []
+      : ["Retry-After", (retryAfterMs / 1_000).toFixed(3)];
+    this.#write(response, status, headers, new Uint8Array());
+  }
+
+  #write(
+    response: ServerResponse,
+    status: number,
+    headers: HeaderList,
+    body: Uint8Array,
+  ): void {
+    if (response.headersSent || response.destroyed) {
+      return;
+    }
+    const own = [...headers, "Content-Length", String(body.length)];
+    if (this.#isDraining) {
+      own.push("Connection", "close");
+    }
+    response.writeHead(status, own);
+    response.end(body);
+  }
+}
+
+function getStatus(failure: EntryFailure): number {
+  switch (failure.type) {
+    case "Refused":
+      return 503;
+    case "Unknown":
+      return 502;
+    case "Expired":
+      return 504;
+  }
+}
--- /dev/null
+++ b/src/engine/relay/node/gate_calls.ts
@@ -0,0 +1,367 @@
+/** Carries out at the backend server's node what the gate decides. */
+import type {
+  AnswerOpened,
+  CallFailed,
+  CallOpened,
+  FailureKind,
+  LoadFigures,
+  MeshFrame,
+} from "../../mesh/common/frames.ts";
+import {
+  BodyCollector,
+  cutFirstPart,
+  listFurtherParts,
+} from "../../mesh/common/body_parts.ts";
+import type { CallDialect } from "../common/dialect.ts";
+import {
+  computeRetryAfterMs,
+  createGate,
+  createLoad,
+  reduceGate,
+} from "../common/gate.ts";
+import type { GateEffect, GateEvent, LocalBackend } from "../common/gate.ts";
+import type { RelayLog } from "../common/relay_log.ts";
+import { BackendClient } from "./backend_client.ts";
+import type { BackendHead, BackendResult } from "./backend_client.ts";
+
+/** Where the answer of a call goes. */
+export type SendFrame = (frame: MeshFrame) => void;
+
+/** What the gate's calls are built from. */
+export interface GateCallsOptions {
+  readonly dialect: CallDialect;
+  readonly readClock: () => number;
+  readonly log: RelayLog;
+  /** Most connections that the backend server takes. */
+  readonly maxConnections: () => number;
+  /** The backend server refused connections: it may have ended. */
+  readonly onBackendLost: () => void;
+}
+
+interface GateCallState {
+  readonly id: number;
+  readonly opened: CallOpened;
+  readonly body: BodyCollector;
+  readonly deadlineMs: number;
+  readonly arrivedAtMs: number;
+  readonly send: SendFrame;
+  readonly source: string;
+  phase: "receiving" | "waiting" | "running";
+  startedAtMs: number;
+  breakOff: (() => void) | undefined;
+}
+
+/** Calls of all callers for the one backend server beside this node. */
+export class GateCalls implements AsyncDisposable {
+  readonly #options: GateCallsOptions;
+  readonly #gate = createGate();
+  readonly #calls = new Map<number, GateCallState>();
+  /** Calls by link and their number there. */
+  readonly #bySource = new Map<string, Map<number, number>>();
+  #client: BackendClient | undefined;
+  #nextId = 1;
+
+  constructor(options: GateCallsOptions) {
+    this.#options = options;
+  }
+
+  /** Calls that are not ended. */
+  get openCount(): number {
+    return this.#calls.size;
+  }
+
+  /** The backend server as last announced. */
+  get backend(): LocalBackend | undefined {
+    return this.#gate.backend;
+  }
+
+  /** Reads the load for those who choose. */
+  readLoad(): LoadFigures {
+    return createLoad(this.#gate);
+  }
+
+  /** Whether calls of a link are in progress. */
+  hasCalls(source: string): boolean {
+    return (this.#bySource.get(source)?.size ?? 0) > 0;
+  }
+
+  /** Lists the routes that run at the backend server now. */
+  listRunningRoutes(): readonly string[] {
+    return [...this.#calls.values()]
+      .filter(({ phase }) => phase === "running")
+      .map(({ opened }) => opened.route);
+  }
+
+  /** Takes what the backend server announces of itself. */
+  changeBackend(backend: LocalBackend | undefined): void {
+    this.#step({ type: "BackendChanged", backend });
+  }
+
+  /** Lets time pass at the gate. */
+  tick(): void {
+    this.#step({ type: "Ticked" });
+  }
+
+  /** Takes a frame of a caller. */
+  receive(source: string, frame: MeshFrame, send: SendFrame): void {
+    switch (frame.type) {
+      case "CallOpened":
+        this.#open(source, frame, send);
+        return;
+      case "BodyPart": {
+        const call = this.#find(source, frame.call);
+        call?.body.add(frame.bytes);
+        if (call?.phase === "receiving" && call.body.isWhole) {
+          this.#admit(call);
+        }
+        return;
+      }
+      case "CallCancelled": {
+        const call = this.#find(source, frame.call);
+        if (call !== undefined) {
+          this.#cancel(call, "caller left");
+        }
+        return;
+      }
+      case "AnswerOpened":
+      case "CallFailed":
+      case "LoadReported":
+        return;
+    }
+  }
+
+  /** A link is gone: nobody waits for its calls any more. */
+  loseSource(source: string): void {
+    const numbers = [...this.#bySource.get(source)?.keys() ?? []];
+    for (const number of numbers) {
+      const call = this.#find(source, number);
+      if (call !== undefined) {
+        this.#cancel(call, "link lost");
+      }
+    }
+    this.#bySource.delete(source);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#client?.[Symbol.asyncDispose]();
+  }
+
+  #open(source: string, opened: CallOpened, send: SendFrame): void {
+    const arrivedAtMs = this.#options.readClock();
+    const call: GateCallState = {
+      id: this.#nextId++,
+      opened,
+      body: new BodyCollector(opened.bodyBytes, opened.body),
+      deadlineMs: arrivedAtMs + opened.timeLeftMs,
+      arrivedAtMs,
+      send,
+      source,
+      phase: "receiving",
+      startedAtMs: 0,
+      breakOff: undefined,
+    };
+    this.#remember(call);
+    const service = this.#gate.backend?.service;
+    if (service !== undefined && service !== opened.service) {
+      this.#fail(call, "refused", "other_service");
+    } else if (call.body.isWhole) {
+      this.#admit(call);
+    }
+  }
+
+  #admit(call: GateCallState): void {
+    const { id, opened, arrivedAtMs, deadlineMs } = call;
+    const { route, rank, isNested } = opened;
+    call.phase = "waiting";
+    const admitted = { id, route, rank, isNested, arrivedAtMs, deadlineMs };
+    this.#step({ type: "CallArrived", call: admitted });
+  }
+
+  #step(event: GateEvent): void {
+    const effects = reduceGate(this.#gate, event, this.#options.readClock());
+    effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #perform(effect: GateEffect): void {
+    const call = this.#calls.get(effect.id);
+    if (call === undefined) {
+      return;
+    }
+    switch (effect.type) {
+      case "RunCall":
+        this.#run(call);
+        return;
+      case "RefuseCall":
+        this.#fail(call, "refused", effect.reason, effect.retryAfterMs);
+        return;
+    }
+  }
+
+  #run(call: GateCallState): void {
+    const { dialect, readClock } = this.#options;
+    const backend = this.#gate.backend!;
+    const nowMs = readClock();
+    call.phase = "running";
+    call.startedAtMs = nowMs;
+    const { method, target, requestId } = call.opened;
+    const headers = dialect.createBackendHeaders({
+      headers: call.opened.headers,
+      timeLeftMs: call.deadlineMs - nowMs,
+      instanceId: backend.instanceId,
+    });
+    const request = { method, target, headers, body: call.body.join() };
+    call.breakOff = this.#getClient(backend.address).send({
+      request,
+      checkHead: (head) => this.#checkHead(head, requestId),
+      onEnd: (result) => this.#finish(call, result),
+    });
+  }
+
+  /** An answer that isn't this request's must not be read to its end. */
+  #checkHead(head: BackendHead, requestId: string): string | undefined {
+    const { status, headers } = head;
+    const { judgeAnswer } = this.#options.dialect;
+    const judgement = judgeAnswer({ status, headers, requestId });
+    return judgement.type === "Foreign" ? judgement.reason : undefined;
+  }
+
+  #finish(call: GateCallState, result: BackendResult): void {
+    if (!this.#calls.has(call.id)) {
+      return;
+    }
+    switch (result.type) {
+      case "Whole":
+        this.#answer(call, result.head, result.body);
+        return;
+      case "NotSent":
+        this.#options.onBackendLost();
+        this.#fail(call, "refused", result.reason);
+        return;
+      case "Broken":
+        this.#fail(call, "unknown", result.reason);
+        return;
+    }
+  }
+
+  #answer(call: GateCallState, head: BackendHead, body: Uint8Array): void {
+    const { dialect, readClock } = this.#options;
+    const { status, headers, rawHeaders } = head;
+    const { requestId } = call.opened;
+    const judgement = dialect.judgeAnswer({ status, headers, requestId });
+    switch (judgement.type) {
+      case "NotRun":
+        this.#fail(call, "rejected", judgement.reason);
+        return;
+      case "WrongInstance":
+        this.#options.onBackendLost();
+        this.#fail(call, "refused", "wrong_instance");
+        return;
+      case "Foreign":
+        this.#fail(call, "unknown", judgement.reason);
+        return;
+      case "Answered":
+        break;
+    }
+    this.#end(call, readClock() - call.startedAtMs);
+    const opened: AnswerOpened = {
+      type: "AnswerOpened",
+      call: call.opened.call,
+      status,
+      headers: dialect.createAnswerHeaders(rawHeaders),
+      load: this.readLoad(),
+      bodyBytes: body.length,
+      body: cutFirstPart(body),
+    };
+    call.send(opened);
+    for (const bytes of listFurtherParts(body)) {
+      call.send({ type: "BodyPart", call: call.opened.call, bytes });
+    }
+  }
+
+  #fail(
+    call: GateCallState,
+    kind: FailureKind,
+    reason: string,
+    retryAfterMs = computeRetryAfterMs(this.#gate),
+  ): void {
+    this.#end(call, undefined);
+    const failed: CallFailed = {
+      type: "CallFailed",
+      call: call.opened.call,
+      kind,
+      reason,
+      retryAfterMs,
+      load: this.readLoad(),
+    };
+    this.#options.log.write({
+      event: "CallFailed",
+      isFailure: true,
+      requestId: call.opened.requestId,
+      kind,
+      reason,
+      waitedMs: this.#options.readClock() - call.arrivedAtMs,
+      running: failed.load.running,
+      queued: failed.load.queued,
+      limit: failed.load.limit,
+    });
+    call.send(failed);
+  }
+
+  /**
+   * Work that may be repeated stops with its caller. Work that may not is
+   * left to end: breaking it off would leave open whether it ran.
+   */
+  #cancel(call: GateCallState, reason: string): void {
+    const isRunning = call.phase === "running";
+    if (isRunning && !call.opened.isIdempotent) {
+      return;
+    }
+    call.breakOff?.();
+    if (!isRunning) {
+      this.#step({ type: "CallWithdrawn", id: call.id });
+    }
+    this.#end(call, undefined);
+    this.#options.log.write({
+      event: "CallCancelled",
+      isFailure: false,
+      requestId: call.opened.requestId,
+      reason,
+      wasRunning: isRunning,
+    });
+  }
+
+  #end(call: GateCallState, serviceMs: number | undefined): void {
+    const wasRunning = call.phase === "running";
+    this.#forget(call);
+    if (wasRunning) {
+      const { id, opened: { route } } = call;
+      this.#step({ type: "CallEnded", id, route, serviceMs });
+    }
+  }
+
+  #getClient(address: string): BackendClient {
+    if (this.#client?.address !== address) {
+      this.#client?.[Symbol.asyncDispose]();
+      const connections = Math.max(1, this.#options.maxConnections());
+      this.#client = new BackendClient(address, connections);
+    }
+    return this.#client;
+  }
+
+  #find(source: string, number: number): GateCallState | undefined {
+    const id = this.#bySource.get(source)?.get(number);
+    return id === undefined ? undefined : this.#calls.get(id);
+  }
+
+  #remember(call: GateCallState): void {
+    this.#calls.set(call.id, call);
+    const numbers = this.#bySource.get(call.source) ?? new Map();
+    this.#bySource.set(call.source, numbers);
+    numbers.set(call.opened.call, call.id);
+  }
+
+  #forget(call: GateCallState): void {
+    this.#calls.delete(call.id);
+    this.#bySource.get(call.source)?.delete(call.opened.call);
+  }
+}
--- /dev/null
+++ b/src/engine/routes/common/route_check.ts
@@ -0,0 +1,49 @@
+/** What makes a route table invalid as a whole. */
+import type { Route, RouteTable } from "./route_table.ts";
+
+/** Longest time limit that a route may have: ten minutes. */
+export const MAX_TIMEOUT_MS = 600_000;
+
+/**
+ * Describes the first fault of a table, or undefined where it has none.
+ * `services` are the services that the table's document defines.
+ */
+export function checkRoutes(
+  table: RouteTable,
+  services: ReadonlySet<string>,
+): string | undefined {
+  const places = new Set<string>();
+  for (const route of table.routes) {
+    const fault = checkRoute(route, services);
+    if (fault !== undefined) {
+      return `Route ${route.name}: ${fault}`;
+    }
+    const place = `${route.host} ${route.pathPrefix}`;
+    if (places.has(place)) {
+      return `Route ${route.name}: another route has the same host and prefix`;
+    }
+    places.add(place);
+  }
+  return undefined;
+}
+
+function checkRoute(
+  route: Route,
+  services: ReadonlySet<string>,
+): string | undefined {
+  const { targets, timeoutMs, pathPrefix } = route;
+  if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
+    return "the prefix must begin and end with a slash";
+  }
+  if (timeoutMs <= 0 || timeoutMs > MAX_TIMEOUT_MS) {
+    return `the time limit must be above 0 and at most ${MAX_TIMEOUT_MS} ms`;
+  }
+  const unknown = targets.find(({ service }) => !services.has(service));
+  if (unknown !== undefined) {
+    return `service ${unknown.service} is not defined`;
+  }
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  return targets.some(({ weight }) => weight < 0) || !(total > 0)
+    ? "weights must not be negative, and one must be above 0"
+    : undefined;
+}
--- a/src/engine/table/common/table_reducer.ts
+++ b/src/engine/table/common/table_reducer.ts
@@ -1,4 +1,6 @@
 /** The replicated state machine of the table: compare-and-set edits. */
+import { EMPTY_DOCUMENT } from "../../routes/common/route_table.ts";
+import type { RouteDocument } from "../../routes/common/route_table.ts";
 import { isSameRow } from "./table_row.ts";
 import { EMPTY_TABLE } from "./table_row.ts";
 import type { Table, TableRow, VersionedRow } from "./table_row.ts";
@@ -22,8 +24,17 @@
   readonly rows: readonly DraftRow[];
 }
 
+/** Replaces the routes as a whole; `baseVersion` is what the operator saw. */
+export interface ReplaceRoutes {
+  readonly type: "ReplaceRoutes";
+  readonly baseVersion: number;
+  readonly document: RouteDocument;
+}
+
 /** What an edit asks for. */
-export type TableChange = PutRow | RemoveRow | ReplaceRows;
+export type TableChange = PutRow | RemoveRow | ReplaceRows | ReplaceRoutes;
+
+type RowChange = Exclude<TableChange, ReplaceRoutes>;
 
 /** One edit, as it is replicated. */
 export interface TableEdit {
@@ -51,7 +62,11 @@
   | {
     readonly type: "EditConflicted";
     readonly conflicts: readonly RowConflict[];
-  };
+  }
+  /** Routes were replaced since; `version` is the one that stands. */
+  | { readonly type: "RoutesConflicted"; readonly version: number }
+  /** The new routes' version is not above the one that stands. */
+  | { readonly type: "RoutesOutdated"; readonly version: number };
 
 /** One accepted edit in the history. */
 export interface HistoryEntry {
@@ -70,6 +85,8 @@
   readonly history: readonly HistoryEntry[];
   /** First answers by edit id, oldest first, at most `MAX_ANSWERS`. */
   readonly answers: ReadonlyMap<string, EditOutcome>;
+  /** The routes in force, and the text that they were read from. */
+  readonly document: RouteDocument;
 }
 
 /** Accepted edits that the history keeps. */
@@ -82,6 +99,7 @@
   table: EMPTY_TABLE,
   history: [],
   answers: new Map(),
+  document: EMPTY_DOCUMENT,
 };
 
 interface Plan {
@@ -96,10 +114,14 @@
   edit: TableEdit,
 ): { readonly state: TableState; readonly outcome: EditOutcome } {
   const known = state.answers.get(edit.editId);
-  if (known !== undefined) {
-    return { state, outcome: known };
+  const { change } = edit;
+  if (change.type === "ReplaceRoutes" && known?.type !== "EditAccepted") {
+    return replaceRoutes(state, edit.editId, change);
+  }
+  if (known !== undefined || change.type === "ReplaceRoutes") {
+    return { state, outcome: known! };
   }
-  const plan = createPlan(state, edit.change);
+  const plan = createPlan(state, change);
   const outcome = decideOutcome(state, plan);
   const answers = rememberAnswer(state.answers, edit.editId, outcome);
   if (outcome.type !== "EditAccepted") {
@@ -115,10 +137,38 @@
     removed: plan.removed,
   };
   const history = [...state.history, entry].slice(-MAX_HISTORY);
-  return { state: { table, history, answers }, outcome };
+  return { state: { ...state, table, history, answers }, outcome };
+}
+
+/** A replacement that was refused is decided anew when it comes again. */
+function replaceRoutes(
+  state: TableState,
+  editId: string,
+  change: ReplaceRoutes,
+): { readonly state: TableState; readonly outcome: EditOutcome } {
+  const outcome = decideReplacement(state, change);
+  const answers = rememberAnswer(state.answers, editId, outcome);
+  const document = outcome.type === "EditAccepted"
+    ? change.document
+    : state.document;
+  return { state: { ...state, document, answers }, outcome };
+}
+
+function decideReplacement(
+  state: TableState,
+  { baseVersion, document }: ReplaceRoutes,
+): EditOutcome {
+  const { version: current } = state.document.table;
+  if (baseVersion !== current) {
+    return { type: "RoutesConflicted", version: current };
+  }
+  const { version } = document.table;
+  return version <= current
+    ? { type: "RoutesOutdated", version: current }
+    : { type: "EditAccepted", version };
 }
 
-function createPlan(state: TableState, change: TableChange): Plan {
+function createPlan(state: TableState, change: RowChange): Plan {
   switch (change.type) {
     case "PutRow":
       return mergePlans([planPut(state, change)]);
