Open the replica's folder without a pid lock on the platform, and reload settings

SIGHUP had no handler and ended replicas with code 129. Change: the adapter opens the folder without the lock, as one process runs on it at a time; SIGHUP and changes of the settings file add the seeds named now.

--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -1,4 +1,7 @@
-/** Checks that imports point down only: base, engine, daemon and cli, mod. */
+/**
+ * Checks that imports point down only: base, engine, daemon and cli, and above
+ * them mod and the adapter of the users' platform.
+ */
 import { readdirSync, readFileSync, statSync } from "node:fs";
 import { dirname, join, normalize, relative } from "node:path";
 import process from "node:process";
@@ -15,6 +18,7 @@
   daemon: 2,
   cli: 2,
   mod: 3,
+  adapter: 3,
 };
 const IMPORT = /(?:from|import)\s*\(?\s*"(\.[^"]+)"/g;
 const BUILTIN_IO =
@@ -32,6 +36,10 @@
 }
 
 function locate(file: string): Place {
+  if (file.startsWith("platform/")) {
+    const folder = file.startsWith("platform/test/") ? "test" : "";
+    return { layer: "adapter", area: "adapter", folder };
+  }
   const [layer = "", second = "", third = ""] = relative("src", file)
     .split("/");
   if (layer === "engine") {
@@ -85,7 +93,7 @@
   return faults;
 }
 
-const files = listFiles("src");
+const files = [...listFiles("src"), ...listFiles("platform")];
 const faults = files.flatMap(checkFile);
 process.stdout.write(
   `${files.length} files, ${faults.length} layer faults\n`,
--- a/scripts/check_verbs.ts
+++ b/scripts/check_verbs.ts
@@ -17,9 +17,11 @@
 }
 
 function listSources(): readonly string[] {
-  return readdirSync("src", { recursive: true, encoding: "utf8" })
-    .filter((name) => name.endsWith(".ts") && !name.includes("/test/"))
-    .map((name) => join("src", name));
+  return ["src", "platform"].flatMap((folder) =>
+    readdirSync(folder, { recursive: true, encoding: "utf8" })
+      .filter((name) => name.endsWith(".ts") && !/(^|\/)test\//.test(name))
+      .map((name) => join(folder, name))
+  );
 }
 
 const verbs = readVerbs();
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -136,6 +136,17 @@
     );
   }
 
+  /** Asks replicas that the settings name now. */
+  learnSeeds(seeds: readonly string[]): void {
+    this.#telemetry.log.info({ seeds: [...seeds] }, "SettingsRead");
+    this.#loop.dispatch({ type: "SeedsLearned", seeds });
+  }
+
+  /** Says that changed settings can't be used; the former ones hold. */
+  reportSettings(reason: string): void {
+    this.#telemetry.log.warn({ reason }, "SettingsInvalid");
+  }
+
   /** Hands leadership over, so that a planned stop needs no election. */
   async drain(): Promise<void> {
     const endMs = Date.now() + HANDOVER_MS;
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -158,6 +158,17 @@
     this.#telemetry.record({ type: "ProcessStarted", role: "node" });
   }
 
+  /** Adds control replicas that the settings name now. */
+  learnSeeds(seeds: readonly string[]): void {
+    this.#log.write({ event: "SettingsRead", isFailure: false, seeds });
+    this.#link.addReplicas(seeds);
+  }
+
+  /** Says that changed settings can't be used; the former ones hold. */
+  reportSettings(reason: string): void {
+    this.#log.write({ event: "SettingsInvalid", isFailure: true, reason });
+  }
+
   /** Takes what the backend server says of itself. */
   changeBackend(backend: LocalBackend | undefined): void {
     const before = this.#gate.backend;
--- a/src/daemon/replica_disk.ts
+++ b/src/daemon/replica_disk.ts
@@ -45,7 +45,7 @@
     const { storage, lock } = this.#options.folder;
     this.#isClosed = true;
     await storage[Symbol.asyncDispose]();
-    await lock[Symbol.asyncDispose]();
+    await lock?.[Symbol.asyncDispose]();
   }
 
   #write(effect: DiskEffect) {
--- a/src/daemon/settings_reference.ts
+++ b/src/daemon/settings_reference.ts
@@ -43,6 +43,12 @@
   "cluster.voters[].link": "Its link address",
   "cluster.learners[].id": "Name of a replica that serves but doesn't vote",
   "cluster.learners[].link": "Its link address",
+  "discovery.seeds": "Link addresses of replicas to ask for the others",
+  "discovery.is_first_start":
+    "Whether the seeds found the set; true for empty folders alone",
+  "discovery.max_voters": "Replicas are promoted up to so many voters",
+  "discovery.replace_after_ms":
+    "A voter that is silent for so long gives way to another replica",
   "data_folder": "Folder for the log and snapshots, on a disk that stays",
   "security.transport": "Whether connections are protected",
   "security.certificate": "With tls: certificate of this process, PEM",
--- a/src/engine/control/common/peer_discovery.ts
+++ b/src/engine/control/common/peer_discovery.ts
@@ -27,12 +27,21 @@
   state: ReplicationState,
   hello: ReplicaHello,
   nowMs: number,
+): ReplicationStep {
+  return addPeers(state, [hello.id, ...hello.known ?? []], nowMs);
+}
+
+/** Adds replicas to ask, where they find each other. */
+export function addPeers(
+  state: ReplicationState,
+  ids: readonly string[],
+  nowMs: number,
 ): ReplicationStep {
   const { cluster } = state;
   if (cluster.discovery === undefined) {
     return createReduction(state);
   }
-  const found = [hello.id, ...hello.known ?? []]
+  const found = ids
     .filter((id) => id !== cluster.self && !state.peers.has(id));
   if (found.length === 0) {
     return createReduction(state);
--- a/src/engine/control/common/replica_reducer.ts
+++ b/src/engine/control/common/replica_reducer.ts
@@ -78,6 +78,7 @@
     case "EditRequested":
     case "HolderChangeRequested":
     case "TableReadRequested":
+    case "SeedsLearned":
     case "StopPlanned":
     case "ReplicationTicked": {
       const done = reduceReplication(state.replication, event, nowMs);
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -15,6 +15,7 @@
 import { resumeEdits, startEdit } from "./edit_sending.ts";
 import { finishFounding, foundCluster, isEmpty } from "./founding.ts";
 import {
+  addPeers,
   createPeer,
   forgetPeers,
   learnPeers,
@@ -105,6 +106,8 @@
       return startHolderCommand(state, event.command, nowMs);
     case "TableReadRequested":
       return startRead(state, event.requestId, nowMs);
+    case "SeedsLearned":
+      return addPeers(state, event.seeds, nowMs);
     case "StopPlanned": {
       const type = "LeadershipTransferRequested";
       return stepConsensus(state, { type, targetId: undefined }, nowMs);
--- a/src/engine/control/common/replication_state.ts
+++ b/src/engine/control/common/replication_state.ts
@@ -133,6 +133,8 @@
     readonly command: HolderCommand;
   }
   | { readonly type: "TableReadRequested"; readonly requestId: number }
+  /** The settings name other replicas to ask for the rest. */
+  | { readonly type: "SeedsLearned"; readonly seeds: readonly string[] }
   /** A planned stop: leadership goes to another voter. */
   | { readonly type: "StopPlanned" }
   | { readonly type: "ReplicationTicked" };
--- a/src/engine/control/test/replicas.ts
+++ b/src/engine/control/test/replicas.ts
@@ -24,7 +24,7 @@
 } from "../common/replica_reducer.ts";
 import { restoreReplication } from "../common/replication_reducer.ts";
 import { isConfirmed } from "../common/replication_state.ts";
-import type { ReplicationState } from "../common/replication_state.ts";
+import type { Cluster, ReplicationState } from "../common/replication_state.ts";
 import type {
   NodeMessage,
   OutboundMessage,
@@ -48,6 +48,7 @@
   readonly reads = new Map<number, boolean>();
   readonly events: string[] = [];
   readonly #ids: readonly string[];
+  readonly #createCluster: (self: string) => Cluster;
   readonly #running = new Map<string, ReplicaState>();
   readonly #disks = new Map<string, Disk>();
   readonly #queue: (() => void)[] = [];
@@ -63,8 +64,17 @@
   #nextRequest = 1;
   #folders = 0;
 
-  constructor(ids: readonly string[]) {
+  /** Without `createCluster` all ids vote and know each other. */
+  constructor(
+    ids: readonly string[],
+    createCluster?: (self: string) => Cluster,
+  ) {
     this.#ids = ids;
+    this.#createCluster = createCluster ?? ((self) => ({
+      self,
+      voters: ids,
+      peers: ids.filter((other) => other !== self),
+    }));
   }
 
   /** Starts a replica on its disk, or on an empty one. */
@@ -78,11 +88,7 @@
     const recovered: Recovered = recover(disk.log, disk.snapshot)
       ._unsafeUnwrap();
     const { state: replication } = restoreReplication({
-      cluster: {
-        self: id,
-        voters: this.#ids,
-        peers: this.#ids.filter((other) => other !== id),
-      },
+      cluster: this.#createCluster(id),
       replicaId: disk.replicaId,
       recovered,
       nowMs: this.nowMs,
@@ -234,6 +240,9 @@
       case "SendToReplica":
         this.#sendPresence(id, effect.replica, effect.message);
         return;
+      case "LinkPeer":
+      case "UnlinkPeer":
+        return;
       case "RecordEvent":
         this.events.push(`${id}: ${Object.values(effect.event).join(" ")}`);
         return;
--- a/src/engine/link/node/link_client.ts
+++ b/src/engine/link/node/link_client.ts
@@ -90,6 +90,12 @@
     this.#loop.dispatch({ type: "ReplicasLearned", replicas });
   }
 
+  /** Adds replicas to those that a link may go to. */
+  addReplicas(replicas: readonly string[]): void {
+    const { replicas: known } = this.#loop.state;
+    this.learnReplicas([...new Set([...known, ...replicas])]);
+  }
+
   /** Whether a link is open. */
   get isOpen(): boolean {
     return this.#socket?.readyState === WebSocket.OPEN;
--- a/src/engine/relay/common/dialect.ts
+++ b/src/engine/relay/common/dialect.ts
@@ -1,7 +1,11 @@
 /** How callers and backend servers speak: what an adapter provides. */
-import type { IncomingHttpHeaders } from "node:http";
 import type { HeaderList, LoadFigures } from "../../mesh/common/frames.ts";
 
+/** Headers by their names in lower case, as Node's HTTP parser gives them. */
+export type HeaderMap = Readonly<
+  Record<string, string | readonly string[] | undefined>
+>;
+
 /** What a caller says of its request. */
 export interface CallerTerms {
   /** Undefined where the caller sent none. */
@@ -21,7 +25,7 @@
 /** An answer's head, as the backend server sent it. */
 export interface AnswerHead {
   readonly status: number;
-  readonly headers: IncomingHttpHeaders;
+  readonly headers: HeaderMap;
   readonly requestId: string;
 }
 
@@ -38,7 +42,7 @@
 
 /** Pure translations at the two edges of the mesh. */
 export interface CallDialect {
-  readonly readTerms: (headers: IncomingHttpHeaders) => CallerTerms;
+  readonly readTerms: (headers: HeaderMap) => CallerTerms;
   /** Headers that go on, with those of the caller that are the node's own. */
   readonly createCallHeaders: (
     rawHeaders: readonly string[],
@@ -50,6 +54,6 @@
   readonly createAnswerHeaders: (rawHeaders: readonly string[]) => HeaderList;
   /** Load that the backend server says of itself. */
   readonly readLoad: (
-    headers: IncomingHttpHeaders,
+    headers: HeaderMap,
   ) => Pick<LoadFigures, "running" | "queued"> | undefined;
 }
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -190,7 +190,7 @@
     state.running += 1;
     return [{ type: "RunCall", id: call.id }];
   }
-  insertCall(queue, call);
+  putCall(queue, call);
   const limit = Math.max(MIN_QUEUE, computeLimit(state) * QUEUE_SHARE);
   if (queue.length <= limit) {
     return [];
@@ -201,7 +201,7 @@
 }
 
 /** Calls of admitted parents first, then by rank, then by age. */
-function insertCall(queue: GateCall[], call: GateCall): void {
+function putCall(queue: GateCall[], call: GateCall): void {
   let at = queue.length;
   while (at > 0 && compareCalls(call, queue[at - 1]!) < 0) {
     at -= 1;
--- /dev/null
+++ b/src/engine/relay/test/entry_decision_test.ts
@@ -0,0 +1,53 @@
+/** What becomes of a call after an attempt that failed. */
+import { expect } from "chai";
+import { decideNextStep } from "../common/entry_decision.ts";
+import type { FailedAttempt } from "../common/entry_decision.ts";
+
+const ATTEMPT: FailedAttempt = {
+  kind: "refused",
+  isIdempotent: true,
+  handedOver: 0,
+  maxAttempts: 2,
+  rerouted: 0,
+  timeLeftMs: 500,
+  canRetry: true,
+  hasOtherMember: true,
+};
+
+function decide(change: Partial<FailedAttempt>): string {
+  const step = decideNextStep({ ...ATTEMPT, ...change });
+  return step.type === "TryElsewhere"
+    ? `${step.type} ${step.isArrival ? "budgeted" : "free"}`
+    : step.type;
+}
+
+describe("a failed attempt", () => {
+  it("that no backend server saw costs nothing elsewhere", () => {
+    expect(decide({ canRetry: false })).to.equal("TryElsewhere free");
+  });
+
+  it("is refused in the end, where it ran nowhere", () => {
+    expect(decide({ rerouted: 2 })).to.equal("Refuse");
+    expect(decide({ hasOtherMember: false })).to.equal("Refuse");
+    expect(decide({ timeLeftMs: 5 })).to.equal("Refuse");
+  });
+
+  it("is never called refused where an earlier one may have run", () => {
+    expect(decide({ rerouted: 2, handedOver: 1 })).to.equal("FailUnknown");
+    expect(decide({ kind: "rejected", handedOver: 2 })).to.equal("FailUnknown");
+  });
+
+  it("of unknown outcome is repeated only where that does no harm", () => {
+    const kind = "unknown";
+    expect(decide({ kind, handedOver: 1 })).to.equal("TryElsewhere budgeted");
+    expect(decide({ kind, handedOver: 1, isIdempotent: false }))
+      .to.equal("FailUnknown");
+  });
+
+  it("isn't repeated beyond the attempts or the budget", () => {
+    const kind = "unknown";
+    expect(decide({ kind, handedOver: 2 })).to.equal("FailUnknown");
+    expect(decide({ kind, handedOver: 1, canRetry: false }))
+      .to.equal("FailUnknown");
+  });
+});
--- /dev/null
+++ b/src/engine/relay/test/gate_test.ts
@@ -0,0 +1,120 @@
+/** The gate: what runs, waits and is refused beside one backend server. */
+import { expect } from "chai";
+import { computeLimit, createGate, reduceGate } from "../common/gate.ts";
+import type {
+  GateCall,
+  GateEffect,
+  GateState,
+  LocalBackend,
+} from "../common/gate.ts";
+
+const BACKEND: LocalBackend = {
+  instanceId: "i-1",
+  service: "warehouse",
+  address: "127.0.0.1:1",
+  dataCentre: "a",
+  slots: 2,
+  isDraining: false,
+  warmUntilMs: 0,
+};
+
+function createCall(id: number, change: Partial<GateCall> = {}): GateCall {
+  return {
+    id,
+    route: "lookup",
+    rank: 1,
+    isNested: false,
+    arrivedAtMs: 0,
+    deadlineMs: 1_000,
+    ...change,
+  };
+}
+
+function openGate(slots = 2): GateState {
+  const gate = createGate();
+  const backend = { ...BACKEND, slots };
+  reduceGate(gate, { type: "BackendChanged", backend }, 0);
+  return gate;
+}
+
+function arrive(gate: GateState, call: GateCall): readonly GateEffect[] {
+  return reduceGate(gate, { type: "CallArrived", call }, call.arrivedAtMs);
+}
+
+function end(gate: GateState, id: number, nowMs = 10): readonly GateEffect[] {
+  const event = { type: "CallEnded", id, route: "lookup", serviceMs: 10 };
+  return reduceGate(gate, event as never, nowMs);
+}
+
+function describeEffects(effects: readonly GateEffect[]): readonly string[] {
+  return effects.map((effect) =>
+    effect.type === "RunCall"
+      ? `run ${effect.id}`
+      : `refuse ${effect.id} ${effect.reason}`
+  );
+}
+
+describe("the gate", () => {
+  it("refuses all before the backend server has announced itself", () => {
+    const effects = arrive(createGate(), createCall(1));
+    expect(describeEffects(effects)).to.deep.equal(["refuse 1 no_backend"]);
+  });
+
+  it("runs no more than its limit, which is below the slots", () => {
+    const gate = openGate(40);
+    expect(computeLimit(gate)).to.equal(38);
+    const runs = Array.from(
+      { length: 50 },
+      (_, id) => describeEffects(arrive(gate, createCall(id)))[0] ?? "wait",
+    );
+    expect(runs.filter((run) => run.startsWith("run"))).to.have.length(38);
+  });
+
+  it("runs what was invested in first, then by rank, then by age", () => {
+    const gate = openGate(1);
+    arrive(gate, createCall(1));
+    arrive(gate, createCall(2, { rank: 2 }));
+    arrive(gate, createCall(3, { rank: 0 }));
+    arrive(gate, createCall(4, { rank: 2, isNested: true }));
+    const order = [1, 4, 3].map((id) => describeEffects(end(gate, id))[0]);
+    expect(order).to.deep.equal(["run 4", "run 3", "run 2"]);
+  });
+
+  it("gives up the least urgent one when too many wait", () => {
+    const gate = openGate(1);
+    arrive(gate, createCall(0));
+    for (let id = 1; id <= 8; id += 1) {
+      expect(arrive(gate, createCall(id, { rank: 2 }))).to.deep.equal([]);
+    }
+    expect(describeEffects(arrive(gate, createCall(9, { rank: 2 }))))
+      .to.deep.equal(["refuse 9 queue_full"]);
+    expect(describeEffects(arrive(gate, createCall(10, { rank: 0 }))))
+      .to.deep.equal(["refuse 8 displaced"]);
+  });
+
+  it("hands nothing over once the backend server drains", () => {
+    const gate = openGate(1);
+    arrive(gate, createCall(1));
+    arrive(gate, createCall(2));
+    const backend = { ...BACKEND, isDraining: true };
+    const drained = reduceGate(gate, { type: "BackendChanged", backend }, 5);
+    expect(describeEffects(drained)).to.deep.equal(["refuse 2 draining"]);
+    expect(describeEffects(arrive(gate, createCall(3))))
+      .to.deep.equal(["refuse 3 draining"]);
+    expect(describeEffects(end(gate, 1))).to.deep.equal([]);
+  });
+
+  it("refuses at once what can't end in its time", () => {
+    const gate = openGate(1);
+    arrive(gate, createCall(1));
+    end(gate, 1);
+    const late = createCall(2, { arrivedAtMs: 100, deadlineMs: 104 });
+    expect(describeEffects(arrive(gate, late)))
+      .to.deep.equal(["refuse 2 deadline"]);
+  });
+
+  it("says when to come back with each refusal", () => {
+    const [effect] = arrive(createGate(), createCall(1));
+    expect(effect).to.have.property("retryAfterMs").above(0);
+  });
+});
--- a/src/engine/storage/node/data_folder.ts
+++ b/src/engine/storage/node/data_folder.ts
@@ -13,13 +13,25 @@
 
 /** An open data folder; dispose the storage, then the lock. */
 export interface DataFolder extends OpenedStorage {
-  readonly lock: FolderLock;
+  /** Undefined where whoever starts the process keeps others out. */
+  readonly lock: FolderLock | undefined;
+}
+
+/** How a folder is opened. */
+export interface DataFolderOptions {
+  /**
+   * Whether a lock file keeps a second process out. It names its process by
+   * pid and start time; where these can't be read, the lock of a process that
+   * was killed can't be told from one in use, and the starter has to see to it.
+   */
+  readonly isLocked: boolean;
 }
 
 /** Creates the folder where it is missing, locks it and recovers. */
 export async function openDataFolder(
   folder: string,
   settingsId: string,
+  options: DataFolderOptions = { isLocked: true },
 ): Promise<Result<DataFolder, StorageError>> {
   try {
     mkdirSync(folder, { recursive: true });
@@ -28,7 +40,7 @@
     const operation = "create";
     return err({ type: "FileFailed", operation, file: folder, code });
   }
-  const lock = claimFolder(folder);
+  const lock = options.isLocked ? claimFolder(folder) : ok(undefined);
   if (lock.isErr()) {
     return err(lock.error);
   }
@@ -38,7 +50,7 @@
     identitySuffix: randomBytes(SUFFIX_BYTES).toString("hex"),
   });
   if (opened.isErr()) {
-    await lock.value[Symbol.asyncDispose]();
+    await lock.value?.[Symbol.asyncDispose]();
     return err(opened.error);
   }
   return ok({ ...opened.value, lock: lock.value });
--- a/src/engine/storage/test/data_folder_test.ts
+++ b/src/engine/storage/test/data_folder_test.ts
@@ -81,5 +81,5 @@
 
 async function close({ storage, lock }: DataFolder): Promise<void> {
   await storage[Symbol.asyncDispose]();
-  await lock[Symbol.asyncDispose]();
+  await lock?.[Symbol.asyncDispose]();
 }
