Fail answers without a length that a reset cut short

Undici takes an answer with 'Connection: close' for whole when its connection is reset or ends amid chunks; and a reset right behind the last bytes reaches Node as an orderly end (libuv's hang-up after a short read). Change: the connection's end is watched before undici's listeners; for an answer without a length the kernel is asked by a write whether it was reset.

--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -1,6 +1,7 @@
 /** Sends calls to the local backend server, and reads its answers whole. */
 import type { IncomingHttpHeaders } from "node:http";
-import { Pool } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, Client, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import type { HeaderList } from "../../mesh/common/frames.ts";
 
@@ -49,6 +50,8 @@
 /** Larger answers are not held; the call fails. */
 const MAX_ANSWER_BYTES = 16_777_216;
 
+const CUT: BackendResult = { type: "Broken", reason: "the answer was cut" };
+
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
   "UND_ERR_CONNECT_TIMEOUT",
@@ -68,7 +71,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connectTimeout: CONNECT_MS,
+      factory: (origin, options) => new WatchedClient(origin, options),
       keepAliveTimeout: IDLE_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -80,12 +83,14 @@
   send(send: BackendSend): () => void {
     const handler = new AnswerHandler(send);
     const { method, target, headers, body } = send.request;
-    this.#pool.dispatch({
+    const options: CollectedOptions = {
+      collector: handler,
       method: method as Dispatcher.HttpMethod,
       path: target,
       headers: headers as string[],
       body: body.length === 0 && !hasBody(method) ? null : body,
-    }, handler);
+    };
+    this.#pool.dispatch(options, handler);
     return () => handler.abort();
   }
 
@@ -98,8 +103,91 @@
   return method === "POST" || method === "PUT" || method === "PATCH";
 }
 
+/** The pool wraps handlers; the one that collects is found by the options. */
+interface CollectedOptions extends Dispatcher.DispatchOptions {
+  readonly collector?: AnswerHandler;
+}
+
+/** How a connection ended, if it did. */
+interface ConnectionEnd {
+  /** The other end finished in good order. */
+  isFinished: boolean;
+  /** It was reset, or failed otherwise. */
+  isBroken: boolean;
+  socket: Socket | undefined;
+}
+
+/**
+ * Asks the kernel whether a connection whose end was read was in truth reset:
+ * a reset right behind the last bytes reaches Node as an orderly end (libuv
+ * takes a hang-up after a short read for one). A write to a connection that was
+ * reset fails; to one that ended it doesn't. Servers pass over the empty line
+ * (RFC 9112, 2.2).
+ */
+function probeReset(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.write("\r\n", (error) => {
+      resolve(error !== null && error !== undefined);
+    });
+  });
+}
+
+/**
+ * One connection whose end is seen before undici sees it. Undici takes an
+ * answer with `Connection: close` for whole when its connection is reset, or
+ * ends amid its chunks; such an answer must fail.
+ */
+class WatchedClient extends Client {
+  readonly #end: ConnectionEnd;
+
+  constructor(origin: string | URL, options: object) {
+    const end = createConnectionEnd();
+    const connect = buildConnector({ timeout: CONNECT_MS });
+    super(origin, {
+      ...options,
+      connect: (target, callback) => {
+        connect(target, (...result) => {
+          const [error, socket] = result;
+          if (error === null) {
+            watchEnd(socket, end);
+          }
+          callback(...result);
+        });
+      },
+    });
+    this.#end = end;
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    const { collector } = options as CollectedOptions;
+    if (collector !== undefined) {
+      collector.connection = this.#end;
+    }
+    return super.dispatch(options, handler);
+  }
+}
+
+function createConnectionEnd(): ConnectionEnd {
+  return { isFinished: false, isBroken: false, socket: undefined };
+}
+
+/** Listeners that are added first are called first. */
+function watchEnd(socket: Socket, end: ConnectionEnd): void {
+  Object.assign(end, createConnectionEnd(), { socket });
+  socket.on("end", () => {
+    end.isFinished = true;
+  });
+  socket.on("error", () => {
+    end.isBroken = true;
+  });
+}
+
 /** Collects one answer. */
 class AnswerHandler implements Dispatcher.DispatchHandler {
+  connection = createConnectionEnd();
   readonly #send: BackendSend;
   readonly #chunks: Uint8Array[] = [];
   #controller: Dispatcher.DispatchController | undefined;
@@ -151,7 +239,16 @@
     const body = this.#chunks.length === 1
       ? this.#chunks[0]!
       : Buffer.concat(this.#chunks);
-    this.#end({ type: "Whole", head: this.#head!, body });
+    const head = this.#head!;
+    const { isBroken, isFinished, socket } = this.connection;
+    const whole = { type: "Whole", head, body } as const;
+    if (isBroken || (isFinished && isChunked(head))) {
+      this.#end(CUT);
+    } else if (isFinished && !hasLength(head) && socket !== undefined) {
+      probeReset(socket).then((isReset) => this.#end(isReset ? CUT : whole));
+    } else {
+      this.#end(whole);
+    }
   }
 
   onResponseError(
@@ -172,6 +269,15 @@
   }
 }
 
+function hasLength({ headers }: BackendHead): boolean {
+  return headers["content-length"] !== undefined;
+}
+
+/** A chunked answer says itself where it ends. */
+function isChunked({ headers }: BackendHead): boolean {
+  return headers["transfer-encoding"] !== undefined;
+}
+
 /** Names and values as they stood on the wire, in Latin-1. */
 function readRawHeaders(
   controller: Dispatcher.DispatchController,
--- a/src/engine/storage/test/data_folder_test.ts
+++ b/src/engine/storage/test/data_folder_test.ts
@@ -74,6 +74,16 @@
     await close(third);
   });
 
+  it("opens over a stale lock where the starter keeps others out", async () => {
+    await close(await openOk());
+    const stamp = { pid: process.pid, startedAt: "" };
+    writeFileSync(join(folder, LOCK_FILE), JSON.stringify(stamp));
+    const opened = await openDataFolder(folder, "control-a", {
+      isLocked: false,
+    });
+    await close(opened._unsafeUnwrap());
+  });
+
   async function openOk(): Promise<DataFolder> {
     return (await openDataFolder(folder, "control-a"))._unsafeUnwrap();
   }
