Refuse roots by the pressure of the services below them

Change: gates measure demand against room; nodes learn which calls their backend server makes (they expire with a running request) and say the pressure below them; entries refuse the least urgent roots first.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -14,6 +14,7 @@
 import type { Announcement } from "../engine/membership/common/announcement.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
+import { CallGraph } from "../engine/relay/common/call_graph.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
 import type { BudgetTerms } from "../engine/relay/common/entry_budget.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
@@ -47,6 +48,8 @@
 
 /** Entry and gate tick: expiry is late by at most this much. */
 const TICK_MS = 20;
+/** Ticks between notes of the own load, as often as others report theirs. */
+const OWN_LOAD_TICKS = 5;
 /** Ticks between looks for idle links. */
 const IDLE_TICKS = 500;
 /** How long routes that no quorum vouches for are kept aside at the start. */
@@ -63,6 +66,8 @@
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
   readonly #members = new MemberTable();
+  readonly #graph = new CallGraph();
+  #lastRank = 0;
   readonly #gate: GateCalls;
   readonly #entry: EntryCalls;
   readonly #callers: CallerServer;
@@ -120,6 +125,7 @@
       path: this.#createPath(),
       readClock,
       draw: Math.random,
+      getLastRank: () => this.#lastRank,
       log,
     });
     this.#meshServer = this.#owned.use(this.#createMeshServer());
@@ -129,6 +135,8 @@
         dialect,
         startCall: (request, service, onResult) =>
           this.#entry.start(request, service, onResult),
+        observeCall: (call) =>
+          this.#graph.observe(call, this.#gate.listRunning(), readSteadyMs()),
         getCallerService: () => this.#announcement.service,
         readClock,
         draw: Math.random,
@@ -226,11 +234,21 @@
     this.#ticks += 1;
     this.#entry.tick();
     this.#gate.tick();
+    if (this.#ticks % OWN_LOAD_TICKS === 0) {
+      this.#noteOwnLoad();
+    }
     if (this.#ticks % IDLE_TICKS === 0) {
       this.#meshClient.closeIdle();
     }
   }
 
+  /** The own gate is a member like the others, but no link reports it. */
+  #noteOwnLoad(): void {
+    const { mesh } = this.#settings;
+    this.#members.noteLoad(mesh, this.#gate.readLoad(), readSteadyMs());
+    this.#members.noteBelow(mesh, this.#readBelow());
+  }
+
   /** The backend server took no connection: no calls until it is heard. */
   #loseBackend(): void {
     this.changeBackend(undefined);
@@ -274,11 +292,19 @@
       createReport: () => ({
         type: "LoadReported",
         load: this.#gate.readLoad(),
-        below: [],
+        below: this.#readBelow(),
       }),
     });
   }
 
+  /** Pressure of the services that the backend server calls, and below. */
+  #readBelow(): readonly (readonly [string, number])[] {
+    const nowMs = readSteadyMs();
+    return this.#graph.listCallees(nowMs).map((service) =>
+      [service, this.#members.computeSubtreePressure(service, nowMs)] as const
+    );
+  }
+
   #createLink(): LinkClient<ControlMessage, NodeMessage> {
     const { id, replicas, linkPace } = this.#settings;
     return new LinkClient<ControlMessage, NodeMessage>({
@@ -364,6 +390,7 @@
       isConfirmed,
     });
     this.#routes = routes;
+    this.#lastRank = Math.max(0, ...routes.routes.map(({ rank }) => rank));
     this.#callers.replaceRoutes(routes);
     this.#subscribe();
   }
--- a/src/engine/relay/common/entry_budget.ts
+++ b/src/engine/relay/common/entry_budget.ts
@@ -20,6 +20,8 @@
  * counts again at each service below, where nobody sees that it is one.
  */
 const OWN_SHARE = 0.25;
+/** The same for a service that calls no other one. */
+const LEAF_SHARE = 0.6;
 /** The slack is shared out over at least so many nodes. */
 const MIN_NODES = 8;
 
@@ -43,7 +45,11 @@
   }
 
   /** Whether one more retry fits, where `nodes` share the budget. */
-  canRetry(service: string, nodes: number, nowMs: number): boolean {
+  canRetry(
+    service: string,
+    fleet: { readonly nodes: number; readonly isLeaf: boolean },
+    nowMs: number,
+  ): boolean {
     const { ratio, slack } = this.#terms;
     let firsts = 0;
     let retries = 0;
@@ -51,8 +57,9 @@
       firsts += slice.firsts;
       retries += slice.retries;
     }
-    const own = slack / 2 / Math.max(MIN_NODES, nodes);
-    return retries + 1 <= own + firsts * ratio * OWN_SHARE;
+    const own = slack / 2 / Math.max(MIN_NODES, fleet.nodes);
+    const share = fleet.isLeaf ? LEAF_SHARE : OWN_SHARE;
+    return retries + 1 <= own + firsts * ratio * share;
   }
 
   #listSlices(service: string, nowMs: number): Slice[] {
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -5,6 +5,8 @@
  * each call, and nothing else keeps the state.
  */
 import type { LoadFigures } from "../../mesh/common/frames.ts";
+import { createPressure, noteAsked, updatePressure } from "./pressure.ts";
+import type { PressureState } from "./pressure.ts";
 
 /** A call before the backend server. */
 export interface GateCall {
@@ -78,9 +80,7 @@
   /** Mean time between two ends of calls while all places were taken. */
   gapMs: number;
   lastEndMs: number;
-  /** Smoothed share of the limit that is asked for, above 1 in overload. */
-  demand: number;
-  pressure: number;
+  readonly pressure: PressureState;
 }
 
 /**
@@ -93,12 +93,8 @@
 /** Calls that may wait, as a multiple of the places. */
 const QUEUE_SHARE = 2;
 const MIN_QUEUE = 8;
-/** Wait beyond which roots that lead here are refused, in milliseconds. */
-const TARGET_WAIT_MS = 25;
-/** How fast pressure follows, a tick. */
-const PRESSURE_GAIN = 0.06;
-/** Most that one tick may add or take. */
-const MAX_STEP = 0.04;
+/** Service time of a route of which none is known yet. */
+const FIRST_SERVICE_MS = 20;
 const MIN_RETRY_MS = 50;
 const MAX_RETRY_MS = 2_000;
 
@@ -111,8 +107,7 @@
     times: new Map(),
     gapMs: 0,
     lastEndMs: 0,
-    demand: 0,
-    pressure: 0,
+    pressure: createPressure(0),
   };
 }
 
@@ -161,7 +156,7 @@
     running: state.running,
     queued: state.queue.length,
     limit: computeLimit(state),
-    pressure: state.pressure,
+    pressure: 1 - state.pressure.admitted,
   };
 }
 
@@ -177,6 +172,10 @@
   nowMs: number,
 ): readonly GateEffect[] {
   const { backend, queue } = state;
+  noteAsked(
+    state.pressure,
+    state.times.get(call.route)?.meanMs ?? FIRST_SERVICE_MS,
+  );
   if (backend === undefined) {
     return [refuseCall(state, call.id, "no_backend")];
   }
@@ -276,19 +275,20 @@
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
   const late = state.queue.filter((call) => isHopeless(state, call, nowMs));
   late.forEach((call) => state.queue.splice(state.queue.indexOf(call), 1));
-  updatePressure(state, nowMs);
+  updatePressure(state.pressure, {
+    limit: computeLimit(state),
+    oldestWaitMs: measureOldestWait(state, nowMs),
+    nowMs,
+  });
   return late.map(({ id }) => refuseCall(state, id, "deadline"));
 }
 
-/** Integrates the wait of the queue's head against the target. */
-function updatePressure(state: GateState, nowMs: number): void {
-  const oldestMs = state.queue.reduce(
-    (least, call) => Math.min(least, call.arrivedAtMs),
-    nowMs,
+/** Finds how long the oldest waiting call has waited. */
+function measureOldestWait(state: GateState, nowMs: number): number {
+  return state.queue.reduce(
+    (most, call) => Math.max(most, nowMs - call.arrivedAtMs),
+    0,
   );
-  const error = (nowMs - oldestMs - TARGET_WAIT_MS) / TARGET_WAIT_MS;
-  const step = Math.max(-MAX_STEP, Math.min(MAX_STEP, error * PRESSURE_GAIN));
-  state.pressure = Math.max(0, Math.min(1, state.pressure + step));
 }
 
 function refuseCall(
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -15,6 +15,8 @@
   below: readonly (readonly [string, number])[];
   /** Mean time until an answer, relative to the service's other members. */
   latencyMs: number;
+  /** Smoothed share of failures among the answers. */
+  failureShare: number;
   /** Answers in a row that were failures. */
   failures: number;
   /** Until when it is chosen only where no other is left. */
@@ -40,6 +42,7 @@
 const EJECT_AFTER = 3;
 const EJECT_MS = 1_000;
 const LATENCY_GAIN = 0.1;
+const FAILURE_GAIN = 0.05;
 
 /** Holds members by service and address. */
 export class MemberTable {
@@ -150,6 +153,27 @@
     return count === 0 ? 0 : sum / count;
   }
 
+  /** Computes the pressure of a service and of all that it calls. */
+  computeSubtreePressure(service: string, nowMs: number): number {
+    let sum = 0;
+    let count = 0;
+    for (const member of this.#services.get(service)?.values() ?? []) {
+      if (nowMs - member.loadAtMs < LOAD_VALID_MS) {
+        const below = member.below
+          .reduce((most, [, pressure]) => Math.max(most, pressure), 0);
+        sum += below;
+        count += 1;
+      }
+    }
+    const below = count === 0 ? 0 : sum / count;
+    return Math.max(below, this.computePressure(service, nowMs));
+  }
+
+  /** Whether the members of a service call no other one. */
+  isLeaf(service: string): boolean {
+    return this.list(service).every(({ below }) => below.length === 0);
+  }
+
   /** Chooses the member with the most room for its share, nearest first. */
   choose(options: ChoiceOptions): Member | undefined {
     const { service, tried, nowMs } = options;
@@ -178,6 +202,8 @@
   result: { readonly isFailure: boolean; readonly latencyMs: number },
   nowMs: number,
 ): void {
+  member.failureShare += (Number(result.isFailure) - member.failureShare) *
+    FAILURE_GAIN;
   if (!result.isFailure) {
     member.failures = 0;
     member.latencyMs += (result.latencyMs - member.latencyMs) *
@@ -203,7 +229,7 @@
   const distance = announcement.dataCentre === options.dataCentre
     ? 0
     : FAR_PENALTY;
-  return (inUse + 1) / places + distance +
+  return (inUse + 1) / places + distance + member.failureShare +
     (isFresh && load.limit === 0 ? 100 : 0);
 }
 
@@ -234,6 +260,7 @@
     loadAtMs: 0,
     below: [],
     latencyMs: 0,
+    failureShare: 0,
     failures: 0,
     ejectedUntilMs: 0,
   };
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -32,6 +32,12 @@
   readonly address: ListenAddress;
   readonly dialect: CallDialect;
   readonly startCall: StartCall;
+  /** Notes a call; tells whether the local backend server made it. */
+  readonly observeCall: (call: {
+    readonly route: string;
+    readonly service: string;
+    readonly expiresAtMs: number;
+  }) => boolean;
   /** Service whose backend server runs on this VM. */
   readonly getCallerService: () => string;
   readonly readClock: () => number;
@@ -193,6 +199,7 @@
       return;
     }
     const timeMs = Math.min(route.timeoutMs, patienceMs);
+    const service = this.#chooser.choose(route);
     const entry: EntryRequest = {
       requestId,
       route,
@@ -205,9 +212,12 @@
       body,
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
-      isNested: false,
+      isNested: this.#options.observeCall({
+        route: route.name,
+        service,
+        expiresAtMs: arrivedAtMs + patienceMs,
+      }),
     };
-    const service = this.#chooser.choose(route);
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
       isDone = true;
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -21,6 +21,7 @@
   EntryResult,
 } from "../common/entry_types.ts";
 import { MemberTable, noteResult } from "../common/member_table.ts";
+import { isRootRefused } from "../common/root_admission.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 
 /** How frames get to a node, and what is known of the way there. */
@@ -39,6 +40,8 @@
   readonly path: MeshPath;
   readonly readClock: () => number;
   readonly draw: () => number;
+  /** The least urgent rank of the routes in force. */
+  readonly getLastRank: () => number;
   readonly log: RelayLog;
 }
 
@@ -63,6 +66,8 @@
  * reports of the other end, 100 ms apart, did not come.
  */
 const SILENCE_MS = 1_200;
+/** When a root that was refused for pressure may come back. */
+const ROOT_RETRY_MS = 700;
 /** A refused caller comes back no sooner, in milliseconds. */
 const MIN_RETRY_MS = 50;
 
@@ -104,6 +109,14 @@
       answer: undefined,
     };
     this.#calls.set(call.id, call);
+    if (!request.isNested && this.#isRefused(call)) {
+      this.#finish(
+        call,
+        { type: "Refused", retryAfterMs: ROOT_RETRY_MS },
+        "pressure",
+      );
+      return () => {};
+    }
     this.#budget.noteFirst(service, request.arrivedAtMs);
     this.#send(call);
     return () => this.#withdraw(call);
@@ -163,6 +176,20 @@
     silent.forEach((address) => this.#options.path.drop(address, "silent"));
   }
 
+  /** Roots are refused where a service on their way is short of room. */
+  #isRefused({ request, service }: EntryCall): boolean {
+    const { members, draw, getLastRank } = this.#options;
+    const pressure = members
+      .computeSubtreePressure(service, request.arrivedAtMs);
+    const { rank } = request.route;
+    return isRootRefused({
+      rank,
+      lastRank: getLastRank(),
+      pressure,
+      draw: draw(),
+    });
+  }
+
   #isSilent(call: EntryCall, nowMs: number): boolean {
     const { address, sentAtMs } = call.attempt!;
     const heardAtMs = this.#options.path.getHeardAtMs(address);
@@ -276,7 +303,10 @@
     const others = members.list(call.service).filter(({ announcement }) =>
       !announcement.isDraining && !call.tried.has(announcement.ingress)
     );
-    const nodes = members.countNodes();
+    const fleet = {
+      nodes: members.countNodes(),
+      isLeaf: members.isLeaf(call.service),
+    };
     const step = decideNextStep({
       kind,
       isIdempotent: route.isIdempotent,
@@ -284,7 +314,7 @@
       maxAttempts: route.maxAttempts,
       rerouted: call.rerouted,
       timeLeftMs: deadlineMs - nowMs,
-      canRetry: this.#budget.canRetry(call.service, nodes, nowMs),
+      canRetry: this.#budget.canRetry(call.service, fleet, nowMs),
       hasOtherMember: others.length > 0,
     });
     switch (step.type) {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -12,6 +12,7 @@
   cutFirstPart,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
+import type { RunningParent } from "../common/call_graph.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import {
   computeRetryAfterMs,
@@ -85,11 +86,13 @@
     return (this.#bySource.get(source)?.size ?? 0) > 0;
   }
 
-  /** Lists the routes that run at the backend server now. */
-  listRunningRoutes(): readonly string[] {
-    return [...this.#calls.values()]
-      .filter(({ phase }) => phase === "running")
-      .map(({ opened }) => opened.route);
+  /** Lists what runs at the backend server now. */
+  *listRunning(): Generator<RunningParent> {
+    for (const { phase, opened, deadlineMs } of this.#calls.values()) {
+      if (phase === "running") {
+        yield { route: opened.route, deadlineMs };
+      }
+    }
   }
 
   /** Takes what the backend server announces of itself. */
--- /dev/null
+++ b/src/engine/relay/test/root_admission_test.ts
@@ -0,0 +1,104 @@
+/** What decides at a root: the graph learnt, pressure, and who is refused. */
+import { expect } from "chai";
+import { CallGraph } from "../common/call_graph.ts";
+import {
+  createPressure,
+  noteAsked,
+  updatePressure,
+} from "../common/pressure.ts";
+import {
+  computeRefusedShare,
+  isRootRefused,
+} from "../common/root_admission.ts";
+
+describe("the call graph", () => {
+  const parents = [{ route: "lookup", deadlineMs: 5_000 }];
+
+  it("knows a backend server's call by its parent's deadline", () => {
+    const graph = new CallGraph();
+    const call = { route: "ledger", service: "custody", expiresAtMs: 4_998 };
+    expect(graph.observe(call, parents, 0)).to.equal(true);
+    expect(graph.listCallees(0)).to.deep.equal(["custody"]);
+  });
+
+  it("takes a caller's own request for none, whatever runs beside it", () => {
+    const graph = new CallGraph();
+    const call = { route: "view", service: "warehouse", expiresAtMs: 9_000 };
+    expect(graph.observe(call, parents, 0)).to.equal(false);
+    expect(graph.listCallees(0)).to.deep.equal([]);
+  });
+
+  it("isn't misled by single coincidences, either way", () => {
+    const graph = new CallGraph();
+    const observe = (expiresAtMs: number) =>
+      graph.observe({ route: "r", service: "s", expiresAtMs }, parents, 0);
+    for (let n = 0; n < 30; n += 1) {
+      observe(5_000);
+    }
+    expect(observe(9_000)).to.equal(true);
+    for (let n = 0; n < 60; n += 1) {
+      observe(9_000);
+    }
+    expect(observe(5_000)).to.equal(false);
+  });
+
+  it("forgets a service that is called no more", () => {
+    const graph = new CallGraph();
+    const call = { route: "r", service: "s", expiresAtMs: 5_000 };
+    graph.observe(call, parents, 0);
+    expect(graph.listCallees(60_000)).to.deep.equal([]);
+  });
+});
+
+describe("pressure", () => {
+  /** Offers `demand` times the room, times what is admitted, for a while. */
+  function settle(demand: number, seconds: number): number {
+    const state = createPressure(0);
+    for (let nowMs = 250; nowMs <= seconds * 1_000; nowMs += 250) {
+      noteAsked(state, demand * state.admitted * 10 * 250);
+      updatePressure(state, { limit: 10, oldestWaitMs: 0, nowMs });
+    }
+    return state.admitted;
+  }
+
+  it("settles where the admitted work fills the room", () => {
+    expect(settle(2, 10) * 2).to.be.within(0.85, 0.95);
+    expect(settle(4, 10) * 4).to.be.within(0.85, 0.95);
+  });
+
+  it("isn't there while there is room", () => {
+    expect(settle(0.8, 10)).to.equal(1);
+  });
+
+  it("rises while calls wait long, whatever was asked for", () => {
+    const state = createPressure(0);
+    updatePressure(state, { limit: 10, oldestWaitMs: 200, nowMs: 250 });
+    expect(state.admitted).to.be.below(1);
+  });
+});
+
+describe("roots", () => {
+  const share = (rank: number, pressure: number) =>
+    computeRefusedShare({ rank, lastRank: 2, pressure });
+
+  it("are all begun without pressure", () => {
+    expect([0, 1, 2].map((rank) => share(rank, 0))).to.deep.equal([0, 0, 0]);
+  });
+
+  it("are refused from the least urgent rank on", () => {
+    expect(share(2, 0.2)).to.be.above(0);
+    expect(share(1, 0.2)).to.equal(0);
+    expect(share(1, 0.5)).to.be.above(0);
+    expect(share(0, 0.5)).to.equal(0);
+    for (let pressure = 0; pressure <= 1; pressure += 0.05) {
+      expect(share(2, pressure)).to.be.at.least(share(1, pressure));
+      expect(share(1, pressure)).to.be.at.least(share(0, pressure));
+    }
+  });
+
+  it("are never all refused, of whatever rank", () => {
+    const request = { rank: 2, lastRank: 2, pressure: 1 };
+    expect(isRootRefused({ ...request, draw: 0.99 })).to.equal(false);
+    expect(isRootRefused({ ...request, draw: 0.1 })).to.equal(true);
+  });
+});
