Measure pressure by route, and only where a queue stands

Change: edges are learnt by the parent's route; the admitted part is cut only when the queue never emptied in a window (after CoDel), else it grows.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -297,12 +297,15 @@
     });
   }
 
-  /** Pressure of the services that the backend server calls, and below. */
+  /** Pressure below each route whose requests make calls here. */
   #readBelow(): readonly (readonly [string, number])[] {
     const nowMs = readSteadyMs();
-    return this.#graph.listCallees(nowMs).map((service) =>
-      [service, this.#members.computeSubtreePressure(service, nowMs)] as const
-    );
+    return this.#graph.listEdges(nowMs).map(([parent, callees]) => {
+      const pressures = callees.map(({ service, route }) =>
+        this.#members.computeWayPressure(service, route, nowMs)
+      );
+      return [parent, Math.max(...pressures)] as const;
+    });
   }
 
   #createLink(): LinkClient<ControlMessage, NodeMessage> {
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -92,7 +92,7 @@
 export interface LoadReported {
   readonly type: "LoadReported";
   readonly load: LoadFigures;
-  /** Pressure of the services that this backend server calls. */
+  /** Pressure below each route whose requests make calls here. */
   readonly below: readonly (readonly [string, number])[];
 }
 
--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -26,14 +26,27 @@
 const MIN_COUNT = 10;
 /** From this share on, all calls of a route are the backend server's. */
 const NESTED_SHARE = 0.5;
+/** Rarer callees than this, against a route's commonest, are coincidences. */
+const MIN_EDGE_SHARE = 0.05;
 /** A callee that wasn't called for so long is forgotten. */
 const FORGET_MS = 30_000;
 
+/** Calls of one route that were made for requests of another. */
+interface Edge {
+  readonly route: string;
+  readonly service: string;
+  count: number;
+  calledAtMs: number;
+}
+
+/** A callee of a route that the backend server runs. */
+export type Callee = Pick<Edge, "route" | "service">;
+
 /** What one node learnt. */
 export class CallGraph {
   readonly #routes = new Map<string, RouteRecord>();
-  /** When each service was last called for the backend server. */
-  readonly #callees = new Map<string, number>();
+  /** By the parents' route, then by the calls' route. */
+  readonly #edges = new Map<string, Map<string, Edge>>();
 
   /** Notes a call, and tells whether the backend server made it. */
   observe(
@@ -45,7 +58,8 @@
     running: Iterable<RunningParent>,
     nowMs: number,
   ): boolean {
-    const isMatch = hasParent(call.expiresAtMs, running);
+    const parents = findParents(call.expiresAtMs, running);
+    const isMatch = parents.size > 0;
     const record = this.#routes.get(call.route) ?? { matchShare: 0, count: 0 };
     this.#routes.set(call.route, record);
     record.count += 1;
@@ -54,31 +68,51 @@
     const isNested = record.count < MIN_COUNT
       ? isMatch
       : record.matchShare >= NESTED_SHARE;
-    if (isNested) {
-      this.#callees.set(call.service, nowMs);
+    // Where requests of two routes expire together, either may have called.
+    if (isNested && parents.size === 1) {
+      const [parent] = parents;
+      this.#noteEdge(parent!, call, nowMs);
     }
     return isNested;
   }
 
-  /** Lists the services that the backend server called lately. */
-  listCallees(nowMs: number): readonly string[] {
-    for (const [service, calledAtMs] of this.#callees) {
-      if (nowMs - calledAtMs > FORGET_MS) {
-        this.#callees.delete(service);
-      }
-    }
-    return [...this.#callees.keys()];
+  /** Lists the routes whose requests make calls, and what they call. */
+  listEdges(nowMs: number): readonly (readonly [string, readonly Callee[]])[] {
+    return [...this.#edges].map(([route, edges]) => {
+      const recent = [...edges.values()]
+        .filter(({ calledAtMs }) => nowMs - calledAtMs <= FORGET_MS);
+      const most = recent.reduce((max, { count }) => Math.max(max, count), 0);
+      return [
+        route,
+        recent.filter(({ count }) => count >= most * MIN_EDGE_SHARE),
+      ] as const;
+    }).filter(([, callees]) => callees.length > 0);
+  }
+
+  #noteEdge(parent: string, call: Callee, nowMs: number): void {
+    const edges = this.#edges.get(parent) ?? new Map<string, Edge>();
+    this.#edges.set(parent, edges);
+    const { route, service } = call;
+    const edge = edges.get(route) ??
+      { route, service, count: 0, calledAtMs: 0 };
+    edges.set(route, {
+      ...edge,
+      service,
+      count: edge.count + 1,
+      calledAtMs: nowMs,
+    });
   }
 }
 
-function hasParent(
+function findParents(
   expiresAtMs: number,
   running: Iterable<RunningParent>,
-): boolean {
-  for (const { deadlineMs } of running) {
+): ReadonlySet<string> {
+  const routes = new Set<string>();
+  for (const { deadlineMs, route } of running) {
     if (Math.abs(deadlineMs - expiresAtMs) <= TOLERANCE_MS) {
-      return true;
+      routes.add(route);
     }
   }
-  return false;
+  return routes;
 }
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -11,7 +11,7 @@
   sentSinceLoad: number;
   load: LoadFigures | undefined;
   loadAtMs: number;
-  /** Pressure of the services that it calls, as it says. */
+  /** Pressure below the routes that make calls there, as it says. */
   below: readonly (readonly [string, number])[];
   /** Mean time until an answer, relative to the service's other members. */
   latencyMs: number;
@@ -114,7 +114,7 @@
     }
   }
 
-  /** Takes what a member says of the services that its backend calls. */
+  /** Takes the pressure that a member says is below its routes. */
   noteBelow(
     address: string,
     below: readonly (readonly [string, number])[],
@@ -153,14 +153,14 @@
     return count === 0 ? 0 : sum / count;
   }
 
-  /** Computes the pressure of a service and of all that it calls. */
-  computeSubtreePressure(service: string, nowMs: number): number {
+  /** Computes the pressure on the whole way of a route's requests. */
+  computeWayPressure(service: string, route: string, nowMs: number): number {
     let sum = 0;
     let count = 0;
     for (const member of this.#services.get(service)?.values() ?? []) {
       if (nowMs - member.loadAtMs < LOAD_VALID_MS) {
         const below = member.below
-          .reduce((most, [, pressure]) => Math.max(most, pressure), 0);
+          .find(([parent]) => parent === route)?.[1] ?? 0;
         sum += below;
         count += 1;
       }
--- a/src/engine/relay/common/pressure.ts
+++ b/src/engine/relay/common/pressure.ts
@@ -1,7 +1,8 @@
 /**
- * How much of the demand at one backend server is too much: the share of work
- * asked for is held against the room, and the part that callers may begin is
- * moved by their ratio (a proportional controller on the logarithm).
+ * How much of the demand at one backend server is too much. A queue that does
+ * not empty for a whole window shows overload (after CoDel, RFC 8289); then the
+ * part that callers may begin is cut by the ratio of room to demand. Without
+ * such a queue it grows again.
  */
 
 /** What is measured between two updates. */
@@ -11,6 +12,8 @@
   windowStartMs: number;
   /** Milliseconds of service that were asked for in the window. */
   askedMs: number;
+  /** Least wait of the oldest waiting request that the window has seen. */
+  leastWaitMs: number;
 }
 
 /** Room as it is now. */
@@ -24,20 +27,26 @@
 
 /** Between updates: what callers began before must show first. */
 const WINDOW_MS = 250;
-/** Part of the room that is filled: waits grow steeply above. */
-const TARGET = 0.9;
+/** A queue that always holds such a wait stands. */
+const STANDING_MS = 12;
+/** Part of the room that is filled under overload: waits grow steeply above. */
+const TARGET = 0.95;
 /** One update undoes at most this part of a deviation: begun work goes on. */
 const EXPONENT = 0.5;
 const MIN_FACTOR = 0.7;
-const MAX_FACTOR = 1.08;
-const MIN_ADMITTED = 0.02;
-/** A longer wait shows overload whatever the measured demand says. */
-const LONG_WAIT_MS = 60;
-const LONG_WAIT_FACTOR = 0.85;
+const MAX_FACTOR = 0.95;
+/** Growth an update without a standing queue: some 20% a second. */
+const GROWTH = 1.05;
+const MIN_ADMITTED = 0.05;
 
 /** Creates the state of a backend server that is not short of room. */
 export function createPressure(nowMs: number): PressureState {
-  return { admitted: 1, windowStartMs: nowMs, askedMs: 0 };
+  return {
+    admitted: 1,
+    windowStartMs: nowMs,
+    askedMs: 0,
+    leastWaitMs: Infinity,
+  };
 }
 
 /** Counts a request that arrived. */
@@ -45,25 +54,27 @@
   state.askedMs += serviceMs;
 }
 
-/** Moves on where a window has ended. */
+/** Notes the wait, and moves on where a window has ended. */
 export function updatePressure(
   state: PressureState,
   { limit, oldestWaitMs, nowMs }: PressureInputs,
 ): void {
+  state.leastWaitMs = Math.min(state.leastWaitMs, oldestWaitMs);
   const lengthMs = nowMs - state.windowStartMs;
   if (lengthMs < WINDOW_MS) {
     return;
   }
   const demand = state.askedMs / Math.max(1, limit * lengthMs);
-  state.askedMs = 0;
-  state.windowStartMs = nowMs;
+  const isStanding = state.leastWaitMs >= STANDING_MS;
   const ratio = (TARGET / Math.max(0.01, demand)) ** EXPONENT;
-  const bounded = Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, ratio));
-  const factor = oldestWaitMs > LONG_WAIT_MS
-    ? Math.min(bounded, LONG_WAIT_FACTOR)
-    : bounded;
+  const factor = isStanding
+    ? Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, ratio))
+    : GROWTH;
   state.admitted = Math.max(
     MIN_ADMITTED,
     Math.min(1, state.admitted * factor),
   );
+  state.askedMs = 0;
+  state.windowStartMs = nowMs;
+  state.leastWaitMs = Infinity;
 }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -180,7 +180,7 @@
   #isRefused({ request, service }: EntryCall): boolean {
     const { members, draw, getLastRank } = this.#options;
     const pressure = members
-      .computeSubtreePressure(service, request.arrivedAtMs);
+      .computeWayPressure(service, request.route.name, request.arrivedAtMs);
     const { rank } = request.route;
     return isRootRefused({
       rank,
