Tell nodes at once that a replica can't prove its state, and prove it oftener

Ruled out: lost pushes; other nodes held the version. Logs go to standard output, and are dropped beyond 1 MB unwritten.

--- a/src/daemon/cluster_links.ts
+++ b/src/daemon/cluster_links.ts
@@ -51,6 +51,8 @@
     discovery: {
       maxVoters: discovery.max_voters,
       replaceAfterMs: discovery.replace_after_ms,
+      confirmEveryMs: discovery.confirm_every_ms,
+      confirmValidMs: discovery.confirm_valid_ms,
     },
   };
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -133,6 +133,10 @@
   max_voters: createCount(9),
   /** A voter that is silent for so long gives way to another replica. */
   replace_after_ms: createCount(3_600_000),
+  /** How often a replica proves that its state is current. */
+  confirm_every_ms: createCount(60_000),
+  /** How long such a proof holds. */
+  confirm_valid_ms: createCount(60_000),
 });
 
 /** Schema of the control role. */
--- a/src/daemon/settings_reference.ts
+++ b/src/daemon/settings_reference.ts
@@ -49,6 +49,9 @@
   "discovery.max_voters": "Replicas are promoted up to so many voters",
   "discovery.replace_after_ms":
     "A voter that is silent for so long gives way to another replica",
+  "discovery.confirm_every_ms":
+    "How often a replica proves that its table is current",
+  "discovery.confirm_valid_ms": "How long such a proof holds",
   "data_folder": "Folder for the log and snapshots, on a disk that stays",
   "security.transport": "Whether connections are protected",
   "security.certificate": "With tls: certificate of this process, PEM",
--- a/src/engine/control/common/control_reducer.ts
+++ b/src/engine/control/common/control_reducer.ts
@@ -7,7 +7,12 @@
 } from "../../../base/common/reduction.ts";
 import type { NodeMessage } from "../../link/common/link_messages.ts";
 import type { MembershipEvent } from "../../membership/common/membership_reducer.ts";
-import { createSend, NEW_LINK, updateLink } from "./control_state.ts";
+import {
+  createSend,
+  findLinks,
+  NEW_LINK,
+  updateLink,
+} from "./control_state.ts";
 import type {
   ControlEvent,
   ControlState,
@@ -168,6 +173,9 @@
   const next = tableState.table.version === before.version
     ? replaced
     : rememberTable(replaced, before);
+  if (!isCurrent && state.isTableConfirmed) {
+    return tellUnconfirmed(next);
+  }
   return isCurrent && !state.isTableConfirmed
     ? chainReduction(
       confirmTable(next, nowMs),
@@ -178,3 +186,15 @@
       (s) => pushRoutes(s, nowMs),
     );
 }
+
+/**
+ * Nodes go to another replica as soon as this one can't prove that it is
+ * current: behind a cut they would miss what the others accept.
+ */
+function tellUnconfirmed(state: ControlState): ControlStep {
+  const linkIds = findLinks(state, (link) => link.nodeId !== undefined);
+  return createReduction(
+    state,
+    linkIds.map((linkId) => createHeartbeatAnswer(state, linkId)),
+  );
+}
--- a/src/engine/control/common/read_sending.ts
+++ b/src/engine/control/common/read_sending.ts
@@ -53,8 +53,9 @@
   nowMs: number,
 ): ReplicationStep {
   const { requestId, startedAtMs, confirmedAtMs } = state.confirmation;
+  const everyMs = state.cluster.discovery?.confirmEveryMs ?? CONFIRM_EVERY_MS;
   const isDue = confirmedAtMs === undefined ||
-    Math.abs(nowMs - startedAtMs) >= CONFIRM_EVERY_MS;
+    Math.abs(nowMs - startedAtMs) >= everyMs;
   if (requestId !== undefined || !isDue || !hasLeader(state)) {
     return createReduction(state);
   }
--- a/src/engine/control/common/replication_state.ts
+++ b/src/engine/control/common/replication_state.ts
@@ -37,6 +37,10 @@
   readonly maxVoters: number;
   /** A voter that is silent for so long gives way to a ready learner. */
   readonly replaceAfterMs: number;
+  /** How often a replica proves that its state is current. */
+  readonly confirmEveryMs: number;
+  /** How long such a proof holds. */
+  readonly confirmValidMs: number;
 }
 
 /** Another replica as this one hears it; times are wall clocks. */
@@ -209,8 +213,9 @@
 /** Whether this replica has proved that its table is current. */
 export function isConfirmed(state: ReplicationState, nowMs: number): boolean {
   const { confirmedAtMs } = state.confirmation;
+  const validMs = state.cluster.discovery?.confirmValidMs ?? CONFIRM_VALID_MS;
   return confirmedAtMs !== undefined && nowMs >= confirmedAtMs &&
-    nowMs - confirmedAtMs <= CONFIRM_VALID_MS;
+    nowMs - confirmedAtMs <= validMs;
 }
 
 /** Gets what this replica is to the others. */
--- a/src/engine/link/common/link_reducer.ts
+++ b/src/engine/link/common/link_reducer.ts
@@ -34,6 +34,8 @@
   readonly silenceMs: number;
   /** Longest backoff, in milliseconds. */
   readonly maxBackoffMs: number;
+  /** How long a replica without a quorum is kept at first. */
+  readonly unconfirmedMs: number;
 }
 
 /** What happens to the link. */
@@ -76,6 +78,7 @@
 export const DEFAULT_PACE: LinkPace = {
   silenceMs: LINK_SILENCE_MS,
   maxBackoffMs: MAX_BACKOFF_MS,
+  unconfirmedMs: UNCONFIRMED_MS,
 };
 const MAX_RETURN_MS = 960_000;
 const MAX_DOUBLINGS = 6;
@@ -170,7 +173,7 @@
     return closeLink(state, failLink(state, nowMs));
   }
   const { unconfirmedSinceMs, unconfirmedCount, replicas } = state;
-  const patienceMs = UNCONFIRMED_MS *
+  const patienceMs = state.pace.unconfirmedMs *
     2 ** Math.min(unconfirmedCount, MAX_DOUBLINGS);
   const isUnconfirmed = unconfirmedSinceMs !== undefined &&
     nowMs - unconfirmedSinceMs > patienceMs;
--- a/src/engine/telemetry/node/log.ts
+++ b/src/engine/telemetry/node/log.ts
@@ -15,14 +15,17 @@
   readonly dataCentre: string;
 }
 
-/** Creates the log of this process; lines go to standard error. */
+/** Lines beyond this many unwritten bytes are dropped: none may block. */
+const MAX_UNWRITTEN_BYTES = 1_048_576;
+
+/** Creates the log of this process; lines go to standard output. */
 export function createLog(options: LogOptions): Logger {
   const least = logLevels[options.level];
   ROARR.serializeMessage = (message: Message) =>
     Number(message.context["logLevel"]) < least ? "" : JSON.stringify(message);
   ROARR.write = (line) => {
-    if (line !== "") {
-      process.stderr.write(`${line}\n`);
+    if (line !== "" && process.stdout.writableLength < MAX_UNWRITTEN_BYTES) {
+      process.stdout.write(`${line}\n`);
     }
   };
   const { role, process: name, dataCentre } = options;
