Hold a cut of the admitted part, and free places of calls without answers

A transfer whose backend server never answered kept its place for ever. Change: after a cut none for 1 s, by the whole ratio; a call without an answer 1 s after its deadline ends (test 'gets its place back after the deadline').

--- a/src/engine/relay/common/pressure.ts
+++ b/src/engine/relay/common/pressure.ts
@@ -12,6 +12,8 @@
   windowStartMs: number;
   /** Milliseconds of service that were asked for in the window. */
   askedMs: number;
+  /** No cut before: the last one must show in what arrives. */
+  holdUntilMs: number;
   /** Least wait of the oldest waiting request that the window has seen. */
   leastWaitMs: number;
 }
@@ -31,9 +33,12 @@
 const STANDING_MS = 12;
 /** Part of the room that is filled under overload: waits grow steeply above. */
 const TARGET = 0.95;
-/** One update undoes at most this part of a deviation: begun work goes on. */
-const EXPONENT = 0.5;
-const MIN_FACTOR = 0.7;
+/**
+ * A cut shows only once the calls of what was begun before have ended, about a
+ * second later; cuts that follow each other sooner go far too deep.
+ */
+const HOLD_MS = 1_000;
+const MIN_FACTOR = 0.5;
 const MAX_FACTOR = 0.95;
 /** Growth an update without a standing queue: some 20% a second. */
 const GROWTH = 1.05;
@@ -45,6 +50,7 @@
     admitted: 1,
     windowStartMs: nowMs,
     askedMs: 0,
+    holdUntilMs: 0,
     leastWaitMs: Infinity,
   };
 }
@@ -66,10 +72,13 @@
   }
   const demand = state.askedMs / Math.max(1, limit * lengthMs);
   const isStanding = state.leastWaitMs >= STANDING_MS;
-  const ratio = (TARGET / Math.max(0.01, demand)) ** EXPONENT;
-  const factor = isStanding
-    ? Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, ratio))
-    : GROWTH;
+  const isHeld = nowMs < state.holdUntilMs;
+  const ratio = TARGET / Math.max(0.01, demand);
+  const cut = isHeld ? 1 : Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, ratio));
+  const factor = isStanding ? cut : GROWTH;
+  if (isStanding && !isHeld) {
+    state.holdUntilMs = nowMs + HOLD_MS;
+  }
   state.admitted = Math.max(
     MIN_ADMITTED,
     Math.min(1, state.admitted * factor),
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -52,6 +52,9 @@
   breakOff: (() => void) | undefined;
 }
 
+/** How long after its deadline a call without an answer is given up. */
+const OVERDUE_MS = 1_000;
+
 /** Calls of all callers for the one backend server beside this node. */
 export class GateCalls implements AsyncDisposable {
   readonly #options: GateCallsOptions;
@@ -103,6 +106,7 @@
   /** Lets time pass at the gate. */
   tick(): void {
     this.#step({ type: "Ticked" });
+    this.#endOverdue();
   }
 
   /** Takes a frame of a caller. */
@@ -149,6 +153,20 @@
     await this.#client?.[Symbol.asyncDispose]();
   }
 
+  /**
+   * A backend server that never answers must not keep its place for ever; it
+   * was told the deadline and has stopped work by then.
+   */
+  #endOverdue(): void {
+    const dueMs = this.#options.readClock() - OVERDUE_MS;
+    for (const call of [...this.#calls.values()]) {
+      if (call.deadlineMs < dueMs) {
+        call.breakOff?.();
+        this.#fail(call, "expired", "no answer at the deadline");
+      }
+    }
+  }
+
   #open(source: string, opened: CallOpened, send: SendFrame): void {
     const arrivedAtMs = this.#options.readClock();
     const call: GateCallState = {
--- /dev/null
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -0,0 +1,77 @@
+/** The gate's calls against a backend server that never answers. */
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { expect } from "chai";
+import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
+import type { CallDialect } from "../common/dialect.ts";
+import { GateCalls } from "../node/gate_calls.ts";
+
+const DIALECT: CallDialect = {
+  readTerms: () => ({ requestId: undefined, patienceMs: undefined }),
+  createCallHeaders: (headers) => headers,
+  createBackendHeaders: ({ headers }) => headers,
+  judgeAnswer: () => ({ type: "Answered" }),
+  createAnswerHeaders: (headers) => headers,
+  readLoad: () => undefined,
+};
+
+function createCall(call: number, change: Partial<CallOpened>): CallOpened {
+  return {
+    type: "CallOpened",
+    call,
+    requestId: `r${call}`,
+    service: "warehouse",
+    method: "POST",
+    target: "/a",
+    headers: [],
+    timeLeftMs: 500,
+    rank: 0,
+    route: "transfer",
+    isIdempotent: false,
+    isNested: false,
+    bodyBytes: 0,
+    body: new Uint8Array(),
+    ...change,
+  };
+}
+
+describe("a backend server that never answers", () => {
+  it("gets its place back after the deadline, also for a transfer", async () => {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    let nowMs = 1_000;
+    const gate = new GateCalls({
+      dialect: DIALECT,
+      readClock: () => nowMs,
+      log: { write: () => {} },
+      maxConnections: () => 4,
+      onBackendLost: () => {},
+    });
+    gate.changeBackend({
+      instanceId: "i-1",
+      service: "warehouse",
+      address: `127.0.0.1:${port}`,
+      dataCentre: "a",
+      slots: 2,
+      isDraining: false,
+      warmUntilMs: 0,
+    });
+    const frames: MeshFrame[] = [];
+    gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
+    expect(gate.readLoad().running).to.equal(1);
+    gate.receive("1", { type: "CallCancelled", call: 1 }, () => {});
+    expect(gate.readLoad().running, "a transfer runs on").to.equal(1);
+    nowMs += 1_600;
+    gate.tick();
+    expect(gate.readLoad().running).to.equal(0);
+    expect(gate.openCount).to.equal(0);
+    expect(frames.map(({ type }) => type)).to.deep.equal(["CallFailed"]);
+    await gate[Symbol.asyncDispose]();
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+  });
+});
