--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -289,10 +289,13 @@
     this.#children.add(child);
     child.on("exit", () => this.#children.delete(child));
     const log: string[] = [];
-    child.stderr.on("data", (data: Buffer) => {
+    const collect = (data: Buffer) => {
       log.push(...data.toString().split("\n").filter((line) => line !== ""));
       log.splice(0, log.length - MAX_LOG_LINES);
-    });
+    };
+    // Logs go to standard output, what stops a start to standard error.
+    child.stdout.on("data", collect);
+    child.stderr.on("data", collect);
     await waitUp(child, id, log);
     return { id, child, log };
   }
