--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -47,7 +47,7 @@
 
 /** Longest wait of a caller that says nothing, where the route allows it. */
 const DEFAULT_PATIENCE_MS = 600_000;
-/** Taken off a caller's time, so that its refusal still reaches it. */
+/** A caller honours a wait of at most this part of the time it has left. */
 const RETRY_PART = 3;
 /** When callers come back to a node that knows no routes yet. */
 const NO_ROUTES_RETRY_MS = 300;
--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -18,7 +18,7 @@
     if (fault !== undefined) {
       return `Route ${route.name}: ${fault}`;
     }
-    const place = `${route.host} ${route.pathPrefix}`;
+    const place = `${route.host} ${route.prefix}`;
     if (places.has(place)) {
       return `Route ${route.name}: another route has the same host and prefix`;
     }
@@ -31,8 +31,8 @@
   route: Route,
   services: ReadonlySet<string>,
 ): string | undefined {
-  const { targets, timeoutMs, pathPrefix } = route;
-  if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
+  const { targets, timeoutMs, prefix } = route;
+  if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
     return "the prefix must begin and end with a slash";
   }
   if (timeoutMs <= 0 || timeoutMs > MAX_TIMEOUT_MS) {
--- a/src/engine/routes/common/route_match.ts
+++ b/src/engine/routes/common/route_match.ts
@@ -13,7 +13,7 @@
     byHost.set(route.host, routes);
   }
   for (const routes of byHost.values()) {
-    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    routes.sort((a, b) => b.prefix.length - a.prefix.length);
   }
   return byHost;
 }
@@ -25,7 +25,7 @@
   path: string,
 ): Route | undefined {
   return index.get(readHostName(host))
-    ?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    ?.find(({ prefix }) => path.startsWith(prefix));
 }
 
 /**
--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -13,7 +13,7 @@
   /** Lower case, without a port. */
   readonly host: string;
   /** Begins and ends with a slash. */
-  readonly pathPrefix: string;
+  readonly prefix: string;
   /** At least one. */
   readonly targets: readonly RouteTarget[];
   /** Whether running a request twice does no harm. */
--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -19,7 +19,7 @@
   return {
     name: "lookup",
     host: "shop.example",
-    pathPrefix: "/lookup/",
+    prefix: "/lookup/",
     targets: [{ service: "catalog", weight: 1 }],
     isIdempotent: true,
     timeoutMs: 1_000,
@@ -50,8 +50,8 @@
   it("go by host and the longest prefix", () => {
     const index = buildRouteIndex(createTable(
       1,
-      createRoute({ name: "all", pathPrefix: "/" }),
-      createRoute({ name: "deep", pathPrefix: "/lookup/deep/" }),
+      createRoute({ name: "all", prefix: "/" }),
+      createRoute({ name: "deep", prefix: "/lookup/deep/" }),
       createRoute(),
       createRoute({ name: "other", host: "other.example" }),
     ));
@@ -84,7 +84,7 @@
     ["no time", { timeoutMs: 0 }],
     ["more than ten minutes", { timeoutMs: 600_001 }],
     ["no weight", { targets: [{ service: "catalog", weight: 0 }] }],
-    ["a prefix without a slash", { pathPrefix: "/lookup" }],
+    ["a prefix without a slash", { prefix: "/lookup" }],
   ];
   for (const [what, change] of faults) {
     it(`are refused with ${what}`, () => {
