Refuse what every backend server said that it did not run

Cause: a call whose only attempt was rejected by a backend server (which says itself that it did not run it) ended as unknown, 502, as if it may have run: the count of backend servers that it was handed to stood for both. Callers may not send a transfer again after that, though it ran nowhere. Ruled out: true refusals of the gate (never counted as handed over).

Change: whether one attempt may have run is kept apart from how many backend servers the call was handed to.

--- a/src/engine/relay/common/entry_decision.ts
+++ b/src/engine/relay/common/entry_decision.ts
@@ -7,6 +7,8 @@
   readonly isIdempotent: boolean;
   /** Backend servers that the call was handed to. */
   readonly handedOver: number;
+  /** Whether one of these may have begun to run it. */
+  readonly mayHaveRun: boolean;
   readonly maxAttempts: number;
   /** Nodes that refused it before their backend server saw it. */
   readonly rerouted: number;
@@ -53,9 +55,12 @@
   }
 }
 
-/** A refusal says that the call ran nowhere: an earlier attempt may have. */
+/**
+ * A refusal says that the call ran nowhere: an earlier attempt may have. A
+ * backend server that rejected it did not run it.
+ */
 function decideRefusal(attempt: FailedAttempt): NextStep {
-  return attempt.handedOver > 0 ? { type: "FailUnknown" } : { type: "Refuse" };
+  return attempt.mayHaveRun ? { type: "FailUnknown" } : { type: "Refuse" };
 }
 
 function canSendAgain(attempt: FailedAttempt): boolean {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -53,6 +53,7 @@
   readonly onResult: (result: EntryResult) => void;
   readonly tried: Set<string>;
   handedOver: number;
+  mayHaveRun: boolean;
   rerouted: number;
   retryAfterMs: number;
   attempt: Attempt | undefined;
@@ -103,6 +104,7 @@
       onResult,
       tried: new Set(),
       handedOver: 0,
+      mayHaveRun: false,
       rerouted: 0,
       retryAfterMs: MIN_RETRY_MS,
       attempt: undefined,
@@ -297,6 +299,7 @@
     this.#releaseAttempt(call);
     if (kind === "unknown" || kind === "rejected") {
       call.handedOver += 1;
+      call.mayHaveRun ||= kind === "unknown";
       noteResult(member, { isFailure: true, latencyMs: 0 }, nowMs);
     }
     const { route, deadlineMs } = call.request;
@@ -311,6 +314,7 @@
       kind,
       isIdempotent: route.isIdempotent,
       handedOver: call.handedOver,
+      mayHaveRun: call.mayHaveRun,
       maxAttempts: route.maxAttempts,
       rerouted: call.rerouted,
       timeLeftMs: deadlineMs - nowMs,
@@ -339,7 +343,7 @@
   }
 
   #createRefusal(call: EntryCall): EntryFailure {
-    return call.handedOver > 0
+    return call.mayHaveRun
       ? { type: "Unknown" }
       : { type: "Refused", retryAfterMs: call.retryAfterMs };
   }
