Send no calls to silent nodes, and move stalled ones on

Cause: a node that is cut off or without power looked like one with room until its link had been silent for 1.2 s: each call sent there was lost, or late by its time limit of 0.8 to 1 s. After the link was given up the next calls went there again. Besides, a link that was closed for being idle still counted as having been open, so calls on a new one that never opened ended as unknown in place of refused.

Change: a member that says nothing for 350 ms while calls are in progress is chosen only where no other is; after 500 ms calls that may be repeated go elsewhere, within the budget. A lost link is opened again without a call, and its node gets calls once it is heard. Whether a link was open is the link's own.

Fencing over the framed link is still open.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -110,11 +110,10 @@
     this.#meshClient = this.#owned.use(
       new MeshClient({
         onFrame: (address, frame) => this.#entry.receive(address, frame),
-        onLost: (address, reason) => {
+        onLost: (address, reason, wasOpen) => {
           log.write({ event: "LinkLost", isFailure: true, address, reason });
-          this.#entry.loseLink(address, reason);
+          this.#entry.loseLink(address, reason, wasOpen);
         },
-        onOpened: (address) => this.#entry.noteOpened(address),
         readClock,
       }),
     );
@@ -273,6 +272,11 @@
         address === own || this.#meshClient.isOpen(address),
       getHeardAtMs: (address: string) =>
         address === own ? undefined : this.#meshClient.getHeardAtMs(address),
+      probe: (address: string) => {
+        if (address !== own) {
+          this.#meshClient.open(address);
+        }
+      },
       drop: (address: string, reason: string) =>
         this.#meshClient.drop(address, reason),
     };
--- a/src/engine/mesh/node/mesh_client.ts
+++ b/src/engine/mesh/node/mesh_client.ts
@@ -6,9 +6,8 @@
 /** What the client is built from. */
 export interface MeshClientOptions {
   readonly onFrame: (address: string, frame: MeshFrame) => void;
-  /** The link is gone; frames that were sent on it may have arrived. */
-  readonly onLost: (address: string, reason: string) => void;
-  readonly onOpened: (address: string) => void;
+  /** The link is gone; frames sent on it may have arrived if it was open. */
+  readonly onLost: (address: string, reason: string, wasOpen: boolean) => void;
   readonly readClock: () => number;
 }
 
@@ -17,6 +16,7 @@
   readonly writer: FrameWriter;
   /** Frames that wait for the link to open. */
   readonly waiting: MeshFrame[];
+  wasOpen: boolean;
   heardAtMs: number;
   usedAtMs: number;
 }
@@ -48,6 +48,13 @@
     }
   }
 
+  /** Opens a link where there is none. */
+  open(address: string): void {
+    if (!this.#links.has(address)) {
+      this.#connect(address);
+    }
+  }
+
   /** Whether frames sent now leave at once. */
   isOpen(address: string): boolean {
     return this.#links.get(address)?.socket.readyState === WebSocket.OPEN;
@@ -64,7 +71,7 @@
     if (link !== undefined) {
       this.#links.delete(address);
       link.socket.terminate();
-      this.#options.onLost(address, reason);
+      this.#options.onLost(address, reason, link.wasOpen);
     }
   }
 
@@ -99,6 +106,7 @@
       socket,
       writer: new FrameWriter(socket),
       waiting: [],
+      wasOpen: false,
       heardAtMs: nowMs,
       usedAtMs: nowMs,
     };
@@ -111,8 +119,8 @@
     const { socket, writer, waiting } = link;
     socket.on("open", () => {
       link.heardAtMs = this.#options.readClock();
+      link.wasOpen = true;
       waiting.splice(0).forEach((frame) => writer.write(frame));
-      this.#options.onOpened(address);
     });
     socket.on("message", (data: Buffer) => {
       link.heardAtMs = this.#options.readClock();
@@ -131,7 +139,7 @@
     link.socket.terminate();
     if (this.#links.get(address) === link) {
       this.#links.delete(address);
-      this.#options.onLost(address, reason);
+      this.#options.onLost(address, reason, link.wasOpen);
     }
   }
 }
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -21,6 +21,8 @@
   failures: number;
   /** Until when it is chosen only where no other is left. */
   ejectedUntilMs: number;
+  /** Since when calls of this node have been in progress there. */
+  busySinceMs: number;
 }
 
 /** How a choice is made. */
@@ -32,6 +34,8 @@
   readonly nowMs: number;
   /** From 0 to 1; breaks ties. */
   readonly draw: number;
+  /** Whether a member has been silent while calls are in progress there. */
+  readonly isSilent: (member: Member) => boolean;
 }
 
 /** A load that is older than this says nothing. */
@@ -41,12 +45,22 @@
 /** Answers after which a failing member is left out for a while. */
 const EJECT_AFTER = 3;
 const EJECT_MS = 1_000;
+/**
+ * Wait before a node whose link was lost is probed, and between probes: a
+ * process that was started again listens after about a second.
+ */
+const PROBE_AFTER_MS = 300;
 const LATENCY_GAIN = 0.1;
 const FAILURE_GAIN = 0.05;
 
 /** Holds members by service and address. */
 export class MemberTable {
   readonly #services = new Map<string, Map<string, Member>>();
+  /**
+   * Addresses whose links were lost, with when they are due to be probed; no
+   * call goes there before they are heard again.
+   */
+  readonly #unproven = new Map<string, number>();
 
   /** Whether the members of a service were ever told. */
   isKnown(service: string): boolean {
@@ -104,6 +118,7 @@
 
   /** Takes a load that a member says of itself. */
   noteLoad(address: string, load: LoadFigures, nowMs: number): void {
+    this.#unproven.delete(address);
     for (const members of this.#services.values()) {
       const member = members.get(address);
       if (member !== undefined) {
@@ -127,6 +142,28 @@
     }
   }
 
+  /** Leaves the members at an address out until they are heard again. */
+  suspect(address: string, nowMs: number): void {
+    this.#unproven.set(address, nowMs + PROBE_AFTER_MS);
+  }
+
+  /** Lists the addresses that are to be probed now. */
+  takeDueProbes(nowMs: number): readonly string[] {
+    const due: string[] = [];
+    for (const [address, dueMs] of this.#unproven) {
+      if (dueMs > nowMs) {
+        continue;
+      }
+      if (this.#has(address)) {
+        this.#unproven.set(address, nowMs + PROBE_AFTER_MS);
+        due.push(address);
+      } else {
+        this.#unproven.delete(address);
+      }
+    }
+    return due;
+  }
+
   /** Counts the nodes that share a budget with this one. */
   countNodes(): number {
     let count = 0;
@@ -176,11 +213,14 @@
 
   /** Chooses the member with the most room for its share, nearest first. */
   choose(options: ChoiceOptions): Member | undefined {
-    const { service, tried, nowMs } = options;
+    const { service, tried, nowMs, isSilent } = options;
     const members = this.list(service).filter(({ announcement }) =>
       !announcement.isDraining && !tried.has(announcement.ingress)
     );
-    const sound = members.filter((member) => member.ejectedUntilMs <= nowMs);
+    const sound = members.filter((member) =>
+      member.ejectedUntilMs <= nowMs && !isSilent(member) &&
+      !this.#unproven.has(member.announcement.ingress)
+    );
     const pool = sound.length > 0 ? sound : members;
     let best: Member | undefined;
     let bestScore = Infinity;
@@ -194,6 +234,10 @@
     });
     return best;
   }
+
+  #has(address: string): boolean {
+    return [...this.#services.values()].some((members) => members.has(address));
+  }
 }
 
 /** Notes what an answer, or its absence, says of a member. */
@@ -263,5 +307,6 @@
     failureShare: 0,
     failures: 0,
     ejectedUntilMs: 0,
+    busySinceMs: 0,
   };
 }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -14,6 +14,7 @@
 import { EntryBudget } from "../common/entry_budget.ts";
 import type { BudgetTerms } from "../common/entry_budget.ts";
 import { decideNextStep } from "../common/entry_decision.ts";
+import type { NextStep } from "../common/entry_decision.ts";
 import type {
   Attempt,
   EntryFailure,
@@ -21,6 +22,7 @@
   EntryResult,
 } from "../common/entry_types.ts";
 import { MemberTable, noteResult } from "../common/member_table.ts";
+import type { Member } from "../common/member_table.ts";
 import { isRootRefused } from "../common/root_admission.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 
@@ -29,6 +31,8 @@
   readonly send: (address: string, frame: MeshFrame) => void;
   readonly isOpen: (address: string) => boolean;
   readonly getHeardAtMs: (address: string) => number | undefined;
+  /** Opens a link ahead of any call, so that the other end is heard. */
+  readonly probe: (address: string) => void;
   readonly drop: (address: string, reason: string) => void;
 }
 
@@ -67,6 +71,16 @@
  * reports of the other end, 100 ms apart, did not come.
  */
 const SILENCE_MS = 1_200;
+/**
+ * Silence after which other members are chosen: three reports did not come.
+ * Each call sent to a node that is cut off is lost, or late by its time limit.
+ */
+const SUSPECT_MS = 350;
+/**
+ * Silence after which a call that may be repeated goes elsewhere: a usual time
+ * limit, 800 ms, leaves room for a second run by then.
+ */
+const STALLED_MS = 500;
 /** When a root that was refused for pressure may come back. */
 const ROOT_RETRY_MS = 700;
 /** A refused caller comes back no sooner, in milliseconds. */
@@ -77,8 +91,6 @@
   readonly #options: EntryCallsOptions;
   readonly #budget: EntryBudget;
   readonly #calls = new Map<number, EntryCall>();
-  /** Addresses whose present link has been open. */
-  readonly #opened = new Set<string>();
   #nextId = 1;
 
   constructor(options: EntryCallsOptions) {
@@ -151,31 +163,33 @@
   }
 
   /** A link is gone; what was sent on it may run, if it was ever open. */
-  loseLink(address: string, reason: string): void {
-    const kind = this.#opened.delete(address) ? "unknown" : "refused";
+  loseLink(address: string, reason: string, wasOpen: boolean): void {
+    this.#options.members.suspect(address, this.#options.readClock());
+    const kind = wasOpen ? "unknown" : "refused";
     const calls = [...this.#calls.values()]
       .filter((call) => call.attempt?.address === address);
     calls.forEach((call) => this.#fail(call, kind, reason));
   }
 
-  /** Notes that frames sent to `address` from here on leave at once. */
-  noteOpened(address: string): void {
-    this.#opened.add(address);
-  }
-
   /** Ends calls whose time is up, and gives silent links up. */
   tick(): void {
-    const nowMs = this.#options.readClock();
+    const { members, path, readClock } = this.#options;
+    const nowMs = readClock();
     const silent = new Set<string>();
     for (const call of [...this.#calls.values()]) {
+      const silenceMs = this.#measureSilence(call, nowMs);
       if (nowMs >= call.request.deadlineMs) {
         this.#cancelAttempt(call);
         this.#finish(call, { type: "Expired" }, "time limit");
-      } else if (call.attempt !== undefined && this.#isSilent(call, nowMs)) {
-        silent.add(call.attempt.address);
+      } else if (silenceMs > SILENCE_MS) {
+        silent.add(call.attempt!.address);
+      } else if (silenceMs > STALLED_MS && this.#canRepeat(call, nowMs)) {
+        this.#cancelAttempt(call);
+        this.#fail(call, "unknown", "stalled");
       }
     }
-    silent.forEach((address) => this.#options.path.drop(address, "silent"));
+    silent.forEach((address) => path.drop(address, "silent"));
+    members.takeDueProbes(nowMs).forEach((address) => path.probe(address));
   }
 
   /** Roots are refused where a service on their way is short of room. */
@@ -192,11 +206,28 @@
     });
   }
 
-  #isSilent(call: EntryCall, nowMs: number): boolean {
-    const { address, sentAtMs } = call.attempt!;
-    const heardAtMs = this.#options.path.getHeardAtMs(address);
-    return heardAtMs !== undefined &&
-      nowMs - Math.max(heardAtMs, sentAtMs) > SILENCE_MS;
+  /** Measures how long a call's node has said nothing; 0 on this node. */
+  #measureSilence({ attempt }: EntryCall, nowMs: number): number {
+    if (attempt === undefined) {
+      return 0;
+    }
+    const heardAtMs = this.#options.path.getHeardAtMs(attempt.address);
+    return heardAtMs === undefined
+      ? 0
+      : nowMs - Math.max(heardAtMs, attempt.sentAtMs);
+  }
+
+  #isSilent(member: Member, nowMs: number): boolean {
+    const { announcement, outstanding, busySinceMs } = member;
+    const heardAtMs = this.#options.path.getHeardAtMs(announcement.ingress);
+    return heardAtMs !== undefined && outstanding > 0 &&
+      nowMs - Math.max(heardAtMs, busySinceMs) > SUSPECT_MS;
+  }
+
+  /** Whether a call would go elsewhere if its attempt were given up. */
+  #canRepeat(call: EntryCall, nowMs: number): boolean {
+    const step = this.#decide(call, "unknown", call.handedOver + 1, nowMs);
+    return step.type === "TryElsewhere";
   }
 
   #send(call: EntryCall): void {
@@ -208,12 +239,14 @@
       tried: call.tried,
       nowMs,
       draw: draw(),
+      isSilent: (found) => this.#isSilent(found, nowMs),
     });
     if (member === undefined) {
       this.#finish(call, this.#createRefusal(call), "no member");
       return;
     }
     const address = member.announcement.ingress;
+    member.busySinceMs = member.outstanding === 0 ? nowMs : member.busySinceMs;
     member.outstanding += 1;
     member.sentSinceLoad += 1;
     call.tried.add(address);
@@ -293,8 +326,7 @@
   }
 
   #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
-    const { members, readClock } = this.#options;
-    const nowMs = readClock();
+    const nowMs = this.#options.readClock();
     const { member } = call.attempt!;
     this.#releaseAttempt(call);
     if (kind === "unknown" || kind === "rejected") {
@@ -302,25 +334,7 @@
       call.mayHaveRun ||= kind === "unknown";
       noteResult(member, { isFailure: true, latencyMs: 0 }, nowMs);
     }
-    const { route, deadlineMs } = call.request;
-    const others = members.list(call.service).filter(({ announcement }) =>
-      !announcement.isDraining && !call.tried.has(announcement.ingress)
-    );
-    const fleet = {
-      nodes: members.countNodes(),
-      isLeaf: members.isLeaf(call.service),
-    };
-    const step = decideNextStep({
-      kind,
-      isIdempotent: route.isIdempotent,
-      handedOver: call.handedOver,
-      mayHaveRun: call.mayHaveRun,
-      maxAttempts: route.maxAttempts,
-      rerouted: call.rerouted,
-      timeLeftMs: deadlineMs - nowMs,
-      canRetry: this.#budget.canRetry(call.service, fleet, nowMs),
-      hasOtherMember: others.length > 0,
-    });
+    const step = this.#decide(call, kind, call.handedOver, nowMs);
     switch (step.type) {
       case "TryElsewhere":
         if (step.isArrival) {
@@ -342,6 +356,34 @@
     }
   }
 
+  #decide(
+    call: EntryCall,
+    kind: CallFailed["kind"],
+    handedOver: number,
+    nowMs: number,
+  ): NextStep {
+    const { members } = this.#options;
+    const { route, deadlineMs } = call.request;
+    const others = members.list(call.service).filter(({ announcement }) =>
+      !announcement.isDraining && !call.tried.has(announcement.ingress)
+    );
+    const fleet = {
+      nodes: members.countNodes(),
+      isLeaf: members.isLeaf(call.service),
+    };
+    return decideNextStep({
+      kind,
+      isIdempotent: route.isIdempotent,
+      handedOver,
+      mayHaveRun: call.mayHaveRun,
+      maxAttempts: route.maxAttempts,
+      rerouted: call.rerouted,
+      timeLeftMs: deadlineMs - nowMs,
+      canRetry: this.#budget.canRetry(call.service, fleet, nowMs),
+      hasOtherMember: others.length > 0,
+    });
+  }
+
   #createRefusal(call: EntryCall): EntryFailure {
     return call.mayHaveRun
       ? { type: "Unknown" }
--- /dev/null
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -0,0 +1,192 @@
+/** Calls at their entry, over links whose other end may fall silent. */
+import { expect } from "chai";
+import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
+import type { Announcement } from "../../membership/common/announcement.ts";
+import type { Route } from "../../routes/common/route_table.ts";
+import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
+import { MemberTable } from "../common/member_table.ts";
+import { EntryCalls } from "../node/entry_calls.ts";
+
+const ROUTE: Route = {
+  name: "lookup",
+  host: "a.example",
+  prefix: "/",
+  targets: [{ service: "warehouse", weight: 1 }],
+  isIdempotent: true,
+  timeoutMs: 5_000,
+  objectiveMs: 500,
+  rank: 0,
+  maxAttempts: 2,
+};
+const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0 };
+
+function createAnnouncement(address: string): Announcement {
+  return {
+    nodeId: address,
+    incarnation: 1,
+    sequence: 1,
+    service: "warehouse",
+    dataCentre: "a",
+    region: "r",
+    vm: address,
+    ingress: address,
+    operator: address,
+    slots: 10,
+    connections: 10,
+    isDraining: false,
+  };
+}
+
+/** An entry whose clock and links the test moves. */
+class Entry {
+  nowMs = 10_000;
+  readonly sent: (readonly [string, MeshFrame])[] = [];
+  readonly probed: string[] = [];
+  readonly results: EntryResult[] = [];
+  readonly heardAtMs = new Map<string, number>();
+  readonly calls: EntryCalls;
+
+  constructor(...addresses: readonly string[]) {
+    const members = new MemberTable();
+    members.replace("warehouse", addresses.map(createAnnouncement));
+    this.calls = new EntryCalls({
+      dataCentre: "a",
+      members,
+      budget: { ratio: 0.2, slack: 1_000, windowS: 10 },
+      path: {
+        send: (address, frame) => {
+          this.heardAtMs.set(
+            address,
+            this.heardAtMs.get(address) ?? this.nowMs,
+          );
+          this.sent.push([address, frame]);
+        },
+        isOpen: () => true,
+        getHeardAtMs: (address) => this.heardAtMs.get(address),
+        probe: (address) => this.probed.push(address),
+        drop: (address, reason) => {
+          this.heardAtMs.delete(address);
+          this.calls.loseLink(address, reason, true);
+        },
+      },
+      readClock: () => this.nowMs,
+      draw: () => 0,
+      getLastRank: () => 0,
+      log: { write: () => {} },
+    });
+  }
+
+  start(change: Partial<EntryRequest> = {}): void {
+    this.calls.start(
+      {
+        requestId: "r",
+        route: ROUTE,
+        method: "GET",
+        target: "/",
+        headers: [],
+        body: new Uint8Array(),
+        arrivedAtMs: this.nowMs,
+        deadlineMs: this.nowMs + 5_000,
+        isNested: false,
+        rank: 0,
+        ...change,
+      },
+      "warehouse",
+      (result) => this.results.push(result),
+    );
+  }
+
+  /** Lets time pass in ticks; the nodes named go on reporting. */
+  pass(lengthMs: number, ...talking: readonly string[]): void {
+    const endMs = this.nowMs + lengthMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += 20;
+      talking.forEach((address) => this.hear(address));
+      this.calls.tick();
+    }
+  }
+
+  hear(address: string): void {
+    this.heardAtMs.set(address, this.nowMs);
+    const report = { type: "LoadReported", load: LOAD, below: [] } as const;
+    this.calls.receive(address, report);
+  }
+
+  listOpenings(): readonly string[] {
+    return this.sent.filter(([, { type }]) => type === "CallOpened")
+      .map(([address]) => address);
+  }
+
+  getFirstOpening(): CallOpened {
+    return this.sent[0]![1] as CallOpened;
+  }
+}
+
+describe("a node that falls silent", () => {
+  it("gets no more calls where another can take them", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start({ route: { ...ROUTE, isIdempotent: false } });
+    const [silent] = entry.listOpenings();
+    const other = silent === "a:1" ? "b:1" : "a:1";
+    entry.pass(400, other);
+    for (let n = 0; n < 8; n += 1) {
+      entry.start();
+    }
+    expect(entry.listOpenings().slice(1)).to.deep.equal(Array(8).fill(other));
+  });
+
+  it("still gets calls where there is no other", () => {
+    const entry = new Entry("a:1");
+    entry.start();
+    entry.pass(400);
+    entry.start();
+    expect(entry.listOpenings()).to.deep.equal(["a:1", "a:1"]);
+  });
+
+  it("loses calls that may be repeated to another in time", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start();
+    const [silent] = entry.listOpenings();
+    entry.pass(540);
+    expect(entry.listOpenings()).to.have.length(2);
+    expect(entry.listOpenings()[1]).not.to.equal(silent);
+    expect(entry.results).to.deep.equal([]);
+  });
+
+  it("keeps calls that may not be repeated until its link is given up", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start({ route: { ...ROUTE, isIdempotent: false } });
+    entry.pass(1_100);
+    expect(entry.results).to.deep.equal([]);
+    entry.pass(200);
+    expect(entry.results).to.deep.equal([
+      { type: "Failed", failure: { type: "Unknown" } },
+    ]);
+    expect(entry.listOpenings()).to.have.length(1);
+  });
+
+  it("is probed without a call, and gets calls once it is heard", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.calls.loseLink("a:1", "closed", true);
+    entry.start();
+    expect(entry.listOpenings()).to.deep.equal(["b:1"]);
+    entry.pass(400, "b:1");
+    expect(entry.probed).to.deep.equal(["a:1"]);
+    entry.hear("a:1");
+    for (let n = 0; n < 4; n += 1) {
+      entry.start();
+    }
+    expect(entry.listOpenings()).to.include("a:1");
+  });
+});
+
+describe("a link that never opened", () => {
+  it("fails its calls as refused: they go elsewhere, even transfers", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start({ route: { ...ROUTE, isIdempotent: false } });
+    const [first] = entry.listOpenings();
+    entry.calls.loseLink(first!, "connect timeout", false);
+    expect(entry.listOpenings()).to.have.length(2);
+    expect(entry.results).to.deep.equal([]);
+  });
+});
