Measure the framed hop beside the HTTP hop

Cause: the hop over framed links replaced an HTTP request per hop on the platform without a measurement of ours in one run.

Change: `npm run bench:hop` also takes the ways over the platform's programs, and shows reads and writes (system calls) and bytes a request of both nodes.

--- a/bench/cpu.ts
+++ b/bench/cpu.ts
@@ -16,6 +16,29 @@
   return ticks / TICKS_PER_SECOND * MS;
 }
 
+/** What a process has read and written so far, sockets among it. */
+export interface ProcessIo {
+  /** System calls that read or wrote. */
+  readonly calls: number;
+  readonly bytes: number;
+}
+
+/** Reads the counters of a process (proc(5), `io`). */
+export function readProcessIo(pid: number): ProcessIo {
+  const text = readFileSync(`/proc/${pid}/io`, "utf8");
+  const fields = new Map(
+    text.split("\n").map((line) => {
+      const [name = "", value = "0"] = line.split(": ");
+      return [name, Number(value)] as const;
+    }),
+  );
+  const get = (name: string) => fields.get(name) ?? 0;
+  return {
+    calls: get("syscr") + get("syscw"),
+    bytes: get("rchar") + get("wchar"),
+  };
+}
+
 /** Busy and whole time of all cores so far. */
 export interface MachineCpu {
   readonly busyMs: number;
--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -1,8 +1,12 @@
-/** Added latency of one hop and of two against a direct call, in one run. */
+/**
+ * Added latency of one hop and of two against a direct call, in one run: the
+ * hop over HTTP, and the one over framed links.
+ */
+import { createHopPaths } from "../platform/bench/hop_paths.ts";
 import { Fleet } from "../standin/fleet.ts";
-import { readProcessCpuMs } from "./cpu.ts";
+import { readProcessCpuMs, readProcessIo } from "./cpu.ts";
 import { runLoad, runOpenLoad } from "./load.ts";
-import type { LoadResult } from "./load.ts";
+import type { LoadResult, RequestShape } from "./load.ts";
 import {
   computeMedian,
   readBenchOptions,
@@ -17,10 +21,22 @@
 /** One table of the report. */
 interface Load {
   readonly name: string;
-  readonly run: (url: string) => Promise<LoadResult>;
+  readonly run: (target: HopTarget) => Promise<LoadResult>;
   readonly requests: number;
 }
 
+/** Where requests of a path go, and how they look. */
+interface HopTarget {
+  readonly url: string;
+  readonly createOptions?: () => RequestShape;
+}
+
+/** One way to a backend server, with the nodes on it. */
+interface HopPath extends HopTarget {
+  readonly path: string;
+  readonly pids: readonly number[];
+}
+
 const REQUESTS = 3_000;
 /** Under the rate of the row, and well under what one node carries. */
 const PER_SECOND = 500;
@@ -30,13 +46,17 @@
 const LOADS: readonly Load[] = [
   {
     name: "one at a time",
-    run: (url) => runLoad({ url, workers: 1, requests: REQUESTS }),
+    run: (target) => runLoad({ ...target, workers: 1, requests: REQUESTS }),
     requests: REQUESTS,
   },
   {
     name: `${PER_SECOND} a second, Poisson`,
-    run: (url) =>
-      runOpenLoad({ url, perSecond: PER_SECOND, durationMs: DURATION_MS }),
+    run: (target) =>
+      runOpenLoad({
+        ...target,
+        perSecond: PER_SECOND,
+        durationMs: DURATION_MS,
+      }),
     requests: PER_SECOND * DURATION_MS / 1_000,
   },
 ];
@@ -50,10 +70,16 @@
   readonly ratioP50: number;
   /** Processor time of both nodes for one call, in microseconds. */
   readonly nodeCpuMicros: number;
+  /** System calls of both nodes that read or wrote, for one call. */
+  readonly nodeIoCalls: number;
+  /** Bytes that both nodes read or wrote, for one call. */
+  readonly nodeIoBytes: number;
 }
 
 interface HopResult extends LoadResult {
   readonly nodeCpuMicros: number;
+  readonly nodeIoCalls: number;
+  readonly nodeIoBytes: number;
 }
 
 const options = readBenchOptions("bench:hop", DEFAULT_RUNS);
@@ -77,34 +103,47 @@
   service: "custody",
 });
 await fleet.run("table", "apply", TABLE, "--wait");
-const paths = [
-  { path: "direct", url: `http://${backend.backendAddress}/bales/1` },
-  { path: "one node", url: `http://${backend.edge}/bales/1` },
-  { path: "two nodes", url: `http://${other.edge}/bales/1` },
+await using framed = await createHopPaths();
+const pids = [backend.child.pid!, other.child.pid!];
+const paths: readonly HopPath[] = [
+  { path: "direct", url: `http://${backend.backendAddress}/bales/1`, pids },
+  { path: "one node", url: `http://${backend.edge}/bales/1`, pids },
+  { path: "two nodes", url: `http://${other.edge}/bales/1`, pids },
+  ...framed.paths,
 ];
 
-function readNodeCpuMs(): number {
-  return readProcessCpuMs(backend.child.pid!) +
-    readProcessCpuMs(other.child.pid!);
+function readNodes(pids: readonly number[]) {
+  const io = pids.map(readProcessIo);
+  return {
+    cpuMs: pids.reduce((sum, pid) => sum + readProcessCpuMs(pid), 0),
+    calls: io.reduce((sum, { calls }) => sum + calls, 0),
+    bytes: io.reduce((sum, { bytes }) => sum + bytes, 0),
+  };
 }
 
-async function measurePath(url: string, load: Load): Promise<HopResult> {
-  await runLoad({ url, workers: 1, requests: WARM_UP });
-  const cpuMs = readNodeCpuMs();
-  const result = await load.run(url);
+async function measurePath(path: HopPath, load: Load): Promise<HopResult> {
+  await runLoad({ ...path, workers: 1, requests: WARM_UP });
+  const before = readNodes(path.pids);
+  const result = await load.run(path);
   if (result.failed > 0) {
-    throw new Error(`${url}: ${result.failed} requests failed`);
+    throw new Error(`${path.path}: ${result.failed} requests failed`);
   }
-  const nodeCpuMicros = (readNodeCpuMs() - cpuMs) / result.requests * 1_000;
-  return { ...result, nodeCpuMicros };
+  const after = readNodes(path.pids);
+  const { requests } = result;
+  return {
+    ...result,
+    nodeCpuMicros: (after.cpuMs - before.cpuMs) / requests * 1_000,
+    nodeIoCalls: (after.calls - before.calls) / requests,
+    nodeIoBytes: (after.bytes - before.bytes) / requests,
+  };
 }
 
 /** Takes the paths in turn, so that a busy spell meets all of them. */
 async function measureLoad(load: Load): Promise<readonly Figure[]> {
   const results = paths.map((): HopResult[] => []);
   for (let run = 0; run < options.runs; run++) {
-    for (const [at, { url }] of paths.entries()) {
-      results[at]!.push(await measurePath(url, load));
+    for (const [at, path] of paths.entries()) {
+      results[at]!.push(await measurePath(path, load));
     }
   }
   const medians = paths.map(({ path }, at) => ({
@@ -114,6 +153,12 @@
     nodeCpuMicros: computeMedian(
       results[at]!.map((result) => result.nodeCpuMicros),
     ),
+    nodeIoCalls: computeMedian(
+      results[at]!.map((result) => result.nodeIoCalls),
+    ),
+    nodeIoBytes: computeMedian(
+      results[at]!.map((result) => result.nodeIoBytes),
+    ),
   }));
   const direct = medians[0]!;
   return medians.map((median) => ({
@@ -130,16 +175,21 @@
     `medians of ${options.runs} runs of ${requests} requests, ms, ${name}` +
       (options.isTls ? ", TLS between the nodes" : ""),
   );
-  writeReport("path        p50    p99   +p50   +p99  ratio p50  node us/call");
+  writeReport(
+    "path                 p50    p99   +p50   +p99  ratio p50  node us/call" +
+      "  reads+writes  bytes",
+  );
   for (const figure of figures) {
     writeReport([
-      figure.path.padEnd(9),
+      figure.path.padEnd(18),
       figure.p50Ms.toFixed(3).padStart(6),
       figure.p99Ms.toFixed(3).padStart(6),
       figure.addedP50Ms.toFixed(3).padStart(6),
       figure.addedP99Ms.toFixed(3).padStart(6),
       figure.ratioP50.toFixed(2).padStart(6),
       figure.nodeCpuMicros.toFixed(0).padStart(13),
+      figure.nodeIoCalls.toFixed(1).padStart(13),
+      figure.nodeIoBytes.toFixed(0).padStart(6),
     ].join(" "));
   }
 }
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -70,10 +70,11 @@
   readonly url: string;
   readonly perSecond: number;
   readonly durationMs: number;
+  readonly createOptions?: () => RequestShape;
 }
 
 /**
- * Sends plain GETs at Poisson arrivals, the same ones in every run. Each is
+ * Sends requests at Poisson arrivals, the same ones in every run. Each is
  * timed from when it was sent: this process's own lateness is left out.
  */
 export async function runOpenLoad(
@@ -85,7 +86,10 @@
   let failed = 0;
   const send = async () => {
     const startedAt = performance.now();
-    const answer = await request(options.url, { dispatcher: agent });
+    const answer = await request(options.url, {
+      dispatcher: agent,
+      ...options.createOptions?.(),
+    });
     await answer.body.dump();
     const micros = (performance.now() - startedAt) * MICROS;
     histogram.recordValue(Math.max(1, Math.round(micros)));
