Bound all bodies that a node holds, also at the gate

Cause: the bound on held bodies counted whole ones only: many uploads that are still being read were not counted, and at the backend server's node nothing was. With 350 MB a process, a few hundred large uploads at once would end it.

Change: each part counts from its arrival on; the gate refuses calls beyond the same bound (48 MiB). One body alone may be as large as the routes allow.

Streaming with back pressure between nodes is still open.

--- a/src/engine/relay/node/body_reader.ts
+++ b/src/engine/relay/node/body_reader.ts
@@ -13,7 +13,8 @@
 /** Bounds of a body. */
 export interface BodyBounds {
   readonly maxBytes: number;
-  readonly canHold: (bytes: number) => boolean;
+  /** Counts further bytes of the body as held; false where none are left. */
+  readonly hold: (bytes: number) => boolean;
 }
 
 const EMPTY = new Uint8Array();
@@ -39,11 +40,12 @@
     };
     const take = (chunk: Uint8Array) => {
       total += chunk.length;
-      chunks.push(chunk);
       if (total > bounds.maxBytes) {
         stop({ type: "TooLarge" });
-      } else if (!bounds.canHold(total)) {
+      } else if (!bounds.hold(chunk.length)) {
         stop({ type: "NoRoom" });
+      } else {
+        chunks.push(chunk);
       }
     };
     request.on("data", take);
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -53,7 +53,10 @@
 /** When callers come back to a node that knows no routes yet. */
 const NO_ROUTES_RETRY_MS = 300;
 const MEMORY_RETRY_MS = 500;
-/** Bytes of requests held at a time; more are refused. */
+/**
+ * Bytes of requests held at a time, those still being read included; more are
+ * refused. With as much at the gate, a seventh of a process's 350 MB each.
+ */
 const MAX_HELD_BYTES = 50_331_648;
 /** Larger than any header that a table allows; the table's limit is checked. */
 const MAX_HEADER_BYTES = 131_072;
@@ -160,19 +163,26 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Uint8Array | undefined> {
+    let ownBytes = 0;
+    response.on("close", () => {
+      this.#heldBytes -= ownBytes;
+      ownBytes = 0;
+    });
     const read = await readBody(request, {
       maxBytes: this.#routes!.limits.maxBodyBytes,
-      canHold: (bytes) => this.#heldBytes + bytes <= MAX_HELD_BYTES,
+      hold: (bytes) => {
+        const isAlone = this.#heldBytes === ownBytes;
+        if (!isAlone && this.#heldBytes + bytes > MAX_HELD_BYTES) {
+          return false;
+        }
+        this.#heldBytes += bytes;
+        ownBytes += bytes;
+        return true;
+      },
     });
     switch (read.type) {
-      case "Whole": {
-        const { length } = read.body;
-        this.#heldBytes += length;
-        response.on("close", () => {
-          this.#heldBytes -= length;
-        });
+      case "Whole":
         return read.body;
-      }
       case "TooLarge":
         this.#reply(response, 413);
         return undefined;
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -52,6 +52,11 @@
   breakOff: (() => void) | undefined;
 }
 
+/**
+ * Bytes of bodies held for the backend server at a time; calls with more are
+ * refused: many large uploads at once must not exhaust the memory.
+ */
+const MAX_HELD_BYTES = 50_331_648;
 /** How long after its deadline a call without an answer is given up. */
 const OVERDUE_MS = 1_000;
 
@@ -64,6 +69,7 @@
   readonly #bySource = new Map<string, Map<number, number>>();
   #client: BackendClient | undefined;
   #nextId = 1;
+  #heldBytes = 0;
 
   constructor(options: GateCallsOptions) {
     this.#options = options;
@@ -185,11 +191,18 @@
     const service = this.#gate.backend?.service;
     if (service !== undefined && service !== opened.service) {
       this.#fail(call, "refused", "other_service");
+    } else if (this.#isOverfull(opened.bodyBytes)) {
+      this.#fail(call, "refused", "memory");
     } else if (call.body.isWhole) {
       this.#admit(call);
     }
   }
 
+  /** One body alone may be as large as the table allows. */
+  #isOverfull(ownBytes: number): boolean {
+    return this.#heldBytes > MAX_HELD_BYTES && this.#heldBytes > ownBytes;
+  }
+
   #admit(call: GateCallState): void {
     const { id, opened, arrivedAtMs, deadlineMs } = call;
     const { route, rank, isNested } = opened;
@@ -376,13 +389,16 @@
 
   #remember(call: GateCallState): void {
     this.#calls.set(call.id, call);
+    this.#heldBytes += call.opened.bodyBytes;
     const numbers = this.#bySource.get(call.source) ?? new Map();
     this.#bySource.set(call.source, numbers);
     numbers.set(call.opened.call, call.id);
   }
 
   #forget(call: GateCallState): void {
-    this.#calls.delete(call.id);
+    if (this.#calls.delete(call.id)) {
+      this.#heldBytes -= call.opened.bodyBytes;
+    }
     this.#bySource.get(call.source)?.delete(call.opened.call);
   }
 }
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -35,6 +35,54 @@
   };
 }
 
+/** A gate whose backend server listens at a port. */
+function openGate(port: number, readClock = () => 1_000): GateCalls {
+  const gate = new GateCalls({
+    dialect: DIALECT,
+    readClock,
+    log: { write: () => {} },
+    maxConnections: () => 4,
+    onBackendLost: () => {},
+  });
+  gate.changeBackend({
+    instanceId: "i-1",
+    service: "warehouse",
+    address: `127.0.0.1:${port}`,
+    dataCentre: "a",
+    slots: 2,
+    isDraining: false,
+    warmUntilMs: 0,
+  });
+  return gate;
+}
+
+describe("large bodies at the gate", () => {
+  it("are refused beyond what it may hold, and taken again after", async () => {
+    await using gate = openGate(9);
+    const frames: MeshFrame[] = [];
+    const send = (frame: MeshFrame) => frames.push(frame);
+    const bodyBytes = 30 * 1_048_576;
+    for (let call = 1; call <= 3; call += 1) {
+      gate.receive("1", createCall(call, { bodyBytes }), send);
+    }
+    expect(frames.map((frame) => "reason" in frame && frame.reason))
+      .to.deep.equal(["memory", "memory"]);
+    gate.loseSource("1");
+    gate.receive("2", createCall(4, { bodyBytes }), send);
+    expect(frames).to.have.length(2);
+  });
+
+  it("may be larger than that where one comes alone", async () => {
+    await using gate = openGate(9);
+    const frames: MeshFrame[] = [];
+    const bodyBytes = 64 * 1_048_576;
+    gate.receive("1", createCall(1, { bodyBytes }), (frame) => {
+      frames.push(frame);
+    });
+    expect(frames).to.deep.equal([]);
+  });
+});
+
 describe("a backend server that never answers", () => {
   it("gets its place back after the deadline, also for a transfer", async () => {
     const server = createServer((socket) => {
@@ -45,22 +93,7 @@
     );
     const { port } = server.address() as AddressInfo;
     let nowMs = 1_000;
-    const gate = new GateCalls({
-      dialect: DIALECT,
-      readClock: () => nowMs,
-      log: { write: () => {} },
-      maxConnections: () => 4,
-      onBackendLost: () => {},
-    });
-    gate.changeBackend({
-      instanceId: "i-1",
-      service: "warehouse",
-      address: `127.0.0.1:${port}`,
-      dataCentre: "a",
-      slots: 2,
-      isDraining: false,
-      warmUntilMs: 0,
-    });
+    const gate = openGate(port, () => nowMs);
     const frames: MeshFrame[] = [];
     gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
     expect(gate.readLoad().running).to.equal(1);
