Go on under a newer incarnation where the clock went back before a start

Cause: a process's incarnation is the time of day at its start. Started again after its VM's clock was stepped back, it said things that counted as older than those of the former process, and was left out until its presence ran out. The handover of a stopping leader was timed by the time of day too.

Change: a node that hears a newer incarnation of itself takes one above it. The handover goes by the steady clock.

--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -149,9 +149,9 @@
 
   /** Hands leadership over, so that a planned stop needs no election. */
   async drain(): Promise<void> {
-    const endMs = Date.now() + HANDOVER_MS;
+    const endMs = readSteadyMs() + HANDOVER_MS;
     this.#loop.dispatch({ type: "StopPlanned" });
-    while (this.#isHandingOver() && Date.now() < endMs) {
+    while (this.#isHandingOver() && readSteadyMs() < endMs) {
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
     }
   }
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -11,6 +11,7 @@
 } from "../engine/link/common/link_messages.ts";
 import type { LinkPace } from "../engine/link/common/link_reducer.ts";
 import { LinkClient } from "../engine/link/node/link_client.ts";
+import { renewIncarnation } from "../engine/membership/common/announcement.ts";
 import type { Announcement } from "../engine/membership/common/announcement.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
@@ -361,9 +362,11 @@
         } else {
           message.members.forEach((member) => this.#members.put(member));
         }
+        this.#renewIncarnation(message.members);
         return;
       case "MemberUpdate":
         this.#members.put(message.announcement);
+        this.#renewIncarnation([message.announcement]);
         return;
       case "MemberLoss":
         this.#members.remove(message.service, message.nodeId);
@@ -381,6 +384,19 @@
     }
   }
 
+  #renewIncarnation(heard: readonly Announcement[]): void {
+    const incarnation = renewIncarnation(this.#announcement, heard);
+    if (incarnation !== undefined) {
+      this.#log.write({
+        event: "IncarnationRenewed",
+        isFailure: false,
+        before: this.#announcement.incarnation,
+        incarnation,
+      });
+      this.#announce({ ...this.#announcement, incarnation });
+    }
+  }
+
   /** A node never goes back to older routes. */
   #takeRoutes(routes: RouteTable, isConfirmed: boolean): void {
     const isTrusted = isConfirmed || this.#routes !== undefined ||
--- a/src/engine/membership/common/announcement.ts
+++ b/src/engine/membership/common/announcement.ts
@@ -23,6 +23,21 @@
   readonly isDraining: boolean;
 }
 
+/**
+ * Returns the incarnation that a process goes on with, where others hold a
+ * newer one of its node: its clock stood ahead when the former process began,
+ * and what it says now would count as old. Undefined where there is none.
+ */
+export function renewIncarnation(
+  own: Announcement,
+  heard: readonly Announcement[],
+): number | undefined {
+  const newest = heard
+    .filter(({ nodeId }) => nodeId === own.nodeId)
+    .reduce((most, { incarnation }) => Math.max(most, incarnation), 0);
+  return newest > own.incarnation ? newest + 1 : undefined;
+}
+
 /** Whether `next` replaces `current`. */
 export function isNewerAnnouncement(
   next: Announcement,
