Explain requests from logs, serve a relay node's metrics, split its files

Cause: on-call engineers had decision lines of relay nodes without the inputs that decided them, no counters or durations of these nodes, and no way from a request's id to its cause but reading.

Lines of refusals carry rank, pressure and how long the chosen node had been silent; a call that moves on has a line. A relay node serves status and metrics on the operators' port: decisions by event and reason, also those whose lines are left out, durations by route, gauges. relay_daemon, entry_calls, gate_calls and member_table are split by job, without other change.

Tests: the scrape and the line of a refusal over both programs, buckets, the retry budget (which had no test of its own), the choice of a member.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { Command } from "commander";
 import { readUserName } from "./command_context.ts";
 import { registerDrain } from "./commands/drain.ts";
+import { registerExplain } from "./commands/explain.ts";
 import { registerStatus } from "./commands/status.ts";
 import { registerTable } from "./commands/table.ts";
 import { registerTimeline } from "./commands/timeline.ts";
@@ -39,5 +40,6 @@
 registerTimeline(program);
 registerDrain(program);
 registerTrace(program);
+registerExplain(program);
 
 await program.parseAsync();
--- a/src/daemon/line_log.ts
+++ b/src/daemon/line_log.ts
@@ -5,6 +5,9 @@
 /** Lines a second and kind of event; the rest is counted. */
 const LINES_A_SECOND = 20;
 
+/** Counts a decision by its event and outcome. */
+export type CountDecision = (event: string, outcome: string) => void;
+
 interface Budget {
   second: number;
   written: number;
@@ -14,15 +17,19 @@
 /** Counts what was left out and says so with the next line of its kind. */
 export class LineLog implements RelayLog {
   readonly #log: Logger;
+  readonly #countDecision: CountDecision;
   readonly #budgets = new Map<string, Budget>();
 
-  constructor(log: Logger) {
+  /** `countDecision` also counts the lines that are not written. */
+  constructor(log: Logger, countDecision: CountDecision) {
     this.#log = log;
+    this.#countDecision = countDecision;
   }
 
   /** Writes a line, or counts it. */
   write(line: RelayLine): void {
     const { event, isFailure, ...context } = line;
+    this.#countDecision(event, String(context["reason"] ?? ""));
     const second = Math.floor(Date.now() / 1_000);
     const budget = this.#budgets.get(event) ??
       { second, written: 0, leftOut: 0 };
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -5,56 +5,29 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
-import type {
-  ControlMessage,
-  NodeMessage,
-} from "../engine/link/common/link_messages.ts";
-import type { LinkPace } from "../engine/link/common/link_reducer.ts";
-import { LinkClient } from "../engine/link/node/link_client.ts";
-import { renewIncarnation } from "../engine/membership/common/announcement.ts";
-import type { Announcement } from "../engine/membership/common/announcement.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
 import { CallGraph } from "../engine/relay/common/call_graph.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
-import type { BudgetTerms } from "../engine/relay/common/entry_budget.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
 import { MemberTable } from "../engine/relay/common/member_table.ts";
 import { CallerServer } from "../engine/relay/node/caller_server.ts";
 import { EntryCalls } from "../engine/relay/node/entry_calls.ts";
 import { GateCalls } from "../engine/relay/node/gate_calls.ts";
-import type { RouteTable } from "../engine/routes/common/route_table.ts";
+import type { OperatorServer } from "./operator_server.ts";
+import { RelayControl } from "./relay_control.ts";
+import { createRelayOperator } from "./relay_operator.ts";
+import type { RelayStatus } from "./relay_operator.ts";
+import type { RelaySettings } from "./relay_settings.ts";
 import { Telemetry } from "./telemetry.ts";
 import { LineLog } from "./line_log.ts";
 
-/** What a relay daemon is built from. */
-export interface RelaySettings {
-  readonly id: string;
-  readonly vm: string;
-  readonly region: string;
-  readonly dataCentre: string;
-  /** Service of the backend server until that announces itself. */
-  readonly service: string;
-  /** `host:port` for callers on this VM. */
-  readonly callers: string;
-  /** `host:port` for other nodes; also the address that they are told. */
-  readonly mesh: string;
-  /** Link addresses of control replicas. */
-  readonly replicas: readonly string[];
-  readonly linkPace: LinkPace;
-  readonly budget: BudgetTerms;
-  /** A drain ends by then, whatever is in progress. */
-  readonly drainMs: number;
-}
-
 /** Entry and gate tick: expiry is late by at most this much. */
 const TICK_MS = 20;
 /** Ticks between notes of the own load, as often as others report theirs. */
 const OWN_LOAD_TICKS = 5;
 /** Ticks between looks for idle links. */
 const IDLE_TICKS = 500;
-/** How long routes that no quorum vouches for are kept aside at the start. */
-const UNCONFIRMED_MS = 4_000;
 /** How long a drain goes on taking work: callers look each second, twice. */
 const SPREAD_MS = 2_500;
 const POLL_MS = 20;
@@ -74,13 +47,9 @@
   readonly #callers: CallerServer;
   readonly #meshClient: MeshClient;
   readonly #meshServer: MeshServer;
-  readonly #link: LinkClient<ControlMessage, NodeMessage>;
+  readonly #control: RelayControl;
+  readonly #operator: OperatorServer;
   readonly #log: LineLog;
-  readonly #startedAtMs = readSteadyMs();
-  readonly #subscribed = new Set<string>();
-  #routes: RouteTable | undefined;
-  #linkNumber = 0;
-  #announcement: Announcement;
   #isStopping = false;
   #ticks = 0;
 
@@ -95,8 +64,11 @@
         log: { level: "info" },
       }),
     );
-    this.#log = new LineLog(this.#telemetry.log);
-    this.#announcement = createAnnouncement(settings);
+    const { metrics } = this.#telemetry;
+    this.#log = new LineLog(
+      this.#telemetry.log,
+      (event, outcome) => metrics.countDecision(event, outcome),
+    );
     const readClock = readSteadyMs;
     const log = this.#log;
     this.#gate = this.#owned.use(
@@ -104,7 +76,7 @@
         dialect,
         readClock,
         log,
-        maxConnections: () => this.#announcement.connections,
+        maxConnections: () => this.#control.announcement.connections,
         onBackendLost: () => this.#loseBackend(),
       }),
     );
@@ -127,6 +99,7 @@
       draw: Math.random,
       getLastRank: () => this.#lastRank,
       log,
+      noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
     });
     this.#meshServer = this.#owned.use(this.#createMeshServer());
     this.#callers = this.#owned.use(
@@ -137,18 +110,38 @@
           this.#entry.start(request, service, onResult),
         observeCall: (call) =>
           this.#graph.observe(call, this.#gate.listRunning(), readSteadyMs()),
-        getCallerService: () => this.#announcement.service,
+        getCallerService: () => this.#control.announcement.service,
         readClock,
         draw: Math.random,
         log,
       }),
     );
-    this.#link = this.#owned.use(this.#createLink());
+    this.#control = this.#owned.use(
+      new RelayControl({
+        settings,
+        members: this.#members,
+        log,
+        onRoutes: (routes) => {
+          this.#lastRank = Math.max(
+            0,
+            ...routes.routes.map(({ rank }) => rank),
+          );
+          this.#callers.replaceRoutes(routes);
+        },
+      }),
+    );
+    this.#operator = this.#owned.use(
+      createRelayOperator(
+        settings,
+        this.#telemetry,
+        () => this.#createStatus(),
+      ),
+    );
   }
 
   /** Whether callers may be sent here. */
   get isReady(): boolean {
-    return this.#routes !== undefined && !this.#isStopping;
+    return this.#control.hasRoutes && !this.#isStopping;
   }
 
   /** The backend server as last announced. */
@@ -160,7 +153,8 @@
   async open(): Promise<void> {
     await this.#meshServer.open();
     await this.#callers.open();
-    this.#link.open();
+    await this.#operator.open();
+    this.#control.open();
     const tick = setInterval(() => this.#tick(), TICK_MS);
     this.#owned.defer(() => clearInterval(tick));
     this.#telemetry.record({ type: "ProcessStarted", role: "node" });
@@ -169,7 +163,7 @@
   /** Adds control replicas that the settings name now. */
   learnSeeds(seeds: readonly string[]): void {
     this.#log.write({ event: "SettingsRead", isFailure: false, seeds });
-    this.#link.addReplicas(seeds);
+    this.#control.learnSeeds(seeds);
   }
 
   /** Says that changed settings can't be used; the former ones hold. */
@@ -181,11 +175,11 @@
   changeBackend(backend: LocalBackend | undefined): void {
     const before = this.#gate.backend;
     this.#gate.changeBackend(backend);
-    const service = backend?.service ?? this.#announcement.service;
+    const current = this.#control.announcement;
+    const service = backend?.service ?? current.service;
     const isDraining = this.#isStopping || backend === undefined ||
       backend.isDraining;
-    const slots = backend?.slots ?? this.#announcement.slots;
-    const current = this.#announcement;
+    const slots = backend?.slots ?? current.slots;
     const isSame = service === current.service && slots === current.slots &&
       isDraining === current.isDraining &&
       before?.instanceId === backend?.instanceId;
@@ -200,10 +194,7 @@
       slots,
       isDraining,
     });
-    if (service !== current.service) {
-      this.#link.send({ type: "Leave" });
-    }
-    this.#announce({ ...current, service, slots, isDraining });
+    this.#control.announce({ service, slots, isDraining });
   }
 
   /** Finishes what is in progress; others are told to go elsewhere. */
@@ -212,12 +203,12 @@
     this.#telemetry.record({ type: "DrainStarted" });
     const startedAtMs = readSteadyMs();
     const endMs = startedAtMs + this.#settings.drainMs;
-    this.#announce({ ...this.#announcement, isDraining: true });
+    this.#control.announce({ isDraining: true });
     this.#callers.drain();
     await waitUntil(() => readSteadyMs() >= startedAtMs + SPREAD_MS);
     this.#callers.close();
     await waitUntil(() => this.#isIdle() || readSteadyMs() >= endMs);
-    this.#link.send({ type: "Leave" });
+    this.#control.leave();
     this.#telemetry.record({ type: "DrainEnded" });
   }
 
@@ -226,6 +217,18 @@
     await this.#owned[Symbol.asyncDispose]();
   }
 
+  #createStatus(): RelayStatus {
+    return {
+      isReady: this.isReady,
+      isDraining: this.#isStopping,
+      routesVersion: this.#control.routesVersion,
+      backend: this.#gate.backend,
+      load: this.#gate.readLoad(),
+      openCalls: this.#entry.openCount,
+      members: this.#members.countNodes(),
+    };
+  }
+
   #isIdle(): boolean {
     return this.#gate.openCount === 0 && this.#callers.openCount === 0;
   }
@@ -312,141 +315,6 @@
       return [parent, Math.max(...pressures)] as const;
     });
   }
-
-  #createLink(): LinkClient<ControlMessage, NodeMessage> {
-    const { id, replicas, linkPace } = this.#settings;
-    return new LinkClient<ControlMessage, NodeMessage>({
-      id,
-      replicas,
-      pace: linkPace,
-      onMessage: (message) => this.#receive(message),
-      onOpen: (replica, linkNumber) => {
-        this.#log.write({ event: "ControlLinked", isFailure: false, replica });
-        this.#linkNumber = linkNumber;
-        this.#announce(this.#announcement);
-        this.#subscribed.clear();
-        this.#subscribe();
-      },
-      onClose: (replica) =>
-        this.#log.write({ event: "ControlLost", isFailure: true, replica }),
-      readConfirmed: (message) =>
-        "isConfirmed" in message ? message.isConfirmed : undefined,
-      createHeartbeat: () => ({
-        type: "Heartbeat",
-        tableVersion: 0,
-        routesVersion: this.#routes?.version ?? 0,
-      }),
-    });
-  }
-
-  #announce(announcement: Announcement): void {
-    const sequence = this.#announcement.sequence + 1;
-    this.#announcement = { ...announcement, sequence };
-    this.#link.send({
-      type: "Announce",
-      announcement: this.#announcement,
-      linkNumber: this.#linkNumber,
-      tableVersion: 0,
-      routesVersion: this.#routes?.version ?? 0,
-    });
-  }
-
-  #receive(message: ControlMessage): void {
-    switch (message.type) {
-      case "RoutesUpdate":
-        this.#takeRoutes(message.routes, message.isConfirmed);
-        return;
-      case "MemberList":
-        if (message.isComplete || !this.#members.isKnown(message.service)) {
-          this.#members.replace(message.service, message.members);
-        } else {
-          message.members.forEach((member) => this.#members.put(member));
-        }
-        this.#renewIncarnation(message.members);
-        return;
-      case "MemberUpdate":
-        this.#members.put(message.announcement);
-        this.#renewIncarnation([message.announcement]);
-        return;
-      case "MemberLoss":
-        this.#members.remove(message.service, message.nodeId);
-        return;
-      case "HeartbeatAnswer":
-        if (message.replicas !== undefined) {
-          this.#link.learnReplicas(message.replicas);
-        }
-        return;
-      case "TableUpdate":
-      case "TableChange":
-      case "HolderSetUpdate":
-      case "DrainOrder":
-        return;
-    }
-  }
-
-  #renewIncarnation(heard: readonly Announcement[]): void {
-    const incarnation = renewIncarnation(this.#announcement, heard);
-    if (incarnation !== undefined) {
-      this.#log.write({
-        event: "IncarnationRenewed",
-        isFailure: false,
-        before: this.#announcement.incarnation,
-        incarnation,
-      });
-      this.#announce({ ...this.#announcement, incarnation });
-    }
-  }
-
-  /** A node never goes back to older routes. */
-  #takeRoutes(routes: RouteTable, isConfirmed: boolean): void {
-    const isTrusted = isConfirmed || this.#routes !== undefined ||
-      readSteadyMs() - this.#startedAtMs > UNCONFIRMED_MS;
-    const isNewer = routes.version > (this.#routes?.version ?? 0);
-    if (!isTrusted || !isNewer) {
-      return;
-    }
-    this.#log.write({
-      event: "RoutesInForce",
-      isFailure: false,
-      version: routes.version,
-      before: this.#routes?.version,
-      isConfirmed,
-    });
-    this.#routes = routes;
-    this.#lastRank = Math.max(0, ...routes.routes.map(({ rank }) => rank));
-    this.#callers.replaceRoutes(routes);
-    this.#subscribe();
-  }
-
-  /** Asks for the members of the services that the routes lead to. */
-  #subscribe(): void {
-    for (const { targets } of this.#routes?.routes ?? []) {
-      for (const { service } of targets) {
-        if (!this.#subscribed.has(service) && this.#link.isOpen) {
-          this.#subscribed.add(service);
-          this.#link.send({ type: "Subscribe", service });
-        }
-      }
-    }
-  }
-}
-
-function createAnnouncement(settings: RelaySettings): Announcement {
-  return {
-    nodeId: settings.id,
-    incarnation: Date.now(),
-    sequence: 0,
-    service: settings.service,
-    dataCentre: settings.dataCentre,
-    region: settings.region,
-    vm: settings.vm,
-    ingress: settings.mesh,
-    operator: settings.mesh,
-    slots: 1,
-    connections: 1_024,
-    // No work before the backend server has announced itself.
-    isDraining: true,
-  };
 }
 
 async function waitUntil(isMet: () => boolean): Promise<void> {
--- /dev/null
+++ b/src/daemon/relay_operator.ts
@@ -0,0 +1,94 @@
+/** What a relay node shows its operators: status, time line, metrics. */
+import { parseAddress } from "../base/node/listen.ts";
+import type { LoadFigures } from "../engine/mesh/common/frames.ts";
+import type { LocalBackend } from "../engine/relay/common/gate.ts";
+import { OperatorServer } from "./operator_server.ts";
+import type { OperatorRoute } from "./operator_server.ts";
+import type { RelaySettings } from "./relay_settings.ts";
+import type { Telemetry } from "./telemetry.ts";
+
+/** A relay node as it is now. */
+export interface RelayStatus {
+  readonly isReady: boolean;
+  readonly isDraining: boolean;
+  /** 0 before the first routes. */
+  readonly routesVersion: number;
+  readonly backend: LocalBackend | undefined;
+  readonly load: LoadFigures;
+  /** Calls of this node's callers without a final answer. */
+  readonly openCalls: number;
+  /** Nodes of all services that calls may be sent to. */
+  readonly members: number;
+}
+
+type ReadStatus = () => RelayStatus;
+
+/** Creates the listener, and the gauges that a scrape reads. */
+export function createRelayOperator(
+  settings: RelaySettings,
+  { metrics, timeline }: Telemetry,
+  readStatus: ReadStatus,
+): OperatorServer {
+  for (const [name, description, read] of GAUGES) {
+    metrics.createGauge(name, description, () => read(readStatus()));
+  }
+  const { id, dataCentre } = settings;
+  const routes = new Map<string, OperatorRoute>([
+    ["GET /livez", () => ({ status: 200, body: { isAlive: true } })],
+    ["GET /readyz", () => {
+      const { isReady } = readStatus();
+      return { status: isReady ? 200 : 503, body: { isReady } };
+    }],
+    ["GET /status", () => ({
+      status: 200,
+      body: { role: "node", id, dataCentre, ...readStatus() },
+    })],
+    ["GET /timeline", () => ({ status: 200, body: timeline.list() })],
+  ]);
+  return new OperatorServer({
+    address: parseAddress(settings.operator)!,
+    security: { tls: undefined, credentials: undefined },
+    routes,
+    answerScrape: (request, response) =>
+      metrics.answerScrape(request, response),
+  });
+}
+
+type Gauge = readonly [
+  name: string,
+  description: string,
+  read: (status: RelayStatus) => number,
+];
+
+const GAUGES: readonly Gauge[] = [
+  [
+    "ready",
+    "1 where callers may be sent here",
+    (status) => Number(status.isReady),
+  ],
+  [
+    "routes_version",
+    "Version of the routes in force",
+    (status) => status.routesVersion,
+  ],
+  ["open_calls", "Calls of this node's callers without a final answer", (
+    status,
+  ) => status.openCalls],
+  [
+    "backend_running",
+    "Calls that run at the backend server",
+    ({ load }) => load.running,
+  ],
+  [
+    "backend_queued",
+    "Calls that wait for the backend server",
+    ({ load }) => load.queued,
+  ],
+  ["backend_limit", "Calls that may run at a time; 0 where none may", ({
+    load,
+  }) => load.limit],
+  ["backend_pressure", "Part of roots to refuse for this backend server", ({
+    load,
+  }) => load.pressure],
+  ["members", "Nodes that calls may be sent to", ({ members }) => members],
+];
--- /dev/null
+++ b/src/engine/relay/common/entry_call.ts
@@ -0,0 +1,81 @@
+/** A call as its entry node keeps it until the final answer. */
+import { cutFirstPart } from "../../mesh/common/body_parts.ts";
+import type { BodyCollector } from "../../mesh/common/body_parts.ts";
+import type { AnswerOpened, CallOpened } from "../../mesh/common/frames.ts";
+import type {
+  Attempt,
+  EntryFailure,
+  EntryRequest,
+  EntryResult,
+} from "./entry_types.ts";
+
+/** A call that was started, with where its result goes. */
+export interface EntryCall {
+  readonly id: number;
+  readonly request: EntryRequest;
+  readonly service: string;
+  readonly onResult: (result: EntryResult) => void;
+  readonly tried: Set<string>;
+  handedOver: number;
+  mayHaveRun: boolean;
+  rerouted: number;
+  retryAfterMs: number;
+  attempt: Attempt | undefined;
+  answer:
+    | { readonly opened: AnswerOpened; readonly body: BodyCollector }
+    | undefined;
+}
+
+/** A refused caller comes back no sooner, in milliseconds. */
+export const MIN_RETRY_MS = 50;
+
+/** Creates a call that was sent nowhere yet. */
+export function createEntryCall(
+  id: number,
+  request: EntryRequest,
+  service: string,
+  onResult: (result: EntryResult) => void,
+): EntryCall {
+  return {
+    id,
+    request,
+    service,
+    onResult,
+    tried: new Set(),
+    handedOver: 0,
+    mayHaveRun: false,
+    rerouted: 0,
+    retryAfterMs: MIN_RETRY_MS,
+    attempt: undefined,
+    answer: undefined,
+  };
+}
+
+/** Creates the frame that hands a call to a node. */
+export function createOpening(call: EntryCall, nowMs: number): CallOpened {
+  const { request, service } = call;
+  const { route, body } = request;
+  return {
+    type: "CallOpened",
+    call: call.id,
+    requestId: request.requestId,
+    service,
+    method: request.method,
+    target: request.target,
+    headers: request.headers,
+    timeLeftMs: Math.max(0, request.deadlineMs - nowMs),
+    rank: request.rank,
+    route: route.name,
+    isIdempotent: route.isIdempotent,
+    isNested: request.isNested,
+    bodyBytes: body.length,
+    body: cutFirstPart(body),
+  };
+}
+
+/** Creates what the caller of a call is told that isn't tried further. */
+export function createRefusal(call: EntryCall): EntryFailure {
+  return call.mayHaveRun
+    ? { type: "Unknown" }
+    : { type: "Refused", retryAfterMs: call.retryAfterMs };
+}
--- a/src/engine/relay/common/entry_types.ts
+++ b/src/engine/relay/common/entry_types.ts
@@ -1,7 +1,7 @@
 /** Calls as the entry node holds them. */
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { Route } from "../../routes/common/route_table.ts";
-import type { Member } from "./member_table.ts";
+import type { Member } from "./member.ts";
 
 /** What a caller asked for, read whole. */
 export interface EntryRequest {
--- /dev/null
+++ b/src/engine/relay/common/member.ts
@@ -0,0 +1,86 @@
+/** One backend server as this node sees it, and what its answers say of it. */
+import type { LoadFigures } from "../../mesh/common/frames.ts";
+import type { Announcement } from "../../membership/common/announcement.ts";
+
+/** One backend server as this node sees it. */
+export interface Member {
+  announcement: Announcement;
+  /** Calls of this node that it has not answered. */
+  outstanding: number;
+  /** Calls of this node that were sent since the load was heard. */
+  sentSinceLoad: number;
+  load: LoadFigures | undefined;
+  loadAtMs: number;
+  /** Pressure below the routes that make calls there, as it says. */
+  below: readonly (readonly [string, number])[];
+  /** Mean time until an answer; 0 before the first. */
+  latencyMs: number;
+  /** Smoothed share of failures among the answers. */
+  failureShare: number;
+  /** Answers in a row that were failures. */
+  failures: number;
+  /** Until when it is chosen only where no other is left. */
+  ejectedUntilMs: number;
+  /** Since when calls of this node have been in progress there. */
+  busySinceMs: number;
+}
+
+/** Answers after which a failing member is left out for a while. */
+const EJECT_AFTER = 3;
+const EJECT_MS = 1_000;
+const LATENCY_GAIN = 0.03;
+const FAILURE_GAIN = 0.05;
+/** Notes what an answer, or its absence, says of a member. */
+export function noteResult(
+  member: Member,
+  result: { readonly isFailure: boolean; readonly latencyMs: number },
+  nowMs: number,
+): void {
+  member.failureShare += (Number(result.isFailure) - member.failureShare) *
+    FAILURE_GAIN;
+  if (!result.isFailure) {
+    member.failures = 0;
+    member.latencyMs += (result.latencyMs - member.latencyMs) *
+      (member.latencyMs === 0 ? 1 : LATENCY_GAIN);
+    return;
+  }
+  member.failures += 1;
+  if (member.failures >= EJECT_AFTER) {
+    member.failures = 0;
+    member.ejectedUntilMs = nowMs + EJECT_MS;
+  }
+}
+
+/** Calls in progress hold on to the member, so that it is kept. */
+export function renewMember(
+  before: Member | undefined,
+  announcement: Announcement,
+): Member {
+  if (before === undefined) {
+    return createMember(announcement);
+  }
+  const isSame = before.announcement.nodeId === announcement.nodeId &&
+    before.announcement.incarnation === announcement.incarnation;
+  if (!isSame) {
+    const { outstanding } = before;
+    Object.assign(before, createMember(announcement), { outstanding });
+  }
+  before.announcement = announcement;
+  return before;
+}
+
+function createMember(announcement: Announcement): Member {
+  return {
+    announcement,
+    outstanding: 0,
+    sentSinceLoad: 0,
+    load: undefined,
+    loadAtMs: 0,
+    below: [],
+    latencyMs: 0,
+    failureShare: 0,
+    failures: 0,
+    ejectedUntilMs: 0,
+    busySinceMs: 0,
+  };
+}
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -1,28 +1,38 @@
 /** Sees each call of this node's callers through to its final answer. */
 import {
   BodyCollector,
-  cutFirstPart,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
 import type {
   AnswerOpened,
   CallFailed,
-  CallOpened,
   LoadReported,
   MeshFrame,
 } from "../../mesh/common/frames.ts";
+import {
+  createEntryCall,
+  createOpening,
+  createRefusal,
+  MIN_RETRY_MS,
+} from "../common/entry_call.ts";
+import type { EntryCall } from "../common/entry_call.ts";
 import { EntryBudget } from "../common/entry_budget.ts";
 import type { BudgetTerms } from "../common/entry_budget.ts";
 import { decideNextStep } from "../common/entry_decision.ts";
 import type { NextStep } from "../common/entry_decision.ts";
 import type {
-  Attempt,
   EntryFailure,
   EntryRequest,
   EntryResult,
 } from "../common/entry_types.ts";
-import { MemberTable, noteResult } from "../common/member_table.ts";
-import type { Member } from "../common/member_table.ts";
+import {
+  isMemberSilent,
+  measureCallSilence,
+  SILENCE_MS,
+  STALLED_MS,
+} from "../common/link_silence.ts";
+import { noteResult } from "../common/member.ts";
+import type { MemberTable } from "../common/member_table.ts";
 import { isRootRefused } from "../common/root_admission.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 
@@ -47,45 +57,12 @@
   /** The least urgent rank of the routes in force. */
   readonly getLastRank: () => number;
   readonly log: RelayLog;
+  /** A call of a route has its final answer. */
+  readonly noteEnded: (route: string, elapsedMs: number) => void;
 }
 
-/** A call that was started, with where its result goes. */
-interface EntryCall {
-  readonly id: number;
-  readonly request: EntryRequest;
-  readonly service: string;
-  readonly onResult: (result: EntryResult) => void;
-  readonly tried: Set<string>;
-  handedOver: number;
-  mayHaveRun: boolean;
-  rerouted: number;
-  retryAfterMs: number;
-  attempt: Attempt | undefined;
-  answer:
-    | { readonly opened: AnswerOpened; readonly body: BodyCollector }
-    | undefined;
-}
-
-/**
- * Silence on a link with calls in progress after which it is given up: several
- * reports of the other end, 100 ms apart, did not come.
- */
-const SILENCE_MS = 1_200;
-/**
- * Silence after which other members are chosen: three reports did not come.
- * Each call sent to a node that is cut off is lost, or late by its time limit.
- */
-const SUSPECT_MS = 350;
-/**
- * Silence after which a call that may be repeated goes elsewhere: a usual time
- * limit, 800 ms, leaves room for a second run by then.
- */
-const STALLED_MS = 500;
 /** When a root that was refused for pressure may come back. */
 const ROOT_RETRY_MS = 700;
-/** A refused caller comes back no sooner, in milliseconds. */
-const MIN_RETRY_MS = 50;
-
 /** Calls by their number; numbers are never used twice in a process. */
 export class EntryCalls {
   readonly #options: EntryCallsOptions;
@@ -109,26 +86,9 @@
     service: string,
     onResult: (result: EntryResult) => void,
   ): () => void {
-    const call: EntryCall = {
-      id: this.#nextId++,
-      request,
-      service,
-      onResult,
-      tried: new Set(),
-      handedOver: 0,
-      mayHaveRun: false,
-      rerouted: 0,
-      retryAfterMs: MIN_RETRY_MS,
-      attempt: undefined,
-      answer: undefined,
-    };
+    const call = createEntryCall(this.#nextId++, request, service, onResult);
     this.#calls.set(call.id, call);
-    if (!request.isNested && this.#isRefused(call)) {
-      this.#finish(
-        call,
-        { type: "Refused", retryAfterMs: ROOT_RETRY_MS },
-        "pressure",
-      );
+    if (!request.isNested && this.#refuseRoot(call)) {
       return () => {};
     }
     this.#budget.noteFirst(service, request.arrivedAtMs);
@@ -174,13 +134,14 @@
   /** Ends calls whose time is up, and gives silent links up. */
   tick(): void {
     const { members, path, readClock } = this.#options;
+    const { getHeardAtMs } = path;
     const nowMs = readClock();
     const silent = new Set<string>();
     for (const call of [...this.#calls.values()]) {
-      const silenceMs = this.#measureSilence(call, nowMs);
+      const silenceMs = measureCallSilence(call.attempt, getHeardAtMs, nowMs);
       if (nowMs >= call.request.deadlineMs) {
         this.#cancelAttempt(call);
-        this.#finish(call, { type: "Expired" }, "time limit");
+        this.#finish(call, { type: "Expired" }, "time limit", { silenceMs });
       } else if (silenceMs > SILENCE_MS) {
         silent.add(call.attempt!.address);
       } else if (silenceMs > STALLED_MS && this.#canRepeat(call, nowMs)) {
@@ -193,35 +154,19 @@
   }
 
   /** Roots are refused where a service on their way is short of room. */
-  #isRefused({ request, service }: EntryCall): boolean {
+  #refuseRoot(call: EntryCall): boolean {
     const { members, draw, getLastRank } = this.#options;
+    const { route, arrivedAtMs } = call.request;
     const pressure = members
-      .computeWayPressure(service, request.route.name, request.arrivedAtMs);
-    const { rank } = request.route;
-    return isRootRefused({
-      rank,
-      lastRank: getLastRank(),
-      pressure,
-      draw: draw(),
-    });
-  }
-
-  /** Measures how long a call's node has said nothing; 0 on this node. */
-  #measureSilence({ attempt }: EntryCall, nowMs: number): number {
-    if (attempt === undefined) {
-      return 0;
+      .computeWayPressure(call.service, route.name, arrivedAtMs);
+    const { rank } = route;
+    const lastRank = getLastRank();
+    const isRefused = isRootRefused({ rank, lastRank, pressure, draw: draw() });
+    if (isRefused) {
+      const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
+      this.#finish(call, failure, "pressure", { rank, lastRank, pressure });
     }
-    const heardAtMs = this.#options.path.getHeardAtMs(attempt.address);
-    return heardAtMs === undefined
-      ? 0
-      : nowMs - Math.max(heardAtMs, attempt.sentAtMs);
-  }
-
-  #isSilent(member: Member, nowMs: number): boolean {
-    const { announcement, outstanding, busySinceMs } = member;
-    const heardAtMs = this.#options.path.getHeardAtMs(announcement.ingress);
-    return heardAtMs !== undefined && outstanding > 0 &&
-      nowMs - Math.max(heardAtMs, busySinceMs) > SUSPECT_MS;
+    return isRefused;
   }
 
   /** Whether a call would go elsewhere if its attempt were given up. */
@@ -233,16 +178,15 @@
   #send(call: EntryCall): void {
     const { members, dataCentre, readClock, draw, path } = this.#options;
     const nowMs = readClock();
-    const member = members.choose({
-      service: call.service,
+    const member = members.choose(call.service, {
       dataCentre,
       tried: call.tried,
       nowMs,
       draw: draw(),
-      isSilent: (found) => this.#isSilent(found, nowMs),
+      isSilent: (found) => isMemberSilent(found, path.getHeardAtMs, nowMs),
     });
     if (member === undefined) {
-      this.#finish(call, this.#createRefusal(call), "no member");
+      this.#finish(call, createRefusal(call), "no member");
       return;
     }
     const address = member.announcement.ingress;
@@ -252,33 +196,12 @@
     call.tried.add(address);
     call.attempt = { member, address, call: call.id, sentAtMs: nowMs };
     const { body } = call.request;
-    path.send(address, this.#createOpening(call, nowMs));
+    path.send(address, createOpening(call, nowMs));
     for (const bytes of listFurtherParts(body)) {
       path.send(address, { type: "BodyPart", call: call.id, bytes });
     }
   }
 
-  #createOpening(call: EntryCall, nowMs: number): CallOpened {
-    const { request, service } = call;
-    const { route, body } = request;
-    return {
-      type: "CallOpened",
-      call: call.id,
-      requestId: request.requestId,
-      service,
-      method: request.method,
-      target: request.target,
-      headers: request.headers,
-      timeLeftMs: Math.max(0, request.deadlineMs - nowMs),
-      rank: request.rank,
-      route: route.name,
-      isIdempotent: route.isIdempotent,
-      isNested: request.isNested,
-      bodyBytes: body.length,
-      body: cutFirstPart(body),
-    };
-  }
-
   #openAnswer(address: string, opened: AnswerOpened): void {
     const { members, readClock } = this.#options;
     const nowMs = readClock();
@@ -337,6 +260,17 @@
     const step = this.#decide(call, kind, call.handedOver, nowMs);
     switch (step.type) {
       case "TryElsewhere":
+        this.#options.log.write({
+          event: "CallMoved",
+          isFailure: false,
+          requestId: call.request.requestId,
+          service: call.service,
+          from: member.announcement.ingress,
+          kind,
+          reason,
+          handedOver: call.handedOver,
+          timeLeftMs: call.request.deadlineMs - nowMs,
+        });
         if (step.isArrival) {
           this.#budget.noteRetry(call.service, nowMs);
         } else {
@@ -345,7 +279,7 @@
         this.#send(call);
         return;
       case "Refuse":
-        this.#finish(call, this.#createRefusal(call), reason);
+        this.#finish(call, createRefusal(call), reason);
         return;
       case "FailUnknown":
         this.#finish(call, { type: "Unknown" }, reason);
@@ -384,12 +318,6 @@
     });
   }
 
-  #createRefusal(call: EntryCall): EntryFailure {
-    return call.mayHaveRun
-      ? { type: "Unknown" }
-      : { type: "Refused", retryAfterMs: call.retryAfterMs };
-  }
-
   #withdraw(call: EntryCall): void {
     if (this.#calls.has(call.id)) {
       this.#cancelAttempt(call);
@@ -405,7 +333,13 @@
     }
   }
 
-  #finish(call: EntryCall, failure: EntryFailure, reason: string): void {
+  /** `inputs` are what decided it beyond the call's own state. */
+  #finish(
+    call: EntryCall,
+    failure: EntryFailure,
+    reason: string,
+    inputs: Readonly<Record<string, number>> = {},
+  ): void {
     const { readClock, log } = this.#options;
     this.#end(call);
     log.write({
@@ -419,6 +353,7 @@
       tried: [...call.tried],
       handedOver: call.handedOver,
       elapsedMs: readClock() - call.request.arrivedAtMs,
+      ...inputs,
     });
     call.onResult({ type: "Failed", failure });
   }
@@ -426,6 +361,9 @@
   #end(call: EntryCall): void {
     this.#releaseAttempt(call);
     this.#calls.delete(call.id);
+    const { noteEnded, readClock } = this.#options;
+    const { route, arrivedAtMs } = call.request;
+    noteEnded(route.name, readClock() - arrivedAtMs);
   }
 
   #releaseAttempt(call: EntryCall): void {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -14,6 +14,8 @@
 } from "../../mesh/common/body_parts.ts";
 import type { RunningParent } from "../common/call_graph.ts";
 import type { CallDialect } from "../common/dialect.ts";
+import { GateCallIndex } from "../common/gate_call_index.ts";
+import type { GateCallState, SendFrame } from "../common/gate_call_index.ts";
 import {
   computeRetryAfterMs,
   createGate,
@@ -25,9 +27,6 @@
 import { BackendClient } from "./backend_client.ts";
 import type { BackendHead, BackendResult } from "./backend_client.ts";
 
-/** Where the answer of a call goes. */
-export type SendFrame = (frame: MeshFrame) => void;
-
 /** What the gate's calls are built from. */
 export interface GateCallsOptions {
   readonly dialect: CallDialect;
@@ -39,24 +38,6 @@
   readonly onBackendLost: () => void;
 }
 
-interface GateCallState {
-  readonly id: number;
-  readonly opened: CallOpened;
-  readonly body: BodyCollector;
-  readonly deadlineMs: number;
-  readonly arrivedAtMs: number;
-  readonly send: SendFrame;
-  readonly source: string;
-  phase: "receiving" | "waiting" | "running";
-  startedAtMs: number;
-  breakOff: (() => void) | undefined;
-}
-
-/**
- * Bytes of bodies held for the backend server at a time; calls with more are
- * refused: many large uploads at once must not exhaust the memory.
- */
-const MAX_HELD_BYTES = 50_331_648;
 /** How long after its deadline a call without an answer is given up. */
 const OVERDUE_MS = 1_000;
 
@@ -64,12 +45,9 @@
 export class GateCalls implements AsyncDisposable {
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
-  readonly #calls = new Map<number, GateCallState>();
-  /** Calls by link and their number there. */
-  readonly #bySource = new Map<string, Map<number, number>>();
+  readonly #calls = new GateCallIndex();
   #client: BackendClient | undefined;
   #nextId = 1;
-  #heldBytes = 0;
 
   constructor(options: GateCallsOptions) {
     this.#options = options;
@@ -92,12 +70,12 @@
 
   /** Whether calls of a link are in progress. */
   hasCalls(source: string): boolean {
-    return (this.#bySource.get(source)?.size ?? 0) > 0;
+    return this.#calls.hasAny(source);
   }
 
   /** Lists what runs at the backend server now. */
   *listRunning(): Generator<RunningParent> {
-    for (const { phase, opened, deadlineMs } of this.#calls.values()) {
+    for (const { phase, opened, deadlineMs } of this.#calls.list()) {
       if (phase === "running") {
         yield { route: opened.route, rank: opened.rank, deadlineMs };
       }
@@ -122,7 +100,7 @@
         this.#open(source, frame, send);
         return;
       case "BodyPart": {
-        const call = this.#find(source, frame.call);
+        const call = this.#calls.find(source, frame.call);
         call?.body.add(frame.bytes);
         if (call?.phase === "receiving" && call.body.isWhole) {
           this.#admit(call);
@@ -130,7 +108,7 @@
         return;
       }
       case "CallCancelled": {
-        const call = this.#find(source, frame.call);
+        const call = this.#calls.find(source, frame.call);
         if (call !== undefined) {
           this.#cancel(call, "caller left");
         }
@@ -145,14 +123,10 @@
 
   /** A link is gone: nobody waits for its calls any more. */
   loseSource(source: string): void {
-    const numbers = [...this.#bySource.get(source)?.keys() ?? []];
-    for (const number of numbers) {
-      const call = this.#find(source, number);
-      if (call !== undefined) {
-        this.#cancel(call, "link lost");
-      }
+    for (const call of this.#calls.listOfLink(source)) {
+      this.#cancel(call, "link lost");
     }
-    this.#bySource.delete(source);
+    this.#calls.forgetLink(source);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -165,7 +139,7 @@
    */
   #endOverdue(): void {
     const dueMs = this.#options.readClock() - OVERDUE_MS;
-    for (const call of [...this.#calls.values()]) {
+    for (const call of [...this.#calls.list()]) {
       if (call.deadlineMs < dueMs) {
         call.breakOff?.();
         this.#fail(call, "expired", "no answer at the deadline");
@@ -187,22 +161,17 @@
       startedAtMs: 0,
       breakOff: undefined,
     };
-    this.#remember(call);
+    this.#calls.add(call);
     const service = this.#gate.backend?.service;
     if (service !== undefined && service !== opened.service) {
       this.#fail(call, "refused", "other_service");
-    } else if (this.#isOverfull(opened.bodyBytes)) {
+    } else if (this.#calls.isOverfull(opened.bodyBytes)) {
       this.#fail(call, "refused", "memory");
     } else if (call.body.isWhole) {
       this.#admit(call);
     }
   }
 
-  /** One body alone may be as large as the table allows. */
-  #isOverfull(ownBytes: number): boolean {
-    return this.#heldBytes > MAX_HELD_BYTES && this.#heldBytes > ownBytes;
-  }
-
   #admit(call: GateCallState): void {
     const { id, opened, arrivedAtMs, deadlineMs } = call;
     const { route, rank, isNested } = opened;
@@ -366,7 +335,7 @@
 
   #end(call: GateCallState, serviceMs: number | undefined): void {
     const wasRunning = call.phase === "running";
-    this.#forget(call);
+    this.#calls.remove(call);
     if (wasRunning) {
       const { id, opened: { route } } = call;
       this.#step({ type: "CallEnded", id, route, serviceMs });
@@ -381,24 +350,4 @@
     }
     return this.#client;
   }
-
-  #find(source: string, number: number): GateCallState | undefined {
-    const id = this.#bySource.get(source)?.get(number);
-    return id === undefined ? undefined : this.#calls.get(id);
-  }
-
-  #remember(call: GateCallState): void {
-    this.#calls.set(call.id, call);
-    this.#heldBytes += call.opened.bodyBytes;
-    const numbers = this.#bySource.get(call.source) ?? new Map();
-    this.#bySource.set(call.source, numbers);
-    numbers.set(call.opened.call, call.id);
-  }
-
-  #forget(call: GateCallState): void {
-    if (this.#calls.delete(call.id)) {
-      this.#heldBytes -= call.opened.bodyBytes;
-    }
-    this.#bySource.get(call.source)?.delete(call.opened.call);
-  }
 }
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -1,6 +1,6 @@
 /** Calls at their entry, over links whose other end may fall silent. */
 import { expect } from "chai";
-import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
+import type { MeshFrame } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { Route } from "../../routes/common/route_table.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
@@ -73,6 +73,7 @@
       draw: () => 0,
       getLastRank: () => 0,
       log: { write: () => {} },
+      noteEnded: () => {},
     });
   }
 
@@ -116,10 +117,6 @@
     return this.sent.filter(([, { type }]) => type === "CallOpened")
       .map(([address]) => address);
   }
-
-  getFirstOpening(): CallOpened {
-    return this.sent[0]![1] as CallOpened;
-  }
 }
 
 describe("a node that falls silent", () => {
--- a/src/engine/telemetry/node/metrics.ts
+++ b/src/engine/telemetry/node/metrics.ts
@@ -1,6 +1,7 @@
 /** Counts and gauges in plain fields, until a scrape reads them. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Attributes } from "@opentelemetry/api";
+import { DurationBuckets } from "../common/duration_buckets.ts";
 import type { TimelineEvent } from "../common/timeline_event.ts";
 import type { MetricsReader } from "./metrics_reader.ts";
 
@@ -49,6 +50,8 @@
   readonly #events: Counts = new Map();
   readonly #calls: Counts = new Map();
   readonly #refusals: Counts = new Map();
+  readonly #decisions: Counts = new Map();
+  readonly #durations = new DurationBuckets();
   readonly #gauges: Gauge[] = [];
   #reader: Promise<MetricsReader> | undefined;
 
@@ -68,6 +71,17 @@
     }
   }
 
+  /** Counts a decision, also where its line isn't written. */
+  countDecision(event: string, outcome: string): void {
+    const key = `${event} ${outcome}`;
+    countOne(this.#decisions, key, () => ({ event, outcome }));
+  }
+
+  /** Counts how long a call of a route took until its final answer. */
+  noteDuration(route: string, durationMs: number): void {
+    this.#durations.note(route, durationMs);
+  }
+
   /** Adds a gauge that is read at each scrape. */
   createGauge(name: string, description: string, read: ReadGauge): void {
     const readOne = () => [{ value: read(), attributes: {} }];
@@ -118,7 +132,12 @@
         description: "Requests that were not run, by importance and reason",
         counts: this.#refusals,
       },
-    ]);
+      {
+        name: "decisions",
+        description: "Decisions on calls and beliefs, by event and outcome",
+        counts: this.#decisions,
+      },
+    ], this.#durations);
   }
 }
 
--- a/src/engine/telemetry/node/metrics_reader.ts
+++ b/src/engine/telemetry/node/metrics_reader.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { PrometheusExporter } from "@opentelemetry/exporter-prometheus";
 import { MeterProvider } from "@opentelemetry/sdk-metrics";
+import type { DurationBuckets } from "../common/duration_buckets.ts";
 import type { Counter, Gauge } from "./metrics.ts";
 
 /** Reads counts and gauges at each scrape. */
@@ -12,7 +13,11 @@
   });
   readonly #provider = new MeterProvider({ readers: [this.#exporter] });
 
-  constructor(gauges: readonly Gauge[], counters: readonly Counter[]) {
+  constructor(
+    gauges: readonly Gauge[],
+    counters: readonly Counter[],
+    durations: DurationBuckets,
+  ) {
     const meter = this.#provider.getMeter("basilpin");
     for (const { name, description, counts } of counters) {
       meter.createObservableCounter(`basilpin_${name}`, { description })
@@ -22,6 +27,13 @@
           }
         });
     }
+    meter.createObservableCounter("basilpin_call_duration_ms_bucket", {
+      description: "Calls that took at most `le` ms until their final answer",
+    }).addCallback((result) => {
+      for (const [route, le, count] of durations.list()) {
+        result.observe(count, { route, le });
+      }
+    });
     for (const { name, description, read } of gauges) {
       meter.createObservableGauge(`basilpin_${name}`, { description })
         .addCallback((result) => {
