Try errors of services that call nobody at another backend server

Cause: a backend server that fails part of its requests (its health is good) answered a nested call with 500; the whole request above failed with it, though the call may be repeated and the other backend servers are sound.

Change: a 5xx of a service that calls no other one is tried elsewhere, if the call may be repeated, within attempts and budget. Above the bottom the same call below would fail again, so nothing is repeated there.

Figures: two new tests of the entry fail without it.

--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -169,6 +169,15 @@
     return isRefused;
   }
 
+  /**
+   * An error of a service that calls no other is its backend server's own:
+   * another one may do better. Above, the same call below would fail again.
+   */
+  #isWorthRepeating(call: EntryCall, nowMs: number): boolean {
+    return this.#options.members.isLeaf(call.service) &&
+      this.#canRepeat(call, nowMs);
+  }
+
   /** Whether a call would go elsewhere if its attempt were given up. */
   #canRepeat(call: EntryCall, nowMs: number): boolean {
     const step = this.#decide(call, "unknown", call.handedOver + 1, nowMs);
@@ -213,6 +222,10 @@
     const { member, sentAtMs } = call.attempt!;
     const isFailure = opened.status >= 500;
     noteResult(member, { isFailure, latencyMs: nowMs - sentAtMs }, nowMs);
+    if (isFailure && this.#isWorthRepeating(call, nowMs)) {
+      this.#fail(call, "unknown", `status ${opened.status}`);
+      return;
+    }
     const body = new BodyCollector(opened.bodyBytes, opened.body);
     call.answer = { opened, body };
     this.#finishAnswer(call);
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -1,6 +1,6 @@
 /** Calls at their entry, over links whose other end may fall silent. */
 import { expect } from "chai";
-import type { MeshFrame } from "../../mesh/common/frames.ts";
+import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { Route } from "../../routes/common/route_table.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
@@ -117,6 +117,10 @@
     return this.sent.filter(([, { type }]) => type === "CallOpened")
       .map(([address]) => address);
   }
+
+  getFirstOpening(): CallOpened {
+    return this.sent[0]![1] as CallOpened;
+  }
 }
 
 describe("a node that falls silent", () => {
@@ -177,6 +181,41 @@
   });
 });
 
+describe("an error of a backend server", () => {
+  const answer = (call: number, status: number) => ({
+    type: "AnswerOpened" as const,
+    call,
+    status,
+    headers: [],
+    load: LOAD,
+    bodyBytes: 0,
+    body: new Uint8Array(),
+  });
+
+  it("of a service that calls no other is tried at another one, once", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start();
+    const [first] = entry.listOpenings();
+    const { call } = entry.getFirstOpening();
+    entry.calls.receive(first!, answer(call, 500));
+    const second = entry.listOpenings()[1]!;
+    expect(second).not.to.equal(first);
+    entry.calls.receive(second, answer(call, 500));
+    expect(entry.listOpenings()).to.have.length(2);
+    expect(entry.results.map((result) => "status" in result && result.status))
+      .to.deep.equal([500]);
+  });
+
+  it("is passed on where the call may have changed something", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start({ route: { ...ROUTE, isIdempotent: false } });
+    const [first] = entry.listOpenings();
+    entry.calls.receive(first!, answer(entry.getFirstOpening().call, 500));
+    expect(entry.listOpenings()).to.have.length(1);
+    expect(entry.results).to.have.length(1);
+  });
+});
+
 describe("a link that never opened", () => {
   it("fails its calls as refused: they go elsewhere, even transfers", () => {
     const entry = new Entry("a:1", "b:1");
