Try a level of refusal by rank and work

Cause: a trial that logs the gates shows the queue of the narrow service full and empty in turn, with a period of some 5 s: one step of the pressure refuses three times as much of the least urgent rank as it should, since each rank has an equal part of it whatever its work.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -126,6 +126,7 @@
             0,
             ...routes.routes.map(({ rank }) => rank),
           );
+          this.#gate.changeRanks(this.#lastRank);
           this.#callers.replaceRoutes(routes);
         },
       }),
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -84,7 +84,7 @@
   readonly queued: number;
   /** Requests that may run at a time; 0 where none may. */
   readonly limit: number;
-  /** How hard roots that lead here should be refused, 0 to 1. */
+  /** Ranks of roots that lead here and should be refused; 0 for none. */
   readonly pressure: number;
 }
 
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -47,6 +47,7 @@
     readonly type: "BackendChanged";
     readonly backend: LocalBackend | undefined;
   }
+  | { readonly type: "RanksChanged"; readonly lastRank: number }
   | { readonly type: "Ticked" };
 
 /** Why a call is refused before the backend server saw it. */
@@ -80,6 +81,8 @@
   /** Mean time between two ends of calls while all places were taken. */
   gapMs: number;
   lastEndMs: number;
+  /** The least urgent rank of the table. */
+  lastRank: number;
   readonly pressure: PressureState;
 }
 
@@ -107,6 +110,7 @@
     times: new Map(),
     gapMs: 0,
     lastEndMs: 0,
+    lastRank: 0,
     pressure: createPressure(0),
   };
 }
@@ -132,6 +136,9 @@
     }
     case "BackendChanged":
       return changeBackend(state, event.backend, nowMs);
+    case "RanksChanged":
+      state.lastRank = event.lastRank;
+      return [];
     case "Ticked":
       return tick(state, nowMs);
   }
@@ -156,7 +163,7 @@
     running: state.running,
     queued: state.queue.length,
     limit: computeLimit(state),
-    pressure: 1 - state.pressure.admitted,
+    pressure: state.pressure.level,
   };
 }
 
@@ -174,6 +181,7 @@
   const { backend, queue } = state;
   noteAsked(
     state.pressure,
+    Math.min(call.rank, state.lastRank),
     state.times.get(call.route)?.meanMs ?? FIRST_SERVICE_MS,
   );
   if (backend === undefined) {
@@ -281,6 +289,7 @@
   updatePressure(state.pressure, {
     limit: computeLimit(state),
     oldestWaitMs: measureOldestWait(state, nowMs),
+    lastRank: state.lastRank,
     nowMs,
   });
   return late.map(({ id }) => refuseCall(state, id, "deadline"));
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -2,12 +2,7 @@
  * Refuses root requests at their entry where a service on their way is short
  * of room: work that would fail midway is not begun. Least urgent first.
  */
-
-/**
- * Most of one rank that is refused before the next more urgent one is touched:
- * no kind of request is starved.
- */
-const MAX_SHARE = 0.85;
+import { MAX_REFUSED_SHARE } from "./pressure.ts";
 
 /** What is asked for one root request. */
 export interface RootRequest {
@@ -15,7 +10,7 @@
   readonly rank: number;
   /** The least urgent rank of the table. */
   readonly lastRank: number;
-  /** Of the narrowest service on its way, 0 to 1. */
+  /** Level of the narrowest service on its way, in ranks. */
   readonly pressure: number;
   /** From 0 to 1; one a request. */
   readonly draw: number;
@@ -26,12 +21,11 @@
   return request.draw < computeRefusedShare(request);
 }
 
-/** Each rank has an equal part of the pressure, the least urgent the first. */
+/** Each unit of the pressure is one rank, the least urgent the first. */
 export function computeRefusedShare(
   { rank, lastRank, pressure }: Omit<RootRequest, "draw">,
 ): number {
-  const ranks = lastRank + 1;
   const before = lastRank - Math.min(rank, lastRank);
-  const part = pressure * ranks - before;
-  return Math.max(0, Math.min(1, part)) * MAX_SHARE;
+  const part = pressure - before;
+  return Math.max(0, Math.min(1, part)) * MAX_REFUSED_SHARE;
 }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -87,6 +87,11 @@
     this.#step({ type: "BackendChanged", backend });
   }
 
+  /** Takes the least urgent rank of other routes. */
+  changeRanks(lastRank: number): void {
+    this.#step({ type: "RanksChanged", lastRank });
+  }
+
   /** Lets time pass at the gate. */
   tick(): void {
     this.#step({ type: "Ticked" });
