Learn calls only above chance, and let pressure age on its way

Cause: roots were refused at 0.59 while no gate had a queue, and stayed so: the same number to nine digits at 15 nodes. Nodes whose service calls nobody had learnt calls from single coincidences (a caller's request that expires within 5 ms of a running one), so routes named each other in circles and took each other's pressure for news. Ruled out: gates (all at 0), stale loads (over 1 s old they don't count).

--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -88,12 +88,19 @@
   readonly pressure: number;
 }
 
+/** Pressure below one route whose requests make calls at the sender's. */
+export type PressureBelow = readonly [
+  route: string,
+  pressure: number,
+  /** Since the gate that is short of room measured it. */
+  ageMs: number,
+];
+
 /** Said from time to time on links in use; also shows that the sender lives. */
 export interface LoadReported {
   readonly type: "LoadReported";
   readonly load: LoadFigures;
-  /** Pressure below each route whose requests make calls here. */
-  readonly below: readonly (readonly [string, number])[];
+  readonly below: readonly PressureBelow[];
 }
 
 /** One frame. */
--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -26,6 +26,8 @@
 interface RouteRecord {
   /** Mean share of the route's calls that expire with a running request. */
   matchShare: number;
+  /** The same for an expiry that is none: so many matches are chance. */
+  chanceShare: number;
   count: number;
 }
 
@@ -37,19 +39,30 @@
 const SHARE_GAIN = 0.05;
 /** Calls of a route before its share decides. */
 const MIN_COUNT = 10;
-/** From this share on, all calls of a route are the backend server's. */
-const NESTED_SHARE = 0.5;
-/** Rarer callees than this, against a route's commonest, are coincidences. */
-const MIN_EDGE_SHARE = 0.05;
-/** A callee that wasn't called for so long is forgotten. */
-const FORGET_MS = 30_000;
+/** How far from a call's expiry matches are taken for chance. */
+const CHANCE_OFFSET_MS = 37;
+/**
+ * From this share above chance on, all calls of a route are the backend
+ * server's. With 80 requests running that expire within 2 s, two in five
+ * callers' requests match one of them.
+ */
+const NESTED_SHARE = 0.4;
+/**
+ * Calls a run that make an edge. A coincidence taken for one lets refusals of
+ * one route spread to others, and back: roots are refused with room below.
+ */
+const MIN_CALLS_A_RUN = 0.2;
+/** Matches above chance before an edge counts. */
+const MIN_EDGE_COUNT = 5;
+/** Counts are halved so often: what is called no more is forgotten. */
+const HALVE_MS = 10_000;
 
 /** Calls of one route that were made for requests of another. */
 interface Edge {
   readonly route: string;
   readonly service: string;
+  /** Matches, less those that are chance. */
   count: number;
-  calledAtMs: number;
 }
 
 /** A callee of a route that the backend server runs. */
@@ -60,6 +73,14 @@
   readonly #routes = new Map<string, RouteRecord>();
   /** By the parents' route, then by the calls' route. */
   readonly #edges = new Map<string, Map<string, Edge>>();
+  readonly #runs = new Map<string, number>();
+  #halvedAtMs = 0;
+
+  /** Notes that the backend server begins to run a request of a route. */
+  noteRun(route: string, nowMs: number): void {
+    this.#halve(nowMs);
+    this.#runs.set(route, (this.#runs.get(route) ?? 0) + 1);
+  }
 
   /** Notes a call, and tells where it comes from. */
   observe(
@@ -68,52 +89,73 @@
       readonly service: string;
       readonly expiresAtMs: number;
     },
-    running: Iterable<RunningParent>,
+    running: readonly RunningParent[],
     nowMs: number,
   ): CallOrigin {
+    this.#halve(nowMs);
     const parents = findParents(call.expiresAtMs, running);
+    const chance = findParents(call.expiresAtMs + CHANCE_OFFSET_MS, running);
     const isMatch = parents.routes.size > 0;
-    const record = this.#routes.get(call.route) ?? { matchShare: 0, count: 0 };
-    this.#routes.set(call.route, record);
+    const record = this.#getRecord(call.route);
     record.count += 1;
     const gain = Math.max(SHARE_GAIN, 1 / record.count);
     record.matchShare += (Number(isMatch) - record.matchShare) * gain;
-    const isNested = record.count < MIN_COUNT
-      ? isMatch
-      : record.matchShare >= NESTED_SHARE;
-    // Where requests of two routes expire together, either may have called.
-    if (isNested && parents.routes.size === 1) {
-      const [parent] = parents.routes;
-      this.#noteEdge(parent!, call, nowMs);
+    record.chanceShare +=
+      (Number(chance.routes.size > 0) - record.chanceShare) * gain;
+    const isKnown = record.count >= MIN_COUNT;
+    const isNested = isKnown
+      ? record.matchShare - record.chanceShare >= NESTED_SHARE
+      : isMatch;
+    if (isKnown && isNested) {
+      this.#noteEdge(parents, call, 1);
+      this.#noteEdge(chance, call, -1);
     }
     return { isNested, rank: isNested ? parents.nearest?.rank : undefined };
   }
 
   /** Lists the routes whose requests make calls, and what they call. */
-  listEdges(nowMs: number): readonly (readonly [string, readonly Callee[]])[] {
+  listEdges(): readonly (readonly [string, readonly Callee[]])[] {
     return [...this.#edges].map(([route, edges]) => {
-      const recent = [...edges.values()]
-        .filter(({ calledAtMs }) => nowMs - calledAtMs <= FORGET_MS);
-      const most = recent.reduce((max, { count }) => Math.max(max, count), 0);
-      return [
-        route,
-        recent.filter(({ count }) => count >= most * MIN_EDGE_SHARE),
-      ] as const;
+      const runs = this.#runs.get(route) ?? 0;
+      const least = Math.max(MIN_EDGE_COUNT, runs * MIN_CALLS_A_RUN);
+      const callees = [...edges.values()].filter(({ count }) => count >= least);
+      return [route, callees] as const;
     }).filter(([, callees]) => callees.length > 0);
   }
 
-  #noteEdge(parent: string, call: Callee, nowMs: number): void {
-    const edges = this.#edges.get(parent) ?? new Map<string, Edge>();
-    this.#edges.set(parent, edges);
+  #getRecord(route: string): RouteRecord {
+    const record = this.#routes.get(route) ??
+      { matchShare: 0, chanceShare: 0, count: 0 };
+    this.#routes.set(route, record);
+    return record;
+  }
+
+  /** Where requests of two routes expire together, either may have called. */
+  #noteEdge({ routes }: Parents, call: Callee, change: number): void {
+    if (routes.size !== 1) {
+      return;
+    }
+    const [parent] = routes;
+    const edges = this.#edges.get(parent!) ?? new Map<string, Edge>();
+    this.#edges.set(parent!, edges);
     const { route, service } = call;
-    const edge = edges.get(route) ??
-      { route, service, count: 0, calledAtMs: 0 };
-    edges.set(route, {
-      ...edge,
-      service,
-      count: edge.count + 1,
-      calledAtMs: nowMs,
-    });
+    const count = (edges.get(route)?.count ?? 0) + change;
+    edges.set(route, { route, service, count });
+  }
+
+  #halve(nowMs: number): void {
+    if (nowMs - this.#halvedAtMs < HALVE_MS) {
+      return;
+    }
+    this.#halvedAtMs = nowMs;
+    for (const [route, runs] of this.#runs) {
+      this.#runs.set(route, runs / 2);
+    }
+    for (const edges of this.#edges.values()) {
+      for (const edge of edges.values()) {
+        edge.count /= 2;
+      }
+    }
   }
 }
 
@@ -126,7 +168,7 @@
 
 function findParents(
   expiresAtMs: number,
-  running: Iterable<RunningParent>,
+  running: readonly RunningParent[],
 ): Parents {
   const routes = new Set<string>();
   let nearest: RunningParent | undefined;
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -2,6 +2,13 @@
 import type { LoadFigures } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 
+/** Pressure on the way of a route's requests. */
+export interface WayPressure {
+  readonly pressure: number;
+  /** When the gate that is short of room measured it. */
+  readonly measuredAtMs: number;
+}
+
 /** One backend server as this node sees it. */
 export interface Member {
   announcement: Announcement;
@@ -11,8 +18,8 @@
   sentSinceLoad: number;
   load: LoadFigures | undefined;
   loadAtMs: number;
-  /** Pressure below the routes that make calls there, as it says. */
-  below: readonly (readonly [string, number])[];
+  /** Pressure below the routes that make calls there, by route. */
+  below: ReadonlyMap<string, WayPressure>;
   /** Mean time until an answer; 0 before the first. */
   latencyMs: number;
   /** Smoothed share of failures among the answers. */
@@ -76,7 +83,7 @@
     sentSinceLoad: 0,
     load: undefined,
     loadAtMs: 0,
-    below: [],
+    below: new Map(),
     latencyMs: 0,
     failureShare: 0,
     failures: 0,
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -157,14 +157,19 @@
   #refuseRoot(call: EntryCall): boolean {
     const { members, draw, getLastRank } = this.#options;
     const { route, arrivedAtMs } = call.request;
-    const pressure = members
+    const { pressure, measuredAtMs } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     const { rank } = route;
     const lastRank = getLastRank();
     const isRefused = isRootRefused({ rank, lastRank, pressure, draw: draw() });
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
-      this.#finish(call, failure, "pressure", { rank, lastRank, pressure });
+      this.#finish(call, failure, "pressure", {
+        rank,
+        lastRank,
+        pressure,
+        ageMs: arrivedAtMs - measuredAtMs,
+      });
     }
     return isRefused;
   }
@@ -257,8 +262,9 @@
 
   #takeLoad(address: string, frame: LoadReported): void {
     const { members, readClock } = this.#options;
-    members.noteLoad(address, frame.load, readClock());
-    members.noteBelow(address, frame.below);
+    const nowMs = readClock();
+    members.noteLoad(address, frame.load, nowMs);
+    members.noteBelow(address, frame.below, nowMs);
   }
 
   #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -34,6 +34,8 @@
   readonly log: RelayLog;
   /** Most connections that the backend server takes. */
   readonly maxConnections: () => number;
+  /** The backend server begins to run a request of a route. */
+  readonly onRun: (route: string) => void;
   /** The backend server refused connections: it may have ended. */
   readonly onBackendLost: () => void;
 }
@@ -74,12 +76,14 @@
   }
 
   /** Lists what runs at the backend server now. */
-  *listRunning(): Generator<RunningParent> {
+  listRunning(): readonly RunningParent[] {
+    const running: RunningParent[] = [];
     for (const { phase, opened, deadlineMs } of this.#calls.list()) {
       if (phase === "running") {
-        yield { route: opened.route, rank: opened.rank, deadlineMs };
+        running.push({ route: opened.route, rank: opened.rank, deadlineMs });
       }
     }
+    return running;
   }
 
   /** Takes what the backend server announces of itself. */
@@ -211,6 +215,7 @@
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
+    this.#options.onRun(call.opened.route);
     const { method, target, requestId } = call.opened;
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -42,6 +42,7 @@
     readClock,
     log: { write: () => {} },
     maxConnections: () => 4,
+    onRun: () => {},
     onBackendLost: () => {},
   });
   gate.changeBackend({
