Say the load on a link only where no answer has said it

Each link in use is reported on ten times a second, at both ends a wake-up, a system call and a message, though each answer has the load too.

Change: a link on which an answer went out since the last report has none, unless calls are made below the node (their pressure rides on reports only).

Figures: test of a link: 0 reports in place of 1 after an answer.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -25,8 +25,13 @@
 
 /** Entry and gate tick: expiry is late by at most this much. */
 const TICK_MS = 20;
+/**
+ * How often the load is said on links in use: how old it may be where calls are
+ * spread, and how soon a silent node is known.
+ */
+const REPORT_MS = 100;
 /** Ticks between notes of the own load, as often as others report theirs. */
-const OWN_LOAD_TICKS = 5;
+const OWN_LOAD_TICKS = REPORT_MS / TICK_MS;
 /** Ticks between looks for idle links. */
 const IDLE_TICKS = 500;
 /** How long a drain goes on taking work: callers look each second, twice. */
@@ -301,6 +306,7 @@
         ),
       onClosed: (link) => this.#gate.loseSource(String(link)),
       hasCalls: (link) => this.#gate.hasCalls(String(link)),
+      reportMs: REPORT_MS,
       createReport: () => ({
         type: "LoadReported",
         load: this.#gate.readLoad(),
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -5,7 +5,7 @@
 import type { WebSocket } from "ws";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
-import type { MeshFrame } from "../common/frames.ts";
+import type { LoadReported, MeshFrame } from "../common/frames.ts";
 import { decodeFrames, FrameWriter } from "./frame_writer.ts";
 import { MAX_MESSAGE_BYTES } from "./mesh_client.ts";
 
@@ -16,8 +16,10 @@
   readonly onClosed: (link: number) => void;
   /** Whether calls of a link are in progress: it must not fall silent. */
   readonly hasCalls: (link: number) => boolean;
+  /** How often the load is said on links in use, in milliseconds. */
+  readonly reportMs: number;
   /** Made anew for each report. */
-  readonly createReport: () => MeshFrame;
+  readonly createReport: () => LoadReported;
 }
 
 interface AcceptedLink {
@@ -25,10 +27,10 @@
   readonly writer: FrameWriter;
   /** Whether it was heard since the last report. */
   isActive: boolean;
+  /** Whether an answer, which has the load too, was sent since then. */
+  hasAnswered: boolean;
 }
 
-/** How often the load is said on links in use. */
-export const REPORT_MS = 100;
 /** A link whose peer takes nothing is closed beyond this many bytes. */
 const MAX_BUFFERED_BYTES = 33_554_432;
 
@@ -55,7 +57,8 @@
   /** Opens the listener and starts to report. */
   async open(): Promise<void> {
     await listen(this.#http, this.#options.address);
-    this.#report = setInterval(() => this.#reportLoad(), REPORT_MS);
+    const { reportMs } = this.#options;
+    this.#report = setInterval(() => this.report(), reportMs);
   }
 
   /** Sends a frame; a closed link is passed over, a clogged one closed. */
@@ -68,9 +71,26 @@
       found.socket.terminate();
       return;
     }
+    found.hasAnswered = true;
     found.writer.write(frame);
   }
 
+  /** Says the load on links in use that have not heard it otherwise. */
+  report(): void {
+    const report = this.#options.createReport();
+    const hasBelow = report.below.length > 0;
+    for (const [number, link] of this.#links) {
+      const isUsed = link.isActive || this.#options.hasCalls(number);
+      // The answers of a busy link say the load: a report would wake both ends
+      // for nothing, ten times a second and link.
+      if (isUsed && (hasBelow || !link.hasAnswered)) {
+        link.writer.write(report);
+      }
+      link.isActive = false;
+      link.hasAnswered = false;
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.#report);
     for (const { socket } of this.#links.values()) {
@@ -81,23 +101,13 @@
     await new Promise<void>((resolve) => this.#http.close(() => resolve()));
   }
 
-  #reportLoad(): void {
-    let frame: MeshFrame | undefined;
-    for (const [number, link] of this.#links) {
-      if (link.isActive || this.#options.hasCalls(number)) {
-        link.isActive = false;
-        frame ??= this.#options.createReport();
-        link.writer.write(frame);
-      }
-    }
-  }
-
   #accept(socket: WebSocket): void {
     const number = this.#nextLink++;
     const link = {
       socket,
       writer: new FrameWriter(socket),
       isActive: true,
+      hasAnswered: false,
     };
     this.#links.set(number, link);
     socket.on("message", (data: Buffer) => {
--- /dev/null
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -0,0 +1,133 @@
+/** Links between two nodes, over loopback. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { findPort } from "../../../../standin/ports.ts";
+import type { LoadReported, MeshFrame } from "../common/frames.ts";
+import { MeshClient } from "../node/mesh_client.ts";
+import { MeshServer } from "../node/mesh_server.ts";
+
+/** Reports are sent where a test asks for them. */
+const NEVER_MS = 3_600_000;
+const LOAD = { running: 1, queued: 0, limit: 4, pressure: 0 };
+
+/** A server with one client; both keep the frames that they get. */
+class Link implements AsyncDisposable {
+  readonly atClient: MeshFrame[] = [];
+  readonly atServer: MeshFrame[] = [];
+  readonly lost: (readonly [string, boolean])[] = [];
+  below: LoadReported["below"] = [];
+  readonly address: string;
+  readonly server: MeshServer;
+  readonly client: MeshClient;
+
+  constructor(port: number) {
+    this.address = `127.0.0.1:${port}`;
+    this.server = new MeshServer({
+      address: { host: "127.0.0.1", port },
+      onFrame: (_link, frame) => this.atServer.push(frame),
+      onClosed: () => {},
+      hasCalls: () => true,
+      reportMs: NEVER_MS,
+      createReport: () => ({
+        type: "LoadReported",
+        load: LOAD,
+        below: this.below,
+      }),
+    });
+    this.client = new MeshClient({
+      onFrame: (_address, frame) => this.atClient.push(frame),
+      onLost: (_address, reason, wasOpen) => this.lost.push([reason, wasOpen]),
+      readClock: () => performance.now(),
+    });
+  }
+
+  static async open(): Promise<Link> {
+    const link = new Link(await findPort());
+    await link.server.open();
+    link.client.open(link.address);
+    return link;
+  }
+
+  countReports(): number {
+    return this.atClient.filter(({ type }) => type === "LoadReported").length;
+  }
+
+  answer(): void {
+    this.server.send(1, {
+      type: "CallFailed",
+      call: 1,
+      kind: "refused",
+      reason: "test",
+      retryAfterMs: 0,
+      load: LOAD,
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.client[Symbol.asyncDispose]();
+    await this.server[Symbol.asyncDispose]();
+  }
+}
+
+async function waitUntil(isMet: () => boolean): Promise<void> {
+  while (!isMet()) {
+    await sleep(5);
+  }
+}
+
+describe("a link between nodes", () => {
+  it("is reported on while calls wait for their answers", async () => {
+    await using link = await Link.open();
+    await waitUntil(() => link.client.isOpen(link.address));
+    link.server.report();
+    link.server.report();
+    await waitUntil(() => link.countReports() === 2);
+  });
+
+  it("needs no report after answers, which say the load", async () => {
+    await using link = await Link.open();
+    await waitUntil(() => link.client.isOpen(link.address));
+    link.answer();
+    link.server.report();
+    link.answer();
+    await waitUntil(() => link.atClient.length === 2);
+    expect(link.countReports()).to.equal(0);
+    link.server.report();
+    link.server.report();
+    await waitUntil(() => link.countReports() === 1);
+  });
+
+  it("is reported on beside answers where calls are made below", async () => {
+    await using link = await Link.open();
+    await waitUntil(() => link.client.isOpen(link.address));
+    link.below = [["lookup", 0.5, 0]];
+    link.answer();
+    link.server.report();
+    await waitUntil(() => link.countReports() === 1);
+    expect(link.atClient[1]).to.have.deep.property("below", link.below);
+  });
+
+  it("says whether it was ever open when it is lost", async () => {
+    await using link = await Link.open();
+    await waitUntil(() => link.client.isOpen(link.address));
+    link.client.drop(link.address, "silent");
+    expect(link.lost).to.deep.equal([["silent", true]]);
+    const nowhere = `127.0.0.1:${await findPort()}`;
+    link.client.open(nowhere);
+    await waitUntil(() => link.lost.length === 2);
+    expect(link.lost[1]![1]).to.equal(false);
+  });
+
+  it("carries frames in order, bodies as they were", async () => {
+    await using link = await Link.open();
+    const parts = [1, 2, 3].map((n) => new Uint8Array([n, 0, 255]));
+    for (const bytes of parts) {
+      link.client.send(link.address, { type: "BodyPart", call: 9, bytes });
+    }
+    await waitUntil(() => link.atServer.length === 3);
+    const found = link.atServer.map((frame) =>
+      frame.type === "BodyPart" ? [...frame.bytes] : []
+    );
+    expect(found).to.deep.equal(parts.map((part) => [...part]));
+  });
+});
