Judge matches against what chance leaves

Cause: with 80 requests running that expire within 800 ms, three in five calls match one by chance; a nested route's calls then stood only 0.4 above it, at the threshold, and were taken for callers' own and refused.

Change: the share above chance counts relative to what chance leaves.

--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -36,17 +36,15 @@
  * milliseconds, twice, and pass two event loops.
  */
 const TOLERANCE_MS = 5;
-const SHARE_GAIN = 0.05;
+const SHARE_GAIN = 0.02;
 /** Calls of a route before its share decides. */
 const MIN_COUNT = 10;
 /** How far from a call's expiry matches are taken for chance. */
 const CHANCE_OFFSET_MS = 37;
-/**
- * From this share above chance on, all calls of a route are the backend
- * server's. With 80 requests running that expire within 2 s, two in five
- * callers' requests match one of them.
- */
-const NESTED_SHARE = 0.4;
+/** From this share on, all calls of a route are the backend server's. */
+const NESTED_SHARE = 0.5;
+/** Where chance matches more than this, matches say nothing. */
+const MAX_CHANCE = 0.95;
 /**
  * Calls a run that make an edge. A coincidence taken for one lets refusals of
  * one route spread to others, and back: roots are refused with room below.
@@ -104,7 +102,7 @@
       (Number(chance.routes.size > 0) - record.chanceShare) * gain;
     const isKnown = record.count >= MIN_COUNT;
     const isNested = isKnown
-      ? record.matchShare - record.chanceShare >= NESTED_SHARE
+      ? computeNestedShare(record) >= NESTED_SHARE
       : isMatch;
     if (isKnown && isNested) {
       this.#noteEdge(parents, call, 1);
@@ -159,6 +157,16 @@
   }
 }
 
+/**
+ * Computes the part of a route's calls that the backend server makes: with 80
+ * requests running that expire within 800 ms, three in five of any calls match
+ * one of them by chance.
+ */
+function computeNestedShare({ matchShare, chanceShare }: RouteRecord): number {
+  const chance = Math.min(MAX_CHANCE, chanceShare);
+  return (matchShare - chance) / (1 - chance);
+}
+
 /** Running requests that expire with a call. */
 interface Parents {
   readonly routes: ReadonlySet<string>;
