--- a/src/engine/relay/common/pressure.ts
+++ b/src/engine/relay/common/pressure.ts
@@ -89,9 +89,9 @@
   const demand = { asked: state.asked, lastRank };
   if (state.leastWaitMs >= STANDING_MS) {
     const cutMs = Math.max(excessMs * CUT_GAIN, askedMs * MIN_CUT);
-    state.level = raiseLevel(state.level, cutMs, demand);
+    state.level = limitRoots(state.level, cutMs, demand);
   } else if (excessMs < 0) {
-    state.level = lowerLevel(state.level, -excessMs * GROWTH_GAIN, demand);
+    state.level = releaseRoots(state.level, -excessMs * GROWTH_GAIN, demand);
   }
   state.asked = [];
   state.windowStartMs = nowMs;
@@ -104,8 +104,8 @@
   readonly lastRank: number;
 }
 
-/** Raises a level until so much less work would be asked for. */
-function raiseLevel(level: number, cutMs: number, demand: Demand): number {
+/** Raises the level until so much less work would be asked for. */
+function limitRoots(level: number, cutMs: number, demand: Demand): number {
   const first = Math.floor(level);
   let leftMs = cutMs;
   for (let unit = first; unit <= demand.lastRank; unit += 1) {
@@ -120,8 +120,8 @@
   return demand.lastRank + 1;
 }
 
-/** Lowers a level until so much more work would be asked for. */
-function lowerLevel(level: number, roomMs: number, demand: Demand): number {
+/** Lowers the level until so much more work would be asked for. */
+function releaseRoots(level: number, roomMs: number, demand: Demand): number {
   const first = Math.ceil(level) - 1;
   let leftMs = roomMs;
   for (let unit = first; unit >= 0; unit -= 1) {
