Give a nested call the most urgent rank that expires with it

Cause: transfers still lost to lookups: with some 40 requests running, another one's expiry is nearer than the parent's for one call in five, and a transfer makes ten. A call that went as a lookup's failed, and the transfer with it.

Change: the most urgent running request within the tolerance gives its rank. Lines of refusals and failures have rank and isNested.

Calls of lookups that go as a transfer's: one in twelve, from the density of running requests.

--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -17,8 +17,8 @@
   /** Whether the local backend server made it. */
   readonly isNested: boolean;
   /**
-   * Urgency that a nested call takes over from the running request that
-   * expires with it; undefined where none does.
+   * Urgency that a nested call takes over from the running requests that
+   * expire with it; undefined where none does.
    */
   readonly rank: number | undefined;
 }
@@ -108,7 +108,7 @@
       this.#noteEdge(parents, call, 1);
       this.#noteEdge(chance, call, -1);
     }
-    return { isNested, rank: isNested ? parents.nearest?.rank : undefined };
+    return { isNested, rank: isNested ? parents.rank : undefined };
   }
 
   /** Lists the routes whose requests make calls, and what they call. */
@@ -170,26 +170,26 @@
 /** Running requests that expire with a call. */
 interface Parents {
   readonly routes: ReadonlySet<string>;
-  /** The one whose expiry is nearest. */
-  readonly nearest: RunningParent | undefined;
+  /** Of the most urgent one; undefined where none expires with the call. */
+  readonly rank: number | undefined;
 }
 
+/**
+ * Where several expire together, the most urgent one counts: taking a call of a
+ * transfer for one of a lookup loses the transfer, and one in twelve calls of
+ * lookups that go before their turn cost little.
+ */
 function findParents(
   expiresAtMs: number,
   running: readonly RunningParent[],
 ): Parents {
   const routes = new Set<string>();
-  let nearest: RunningParent | undefined;
-  let leastMs = Infinity;
+  let rank: number | undefined;
   for (const parent of running) {
-    const apartMs = Math.abs(parent.deadlineMs - expiresAtMs);
-    if (apartMs <= TOLERANCE_MS) {
+    if (Math.abs(parent.deadlineMs - expiresAtMs) <= TOLERANCE_MS) {
       routes.add(parent.route);
-    }
-    if (apartMs <= TOLERANCE_MS && apartMs < leastMs) {
-      nearest = parent;
-      leastMs = apartMs;
+      rank = Math.min(rank ?? Infinity, parent.rank);
     }
   }
-  return { routes, nearest };
+  return { routes, rank };
 }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -165,7 +165,6 @@
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
       this.#finish(call, failure, "pressure", {
-        rank,
         lastRank,
         pressure,
         ageMs: arrivedAtMs - measuredAtMs,
@@ -366,6 +365,8 @@
       isFailure: true,
       requestId: call.request.requestId,
       route: call.request.route.name,
+      rank: call.request.rank,
+      isNested: call.request.isNested,
       service: call.service,
       outcome: failure.type,
       reason,
--- a/src/engine/relay/test/root_admission_test.ts
+++ b/src/engine/relay/test/root_admission_test.ts
@@ -122,16 +122,20 @@
       .to.deep.equal(["lookup"]);
   });
 
-  it("gives a nested call the rank of the request that expires nearest", () => {
+  it("gives a nested call the most urgent rank that expires with it", () => {
     const graph = new CallGraph();
     const running = [
-      { route: "lookup", rank: 2, deadlineMs: 5_003 },
-      { route: "transfer", rank: 0, deadlineMs: 4_999 },
-      { route: "upload", rank: 1, deadlineMs: 4_996 },
+      { route: "lookup", rank: 2, deadlineMs: 5_000 },
+      { route: "transfer", rank: 0, deadlineMs: 4_997 },
+      { route: "upload", rank: 1, deadlineMs: 5_001 },
+      { route: "urgent", rank: 0, deadlineMs: 5_040 },
     ];
     const call = { route: "grade", service: "classing", expiresAtMs: 5_000 };
     expect(graph.observe(call, running, 0))
       .to.deep.equal({ isNested: true, rank: 0 });
+    const lookups = running.filter(({ rank }) => rank > 0);
+    expect(graph.observe(call, lookups, 0))
+      .to.deep.equal({ isNested: true, rank: 1 });
   });
 
   it("knows no rank of a nested call whose parent isn't found", () => {
