Count calls with a time limit of their own apart

Change: calls that have the most time that any of their route are given are counted apart; where the route's others are nested, so are they, with the rank of the most urgent request that runs longer.

--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -23,14 +23,25 @@
   readonly rank: number | undefined;
 }
 
-interface RouteRecord {
-  /** Mean share of the route's calls that expire with a running request. */
+/** How often calls expire with a running request. */
+interface Tally {
+  /** Mean share of those that do. */
   matchShare: number;
   /** The same for an expiry that is none: so many matches are chance. */
   chanceShare: number;
   count: number;
 }
 
+interface RouteRecord {
+  /** Calls that were given the most time that any of the route are given. */
+  readonly longest: Tally;
+  readonly others: Tally;
+  longestMs: number;
+  longestCount: number;
+  /** Calls since `longestMs` was first seen. */
+  count: number;
+}
+
 /**
  * How far the two ends may lie apart: remaining times travel in whole
  * milliseconds, twice, and pass two event loops.
@@ -39,6 +50,10 @@
 const SHARE_GAIN = 0.02;
 /** Calls of a route before its share decides. */
 const MIN_COUNT = 10;
+/** Calls that were given the most time before that counts as a limit. */
+const MIN_LONGEST_COUNT = 3;
+/** The same, as a share: the most of many different times stands alone. */
+const MIN_LONGEST_SHARE = 0.02;
 /** How far from a call's expiry matches are taken for chance. */
 const CHANCE_OFFSET_MS = 37;
 /** From this share on, all calls of a route are the backend server's. */
@@ -85,30 +100,33 @@
     call: {
       readonly route: string;
       readonly service: string;
-      readonly expiresAtMs: number;
+      /** How long the caller will wait. */
+      readonly patienceMs: number;
     },
     running: readonly RunningParent[],
     nowMs: number,
   ): CallOrigin {
     this.#halve(nowMs);
-    const parents = findParents(call.expiresAtMs, running);
-    const chance = findParents(call.expiresAtMs + CHANCE_OFFSET_MS, running);
-    const isMatch = parents.routes.size > 0;
+    const expiresAtMs = nowMs + call.patienceMs;
+    const parents = findParents(expiresAtMs, running);
+    const chance = findParents(expiresAtMs + CHANCE_OFFSET_MS, running);
     const record = this.#getRecord(call.route);
-    record.count += 1;
-    const gain = Math.max(SHARE_GAIN, 1 / record.count);
-    record.matchShare += (Number(isMatch) - record.matchShare) * gain;
-    record.chanceShare +=
-      (Number(chance.routes.size > 0) - record.chanceShare) * gain;
-    const isKnown = record.count >= MIN_COUNT;
-    const isNested = isKnown
-      ? computeNestedShare(record) >= NESTED_SHARE
-      : isMatch;
-    if (isKnown && isNested) {
+    const isLongest = noteLongest(record, call.patienceMs);
+    const tally = isLongest ? record.longest : record.others;
+    learn(tally, parents, chance);
+    const isOwn = isNestedTally(tally);
+    if (isOwn) {
       this.#noteEdge(parents, call, 1);
       this.#noteEdge(chance, call, -1);
     }
-    return { isNested, rank: isNested ? parents.rank : undefined };
+    const { longest, others } = record;
+    const isNew = Math.max(longest.count, others.count) < MIN_COUNT;
+    const isNested = isOwn || isNestedTally(longest) ||
+      isNestedTally(others) || (isNew && parents.routes.size > 0);
+    const rank = isOwn || isNew
+      ? parents.rank
+      : findLongerRank(expiresAtMs, running);
+    return { isNested, rank: isNested ? rank : undefined };
   }
 
   /** Lists the routes whose requests make calls, and what they call. */
@@ -122,8 +140,13 @@
   }
 
   #getRecord(route: string): RouteRecord {
-    const record = this.#routes.get(route) ??
-      { matchShare: 0, chanceShare: 0, count: 0 };
+    const record = this.#routes.get(route) ?? {
+      longest: createTally(),
+      others: createTally(),
+      longestMs: 0,
+      longestCount: 0,
+      count: 0,
+    };
     this.#routes.set(route, record);
     return record;
   }
@@ -158,13 +181,56 @@
 }
 
 /**
- * Computes the part of a route's calls that the backend server makes: with 80
- * requests running that expire within 800 ms, three in five of any calls match
- * one of them by chance.
+ * Notes the time that a call was given, and tells whether it is the most that
+ * calls of its route are given: by a limit of their own kind, as a rule, not by
+ * the request that they are made for. Their expiry shows nothing then, so they
+ * are counted apart.
+ */
+function noteLongest(record: RouteRecord, patienceMs: number): boolean {
+  record.count += 1;
+  if (patienceMs > record.longestMs) {
+    record.longestMs = patienceMs;
+    record.longestCount = 0;
+    record.count = 1;
+  }
+  const isLongest = patienceMs === record.longestMs;
+  record.longestCount += Number(isLongest);
+  return isLongest && record.longestCount >= MIN_LONGEST_COUNT &&
+    record.longestCount >= record.count * MIN_LONGEST_SHARE;
+}
+
+function createTally(): Tally {
+  return { matchShare: 0, chanceShare: 0, count: 0 };
+}
+
+function learn(tally: Tally, parents: Parents, chance: Parents): void {
+  tally.count += 1;
+  const gain = Math.max(SHARE_GAIN, 1 / tally.count);
+  const isMatch = Number(parents.routes.size > 0);
+  const isChance = Number(chance.routes.size > 0);
+  tally.matchShare += (isMatch - tally.matchShare) * gain;
+  tally.chanceShare += (isChance - tally.chanceShare) * gain;
+}
+
+/**
+ * Whether calls are the backend server's: with 80 requests running that expire
+ * within 800 ms, three in five of any calls match one of them by chance.
  */
-function computeNestedShare({ matchShare, chanceShare }: RouteRecord): number {
+function isNestedTally({ matchShare, chanceShare, count }: Tally): boolean {
   const chance = Math.min(MAX_CHANCE, chanceShare);
-  return (matchShare - chance) / (1 - chance);
+  return count >= MIN_COUNT &&
+    (matchShare - chance) / (1 - chance) >= NESTED_SHARE;
+}
+
+/** Finds the rank of the most urgent request that expires no sooner. */
+function findLongerRank(
+  expiresAtMs: number,
+  running: readonly RunningParent[],
+): number | undefined {
+  const ranks = running
+    .filter(({ deadlineMs }) => deadlineMs >= expiresAtMs - TOLERANCE_MS)
+    .map(({ rank }) => rank);
+  return ranks.length === 0 ? undefined : Math.min(...ranks);
 }
 
 /** Running requests that expire with a call. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -37,7 +37,7 @@
   readonly observeCall: (call: {
     readonly route: string;
     readonly service: string;
-    readonly expiresAtMs: number;
+    readonly patienceMs: number;
   }) => CallOrigin;
   /** Service whose backend server runs on this VM. */
   readonly getCallerService: () => string;
@@ -214,7 +214,7 @@
     const origin = this.#options.observeCall({
       route: route.name,
       service,
-      expiresAtMs: arrivedAtMs + patienceMs,
+      patienceMs,
     });
     const entry: EntryRequest = {
       requestId,
--- a/src/engine/relay/test/root_admission_test.ts
+++ b/src/engine/relay/test/root_admission_test.ts
@@ -25,7 +25,7 @@
 
   it("knows a backend server's call by its parent's deadline", () => {
     const graph = new CallGraph();
-    const call = { route: "ledger", service: "custody", expiresAtMs: 4_998 };
+    const call = { route: "ledger", service: "custody", patienceMs: 4_998 };
     for (let n = 0; n < 20; n += 1) {
       graph.noteRun("lookup", 0);
       expect(graph.observe(call, parents, 0).isNested).to.equal(true);
@@ -36,7 +36,7 @@
 
   it("takes a caller's own request for none, whatever runs beside it", () => {
     const graph = new CallGraph();
-    const call = { route: "view", service: "warehouse", expiresAtMs: 9_000 };
+    const call = { route: "view", service: "warehouse", patienceMs: 9_000 };
     expect(graph.observe(call, parents, 0))
       .to.deep.equal({ isNested: false, rank: undefined });
     expect(listCallees(graph)).to.deep.equal([]);
@@ -44,8 +44,8 @@
 
   it("isn't misled by single coincidences, either way", () => {
     const graph = new CallGraph();
-    const observe = (expiresAtMs: number) =>
-      graph.observe({ route: "r", service: "s", expiresAtMs }, parents, 0)
+    const observe = (patienceMs: number) =>
+      graph.observe({ route: "r", service: "s", patienceMs }, parents, 0)
         .isNested;
     for (let n = 0; n < 30; n += 1) {
       observe(5_000);
@@ -59,7 +59,7 @@
 
   it("forgets what a route calls no more", () => {
     const graph = new CallGraph();
-    const call = { route: "r", service: "s", expiresAtMs: 5_000 };
+    const call = { route: "r", service: "s", patienceMs: 5_000 };
     for (let n = 0; n < 40; n += 1) {
       graph.noteRun("lookup", 0);
       graph.observe(call, parents, 0);
@@ -73,7 +73,7 @@
 
   it("puts no call down to a route where two may have made it", () => {
     const graph = new CallGraph();
-    const call = { route: "r", service: "s", expiresAtMs: 5_000 };
+    const call = { route: "r", service: "s", patienceMs: 5_000 };
     const both = [...parents, { route: "upload", rank: 1, deadlineMs: 5_001 }];
     for (let n = 0; n < 20; n += 1) {
       expect(graph.observe(call, both, 0).isNested).to.equal(true);
@@ -92,8 +92,8 @@
     let nested = 0;
     for (let n = 0; n < 400; n += 1) {
       graph.noteRun("lookup", 0);
-      const expiresAtMs = 100 + random() * 1_800;
-      const call = { route: "view", service: "warehouse", expiresAtMs };
+      const patienceMs = 100 + random() * 1_800;
+      const call = { route: "view", service: "warehouse", patienceMs };
       const { isNested } = graph.observe(call, running, 0);
       nested += n >= 10 && isNested ? 1 : 0;
     }
@@ -113,8 +113,8 @@
     for (let n = 0; n < 400; n += 1) {
       graph.noteRun("lookup", 0);
       const parent = running[Math.floor(random() * running.length)]!;
-      const expiresAtMs = parent.deadlineMs - 2 * random();
-      const call = { route: "grade", service: "classing", expiresAtMs };
+      const patienceMs = parent.deadlineMs - 2 * random();
+      const call = { route: "grade", service: "classing", patienceMs };
       nested += graph.observe(call, running, 0).isNested ? 1 : 0;
     }
     expect(nested).to.equal(400);
@@ -130,7 +130,7 @@
       { route: "upload", rank: 1, deadlineMs: 5_001 },
       { route: "urgent", rank: 0, deadlineMs: 5_040 },
     ];
-    const call = { route: "grade", service: "classing", expiresAtMs: 5_000 };
+    const call = { route: "grade", service: "classing", patienceMs: 5_000 };
     expect(graph.observe(call, running, 0))
       .to.deep.equal({ isNested: true, rank: 0 });
     const lookups = running.filter(({ rank }) => rank > 0);
@@ -138,13 +138,37 @@
       .to.deep.equal({ isNested: true, rank: 1 });
   });
 
+  it("isn't misled by calls that have a shorter limit of their own", () => {
+    const graph = new CallGraph();
+    const random = createRandom(3);
+    const transfer = { route: "transfer", rank: 0, deadlineMs: 1_000 };
+    let unknown = 0;
+    for (let n = 0; n < 400; n += 1) {
+      const left = 100 + Math.floor(random() * 550);
+      const lookup = { route: "lookup", rank: 2, deadlineMs: left };
+      const isCapped = n % 3 > 0;
+      const call = {
+        route: "lot",
+        service: "warehouse",
+        patienceMs: isCapped ? 700 : left,
+      };
+      const running = isCapped ? [lookup, transfer] : [lookup];
+      graph.noteRun("lookup", 0);
+      const origin = graph.observe(call, running, 0);
+      unknown += n >= 60 && origin.rank !== (isCapped ? 0 : 2) ? 1 : 0;
+    }
+    expect(unknown).to.equal(0);
+    expect(listCallees(graph).map(([parent]) => parent))
+      .to.deep.equal(["lookup"]);
+  });
+
   it("knows no rank of a nested call whose parent isn't found", () => {
     const graph = new CallGraph();
-    const call = { route: "grade", service: "classing", expiresAtMs: 5_000 };
+    const call = { route: "grade", service: "classing", patienceMs: 5_000 };
     for (let n = 0; n < 30; n += 1) {
       graph.observe(call, parents, 0);
     }
-    expect(graph.observe({ ...call, expiresAtMs: 9_000 }, parents, 0))
+    expect(graph.observe({ ...call, patienceMs: 9_000 }, parents, 0))
       .to.deep.equal({ isNested: true, rank: undefined });
   });
 
