Draw a ticket for each root, and take the level by rank back out

Change: each root draws a ticket; its calls have it at every gate, where calls of one rank go by it. The roots refused are those with the last tickets.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -133,7 +133,6 @@
             0,
             ...routes.routes.map(({ rank }) => rank),
           );
-          this.#gate.changeRanks(this.#lastRank);
           this.#callers.replaceRoutes(routes);
         },
       }),
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -87,7 +87,7 @@
   ["backend_limit", "Calls that may run at a time; 0 where none may", ({
     load,
   }) => load.limit],
-  ["backend_pressure", "Ranks of roots to refuse for this backend server", ({
+  ["backend_pressure", "Part of roots to refuse for this backend server", ({
     load,
   }) => load.pressure],
   ["members", "Nodes that calls may be sent to", ({ members }) => members],
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -19,6 +19,11 @@
   readonly timeLeftMs: number;
   /** Urgency of the root that the call is made for; 0 is the most urgent. */
   readonly rank: number;
+  /**
+   * Order among roots of one rank, 0 to 15, drawn for the root: the same roots
+   * come first at every service of a chain, so that these end whole.
+   */
+  readonly ticket: number;
   /** Name of the route; keys what is learnt of its service time. */
   readonly route: string;
   readonly isIdempotent: boolean;
@@ -84,7 +89,7 @@
   readonly queued: number;
   /** Requests that may run at a time; 0 where none may. */
   readonly limit: number;
-  /** Ranks of roots that lead here and should be refused; 0 for none. */
+  /** How hard roots that lead here should be refused, 0 to 1. */
   readonly pressure: number;
 }
 
@@ -124,6 +129,11 @@
   LoadReported: 6,
 } as const;
 
+/** Tickets of a root: 0 to one less. */
+export const TICKETS = 16;
+/** The ticket rides above the two flags of a call. */
+const TICKET_UNIT = 4;
+
 const FAILURE_KINDS: readonly FailureKind[] = [
   "refused",
   "rejected",
@@ -151,7 +161,8 @@
         Math.ceil(frame.timeLeftMs),
         frame.rank,
         frame.route,
-        (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0),
+        (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0) +
+        frame.ticket * TICKET_UNIT,
         frame.bodyBytes,
         frame.body,
       ];
@@ -202,6 +213,7 @@
         route: fields[9] as string,
         isIdempotent: (flags & 1) !== 0,
         isNested: (flags & 2) !== 0,
+        ticket: Math.floor(flags / TICKET_UNIT),
         bodyBytes: fields[11] as number,
         body: fields[12] as Uint8Array,
       };
--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -9,18 +9,23 @@
   readonly route: string;
   /** Urgency of the root that it is made for; 0 is the most urgent. */
   readonly rank: number;
+  /** Order among roots of one rank; 0 comes first. */
+  readonly ticket: number;
   readonly deadlineMs: number;
 }
 
+/** What a nested call takes over from the request that it is made for. */
+export type Urgency = Pick<RunningParent, "rank" | "ticket">;
+
 /** Where a call comes from. */
 export interface CallOrigin {
   /** Whether the local backend server made it. */
   readonly isNested: boolean;
   /**
-   * Urgency that a nested call takes over from the running requests that
+   * What a nested call takes over from the running requests that
    * expire with it; undefined where none does.
    */
-  readonly rank: number | undefined;
+  readonly urgency: Urgency | undefined;
 }
 
 /** How often calls expire with a running request. */
@@ -123,10 +128,10 @@
     const isNew = Math.max(longest.count, others.count) < MIN_COUNT;
     const isNested = isOwn || isNestedTally(longest) ||
       isNestedTally(others) || (isNew && parents.routes.size > 0);
-    const rank = isOwn || isNew
-      ? parents.rank
-      : findLongerRank(expiresAtMs, running);
-    return { isNested, rank: isNested ? rank : undefined };
+    const urgency = isOwn || isNew
+      ? parents.urgency
+      : findLongerParent(expiresAtMs, running);
+    return { isNested, urgency: isNested ? urgency : undefined };
   }
 
   /** Lists the routes whose requests make calls, and what they call. */
@@ -222,22 +227,31 @@
     (matchShare - chance) / (1 - chance) >= NESTED_SHARE;
 }
 
-/** Finds the rank of the most urgent request that expires no sooner. */
-function findLongerRank(
+/** Finds the most urgent request that expires no sooner. */
+function findLongerParent(
   expiresAtMs: number,
   running: readonly RunningParent[],
-): number | undefined {
-  const ranks = running
-    .filter(({ deadlineMs }) => deadlineMs >= expiresAtMs - TOLERANCE_MS)
-    .map(({ rank }) => rank);
-  return ranks.length === 0 ? undefined : Math.min(...ranks);
+): Urgency | undefined {
+  const longer = running
+    .filter(({ deadlineMs }) => deadlineMs >= expiresAtMs - TOLERANCE_MS);
+  return longer.length === 0
+    ? undefined
+    : pickUrgency(longer.reduce(chooseUrgent));
+}
+
+function chooseUrgent(a: RunningParent, b: RunningParent): RunningParent {
+  return (a.rank - b.rank || a.ticket - b.ticket) <= 0 ? a : b;
+}
+
+function pickUrgency({ rank, ticket }: RunningParent): Urgency {
+  return { rank, ticket };
 }
 
 /** Running requests that expire with a call. */
 interface Parents {
   readonly routes: ReadonlySet<string>;
   /** Of the most urgent one; undefined where none expires with the call. */
-  readonly rank: number | undefined;
+  readonly urgency: Urgency | undefined;
 }
 
 /**
@@ -249,13 +263,13 @@
   expiresAtMs: number,
   running: readonly RunningParent[],
 ): Parents {
-  const routes = new Set<string>();
-  let rank: number | undefined;
-  for (const parent of running) {
-    if (Math.abs(parent.deadlineMs - expiresAtMs) <= TOLERANCE_MS) {
-      routes.add(parent.route);
-      rank = Math.min(rank ?? Infinity, parent.rank);
-    }
-  }
-  return { routes, rank };
+  const parents = running.filter(({ deadlineMs }) =>
+    Math.abs(deadlineMs - expiresAtMs) <= TOLERANCE_MS
+  );
+  return {
+    routes: new Set(parents.map(({ route }) => route)),
+    urgency: parents.length === 0
+      ? undefined
+      : pickUrgency(parents.reduce(chooseUrgent)),
+  };
 }
--- a/src/engine/relay/common/entry_call.ts
+++ b/src/engine/relay/common/entry_call.ts
@@ -65,6 +65,7 @@
     headers: request.headers,
     timeLeftMs: Math.max(0, request.deadlineMs - nowMs),
     rank: request.rank,
+    ticket: request.ticket,
     route: route.name,
     isIdempotent: route.isIdempotent,
     isNested: request.isNested,
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -14,6 +14,8 @@
   readonly route: string;
   /** 0 is the most urgent. */
   readonly rank: number;
+  /** Order among calls of one rank; 0 comes first. */
+  readonly ticket: number;
   readonly isNested: boolean;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
@@ -47,7 +49,6 @@
     readonly type: "BackendChanged";
     readonly backend: LocalBackend | undefined;
   }
-  | { readonly type: "RanksChanged"; readonly lastRank: number }
   | { readonly type: "Ticked" };
 
 /** Why a call is refused before the backend server saw it. */
@@ -81,8 +82,6 @@
   /** Mean time between two ends of calls while all places were taken. */
   gapMs: number;
   lastEndMs: number;
-  /** The least urgent rank of the table. */
-  lastRank: number;
   readonly pressure: PressureState;
 }
 
@@ -110,7 +109,6 @@
     times: new Map(),
     gapMs: 0,
     lastEndMs: 0,
-    lastRank: 0,
     pressure: createPressure(0),
   };
 }
@@ -136,9 +134,6 @@
     }
     case "BackendChanged":
       return changeBackend(state, event.backend, nowMs);
-    case "RanksChanged":
-      state.lastRank = event.lastRank;
-      return [];
     case "Ticked":
       return tick(state, nowMs);
   }
@@ -163,7 +158,7 @@
     running: state.running,
     queued: state.queue.length,
     limit: computeLimit(state),
-    pressure: state.pressure.level,
+    pressure: 1 - state.pressure.admitted,
   };
 }
 
@@ -181,7 +176,6 @@
   const { backend, queue } = state;
   noteAsked(
     state.pressure,
-    Math.min(call.rank, state.lastRank),
     state.times.get(call.route)?.meanMs ?? FIRST_SERVICE_MS,
   );
   if (backend === undefined) {
@@ -209,7 +203,9 @@
 
 /**
  * By the rank of the root, so that no call of a less urgent root delays one of
- * a more urgent root; then calls of roots that were begun, then by age.
+ * a more urgent root; then calls of roots that were begun; then by the ticket
+ * of the root: where a chain makes many calls, roots that come first at each of
+ * them end whole, while the others fail early; last by age.
  */
 function putCall(queue: GateCall[], call: GateCall): void {
   let at = queue.length;
@@ -221,7 +217,7 @@
 
 function compareCalls(a: GateCall, b: GateCall): number {
   return a.rank - b.rank || Number(b.isNested) - Number(a.isNested) ||
-    a.arrivedAtMs - b.arrivedAtMs;
+    a.ticket - b.ticket || a.arrivedAtMs - b.arrivedAtMs;
 }
 
 /** Whether the time that is left doesn't cover half of a usual run. */
@@ -289,7 +285,6 @@
   updatePressure(state.pressure, {
     limit: computeLimit(state),
     oldestWaitMs: measureOldestWait(state, nowMs),
-    lastRank: state.lastRank,
     nowMs,
   });
   return late.map(({ id }) => refuseCall(state, id, "deadline"));
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -2,7 +2,12 @@
  * Refuses root requests at their entry where a service on their way is short
  * of room: work that would fail midway is not begun. Least urgent first.
  */
-import { MAX_REFUSED_SHARE } from "./pressure.ts";
+
+/**
+ * Most of one rank that is refused before the next more urgent one is touched:
+ * no kind of request is starved.
+ */
+const MAX_SHARE = 0.85;
 
 /** What is asked for one root request. */
 export interface RootRequest {
@@ -10,7 +15,7 @@
   readonly rank: number;
   /** The least urgent rank of the table. */
   readonly lastRank: number;
-  /** Level of the narrowest service on its way, in ranks. */
+  /** Of the narrowest service on its way, 0 to 1. */
   readonly pressure: number;
   /** From 0 to 1; one a request. */
   readonly draw: number;
@@ -21,11 +26,12 @@
   return request.draw < computeRefusedShare(request);
 }
 
-/** Each unit of the pressure is one rank, the least urgent the first. */
+/** Each rank has an equal part of the pressure, the least urgent the first. */
 export function computeRefusedShare(
   { rank, lastRank, pressure }: Omit<RootRequest, "draw">,
 ): number {
+  const ranks = lastRank + 1;
   const before = lastRank - Math.min(rank, lastRank);
-  const part = pressure - before;
-  return Math.max(0, Math.min(1, part)) * MAX_REFUSED_SHARE;
+  const part = pressure * ranks - before;
+  return Math.max(0, Math.min(1, part)) * MAX_SHARE;
 }
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
+import { TICKETS } from "../../mesh/common/frames.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import {
   buildRouteIndex,
@@ -229,7 +230,9 @@
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
       isNested: origin.isNested,
-      rank: origin.rank ?? route.rank,
+      rank: origin.urgency?.rank ?? route.rank,
+      ticket: origin.urgency?.ticket ??
+        Math.floor(this.#options.draw() * TICKETS),
     };
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -3,6 +3,7 @@
   BodyCollector,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
+import { TICKETS } from "../../mesh/common/frames.ts";
 import type {
   AnswerOpened,
   CallFailed,
@@ -156,12 +157,14 @@
   /** Roots are refused where a service on their way is short of room. */
   #refuseRoot(call: EntryCall): boolean {
     const { members, draw, getLastRank } = this.#options;
-    const { route, arrivedAtMs } = call.request;
+    const { route, arrivedAtMs, ticket } = call.request;
     const { pressure, measuredAtMs } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     const { rank } = route;
     const lastRank = getLastRank();
-    const isRefused = isRootRefused({ rank, lastRank, pressure, draw: draw() });
+    // The last tickets go first: what is begun would come first below, too.
+    const drawn = (TICKETS - 1 - ticket + draw()) / TICKETS;
+    const isRefused = isRootRefused({ rank, lastRank, pressure, draw: drawn });
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
       this.#finish(call, failure, "pressure", {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -80,7 +80,8 @@
     const running: RunningParent[] = [];
     for (const { phase, opened, deadlineMs } of this.#calls.list()) {
       if (phase === "running") {
-        running.push({ route: opened.route, rank: opened.rank, deadlineMs });
+        const { route, rank, ticket } = opened;
+        running.push({ route, rank, ticket, deadlineMs });
       }
     }
     return running;
@@ -91,11 +92,6 @@
     this.#step({ type: "BackendChanged", backend });
   }
 
-  /** Takes the least urgent rank of other routes. */
-  changeRanks(lastRank: number): void {
-    this.#step({ type: "RanksChanged", lastRank });
-  }
-
   /** Lets time pass at the gate. */
   tick(): void {
     this.#step({ type: "Ticked" });
@@ -183,9 +179,17 @@
 
   #admit(call: GateCallState): void {
     const { id, opened, arrivedAtMs, deadlineMs } = call;
-    const { route, rank, isNested } = opened;
+    const { route, rank, ticket, isNested } = opened;
     call.phase = "waiting";
-    const admitted = { id, route, rank, isNested, arrivedAtMs, deadlineMs };
+    const admitted = {
+      id,
+      route,
+      rank,
+      ticket,
+      isNested,
+      arrivedAtMs,
+      deadlineMs,
+    };
     this.#step({ type: "CallArrived", call: admitted });
   }
 
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -26,6 +26,7 @@
     headers: [],
     timeLeftMs: 500,
     rank: 0,
+    ticket: 0,
     route: "transfer",
     isIdempotent: false,
     isNested: false,
