--- a/src/engine/relay/common/call_graph.ts
+++ b/src/engine/relay/common/call_graph.ts
@@ -14,6 +14,9 @@
   readonly deadlineMs: number;
 }
 
+/** What runs now; gone through more than once. */
+type Running = ReadonlySet<RunningParent> | readonly RunningParent[];
+
 /** What a nested call takes over from the request that it is made for. */
 export type Urgency = Pick<RunningParent, "rank" | "ticket">;
 
@@ -108,7 +111,7 @@
       /** How long the caller will wait. */
       readonly patienceMs: number;
     },
-    running: readonly RunningParent[],
+    running: Running,
     nowMs: number,
   ): CallOrigin {
     this.#halve(nowMs);
@@ -131,7 +134,12 @@
     const urgency = isOwn || isNew
       ? parents.urgency
       : findLongerParent(expiresAtMs, running);
-    return { isNested, urgency: isNested ? urgency : undefined };
+    return {
+      isNested,
+      urgency: isNested && urgency !== undefined
+        ? { rank: urgency.rank, ticket: urgency.ticket }
+        : undefined,
+    };
   }
 
   /** Lists the routes whose requests make calls, and what they call. */
@@ -230,23 +238,24 @@
 /** Finds the most urgent request that expires no sooner. */
 function findLongerParent(
   expiresAtMs: number,
-  running: readonly RunningParent[],
+  running: Running,
 ): Urgency | undefined {
-  const longer = running
-    .filter(({ deadlineMs }) => deadlineMs >= expiresAtMs - TOLERANCE_MS);
-  return longer.length === 0
-    ? undefined
-    : pickUrgency(longer.reduce(chooseUrgent));
+  let urgency: Urgency | undefined;
+  for (const parent of running) {
+    if (parent.deadlineMs >= expiresAtMs - TOLERANCE_MS) {
+      urgency = chooseUrgent(urgency, parent);
+    }
+  }
+  return urgency;
 }
 
-function chooseUrgent(a: RunningParent, b: RunningParent): RunningParent {
+function chooseUrgent(a: Urgency | undefined, b: Urgency): Urgency {
+  if (a === undefined) {
+    return b;
+  }
   return (a.rank - b.rank || a.ticket - b.ticket) <= 0 ? a : b;
 }
 
-function pickUrgency({ rank, ticket }: RunningParent): Urgency {
-  return { rank, ticket };
-}
-
 /** Running requests that expire with a call. */
 interface Parents {
   readonly routes: ReadonlySet<string>;
@@ -254,22 +263,26 @@
   readonly urgency: Urgency | undefined;
 }
 
+const NO_ROUTES: ReadonlySet<string> = new Set();
+
 /**
  * Where several expire together, the most urgent one counts: taking a call of a
  * transfer for one of a lookup loses the transfer, and one in twelve calls of
- * lookups that go before their turn cost little.
+ * lookups that go before their turn cost little. On the path of each call, so
+ * nothing is allocated where none matches.
  */
 function findParents(
   expiresAtMs: number,
-  running: readonly RunningParent[],
+  running: Running,
 ): Parents {
-  const parents = running.filter(({ deadlineMs }) =>
-    Math.abs(deadlineMs - expiresAtMs) <= TOLERANCE_MS
-  );
-  return {
-    routes: new Set(parents.map(({ route }) => route)),
-    urgency: parents.length === 0
-      ? undefined
-      : pickUrgency(parents.reduce(chooseUrgent)),
-  };
+  let routes: Set<string> | undefined;
+  let urgency: Urgency | undefined;
+  for (const parent of running) {
+    if (Math.abs(parent.deadlineMs - expiresAtMs) <= TOLERANCE_MS) {
+      routes ??= new Set();
+      routes.add(parent.route);
+      urgency = chooseUrgent(urgency, parent);
+    }
+  }
+  return { routes: routes ?? NO_ROUTES, urgency };
 }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -48,6 +48,7 @@
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
   readonly #calls = new GateCallIndex();
+  readonly #running = new Set<RunningParent>();
   #client: BackendClient | undefined;
   #nextId = 1;
 
@@ -76,15 +77,8 @@
   }
 
   /** Lists what runs at the backend server now. */
-  listRunning(): readonly RunningParent[] {
-    const running: RunningParent[] = [];
-    for (const { phase, opened, deadlineMs } of this.#calls.list()) {
-      if (phase === "running") {
-        const { route, rank, ticket } = opened;
-        running.push({ route, rank, ticket, deadlineMs });
-      }
-    }
-    return running;
+  listRunning(): ReadonlySet<RunningParent> {
+    return this.#running;
   }
 
   /** Takes what the backend server announces of itself. */
@@ -164,6 +158,7 @@
       source,
       phase: "receiving",
       startedAtMs: 0,
+      asParent: undefined,
       breakOff: undefined,
     };
     this.#calls.add(call);
@@ -219,7 +214,11 @@
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
-    this.#options.onRun(call.opened.route);
+    const { route, rank, ticket } = call.opened;
+    const { deadlineMs } = call;
+    call.asParent = { route, rank, ticket, deadlineMs };
+    this.#running.add(call.asParent);
+    this.#options.onRun(route);
     const { method, target, requestId } = call.opened;
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
@@ -353,6 +352,9 @@
   #end(call: GateCallState, serviceMs: number | undefined): void {
     const wasRunning = call.phase === "running";
     this.#calls.remove(call);
+    if (call.asParent !== undefined) {
+      this.#running.delete(call.asParent);
+    }
     if (wasRunning) {
       const { id, opened: { route } } = call;
       this.#step({ type: "CallEnded", id, route, serviceMs });
