Take the call graph above chance and the tickets back out

Change: the former call graph, pressure and order of the gate again.

What must come first is a pressure that is gone in calm seconds.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -5,7 +5,6 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
-import type { PressureBelow } from "../engine/mesh/common/frames.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
 import { CallGraph } from "../engine/relay/common/call_graph.ts";
@@ -83,7 +82,6 @@
         readClock,
         log,
         maxConnections: () => this.#control.announcement.connections,
-        onRun: (route) => this.#graph.noteRun(route, readSteadyMs()),
         onBackendLost: () => this.#loseBackend(),
       }),
     );
@@ -255,9 +253,8 @@
   /** The own gate is a member like the others, but no link reports it. */
   #noteOwnLoad(): void {
     const { mesh } = this.#settings;
-    const nowMs = readSteadyMs();
-    this.#members.noteLoad(mesh, this.#gate.readLoad(), nowMs);
-    this.#members.noteBelow(mesh, this.#readBelow(), nowMs);
+    this.#members.noteLoad(mesh, this.#gate.readLoad(), readSteadyMs());
+    this.#members.noteBelow(mesh, this.#readBelow());
   }
 
   /** The backend server took no connection: no calls until it is heard. */
@@ -315,15 +312,13 @@
   }
 
   /** Pressure below each route whose requests make calls here. */
-  #readBelow(): readonly PressureBelow[] {
+  #readBelow(): readonly (readonly [string, number])[] {
     const nowMs = readSteadyMs();
-    return this.#graph.listEdges().map(([parent, callees]) => {
-      const ways = callees.map(({ service, route }) =>
+    return this.#graph.listEdges(nowMs).map(([parent, callees]) => {
+      const pressures = callees.map(({ service, route }) =>
         this.#members.computeWayPressure(service, route, nowMs)
       );
-      const most = ways.reduce((a, b) => b.pressure > a.pressure ? b : a);
-      const ageMs = Math.round(nowMs - most.measuredAtMs);
-      return [parent, most.pressure, ageMs] as const;
+      return [parent, Math.max(...pressures)] as const;
     });
   }
 }
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -19,11 +19,6 @@
   readonly timeLeftMs: number;
   /** Urgency of the root that the call is made for; 0 is the most urgent. */
   readonly rank: number;
-  /**
-   * Order among roots of one rank, 0 to 15, drawn for the root: the same roots
-   * come first at every service of a chain, so that these end whole.
-   */
-  readonly ticket: number;
   /** Name of the route; keys what is learnt of its service time. */
   readonly route: string;
   readonly isIdempotent: boolean;
@@ -93,19 +88,12 @@
   readonly pressure: number;
 }
 
-/** Pressure below one route whose requests make calls at the sender's. */
-export type PressureBelow = readonly [
-  route: string,
-  pressure: number,
-  /** Since the gate that is short of room measured it. */
-  ageMs: number,
-];
-
 /** Said from time to time on links in use; also shows that the sender lives. */
 export interface LoadReported {
   readonly type: "LoadReported";
   readonly load: LoadFigures;
-  readonly below: readonly PressureBelow[];
+  /** Pressure below each route whose requests make calls here. */
+  readonly below: readonly (readonly [string, number])[];
 }
 
 /** One frame. */
@@ -129,11 +117,6 @@
   LoadReported: 6,
 } as const;
 
-/** Tickets of a root: 0 to one less. */
-export const TICKETS = 16;
-/** The ticket rides above the two flags of a call. */
-const TICKET_UNIT = 4;
-
 const FAILURE_KINDS: readonly FailureKind[] = [
   "refused",
   "rejected",
@@ -161,8 +144,7 @@
         Math.ceil(frame.timeLeftMs),
         frame.rank,
         frame.route,
-        (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0) +
-        frame.ticket * TICKET_UNIT,
+        (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0),
         frame.bodyBytes,
         frame.body,
       ];
@@ -213,7 +195,6 @@
         route: fields[9] as string,
         isIdempotent: (flags & 1) !== 0,
         isNested: (flags & 2) !== 0,
-        ticket: Math.floor(flags / TICKET_UNIT),
         bodyBytes: fields[11] as number,
         body: fields[12] as Uint8Array,
       };
--- a/src/engine/relay/common/entry_call.ts
+++ b/src/engine/relay/common/entry_call.ts
@@ -65,7 +65,6 @@
     headers: request.headers,
     timeLeftMs: Math.max(0, request.deadlineMs - nowMs),
     rank: request.rank,
-    ticket: request.ticket,
     route: route.name,
     isIdempotent: route.isIdempotent,
     isNested: request.isNested,
--- a/src/engine/relay/common/entry_types.ts
+++ b/src/engine/relay/common/entry_types.ts
@@ -18,8 +18,6 @@
   readonly isNested: boolean;
   /** 0 is the most urgent; of the route, or of the root of a nested call. */
   readonly rank: number;
-  /** Order among roots of one rank; 0 comes first. */
-  readonly ticket: number;
 }
 
 /** Why a call has no answer of a backend server. */
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -14,8 +14,6 @@
   readonly route: string;
   /** 0 is the most urgent. */
   readonly rank: number;
-  /** Order among calls of one rank; 0 comes first. */
-  readonly ticket: number;
   readonly isNested: boolean;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
@@ -203,9 +201,7 @@
 
 /**
  * By the rank of the root, so that no call of a less urgent root delays one of
- * a more urgent root; then calls of roots that were begun; then by the ticket
- * of the root: where a chain makes many calls, roots that come first at each of
- * them end whole, while the others fail early; last by age.
+ * a more urgent root; then calls of roots that were begun, then by age.
  */
 function putCall(queue: GateCall[], call: GateCall): void {
   let at = queue.length;
@@ -217,7 +213,7 @@
 
 function compareCalls(a: GateCall, b: GateCall): number {
   return a.rank - b.rank || Number(b.isNested) - Number(a.isNested) ||
-    a.ticket - b.ticket || a.arrivedAtMs - b.arrivedAtMs;
+    a.arrivedAtMs - b.arrivedAtMs;
 }
 
 /** Whether the time that is left doesn't cover half of a usual run. */
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -2,13 +2,6 @@
 import type { LoadFigures } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 
-/** Pressure on the way of a route's requests. */
-export interface WayPressure {
-  readonly pressure: number;
-  /** When the gate that is short of room measured it. */
-  readonly measuredAtMs: number;
-}
-
 /** One backend server as this node sees it. */
 export interface Member {
   announcement: Announcement;
@@ -18,8 +11,8 @@
   sentSinceLoad: number;
   load: LoadFigures | undefined;
   loadAtMs: number;
-  /** Pressure below the routes that make calls there, by route. */
-  below: ReadonlyMap<string, WayPressure>;
+  /** Pressure below the routes that make calls there, as it says. */
+  below: readonly (readonly [string, number])[];
   /** Mean time until an answer; 0 before the first. */
   latencyMs: number;
   /** Smoothed share of failures among the answers. */
@@ -35,8 +28,10 @@
 /** Answers after which a failing member is left out for a while. */
 const EJECT_AFTER = 3;
 const EJECT_MS = 1_000;
+/** Weights of a new answer in the means. */
 const LATENCY_GAIN = 0.03;
 const FAILURE_GAIN = 0.05;
+
 /** Notes what an answer, or its absence, says of a member. */
 export function noteResult(
   member: Member,
@@ -83,7 +78,7 @@
     sentSinceLoad: 0,
     load: undefined,
     loadAtMs: 0,
-    below: new Map(),
+    below: [],
     latencyMs: 0,
     failureShare: 0,
     failures: 0,
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -1,16 +1,11 @@
 /** The backend servers that a node may choose from, and their loads. */
-import type { LoadFigures, PressureBelow } from "../../mesh/common/frames.ts";
+import type { LoadFigures } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { renewMember } from "./member.ts";
-import type { Member, WayPressure } from "./member.ts";
+import type { Member } from "./member.ts";
 import { chooseMember, LOAD_VALID_MS } from "./member_choice.ts";
 import type { ChoiceOptions } from "./member_choice.ts";
 
-/**
- * A pressure that was measured longer ago says nothing. Each of up to seven
- * levels adds up to 100 ms, the time between two reports.
- */
-const WAY_VALID_MS = 1_200;
 /**
  * Wait before a node whose link was lost is probed, and between probes: a
  * process that was started again listens after about a second.
@@ -96,18 +91,12 @@
   /** Takes the pressure that a member says is below its routes. */
   noteBelow(
     address: string,
-    below: readonly PressureBelow[],
-    nowMs: number,
+    below: readonly (readonly [string, number])[],
   ): void {
     for (const members of this.#services.values()) {
       const member = members.get(address);
       if (member !== undefined) {
-        member.below = new Map(
-          below.map(([route, pressure, ageMs]) => [
-            route,
-            { pressure, measuredAtMs: nowMs - ageMs },
-          ]),
-        );
+        member.below = below;
       }
     }
   }
@@ -144,10 +133,9 @@
   }
 
   /** Computes the pressure of a service: the mean over its members. */
-  computePressure(service: string, nowMs: number): WayPressure {
+  computePressure(service: string, nowMs: number): number {
     let sum = 0;
     let count = 0;
-    let measuredAtMs = nowMs;
     for (const member of this.#services.get(service)?.values() ?? []) {
       const { load, loadAtMs } = member;
       if (
@@ -156,30 +144,30 @@
       ) {
         sum += load.pressure * load.limit;
         count += load.limit;
-        measuredAtMs = Math.min(measuredAtMs, loadAtMs);
       }
     }
-    return { pressure: count === 0 ? 0 : sum / count, measuredAtMs };
+    return count === 0 ? 0 : sum / count;
   }
 
-  /**
-   * Computes the pressure on the whole way of a route's requests. What is
-   * said of services below ages on its way: where routes call each other in a
-   * circle, a pressure that is gone would go round for ever.
-   */
-  computeWayPressure(
-    service: string,
-    route: string,
-    nowMs: number,
-  ): WayPressure {
-    const own = this.computePressure(service, nowMs);
-    const below = this.#computeBelow(service, route, nowMs);
-    return below.pressure > own.pressure ? below : own;
+  /** Computes the pressure on the whole way of a route's requests. */
+  computeWayPressure(service: string, route: string, nowMs: number): number {
+    let sum = 0;
+    let count = 0;
+    for (const member of this.#services.get(service)?.values() ?? []) {
+      if (nowMs - member.loadAtMs < LOAD_VALID_MS) {
+        const below = member.below
+          .find(([parent]) => parent === route)?.[1] ?? 0;
+        sum += below;
+        count += 1;
+      }
+    }
+    const below = count === 0 ? 0 : sum / count;
+    return Math.max(below, this.computePressure(service, nowMs));
   }
 
   /** Whether the members of a service call no other one. */
   isLeaf(service: string): boolean {
-    return this.list(service).every(({ below }) => below.size === 0);
+    return this.list(service).every(({ below }) => below.length === 0);
   }
 
   /** Chooses the member of a service that a call is sent to. */
@@ -194,23 +182,6 @@
     return chooseMember(proven.length > 0 ? proven : members, options);
   }
 
-  #computeBelow(service: string, route: string, nowMs: number): WayPressure {
-    let sum = 0;
-    let count = 0;
-    let measuredAtMs = nowMs;
-    for (const member of this.#services.get(service)?.values() ?? []) {
-      const below = member.below.get(route);
-      const isFresh = below !== undefined &&
-        nowMs - below.measuredAtMs < WAY_VALID_MS;
-      if (isFresh) {
-        sum += below.pressure;
-        measuredAtMs = Math.min(measuredAtMs, below.measuredAtMs);
-      }
-      count += isFresh || nowMs - member.loadAtMs < LOAD_VALID_MS ? 1 : 0;
-    }
-    return { pressure: count === 0 ? 0 : sum / count, measuredAtMs };
-  }
-
   #has(address: string): boolean {
     return [...this.#services.values()].some((members) => members.has(address));
   }
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -3,7 +3,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
-import { TICKETS } from "../../mesh/common/frames.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import {
   buildRouteIndex,
@@ -38,7 +37,7 @@
   readonly observeCall: (call: {
     readonly route: string;
     readonly service: string;
-    readonly patienceMs: number;
+    readonly expiresAtMs: number;
   }) => CallOrigin;
   /** Service whose backend server runs on this VM. */
   readonly getCallerService: () => string;
@@ -215,7 +214,7 @@
     const origin = this.#options.observeCall({
       route: route.name,
       service,
-      patienceMs,
+      expiresAtMs: arrivedAtMs + patienceMs,
     });
     const entry: EntryRequest = {
       requestId,
@@ -230,9 +229,7 @@
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
       isNested: origin.isNested,
-      rank: origin.urgency?.rank ?? route.rank,
-      ticket: origin.urgency?.ticket ??
-        Math.floor(this.#options.draw() * TICKETS),
+      rank: origin.rank ?? route.rank,
     };
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -3,7 +3,6 @@
   BodyCollector,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
-import { TICKETS } from "../../mesh/common/frames.ts";
 import type {
   AnswerOpened,
   CallFailed,
@@ -64,6 +63,7 @@
 
 /** When a root that was refused for pressure may come back. */
 const ROOT_RETRY_MS = 700;
+
 /** Calls by their number; numbers are never used twice in a process. */
 export class EntryCalls {
   readonly #options: EntryCallsOptions;
@@ -157,21 +157,15 @@
   /** Roots are refused where a service on their way is short of room. */
   #refuseRoot(call: EntryCall): boolean {
     const { members, draw, getLastRank } = this.#options;
-    const { route, arrivedAtMs, ticket } = call.request;
-    const { pressure, measuredAtMs } = members
+    const { route, arrivedAtMs } = call.request;
+    const pressure = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     const { rank } = route;
     const lastRank = getLastRank();
-    // The last tickets go first: what is begun would come first below, too.
-    const drawn = (TICKETS - 1 - ticket + draw()) / TICKETS;
-    const isRefused = isRootRefused({ rank, lastRank, pressure, draw: drawn });
+    const isRefused = isRootRefused({ rank, lastRank, pressure, draw: draw() });
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
-      this.#finish(call, failure, "pressure", {
-        lastRank,
-        pressure,
-        ageMs: arrivedAtMs - measuredAtMs,
-      });
+      this.#finish(call, failure, "pressure", { lastRank, pressure });
     }
     return isRefused;
   }
@@ -228,11 +222,11 @@
     }
     const { member, sentAtMs } = call.attempt!;
     const isFailure = opened.status >= 500;
-    noteResult(member, { isFailure, latencyMs: nowMs - sentAtMs }, nowMs);
     if (isFailure && this.#isWorthRepeating(call, nowMs)) {
       this.#fail(call, "unknown", `status ${opened.status}`);
       return;
     }
+    noteResult(member, { isFailure, latencyMs: nowMs - sentAtMs }, nowMs);
     const body = new BodyCollector(opened.bodyBytes, opened.body);
     call.answer = { opened, body };
     this.#finishAnswer(call);
@@ -264,9 +258,8 @@
 
   #takeLoad(address: string, frame: LoadReported): void {
     const { members, readClock } = this.#options;
-    const nowMs = readClock();
-    members.noteLoad(address, frame.load, nowMs);
-    members.noteBelow(address, frame.below, nowMs);
+    members.noteLoad(address, frame.load, readClock());
+    members.noteBelow(address, frame.below);
   }
 
   #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -34,8 +34,6 @@
   readonly log: RelayLog;
   /** Most connections that the backend server takes. */
   readonly maxConnections: () => number;
-  /** The backend server begins to run a request of a route. */
-  readonly onRun: (route: string) => void;
   /** The backend server refused connections: it may have ended. */
   readonly onBackendLost: () => void;
 }
@@ -48,7 +46,6 @@
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
   readonly #calls = new GateCallIndex();
-  readonly #running = new Set<RunningParent>();
   #client: BackendClient | undefined;
   #nextId = 1;
 
@@ -77,8 +74,12 @@
   }
 
   /** Lists what runs at the backend server now. */
-  listRunning(): ReadonlySet<RunningParent> {
-    return this.#running;
+  *listRunning(): Generator<RunningParent> {
+    for (const { phase, opened, deadlineMs } of this.#calls.list()) {
+      if (phase === "running") {
+        yield { route: opened.route, rank: opened.rank, deadlineMs };
+      }
+    }
   }
 
   /** Takes what the backend server announces of itself. */
@@ -158,7 +159,6 @@
       source,
       phase: "receiving",
       startedAtMs: 0,
-      asParent: undefined,
       breakOff: undefined,
     };
     this.#calls.add(call);
@@ -174,17 +174,9 @@
 
   #admit(call: GateCallState): void {
     const { id, opened, arrivedAtMs, deadlineMs } = call;
-    const { route, rank, ticket, isNested } = opened;
+    const { route, rank, isNested } = opened;
     call.phase = "waiting";
-    const admitted = {
-      id,
-      route,
-      rank,
-      ticket,
-      isNested,
-      arrivedAtMs,
-      deadlineMs,
-    };
+    const admitted = { id, route, rank, isNested, arrivedAtMs, deadlineMs };
     this.#step({ type: "CallArrived", call: admitted });
   }
 
@@ -214,11 +206,6 @@
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
-    const { route, rank, ticket } = call.opened;
-    const { deadlineMs } = call;
-    call.asParent = { route, rank, ticket, deadlineMs };
-    this.#running.add(call.asParent);
-    this.#options.onRun(route);
     const { method, target, requestId } = call.opened;
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
@@ -352,9 +339,6 @@
   #end(call: GateCallState, serviceMs: number | undefined): void {
     const wasRunning = call.phase === "running";
     this.#calls.remove(call);
-    if (call.asParent !== undefined) {
-      this.#running.delete(call.asParent);
-    }
     if (wasRunning) {
       const { id, opened: { route } } = call;
       this.#step({ type: "CallEnded", id, route, serviceMs });
