Name what the choice of a member adds, and drop a mean that nobody reads

Cause: on the last read: three figures without names in the choice of a backend server, and a latency that is kept for each and read nowhere.

Change: names and comments; the latency is gone. No behaviour changes.

--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -13,8 +13,6 @@
   loadAtMs: number;
   /** Pressure below the routes that make calls there, as it says. */
   below: readonly (readonly [string, number])[];
-  /** Mean time until an answer; 0 before the first. */
-  latencyMs: number;
   /** Smoothed share of failures among the answers. */
   failureShare: number;
   /** Answers in a row that were failures. */
@@ -28,22 +26,19 @@
 /** Answers after which a failing member is left out for a while. */
 const EJECT_AFTER = 3;
 const EJECT_MS = 1_000;
-/** Weights of a new answer in the means. */
-const LATENCY_GAIN = 0.03;
+/** Weight of a new answer in the share of failures. */
 const FAILURE_GAIN = 0.05;
 
 /** Notes what an answer, or its absence, says of a member. */
 export function noteResult(
   member: Member,
-  result: { readonly isFailure: boolean; readonly latencyMs: number },
+  isFailure: boolean,
   nowMs: number,
 ): void {
-  member.failureShare += (Number(result.isFailure) - member.failureShare) *
+  member.failureShare += (Number(isFailure) - member.failureShare) *
     FAILURE_GAIN;
-  if (!result.isFailure) {
+  if (!isFailure) {
     member.failures = 0;
-    member.latencyMs += (result.latencyMs - member.latencyMs) *
-      (member.latencyMs === 0 ? 1 : LATENCY_GAIN);
     return;
   }
   member.failures += 1;
@@ -79,7 +74,6 @@
     load: undefined,
     loadAtMs: 0,
     below: [],
-    latencyMs: 0,
     failureShare: 0,
     failures: 0,
     ejectedUntilMs: 0,
--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -17,6 +17,13 @@
 export const LOAD_VALID_MS = 1_000;
 /** Worth of the own data centre, in parts of a backend server's places. */
 const FAR_PENALTY = 0.15;
+/** Most that chance adds: less than one place in fifty. */
+const JITTER = 0.02;
+/** Spreads one draw over members: any factor that is no whole number does. */
+const JITTER_STRIDE = 7.31;
+/** Above any other score: nothing may run there. */
+const CLOSED_PENALTY = 100;
+
 /** Chooses the member with the most room for its share, nearest first. */
 export function chooseMember(
   members: readonly Member[],
@@ -29,7 +36,7 @@
   let best: Member | undefined;
   let bestScore = Infinity;
   pool.forEach((member, at) => {
-    const jitter = ((at + 1) * options.draw * 7.31 % 1) * 0.02;
+    const jitter = ((at + 1) * options.draw * JITTER_STRIDE % 1) * JITTER;
     const score = computeScore(member, options) + jitter;
     if (score < bestScore) {
       best = member;
@@ -52,5 +59,5 @@
     ? 0
     : FAR_PENALTY;
   return (inUse + 1) / places + distance + member.failureShare +
-    (isFresh && load.limit === 0 ? 100 : 0);
+    (isFresh && load.limit === 0 ? CLOSED_PENALTY : 0);
 }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -220,13 +220,13 @@
     if (call === undefined) {
       return;
     }
-    const { member, sentAtMs } = call.attempt!;
+    const { member } = call.attempt!;
     const isFailure = opened.status >= 500;
     if (isFailure && this.#isWorthRepeating(call, nowMs)) {
       this.#fail(call, "unknown", `status ${opened.status}`);
       return;
     }
-    noteResult(member, { isFailure, latencyMs: nowMs - sentAtMs }, nowMs);
+    noteResult(member, isFailure, nowMs);
     const body = new BodyCollector(opened.bodyBytes, opened.body);
     call.answer = { opened, body };
     this.#finishAnswer(call);
@@ -269,7 +269,7 @@
     if (kind === "unknown" || kind === "rejected") {
       call.handedOver += 1;
       call.mayHaveRun ||= kind === "unknown";
-      noteResult(member, { isFailure: true, latencyMs: 0 }, nowMs);
+      noteResult(member, true, nowMs);
     }
     const step = this.#decide(call, kind, call.handedOver, nowMs);
     switch (step.type) {
