--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -1,11 +1,11 @@
 /** Calls at their entry, over links whose other end may fall silent. */
 import { expect } from "chai";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
-import type { Announcement } from "../../membership/common/announcement.ts";
 import type { Route } from "../../routes/common/route_table.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import { MemberTable } from "../common/member_table.ts";
 import { EntryCalls } from "../node/entry_calls.ts";
+import { createAnnouncement } from "./announcements.ts";
 
 const ROUTE: Route = {
   name: "lookup",
@@ -20,23 +20,6 @@
 };
 const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0 };
 
-function createAnnouncement(address: string): Announcement {
-  return {
-    nodeId: address,
-    incarnation: 1,
-    sequence: 1,
-    service: "warehouse",
-    dataCentre: "a",
-    region: "r",
-    vm: address,
-    ingress: address,
-    operator: address,
-    slots: 10,
-    connections: 10,
-    isDraining: false,
-  };
-}
-
 /** An entry whose clock and links the test moves. */
 class Entry {
   nowMs = 10_000;
@@ -48,7 +31,7 @@
 
   constructor(...addresses: readonly string[]) {
     const members = new MemberTable();
-    members.replace("warehouse", addresses.map(createAnnouncement));
+    members.replace("warehouse", addresses.map((at) => createAnnouncement(at)));
     this.calls = new EntryCalls({
       dataCentre: "a",
       members,
@@ -206,6 +189,18 @@
       .to.deep.equal([500]);
   });
 
+  it("of a service that calls others is passed on: below, it would recur", () => {
+    const entry = new Entry("a:1", "b:1");
+    const below = [["lookup", 0]] as const;
+    const report = { type: "LoadReported", load: LOAD, below } as const;
+    entry.calls.receive("a:1", report);
+    entry.start();
+    const [first] = entry.listOpenings();
+    entry.calls.receive(first!, answer(entry.getFirstOpening().call, 500));
+    expect(entry.listOpenings()).to.have.length(1);
+    expect(entry.results).to.have.length(1);
+  });
+
   it("is passed on where the call may have changed something", () => {
     const entry = new Entry("a:1", "b:1");
     entry.start({ route: { ...ROUTE, isIdempotent: false } });
@@ -216,6 +211,15 @@
   });
 });
 
+describe("a call of a backend server", () => {
+  it("goes on with the rank of its root, not of its own route", () => {
+    const entry = new Entry("a:1");
+    entry.start({ isNested: true, rank: 3 });
+    expect(entry.getFirstOpening().rank).to.equal(3);
+    expect(entry.getFirstOpening().isNested).to.equal(true);
+  });
+});
+
 describe("a link that never opened", () => {
   it("fails its calls as refused: they go elsewhere, even transfers", () => {
     const entry = new Entry("a:1", "b:1");
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -1,28 +1,9 @@
 /** Whom a call is sent to. */
 import { expect } from "chai";
 import type { Announcement } from "../../membership/common/announcement.ts";
+import { createAnnouncement, SERVICE, SLOTS } from "./announcements.ts";
 import { MemberTable } from "../common/member_table.ts";
 
-const SERVICE = "warehouse";
-const SLOTS = 10;
-
-function createAnnouncement(address: string, dataCentre = "a"): Announcement {
-  return {
-    nodeId: address,
-    incarnation: 1,
-    sequence: 1,
-    service: SERVICE,
-    dataCentre,
-    region: "r",
-    vm: address,
-    ingress: address,
-    operator: address,
-    slots: SLOTS,
-    connections: 10,
-    isDraining: false,
-  };
-}
-
 function createTable(...announcements: readonly Announcement[]): MemberTable {
   const table = new MemberTable();
   table.replace(SERVICE, announcements);
