Keep what runs at the backend server in a set

Cause: each call of a caller walked all calls of the gate, waiting ones too, and built an object for each that runs: work on the path of every call for nothing.

Change: the gate keeps the set of what runs; it is compared with as it stands.

--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -46,6 +46,8 @@
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
   readonly #calls = new GateCallIndex();
+  /** Kept up to date: each call of a caller is compared with all of it. */
+  readonly #running = new Set<RunningParent>();
   #client: BackendClient | undefined;
   #nextId = 1;
 
@@ -74,12 +76,8 @@
   }
 
   /** Lists what runs at the backend server now. */
-  *listRunning(): Generator<RunningParent> {
-    for (const { phase, opened, deadlineMs } of this.#calls.list()) {
-      if (phase === "running") {
-        yield { route: opened.route, rank: opened.rank, deadlineMs };
-      }
-    }
+  listRunning(): ReadonlySet<RunningParent> {
+    return this.#running;
   }
 
   /** Takes what the backend server announces of itself. */
@@ -159,6 +157,7 @@
       source,
       phase: "receiving",
       startedAtMs: 0,
+      asParent: undefined,
       breakOff: undefined,
     };
     this.#calls.add(call);
@@ -206,6 +205,9 @@
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
+    const { route, rank } = call.opened;
+    call.asParent = { route, rank, deadlineMs: call.deadlineMs };
+    this.#running.add(call.asParent);
     const { method, target, requestId } = call.opened;
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
@@ -339,6 +341,9 @@
   #end(call: GateCallState, serviceMs: number | undefined): void {
     const wasRunning = call.phase === "running";
     this.#calls.remove(call);
+    if (call.asParent !== undefined) {
+      this.#running.delete(call.asParent);
+    }
     if (wasRunning) {
       const { id, opened: { route } } = call;
       this.#step({ type: "CallEnded", id, route, serviceMs });
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -97,11 +97,14 @@
     const frames: MeshFrame[] = [];
     gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
     expect(gate.readLoad().running).to.equal(1);
+    expect([...gate.listRunning()])
+      .to.deep.equal([{ route: "transfer", rank: 0, deadlineMs: 1_500 }]);
     gate.receive("1", { type: "CallCancelled", call: 1 }, () => {});
     expect(gate.readLoad().running, "a transfer runs on").to.equal(1);
     nowMs += 1_600;
     gate.tick();
     expect(gate.readLoad().running).to.equal(0);
+    expect([...gate.listRunning()]).to.deep.equal([]);
     expect(gate.openCount).to.equal(0);
     expect(frames.map(({ type }) => type)).to.deep.equal(["CallFailed"]);
     await gate[Symbol.asyncDispose]();
