Forget suspects whose acquittal was missed, and keep them acquitted

Ruled out: leases (the owner's ledger was right), counting (the metrics show what the node knows). Change: nodes ask owners about suspects that stay; a suspect that was cleared is not suspected anew for 5 s. Shown: two tests of the reducers, red on the code before, green now.

--- a/src/engine/call/common/crash_steps.ts
+++ b/src/engine/call/common/crash_steps.ts
@@ -15,7 +15,7 @@
 import type { NodeEffect } from "./call_events.ts";
 import { withdrawServed } from "./claim_steps.ts";
 import type { NodeState, ServedCall } from "./node_state.ts";
-import { noteCrash } from "./quarantine_ledger.ts";
+import { CHECK_PREFIX, noteCrash, takeChecked } from "./quarantine_ledger.ts";
 import {
   createAsk,
   createBusy,
@@ -130,6 +130,13 @@
     const isTold = reply !== undefined;
     return createReduction(takeEndReply(state, attemptId, isTold));
   }
+  if (requestId.startsWith(CHECK_PREFIX)) {
+    return createReduction(
+      reply?.type === "SuspectsChecked"
+        ? takeChecked(state, reply.cleared, deps.nowMs)
+        : state,
+    );
+  }
   const { watch } = state.quarantine;
   if (watch?.untold.has(requestId) !== true) {
     return createReduction(state);
--- a/src/engine/call/common/peer_reducer.ts
+++ b/src/engine/call/common/peer_reducer.ts
@@ -35,6 +35,7 @@
     case "RequestRun":
     case "EndRun":
     case "TellVerdicts":
+    case "CheckSuspects":
       return answerQuarantine(state, { askId, message }, nowMs);
   }
   const { incarnation } = state.self;
--- a/src/engine/call/common/quarantine_ledger.ts
+++ b/src/engine/call/common/quarantine_ledger.ts
@@ -1,4 +1,5 @@
 /** The node as owner of suspects: decides, answers and tells the others. */
+import { deleteEntry } from "../../../base/common/maps.ts";
 import {
   chainReduction,
   createReduction,
@@ -6,7 +7,10 @@
 import type { Reduction } from "../../../base/common/reduction.ts";
 import {
   expireSuspects,
+  isAcquitted,
+  listUnsettled,
   MAX_KNOWN_SUSPECTS,
+  noteCleared,
   noteSuspects,
   noteVerdict,
 } from "../../quarantine/common/known_suspects.ts";
@@ -18,6 +22,7 @@
 } from "../../quarantine/common/quarantine_messages.ts";
 import { reduceQuarantine } from "../../quarantine/common/quarantine_reducer.ts";
 import type {
+  Fingerprint,
   QuarantineEffect,
   QuarantineEvent,
 } from "../../quarantine/common/quarantine_reducer.ts";
@@ -41,7 +46,11 @@
 const MAX_VERDICTS = 1_024;
 /** When to come back to an owner that can keep no further suspect. */
 const FULL_RETRY_MS = 10_000;
+/** Time between two rounds of questions about old suspects. */
+const CHECK_MS = 3_000;
 const VERDICT_PREFIX = `${QUARANTINE_PREFIX}verdict/`;
+/** Request ids of questions about old suspects begin with this. */
+export const CHECK_PREFIX = `${QUARANTINE_PREFIX}check/`;
 
 /** Answers another node, or this one. */
 export function answerQuarantine(
@@ -53,6 +62,14 @@
   if (message.type === "RequestRun") {
     return decideRun(state, askId, message, nowMs);
   }
+  if (message.type === "CheckSuspects") {
+    const { cleared } = state.quarantine;
+    const reply = {
+      type: "SuspectsChecked",
+      cleared: message.fingerprints.filter((one) => cleared.has(one)),
+    } as const;
+    return createReduction(state, [{ type: "AnswerPeer", askId, reply }]);
+  }
   const noted: NodeEffect = {
     type: "AnswerPeer",
     askId,
@@ -70,8 +87,11 @@
   crash: Omit<Message<"TellSuspects">, "type">,
   nowMs: number,
 ): Step {
-  const { nodeId, fingerprints, guilty } = crash;
-  const { known, ledger } = state.quarantine;
+  const { nodeId, guilty } = crash;
+  const { known, ledger, cleared } = state.quarantine;
+  const fingerprints = crash.fingerprints.filter((one) =>
+    guilty?.includes(one) === true || !isAcquitted(cleared, one, nowMs)
+  );
   const noted = putQuarantine(state, {
     known: noteSuspects(known, fingerprints, nowMs),
   });
@@ -134,23 +154,76 @@
   const { known } = state.quarantine;
   const live = expireSuspects(known, nowMs);
   const next = live === known ? state : putQuarantine(state, { known: live });
-  return stepLedger(next, { type: "Ticked" }, nowMs);
+  return chainReduction(
+    stepLedger(next, { type: "Ticked" }, nowMs),
+    (ticked) => checkSuspects(ticked, nowMs),
+  );
+}
+
+/** Forgets the suspects that their owner says it has cleared. */
+export function takeChecked(
+  state: NodeState,
+  cleared: readonly Fingerprint[],
+  nowMs: number,
+): NodeState {
+  return cleared.reduce(
+    (next, fingerprint) =>
+      noteDecision(
+        next,
+        { fingerprint, isCleared: true, quarantineMs: 0 },
+        nowMs,
+      ),
+    state,
+  );
+}
+
+/**
+ * Asks owners about suspects that stay: without it, a node that missed one
+ * message refused that request beside any other suspect for two days.
+ */
+function checkSuspects(state: NodeState, nowMs: number): Step {
+  const { known, checkedAtMs, ledger } = state.quarantine;
+  if (known.size === 0 || nowMs - checkedAtMs < CHECK_MS) {
+    return createReduction(state);
+  }
+  const byOwner = new Map<string, Fingerprint[]>();
+  for (const fingerprint of listUnsettled(known, nowMs)) {
+    const owner = findOwner(state, fingerprint)?.ingress;
+    if (owner === undefined || ledger.suspects.has(fingerprint)) {
+      continue;
+    }
+    const fingerprints = byOwner.get(owner) ?? [];
+    byOwner.set(owner, fingerprints);
+    fingerprints.push(fingerprint);
+  }
+  const asks = [...byOwner].map(([owner, fingerprints]) =>
+    createAsk(`${CHECK_PREFIX}${owner}`, owner, {
+      type: "CheckSuspects",
+      fingerprints: fingerprints.slice(0, MAX_VERDICTS),
+    })
+  );
+  const next = putQuarantine(state, { checkedAtMs: nowMs });
+  return createReduction(next, asks);
 }
 
 function noteMessage(
   state: NodeState,
-  message: Exclude<QuarantineMessage, { type: "RequestRun" }>,
+  message: Exclude<
+    QuarantineMessage,
+    { type: "RequestRun" | "CheckSuspects" }
+  >,
   nowMs: number,
 ): Step {
   switch (message.type) {
     case "TellSuspects":
       return noteCrash(state, message, nowMs);
     case "TellVerdicts": {
-      const known = message.verdicts.reduce(
-        (before, verdict) => noteVerdict(before, verdict, nowMs),
-        state.quarantine.known,
+      return createReduction(
+        message.verdicts.reduce(
+          (before, verdict) => noteDecision(before, verdict, nowMs),
+          state,
+        ),
       );
-      return createReduction(putQuarantine(state, { known }));
     }
     case "EndRun":
       return endRun(state, message, nowMs);
@@ -264,14 +337,13 @@
   nowMs: number,
 ): Step {
   const { fingerprint, isCleared, quarantineMs } = verdict;
-  const known = noteVerdict(state.quarantine.known, verdict, nowMs);
   const told = { type: "TellVerdicts", verdicts: [verdict] } as const;
   const tells = listPeers(state)
     .filter(({ nodeId }) => nodeId !== state.self.nodeId)
     .map(({ nodeId, ingress }) =>
       createAsk(`${VERDICT_PREFIX}${nodeId}`, ingress, told)
     );
-  return createReduction(putQuarantine(state, { known }), [
+  return createReduction(noteDecision(state, verdict, nowMs), [
     {
       type: "RecordEvent",
       event: isCleared
@@ -281,3 +353,17 @@
     ...tells,
   ]);
 }
+
+/** Notes what the owner decided, and when it cleared a suspect. */
+function noteDecision(
+  state: NodeState,
+  verdict: Verdict,
+  nowMs: number,
+): NodeState {
+  const { fingerprint, isCleared } = verdict;
+  const known = noteVerdict(state.quarantine.known, verdict, nowMs);
+  const cleared = isCleared
+    ? noteCleared(state.quarantine.cleared, fingerprint, nowMs)
+    : deleteEntry(state.quarantine.cleared, fingerprint);
+  return putQuarantine(state, { known, cleared });
+}
--- a/src/engine/call/test/quarantine_steps_test.ts
+++ b/src/engine/call/test/quarantine_steps_test.ts
@@ -270,6 +270,43 @@
     }
   });
 
+  it("are forgotten by a node that missed the word of their owner", () => {
+    const service = new Service();
+    service.receive("n0", "innocent");
+    service.crash("n0");
+    const again = service.receive("n1", "innocent");
+    const owner = findOwner(
+      service.nodes.get("n1")!,
+      `${ROW.kind}|innocent`,
+    )!.nodeId;
+    service.silent =
+      MEMBERS.find(({ nodeId }) => nodeId !== owner && nodeId !== "n1")!.nodeId;
+    service.finish("n1", again);
+    const deaf = service.silent;
+    service.silent = undefined;
+    expect(service.nodes.get(deaf)!.quarantine.known.size).to.equal(1);
+    service.nowMs += 4_000;
+    service.step(deaf, { type: "Ticked" });
+    expect(service.nodes.get(deaf)!.quarantine.known.size).to.equal(0);
+  });
+
+  it("aren't made anew by the word of a crash that comes last", () => {
+    const service = new Service();
+    service.receive("n0", "innocent");
+    service.isHolding = true;
+    service.crash("n0");
+    service.isHolding = false;
+    const tells = service.held.splice(0);
+    tells.shift()!();
+    const again = service.receive("n1", "innocent");
+    service.finish("n1", again);
+    tells.forEach((deliver) => deliver());
+    for (const { quarantine } of service.nodes.values()) {
+      expect([...quarantine.known.keys()]).to.deep.equal([]);
+      expect([...quarantine.ledger.suspects.keys()]).to.deep.equal([]);
+    }
+  });
+
   it("cost two backend servers, resent anywhere beside any others", () => {
     const ids = fc.constantFrom(...MEMBERS.map(({ nodeId }) => nodeId));
     const digest = fc.constantFrom("a", "b", "c", "d");
--- a/src/engine/peer/common/peer_messages.ts
+++ b/src/engine/peer/common/peer_messages.ts
@@ -67,6 +67,7 @@
   RequestRun: true,
   EndRun: true,
   TellVerdicts: true,
+  CheckSuspects: true,
 };
 
 /** Whether a message is of a type that this version knows. */
--- a/src/engine/quarantine/common/known_suspects.ts
+++ b/src/engine/quarantine/common/known_suspects.ts
@@ -12,6 +12,9 @@
   readonly expiresAtMs: number;
 }
 
+/** When suspects were cleared, wall clock in milliseconds; oldest first. */
+export type ClearedSuspects = ReadonlyMap<Fingerprint, number>;
+
 /** In the order in which they were last told. */
 export type KnownSuspects = ReadonlyMap<Fingerprint, KnownSuspect>;
 
@@ -20,6 +23,56 @@
 /** A suspect of which nothing is heard is forgotten after this. */
 const KNOWN_MS = 2 * MAX_QUARANTINE_MS;
 
+/**
+ * How long a suspect that was cleared is not suspected anew: the word of the
+ * crash before may come later than the word of its owner, by one time-out of
+ * a message and its resend.
+ */
+const ACQUITTED_MS = 5_000;
+/** A suspect that was told of so long ago is checked with its owner. */
+const SETTLED_MS = 3_000;
+
+/** Notes that a suspect was cleared; the oldest ones are forgotten. */
+export function noteCleared(
+  cleared: ClearedSuspects,
+  fingerprint: Fingerprint,
+  nowMs: number,
+): ClearedSuspects {
+  const next = new Map(cleared);
+  next.delete(fingerprint);
+  next.set(fingerprint, nowMs);
+  for (const oldest of next.keys()) {
+    if (next.size <= MAX_KNOWN_SUSPECTS) {
+      break;
+    }
+    next.delete(oldest);
+  }
+  return next;
+}
+
+/** Whether a suspect was cleared so lately that it is not suspected anew. */
+export function isAcquitted(
+  cleared: ClearedSuspects,
+  fingerprint: Fingerprint,
+  nowMs: number,
+): boolean {
+  const clearedAtMs = cleared.get(fingerprint);
+  return clearedAtMs !== undefined && nowMs - clearedAtMs < ACQUITTED_MS;
+}
+
+/** Lists mere suspects that all nodes must have heard of by now. */
+export function listUnsettled(
+  known: KnownSuspects,
+  nowMs: number,
+): readonly Fingerprint[] {
+  return [...known]
+    .filter(([, { quarantinedUntilMs, expiresAtMs }]) =>
+      quarantinedUntilMs === 0 &&
+      nowMs - (expiresAtMs - KNOWN_MS) >= SETTLED_MS
+    )
+    .map(([fingerprint]) => fingerprint);
+}
+
 /** Notes suspects; one that is in quarantine stays there. */
 export function noteSuspects(
   known: KnownSuspects,
--- a/src/engine/quarantine/common/node_quarantine.ts
+++ b/src/engine/quarantine/common/node_quarantine.ts
@@ -1,5 +1,5 @@
 /** What a node keeps of suspects: its ledger, what it was told, its runs. */
-import type { KnownSuspects } from "./known_suspects.ts";
+import type { ClearedSuspects, KnownSuspects } from "./known_suspects.ts";
 import { INITIAL_QUARANTINE } from "./quarantine_reducer.ts";
 import type { Fingerprint, QuarantineState } from "./quarantine_reducer.ts";
 
@@ -54,6 +54,9 @@
   /** Of the suspects that this node owns. */
   readonly ledger: QuarantineState;
   readonly known: KnownSuspects;
+  readonly cleared: ClearedSuspects;
+  /** When owners were last asked about suspects, wall clock. */
+  readonly checkedAtMs: number;
   /** By attempt id. */
   readonly leases: ReadonlyMap<string, LocalLease>;
   readonly watch: CrashWatch | undefined;
@@ -68,6 +71,8 @@
 export const INITIAL_NODE_QUARANTINE: NodeQuarantine = {
   ledger: INITIAL_QUARANTINE,
   known: new Map(),
+  cleared: new Map(),
+  checkedAtMs: 0,
   leases: new Map(),
   watch: undefined,
   abandoned: [],
--- a/src/engine/quarantine/common/quarantine_messages.ts
+++ b/src/engine/quarantine/common/quarantine_messages.ts
@@ -31,6 +31,11 @@
     /** Whether it came to a whole answer; else it proves nothing. */
     readonly isWhole: boolean;
   }
+  /** Asks the owner which of these it has cleared: its word may be lost. */
+  | {
+    readonly type: "CheckSuspects";
+    readonly fingerprints: readonly Fingerprint[];
+  }
   /** What the owner decided; told to all nodes, and to one that joins. */
   | { readonly type: "TellVerdicts"; readonly verdicts: readonly Verdict[] };
 
@@ -45,6 +50,10 @@
 /** The answers. */
 export type QuarantineReply =
   | { readonly type: "SuspectsNoted" }
+  | {
+    readonly type: "SuspectsChecked";
+    readonly cleared: readonly Fingerprint[];
+  }
   | { readonly type: "RunGranted"; readonly leaseId: number }
   | {
     readonly type: "RunRefused";
