Tell the lives of a backend server apart, and pass over other writers

Cause: a backend server may start again under its id; its counts begin anew, so all it said was taken for late, and what ran in its former life waited for the deadline where the connection had only gone silent. Change: a life is an id with the start that it says; a late word of an earlier life counts for nothing; what ran before is unknown and its connections are dropped. A word that can't be read, or of a service without a route while the backend server goes on, changes nothing and leaves a line.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -56,6 +56,13 @@
     return this.#routes !== undefined;
   }
 
+  /** Whether a route in force leads to a service. */
+  isRouted(service: string): boolean {
+    return this.#routes?.routes.some(({ targets }) =>
+      targets.some((target) => target.service === service)
+    ) ?? false;
+  }
+
   /** Begins to look for a control replica. */
   open(): void {
     this.#link.open();
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -9,6 +9,7 @@
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
 import { CallGraph } from "../engine/relay/common/call_graph.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
+import { isSameLife } from "../engine/relay/common/gate.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
 import { MemberTable } from "../engine/relay/common/member_table.ts";
 import { CallerServer } from "../engine/relay/node/caller_server.ts";
@@ -176,6 +177,17 @@
     this.#log.write({ event: "SettingsInvalid", isFailure: true, reason });
   }
 
+  /** Says that an announcement counts for nothing; the former ones hold. */
+  reportAnnouncement(instanceId: string, reason: string): void {
+    const event = "AnnouncementRefused";
+    this.#log.write({ event, isFailure: true, instanceId, reason });
+  }
+
+  /** Whether a route in force leads to a service. */
+  isRouted(service: string): boolean {
+    return this.#control.isRouted(service);
+  }
+
   /** Takes what the backend server says of itself. */
   changeBackend(backend: LocalBackend | undefined): void {
     const before = this.#gate.backend;
@@ -187,7 +199,7 @@
     const slots = backend?.slots ?? current.slots;
     const isSame = service === current.service && slots === current.slots &&
       isDraining === current.isDraining &&
-      before?.instanceId === backend?.instanceId;
+      isSameLife(before, backend);
     if (isSame) {
       return;
     }
@@ -195,6 +207,7 @@
       event: "BackendChanged",
       isFailure: false,
       instanceId: backend?.instanceId,
+      startedAtMs: backend?.startedAtMs,
       service,
       slots,
       isDraining,
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -22,6 +22,11 @@
 /** The backend server beside the node, as it announced itself. */
 export interface LocalBackend {
   readonly instanceId: string;
+  /**
+   * Wall clock of its start, in milliseconds: it may start again under its id,
+   * and then holds nothing of before. Undefined where it doesn't say.
+   */
+  readonly startedAtMs: number | undefined;
   readonly service: string;
   readonly address: string;
   readonly dataCentre: string;
@@ -137,6 +142,14 @@
   }
 }
 
+/** Whether two announcements are of one run of a backend server. */
+export function isSameLife(
+  a: LocalBackend | undefined,
+  b: LocalBackend | undefined,
+): boolean {
+  return a?.instanceId === b?.instanceId && a?.startedAtMs === b?.startedAtMs;
+}
+
 /** Whether calls may be handed to the backend server. */
 export function isOpen(state: GateState): boolean {
   return state.backend !== undefined && !state.backend.isDraining;
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -20,6 +20,7 @@
   computeRetryAfterMs,
   createGate,
   createLoad,
+  isSameLife,
   reduceGate,
 } from "../common/gate.ts";
 import type { GateEffect, GateEvent, LocalBackend } from "../common/gate.ts";
@@ -49,6 +50,8 @@
   /** Kept up to date: each call of a caller is compared with all of it. */
   readonly #running = new Set<RunningParent>();
   #client: BackendClient | undefined;
+  /** The last one that was announced, also where it is silent now. */
+  #lastBackend: LocalBackend | undefined;
   #nextId = 1;
 
   constructor(options: GateCallsOptions) {
@@ -82,7 +85,13 @@
 
   /** Takes what the backend server announces of itself. */
   changeBackend(backend: LocalBackend | undefined): void {
+    const before = this.#gate.backend ?? this.#lastBackend;
+    this.#lastBackend = backend ?? before;
+    const isReplaced = before !== undefined && backend !== undefined &&
+      before.address === backend.address && !isSameLife(before, backend);
+    const former = isReplaced ? this.#takeRunning() : [];
     this.#step({ type: "BackendChanged", backend });
+    former.forEach((call) => this.#fail(call, "unknown", "backend_restarted"));
   }
 
   /** Lets time pass at the gate. */
@@ -145,6 +154,20 @@
     }
   }
 
+  /**
+   * Takes what runs off a backend server whose place another life has taken.
+   * It was lost with the former one, also where its connections only went
+   * silent: callers needn't wait for the deadline.
+   */
+  #takeRunning(): readonly GateCallState[] {
+    const running = [...this.#calls.list()]
+      .filter(({ phase }) => phase === "running");
+    running.forEach((call) => call.breakOff?.());
+    this.#client?.[Symbol.asyncDispose]();
+    this.#client = undefined;
+    return running;
+  }
+
   #open(source: string, opened: CallOpened, send: SendFrame): void {
     const arrivedAtMs = this.#options.readClock();
     const call: GateCallState = {
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -1,9 +1,10 @@
 /** The gate's calls against a backend server that never answers. */
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { expect } from "chai";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
 import type { CallDialect } from "../common/dialect.ts";
+import type { LocalBackend } from "../common/gate.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 
 const DIALECT: CallDialect = {
@@ -44,16 +45,21 @@
     maxConnections: () => 4,
     onBackendLost: () => {},
   });
-  gate.changeBackend({
+  gate.changeBackend(createBackend(port));
+  return gate;
+}
+
+function createBackend(port: number, startedAtMs?: number): LocalBackend {
+  return {
     instanceId: "i-1",
+    startedAtMs,
     service: "warehouse",
     address: `127.0.0.1:${port}`,
     dataCentre: "a",
     slots: 2,
     isDraining: false,
     warmUntilMs: 0,
-  });
-  return gate;
+  };
 }
 
 describe("large bodies at the gate", () => {
@@ -111,3 +117,52 @@
     await new Promise<void>((resolve) => server.close(() => resolve()));
   });
 });
+
+describe("a backend server that starts again under its id", () => {
+  it("leaves what ran before unknown, and runs what waits", async () => {
+    await using server = await openSilentServer();
+    await using gate = openGate(server.port);
+    gate.changeBackend(createBackend(server.port, 1_000));
+    const frames: MeshFrame[] = [];
+    const send = (frame: MeshFrame) => frames.push(frame);
+    gate.receive("1", createCall(1, {}), send);
+    gate.receive("1", createCall(2, {}), send);
+    gate.changeBackend(createBackend(server.port, 1_000));
+    expect(frames).to.have.length(0);
+    gate.changeBackend(createBackend(server.port, 2_000));
+    expect(frames.map((frame) => "kind" in frame && frame.kind))
+      .to.deep.equal(["unknown"]);
+    expect(gate.readLoad()).to.include({ running: 1, queued: 0 });
+  });
+
+  it("is told apart also where it fell silent between", async () => {
+    await using server = await openSilentServer();
+    await using gate = openGate(server.port);
+    gate.changeBackend(createBackend(server.port, 1_000));
+    const frames: MeshFrame[] = [];
+    gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
+    gate.changeBackend(undefined);
+    expect(frames).to.have.length(0);
+    gate.changeBackend(createBackend(server.port, 2_000));
+    expect(frames).to.have.length(1);
+  });
+});
+
+/** A server that takes connections and says nothing. */
+async function openSilentServer(): Promise<
+  AsyncDisposable & { readonly port: number }
+> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return {
+    port: (server.address() as AddressInfo).port,
+    async [Symbol.asyncDispose]() {
+      sockets.forEach((socket) => socket.destroy());
+      await new Promise<void>((resolve) => server.close(() => resolve()));
+    },
+  };
+}
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -10,6 +10,7 @@
 
 const BACKEND: LocalBackend = {
   instanceId: "i-1",
+  startedAtMs: undefined,
   service: "warehouse",
   address: "127.0.0.1:1",
   dataCentre: "a",
