--- /dev/null
+++ b/src/engine/relay/node/caller_connection.ts
@@ -0,0 +1,103 @@
+/** One connection of a caller, with the requests that came on it. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { Pipeline } from "../common/pipeline.ts";
+
+/** A request and its answer. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly arrivedAtMs: number;
+  /** Run once the answer has left, or can't be sent any more. */
+  readonly cleanUps: (() => void)[];
+  /** Whether the clean-ups were run. */
+  isGone: boolean;
+}
+
+/** Starts the exchanges of one connection, and withdraws them. */
+export class CallerConnection {
+  readonly #socket: Socket;
+  readonly #start: (exchange: Exchange) => void;
+  readonly #pipeline = new Pipeline<Exchange>();
+
+  constructor(socket: Socket, start: (exchange: Exchange) => void) {
+    this.#socket = socket;
+    this.#start = start;
+    // A response that waits for its turn is told nothing of its connection.
+    socket.on("close", () => this.#lose(this.#pipeline.closeAll()));
+  }
+
+  /** Whether all that came has been answered. */
+  get isIdle(): boolean {
+    return this.#pipeline.size === 0;
+  }
+
+  /** Whether what comes now counts as not read. */
+  get isClosing(): boolean {
+    return this.#pipeline.isClosing;
+  }
+
+  /** Takes a request; one behind an answer that closes is passed over. */
+  take(exchange: Exchange): void {
+    const { response } = exchange;
+    const next = this.#pipeline.add(exchange);
+    if (!response.shouldKeepAlive) {
+      this.#pipeline.stopTaking();
+    }
+    response.on("close", () => this.#end(exchange));
+    this.#startAll(next);
+    if (this.#pipeline.isFull) {
+      this.#socket.pause();
+    }
+  }
+
+  /**
+   * Whether the answer to an exchange may close the connection: an answer
+   * before others that run would cut them.
+   */
+  closeIfLast(exchange: Exchange): boolean {
+    const isLast = this.#pipeline.isLast(exchange);
+    if (isLast) {
+      this.#pipeline.stopTaking();
+    }
+    return isLast;
+  }
+
+  /** Takes nothing more, and closes once all has been answered. */
+  stopTaking(): void {
+    this.#pipeline.stopTaking();
+    this.#endIfIdle();
+  }
+
+  #end(exchange: Exchange): void {
+    const next = this.#pipeline.end(exchange);
+    this.#lose([exchange]);
+    if (this.#socket.destroyed) {
+      return;
+    }
+    this.#startAll(next);
+    if (!this.#pipeline.isFull) {
+      this.#socket.resume();
+    }
+    this.#endIfIdle();
+  }
+
+  #endIfIdle(): void {
+    if (this.#pipeline.isClosing && this.#pipeline.size === 0) {
+      this.#socket.end();
+    }
+  }
+
+  #startAll(exchanges: readonly Exchange[]): void {
+    exchanges.forEach((exchange) => this.#start(exchange));
+  }
+
+  #lose(exchanges: readonly Exchange[]): void {
+    for (const exchange of exchanges) {
+      if (!exchange.isGone) {
+        exchange.isGone = true;
+        exchange.cleanUps.forEach((cleanUp) => cleanUp());
+      }
+    }
+  }
+}
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -1,6 +1,8 @@
 /** The HTTP listener for callers on this VM, the backend server among them. */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
@@ -20,6 +22,8 @@
 } from "../common/entry_types.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { readBody } from "./body_reader.ts";
+import { CallerConnection } from "./caller_connection.ts";
+import type { Exchange } from "./caller_connection.ts";
 
 /** Starts a call and returns what withdraws it. */
 export type StartCall = (
@@ -66,6 +70,7 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #chooser = new TargetChooser();
+  readonly #connections = new Map<Duplex, CallerConnection>();
   #routes: RouteTable | undefined;
   #index: RouteIndex = new Map();
   #isDraining = false;
@@ -76,10 +81,9 @@
     this.#options = options;
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
-      (request, response) => {
-        this.#take(request, response).catch(() => response.destroy());
-      },
+      (request, response) => this.#accept(request, response),
     );
+    this.#server.on("clientError", (_error, socket) => this.#refuse(socket));
   }
 
   /** Requests without a final answer. */
@@ -111,6 +115,7 @@
   close(): void {
     this.#server.close();
     this.#server.closeIdleConnections();
+    this.#connections.forEach((connection) => connection.stopTaking());
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -118,23 +123,59 @@
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
-  async #take(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const arrivedAtMs = this.#options.readClock();
-    const found = this.#findRoute(request);
-    if ("status" in found) {
-      this.#reply(response, found.status, found.retryAfterMs);
+  #accept(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#getConnection(request.socket);
+    if (connection.isClosing) {
+      // Behind an answer that closes: the caller knows it as not read.
       return;
     }
     this.#open += 1;
-    response.on("close", () => {
-      this.#open -= 1;
+    const exchange: Exchange = {
+      request,
+      response,
+      arrivedAtMs: this.#options.readClock(),
+      cleanUps: [() => this.#open -= 1],
+      isGone: false,
+    };
+    connection.take(exchange);
+  }
+
+  #getConnection(socket: Socket): CallerConnection {
+    const found = this.#connections.get(socket);
+    if (found !== undefined) {
+      return found;
+    }
+    const connection = new CallerConnection(socket, (exchange) => {
+      this.#take(exchange).catch(() => exchange.response.destroy());
     });
-    const body = await this.#readBody(request, response);
-    if (body !== undefined && !response.closed) {
-      this.#start({ request, response, route: found, body, arrivedAtMs });
+    this.#connections.set(socket, connection);
+    socket.on("close", () => this.#connections.delete(socket));
+    return connection;
+  }
+
+  /**
+   * Bytes that are no request. Requests before them are answered first: a 400
+   * at once would be taken for the answer to one of these.
+   */
+  #refuse(socket: Duplex): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || connection.isIdle) {
+      socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    } else {
+      connection.stopTaking();
+    }
+  }
+
+  async #take(exchange: Exchange): Promise<void> {
+    const { request, response } = exchange;
+    const found = this.#findRoute(request);
+    if ("status" in found) {
+      this.#reply(exchange, found.status, found.retryAfterMs);
+      return;
+    }
+    const body = await this.#readBody(exchange);
+    if (body !== undefined && !exchange.isGone && !response.destroyed) {
+      this.#start(exchange, found, body);
     }
   }
 
@@ -159,16 +200,13 @@
       : route;
   }
 
-  async #readBody(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<Uint8Array | undefined> {
+  async #readBody(exchange: Exchange): Promise<Uint8Array | undefined> {
     let ownBytes = 0;
-    response.on("close", () => {
+    exchange.cleanUps.push(() => {
       this.#heldBytes -= ownBytes;
       ownBytes = 0;
     });
-    const read = await readBody(request, {
+    const read = await readBody(exchange.request, {
       maxBytes: this.#routes!.limits.maxBodyBytes,
       hold: (bytes) => {
         const isAlone = this.#heldBytes === ownBytes;
@@ -184,29 +222,23 @@
       case "Whole":
         return read.body;
       case "TooLarge":
-        this.#reply(response, 413);
+        this.#reply(exchange, 413);
         return undefined;
       case "NoRoom":
-        this.#reply(response, 503, MEMORY_RETRY_MS);
+        this.#reply(exchange, 503, MEMORY_RETRY_MS);
         return undefined;
       case "Broken":
         return undefined;
     }
   }
 
-  #start(taken: {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly route: Route;
-    readonly body: Uint8Array;
-    readonly arrivedAtMs: number;
-  }): void {
-    const { request, response, route, body, arrivedAtMs } = taken;
+  #start(exchange: Exchange, route: Route, body: Uint8Array): void {
+    const { request, arrivedAtMs } = exchange;
     const { dialect, getCallerService, startCall } = this.#options;
     const { requestId, patienceMs = DEFAULT_PATIENCE_MS } = dialect
       .readTerms(request.headers);
     if (requestId === undefined) {
-      this.#reply(response, 400);
+      this.#reply(exchange, 400);
       return;
     }
     const timeMs = Math.min(route.timeoutMs, patienceMs);
@@ -234,9 +266,9 @@
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
       isDone = true;
-      this.#finish(response, result, arrivedAtMs + patienceMs);
+      this.#finish(exchange, result, arrivedAtMs + patienceMs);
     });
-    response.on("close", () => {
+    exchange.cleanUps.push(() => {
       if (!isDone) {
         withdraw();
       }
@@ -244,17 +276,17 @@
   }
 
   #finish(
-    response: ServerResponse,
+    exchange: Exchange,
     result: EntryResult,
     leavesAtMs: number,
   ): void {
     if (result.type === "Answered") {
-      this.#write(response, result.status, result.headers, result.body);
+      this.#write(exchange, result.status, result.headers, result.body);
       return;
     }
     const { failure } = result;
     this.#reply(
-      response,
+      exchange,
       getStatus(failure),
       failure.type === "Refused"
         ? this.#spreadRetry(failure.retryAfterMs, leavesAtMs)
@@ -270,27 +302,29 @@
   }
 
   #reply(
-    response: ServerResponse,
+    exchange: Exchange,
     status: number,
     retryAfterMs?: number,
   ): void {
     const headers = retryAfterMs === undefined
       ? []
       : ["Retry-After", (retryAfterMs / 1_000).toFixed(3)];
-    this.#write(response, status, headers, new Uint8Array());
+    this.#write(exchange, status, headers, new Uint8Array());
   }
 
   #write(
-    response: ServerResponse,
+    exchange: Exchange,
     status: number,
     headers: HeaderList,
     body: Uint8Array,
   ): void {
+    const { response, request } = exchange;
     if (response.headersSent || response.destroyed) {
       return;
     }
     const own = [...headers, "Content-Length", String(body.length)];
-    if (this.#isDraining) {
+    const connection = this.#getConnection(request.socket);
+    if (this.#isDraining && connection.closeIfLast(exchange)) {
       own.push("Connection", "close");
     }
     response.writeHead(status, own);
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -1,4 +1,6 @@
 /** The listener for callers: what it makes of their requests. */
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { expect } from "chai";
 import { request } from "undici";
 import { findPort } from "../../../../standin/ports.ts";
@@ -6,6 +8,7 @@
 import type { CallOrigin } from "../common/call_graph.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
+import { MAX_STARTED } from "../common/pipeline.ts";
 import { CallerServer } from "../node/caller_server.ts";
 
 const DIALECT: CallDialect = {
@@ -38,10 +41,31 @@
   failure: { type: "Refused", retryAfterMs: 100 },
 };
 
+/** A caller's connection, and what came back on it. */
+interface Connection {
+  readonly socket: Socket;
+  received: string;
+  isClosed: boolean;
+}
+
+/** Requests sent one behind the other, before any answer. */
+function formatRequests(count: number, from = 0): string {
+  return Array.from(
+    { length: count },
+    (_, i) => `GET /${from + i} HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n`,
+  ).join("");
+}
+
+function listStatuses({ received }: Connection): readonly string[] {
+  return received.match(/HTTP\/1\.1 \d+/g) ?? [];
+}
+
 /** A listener whose calls stay open until they are ended. */
 class Callers implements AsyncDisposable {
   readonly started: EntryRequest[] = [];
   readonly ends: (() => void)[] = [];
+  /** Numbers of the calls that were withdrawn. */
+  readonly withdrawn: number[] = [];
   origin: CallOrigin = { isNested: false, rank: undefined };
   readonly url: string;
   readonly server: CallerServer;
@@ -53,8 +77,16 @@
       dialect: DIALECT,
       startCall: (entry, _service, onResult) => {
         this.started.push(entry);
-        this.ends.push(() => onResult(REFUSED));
-        return () => {};
+        const body = new TextEncoder().encode(entry.target);
+        this.ends.push(() =>
+          onResult(
+            entry.target === "/"
+              ? REFUSED
+              : { type: "Answered", status: 200, headers: [], body },
+          )
+        );
+        const number = this.started.length - 1;
+        return () => this.withdrawn.push(number);
       },
       observeCall: () => this.origin,
       getCallerService: () => "front",
@@ -82,6 +114,17 @@
     return statusCode;
   }
 
+  /** Opens a connection, and sends bytes as they are. */
+  connect(text: string): Connection {
+    const { hostname, port } = new URL(this.url);
+    const socket = connect(Number(port), hostname, () => socket.write(text));
+    const connection: Connection = { socket, received: "", isClosed: false };
+    socket.on("data", (data) => connection.received += String(data));
+    socket.on("error", () => {});
+    socket.on("close", () => connection.isClosed = true);
+    return connection;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.ends.forEach((end) => end());
     await this.server[Symbol.asyncDispose]();
@@ -121,6 +164,131 @@
   });
 });
 
+describe("requests behind others on a connection", () => {
+  it("run beside these, and are answered in the order they came", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(formatRequests(3));
+    await waitFor(() => callers.started.length === 3);
+    callers.ends[2]!();
+    callers.ends[1]!();
+    await sleep(50);
+    expect(connection.received).to.equal("");
+    callers.ends[0]!();
+    await waitFor(() => listStatuses(connection).length === 3);
+    const bodies = connection.received.match(/\r\n\r\n\/\d/g);
+    expect(bodies?.map((text) => text.at(-1))).to.deep.equal(["0", "1", "2"]);
+    connection.socket.destroy();
+  });
+
+  it("begin no more than a bound, and go on as others end", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(formatRequests(MAX_STARTED + 5));
+    await waitFor(() => callers.started.length === MAX_STARTED);
+    await sleep(50);
+    expect(callers.started).to.have.length(MAX_STARTED);
+    callers.ends[0]!();
+    await waitFor(() => callers.started.length === MAX_STARTED + 1);
+    connection.socket.write(formatRequests(2, 50));
+    await sleep(50);
+    while (callers.ends.length < MAX_STARTED + 7) {
+      callers.ends.forEach((end) => end());
+      await sleep(5);
+    }
+    callers.ends.forEach((end) => end());
+    await waitFor(() => listStatuses(connection).length === MAX_STARTED + 7);
+    connection.socket.destroy();
+  });
+
+  it("hold back nothing of other connections", async () => {
+    await using callers = await Callers.open();
+    const full = callers.connect(formatRequests(MAX_STARTED + 5));
+    await waitFor(() => callers.started.length === MAX_STARTED);
+    const other = callers.connect(formatRequests(1));
+    await waitFor(() => callers.started.length === MAX_STARTED + 1);
+    callers.ends[MAX_STARTED]!();
+    await waitFor(() => listStatuses(other).length === 1);
+    [full, other].forEach(({ socket }) => socket.destroy());
+  });
+
+  it("are all withdrawn when their caller leaves", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(formatRequests(MAX_STARTED + 3));
+    await waitFor(() => callers.started.length === MAX_STARTED);
+    connection.socket.destroy();
+    await waitFor(() => callers.server.openCount === 0);
+    expect(callers.withdrawn).to.have.length(MAX_STARTED);
+    await sleep(50);
+    expect(callers.started).to.have.length(MAX_STARTED);
+  });
+
+  it("are not begun behind a request that closes the connection", async () => {
+    await using callers = await Callers.open();
+    const closing =
+      "GET /0 HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
+    const connection = callers.connect(closing + formatRequests(3, 1));
+    await waitFor(() => callers.started.length === 1);
+    await sleep(50);
+    callers.ends[0]!();
+    await waitFor(() => connection.isClosed);
+    expect(callers.started).to.have.length(1);
+    expect(listStatuses(connection)).to.have.length(1);
+    expect(callers.server.openCount).to.equal(0);
+  });
+
+  it("are answered in a drain before the connection is closed", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(formatRequests(3));
+    await waitFor(() => callers.started.length === 3);
+    callers.server.drain();
+    callers.ends[0]!();
+    await waitFor(() => listStatuses(connection).length === 1);
+    callers.server.close();
+    connection.socket.write(formatRequests(1, 3));
+    await sleep(50);
+    expect(callers.started).to.have.length(3);
+    callers.ends[2]!();
+    callers.ends[1]!();
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.have.length(3);
+    expect(connection.received.match(/Connection: close/g)).to.have.length(1);
+  });
+
+  it("get no 400 for bytes behind them that are no request", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(
+      formatRequests(2) + "NO REQUEST AT ALL\r\n\r\n" + formatRequests(1, 2),
+    );
+    await waitFor(() => callers.started.length === 2);
+    await sleep(50);
+    expect(connection.received).to.equal("");
+    callers.ends.forEach((end) => end());
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.deep.equal([
+      "HTTP/1.1 200",
+      "HTTP/1.1 200",
+    ]);
+    expect(callers.started).to.have.length(2);
+  });
+
+  it("are not smuggled in a body with two lengths", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(
+      formatRequests(1) +
+        "POST /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + formatRequests(1, 2),
+    );
+    await waitFor(() => callers.started.length === 1);
+    await sleep(50);
+    callers.ends[0]!();
+    await waitFor(() => connection.isClosed);
+    expect(callers.started.map(({ target }) => target)).to.deep.equal(["/0"]);
+  });
+});
+
+function sleep(timeMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, timeMs));
+}
+
 async function waitFor(isMet: () => boolean): Promise<void> {
   while (!isMet()) {
     await new Promise((resolve) => setTimeout(resolve, 5));
