Tell a backend server's calls by spread and coincidence, not by expiry

Cause: calls have time limits of their own on the new deployment, so none expired with a running request: no call was known as a backend server's, no pressure reached the roots. Ruled out: addresses (all callers come from the VM's own), connections alone (they tell callers apart, not which is which). Change: a route is nested where VMs of another service hardly send it, or where its calls find more running than chance leaves; the same counts give the edges. Pressure carries its age, so circles end. Ranks by parents are gone: known only where an expiry matched. Play of trees of known shape: call_tree_test, precision and recall 0.98 after 1, 3 and 9 s.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -5,9 +5,19 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
+import {
+  CallerSpread,
+  SpreadCounter,
+} from "../engine/admission/common/caller_spread.ts";
+import { CallTree } from "../engine/admission/common/call_tree.ts";
+import { CoincidenceCounter } from "../engine/admission/common/coincidence.ts";
+import type {
+  CallerReport,
+  LoadReported,
+  PressureBelow,
+} from "../engine/mesh/common/frames.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
-import { CallGraph } from "../engine/relay/common/call_graph.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
 import { isSameLife } from "../engine/relay/common/gate.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
@@ -30,6 +40,8 @@
  * spread, and how soon a silent node is known.
  */
 const REPORT_MS = 100;
+/** How often nodes say where calls came from: some ten calls are enough. */
+const CALLERS_MS = 500;
 /** Ticks between notes of the own load, as often as others report theirs. */
 const OWN_LOAD_TICKS = REPORT_MS / TICK_MS;
 /** Ticks between looks for idle links. */
@@ -46,7 +58,10 @@
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
   readonly #members = new MemberTable();
-  readonly #graph = new CallGraph();
+  readonly #coincidences = new CoincidenceCounter();
+  readonly #spread = new CallerSpread();
+  readonly #arrivals = new SpreadCounter();
+  readonly #tree: CallTree;
   #lastRank = 0;
   readonly #gate: GateCalls;
   readonly #entry: EntryCalls;
@@ -57,6 +72,7 @@
   readonly #operator: OperatorServer;
   readonly #log: LineLog;
   #isStopping = false;
+  #callersSaidAtMs = 0;
   #ticks = 0;
 
   constructor(settings: RelaySettings, dialect: CallDialect) {
@@ -83,6 +99,10 @@
         readClock,
         log,
         maxConnections: () => this.#control.announcement.connections,
+        noteRun: (route, change) =>
+          this.#coincidences.noteRun(route, change, readSteadyMs()),
+        noteArrival: (route, service) =>
+          this.#arrivals.note(route, service, readSteadyMs()),
         onBackendLost: () => this.#loseBackend(),
       }),
     );
@@ -94,8 +114,15 @@
           this.#entry.loseLink(address, reason, wasOpen);
         },
         readClock,
+        getService: () => this.#control.announcement.service,
       }),
     );
+    this.#tree = new CallTree({
+      coincidences: this.#coincidences,
+      spread: this.#spread,
+      getService: () => this.#control.announcement.service,
+      countNodes: () => this.#members.countByService(),
+    });
     this.#entry = new EntryCalls({
       dataCentre,
       members: this.#members,
@@ -105,6 +132,8 @@
       draw: Math.random,
       getLastRank: () => this.#lastRank,
       log,
+      hearCallers: (address, report) =>
+        this.#spread.hear(address, report, readSteadyMs()),
       noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
     });
     this.#meshServer = this.#owned.use(this.#createMeshServer());
@@ -114,8 +143,7 @@
         dialect,
         startCall: (request, service, onResult) =>
           this.#entry.start(request, service, onResult),
-        observeCall: (call) =>
-          this.#graph.observe(call, this.#gate.listRunning(), readSteadyMs()),
+        observeCall: (call) => this.#tree.observe(call, readSteadyMs()),
         getCallerService: () => this.#control.announcement.service,
         readClock,
         draw: Math.random,
@@ -161,6 +189,7 @@
     await this.#callers.open();
     await this.#operator.open();
     this.#control.open();
+    this.#introduce();
     const tick = setInterval(() => this.#tick(), TICK_MS);
     this.#owned.defer(() => clearInterval(tick));
     this.#telemetry.record({ type: "ProcessStarted", role: "node" });
@@ -213,6 +242,9 @@
       isDraining,
     });
     this.#control.announce({ service, slots, isDraining });
+    if (service !== current.service) {
+      this.#introduce();
+    }
   }
 
   /** Finishes what is in progress; others are told to go elsewhere. */
@@ -266,8 +298,16 @@
   /** The own gate is a member like the others, but no link reports it. */
   #noteOwnLoad(): void {
     const { mesh } = this.#settings;
-    this.#members.noteLoad(mesh, this.#gate.readLoad(), readSteadyMs());
-    this.#members.noteBelow(mesh, this.#readBelow());
+    const nowMs = readSteadyMs();
+    this.#entry.receive(mesh, this.#createReport([]));
+    this.#spread.hear(mesh, this.#arrivals.createReport(nowMs), nowMs);
+  }
+
+  /** Calls on all links, and those to the own gate, begin at this service. */
+  #introduce(): void {
+    const { service } = this.#control.announcement;
+    this.#meshClient.introduce();
+    this.#gate.receive(LOCAL, { type: "CallerIntroduced", service }, () => {});
   }
 
   /** The backend server took no connection: no calls until it is heard. */
@@ -316,24 +356,45 @@
       onClosed: (link) => this.#gate.loseSource(String(link)),
       hasCalls: (link) => this.#gate.hasCalls(String(link)),
       reportMs: REPORT_MS,
-      createReport: () => ({
-        type: "LoadReported",
-        load: this.#gate.readLoad(),
-        below: this.#readBelow(),
-      }),
+      createReport: () => this.#createReport(this.#takeCallers()),
     });
   }
 
+  #createReport(callers: CallerReport): LoadReported {
+    return {
+      type: "LoadReported",
+      load: this.#gate.readLoad(),
+      below: this.#listBelow(),
+      callers,
+    };
+  }
+
   /** Pressure below each route whose requests make calls here. */
-  #readBelow(): readonly (readonly [string, number])[] {
+  #listBelow(): readonly PressureBelow[] {
     const nowMs = readSteadyMs();
-    return this.#graph.listEdges(nowMs).map(([parent, callees]) => {
-      const pressures = callees.map(({ service, route }) =>
+    return this.#tree.listEdges(nowMs).map(([parent, callees]) => {
+      const ways = callees.map(({ service, route }) =>
         this.#members.computeWayPressure(service, route, nowMs)
       );
-      return [parent, Math.max(...pressures)] as const;
+      const worst = ways.reduce((a, b) => b.pressure > a.pressure ? b : a);
+      const { pressure, saidAtMs } = worst;
+      return [
+        parent,
+        Math.round(pressure * 1_000) / 1_000,
+        pressure === 0 ? 0 : Math.round(nowMs - saidAtMs),
+      ] as const;
     });
   }
+
+  /** Says where calls came from, more seldom than the load. */
+  #takeCallers(): CallerReport {
+    const nowMs = readSteadyMs();
+    if (nowMs - this.#callersSaidAtMs < CALLERS_MS) {
+      return [];
+    }
+    this.#callersSaidAtMs = nowMs;
+    return this.#arrivals.createReport(nowMs);
+  }
 }
 
 async function waitUntil(isMet: () => boolean): Promise<void> {
--- /dev/null
+++ b/src/engine/admission/common/caller_spread.ts
@@ -0,0 +1,137 @@
+/**
+ * From which services the calls of a route come. Callers sit on the VMs of all
+ * services, so their requests come from all; the calls that a backend server
+ * makes come from the VMs of its own service alone.
+ *
+ * Load pattern: it is known after some ten calls, long before counts of
+ * coincidences are, so a surge in the first second finds it.
+ */
+
+/** Calls by route, then by the service on whose VM they began. */
+export type SpreadReport = readonly (readonly [
+  route: string,
+  callers: readonly (readonly [service: string, calls: number])[],
+])[];
+
+interface Count {
+  calls: number;
+  notedAtMs: number;
+}
+
+/** After so long a call counts half. */
+const HALF_LIFE_MS = 10_000;
+/** A gate that has said nothing for so long is left out. */
+const REPORT_VALID_MS = 5_000;
+/** Fewer calls than this decide nothing. */
+const MIN_CALLS = 10;
+/** Calls of any route that show that callers can reach a service's VMs. */
+const MIN_ALIVE = 20;
+/**
+ * A VM of another service sends less than this part of what a VM of the own
+ * service sends: callers' requests differ by less, as each service has VMs in
+ * several data centres.
+ */
+const NESTED_PART = 0.2;
+
+/** Counts what arrives at one gate. */
+export class SpreadCounter {
+  readonly #routes = new Map<string, Map<string, Count>>();
+
+  /** Counts a call that began on a VM of a service. */
+  note(route: string, callerService: string, nowMs: number): void {
+    const callers = this.#routes.get(route) ?? new Map<string, Count>();
+    this.#routes.set(route, callers);
+    const count = callers.get(callerService) ?? { calls: 0, notedAtMs: nowMs };
+    callers.set(callerService, count);
+    count.calls = computeDecayed(count, nowMs) + 1;
+    count.notedAtMs = nowMs;
+  }
+
+  /** Creates what other nodes are told. */
+  createReport(nowMs: number): SpreadReport {
+    return [...this.#routes].map(([route, callers]) =>
+      [
+        route,
+        [...callers]
+          .map(([service, count]) =>
+            [service, Math.round(computeDecayed(count, nowMs))] as const
+          )
+          .filter(([, calls]) => calls > 0),
+      ] as const
+    ).filter(([, callers]) => callers.length > 0);
+  }
+}
+
+interface HeardReport {
+  readonly report: SpreadReport;
+  readonly heardAtMs: number;
+}
+
+/** Sums what gates report. */
+export class CallerSpread {
+  readonly #reports = new Map<string, HeardReport>();
+
+  /** Takes the report of the gate at an address. */
+  hear(address: string, report: SpreadReport, nowMs: number): void {
+    this.#reports.set(address, { report, heardAtMs: nowMs });
+  }
+
+  /**
+   * Judges whether calls of a route from VMs of a service are made by its
+   * backend servers; undefined where too little is known.
+   */
+  judge(
+    route: string,
+    asked: {
+      readonly service: string;
+      /** Nodes of each service, where known. */
+      readonly nodes: ReadonlyMap<string, number>;
+      readonly nowMs: number;
+    },
+  ): boolean | undefined {
+    const { service, nodes, nowMs } = asked;
+    const { callers, alive } = this.#sum(route, nowMs);
+    const calls = callers.get(service) ?? 0;
+    if (calls < MIN_CALLS) {
+      return undefined;
+    }
+    const own = calls / Math.max(1, nodes.get(service) ?? 1);
+    const others = [...nodes].filter(([name, count]) =>
+      name !== service && count > 0 && (alive.get(name) ?? 0) >= MIN_ALIVE &&
+      own * count * NESTED_PART >= 1
+    );
+    return others.length === 0
+      ? undefined
+      : others.some(([name, count]) =>
+        (callers.get(name) ?? 0) / count < own * NESTED_PART
+      );
+  }
+
+  #sum(route: string, nowMs: number) {
+    const callers = new Map<string, number>();
+    const alive = new Map<string, number>();
+    for (const [address, { report, heardAtMs }] of this.#reports) {
+      if (nowMs - heardAtMs > REPORT_VALID_MS) {
+        this.#reports.delete(address);
+        continue;
+      }
+      for (const [name, counts] of report) {
+        for (const [service, calls] of counts) {
+          addTo(alive, service, calls);
+          if (name === route) {
+            addTo(callers, service, calls);
+          }
+        }
+      }
+    }
+    return { callers, alive };
+  }
+}
+
+function computeDecayed({ calls, notedAtMs }: Count, nowMs: number): number {
+  return calls * 0.5 ** ((nowMs - notedAtMs) / HALF_LIFE_MS);
+}
+
+function addTo(counts: Map<string, number>, name: string, more: number): void {
+  counts.set(name, (counts.get(name) ?? 0) + more);
+}
--- /dev/null
+++ b/src/engine/admission/test/call_tree_test.ts
@@ -0,0 +1,186 @@
+/** Calls of backend servers, told from callers' in trees of known shape. */
+import { expect } from "chai";
+import { CallerSpread, SpreadCounter } from "../common/caller_spread.ts";
+import { CallTree } from "../common/call_tree.ts";
+import { CoincidenceCounter } from "../common/coincidence.ts";
+import { listNodeServices, playCalls } from "./call_simulation.ts";
+import type { SimulatedRoute, SimulationOptions } from "./call_simulation.ts";
+
+const REPORT_MS = 500;
+
+/** Two roots with a shared way, and two that call nobody. */
+const NOTICES: Readonly<Record<string, SimulatedRoute>> = {
+  browse: createRoute("archive", 60, 5_000, 340, ["index"]),
+  lodge: createRoute("lodgement", 78, 5_000, 140, ["roster", "roster"]),
+  book: createRoute("dispatch", 42, 600, 92),
+  check: createRoute("hazard", 24, 400, 113),
+  index: createRoute("lodgement", 15, 2_500, 0, ["roster"]),
+  roster: createRoute("dispatch", 15, 2_000, 0, ["map", "map", "map", "map"]),
+  map: createRoute("hazard", 15, 700, 0),
+};
+const NOTICE_NODES = { archive: 4, lodgement: 3, dispatch: 3, hazard: 3 };
+
+/** Seven levels below each other. */
+const CHAIN = Object.fromEntries(
+  Array.from({ length: 7 }, (_, level) => [
+    `r${level}`,
+    createRoute(
+      `s${level}`,
+      20,
+      3_000,
+      level === 0 ? 120 : 0,
+      level < 6 ? [`r${level + 1}`] : [],
+    ),
+  ]),
+);
+const CHAIN_NODES = Object.fromEntries(
+  Array.from({ length: 7 }, (_, level) => [`s${level}`, 3]),
+);
+
+function createRoute(
+  service: string,
+  workMs: number,
+  limitMs: number,
+  rootsPerS: number,
+  calls: readonly string[] = [],
+): SimulatedRoute {
+  return { service, workMs, limitMs, rootsPerS, calls };
+}
+
+interface Tally {
+  /** Share of the calls taken for a backend server's that are. */
+  readonly precision: number;
+  /** Share of the backend servers' calls that are taken for such. */
+  readonly recall: number;
+  /** Parent and callee, at any node, at the end. */
+  readonly edges: ReadonlySet<string>;
+}
+
+/** Judges the calls of the last second of a play. */
+function judge(
+  options: Omit<SimulationOptions, "observe" | "seed" | "isClamped"> & {
+    readonly isClamped?: boolean;
+  },
+): Tally {
+  const services = listNodeServices(options.nodes);
+  const counts = new Map(Object.entries(options.nodes));
+  const nodes = services.map((service) => {
+    const coincidences = new CoincidenceCounter();
+    const spread = new CallerSpread();
+    const getService = () => service;
+    const countNodes = () => counts;
+    const inputs = { coincidences, spread, getService, countNodes };
+    const tree = new CallTree(inputs);
+    return { coincidences, spread, tree, gate: new SpreadCounter() };
+  });
+  let reportedAtMs = 0;
+  const tally = { right: 0, wrong: 0, missed: 0 };
+  playCalls({
+    isClamped: false,
+    ...options,
+    seed: 7,
+    observe: (event, nowMs) => {
+      if (nowMs - reportedAtMs >= REPORT_MS) {
+        reportedAtMs = nowMs;
+        const reports = nodes.map(({ gate }) => gate.createReport(nowMs));
+        nodes.forEach(({ spread }) =>
+          reports.forEach((report, i) => spread.hear(`${i}`, report, nowMs))
+        );
+      }
+      const node = nodes[event.node]!;
+      if (event.type === "Run") {
+        node.coincidences.noteRun(event.route, event.change, nowMs);
+        return;
+      }
+      const { route, service, target, parent } = event;
+      const isNested = node.tree.observe({ route, service }, nowMs);
+      nodes[target]!.gate.note(route, services[event.node]!, nowMs);
+      if (nowMs > options.untilMs - 1_000) {
+        tally.right += Number(isNested && parent !== undefined);
+        tally.wrong += Number(isNested && parent === undefined);
+        tally.missed += Number(!isNested && parent !== undefined);
+      }
+    },
+  });
+  const edges = nodes.flatMap(({ tree }) =>
+    tree.listEdges(options.untilMs).flatMap(([parent, callees]) =>
+      callees.map(({ route }) => `${parent}>${route}`)
+    )
+  );
+  const { right, wrong, missed } = tally;
+  return {
+    precision: right / Math.max(1, right + wrong),
+    recall: right / Math.max(1, right + missed),
+    edges: new Set(edges),
+  };
+}
+
+describe("the call tree", () => {
+  const notices = { routes: NOTICES, nodes: NOTICE_NODES };
+
+  for (const untilMs of [2_000, 4_000, 10_000]) {
+    it(`is known after ${untilMs / 1_000 - 1} s, with limits of their own`, () => {
+      const { precision, recall } = judge({ ...notices, untilMs });
+      expect(precision).to.be.at.least(0.98);
+      expect(recall).to.be.at.least(0.98);
+    });
+  }
+
+  it("is known where calls expire with their parents", () => {
+    const found = judge({ ...notices, untilMs: 4_000, isClamped: true });
+    expect(found.precision).to.be.at.least(0.98);
+    expect(found.recall).to.be.at.least(0.98);
+  });
+
+  it("is known at the front of a burst", () => {
+    const computeSurge = (nowMs: number) => nowMs < 2_000 ? 1 : 2;
+    const found = judge({ ...notices, untilMs: 3_000, computeSurge });
+    expect(found.precision).to.be.at.least(0.98);
+    expect(found.recall).to.be.at.least(0.98);
+  });
+
+  it("has the edges that are there, and no others", () => {
+    const { edges } = judge({ ...notices, untilMs: 10_000 });
+    expect([...edges].sort()).to.deep.equal([
+      "browse>index",
+      "index>roster",
+      "lodge>roster",
+      "roster>map",
+    ]);
+  });
+
+  it("is known seven levels deep", () => {
+    const chain = { routes: CHAIN, nodes: CHAIN_NODES, untilMs: 6_000 };
+    const { precision, recall, edges } = judge(chain);
+    expect(precision).to.be.at.least(0.98);
+    expect(recall).to.be.at.least(0.98);
+    expect(edges.size).to.equal(6);
+  });
+
+  it("holds where callers ask for an inner route too, now and then", () => {
+    const map = { ...NOTICES["map"]!, rootsPerS: 100 };
+    const routes = { ...NOTICES, map };
+    const found = judge({ ...notices, routes, untilMs: 6_000 });
+    expect(found.recall).to.be.at.least(0.95);
+    expect(found.precision).to.be.at.least(0.95);
+  });
+
+  it("is known where all services call one", () => {
+    const routes = Object.fromEntries(
+      Object.entries(NOTICES).map(([name, route]) => [
+        name,
+        route.rootsPerS > 0
+          ? { ...route, calls: [...route.calls, "permit"] }
+          : route,
+      ]),
+    );
+    const permit = createRoute("permits", 5, 500, 0);
+    const found = judge({
+      routes: { ...routes, permit },
+      nodes: { ...NOTICE_NODES, permits: 3 },
+      untilMs: 12_000,
+    });
+    expect(found.precision).to.be.at.least(0.95);
+    expect(found.recall).to.be.at.least(0.85);
+  });
+});
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -17,7 +17,7 @@
   readonly headers: HeaderList;
   /** Milliseconds until the caller has its final answer. */
   readonly timeLeftMs: number;
-  /** Urgency of the root that the call is made for; 0 is the most urgent. */
+  /** Urgency of the route; 0 is the most urgent. */
   readonly rank: number;
   /** Name of the route; keys what is learnt of its service time. */
   readonly route: string;
@@ -92,8 +92,29 @@
 export interface LoadReported {
   readonly type: "LoadReported";
   readonly load: LoadFigures;
-  /** Pressure below each route whose requests make calls here. */
-  readonly below: readonly (readonly [string, number])[];
+  readonly below: readonly PressureBelow[];
+  /** From which services calls came here; empty where nothing new is said. */
+  readonly callers: CallerReport;
+}
+
+/** Pressure below the requests of a route that make calls at the sender. */
+export type PressureBelow = readonly [
+  route: string,
+  pressure: number,
+  /** Since the gate under pressure said so, in milliseconds. */
+  ageMs: number,
+];
+
+/** Calls by route, then by the service on whose VM they began. */
+export type CallerReport = readonly (readonly [
+  route: string,
+  callers: readonly (readonly [service: string, calls: number])[],
+])[];
+
+/** The first frame on a link: whose VM the calls on it begin on. */
+export interface CallerIntroduced {
+  readonly type: "CallerIntroduced";
+  readonly service: string;
 }
 
 /** One frame. */
@@ -103,7 +124,8 @@
   | CallCancelled
   | AnswerOpened
   | CallFailed
-  | LoadReported;
+  | LoadReported
+  | CallerIntroduced;
 
 /** Largest part of a body in one frame; larger bodies come in several. */
 export const MAX_PART_BYTES = 65_536;
@@ -115,6 +137,7 @@
   AnswerOpened: 4,
   CallFailed: 5,
   LoadReported: 6,
+  CallerIntroduced: 7,
 } as const;
 
 const FAILURE_KINDS: readonly FailureKind[] = [
@@ -172,7 +195,14 @@
         flattenLoad(frame.load),
       ];
     case "LoadReported":
-      return [TAGS.LoadReported, flattenLoad(frame.load), frame.below];
+      return [
+        TAGS.LoadReported,
+        flattenLoad(frame.load),
+        frame.below,
+        frame.callers,
+      ];
+    case "CallerIntroduced":
+      return [TAGS.CallerIntroduced, frame.service];
   }
 }
 
@@ -227,7 +257,10 @@
         type: "LoadReported",
         load: parseLoad(fields[1] as WireLoad),
         below: fields[2] as LoadReported["below"],
+        callers: (fields[3] ?? []) as CallerReport,
       };
+    case TAGS.CallerIntroduced:
+      return { type: "CallerIntroduced", service: fields[1] as string };
     default:
       return undefined;
   }
--- a/src/engine/mesh/node/mesh_client.ts
+++ b/src/engine/mesh/node/mesh_client.ts
@@ -9,6 +9,8 @@
   /** The link is gone; frames sent on it may have arrived if it was open. */
   readonly onLost: (address: string, reason: string, wasOpen: boolean) => void;
   readonly readClock: () => number;
+  /** Service on whose VM the calls begin; said first on each link. */
+  readonly getService: () => string;
 }
 
 interface MeshLink {
@@ -75,6 +77,15 @@
     }
   }
 
+  /** Says on all links that the calls begin on another service's VM now. */
+  introduce(): void {
+    for (const { socket, writer } of this.#links.values()) {
+      if (socket.readyState === WebSocket.OPEN) {
+        writer.write(this.#createIntroduction());
+      }
+    }
+  }
+
   /** Closes links that weren't used for long. */
   closeIdle(): void {
     const oldestMs = this.#options.readClock() - IDLE_MS;
@@ -93,6 +104,10 @@
     await Promise.resolve();
   }
 
+  #createIntroduction(): MeshFrame {
+    return { type: "CallerIntroduced", service: this.#options.getService() };
+  }
+
   #connect(address: string): MeshLink {
     const socket = new WebSocket(`ws://${address}/`, {
       handshakeTimeout: CONNECT_MS,
@@ -120,6 +135,7 @@
     socket.on("open", () => {
       link.heardAtMs = this.#options.readClock();
       link.wasOpen = true;
+      writer.write(this.#createIntroduction());
       waiting.splice(0).forEach((frame) => writer.write(frame));
     });
     socket.on("message", (data: Buffer) => {
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -78,12 +78,12 @@
   /** Says the load on links in use that have not heard it otherwise. */
   report(): void {
     const report = this.#options.createReport();
-    const hasBelow = report.below.length > 0;
+    const hasMore = report.below.length > 0 || report.callers.length > 0;
     for (const [number, link] of this.#links) {
       const isUsed = link.isActive || this.#options.hasCalls(number);
       // The answers of a busy link say the load: a report would wake both ends
       // for nothing, ten times a second and link.
-      if (isUsed && (hasBelow || !link.hasAnswered)) {
+      if (isUsed && (hasMore || !link.hasAnswered)) {
         link.writer.write(report);
       }
       link.isActive = false;
--- a/src/engine/relay/common/entry_types.ts
+++ b/src/engine/relay/common/entry_types.ts
@@ -16,7 +16,7 @@
   readonly deadlineMs: number;
   /** Whether the local backend server made the call. */
   readonly isNested: boolean;
-  /** 0 is the most urgent; of the route, or of the root of a nested call. */
+  /** Of the route; 0 is the most urgent. */
   readonly rank: number;
 }
 
--- a/src/engine/relay/common/gate_call_index.ts
+++ b/src/engine/relay/common/gate_call_index.ts
@@ -1,7 +1,6 @@
 /** The calls before one backend server, by their links. */
 import type { BodyCollector } from "../../mesh/common/body_parts.ts";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
-import type { RunningParent } from "./call_graph.ts";
 
 /** Where the answer of a call goes. */
 export type SendFrame = (frame: MeshFrame) => void;
@@ -17,8 +16,6 @@
   readonly source: string;
   phase: "receiving" | "waiting" | "running";
   startedAtMs: number;
-  /** Once it runs: what the backend server's own calls are compared with. */
-  asParent: RunningParent | undefined;
   breakOff: (() => void) | undefined;
 }
 
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -12,7 +12,7 @@
   load: LoadFigures | undefined;
   loadAtMs: number;
   /** Pressure below the routes that make calls there, as it says. */
-  below: readonly (readonly [string, number])[];
+  below: readonly BelowMember[];
   /** Smoothed share of failures among the answers. */
   failureShare: number;
   /** Answers in a row that were failures. */
@@ -23,6 +23,14 @@
   busySinceMs: number;
 }
 
+/** Pressure below a route, as a member said it. */
+export interface BelowMember {
+  readonly route: string;
+  readonly pressure: number;
+  /** When the gate under pressure said so, by the own clock. */
+  readonly saidAtMs: number;
+}
+
 /** Answers after which a failing member is left out for a while. */
 const EJECT_AFTER = 3;
 const EJECT_MS = 1_000;
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -1,11 +1,24 @@
 /** The backend servers that a node may choose from, and their loads. */
-import type { LoadFigures } from "../../mesh/common/frames.ts";
+import type { LoadFigures, PressureBelow } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { renewMember } from "./member.ts";
 import type { Member } from "./member.ts";
 import { chooseMember, LOAD_VALID_MS } from "./member_choice.ts";
 import type { ChoiceOptions } from "./member_choice.ts";
 
+/** Pressure on a way, and when the gate under it said so. */
+export interface WayPressure {
+  readonly pressure: number;
+  readonly saidAtMs: number;
+}
+
+const NO_PRESSURE: WayPressure = { pressure: 0, saidAtMs: 0 };
+/**
+ * Pressure that a gate said so long ago is gone: it may have been passed on
+ * over seven levels, 100 ms apart, and must end where nodes pass it in a
+ * circle.
+ */
+const WAY_VALID_MS = 1_500;
 /**
  * Wait before a node whose link was lost is probed, and between probes: a
  * process that was started again listens after about a second.
@@ -91,12 +104,18 @@
   /** Takes the pressure that a member says is below its routes. */
   noteBelow(
     address: string,
-    below: readonly (readonly [string, number])[],
+    below: readonly PressureBelow[],
+    nowMs: number,
   ): void {
+    const told = below.map(([route, pressure, ageMs]) => ({
+      route,
+      pressure,
+      saidAtMs: nowMs - ageMs,
+    }));
     for (const members of this.#services.values()) {
       const member = members.get(address);
       if (member !== undefined) {
-        member.below = below;
+        member.below = told;
       }
     }
   }
@@ -123,6 +142,13 @@
     return due;
   }
 
+  /** Counts the nodes of each service. */
+  countByService(): ReadonlyMap<string, number> {
+    return new Map(
+      [...this.#services].map(([name, members]) => [name, members.size]),
+    );
+  }
+
   /** Counts the nodes that share a budget with this one. */
   countNodes(): number {
     let count = 0;
@@ -133,9 +159,10 @@
   }
 
   /** Computes the pressure of a service: the mean over its members. */
-  computePressure(service: string, nowMs: number): number {
+  computePressure(service: string, nowMs: number): WayPressure {
     let sum = 0;
     let count = 0;
+    let saidAtMs = 0;
     for (const member of this.#services.get(service)?.values() ?? []) {
       const { load, loadAtMs } = member;
       if (
@@ -144,25 +171,40 @@
       ) {
         sum += load.pressure * load.limit;
         count += load.limit;
+        saidAtMs = Math.max(saidAtMs, loadAtMs);
       }
     }
-    return count === 0 ? 0 : sum / count;
+    return count === 0 ? NO_PRESSURE : { pressure: sum / count, saidAtMs };
   }
 
   /** Computes the pressure on the whole way of a route's requests. */
-  computeWayPressure(service: string, route: string, nowMs: number): number {
+  computeWayPressure(
+    service: string,
+    route: string,
+    nowMs: number,
+  ): WayPressure {
+    const own = this.computePressure(service, nowMs);
+    const below = this.#computeBelow(service, route, nowMs);
+    return below.pressure > own.pressure ? below : own;
+  }
+
+  /** What members say, each counting as much as it may run. */
+  #computeBelow(service: string, route: string, nowMs: number): WayPressure {
     let sum = 0;
     let count = 0;
+    let saidAtMs = 0;
     for (const member of this.#services.get(service)?.values() ?? []) {
-      if (nowMs - member.loadAtMs < LOAD_VALID_MS) {
-        const below = member.below
-          .find(([parent]) => parent === route)?.[1] ?? 0;
-        sum += below;
-        count += 1;
+      if (nowMs - member.loadAtMs >= LOAD_VALID_MS) {
+        continue;
+      }
+      count += 1;
+      const found = member.below.find((one) => one.route === route);
+      if (found !== undefined && nowMs - found.saidAtMs < WAY_VALID_MS) {
+        sum += found.pressure;
+        saidAtMs = Math.max(saidAtMs, found.saidAtMs);
       }
     }
-    const below = count === 0 ? 0 : sum / count;
-    return Math.max(below, this.computePressure(service, nowMs));
+    return sum === 0 ? NO_PRESSURE : { pressure: sum / count, saidAtMs };
   }
 
   /** Whether the members of a service call no other one. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -13,7 +13,6 @@
 } from "../../routes/common/route_match.ts";
 import type { RouteIndex } from "../../routes/common/route_match.ts";
 import type { Route, RouteTable } from "../../routes/common/route_table.ts";
-import type { CallOrigin } from "../common/call_graph.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type {
   EntryFailure,
@@ -37,12 +36,11 @@
   readonly address: ListenAddress;
   readonly dialect: CallDialect;
   readonly startCall: StartCall;
-  /** Notes a call; tells where it comes from. */
+  /** Notes a call; tells whether the local backend server made it. */
   readonly observeCall: (call: {
     readonly route: string;
     readonly service: string;
-    readonly expiresAtMs: number;
-  }) => CallOrigin;
+  }) => boolean;
   /** Service whose backend server runs on this VM. */
   readonly getCallerService: () => string;
   readonly readClock: () => number;
@@ -243,11 +241,8 @@
     }
     const timeMs = Math.min(route.timeoutMs, patienceMs);
     const service = this.#chooser.choose(route);
-    const origin = this.#options.observeCall({
-      route: route.name,
-      service,
-      expiresAtMs: arrivedAtMs + patienceMs,
-    });
+    const isNested = this.#options
+      .observeCall({ route: route.name, service });
     const entry: EntryRequest = {
       requestId,
       route,
@@ -260,8 +255,8 @@
       body,
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
-      isNested: origin.isNested,
-      rank: origin.rank ?? route.rank,
+      isNested,
+      rank: route.rank,
     };
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -5,6 +5,7 @@
 } from "../../mesh/common/body_parts.ts";
 import type {
   AnswerOpened,
+  CallerReport,
   CallFailed,
   LoadReported,
   MeshFrame,
@@ -57,6 +58,8 @@
   /** The least urgent rank of the routes in force. */
   readonly getLastRank: () => number;
   readonly log: RelayLog;
+  /** The gate at an address says where the calls there came from. */
+  readonly hearCallers: (address: string, report: CallerReport) => void;
   /** A call of a route has its final answer. */
   readonly noteEnded: (route: string, elapsedMs: number) => void;
 }
@@ -119,6 +122,7 @@
         return;
       case "CallOpened":
       case "CallCancelled":
+      case "CallerIntroduced":
         return;
     }
   }
@@ -158,7 +162,7 @@
   #refuseRoot(call: EntryCall): boolean {
     const { members, draw, getLastRank } = this.#options;
     const { route, arrivedAtMs } = call.request;
-    const pressure = members
+    const { pressure } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     const { rank } = route;
     const lastRank = getLastRank();
@@ -257,9 +261,13 @@
   }
 
   #takeLoad(address: string, frame: LoadReported): void {
-    const { members, readClock } = this.#options;
-    members.noteLoad(address, frame.load, readClock());
-    members.noteBelow(address, frame.below);
+    const { members, readClock, hearCallers } = this.#options;
+    const nowMs = readClock();
+    members.noteLoad(address, frame.load, nowMs);
+    members.noteBelow(address, frame.below, nowMs);
+    if (frame.callers.length > 0) {
+      hearCallers(address, frame.callers);
+    }
   }
 
   #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -12,7 +12,6 @@
   cutFirstPart,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
-import type { RunningParent } from "../common/call_graph.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import { GateCallIndex } from "../common/gate_call_index.ts";
 import type { GateCallState, SendFrame } from "../common/gate_call_index.ts";
@@ -35,6 +34,10 @@
   readonly log: RelayLog;
   /** Most connections that the backend server takes. */
   readonly maxConnections: () => number;
+  /** A run of a route begins (1) or ends (-1) at the backend server. */
+  readonly noteRun: (route: string, change: 1 | -1) => void;
+  /** A call of a route came that began on a VM of a service. */
+  readonly noteArrival: (route: string, callerService: string) => void;
   /** The backend server refused connections: it may have ended. */
   readonly onBackendLost: () => void;
 }
@@ -47,8 +50,8 @@
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
   readonly #calls = new GateCallIndex();
-  /** Kept up to date: each call of a caller is compared with all of it. */
-  readonly #running = new Set<RunningParent>();
+  /** By link. */
+  readonly #callerServices = new Map<string, string>();
   #client: BackendClient | undefined;
   /** The last one that was announced, also where it is silent now. */
   #lastBackend: LocalBackend | undefined;
@@ -78,11 +81,6 @@
     return this.#calls.hasAny(source);
   }
 
-  /** Lists what runs at the backend server now. */
-  listRunning(): ReadonlySet<RunningParent> {
-    return this.#running;
-  }
-
   /** Takes what the backend server announces of itself. */
   changeBackend(backend: LocalBackend | undefined): void {
     const before = this.#gate.backend ?? this.#lastBackend;
@@ -121,6 +119,9 @@
         }
         return;
       }
+      case "CallerIntroduced":
+        this.#callerServices.set(source, frame.service);
+        return;
       case "AnswerOpened":
       case "CallFailed":
       case "LoadReported":
@@ -134,6 +135,7 @@
       this.#cancel(call, "link lost");
     }
     this.#calls.forgetLink(source);
+    this.#callerServices.delete(source);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -180,10 +182,13 @@
       source,
       phase: "receiving",
       startedAtMs: 0,
-      asParent: undefined,
       breakOff: undefined,
     };
     this.#calls.add(call);
+    const callerService = this.#callerServices.get(source);
+    if (callerService !== undefined) {
+      this.#options.noteArrival(opened.route, callerService);
+    }
     const service = this.#gate.backend?.service;
     if (service !== undefined && service !== opened.service) {
       this.#fail(call, "refused", "other_service");
@@ -228,9 +233,7 @@
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
-    const { route, rank } = call.opened;
-    call.asParent = { route, rank, deadlineMs: call.deadlineMs };
-    this.#running.add(call.asParent);
+    this.#options.noteRun(call.opened.route, 1);
     const { method, target, requestId } = call.opened;
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
@@ -364,11 +367,9 @@
   #end(call: GateCallState, serviceMs: number | undefined): void {
     const wasRunning = call.phase === "running";
     this.#calls.remove(call);
-    if (call.asParent !== undefined) {
-      this.#running.delete(call.asParent);
-    }
     if (wasRunning) {
       const { id, opened: { route } } = call;
+      this.#options.noteRun(route, -1);
       this.#step({ type: "CallEnded", id, route, serviceMs });
     }
   }
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -64,3 +64,37 @@
     expect(table.takeDueProbes(400)).to.deep.equal([]);
   });
 });
+
+describe("pressure on the way of a route", () => {
+  const load = { running: 0, queued: 0, limit: SLOTS, pressure: 0.2 };
+
+  it("is that of the narrowest service, here or below", () => {
+    const table = createTable(createAnnouncement("a:1"));
+    table.noteLoad("a:1", load, 1_000);
+    table.noteBelow("a:1", [["lookup", 0.6, 100]], 1_000);
+    const way = table.computeWayPressure(SERVICE, "lookup", 1_000);
+    expect(way).to.deep.equal({ pressure: 0.6, saidAtMs: 900 });
+    expect(table.computeWayPressure(SERVICE, "view", 1_000).pressure)
+      .to.equal(0.2);
+  });
+
+  it("ends with its source, however often nodes pass it in a circle", () => {
+    const tables = ["a:1", "b:1"].map((at) =>
+      createTable(createAnnouncement(at))
+    );
+    const calm = { ...load, pressure: 0 };
+    tables[0]!.noteLoad("a:1", calm, 0);
+    tables[0]!.noteBelow("a:1", [["lookup", 0.9, 0]], 0);
+    let last = 1;
+    for (let nowMs = 0; nowMs <= 3_000; nowMs += 100) {
+      const [from, to] = nowMs % 200 === 0 ? [0, 1] : [1, 0];
+      const address = to === 0 ? "a:1" : "b:1";
+      const way = tables[from]!.computeWayPressure(SERVICE, "lookup", nowMs);
+      last = way.pressure;
+      tables[to]!.noteLoad(address, calm, nowMs);
+      const ageMs = nowMs - way.saidAtMs;
+      tables[to]!.noteBelow(address, [["lookup", last, ageMs]], nowMs);
+    }
+    expect(last).to.equal(0);
+  });
+});
