--- /dev/null
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -0,0 +1,102 @@
+/**
+ * How hard callers' requests that lead to one backend server are to be refused
+ * at their entry: a proportional-integral controller on the work asked for,
+ * with the wait in the queue as a second input.
+ *
+ * Load pattern: demand above the room for seconds, from a burst or from
+ * clients that repeat. What is begun now asks for work for a second more, so
+ * the reaction is slow enough not to swing about.
+ */
+
+/** What is kept between two updates. */
+export interface PressureState {
+  /** How hard to refuse, 0 to 1. */
+  pressure: number;
+  /** Slow part of it. */
+  integral: number;
+  windowStartMs: number;
+  /** Milliseconds of service that were asked for in the window. */
+  askedMs: number;
+  /** Smoothed work asked for, as a part of the room. */
+  demand: number;
+  /** Least wait of the oldest waiting request that the window has seen. */
+  leastWaitMs: number;
+}
+
+/** Room as it is now. */
+export interface PressureInputs {
+  /** Requests that may run at a time. */
+  readonly limit: number;
+  /** How long the oldest waiting request has waited. */
+  readonly oldestWaitMs: number;
+  readonly nowMs: number;
+}
+
+/** Loads are told as often. */
+const WINDOW_MS = 100;
+/** Weight of a window in the smoothed demand: about 300 ms. */
+const DEMAND_GAIN = 0.3;
+/** Part of the room that is to be asked for: waits grow steeply above. */
+const TARGET = 0.95;
+/**
+ * Part of the error that is added a second. A request asks for work for about
+ * 0.7 s after it is begun, and a pressure of one takes some 1.5 of the room
+ * off: a larger part makes it swing.
+ */
+const INTEGRAL_PER_S = 0.35;
+const PROPORTIONAL = 0.12;
+/** Larger errors, of a storm or of an idle second, count as these. */
+const MAX_ERROR = 0.6;
+const MIN_ERROR = -0.4;
+/** A queue that never empties in a window, as part of the error. */
+const WAIT_PER_ERROR_MS = 200;
+const MAX_WAIT_ERROR = 0.3;
+
+/** Creates the state of a backend server that is not short of room. */
+export function createPressure(nowMs: number): PressureState {
+  return {
+    pressure: 0,
+    integral: 0,
+    windowStartMs: nowMs,
+    askedMs: 0,
+    demand: 0,
+    leastWaitMs: Infinity,
+  };
+}
+
+/** Counts a request that arrived. */
+export function noteAsked(state: PressureState, serviceMs: number): void {
+  state.askedMs += serviceMs;
+}
+
+/** Notes the wait, and moves on where a window has ended. */
+export function updatePressure(
+  state: PressureState,
+  { limit, oldestWaitMs, nowMs }: PressureInputs,
+): void {
+  state.leastWaitMs = Math.min(state.leastWaitMs, oldestWaitMs);
+  const lengthMs = nowMs - state.windowStartMs;
+  if (lengthMs < WINDOW_MS) {
+    return;
+  }
+  const demand = state.askedMs / (Math.max(1, limit) * lengthMs);
+  state.demand += (demand - state.demand) * DEMAND_GAIN;
+  const waitError = Math.min(
+    MAX_WAIT_ERROR,
+    state.leastWaitMs / WAIT_PER_ERROR_MS,
+  );
+  const error = limitTo(state.demand - TARGET, MIN_ERROR, MAX_ERROR) +
+    waitError;
+  const change = error * INTEGRAL_PER_S * lengthMs / 1_000;
+  state.integral = limitTo(state.integral + change, 0, 1);
+  state.pressure = state.integral === 0
+    ? 0
+    : limitTo(state.integral + error * PROPORTIONAL, 0, 1);
+  state.askedMs = 0;
+  state.windowStartMs = nowMs;
+  state.leastWaitMs = Infinity;
+}
+
+function limitTo(value: number, least: number, most: number): number {
+  return Math.min(most, Math.max(least, value));
+}
--- /dev/null
+++ b/src/engine/admission/test/overload_pressure_test.ts
@@ -0,0 +1,83 @@
+/** Pressure on a loop like that of real calls: late, and by ranks. */
+import { expect } from "chai";
+import {
+  createPressure,
+  noteAsked,
+  updatePressure,
+} from "../common/overload_pressure.ts";
+
+const TICK_MS = 20;
+const LIMIT = 20;
+/** From the refusal of a request to the end of the work that it asks for. */
+const DELAY_MS = 600;
+
+interface Played {
+  /** Work that was let in, as a part of the room, tick by tick. */
+  readonly admitted: readonly number[];
+  readonly pressures: readonly number[];
+}
+
+/** Two thirds of the demand are of the least urgent of three ranks. */
+function play(
+  computeDemand: (nowMs: number) => number,
+  untilMs: number,
+): Played {
+  const state = createPressure(0);
+  const admitted: number[] = [];
+  const pressures: number[] = [];
+  let queuedMs = 0;
+  for (let nowMs = TICK_MS; nowMs <= untilMs; nowMs += TICK_MS) {
+    const told = pressures[pressures.length - DELAY_MS / TICK_MS] ?? 0;
+    const refused = Math.min(1, told * 3) * 0.85 * 2 / 3;
+    const share = computeDemand(nowMs) * (1 - refused);
+    noteAsked(state, share * LIMIT * TICK_MS);
+    queuedMs = Math.max(0, queuedMs + (share - 1) * TICK_MS);
+    updatePressure(state, { limit: LIMIT, oldestWaitMs: queuedMs, nowMs });
+    admitted.push(share);
+    pressures.push(state.pressure);
+  }
+  return { admitted, pressures };
+}
+
+function computeMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Values of a span of time. */
+function cut(values: readonly number[], fromMs: number, toMs: number) {
+  return values.slice(fromMs / TICK_MS, toMs / TICK_MS);
+}
+
+describe("pressure", () => {
+  for (const demand of [1.1, 1.3, 1.5, 1.7]) {
+    it(`keeps what is let in near the room at ${demand} of it`, () => {
+      const { admitted } = play(() => demand, 20_000);
+      const settled = cut(admitted, 4_000, 20_000);
+      expect(computeMean(settled)).to.be.within(0.88, 1.02);
+      expect(Math.min(...settled)).to.be.at.least(0.7);
+      expect(Math.max(...settled)).to.be.at.most(1.15);
+    });
+  }
+
+  it("refuses enough within two seconds of a burst", () => {
+    const { admitted } = play((nowMs) => nowMs < 3_000 ? 0.7 : 1.5, 8_000);
+    expect(computeMean(cut(admitted, 5_000, 6_000))).to.be.at.most(1.1);
+  });
+
+  it("is gone three seconds after a burst", () => {
+    const { pressures } = play((nowMs) => nowMs < 10_000 ? 1.5 : 0.7, 14_000);
+    expect(computeMean(cut(pressures, 8_000, 10_000))).to.be.above(0.1);
+    expect(Math.max(...cut(pressures, 13_000, 14_000))).to.equal(0);
+  });
+
+  it("isn't there while there is room, whatever waits for a moment", () => {
+    const { pressures } = play(() => 0.9, 10_000);
+    expect(Math.max(...pressures)).to.equal(0);
+    const state = createPressure(0);
+    const inputs = { limit: LIMIT, nowMs: 60 };
+    updatePressure(state, { ...inputs, oldestWaitMs: 300 });
+    updatePressure(state, { ...inputs, oldestWaitMs: 0, nowMs: 80 });
+    updatePressure(state, { ...inputs, oldestWaitMs: 300, nowMs: 100 });
+    expect(state.pressure).to.equal(0);
+  });
+});
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -5,8 +5,12 @@
  * each call, and nothing else keeps the state.
  */
 import type { LoadFigures } from "../../mesh/common/frames.ts";
-import { createPressure, noteAsked, updatePressure } from "./pressure.ts";
-import type { PressureState } from "./pressure.ts";
+import {
+  createPressure,
+  noteAsked,
+  updatePressure,
+} from "../../admission/common/overload_pressure.ts";
+import type { PressureState } from "../../admission/common/overload_pressure.ts";
 
 /** A call before the backend server. */
 export interface GateCall {
@@ -169,7 +173,7 @@
     running: state.running,
     queued: state.queue.length,
     limit: computeLimit(state),
-    pressure: 1 - state.pressure.admitted,
+    pressure: state.pressure.pressure,
   };
 }
 
