Let calls of begun requests wait by when they are due, and trim roots smoothly

Change: pressure is a proportional-integral controller on work asked for and on the wait; six tenths of it bear on the least urgent rank; the queue runs what is due first; only callers' own requests count against its short bound.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -22,6 +22,8 @@
   readonly onRoutes: (routes: RouteTable) => void;
 }
 
+/** Objective of a route that is not in force here; between short and long. */
+const DEFAULT_OBJECTIVE_MS = 300;
 /** How long routes that no quorum vouches for are kept aside at the start. */
 const UNCONFIRMED_MS = 4_000;
 
@@ -32,6 +34,7 @@
   readonly #startedAtMs = readSteadyMs();
   readonly #subscribed = new Set<string>();
   #routes: RouteTable | undefined;
+  #objectives: ReadonlyMap<string, number> = new Map();
   #linkNumber = 0;
   #announcement: Announcement;
 
@@ -63,6 +66,11 @@
     ) ?? false;
   }
 
+  /** Latency within which an answer of a route has its full value. */
+  getObjectiveMs(route: string): number {
+    return this.#objectives.get(route) ?? DEFAULT_OBJECTIVE_MS;
+  }
+
   /** Begins to look for a control replica. */
   open(): void {
     this.#link.open();
@@ -203,6 +211,9 @@
       isConfirmed,
     });
     this.#routes = routes;
+    this.#objectives = new Map(
+      routes.routes.map(({ name, objectiveMs }) => [name, objectiveMs]),
+    );
     this.#options.onRoutes(routes);
     this.#subscribe();
   }
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -99,6 +99,7 @@
         readClock,
         log,
         maxConnections: () => this.#control.announcement.connections,
+        getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         noteRun: (route, change) =>
           this.#coincidences.noteRun(route, change, readSteadyMs()),
         noteArrival: (route, service) =>
--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -40,11 +40,11 @@
 const TARGET = 0.95;
 /**
  * Part of the error that is added a second. A request asks for work for about
- * 0.7 s after it is begun, and a pressure of one takes some 1.5 of the room
+ * 0.7 s after it is begun, and a pressure of one takes some 0.9 of the room
  * off: a larger part makes it swing.
  */
-const INTEGRAL_PER_S = 0.35;
-const PROPORTIONAL = 0.12;
+const INTEGRAL_PER_S = 0.6;
+const PROPORTIONAL = 0.2;
 /** Larger errors, of a storm or of an idle second, count as these. */
 const MAX_ERROR = 0.6;
 const MIN_ERROR = -0.4;
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -20,6 +20,8 @@
   readonly rank: number;
   readonly isNested: boolean;
   readonly arrivedAtMs: number;
+  /** When its answer still has its full value. */
+  readonly dueAtMs: number;
   readonly deadlineMs: number;
 }
 
@@ -99,9 +101,15 @@
 const FILL_SHARE = 0.95;
 /** Weight of a new service time in the mean. */
 const TIME_GAIN = 0.1;
-/** Calls that may wait, as a multiple of the places. */
+/**
+ * Callers' requests that may wait, as a multiple of the places: they may still
+ * go elsewhere or come back. Calls of requests that were begun aren't counted:
+ * a refusal would waste all that was done for them.
+ */
 const QUEUE_SHARE = 2;
 const MIN_QUEUE = 8;
+/** Any calls that may wait, as a multiple of the places; bounds the memory. */
+const MAX_QUEUE_SHARE = 30;
 /** Service time of a route of which none is known yet. */
 const FIRST_SERVICE_MS = 20;
 const MIN_RETRY_MS = 50;
@@ -207,18 +215,30 @@
     return [{ type: "RunCall", id: call.id }];
   }
   putCall(queue, call);
-  const limit = Math.max(MIN_QUEUE, computeLimit(state) * QUEUE_SHARE);
-  if (queue.length <= limit) {
+  const victim = findVictim(state);
+  if (victim === undefined) {
     return [];
   }
-  const victim = queue.pop()!;
+  queue.splice(queue.indexOf(victim), 1);
   const reason = victim.id === call.id ? "queue_full" : "displaced";
   return [refuseCall(state, victim.id, reason)];
 }
 
+/** Finds the call that gives way where too many wait. */
+function findVictim({ queue, backend }: GateState): GateCall | undefined {
+  const slots = backend?.slots ?? 1;
+  const roots = queue.filter(({ isNested }) => !isNested);
+  if (roots.length > Math.max(MIN_QUEUE, slots * QUEUE_SHARE)) {
+    return roots.reduce((worst, call) =>
+      call.rank >= worst.rank ? call : worst
+    );
+  }
+  return queue.length > slots * MAX_QUEUE_SHARE ? queue.at(-1) : undefined;
+}
+
 /**
- * By the rank of the root, so that no call of a less urgent root delays one of
- * a more urgent root; then calls of roots that were begun, then by age.
+ * By when the answer is due, so that a short and urgent request passes calls
+ * that have time to spare.
  */
 function putCall(queue: GateCall[], call: GateCall): void {
   let at = queue.length;
@@ -229,8 +249,7 @@
 }
 
 function compareCalls(a: GateCall, b: GateCall): number {
-  return a.rank - b.rank || Number(b.isNested) - Number(a.isNested) ||
-    a.arrivedAtMs - b.arrivedAtMs;
+  return a.dueAtMs - b.dueAtMs || a.rank - b.rank;
 }
 
 /** Whether the time that is left doesn't cover half of a usual run. */
@@ -294,7 +313,10 @@
 
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
   const late = state.queue.filter((call) => isHopeless(state, call, nowMs));
-  late.forEach((call) => state.queue.splice(state.queue.indexOf(call), 1));
+  if (late.length > 0) {
+    const kept = state.queue.filter((call) => !late.includes(call));
+    state.queue.splice(0, state.queue.length, ...kept);
+  }
   updatePressure(state.pressure, {
     limit: computeLimit(state),
     oldestWaitMs: measureOldestWait(state, nowMs),
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -8,6 +8,8 @@
  * no kind of request is starved.
  */
 const MAX_SHARE = 0.85;
+/** Part of the pressure in which only the least urgent rank is refused. */
+const LAST_RANK_PART = 0.6;
 
 /** What is asked for one root request. */
 export interface RootRequest {
@@ -26,12 +28,17 @@
   return request.draw < computeRefusedShare(request);
 }
 
-/** Each rank has an equal part of the pressure, the least urgent the first. */
+/**
+ * The least urgent rank bears the larger part of the pressure, so that its
+ * swings don't reach the others; these share the rest, one after the other.
+ */
 export function computeRefusedShare(
   { rank, lastRank, pressure }: Omit<RootRequest, "draw">,
 ): number {
-  const ranks = lastRank + 1;
-  const before = lastRank - Math.min(rank, lastRank);
-  const part = pressure * ranks - before;
+  const others = lastRank;
+  const last = others === 0 ? 1 : LAST_RANK_PART;
+  const band = rank >= lastRank ? last : (1 - last) / others;
+  const start = rank >= lastRank ? 0 : last + band * (lastRank - rank - 1);
+  const part = (pressure - start) / band;
   return Math.max(0, Math.min(1, part)) * MAX_SHARE;
 }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -34,6 +34,8 @@
   readonly log: RelayLog;
   /** Most connections that the backend server takes. */
   readonly maxConnections: () => number;
+  /** Latency within which an answer of a route has its full value. */
+  readonly getObjectiveMs: (route: string) => number;
   /** A run of a route begins (1) or ends (-1) at the backend server. */
   readonly noteRun: (route: string, change: 1 | -1) => void;
   /** A call of a route came that began on a VM of a service. */
@@ -203,7 +205,15 @@
     const { id, opened, arrivedAtMs, deadlineMs } = call;
     const { route, rank, isNested } = opened;
     call.phase = "waiting";
-    const admitted = { id, route, rank, isNested, arrivedAtMs, deadlineMs };
+    const admitted = {
+      id,
+      route,
+      rank,
+      isNested,
+      arrivedAtMs,
+      dueAtMs: arrivedAtMs + this.#options.getObjectiveMs(route),
+      deadlineMs,
+    };
     this.#step({ type: "CallArrived", call: admitted });
   }
 
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -48,6 +48,7 @@
     readClock,
     log: { write: () => {} },
     maxConnections: () => 4,
+    getObjectiveMs: () => 500,
     noteRun,
     noteArrival: () => {},
     onBackendLost: () => {},
