Give repeats of a request the same answer, and refuse by backlog

Cause: each try of a client that repeats at once had a draw of its own, so at a refused share of 0.85 half of those with four tries got in; and the wait of the oldest call grew to a second and more before pressure followed. Change: the draw comes from what the request asks for and a period of 8 s; pressure follows the backlog at once, 3 for each second of it; four fifths of a rank are refused at most.

--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -1,7 +1,7 @@
 /**
  * How hard callers' requests that lead to one backend server are to be refused
  * at their entry: a proportional-integral controller on the work asked for,
- * with the wait in the queue as a second input.
+ * with the backlog as a second input.
  *
  * Load pattern: demand above the room for seconds, from a burst or from
  * clients that repeat. What is begun now asks for work for a second more, so
@@ -19,16 +19,16 @@
   askedMs: number;
   /** Smoothed work asked for, as a part of the room. */
   demand: number;
-  /** Least wait of the oldest waiting request that the window has seen. */
-  leastWaitMs: number;
+  /** Least backlog that the window has seen, in milliseconds of all room. */
+  leastBacklogMs: number;
 }
 
 /** Room as it is now. */
 export interface PressureInputs {
   /** Requests that may run at a time. */
   readonly limit: number;
-  /** How long the oldest waiting request has waited. */
-  readonly oldestWaitMs: number;
+  /** Time that all places together need for what waits. */
+  readonly backlogMs: number;
   readonly nowMs: number;
 }
 
@@ -48,9 +48,14 @@
 /** Larger errors, of a storm or of an idle second, count as these. */
 const MAX_ERROR = 0.6;
 const MIN_ERROR = -0.4;
-/** A queue that never empties in a window, as part of the error. */
-const WAIT_PER_ERROR_MS = 200;
-const MAX_WAIT_ERROR = 0.3;
+/**
+ * Pressure for each second of a backlog that never empties in a window: it is
+ * what was begun too much, and reacts before the slow part does.
+ */
+const PER_BACKLOG_S = 3;
+const MAX_BY_BACKLOG = 0.4;
+/** Part of that which is added to the error, so that no backlog stays. */
+const BACKLOG_ERROR = 0.75;
 
 /** Creates the state of a backend server that is not short of room. */
 export function createPressure(nowMs: number): PressureState {
@@ -60,7 +65,7 @@
     windowStartMs: nowMs,
     askedMs: 0,
     demand: 0,
-    leastWaitMs: Infinity,
+    leastBacklogMs: Infinity,
   };
 }
 
@@ -72,29 +77,29 @@
 /** Notes the wait, and moves on where a window has ended. */
 export function updatePressure(
   state: PressureState,
-  { limit, oldestWaitMs, nowMs }: PressureInputs,
+  { limit, backlogMs, nowMs }: PressureInputs,
 ): void {
-  state.leastWaitMs = Math.min(state.leastWaitMs, oldestWaitMs);
+  state.leastBacklogMs = Math.min(state.leastBacklogMs, backlogMs);
   const lengthMs = nowMs - state.windowStartMs;
   if (lengthMs < WINDOW_MS) {
     return;
   }
   const demand = state.askedMs / (Math.max(1, limit) * lengthMs);
   state.demand += (demand - state.demand) * DEMAND_GAIN;
-  const waitError = Math.min(
-    MAX_WAIT_ERROR,
-    state.leastWaitMs / WAIT_PER_ERROR_MS,
+  const byBacklog = Math.min(
+    MAX_BY_BACKLOG,
+    state.leastBacklogMs / 1_000 * PER_BACKLOG_S,
   );
   const error = limitTo(state.demand - TARGET, MIN_ERROR, MAX_ERROR) +
-    waitError;
+    byBacklog * BACKLOG_ERROR;
   const change = error * INTEGRAL_PER_S * lengthMs / 1_000;
   state.integral = limitTo(state.integral + change, 0, 1);
   state.pressure = state.integral === 0
     ? 0
-    : limitTo(state.integral + error * PROPORTIONAL, 0, 1);
+    : limitTo(state.integral + error * PROPORTIONAL + byBacklog, 0, 1);
   state.askedMs = 0;
   state.windowStartMs = nowMs;
-  state.leastWaitMs = Infinity;
+  state.leastBacklogMs = Infinity;
 }
 
 function limitTo(value: number, least: number, most: number): number {
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -197,10 +197,7 @@
   nowMs: number,
 ): readonly GateEffect[] {
   const { backend, queue } = state;
-  noteAsked(
-    state.pressure,
-    state.times.get(call.route)?.meanMs ?? FIRST_SERVICE_MS,
-  );
+  noteAsked(state.pressure, getServiceMs(state, call.route));
   if (backend === undefined) {
     return [refuseCall(state, call.id, "no_backend")];
   }
@@ -319,18 +316,23 @@
   }
   updatePressure(state.pressure, {
     limit: computeLimit(state),
-    oldestWaitMs: measureOldestWait(state, nowMs),
+    backlogMs: computeBacklogMs(state),
     nowMs,
   });
   return late.map(({ id }) => refuseCall(state, id, "deadline"));
 }
 
-/** Finds how long the oldest waiting call has waited. */
-function measureOldestWait(state: GateState, nowMs: number): number {
-  return state.queue.reduce(
-    (most, call) => Math.max(most, nowMs - call.arrivedAtMs),
+/** Computes how long all places together need for what waits. */
+function computeBacklogMs(state: GateState): number {
+  const workMs = state.queue.reduce(
+    (sum, { route }) => sum + getServiceMs(state, route),
     0,
   );
+  return workMs / Math.max(1, computeLimit(state));
+}
+
+function getServiceMs(state: GateState, route: string): number {
+  return state.times.get(route)?.meanMs ?? FIRST_SERVICE_MS;
 }
 
 function refuseCall(
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -2,12 +2,21 @@
  * Refuses root requests at their entry where a service on their way is short
  * of room: work that would fail midway is not begun. Least urgent first.
  */
+import { hashBytes, hashText } from "../../../base/common/hash.ts";
 
 /**
  * Most of one rank that is refused before the next more urgent one is touched:
  * no kind of request is starved.
  */
-const MAX_SHARE = 0.85;
+const MAX_SHARE = 0.8;
+/**
+ * For so long the same request meets the same answer while the pressure is the
+ * same: a client that repeats at once can't get in by trying often.
+ */
+const DRAW_PERIOD_MS = 8_000;
+/** Bytes of a body that tell it from others; hashing all would cost more. */
+const HASHED_BYTES = 1_024;
+const HASH_RANGE = 0x1_0000_0000;
 /** Part of the pressure in which only the least urgent rank is refused. */
 const LAST_RANK_PART = 0.6;
 
@@ -19,7 +28,7 @@
   readonly lastRank: number;
   /** Of the narrowest service on its way, 0 to 1. */
   readonly pressure: number;
-  /** From 0 to 1; one a request. */
+  /** From 0 to 1; the same for repeats of a request. */
   readonly draw: number;
 }
 
@@ -42,3 +51,22 @@
   const part = (pressure - start) / band;
   return Math.max(0, Math.min(1, part)) * MAX_SHARE;
 }
+
+/**
+ * Draws a number from 0 to 1 for a request by what it asks for, not by its id:
+ * each repeat has a new one. Periods of requests end at different times.
+ */
+export function drawForRequest(
+  request: {
+    readonly route: string;
+    readonly target: string;
+    readonly body: Uint8Array;
+  },
+  nowMs: number,
+): number {
+  const { route, target, body } = request;
+  const content = `${body.length} ${hashBytes(body.subarray(0, HASHED_BYTES))}`;
+  const phase = hashText(`${route} ${target} ${content}`) / HASH_RANGE;
+  const period = Math.floor(nowMs / DRAW_PERIOD_MS + phase);
+  return hashText(`${period} ${target} ${content} ${route}`) / HASH_RANGE;
+}
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -34,7 +34,7 @@
 } from "../common/link_silence.ts";
 import { noteResult } from "../common/member.ts";
 import type { MemberTable } from "../common/member_table.ts";
-import { isRootRefused } from "../common/root_admission.ts";
+import { drawForRequest, isRootRefused } from "../common/root_admission.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 
 /** How frames get to a node, and what is known of the way there. */
@@ -160,13 +160,18 @@
 
   /** Roots are refused where a service on their way is short of room. */
   #refuseRoot(call: EntryCall): boolean {
-    const { members, draw, getLastRank } = this.#options;
-    const { route, arrivedAtMs } = call.request;
+    const { members, getLastRank } = this.#options;
+    const { route, target, body, arrivedAtMs } = call.request;
     const { pressure } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
-    const { rank } = route;
+    if (pressure === 0) {
+      return false;
+    }
+    const { rank, name } = route;
     const lastRank = getLastRank();
-    const isRefused = isRootRefused({ rank, lastRank, pressure, draw: draw() });
+    const asked = { route: name, target, body };
+    const draw = drawForRequest(asked, arrivedAtMs);
+    const isRefused = isRootRefused({ rank, lastRank, pressure, draw });
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
       this.#finish(call, failure, "pressure", { lastRank, pressure });
