--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -43,6 +43,12 @@
  * call it: arrivals of callers in clumps leave up to a twentieth unexplained.
  */
 const MIN_EDGE_SHARE = 0.1;
+/**
+ * A route with fewer runs makes no share of the calls that matters, unless it
+ * makes dozens each; routes that are asked for now and then would be refused
+ * for the load of others.
+ */
+const MAX_CALLS_PER_RUN = 50;
 /** Standard errors that make an estimate certain. */
 const CERTAIN_ERRORS = 2;
 
@@ -90,7 +96,9 @@
       }
       for (const parent of coincidences.listParents(route)) {
         const { share, error } = coincidences.explainBy(route, parent);
-        if (share + CERTAIN_ERRORS * error >= MIN_EDGE_SHARE) {
+        const isRare = coincidences.countCallsPerRun(route, parent) >
+          MAX_CALLS_PER_RUN;
+        if (!isRare && share + CERTAIN_ERRORS * error >= MIN_EDGE_SHARE) {
           const callees = edges.get(parent) ?? [];
           edges.set(parent, callees);
           callees.push({ route, service });
--- a/src/engine/admission/common/coincidence.ts
+++ b/src/engine/admission/common/coincidence.ts
@@ -21,6 +21,8 @@
   changedAtMs: number;
   /** Runs by milliseconds in this interval. */
   runMs: number;
+  /** Runs that began; older ones count less. */
+  runs: number;
 }
 
 interface Pair {
@@ -59,10 +61,11 @@
   noteRun(route: string, change: 1 | -1, nowMs: number): void {
     this.#advance(nowMs);
     const parent = this.#parents.get(route) ??
-      { running: 0, changedAtMs: nowMs, runMs: 0 };
+      { running: 0, changedAtMs: nowMs, runMs: 0, runs: 0 };
     this.#parents.set(route, parent);
     addRunTime(parent, nowMs);
     parent.running = Math.max(0, parent.running + change);
+    parent.runs += Math.max(0, change);
   }
 
   /** A call of a route came from this VM. */
@@ -96,6 +99,13 @@
       : computeExplanation([pair], calls!.total);
   }
 
+  /** Counts the calls of a route for each run of another one. */
+  countCallsPerRun(route: string, parent: string): number {
+    const calls = this.#calls.get(route);
+    const runs = this.#parents.get(parent)?.runs ?? 0;
+    return ((calls?.total ?? 0) + (calls?.count ?? 0)) / Math.max(1, runs);
+  }
+
   /** Lists the routes that ran while calls of a route came. */
   listParents(route: string): readonly string[] {
     return [...this.#calls.get(route)?.pairs.keys() ?? []];
@@ -121,6 +131,7 @@
     }
     for (const [route, parent] of this.#parents) {
       parent.runMs = 0;
+      parent.runs *= kept;
       if (parent.running === 0 && !this.#isPaired(route)) {
         this.#parents.delete(route);
       }
--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -19,6 +19,11 @@
   askedMs: number;
   /** Smoothed work asked for, as a part of the room. */
   demand: number;
+  /** Requests that arrived, and that ended without use, in the window. */
+  arrived: number;
+  lost: number;
+  /** Smoothed share of what was lost. */
+  lostShare: number;
   /** Least backlog that the window has seen, in milliseconds of all room. */
   leastBacklogMs: number;
 }
@@ -47,7 +52,7 @@
 const PROPORTIONAL = 0.2;
 /** Larger errors, of a storm or of an idle second, count as these. */
 const MAX_ERROR = 0.6;
-const MIN_ERROR = -0.4;
+const MIN_ERROR = -0.6;
 /**
  * Pressure for each second of a backlog that never empties in a window: it is
  * what was begun too much, and reacts before the slow part does.
@@ -57,6 +62,9 @@
 /** Part of that which is added to the error, so that no backlog stays. */
 const BACKLOG_ERROR = 0.75;
 
+/** Share of requests lost, as part of the error. */
+const LOST_ERROR = 1;
+
 /** Creates the state of a backend server that is not short of room. */
 export function createPressure(nowMs: number): PressureState {
   return {
@@ -65,6 +73,9 @@
     windowStartMs: nowMs,
     askedMs: 0,
     demand: 0,
+    arrived: 0,
+    lost: 0,
+    lostShare: 0,
     leastBacklogMs: Infinity,
   };
 }
@@ -72,6 +83,16 @@
 /** Counts a request that arrived. */
 export function noteAsked(state: PressureState, serviceMs: number): void {
   state.askedMs += serviceMs;
+  state.arrived += 1;
+}
+
+/**
+ * Counts a request that ended without use: its time was up, or its caller's,
+ * while it waited or ran. Where time limits are short, that is the first sign
+ * of overload, and all that was done for it is wasted.
+ */
+export function noteLost(state: PressureState): void {
+  state.lost += 1;
 }
 
 /** Notes the wait, and moves on where a window has ended. */
@@ -90,14 +111,18 @@
     MAX_BY_BACKLOG,
     state.leastBacklogMs / 1_000 * PER_BACKLOG_S,
   );
+  const lostShare = state.lost / Math.max(1, state.arrived);
+  state.lostShare += (Math.min(1, lostShare) - state.lostShare) * DEMAND_GAIN;
   const error = limitTo(state.demand - TARGET, MIN_ERROR, MAX_ERROR) +
-    byBacklog * BACKLOG_ERROR;
+    byBacklog * BACKLOG_ERROR + state.lostShare * LOST_ERROR;
   const change = error * INTEGRAL_PER_S * lengthMs / 1_000;
   state.integral = limitTo(state.integral + change, 0, 1);
   state.pressure = state.integral === 0
     ? 0
     : limitTo(state.integral + error * PROPORTIONAL + byBacklog, 0, 1);
   state.askedMs = 0;
+  state.arrived = 0;
+  state.lost = 0;
   state.windowStartMs = nowMs;
   state.leastBacklogMs = Infinity;
 }
--- a/src/engine/admission/test/call_tree_test.ts
+++ b/src/engine/admission/test/call_tree_test.ts
@@ -149,6 +149,14 @@
     ]);
   });
 
+  it("has no edges of routes that are asked for now and then", () => {
+    const rare = createRoute("dispatch", 42, 600, 0.5);
+    const routes = { ...NOTICES, rare };
+    const { edges } = judge({ ...notices, routes, untilMs: 6_000 });
+    expect([...edges].filter((edge) => edge.startsWith("rare")))
+      .to.deep.equal([]);
+  });
+
   it("is known seven levels deep", () => {
     const chain = { routes: CHAIN, nodes: CHAIN_NODES, untilMs: 6_000 };
     const { precision, recall, edges } = judge(chain);
--- a/src/engine/admission/test/overload_pressure_test.ts
+++ b/src/engine/admission/test/overload_pressure_test.ts
@@ -3,6 +3,7 @@
 import {
   createPressure,
   noteAsked,
+  noteLost,
   updatePressure,
 } from "../common/overload_pressure.ts";
 
@@ -80,4 +81,18 @@
     updatePressure(state, { ...inputs, backlogMs: 300, nowMs: 100 });
     expect(state.pressure).to.equal(0);
   });
+
+  it("rises where requests are lost, though all places suffice", () => {
+    const state = createPressure(0);
+    for (let nowMs = 100; nowMs <= 2_000; nowMs += 100) {
+      for (let n = 0; n < 10; n += 1) {
+        noteAsked(state, 0.9 * LIMIT * 10);
+      }
+      noteLost(state);
+      noteLost(state);
+      noteLost(state);
+      updatePressure(state, { limit: LIMIT, backlogMs: 0, nowMs });
+    }
+    expect(state.pressure).to.be.above(0.15);
+  });
 });
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -8,6 +8,7 @@
 import {
   createPressure,
   noteAsked,
+  noteLost,
   updatePressure,
 } from "../../admission/common/overload_pressure.ts";
 import type { PressureState } from "../../admission/common/overload_pressure.ts";
@@ -141,6 +142,7 @@
       noteEnd(state, event, nowMs);
       return runQueued(state, nowMs);
     case "CallWithdrawn": {
+      noteLost(state.pressure);
       const at = state.queue.findIndex(({ id }) => id === event.id);
       if (at >= 0) {
         state.queue.splice(at, 1);
@@ -283,6 +285,7 @@
   state.running = Math.max(0, state.running - 1);
   const { serviceMs, route } = event;
   if (serviceMs === undefined) {
+    noteLost(state.pressure);
     return;
   }
   const time = state.times.get(route);
@@ -340,6 +343,9 @@
   id: number,
   reason: GateRefusal,
 ): GateEffect {
+  if (reason === "deadline") {
+    noteLost(state.pressure);
+  }
   const retryAfterMs = computeRetryAfterMs(state);
   return { type: "RefuseCall", id, reason, retryAfterMs };
 }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -211,7 +211,10 @@
       rank,
       isNested,
       arrivedAtMs,
-      dueAtMs: arrivedAtMs + this.#options.getObjectiveMs(route),
+      dueAtMs: Math.min(
+        deadlineMs,
+        arrivedAtMs + this.#options.getObjectiveMs(route),
+      ),
       deadlineMs,
     };
     this.#step({ type: "CallArrived", call: admitted });
