--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -73,6 +73,7 @@
   readonly #log: LineLog;
   #isStopping = false;
   #callersSaidAtMs = 0;
+  #hadPressure = false;
   #ticks = 0;
 
   constructor(settings: RelaySettings, dialect: CallDialect) {
@@ -300,7 +301,7 @@
   #noteOwnLoad(): void {
     const { mesh } = this.#settings;
     const nowMs = readSteadyMs();
-    this.#entry.receive(mesh, this.#createReport([]));
+    this.#entry.receive(mesh, this.#createReport([], this.#listBelow()));
     this.#spread.hear(mesh, this.#arrivals.createReport(nowMs), nowMs);
   }
 
@@ -348,26 +349,41 @@
   #createMeshServer(): MeshServer {
     return new MeshServer({
       address: parseAddress(this.#settings.mesh)!,
-      onFrame: (link, frame) =>
+      onFrame: (link, frame, delayMs) =>
         this.#gate.receive(
           String(link),
           frame,
           (answer) => this.#meshServer.send(link, answer),
+          delayMs,
         ),
       onClosed: (link) => this.#gate.loseSource(String(link)),
       hasCalls: (link) => this.#gate.hasCalls(String(link)),
       reportMs: REPORT_MS,
-      createReport: () => this.#createReport(this.#takeCallers()),
+      createReport: () => this.#createNews(),
+      readClock: readSteadyMs,
     });
   }
 
-  #createReport(callers: CallerReport): LoadReported {
-    return {
-      type: "LoadReported",
-      load: this.#gate.readLoad(),
-      below: this.#listBelow(),
-      callers,
-    };
+  #createReport(
+    callers: CallerReport,
+    below: LoadReported["below"],
+  ): LoadReported {
+    const load = this.#gate.readLoad();
+    return { type: "LoadReported", load, below, callers };
+  }
+
+  /**
+   * What other nodes don't know yet. Without pressure the answers on a link say
+   * enough; a report of the call tree alone would wake both ends of each link
+   * ten times a second.
+   */
+  #createNews(): LoadReported {
+    const callers = this.#takeCallers();
+    const below = this.#listBelow();
+    const hasPressure = below.some(([, pressure]) => pressure > 0);
+    const isNews = hasPressure || this.#hadPressure || callers.length > 0;
+    this.#hadPressure = hasPressure;
+    return this.#createReport(callers, isNews ? below : undefined);
   }
 
   /** Pressure below each route whose requests make calls here. */
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -86,13 +86,16 @@
   readonly limit: number;
   /** How hard roots that lead here should be refused, 0 to 1. */
   readonly pressure: number;
+  /** Mean time of a run, in milliseconds; 0 where none is known. */
+  readonly serviceMs: number;
 }
 
 /** Said from time to time on links in use; also shows that the sender lives. */
 export interface LoadReported {
   readonly type: "LoadReported";
   readonly load: LoadFigures;
-  readonly below: readonly PressureBelow[];
+  /** One for each route with calls; undefined where nothing new is said. */
+  readonly below: readonly PressureBelow[] | undefined;
   /** From which services calls came here; empty where nothing new is said. */
   readonly callers: CallerReport;
 }
@@ -147,7 +150,7 @@
   "expired",
 ];
 
-type WireLoad = readonly [number, number, number, number];
+type WireLoad = readonly [number, number, number, number, number?];
 
 /**
  * Turns a frame into the list that is packed: field names on the wire would
@@ -198,7 +201,7 @@
       return [
         TAGS.LoadReported,
         flattenLoad(frame.load),
-        frame.below,
+        frame.below ?? null,
         frame.callers,
       ];
     case "CallerIntroduced":
@@ -256,7 +259,7 @@
       return {
         type: "LoadReported",
         load: parseLoad(fields[1] as WireLoad),
-        below: fields[2] as LoadReported["below"],
+        below: (fields[2] ?? undefined) as LoadReported["below"],
         callers: (fields[3] ?? []) as CallerReport,
       };
     case TAGS.CallerIntroduced:
@@ -268,10 +271,12 @@
 
 /** Pressure goes as whole hundredths: one byte in place of nine. */
 function flattenLoad(load: LoadFigures): WireLoad {
-  const { running, queued, limit, pressure } = load;
-  return [running, queued, limit, Math.round(pressure * 100)];
+  const { running, queued, limit, pressure, serviceMs } = load;
+  const hundredths = Math.round(pressure * 100);
+  return [running, queued, limit, hundredths, Math.round(serviceMs)];
 }
 
-function parseLoad([running, queued, limit, hundredths]: WireLoad) {
-  return { running, queued, limit, pressure: hundredths / 100 };
+function parseLoad([running, queued, limit, hundredths, ms]: WireLoad) {
+  const pressure = hundredths / 100;
+  return { running, queued, limit, pressure, serviceMs: ms ?? 0 };
 }
--- a/src/engine/mesh/node/frame_writer.ts
+++ b/src/engine/mesh/node/frame_writer.ts
@@ -11,12 +11,14 @@
 /** Collects frames until the turn ends: one system call for all of them. */
 export class FrameWriter {
   readonly #socket: WebSocket;
+  readonly #readClock: () => number;
   #frames: (readonly unknown[])[] = [];
   #bytes = 0;
   #isScheduled = false;
 
-  constructor(socket: WebSocket) {
+  constructor(socket: WebSocket, readClock: () => number) {
     this.#socket = socket;
+    this.#readClock = readClock;
   }
 
   /** Bytes that the socket has not taken yet. */
@@ -43,7 +45,8 @@
     if (this.#frames.length === 0) {
       return;
     }
-    const bytes = PACKR.pack(this.#frames);
+    const sentAtMs = Math.floor(this.#readClock());
+    const bytes = PACKR.pack([sentAtMs, ...this.#frames]);
     this.#frames = [];
     this.#bytes = 0;
     if (this.#socket.readyState === this.#socket.OPEN) {
@@ -52,13 +55,23 @@
   }
 }
 
-/** Reads the frames of a message; undefined where the bytes are none. */
-export function decodeFrames(
-  bytes: Uint8Array,
-): readonly MeshFrame[] | undefined {
+/** What one message brought. */
+export interface DecodedMessage {
+  /** By the sender's steady clock, which counts from any time. */
+  readonly sentAtMs: number;
+  readonly frames: readonly MeshFrame[];
+}
+
+/** Reads a message; undefined where the bytes are none. */
+export function decodeMessage(bytes: Uint8Array): DecodedMessage | undefined {
   try {
-    const lists = PACKR.unpack(bytes) as readonly (readonly unknown[])[];
-    return lists.map(parseFrame).filter((frame) => frame !== undefined);
+    const [sentAtMs, ...lists] = PACKR.unpack(bytes) as readonly [
+      number,
+      ...(readonly unknown[])[],
+    ];
+    const frames = lists.map(parseFrame)
+      .filter((frame) => frame !== undefined);
+    return { sentAtMs, frames };
   } catch {
     return undefined;
   }
--- a/src/engine/mesh/node/mesh_client.ts
+++ b/src/engine/mesh/node/mesh_client.ts
@@ -1,7 +1,7 @@
 /** The links that a node opens to other nodes, one to each address. */
 import { WebSocket } from "ws";
 import type { MeshFrame } from "../common/frames.ts";
-import { decodeFrames, FrameWriter } from "./frame_writer.ts";
+import { decodeMessage, FrameWriter } from "./frame_writer.ts";
 
 /** What the client is built from. */
 export interface MeshClientOptions {
@@ -119,7 +119,7 @@
     const nowMs = this.#options.readClock();
     const link: MeshLink = {
       socket,
-      writer: new FrameWriter(socket),
+      writer: new FrameWriter(socket, this.#options.readClock),
       waiting: [],
       wasOpen: false,
       heardAtMs: nowMs,
@@ -140,12 +140,12 @@
     });
     socket.on("message", (data: Buffer) => {
       link.heardAtMs = this.#options.readClock();
-      const frames = decodeFrames(data);
-      if (frames === undefined) {
+      const message = decodeMessage(data);
+      if (message === undefined) {
         this.#lose(address, link, "unreadable message");
         return;
       }
-      frames.forEach((frame) => this.#options.onFrame(address, frame));
+      message.frames.forEach((frame) => this.#options.onFrame(address, frame));
     });
     socket.on("error", (error) => this.#lose(address, link, error.message));
     socket.on("close", () => this.#lose(address, link, "closed"));
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -6,13 +6,15 @@
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
 import type { LoadReported, MeshFrame } from "../common/frames.ts";
-import { decodeFrames, FrameWriter } from "./frame_writer.ts";
+import { TransitDelay } from "../common/transit_delay.ts";
+import { decodeMessage, FrameWriter } from "./frame_writer.ts";
 import { MAX_MESSAGE_BYTES } from "./mesh_client.ts";
 
 /** What the server is built from. */
 export interface MeshServerOptions {
   readonly address: ListenAddress;
-  readonly onFrame: (link: number, frame: MeshFrame) => void;
+  /** `delayMs`: how much longer than usual the frame was on its way. */
+  readonly onFrame: (link: number, frame: MeshFrame, delayMs: number) => void;
   readonly onClosed: (link: number) => void;
   /** Whether calls of a link are in progress: it must not fall silent. */
   readonly hasCalls: (link: number) => boolean;
@@ -20,11 +22,13 @@
   readonly reportMs: number;
   /** Made anew for each report. */
   readonly createReport: () => LoadReported;
+  readonly readClock: () => number;
 }
 
 interface AcceptedLink {
   readonly socket: WebSocket;
   readonly writer: FrameWriter;
+  readonly delay: TransitDelay;
   /** Whether it was heard since the last report. */
   isActive: boolean;
   /** Whether an answer, which has the load too, was sent since then. */
@@ -78,7 +82,8 @@
   /** Says the load on links in use that have not heard it otherwise. */
   report(): void {
     const report = this.#options.createReport();
-    const hasMore = report.below.length > 0 || report.callers.length > 0;
+    const hasMore = (report.below?.length ?? 0) > 0 ||
+      report.callers.length > 0;
     for (const [number, link] of this.#links) {
       const isUsed = link.isActive || this.#options.hasCalls(number);
       // The answers of a busy link say the load: a report would wake both ends
@@ -105,19 +110,24 @@
     const number = this.#nextLink++;
     const link = {
       socket,
-      writer: new FrameWriter(socket),
+      writer: new FrameWriter(socket, this.#options.readClock),
+      delay: new TransitDelay(),
       isActive: true,
       hasAnswered: false,
     };
     this.#links.set(number, link);
     socket.on("message", (data: Buffer) => {
       link.isActive = true;
-      const frames = decodeFrames(data);
-      if (frames === undefined) {
+      const message = decodeMessage(data);
+      if (message === undefined) {
         socket.terminate();
         return;
       }
-      frames.forEach((frame) => this.#options.onFrame(number, frame));
+      const delayMs = link.delay
+        .measure(message.sentAtMs, this.#options.readClock());
+      message.frames.forEach((frame) =>
+        this.#options.onFrame(number, frame, delayMs)
+      );
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -8,7 +8,7 @@
 
 /** Reports are sent where a test asks for them. */
 const NEVER_MS = 3_600_000;
-const LOAD = { running: 1, queued: 0, limit: 4, pressure: 0 };
+const LOAD = { running: 1, queued: 0, limit: 4, pressure: 0, serviceMs: 0 };
 
 /** A server with one client; both keep the frames that they get. */
 class Link implements AsyncDisposable {
@@ -42,6 +42,7 @@
         below: this.below,
         callers: [],
       }),
+      readClock: () => performance.now(),
     });
     this.client = new MeshClient({
       onFrame: (_address, frame) => this.atClient.push(frame),
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -53,6 +53,8 @@
     readonly route: string;
     /** Time that the backend server took; undefined where it says nothing. */
     readonly serviceMs: number | undefined;
+    /** Whether the call came to no answer. */
+    readonly isLost: boolean;
   }
   | { readonly type: "CallWithdrawn"; readonly id: number }
   | {
@@ -89,6 +91,8 @@
   running: number;
   readonly queue: GateCall[];
   readonly times: Map<string, ServiceTime>;
+  /** Mean time of a run, of all routes; 0 before the first. */
+  meanMs: number;
   /** Mean time between two ends of calls while all places were taken. */
   gapMs: number;
   lastEndMs: number;
@@ -100,6 +104,8 @@
  * when the last twentieth is taken: 14 of 15 places do more than 15.
  */
 const FILL_SHARE = 0.95;
+/** Weight of a new service time in the mean over all routes. */
+const MEAN_GAIN = 0.02;
 /** Weight of a new service time in the mean. */
 const TIME_GAIN = 0.1;
 /**
@@ -123,6 +129,7 @@
     running: 0,
     queue: [],
     times: new Map(),
+    meanMs: 0,
     gapMs: 0,
     lastEndMs: 0,
     pressure: createPressure(0),
@@ -184,6 +191,7 @@
     queued: state.queue.length,
     limit: computeLimit(state),
     pressure: state.pressure.pressure,
+    serviceMs: state.meanMs,
   };
 }
 
@@ -283,11 +291,16 @@
   }
   state.lastEndMs = nowMs;
   state.running = Math.max(0, state.running - 1);
-  const { serviceMs, route } = event;
-  if (serviceMs === undefined) {
+  const { serviceMs, route, isLost } = event;
+  if (isLost) {
     noteLost(state.pressure);
+  }
+  if (serviceMs === undefined) {
     return;
   }
+  state.meanMs = state.meanMs === 0
+    ? serviceMs
+    : state.meanMs + (serviceMs - state.meanMs) * MEAN_GAIN;
   const time = state.times.get(route);
   if (time === undefined) {
     state.times.set(route, { meanMs: serviceMs });
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -19,6 +19,8 @@
   failures: number;
   /** Until when it is chosen only where no other is left. */
   ejectedUntilMs: number;
+  /** When it is next tried though it fails part of its calls. */
+  probeAtMs: number;
   /** Since when calls of this node have been in progress there. */
   busySinceMs: number;
 }
@@ -85,6 +87,7 @@
     failureShare: 0,
     failures: 0,
     ejectedUntilMs: 0,
+    probeAtMs: 0,
     busySinceMs: 0,
   };
 }
--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -21,6 +21,15 @@
 const JITTER = 0.02;
 /** Spreads one draw over members: any factor that is no whole number does. */
 const JITTER_STRIDE = 7.31;
+/** Share of failures from which on a member is left out. */
+const FAILING_SHARE = 0.2;
+/** Where all fail alike, the fault lies elsewhere and none is left out. */
+const FAILING_RATIO = 2;
+/** Each node tries a failing member again after so long. */
+const PROBE_MS = 150;
+/** Bounds of the weight: a service time may be of few and odd runs. */
+const MIN_SLOWNESS = 0.4;
+const MAX_SLOWNESS = 3;
 /** Above any other score: nothing may run there. */
 const CLOSED_PENALTY = 100;
 
@@ -32,12 +41,21 @@
   const sound = members.filter((member) =>
     member.ejectedUntilMs <= options.nowMs && !options.isSilent(member)
   );
-  const pool = sound.length > 0 ? sound : members;
+  const due = sound.find((member) =>
+    member.probeAtMs <= options.nowMs && isFailing(member, members)
+  );
+  if (due !== undefined) {
+    due.probeAtMs = options.nowMs + PROBE_MS;
+    return due;
+  }
+  const reliable = listReliable(sound);
+  const pool = reliable.length > 0 ? reliable : members;
+  const meanMs = computeMeanServiceMs(pool, options.nowMs);
   let best: Member | undefined;
   let bestScore = Infinity;
   pool.forEach((member, at) => {
     const jitter = ((at + 1) * options.draw * JITTER_STRIDE % 1) * JITTER;
-    const score = computeScore(member, options) + jitter;
+    const score = computeScore(member, meanMs, options) + jitter;
     if (score < bestScore) {
       best = member;
       bestScore = score;
@@ -46,8 +64,31 @@
   return best;
 }
 
-/** Share of the places that would be taken, with the call counted. */
-function computeScore(member: Member, options: ChoiceOptions): number {
+/**
+ * Lists the members that calls may count on. One that fails part of its calls
+ * is left out but for probes: a root that makes eight calls there, each refused
+ * with a chance of a half, would hardly ever end well.
+ */
+export function listReliable(members: readonly Member[]): readonly Member[] {
+  return members.filter((member) => !isFailing(member, members));
+}
+
+/** Whether a member fails far more of its calls than the best one. */
+function isFailing(member: Member, members: readonly Member[]): boolean {
+  const least = members.reduce(
+    (min, { failureShare }) => Math.min(min, failureShare),
+    1,
+  );
+  return member.failureShare >= FAILING_SHARE &&
+    member.failureShare > least * FAILING_RATIO;
+}
+
+/** Share of the places that would be taken, weighed by how slow it is. */
+function computeScore(
+  member: Member,
+  meanMs: number,
+  options: ChoiceOptions,
+): number {
   const { announcement, load, loadAtMs, outstanding, sentSinceLoad } = member;
   const isFresh = load !== undefined &&
     options.nowMs - loadAtMs < LOAD_VALID_MS;
@@ -58,6 +99,29 @@
   const distance = announcement.dataCentre === options.dataCentre
     ? 0
     : FAR_PENALTY;
-  return (inUse + 1) / places + distance + member.failureShare +
+  const slowness = isFresh ? computeSlowness(load.serviceMs, meanMs) : 1;
+  return (inUse + 1) / places * slowness + distance + member.failureShare +
     (isFresh && load.limit === 0 ? CLOSED_PENALTY : 0);
 }
+
+function computeMeanServiceMs(
+  members: readonly Member[],
+  nowMs: number,
+): number {
+  const known = members.flatMap(({ load, loadAtMs }) =>
+    load !== undefined && load.serviceMs > 0 && nowMs - loadAtMs < LOAD_VALID_MS
+      ? [load.serviceMs]
+      : []
+  );
+  return known.reduce((sum, ms) => sum + ms, 0) / Math.max(1, known.length);
+}
+
+/**
+ * Backend servers of one service differ in speed by more than two; with equal
+ * shares of their places taken, calls wait longest at the slowest.
+ */
+function computeSlowness(serviceMs: number, meanMs: number): number {
+  return serviceMs === 0 || meanMs === 0
+    ? 1
+    : Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, serviceMs / meanMs));
+}
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -3,7 +3,7 @@
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { renewMember } from "./member.ts";
 import type { Member } from "./member.ts";
-import { chooseMember, LOAD_VALID_MS } from "./member_choice.ts";
+import { chooseMember, listReliable, LOAD_VALID_MS } from "./member_choice.ts";
 import type { ChoiceOptions } from "./member_choice.ts";
 
 /** Pressure on a way, and when the gate under it said so. */
@@ -158,21 +158,21 @@
     return count;
   }
 
-  /** Computes the pressure of a service: the mean over its members. */
+  /**
+   * Computes the pressure of a service: the mean over the members that calls go
+   * to. One that is left out for its failures has room, but for nobody.
+   */
   computePressure(service: string, nowMs: number): WayPressure {
     let sum = 0;
     let count = 0;
     let saidAtMs = 0;
-    for (const member of this.#services.get(service)?.values() ?? []) {
-      const { load, loadAtMs } = member;
-      if (
-        load !== undefined && load.limit > 0 &&
-        nowMs - loadAtMs < LOAD_VALID_MS
-      ) {
-        sum += load.pressure * load.limit;
-        count += load.limit;
-        saidAtMs = Math.max(saidAtMs, loadAtMs);
-      }
+    const open = this.list(service).filter(({ load, loadAtMs }) =>
+      load !== undefined && load.limit > 0 && nowMs - loadAtMs < LOAD_VALID_MS
+    );
+    for (const { load, loadAtMs } of listReliable(open)) {
+      sum += load!.pressure * load!.limit;
+      count += load!.limit;
+      saidAtMs = Math.max(saidAtMs, loadAtMs);
     }
     return count === 0 ? NO_PRESSURE : { pressure: sum / count, saidAtMs };
   }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -235,7 +235,8 @@
       this.#fail(call, "unknown", `status ${opened.status}`);
       return;
     }
-    noteResult(member, isFailure, nowMs);
+    // An error of a service that makes calls may come from below.
+    noteResult(member, isFailure && members.isLeaf(call.service), nowMs);
     const body = new BodyCollector(opened.bodyBytes, opened.body);
     call.answer = { opened, body };
     this.#finishAnswer(call);
@@ -269,7 +270,9 @@
     const { members, readClock, hearCallers } = this.#options;
     const nowMs = readClock();
     members.noteLoad(address, frame.load, nowMs);
-    members.noteBelow(address, frame.below, nowMs);
+    if (frame.below !== undefined) {
+      members.noteBelow(address, frame.below, nowMs);
+    }
     if (frame.callers.length > 0) {
       hearCallers(address, frame.callers);
     }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -100,11 +100,16 @@
     this.#endOverdue();
   }
 
-  /** Takes a frame of a caller. */
-  receive(source: string, frame: MeshFrame, send: SendFrame): void {
+  /** Takes a frame of a caller, which was on its way longer than usual. */
+  receive(
+    source: string,
+    frame: MeshFrame,
+    send: SendFrame,
+    delayMs = 0,
+  ): void {
     switch (frame.type) {
       case "CallOpened":
-        this.#open(source, frame, send);
+        this.#open({ source, opened: frame, send, delayMs });
         return;
       case "BodyPart": {
         const call = this.#calls.find(source, frame.call);
@@ -172,8 +177,14 @@
     return running;
   }
 
-  #open(source: string, opened: CallOpened, send: SendFrame): void {
-    const arrivedAtMs = this.#options.readClock();
+  #open(arrival: {
+    readonly source: string;
+    readonly opened: CallOpened;
+    readonly send: SendFrame;
+    readonly delayMs: number;
+  }): void {
+    const { source, opened, send, delayMs } = arrival;
+    const arrivedAtMs = this.#options.readClock() - delayMs;
     const call: GateCallState = {
       id: this.#nextId++,
       opened,
@@ -306,7 +317,10 @@
       case "Answered":
         break;
     }
-    this.#end(call, readClock() - call.startedAtMs);
+    // A backend server that fails at once is not a fast one.
+    const isFailure = status >= 500;
+    const serviceMs = isFailure ? undefined : readClock() - call.startedAtMs;
+    this.#end(call, { serviceMs, isLost: false });
     const opened: AnswerOpened = {
       type: "AnswerOpened",
       call: call.opened.call,
@@ -328,7 +342,7 @@
     reason: string,
     retryAfterMs = computeRetryAfterMs(this.#gate),
   ): void {
-    this.#end(call, undefined);
+    this.#end(call, { serviceMs: undefined, isLost: true });
     const failed: CallFailed = {
       type: "CallFailed",
       call: call.opened.call,
@@ -367,7 +381,7 @@
     if (!isRunning) {
       this.#step({ type: "CallWithdrawn", id: call.id });
     }
-    this.#end(call, undefined);
+    this.#end(call, { serviceMs: undefined, isLost: true });
     this.#options.log.write({
       event: "CallCancelled",
       isFailure: false,
@@ -377,13 +391,16 @@
     });
   }
 
-  #end(call: GateCallState, serviceMs: number | undefined): void {
+  #end(
+    call: GateCallState,
+    ended: { readonly serviceMs: number | undefined; readonly isLost: boolean },
+  ): void {
     const wasRunning = call.phase === "running";
     this.#calls.remove(call);
     if (wasRunning) {
       const { id, opened: { route } } = call;
       this.#options.noteRun(route, -1);
-      this.#step({ type: "CallEnded", id, route, serviceMs });
+      this.#step({ type: "CallEnded", id, route, ...ended });
     }
   }
 
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -18,7 +18,7 @@
   rank: 0,
   maxAttempts: 2,
 };
-const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0 };
+const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0, serviceMs: 0 };
 
 /** An entry whose clock and links the test moves. */
 class Entry {
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -130,6 +130,21 @@
   });
 });
 
+describe("a call that was late on its way", () => {
+  it("is refused where its caller has left by now", async () => {
+    await using server = await openSilentServer();
+    await using gate = openGate(server.port);
+    const frames: MeshFrame[] = [];
+    const send = (frame: MeshFrame) => frames.push(frame);
+    gate.receive("1", createCall(1, { timeLeftMs: 130 }), send, 600);
+    expect(gate.readLoad().running).to.equal(0);
+    expect(frames.map((frame) => "reason" in frame && frame.reason))
+      .to.deep.equal(["deadline"]);
+    gate.receive("1", createCall(2, { timeLeftMs: 130 }), send, 20);
+    expect(gate.readLoad().running).to.equal(1);
+  });
+});
+
 describe("a backend server that starts again under its id", () => {
   it("leaves what ran before unknown, and runs what waits", async () => {
     await using server = await openSilentServer();
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -44,7 +44,13 @@
 }
 
 function end(gate: GateState, id: number, nowMs = 10): readonly GateEffect[] {
-  const event = { type: "CallEnded", id, route: "lookup", serviceMs: 10 };
+  const event = {
+    type: "CallEnded",
+    id,
+    route: "lookup",
+    serviceMs: 10,
+    isLost: false,
+  };
   return reduceGate(gate, event as never, nowMs);
 }
 
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { createAnnouncement, SERVICE, SLOTS } from "./announcements.ts";
+import { noteResult } from "../common/member.ts";
 import { MemberTable } from "../common/member_table.ts";
 
 function createTable(...announcements: readonly Announcement[]): MemberTable {
@@ -10,11 +11,11 @@
   return table;
 }
 
-function choose(table: MemberTable): string | undefined {
+function choose(table: MemberTable, nowMs = 0): string | undefined {
   return table.choose(SERVICE, {
     dataCentre: "a",
     tried: new Set(),
-    nowMs: 0,
+    nowMs,
     draw: 0,
     isSilent: () => false,
   })?.announcement.ingress;
@@ -46,13 +47,56 @@
     expect(fill(createTable(near, far), 14)["far:1"]).to.be.within(5, 7);
   });
 
+  it("gives a slow one its share of the work, not of the calls", () => {
+    const table = createTable(near, other);
+    const load = { running: 0, queued: 0, limit: SLOTS, pressure: 0 };
+    table.noteLoad("near:1", { ...load, serviceMs: 10 }, 0);
+    table.noteLoad("other:1", { ...load, serviceMs: 20 }, 0);
+    expect(fill(table, 15)).to.deep.equal({ "near:1": 10, "other:1": 5 });
+  });
+
+  it("leaves out one that fails part of its calls, but for probes", () => {
+    const table = createTable(near, other);
+    const failing = table.get(SERVICE, "near:1")!;
+    for (let n = 0; n < 40; n += 1) {
+      noteResult(failing, n % 2 === 0, 0);
+    }
+    const counts: Record<string, number> = {};
+    for (let nowMs = 1_000; nowMs < 2_000; nowMs += 10) {
+      const address = choose(table, nowMs)!;
+      counts[address] = (counts[address] ?? 0) + 1;
+    }
+    expect(counts["near:1"]).to.be.within(4, 8);
+    const load = { running: 0, queued: 0, limit: SLOTS, serviceMs: 0 };
+    table.noteLoad("near:1", { ...load, pressure: 0 }, 2_000);
+    table.noteLoad("other:1", { ...load, pressure: 0.6 }, 2_000);
+    expect(table.computePressure(SERVICE, 2_000).pressure).to.equal(0.6);
+  });
+
+  it("leaves out none where all fail alike", () => {
+    const table = createTable(near, other);
+    for (const address of ["near:1", "other:1"]) {
+      const member = table.get(SERVICE, address)!;
+      for (let n = 0; n < 40; n += 1) {
+        noteResult(member, n % 2 === 0, 0);
+      }
+    }
+    expect(fill(table, 10)).to.deep.equal({ "near:1": 5, "other:1": 5 });
+  });
+
   it("passes over one whose link was lost until it is heard", () => {
     const table = createTable(near, other);
     table.suspect("near:1", 0);
     expect(fill(table, 4)).to.deep.equal({ "other:1": 4 });
     expect(table.takeDueProbes(100)).to.deep.equal([]);
     expect(table.takeDueProbes(400)).to.deep.equal(["near:1"]);
-    const load = { running: 0, queued: 0, limit: SLOTS, pressure: 0 };
+    const load = {
+      running: 0,
+      queued: 0,
+      limit: SLOTS,
+      pressure: 0,
+      serviceMs: 0,
+    };
     table.noteLoad("near:1", load, 0);
     expect(fill(table, 4)).to.deep.equal({ "near:1": 4 });
   });
@@ -66,7 +110,13 @@
 });
 
 describe("pressure on the way of a route", () => {
-  const load = { running: 0, queued: 0, limit: SLOTS, pressure: 0.2 };
+  const load = {
+    running: 0,
+    queued: 0,
+    limit: SLOTS,
+    pressure: 0.2,
+    serviceMs: 0,
+  };
 
   it("is that of the narrowest service, here or below", () => {
     const table = createTable(createAnnouncement("a:1"));
