Raise no pressure for rejections, and keep the most urgent rank out of swings

Change: only time limits and unknown outcomes count as lost, four times; probes are made by calls that callers may repeat, twice a second; seven tenths of the pressure bear on the least urgent rank; its slow part ends at 0.85.

--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -50,6 +50,8 @@
  */
 const INTEGRAL_PER_S = 0.6;
 const PROPORTIONAL = 0.2;
+/** The most urgent rank is only refused for what just happened. */
+const MAX_INTEGRAL = 0.85;
 /** Larger errors, of a storm or of an idle second, count as these. */
 const MAX_ERROR = 0.6;
 const MIN_ERROR = -0.6;
@@ -62,8 +64,12 @@
 /** Part of that which is added to the error, so that no backlog stays. */
 const BACKLOG_ERROR = 0.75;
 
-/** Share of requests lost, as part of the error. */
-const LOST_ERROR = 1;
+/**
+ * Error for each share of requests lost: one that is lost here stands for all
+ * the work of its root, some eight calls.
+ */
+const LOST_ERROR = 4;
+const MAX_LOST_ERROR = 0.5;
 
 /** Creates the state of a backend server that is not short of room. */
 export function createPressure(nowMs: number): PressureState {
@@ -114,9 +120,10 @@
   const lostShare = state.lost / Math.max(1, state.arrived);
   state.lostShare += (Math.min(1, lostShare) - state.lostShare) * DEMAND_GAIN;
   const error = limitTo(state.demand - TARGET, MIN_ERROR, MAX_ERROR) +
-    byBacklog * BACKLOG_ERROR + state.lostShare * LOST_ERROR;
+    byBacklog * BACKLOG_ERROR +
+    Math.min(MAX_LOST_ERROR, state.lostShare * LOST_ERROR);
   const change = error * INTEGRAL_PER_S * lengthMs / 1_000;
-  state.integral = limitTo(state.integral + change, 0, 1);
+  state.integral = limitTo(state.integral + change, 0, MAX_INTEGRAL);
   state.pressure = state.integral === 0
     ? 0
     : limitTo(state.integral + error * PROPORTIONAL + byBacklog, 0, 1);
--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -9,6 +9,8 @@
   readonly nowMs: number;
   /** From 0 to 1; breaks ties. */
   readonly draw: number;
+  /** Whether it does little harm if the call fails. */
+  readonly canProbe: boolean;
   /** Whether a member has been silent while calls are in progress there. */
   readonly isSilent: (member: Member) => boolean;
 }
@@ -26,7 +28,7 @@
 /** Where all fail alike, the fault lies elsewhere and none is left out. */
 const FAILING_RATIO = 2;
 /** Each node tries a failing member again after so long. */
-const PROBE_MS = 150;
+const PROBE_MS = 500;
 /** Bounds of the weight: a service time may be of few and odd runs. */
 const MIN_SLOWNESS = 0.4;
 const MAX_SLOWNESS = 3;
@@ -41,9 +43,11 @@
   const sound = members.filter((member) =>
     member.ejectedUntilMs <= options.nowMs && !options.isSilent(member)
   );
-  const due = sound.find((member) =>
-    member.probeAtMs <= options.nowMs && isFailing(member, members)
-  );
+  const due = options.canProbe
+    ? sound.find((member) =>
+      member.probeAtMs <= options.nowMs && isFailing(member, members)
+    )
+    : undefined;
   if (due !== undefined) {
     due.probeAtMs = options.nowMs + PROBE_MS;
     return due;
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -8,7 +8,7 @@
  * Most of one rank that is refused before the next more urgent one is touched:
  * no kind of request is starved.
  */
-const MAX_SHARE = 0.8;
+const MAX_SHARE = 0.85;
 /**
  * For so long the same request meets the same answer while the pressure is the
  * same: a client that repeats at once can't get in by trying often.
@@ -18,7 +18,7 @@
 const HASHED_BYTES = 1_024;
 const HASH_RANGE = 0x1_0000_0000;
 /** Part of the pressure in which only the least urgent rank is refused. */
-const LAST_RANK_PART = 0.6;
+const LAST_RANK_PART = 0.7;
 
 /** What is asked for one root request. */
 export interface RootRequest {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -202,6 +202,7 @@
       tried: call.tried,
       nowMs,
       draw: draw(),
+      canProbe: call.request.route.isIdempotent && !call.request.isNested,
       isSilent: (found) => isMemberSilent(found, path.getHeardAtMs, nowMs),
     });
     if (member === undefined) {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -342,7 +342,9 @@
     reason: string,
     retryAfterMs = computeRetryAfterMs(this.#gate),
   ): void {
-    this.#end(call, { serviceMs: undefined, isLost: true });
+    // Refusing more would not help where the backend server rejects at will.
+    const isLost = kind === "expired" || kind === "unknown";
+    this.#end(call, { serviceMs: undefined, isLost });
     const failed: CallFailed = {
       type: "CallFailed",
       call: call.opened.call,
