--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -5,17 +5,6 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
-import {
-  CallerSpread,
-  SpreadCounter,
-} from "../engine/admission/common/caller_spread.ts";
-import { CallTree } from "../engine/admission/common/call_tree.ts";
-import { CoincidenceCounter } from "../engine/admission/common/coincidence.ts";
-import type {
-  CallerReport,
-  LoadReported,
-  PressureBelow,
-} from "../engine/mesh/common/frames.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
@@ -31,6 +20,7 @@
 import type { RelayStatus } from "./relay_operator.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 import { Telemetry } from "./telemetry.ts";
+import { RelayTree } from "./relay_tree.ts";
 import { LineLog } from "./line_log.ts";
 
 /** Entry and gate tick: expiry is late by at most this much. */
@@ -40,8 +30,6 @@
  * spread, and how soon a silent node is known.
  */
 const REPORT_MS = 100;
-/** How often nodes say where calls came from: some ten calls are enough. */
-const CALLERS_MS = 500;
 /** Ticks between notes of the own load, as often as others report theirs. */
 const OWN_LOAD_TICKS = REPORT_MS / TICK_MS;
 /** Ticks between looks for idle links. */
@@ -58,10 +46,7 @@
   readonly #owned = new DisposalStack();
   readonly #telemetry: Telemetry;
   readonly #members = new MemberTable();
-  readonly #coincidences = new CoincidenceCounter();
-  readonly #spread = new CallerSpread();
-  readonly #arrivals = new SpreadCounter();
-  readonly #tree: CallTree;
+  readonly #tree: RelayTree;
   #lastRank = 0;
   readonly #gate: GateCalls;
   readonly #entry: EntryCalls;
@@ -72,8 +57,6 @@
   readonly #operator: OperatorServer;
   readonly #log: LineLog;
   #isStopping = false;
-  #callersSaidAtMs = 0;
-  #hadPressure = false;
   #ticks = 0;
 
   constructor(settings: RelaySettings, dialect: CallDialect) {
@@ -102,9 +85,9 @@
         maxConnections: () => this.#control.announcement.connections,
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         noteRun: (route, change) =>
-          this.#coincidences.noteRun(route, change, readSteadyMs()),
+          this.#tree.noteRun(route, change, readSteadyMs()),
         noteArrival: (route, service) =>
-          this.#arrivals.note(route, service, readSteadyMs()),
+          this.#tree.noteArrival(route, service, readSteadyMs()),
         onBackendLost: () => this.#loseBackend(),
       }),
     );
@@ -119,11 +102,9 @@
         getService: () => this.#control.announcement.service,
       }),
     );
-    this.#tree = new CallTree({
-      coincidences: this.#coincidences,
-      spread: this.#spread,
+    this.#tree = new RelayTree({
+      members: this.#members,
       getService: () => this.#control.announcement.service,
-      countNodes: () => this.#members.countByService(),
     });
     this.#entry = new EntryCalls({
       dataCentre,
@@ -135,7 +116,7 @@
       getLastRank: () => this.#lastRank,
       log,
       hearCallers: (address, report) =>
-        this.#spread.hear(address, report, readSteadyMs()),
+        this.#tree.hear(address, report, readSteadyMs()),
       noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
     });
     this.#meshServer = this.#owned.use(this.#createMeshServer());
@@ -301,8 +282,8 @@
   #noteOwnLoad(): void {
     const { mesh } = this.#settings;
     const nowMs = readSteadyMs();
-    this.#entry.receive(mesh, this.#createReport([], this.#listBelow()));
-    this.#spread.hear(mesh, this.#arrivals.createReport(nowMs), nowMs);
+    const load = this.#gate.readLoad();
+    this.#entry.receive(mesh, this.#tree.createOwnReport(load, nowMs));
   }
 
   /** Calls on all links, and those to the own gate, begin at this service. */
@@ -359,59 +340,11 @@
       onClosed: (link) => this.#gate.loseSource(String(link)),
       hasCalls: (link) => this.#gate.hasCalls(String(link)),
       reportMs: REPORT_MS,
-      createReport: () => this.#createNews(),
+      createReport: () =>
+        this.#tree.createNews(this.#gate.readLoad(), readSteadyMs()),
       readClock: readSteadyMs,
     });
   }
-
-  #createReport(
-    callers: CallerReport,
-    below: LoadReported["below"],
-  ): LoadReported {
-    const load = this.#gate.readLoad();
-    return { type: "LoadReported", load, below, callers };
-  }
-
-  /**
-   * What other nodes don't know yet. Without pressure the answers on a link say
-   * enough; a report of the call tree alone would wake both ends of each link
-   * ten times a second.
-   */
-  #createNews(): LoadReported {
-    const callers = this.#takeCallers();
-    const below = this.#listBelow();
-    const hasPressure = below.some(([, pressure]) => pressure > 0);
-    const isNews = hasPressure || this.#hadPressure || callers.length > 0;
-    this.#hadPressure = hasPressure;
-    return this.#createReport(callers, isNews ? below : undefined);
-  }
-
-  /** Pressure below each route whose requests make calls here. */
-  #listBelow(): readonly PressureBelow[] {
-    const nowMs = readSteadyMs();
-    return this.#tree.listEdges(nowMs).map(([parent, callees]) => {
-      const ways = callees.map(({ service, route }) =>
-        this.#members.computeWayPressure(service, route, nowMs)
-      );
-      const worst = ways.reduce((a, b) => b.pressure > a.pressure ? b : a);
-      const { pressure, saidAtMs } = worst;
-      return [
-        parent,
-        Math.round(pressure * 1_000) / 1_000,
-        pressure === 0 ? 0 : Math.round(nowMs - saidAtMs),
-      ] as const;
-    });
-  }
-
-  /** Says where calls came from, more seldom than the load. */
-  #takeCallers(): CallerReport {
-    const nowMs = readSteadyMs();
-    if (nowMs - this.#callersSaidAtMs < CALLERS_MS) {
-      return [];
-    }
-    this.#callersSaidAtMs = nowMs;
-    return this.#arrivals.createReport(nowMs);
-  }
 }
 
 async function waitUntil(isMet: () => boolean): Promise<void> {
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -11,21 +11,10 @@
   noteLost,
   updatePressure,
 } from "../../admission/common/overload_pressure.ts";
+import { findVictim, putCall } from "./gate_queue.ts";
+import type { GateCall } from "./gate_queue.ts";
 import type { PressureState } from "../../admission/common/overload_pressure.ts";
 
-/** A call before the backend server. */
-export interface GateCall {
-  readonly id: number;
-  readonly route: string;
-  /** 0 is the most urgent. */
-  readonly rank: number;
-  readonly isNested: boolean;
-  readonly arrivedAtMs: number;
-  /** When its answer still has its full value. */
-  readonly dueAtMs: number;
-  readonly deadlineMs: number;
-}
-
 /** The backend server beside the node, as it announced itself. */
 export interface LocalBackend {
   readonly instanceId: string;
@@ -108,15 +97,6 @@
 const MEAN_GAIN = 0.02;
 /** Weight of a new service time in the mean. */
 const TIME_GAIN = 0.1;
-/**
- * Callers' requests that may wait, as a multiple of the places: they may still
- * go elsewhere or come back. Calls of requests that were begun aren't counted:
- * a refusal would waste all that was done for them.
- */
-const QUEUE_SHARE = 2;
-const MIN_QUEUE = 8;
-/** Any calls that may wait, as a multiple of the places; bounds the memory. */
-const MAX_QUEUE_SHARE = 30;
 /** Service time of a route of which none is known yet. */
 const FIRST_SERVICE_MS = 20;
 const MIN_RETRY_MS = 50;
@@ -222,7 +202,7 @@
     return [{ type: "RunCall", id: call.id }];
   }
   putCall(queue, call);
-  const victim = findVictim(state);
+  const victim = findVictim(queue, backend.slots);
   if (victim === undefined) {
     return [];
   }
@@ -231,34 +211,6 @@
   return [refuseCall(state, victim.id, reason)];
 }
 
-/** Finds the call that gives way where too many wait. */
-function findVictim({ queue, backend }: GateState): GateCall | undefined {
-  const slots = backend?.slots ?? 1;
-  const roots = queue.filter(({ isNested }) => !isNested);
-  if (roots.length > Math.max(MIN_QUEUE, slots * QUEUE_SHARE)) {
-    return roots.reduce((worst, call) =>
-      call.rank >= worst.rank ? call : worst
-    );
-  }
-  return queue.length > slots * MAX_QUEUE_SHARE ? queue.at(-1) : undefined;
-}
-
-/**
- * By when the answer is due, so that a short and urgent request passes calls
- * that have time to spare.
- */
-function putCall(queue: GateCall[], call: GateCall): void {
-  let at = queue.length;
-  while (at > 0 && compareCalls(call, queue[at - 1]!) < 0) {
-    at -= 1;
-  }
-  queue.splice(at, 0, call);
-}
-
-function compareCalls(a: GateCall, b: GateCall): number {
-  return a.dueAtMs - b.dueAtMs || a.rank - b.rank;
-}
-
 /** Whether the time that is left doesn't cover half of a usual run. */
 function isHopeless(state: GateState, call: GateCall, nowMs: number): boolean {
   const usualMs = state.times.get(call.route)?.meanMs ?? 0;
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -1,12 +1,8 @@
 /** The gate: what runs, waits and is refused beside one backend server. */
 import { expect } from "chai";
 import { computeLimit, createGate, reduceGate } from "../common/gate.ts";
-import type {
-  GateCall,
-  GateEffect,
-  GateState,
-  LocalBackend,
-} from "../common/gate.ts";
+import type { GateEffect, GateState, LocalBackend } from "../common/gate.ts";
+import type { GateCall } from "../common/gate_queue.ts";
 
 const BACKEND: LocalBackend = {
   instanceId: "i-1",
