--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -33,6 +33,7 @@
   STALLED_MS,
 } from "../common/link_silence.ts";
 import { noteResult } from "../common/member.ts";
+import type { MemberResult } from "../common/member.ts";
 import type { MemberTable } from "../common/member_table.ts";
 import { drawForRequest, isRootRefused } from "../common/root_admission.ts";
 import type { RelayLog } from "../common/relay_log.ts";
@@ -233,11 +234,12 @@
     const { member } = call.attempt!;
     const isFailure = opened.status >= 500;
     if (isFailure && this.#isWorthRepeating(call, nowMs)) {
-      this.#fail(call, "unknown", `status ${opened.status}`);
+      this.#fail(call, "unknown", `status ${opened.status}`, "failed");
       return;
     }
     // An error of a service that makes calls may come from below.
-    noteResult(member, isFailure && members.isLeaf(call.service), nowMs);
+    const isOwnError = isFailure && members.isLeaf(call.service);
+    noteResult(member, isOwnError ? "failed" : "answered", nowMs);
     const body = new BodyCollector(opened.bodyBytes, opened.body);
     call.answer = { opened, body };
     this.#finishAnswer(call);
@@ -279,14 +281,19 @@
     }
   }
 
-  #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
+  #fail(
+    call: EntryCall,
+    kind: CallFailed["kind"],
+    reason: string,
+    result: MemberResult = kind === "rejected" ? "failed" : "lost",
+  ): void {
     const nowMs = this.#options.readClock();
     const { member } = call.attempt!;
     this.#releaseAttempt(call);
     if (kind === "unknown" || kind === "rejected") {
       call.handedOver += 1;
       call.mayHaveRun ||= kind === "unknown";
-      noteResult(member, true, nowMs);
+      noteResult(member, result, nowMs);
     }
     const step = this.#decide(call, kind, call.handedOver, nowMs);
     switch (step.type) {
