--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -38,35 +38,15 @@
 const EJECT_MS = 1_000;
 /** Weight of a new answer in the share of failures. */
 const FAILURE_GAIN = 0.05;
-/**
- * The same for one that went well: half a second apart, as probes are, six of
- * them bring a member back that failed half of its calls.
- */
-const RECOVERY_GAIN = 0.08;
 
-/** What became of a call at a member. */
-export type MemberResult =
-  | "answered"
-  /** Its backend server answered with an error, or rejected the call. */
-  | "failed"
-  /** No answer came: the link was lost, or what was read was none. */
-  | "lost";
-
-/**
- * Notes what an answer, or its absence, says of a member. A lost link says
- * nothing of the share that fails: nodes that restart in turn would be left out
- * for as long as it takes to learn otherwise.
- */
+/** Notes what an answer, or its absence, says of a member. */
 export function noteResult(
   member: Member,
-  result: MemberResult,
+  isFailure: boolean,
   nowMs: number,
 ): void {
-  const isFailure = result !== "answered";
-  if (result !== "lost") {
-    const gain = isFailure ? FAILURE_GAIN : RECOVERY_GAIN;
-    member.failureShare += (Number(isFailure) - member.failureShare) * gain;
-  }
+  member.failureShare += (Number(isFailure) - member.failureShare) *
+    FAILURE_GAIN;
   if (!isFailure) {
     member.failures = 0;
     return;
