Find failing members in one pass, and share the tests' seeded generator

Read again: the choice of a member looked for the least share of failures once for each member (27 x 27 steps a call with 27 members), and each call that waits copied the queue. Now one pass, and a copy only where more wait than may. No decision changes; 134 tests of relay, admission and retry pass.

--- a/src/engine/admission/test/call_simulation.ts
+++ b/src/engine/admission/test/call_simulation.ts
@@ -1,4 +1,5 @@
 /** Call trees of known shape, played over the nodes of several services. */
+import { createRandom } from "../../../base/test/seeded_random.ts";
 
 /** What requests of a route do. */
 export interface SimulatedRoute {
@@ -49,17 +50,6 @@
   readonly observe: (event: SimulatedEvent, nowMs: number) => void;
 }
 
-/** Numbers from 0 to 1 (mulberry32, public domain). */
-export function createDraw(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), 1 | state);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 /** Lists the service of each node. */
 export function listNodeServices(
   nodes: Readonly<Record<string, number>>,
@@ -71,7 +61,7 @@
 /** Plays requests of callers and all calls below them. */
 export function playCalls(options: SimulationOptions): void {
   const { routes, untilMs, isClamped, observe } = options;
-  const draw = createDraw(options.seed);
+  const draw = createRandom(options.seed);
   const services = listNodeServices(options.nodes);
   const due = new Map<number, (() => void)[]>();
   let nowMs = 0;
--- a/src/engine/relay/common/gate_queue.ts
+++ b/src/engine/relay/common/gate_queue.ts
@@ -31,13 +31,18 @@
 const MIN_QUEUE = 8;
 /** Any calls that may wait, as a multiple of the places; bounds the memory. */
 const MAX_QUEUE_SHARE = 30;
+
 /** Finds the call that gives way where too many wait. */
 export function findVictim(
   queue: readonly GateCall[],
   slots: number,
 ): GateCall | undefined {
+  const most = Math.max(MIN_QUEUE, slots * QUEUE_SHARE);
+  if (queue.length <= most) {
+    return undefined;
+  }
   const roots = queue.filter(({ isNested }) => !isNested);
-  if (roots.length > Math.max(MIN_QUEUE, slots * QUEUE_SHARE)) {
+  if (roots.length > most) {
     return roots.reduce((worst, call) =>
       call.rank >= worst.rank ? call : worst
     );
--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -44,8 +44,8 @@
     member.ejectedUntilMs <= options.nowMs && !options.isSilent(member)
   );
   const due = options.canProbe
-    ? sound.find((member) =>
-      member.probeAtMs <= options.nowMs && isFailing(member, members)
+    ? listFailing(members).find((member) =>
+      member.probeAtMs <= options.nowMs && sound.includes(member)
     )
     : undefined;
   if (due !== undefined) {
@@ -74,17 +74,21 @@
  * with a chance of a half, would hardly ever end well.
  */
 export function listReliable(members: readonly Member[]): readonly Member[] {
-  return members.filter((member) => !isFailing(member, members));
+  const failing = listFailing(members);
+  return failing.length === 0
+    ? members
+    : members.filter((member) => !failing.includes(member));
 }
 
-/** Whether a member fails far more of its calls than the best one. */
-function isFailing(member: Member, members: readonly Member[]): boolean {
+/** Lists the members that fail far more of their calls than the best one. */
+function listFailing(members: readonly Member[]): readonly Member[] {
   const least = members.reduce(
     (min, { failureShare }) => Math.min(min, failureShare),
     1,
   );
-  return member.failureShare >= FAILING_SHARE &&
-    member.failureShare > least * FAILING_RATIO;
+  return members.filter(({ failureShare }) =>
+    failureShare >= FAILING_SHARE && failureShare > least * FAILING_RATIO
+  );
 }
 
 /** Share of the places that would be taken, weighed by how slow it is. */
--- a/src/engine/retry/test/retry_tokens_test.ts
+++ b/src/engine/retry/test/retry_tokens_test.ts
@@ -1,6 +1,7 @@
 /** The bound on retries over random call trees, through the real reducer. */
 import { expect } from "chai";
 import fc from "fast-check";
+import { createRandom } from "../../../base/test/seeded_random.ts";
 import { encodeContext } from "../../call/common/call_context.ts";
 import type { CallContext } from "../../call/common/call_context.ts";
 import { NodeNetwork, ROW } from "../../call/test/node_network.ts";
@@ -32,17 +33,6 @@
   faultPercent: fc.integer({ min: 0, max: 40 }),
 });
 
-/** Mulberry32: small seeded random numbers below 1. */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), 1 | state);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 interface TreeResult {
   /** Ids of the attempts that were sent. */
   readonly attempts: readonly string[];
