Run the periodic work of a process on one timer

Cause: a wake costs far more than what it is for: 0.15 ms of a core here for a timer or a byte that comes (two processes that say one byte to each other, 100 a second: 0.43 ms for both ends' two wakes, 0.12 ms at 1,000 a second), and timers of 20, 50, 100, 250 and 1,000 ms wake a process each at its own moment. Ruled out: the timers' own work, which doesn't show in a profile.

Change: startTicks runs all of them on one interval of 50 ms; the entry and the gate tick each 50 ms in place of 20.

--- /dev/null
+++ b/src/base/node/shared_ticks.ts
@@ -0,0 +1,41 @@
+/**
+ * Periodic work of one process, all on one timer. A wake costs far more than
+ * the work that it is for (0.15 ms of a core on a machine that is not busy),
+ * and timers of several periods wake a process at different moments: a node at
+ * rest woke 70 times a second, a control replica with four links 60 times.
+ */
+
+/** Periods are rounded up to whole steps, in milliseconds. */
+export const TICK_STEP_MS = 50;
+
+interface Tick {
+  readonly steps: number;
+  readonly run: () => void;
+}
+
+const ticks = new Set<Tick>();
+let timer: NodeJS.Timeout | undefined;
+let stepCount = 0;
+
+/** Runs `run` each `periodMs`, together with others; returns what stops it. */
+export function startTicks(periodMs: number, run: () => void): () => void {
+  const tick = { steps: Math.max(1, Math.ceil(periodMs / TICK_STEP_MS)), run };
+  ticks.add(tick);
+  timer ??= setInterval(runStep, TICK_STEP_MS);
+  return () => {
+    ticks.delete(tick);
+    if (ticks.size === 0) {
+      clearInterval(timer);
+      timer = undefined;
+    }
+  };
+}
+
+function runStep(): void {
+  stepCount += 1;
+  for (const { steps, run } of [...ticks]) {
+    if (stepCount % steps === 0) {
+      run();
+    }
+  }
+}
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -2,6 +2,7 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { EventLoop } from "../base/node/event_loop.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { startTicks } from "../base/node/shared_ticks.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { createClusterReport } from "../engine/control/common/cluster_report.ts";
 import { createControlReport } from "../engine/control/common/control_report.ts";
@@ -162,8 +163,7 @@
   }
 
   #startTicks(type: "Ticked" | "ReplicationTicked", everyMs: number): void {
-    const tick = setInterval(() => this.#loop.dispatch({ type }), everyMs);
-    this.#owned.defer(() => clearInterval(tick));
+    this.#owned.defer(startTicks(everyMs, () => this.#loop.dispatch({ type })));
   }
 
   #isHandingOver(): boolean {
--- a/src/engine/link/node/link_client.ts
+++ b/src/engine/link/node/link_client.ts
@@ -1,6 +1,7 @@
 /** One link to a control replica: the socket that the link reducer asks for. */
 import { WebSocket } from "ws";
 import { EventLoop } from "../../../base/node/event_loop.ts";
+import { startTicks } from "../../../base/node/shared_ticks.ts";
 import { readSteadyMs } from "../../../base/node/steady_clock.ts";
 import { decodeMessage } from "../../../base/node/message_codec.ts";
 import { createSocketOptions } from "../../../base/node/tls.ts";
@@ -59,7 +60,7 @@
   readonly #options: LinkClientOptions<In, Out>;
   readonly #loop: EventLoop<LinkState, LinkEvent, LinkEffect>;
   #socket: WebSocket | undefined;
-  #tick: NodeJS.Timeout | undefined;
+  #stopTicks = () => {};
   #isClosed = false;
   #sentBytes = 0;
   #sentCount = 0;
@@ -78,9 +79,9 @@
 
   /** Starts connecting. */
   open(): void {
-    this.#tick = setInterval(
-      () => this.#loop.dispatch({ type: "Ticked" }),
+    this.#stopTicks = startTicks(
       TICK_MS,
+      () => this.#loop.dispatch({ type: "Ticked" }),
     );
     this.#loop.dispatch({ type: "Ticked" });
   }
@@ -127,7 +128,7 @@
 
   [Symbol.asyncDispose](): Promise<void> {
     this.#isClosed = true;
-    clearInterval(this.#tick);
+    this.#stopTicks();
     const socket = this.#socket;
     if (socket === undefined || socket.readyState === WebSocket.CLOSED) {
       return Promise.resolve();
@@ -168,9 +169,9 @@
 
   #watch(socket: WebSocket, replica: string, linkNumber: number): void {
     const { onOpen, onClose, createHeartbeat } = this.#options;
-    const heartbeat = createHeartbeat === undefined
-      ? undefined
-      : setInterval(() => this.send(createHeartbeat()), HEARTBEAT_MS);
+    const stopHeartbeats = createHeartbeat === undefined
+      ? () => {}
+      : startTicks(HEARTBEAT_MS, () => this.send(createHeartbeat()));
     socket.on("open", () => {
       this.#loop.dispatch({ type: "LinkOpened", linkNumber });
       onOpen(replica, linkNumber);
@@ -182,7 +183,7 @@
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
-      clearInterval(heartbeat);
+      stopHeartbeats();
       this.#loop.dispatch({ type: "LinkClosed", linkNumber });
       if (socket === this.#socket) {
         onClose(replica);
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -5,6 +5,7 @@
 import type { WebSocket } from "ws";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
+import { startTicks } from "../../../base/node/shared_ticks.ts";
 import type { LoadReported, MeshFrame } from "../common/frames.ts";
 import { TransitDelay } from "../common/transit_delay.ts";
 import { decodeMessage, FrameWriter } from "./frame_writer.ts";
@@ -45,7 +46,7 @@
   readonly #sockets: WebSocketServer;
   readonly #links = new Map<number, AcceptedLink>();
   #nextLink = 1;
-  #report: NodeJS.Timeout | undefined;
+  #stopReports = () => {};
 
   constructor(options: MeshServerOptions) {
     this.#options = options;
@@ -62,7 +63,7 @@
   async open(): Promise<void> {
     await listen(this.#http, this.#options.address);
     const { reportMs } = this.#options;
-    this.#report = setInterval(() => this.report(), reportMs);
+    this.#stopReports = startTicks(reportMs, () => this.report());
   }
 
   /** Sends a frame; a closed link is passed over, a clogged one closed. */
@@ -97,7 +98,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    clearInterval(this.#report);
+    this.#stopReports();
     for (const { socket } of this.#links.values()) {
       socket.terminate();
     }
