Let requests wait for routes and members after a start

Cause: after all processes were started again, nodes listened 0.13 s after they were back, had routes after 0.67 s, and answered 503 in between; calls below were taken for roots, as nothing was known of the call tree, and refused at the short queue (20 lines queue_full of one node in the first second). Ruled out: the backend servers' announcements (heard within 0.24 s).

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -151,6 +151,9 @@
         this.#takeRoutes(message.routes, message.isConfirmed);
         return;
       case "MemberList":
+        if (message.isComplete) {
+          this.#options.members.noteComplete(message.service);
+        }
         if (
           message.isComplete || !this.#options.members.isKnown(message.service)
         ) {
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -268,6 +268,7 @@
 
   #tick(): void {
     this.#ticks += 1;
+    this.#callers.tick();
     this.#entry.tick();
     this.#gate.tick();
     if (this.#ticks % OWN_LOAD_TICKS === 0) {
--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -24,7 +24,8 @@
 }
 
 interface Judged {
-  readonly isNested: boolean;
+  /** Undefined where too little is known. */
+  readonly isNested: boolean | undefined;
   readonly judgedAtMs: number;
 }
 
@@ -65,16 +66,20 @@
     this.#inputs = inputs;
   }
 
-  /** Notes a call, and tells whether the backend server made it. */
+  /**
+   * Notes a call, and tells whether to take it for one that the backend server
+   * made. One of which nothing is known counts as such: in the second after all
+   * nodes were started again, a root that waits a little longer loses less
+   * than a call whose refusal wastes all the work above it.
+   */
   observe(call: Callee, nowMs: number): boolean {
     const { coincidences } = this.#inputs;
     coincidences.noteCall(call.route, nowMs);
     this.#services.set(call.route, call.service);
-    return this.isNested(call.route, nowMs);
+    return this.#isNested(call.route, nowMs) ?? true;
   }
 
-  /** Whether the calls of a route are made by the backend server. */
-  isNested(route: string, nowMs: number): boolean {
+  #isNested(route: string, nowMs: number): boolean | undefined {
     const before = this.#judged.get(route);
     if (before !== undefined && nowMs - before.judgedAtMs < HOLD_MS) {
       return before.isNested;
@@ -93,7 +98,7 @@
     const edges = new Map<string, Callee[]>();
     for (const route of coincidences.listCalled()) {
       const service = this.#services.get(route);
-      if (service === undefined || !this.isNested(route, nowMs)) {
+      if (service === undefined || this.#isNested(route, nowMs) !== true) {
         continue;
       }
       for (const parent of coincidences.listParents(route)) {
@@ -110,7 +115,7 @@
     return [...edges];
   }
 
-  #judge(route: string, nowMs: number): boolean {
+  #judge(route: string, nowMs: number): boolean | undefined {
     const { coincidences, spread, getService, countNodes } = this.#inputs;
     const { share, error } = coincidences.explain(route);
     const isCertain = error <= CERTAIN_ERROR;
@@ -119,6 +124,9 @@
       nodes: countNodes(),
       nowMs,
     });
+    if (bySpread === undefined && !isCertain) {
+      return undefined;
+    }
     return bySpread === true
       ? !isCertain || share >= ROOT_SHARE
       : isCertain && share >= NESTED_SHARE;
--- a/src/engine/consensus/common/consensus_options.ts
+++ b/src/engine/consensus/common/consensus_options.ts
@@ -6,7 +6,7 @@
   heartbeatMs: 100,
   readGatherMs: 50,
   electionTimeoutMs: 1_000,
-  firstElectionTimeoutMs: 150,
+  firstElectionTimeoutMs: 100,
   silentAfterMs: 3_000,
   readTimeoutMs: 2_000,
   maxBatchEntries: 256,
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -28,6 +28,8 @@
 /** Holds members by service and address. */
 export class MemberTable {
   readonly #services = new Map<string, Map<string, Member>>();
+  /** Services of which control has told all members since the start. */
+  readonly #complete = new Set<string>();
   /**
    * Addresses whose links were lost, with when they are due to be probed; no
    * call goes there before they are heard again.
@@ -39,6 +41,16 @@
     return this.#services.has(service);
   }
 
+  /** Whether all members of a service were told, not just those known early. */
+  isComplete(service: string): boolean {
+    return this.#complete.has(service);
+  }
+
+  /** Notes that all members of a service were told. */
+  noteComplete(service: string): void {
+    this.#complete.add(service);
+  }
+
   /** Replaces the members of a service. */
   replace(service: string, announcements: readonly Announcement[]): void {
     const before = this.#services.get(service);
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -20,6 +20,7 @@
   EntryResult,
 } from "../common/entry_types.ts";
 import type { RelayLog } from "../common/relay_log.ts";
+import { computeRoutesWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
 import { readBody } from "./body_reader.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
@@ -48,6 +49,12 @@
   readonly log: RelayLog;
 }
 
+interface WaitingExchange {
+  readonly exchange: Exchange;
+  /** When it is refused, by the steady clock. */
+  readonly endMs: number;
+}
+
 /** Longest wait of a caller that says nothing, where the route allows it. */
 const DEFAULT_PATIENCE_MS = 600_000;
 /** A caller honours a wait of at most this part of the time it has left. */
@@ -74,6 +81,8 @@
   #isDraining = false;
   #open = 0;
   #heldBytes = 0;
+  /** Until the first routes are known. */
+  #waiting: WaitingExchange[] = [];
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -102,6 +111,18 @@
     const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#waiting.splice(0).forEach(({ exchange }) => this.#resume(exchange));
+  }
+
+  /** Gives up requests that have waited for routes as long as they may. */
+  tick(): void {
+    if (this.#waiting.length === 0) {
+      return;
+    }
+    const nowMs = this.#options.readClock();
+    const late = this.#waiting.filter(({ endMs }) => endMs <= nowMs);
+    this.#waiting = this.#waiting.filter(({ endMs }) => endMs > nowMs);
+    late.forEach(({ exchange }) => this.#refuseForRoutes(exchange));
   }
 
   /** Asks callers to leave with each answer. */
@@ -143,9 +164,10 @@
     if (found !== undefined) {
       return found;
     }
-    const connection = new CallerConnection(socket, (exchange) => {
-      this.#take(exchange).catch(() => exchange.response.destroy());
-    });
+    const connection = new CallerConnection(
+      socket,
+      (exchange) => this.#resume(exchange),
+    );
     this.#connections.set(socket, connection);
     socket.on("close", () => this.#connections.delete(socket));
     return connection;
@@ -164,11 +186,45 @@
     }
   }
 
+  #resume(exchange: Exchange): void {
+    if (!exchange.isGone) {
+      this.#take(exchange).catch(() => exchange.response.destroy());
+    }
+  }
+
+  #waitForRoutes(exchange: Exchange): void {
+    const { request, arrivedAtMs } = exchange;
+    const { patienceMs = DEFAULT_PATIENCE_MS } = this.#options.dialect
+      .readTerms(request.headers);
+    const endMs = computeRoutesWaitEndMs({ arrivedAtMs, patienceMs });
+    if (this.#waiting.length < MAX_WAITING) {
+      this.#waiting.push({ exchange, endMs });
+    } else {
+      this.#refuseForRoutes(exchange);
+    }
+  }
+
+  #refuseForRoutes(exchange: Exchange): void {
+    this.#options.log.write({
+      event: "RequestRefused",
+      isFailure: true,
+      requestId: this.#options.dialect.readTerms(exchange.request.headers)
+        .requestId,
+      reason: "no routes yet",
+      elapsedMs: this.#options.readClock() - exchange.arrivedAtMs,
+    });
+    this.#reply(exchange, 503, NO_ROUTES_RETRY_MS);
+  }
+
   async #take(exchange: Exchange): Promise<void> {
     const { request, response } = exchange;
-    const found = this.#findRoute(request);
+    if (this.#routes === undefined) {
+      this.#waitForRoutes(exchange);
+      return;
+    }
+    const found = this.#findRoute(request, this.#routes);
     if ("status" in found) {
-      this.#reply(exchange, found.status, found.retryAfterMs);
+      this.#reply(exchange, found.status);
       return;
     }
     const body = await this.#readBody(exchange);
@@ -179,10 +235,8 @@
 
   #findRoute(
     request: IncomingMessage,
-  ): Route | { readonly status: number; readonly retryAfterMs?: number } {
-    if (this.#routes === undefined) {
-      return { status: 503, retryAfterMs: NO_ROUTES_RETRY_MS };
-    }
+    { limits }: RouteTable,
+  ): Route | { readonly status: number } {
     const target = request.url ?? "/";
     const query = target.indexOf("?");
     const path = query < 0 ? target : target.slice(0, query);
@@ -193,9 +247,7 @@
     }
     const headerBytes = request.rawHeaders
       .reduce((sum, part) => sum + part.length + 2, 0);
-    return headerBytes > this.#routes.limits.maxHeaderBytes
-      ? { status: 431 }
-      : route;
+    return headerBytes > limits.maxHeaderBytes ? { status: 431 } : route;
   }
 
   async #readBody(exchange: Exchange): Promise<Uint8Array | undefined> {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -36,6 +36,7 @@
 import type { MemberTable } from "../common/member_table.ts";
 import { drawForRequest, isRootRefused } from "../common/root_admission.ts";
 import type { RelayLog } from "../common/relay_log.ts";
+import { computeMemberWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
 
 /** How frames get to a node, and what is known of the way there. */
 export interface MeshPath {
@@ -72,6 +73,8 @@
   readonly #options: EntryCallsOptions;
   readonly #budget: EntryBudget;
   readonly #calls = new Map<number, EntryCall>();
+  /** Calls of services that no member is known of yet. */
+  readonly #waiting = new Set<EntryCall>();
   #nextId = 1;
 
   constructor(options: EntryCallsOptions) {
@@ -154,6 +157,7 @@
         this.#fail(call, "unknown", "stalled");
       }
     }
+    this.#resumeWaiting();
     silent.forEach((address) => path.drop(address, "silent"));
     members.takeDueProbes(nowMs).forEach((address) => path.probe(address));
   }
@@ -206,7 +210,7 @@
       isSilent: (found) => isMemberSilent(found, path.getHeardAtMs, nowMs),
     });
     if (member === undefined) {
-      this.#finish(call, createRefusal(call), "no member");
+      this.#waitForMember(call, nowMs);
       return;
     }
     const address = member.announcement.ingress;
@@ -222,6 +226,28 @@
     }
   }
 
+  #waitForMember(call: EntryCall, nowMs: number): void {
+    const { arrivedAtMs, deadlineMs } = call.request;
+    const patienceMs = deadlineMs - arrivedAtMs;
+    const mayCome = call.tried.size === 0 &&
+      !this.#options.members.isComplete(call.service);
+    if (
+      mayCome && this.#waiting.size < MAX_WAITING &&
+      nowMs < computeMemberWaitEndMs({ arrivedAtMs, patienceMs })
+    ) {
+      this.#waiting.add(call);
+    } else {
+      this.#finish(call, createRefusal(call), "no member");
+    }
+  }
+
+  #resumeWaiting(): void {
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    waiting.filter(({ id }) => this.#calls.has(id))
+      .forEach((call) => this.#send(call));
+  }
+
   #openAnswer(address: string, opened: AnswerOpened): void {
     const { members, readClock } = this.#options;
     const nowMs = readClock();
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -8,6 +8,7 @@
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import { MAX_STARTED } from "../common/pipeline.ts";
+import { MAX_WAITING } from "../common/start_wait.ts";
 import { CallerServer } from "../node/caller_server.ts";
 
 const DIALECT: CallDialect = {
@@ -68,8 +69,10 @@
   isNested = false;
   readonly url: string;
   readonly server: CallerServer;
+  /** The server's clock is ahead by so much. */
+  aheadMs = 0;
 
-  constructor(port: number) {
+  constructor(port: number, hasRoutes: boolean) {
     this.url = `http://127.0.0.1:${port}/`;
     this.server = new CallerServer({
       address: { host: "127.0.0.1", port },
@@ -89,16 +92,23 @@
       },
       observeCall: () => this.isNested,
       getCallerService: () => "front",
-      readClock: () => performance.now(),
+      readClock: () => performance.now() + this.aheadMs,
       draw: () => 0.5,
       log: { write: () => {} },
     });
+    if (hasRoutes) {
+      this.learnRoutes();
+    }
+  }
+
+  /** Puts the first routes in force. */
+  learnRoutes(): void {
     const table = { version: 1, routes: [ROUTE], limits: LIMITS };
     this.server.replaceRoutes(table);
   }
 
-  static async open(): Promise<Callers> {
-    const callers = new Callers(await findPort());
+  static async open(hasRoutes = true): Promise<Callers> {
+    const callers = new Callers(await findPort(), hasRoutes);
     await callers.server.open();
     return callers;
   }
@@ -160,6 +170,55 @@
   });
 });
 
+describe("requests before any routes are known", () => {
+  it("wait for them, and are run then", async () => {
+    await using callers = await Callers.open(false);
+    const waiting = callers.send();
+    await sleep(50);
+    callers.server.tick();
+    expect(callers.started).to.have.length(0);
+    callers.learnRoutes();
+    await waitFor(() => callers.started.length === 1);
+    callers.ends[0]!();
+    expect(await waiting).to.equal(503);
+  });
+
+  it("are refused where none come in time", async () => {
+    await using callers = await Callers.open(false);
+    const waiting = callers.send();
+    await waitFor(() => callers.server.openCount === 1);
+    callers.aheadMs = 5_000;
+    callers.server.tick();
+    expect(await waiting).to.equal(503);
+    expect(callers.started).to.have.length(0);
+  });
+
+  it("are not run for a caller who has left", async () => {
+    await using callers = await Callers.open(false);
+    const left = callers.connect(formatRequests(1));
+    await waitFor(() => callers.server.openCount === 1);
+    left.socket.destroy();
+    await waitFor(() => callers.server.openCount === 0);
+    callers.learnRoutes();
+    await sleep(20);
+    expect(callers.started).to.have.length(0);
+  });
+
+  it("wait in bounded number", async () => {
+    await using callers = await Callers.open(false);
+    const connections = Array.from(
+      { length: MAX_WAITING / MAX_STARTED + 1 },
+      () => callers.connect(formatRequests(MAX_STARTED)),
+    );
+    const countAnswers = () =>
+      connections.reduce((sum, one) => sum + listStatuses(one).length, 0);
+    await waitFor(() => countAnswers() === MAX_STARTED);
+    callers.learnRoutes();
+    await waitFor(() => callers.started.length === MAX_WAITING);
+    connections.forEach(({ socket }) => socket.destroy());
+  });
+});
+
 describe("requests behind others on a connection", () => {
   it("run beside these, and are answered in the order they came", async () => {
     await using callers = await Callers.open();
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -28,9 +28,10 @@
   readonly results: EntryResult[] = [];
   readonly heardAtMs = new Map<string, number>();
   readonly calls: EntryCalls;
+  readonly members = new MemberTable();
 
   constructor(...addresses: readonly string[]) {
-    const members = new MemberTable();
+    const { members } = this;
     members.replace("warehouse", addresses.map((at) => createAnnouncement(at)));
     this.calls = new EntryCalls({
       dataCentre: "a",
@@ -61,8 +62,8 @@
     });
   }
 
-  start(change: Partial<EntryRequest> = {}): void {
-    this.calls.start(
+  start(change: Partial<EntryRequest> = {}): () => void {
+    return this.calls.start(
       {
         requestId: "r",
         route: ROUTE,
@@ -230,6 +231,42 @@
   });
 });
 
+describe("a call of a service without members", () => {
+  it("waits for the first one while not all are told", () => {
+    const entry = new Entry();
+    entry.start();
+    entry.pass(100);
+    expect(entry.results).to.deep.equal([]);
+    entry.members.put(createAnnouncement("a:1"));
+    entry.pass(20);
+    expect(entry.listOpenings()).to.deep.equal(["a:1"]);
+  });
+
+  it("is refused at once where all were told", () => {
+    const entry = new Entry();
+    entry.members.noteComplete("warehouse");
+    entry.start();
+    expect(entry.results.map(({ type }) => type)).to.deep.equal(["Failed"]);
+  });
+
+  it("is refused where none comes in time", () => {
+    const entry = new Entry();
+    entry.start();
+    entry.pass(600);
+    expect(entry.results.map(({ type }) => type)).to.deep.equal(["Failed"]);
+    expect(entry.calls.openCount).to.equal(0);
+  });
+
+  it("is sent nowhere once its caller has left", () => {
+    const entry = new Entry();
+    const withdraw = entry.start();
+    withdraw();
+    entry.members.put(createAnnouncement("a:1"));
+    entry.pass(100);
+    expect(entry.listOpenings()).to.deep.equal([]);
+  });
+});
+
 describe("a link that never opened", () => {
   it("fails its calls as refused: they go elsewhere, even transfers", () => {
     const entry = new Entry("a:1", "b:1");
