--- a/src/engine/link/common/link_reducer.ts
+++ b/src/engine/link/common/link_reducer.ts
@@ -36,6 +36,8 @@
   readonly maxBackoffMs: number;
   /** How long a replica without a quorum is kept at first. */
   readonly unconfirmedMs: number;
+  /** Longest that one is kept; doubled up to it while none has a quorum. */
+  readonly maxUnconfirmedMs: number;
 }
 
 /** What happens to the link. */
@@ -72,6 +74,8 @@
 export const MAX_BACKOFF_MS = 5_000;
 /** How long a replica without a quorum is kept at first. */
 export const UNCONFIRMED_MS = 5_000;
+/** How long one is kept at most: a fleet that searches is a load. */
+export const MAX_UNCONFIRMED_MS = 320_000;
 /** When a process goes back to its nearest replica, at the least. */
 export const RETURN_MS = 60_000;
 /** The pace where the settings name no other. */
@@ -79,6 +83,7 @@
   silenceMs: LINK_SILENCE_MS,
   maxBackoffMs: MAX_BACKOFF_MS,
   unconfirmedMs: UNCONFIRMED_MS,
+  maxUnconfirmedMs: MAX_UNCONFIRMED_MS,
 };
 const MAX_RETURN_MS = 960_000;
 const MAX_DOUBLINGS = 6;
@@ -173,8 +178,10 @@
     return closeLink(state, failLink(state, nowMs));
   }
   const { unconfirmedSinceMs, unconfirmedCount, replicas } = state;
-  const patienceMs = state.pace.unconfirmedMs *
+  const { unconfirmedMs, maxUnconfirmedMs } = state.pace;
+  const doubledMs = unconfirmedMs *
     2 ** Math.min(unconfirmedCount, MAX_DOUBLINGS);
+  const patienceMs = Math.min(maxUnconfirmedMs, doubledMs);
   const isUnconfirmed = unconfirmedSinceMs !== undefined &&
     nowMs - unconfirmedSinceMs > patienceMs;
   if (isUnconfirmed && replicas.length > 1) {
--- a/src/engine/link/test/link_reducer_test.ts
+++ b/src/engine/link/test/link_reducer_test.ts
@@ -8,7 +8,7 @@
   RETURN_MS,
   UNCONFIRMED_MS,
 } from "../common/link_reducer.ts";
-import type { LinkEvent, LinkState } from "../common/link_reducer.ts";
+import type { LinkEvent, LinkPace, LinkState } from "../common/link_reducer.ts";
 
 const TICK_MS = 100;
 
@@ -23,8 +23,8 @@
   readonly openedAtMs: number[] = [];
   #current: string | undefined;
 
-  constructor(id: string, replicas: readonly string[]) {
-    this.state = createLink(id, replicas);
+  constructor(id: string, replicas: readonly string[], pace?: LinkPace) {
+    this.state = createLink(id, replicas, pace);
     replicas.forEach((replica) => this.alive.add(replica));
   }
 
@@ -160,4 +160,24 @@
     const late: LinkEvent = { type: "LinkClosed", linkNumber: 0 };
     expect(reduceLink(before, late, run.nowMs).state).to.equal(before);
   });
+
+  it("finds the side with a quorum soon, however long there was none", () => {
+    const pace = {
+      silenceMs: 1_500,
+      maxBackoffMs: 250,
+      unconfirmedMs: 300,
+      maxUnconfirmedMs: 400,
+    };
+    const replicas = ["a:1", "b:1", "c:1", "d:1", "e:1"];
+    const late = Array.from({ length: 100 }, (_, at) => `node-${at}`)
+      .filter((id) => {
+        const run = new LinkRun(id, replicas, pace);
+        replicas.forEach((replica) => run.unconfirmed.add(replica));
+        run.pass(5_000);
+        ["c:1", "d:1", "e:1"].forEach((side) => run.unconfirmed.delete(side));
+        run.pass(2_000);
+        return run.replica === undefined || run.unconfirmed.has(run.replica);
+      });
+    expect(late).to.deep.equal([]);
+  });
 });
