--- /dev/null
+++ b/src/engine/relay/common/entry_lines.ts
@@ -0,0 +1,60 @@
+/** The log lines of a call at its entry: what was decided, and by what. */
+import type { FailureKind } from "../../mesh/common/frames.ts";
+import type { EntryCall } from "./entry_call.ts";
+import type { EntryFailure } from "./entry_types.ts";
+import type { RelayLine } from "./relay_log.ts";
+
+/** Creates the line of a call that goes on at another member. */
+export function createMovedLine(
+  call: EntryCall,
+  moved: {
+    /** Address of the member that it leaves. */
+    readonly from: string;
+    readonly kind: FailureKind;
+    readonly reason: string;
+    readonly nowMs: number;
+  },
+): RelayLine {
+  const { from, kind, reason, nowMs } = moved;
+  return {
+    event: "CallMoved",
+    isFailure: false,
+    requestId: call.request.requestId,
+    service: call.service,
+    from,
+    kind,
+    reason,
+    handedOver: call.handedOver,
+    timeLeftMs: call.request.deadlineMs - nowMs,
+  };
+}
+
+/** Creates the line of a call that ends without an answer. */
+export function createUnansweredLine(
+  call: EntryCall,
+  ended: {
+    readonly failure: EntryFailure;
+    readonly reason: string;
+    readonly nowMs: number;
+    /** What decided it beyond the call's own state. */
+    readonly inputs: Readonly<Record<string, number>>;
+  },
+): RelayLine {
+  const { failure, reason, nowMs, inputs } = ended;
+  const { requestId, route, rank, isNested, arrivedAtMs } = call.request;
+  return {
+    event: "CallNotAnswered",
+    isFailure: true,
+    requestId,
+    route: route.name,
+    rank,
+    isNested,
+    service: call.service,
+    outcome: failure.type,
+    reason,
+    tried: [...call.tried],
+    handedOver: call.handedOver,
+    elapsedMs: nowMs - arrivedAtMs,
+    ...inputs,
+  };
+}
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -47,26 +47,31 @@
 /** Weight of a new answer in the share of failures. */
 const FAILURE_GAIN = 0.05;
 
-/** Notes what an answer, or its absence, says of a member. */
+/**
+ * Notes what an answer, or its absence, says of a member; tells whether it is
+ * left out from now on.
+ */
 export function noteResult(
   member: Member,
   isFailure: boolean,
   nowMs: number,
-): void {
+): boolean {
   member.failureShare += (Number(isFailure) - member.failureShare) *
     FAILURE_GAIN;
   if (!isFailure) {
     member.failures = 0;
     member.ejections = 0;
-    return;
+    return false;
   }
   member.failures += 1;
-  const isLeftOut = member.ejectedUntilMs > nowMs;
-  if (member.failures >= EJECT_AFTER && !isLeftOut) {
-    const ejectMs = FIRST_EJECT_MS * 2 ** member.ejections;
-    member.ejectedUntilMs = nowMs + Math.min(MAX_EJECT_MS, ejectMs);
-    member.ejections += 1;
+  const isOut = member.ejectedUntilMs > nowMs;
+  if (isOut || member.failures < EJECT_AFTER) {
+    return false;
   }
+  const ejectMs = FIRST_EJECT_MS * 2 ** member.ejections;
+  member.ejectedUntilMs = nowMs + Math.min(MAX_EJECT_MS, ejectMs);
+  member.ejections += 1;
+  return true;
 }
 
 /** Calls in progress hold on to the member, so that it is kept. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -20,7 +20,8 @@
   EntryResult,
 } from "../common/entry_types.ts";
 import type { RelayLog } from "../common/relay_log.ts";
-import { computeRoutesWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
+import { HeldBytes } from "../common/held_bytes.ts";
+import { RouteWaiters } from "../common/route_waiters.ts";
 import { readBody } from "./body_reader.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
@@ -49,12 +50,6 @@
   readonly log: RelayLog;
 }
 
-interface WaitingExchange {
-  readonly exchange: Exchange;
-  /** When it is refused, by the steady clock. */
-  readonly endMs: number;
-}
-
 /** Longest wait of a caller that says nothing, where the route allows it. */
 const DEFAULT_PATIENCE_MS = 600_000;
 /** A caller honours a wait of at most this part of the time it has left. */
@@ -86,9 +81,8 @@
   #index: RouteIndex = new Map();
   #isDraining = false;
   #open = 0;
-  #heldBytes = 0;
-  /** Until the first routes are known. */
-  #waiting: WaitingExchange[] = [];
+  readonly #held = new HeldBytes(MAX_HELD_BYTES);
+  readonly #waiters = new RouteWaiters<Exchange>();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -117,18 +111,13 @@
     const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs;
-    this.#waiting.splice(0).forEach(({ exchange }) => this.#resume(exchange));
+    this.#waiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
   /** Gives up requests that have waited for routes as long as they may. */
   tick(): void {
-    if (this.#waiting.length === 0) {
-      return;
-    }
-    const nowMs = this.#options.readClock();
-    const late = this.#waiting.filter(({ endMs }) => endMs <= nowMs);
-    this.#waiting = this.#waiting.filter(({ endMs }) => endMs > nowMs);
-    late.forEach(({ exchange }) => this.#refuseForRoutes(exchange));
+    this.#waiters.takeLate(this.#options.readClock())
+      .forEach((exchange) => this.#refuseForRoutes(exchange));
   }
 
   /** Asks callers to leave with each answer. */
@@ -202,10 +191,7 @@
     const { request, arrivedAtMs } = exchange;
     const { patienceMs = DEFAULT_PATIENCE_MS } = this.#options.dialect
       .readTerms(request.headers);
-    const endMs = computeRoutesWaitEndMs({ arrivedAtMs, patienceMs });
-    if (this.#waiting.length < MAX_WAITING) {
-      this.#waiting.push({ exchange, endMs });
-    } else {
+    if (!this.#waiters.add(exchange, { arrivedAtMs, patienceMs })) {
       this.#refuseForRoutes(exchange);
     }
   }
@@ -257,22 +243,11 @@
   }
 
   async #readBody(exchange: Exchange): Promise<Uint8Array | undefined> {
-    let ownBytes = 0;
-    exchange.cleanUps.push(() => {
-      this.#heldBytes -= ownBytes;
-      ownBytes = 0;
-    });
+    const hold = this.#held.open();
+    exchange.cleanUps.push(hold.release);
     const read = await readBody(exchange.request, {
       maxBytes: this.#routes!.limits.maxBodyBytes,
-      hold: (bytes) => {
-        const isAlone = this.#heldBytes === ownBytes;
-        if (!isAlone && this.#heldBytes + bytes > MAX_HELD_BYTES) {
-          return false;
-        }
-        this.#heldBytes += bytes;
-        ownBytes += bytes;
-        return true;
-      },
+      hold: hold.add,
     });
     switch (read.type) {
       case "Whole":
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -17,6 +17,10 @@
   MIN_RETRY_MS,
 } from "../common/entry_call.ts";
 import type { EntryCall } from "../common/entry_call.ts";
+import {
+  createMovedLine,
+  createUnansweredLine,
+} from "../common/entry_lines.ts";
 import { EntryBudget } from "../common/entry_budget.ts";
 import type { BudgetTerms } from "../common/entry_budget.ts";
 import { decideNextStep } from "../common/entry_decision.ts";
@@ -256,14 +260,14 @@
     if (call === undefined) {
       return;
     }
-    const { member } = call.attempt!;
     const isFailure = opened.status >= 500;
     if (isFailure && this.#isWorthRepeating(call, nowMs)) {
       this.#fail(call, "unknown", `status ${opened.status}`);
       return;
     }
     // An error of a service that makes calls may come from below.
-    noteResult(member, isFailure && members.isLeaf(call.service), nowMs);
+    const isOwnFailure = isFailure && members.isLeaf(call.service);
+    this.#noteResult(call, isOwnFailure, nowMs);
     const body = new BodyCollector(opened.bodyBytes, opened.body);
     call.answer = { opened, body };
     this.#finishAnswer(call);
@@ -308,26 +312,21 @@
   #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
     const nowMs = this.#options.readClock();
     const { member } = call.attempt!;
-    this.#releaseAttempt(call);
     if (kind === "unknown" || kind === "rejected") {
+      this.#noteResult(call, true, nowMs);
       call.handedOver += 1;
       call.mayHaveRun ||= kind === "unknown";
-      noteResult(member, true, nowMs);
     }
+    this.#releaseAttempt(call);
     const step = this.#decide(call, kind, call.handedOver, nowMs);
     switch (step.type) {
       case "TryElsewhere":
-        this.#options.log.write({
-          event: "CallMoved",
-          isFailure: false,
-          requestId: call.request.requestId,
-          service: call.service,
+        this.#options.log.write(createMovedLine(call, {
           from: member.announcement.ingress,
           kind,
           reason,
-          handedOver: call.handedOver,
-          timeLeftMs: call.request.deadlineMs - nowMs,
-        });
+          nowMs,
+        }));
         if (step.isArrival) {
           this.#budget.noteRetry(call.service, nowMs);
         } else {
@@ -347,6 +346,23 @@
     }
   }
 
+  /** Notes an answer, or its absence, at the member that the call is at. */
+  #noteResult(call: EntryCall, isFailure: boolean, nowMs: number): void {
+    const { member } = call.attempt!;
+    if (noteResult(member, isFailure, nowMs)) {
+      this.#options.log.write({
+        event: "MemberLeftOut",
+        isFailure: true,
+        requestId: call.request.requestId,
+        service: call.service,
+        member: member.announcement.ingress,
+        failures: member.failures,
+        failureShare: member.failureShare,
+        forMs: member.ejectedUntilMs - nowMs,
+      });
+    }
+  }
+
   #decide(
     call: EntryCall,
     kind: CallFailed["kind"],
@@ -399,21 +415,9 @@
   ): void {
     const { readClock, log } = this.#options;
     this.#end(call);
-    log.write({
-      event: "CallNotAnswered",
-      isFailure: true,
-      requestId: call.request.requestId,
-      route: call.request.route.name,
-      rank: call.request.rank,
-      isNested: call.request.isNested,
-      service: call.service,
-      outcome: failure.type,
-      reason,
-      tried: [...call.tried],
-      handedOver: call.handedOver,
-      elapsedMs: readClock() - call.request.arrivedAtMs,
-      ...inputs,
-    });
+    const nowMs = readClock();
+    const ended = { failure, reason, nowMs, inputs };
+    log.write(createUnansweredLine(call, ended));
     call.onResult({ type: "Failed", failure });
   }
 
