--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -331,13 +331,11 @@
   #createMeshServer(): MeshServer {
     return new MeshServer({
       address: parseAddress(this.#settings.mesh)!,
-      onFrame: (link, frame, delayMs) =>
-        this.#gate.receive(
-          String(link),
-          frame,
-          (answer) => this.#meshServer.send(link, answer),
+      onFrames: (link, frames, delayMs) =>
+        this.#gate.receiveAll(String(link), frames, {
+          send: (answer) => this.#meshServer.send(link, answer),
           delayMs,
-        ),
+        }),
       onClosed: (link) => this.#gate.loseSource(String(link)),
       hasCalls: (link) => this.#gate.hasCalls(String(link)),
       reportMs: REPORT_MS,
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -14,8 +14,12 @@
 /** What the server is built from. */
 export interface MeshServerOptions {
   readonly address: ListenAddress;
-  /** `delayMs`: how much longer than usual the frame was on its way. */
-  readonly onFrame: (link: number, frame: MeshFrame, delayMs: number) => void;
+  /** `delayMs`: how much longer than usual the message was on its way. */
+  readonly onFrames: (
+    link: number,
+    frames: readonly MeshFrame[],
+    delayMs: number,
+  ) => void;
   readonly onClosed: (link: number) => void;
   /** Whether calls of a link are in progress: it must not fall silent. */
   readonly hasCalls: (link: number) => boolean;
@@ -126,9 +130,7 @@
       }
       const delayMs = link.delay
         .measure(message.sentAtMs, this.#options.readClock());
-      message.frames.forEach((frame) =>
-        this.#options.onFrame(number, frame, delayMs)
-      );
+      this.#options.onFrames(number, message.frames, delayMs);
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -26,11 +26,13 @@
     this.address = `127.0.0.1:${port}`;
     this.server = new MeshServer({
       address: { host: "127.0.0.1", port },
-      onFrame: (_link, frame) => {
-        if (frame.type === "CallerIntroduced") {
-          this.introduced.push(frame.service);
-        } else {
-          this.atServer.push(frame);
+      onFrames: (_link, frames) => {
+        for (const frame of frames) {
+          if (frame.type === "CallerIntroduced") {
+            this.introduced.push(frame.service);
+          } else {
+            this.atServer.push(frame);
+          }
         }
       },
       onClosed: () => {},
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -58,6 +58,10 @@
   /** The last one that was announced, also where it is silent now. */
   #lastBackend: LocalBackend | undefined;
   #nextId = 1;
+  /** Whether more frames of the present message follow. */
+  #isReading = false;
+  /** Calls of the present message whose bodies are whole. */
+  readonly #whole: GateCallState[] = [];
 
   constructor(options: GateCallsOptions) {
     this.#options = options;
@@ -100,6 +104,26 @@
     this.#endOverdue();
   }
 
+  /**
+   * Takes the frames of one message of a caller, which may have been on its way
+   * longer than usual. Nothing is handed over before all are read: where a
+   * process was behind, a call and its withdrawal come together.
+   */
+  receiveAll(
+    source: string,
+    frames: readonly MeshFrame[],
+    way: { readonly send: SendFrame; readonly delayMs?: number },
+  ): void {
+    this.#isReading = true;
+    frames.forEach((frame) =>
+      this.receive(source, frame, way.send, way.delayMs)
+    );
+    this.#isReading = false;
+    this.#whole.splice(0)
+      .filter(({ id }) => this.#calls.has(id))
+      .forEach((call) => this.#admit(call));
+  }
+
   /** Takes a frame of a caller, which was on its way longer than usual. */
   receive(
     source: string,
@@ -115,7 +139,7 @@
         const call = this.#calls.find(source, frame.call);
         call?.body.add(frame.bytes);
         if (call?.phase === "receiving" && call.body.isWhole) {
-          this.#admit(call);
+          this.#admitOnceRead(call);
         }
         return;
       }
@@ -208,6 +232,14 @@
     } else if (this.#calls.isOverfull(opened.bodyBytes)) {
       this.#fail(call, "refused", "memory");
     } else if (call.body.isWhole) {
+      this.#admitOnceRead(call);
+    }
+  }
+
+  #admitOnceRead(call: GateCallState): void {
+    if (this.#isReading) {
+      this.#whole.push(call);
+    } else {
       this.#admit(call);
     }
   }
@@ -380,7 +412,7 @@
       return;
     }
     call.breakOff?.();
-    if (!isRunning) {
+    if (call.phase === "waiting") {
       this.#step({ type: "CallWithdrawn", id: call.id });
     }
     this.#end(call, { serviceMs: undefined, isLost: true });
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -130,6 +130,20 @@
   });
 });
 
+describe("calls of one message", () => {
+  it("are handed over only once all of it is read", async () => {
+    const runs: string[] = [];
+    const noteRun = (route: string) => runs.push(route);
+    await using gate = openGate(9, () => 1_000, noteRun);
+    const left = createCall(1, { route: "left" });
+    const kept = createCall(2, { route: "kept" });
+    const cancelled = { type: "CallCancelled", call: 1 } as const;
+    gate.receiveAll("1", [left, kept, cancelled], { send: () => {} });
+    expect(runs).to.deep.equal(["kept"]);
+    expect(gate.openCount).to.equal(1);
+  });
+});
+
 describe("a call that was late on its way", () => {
   it("is refused where its caller has left by now", async () => {
     await using server = await openSilentServer();
