Give links to control replicas up after 600 ms without an answer

Cause: a node tries replicas one after the other; each behind a cut cost 1.5 s, so that seven of fifteen would keep it from the larger side for over 10 s, where changes must be in force in 2.5 s after the cut has lasted 4 s. Change: the pace names the time; the platform's is 600 ms, the product's stays.

--- a/src/engine/link/common/link_reducer.ts
+++ b/src/engine/link/common/link_reducer.ts
@@ -30,6 +30,8 @@
 
 /** How soon a link is given up, and how long the next one waits. */
 export interface LinkPace {
+  /** Longest time that opening a link may take. */
+  readonly connectMs: number;
   /** Silence after which the other end is given up. */
   readonly silenceMs: number;
   /** Longest backoff, in milliseconds. */
@@ -80,6 +82,7 @@
 export const RETURN_MS = 60_000;
 /** The pace where the settings name no other. */
 export const DEFAULT_PACE: LinkPace = {
+  connectMs: CONNECT_MS,
   silenceMs: LINK_SILENCE_MS,
   maxBackoffMs: MAX_BACKOFF_MS,
   unconfirmedMs: UNCONFIRMED_MS,
@@ -149,7 +152,7 @@
         ? createReduction(state)
         : openLink(state, nowMs);
     case "connecting":
-      return nowMs - state.heardMs > CONNECT_MS
+      return nowMs - state.heardMs > state.pace.connectMs
         ? closeLink(state, failLink(state, nowMs))
         : createReduction(state);
     case "open":
--- a/src/engine/link/node/link_client.ts
+++ b/src/engine/link/node/link_client.ts
@@ -160,7 +160,7 @@
     const scheme = tls === undefined ? "ws" : "wss";
     const socket = new WebSocket(`${scheme}://${replica}/`, {
       ...createSocketOptions(tls),
-      handshakeTimeout: CONNECT_MS,
+      handshakeTimeout: this.#options.pace?.connectMs ?? CONNECT_MS,
       perMessageDeflate: false,
     });
     this.#socket = socket;
--- a/src/engine/link/test/link_reducer_test.ts
+++ b/src/engine/link/test/link_reducer_test.ts
@@ -19,6 +19,8 @@
   readonly alive = new Set<string>();
   readonly unconfirmed = new Set<string>();
   readonly silent = new Set<string>();
+  /** These don't answer at all. */
+  readonly dark = new Set<string>();
   readonly opened: string[] = [];
   readonly openedAtMs: number[] = [];
   #current: string | undefined;
@@ -68,6 +70,9 @@
       this.opened.push(effect.replica);
       this.openedAtMs.push(this.nowMs);
       const { linkNumber } = effect;
+      if (this.dark.has(effect.replica)) {
+        continue;
+      }
       if (this.alive.has(effect.replica)) {
         this.#current = effect.replica;
         this.#dispatch({ type: "LinkOpened", linkNumber });
@@ -161,8 +166,24 @@
     expect(reduceLink(before, late, run.nowMs).state).to.equal(before);
   });
 
+  it("passes the replicas behind a cut by at its own pace", () => {
+    const replicas = Array.from({ length: 15 }, (_, at) => `r${at}:1`);
+    const behind = replicas.slice(0, 7);
+    const run = new LinkRun("n1", replicas, {
+      connectMs: 600,
+      silenceMs: 1_500,
+      maxBackoffMs: 250,
+      unconfirmedMs: 300,
+      maxUnconfirmedMs: 400,
+    });
+    behind.forEach((replica) => run.dark.add(replica));
+    run.pass(behind.length * (600 + 250 + 2 * TICK_MS));
+    expect(run.replica).to.equal("r7:1");
+  });
+
   it("finds the side with a quorum soon, however long there was none", () => {
     const pace = {
+      connectMs: 600,
       silenceMs: 1_500,
       maxBackoffMs: 250,
       unconfirmedMs: 300,
