--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -24,8 +24,7 @@
 }
 
 interface Judged {
-  /** Undefined where too little is known. */
-  readonly isNested: boolean | undefined;
+  readonly isNested: boolean;
   readonly judgedAtMs: number;
 }
 
@@ -66,20 +65,16 @@
     this.#inputs = inputs;
   }
 
-  /**
-   * Notes a call, and tells whether to take it for one that the backend server
-   * made. One of which nothing is known counts as such: in the second after all
-   * nodes were started again, a root that waits a little longer loses less
-   * than a call whose refusal wastes all the work above it.
-   */
+  /** Notes a call, and tells whether the backend server made it. */
   observe(call: Callee, nowMs: number): boolean {
     const { coincidences } = this.#inputs;
     coincidences.noteCall(call.route, nowMs);
     this.#services.set(call.route, call.service);
-    return this.#isNested(call.route, nowMs) ?? true;
+    return this.isNested(call.route, nowMs);
   }
 
-  #isNested(route: string, nowMs: number): boolean | undefined {
+  /** Whether the calls of a route are made by the backend server. */
+  isNested(route: string, nowMs: number): boolean {
     const before = this.#judged.get(route);
     if (before !== undefined && nowMs - before.judgedAtMs < HOLD_MS) {
       return before.isNested;
@@ -98,7 +93,7 @@
     const edges = new Map<string, Callee[]>();
     for (const route of coincidences.listCalled()) {
       const service = this.#services.get(route);
-      if (service === undefined || this.#isNested(route, nowMs) !== true) {
+      if (service === undefined || !this.isNested(route, nowMs)) {
         continue;
       }
       for (const parent of coincidences.listParents(route)) {
@@ -115,7 +110,7 @@
     return [...edges];
   }
 
-  #judge(route: string, nowMs: number): boolean | undefined {
+  #judge(route: string, nowMs: number): boolean {
     const { coincidences, spread, getService, countNodes } = this.#inputs;
     const { share, error } = coincidences.explain(route);
     const isCertain = error <= CERTAIN_ERROR;
@@ -124,9 +119,6 @@
       nodes: countNodes(),
       nowMs,
     });
-    if (bySpread === undefined && !isCertain) {
-      return undefined;
-    }
     return bySpread === true
       ? !isCertain || share >= ROOT_SHARE
       : isCertain && share >= NESTED_SHARE;
--- a/src/engine/admission/test/call_tree_test.ts
+++ b/src/engine/admission/test/call_tree_test.ts
@@ -116,19 +116,6 @@
 }
 
 describe("the call tree", () => {
-  it("takes a call of which nothing is known for a backend server's", () => {
-    const inputs = {
-      coincidences: new CoincidenceCounter(),
-      spread: new CallerSpread(),
-      getService: () => "hazard",
-      countNodes: () => new Map(Object.entries(NOTICE_NODES)),
-    };
-    const tree = new CallTree(inputs);
-    expect(tree.observe({ route: "map", service: "hazard" }, 1_000))
-      .to.equal(true);
-    expect(tree.listEdges(1_000)).to.deep.equal([]);
-  });
-
   const notices = { routes: NOTICES, nodes: NOTICE_NODES };
 
   for (const untilMs of [2_000, 4_000, 10_000]) {
