--- a/src/base/node/shared_ticks.ts
+++ b/src/base/node/shared_ticks.ts
@@ -1,8 +1,8 @@
 /**
  * Periodic work of one process, all on one timer. A wake costs far more than
  * the work that it is for (0.15 ms of a core on a machine that is not busy),
- * and timers of several periods wake a process at different moments: a node at
- * rest woke 70 times a second, a control replica with four links 60 times.
+ * and timers of several periods wake a process at different moments: a control
+ * replica with four links woke 60 times a second for them.
  */
 
 /** Periods are rounded up to whole steps, in milliseconds. */
