--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -4,6 +4,7 @@
  */
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { LoopWatch } from "../base/node/loop_watch.ts";
 import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
@@ -60,6 +61,10 @@
   readonly #control: RelayControl;
   readonly #operator: OperatorServer;
   readonly #log: LineLog;
+  readonly #loop = new LoopWatch({
+    readClock: readSteadyMs,
+    periodMs: TICK_MS,
+  });
   #isStopping = false;
   #ticks = 0;
 
@@ -86,6 +91,7 @@
         dialect,
         readClock,
         log,
+        getLagMs: () => this.#loop.lagMs,
         maxConnections: () => this.#control.announcement.connections,
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         noteRun: (route, change) =>
@@ -119,6 +125,7 @@
       draw: Math.random,
       getLastRank: () => this.#lastRank,
       log,
+      getLagMs: () => this.#loop.lagMs,
       hearCallers: (address, report) =>
         this.#tree.hear(address, report, readSteadyMs()),
       noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
@@ -272,6 +279,7 @@
 
   #tick(): void {
     this.#ticks += 1;
+    this.#loop.tick();
     this.#callers.tick();
     this.#entry.tick();
     this.#gate.tick();
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -29,6 +29,34 @@
   };
 }
 
+/** Creates the line of a call whose caller has left. */
+export function createWithdrawnLine(
+  call: EntryCall,
+  withdrawn: {
+    readonly nowMs: number;
+    /** Whether frames to the member leave at once. */
+    readonly isLinkOpen: boolean;
+    /** How far the event loop is behind. */
+    readonly lagMs: number;
+  },
+): RelayLine {
+  const { requestId, route, isNested, arrivedAtMs } = call.request;
+  const { nowMs, isLinkOpen, lagMs } = withdrawn;
+  return {
+    event: "CallWithdrawn",
+    isFailure: false,
+    requestId,
+    route: route.name,
+    isNested,
+    service: call.service,
+    member: call.attempt?.address,
+    isLinkOpen,
+    sinceSentMs: call.attempt && nowMs - call.attempt.sentAtMs,
+    elapsedMs: nowMs - arrivedAtMs,
+    lagMs,
+  };
+}
+
 /** Creates the line of a call that ends without an answer. */
 export function createUnansweredLine(
   call: EntryCall,
--- a/src/engine/relay/common/gate_call_index.ts
+++ b/src/engine/relay/common/gate_call_index.ts
@@ -11,7 +11,10 @@
   readonly opened: CallOpened;
   readonly body: BodyCollector;
   readonly deadlineMs: number;
+  /** When it would have arrived, had its message been as fast as usual. */
   readonly arrivedAtMs: number;
+  /** How much longer than usual its message was on its way. */
+  readonly onWayMs: number;
   readonly send: SendFrame;
   readonly source: string;
   phase: "receiving" | "waiting" | "running";
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -20,6 +20,7 @@
 import {
   createMovedLine,
   createUnansweredLine,
+  createWithdrawnLine,
 } from "../common/entry_lines.ts";
 import { EntryBudget } from "../common/entry_budget.ts";
 import type { BudgetTerms } from "../common/entry_budget.ts";
@@ -63,6 +64,8 @@
   /** The least urgent rank of the routes in force. */
   readonly getLastRank: () => number;
   readonly log: RelayLog;
+  /** How far the event loop is behind, in milliseconds. */
+  readonly getLagMs: () => number;
   /** The gate at an address says where the calls there came from. */
   readonly hearCallers: (address: string, report: CallerReport) => void;
   /** A call of a route has its final answer. */
@@ -393,11 +396,20 @@
 
   #withdraw(call: EntryCall): void {
     if (this.#calls.has(call.id)) {
+      this.#logWithdrawn(call);
       this.#cancelAttempt(call);
       this.#end(call);
     }
   }
 
+  #logWithdrawn(call: EntryCall): void {
+    const { log, path, readClock, getLagMs } = this.#options;
+    const isLinkOpen = call.attempt !== undefined &&
+      path.isOpen(call.attempt.address);
+    const inputs = { nowMs: readClock(), isLinkOpen, lagMs: getLagMs() };
+    log.write(createWithdrawnLine(call, inputs));
+  }
+
   #cancelAttempt(call: EntryCall): void {
     const { attempt } = call;
     if (attempt !== undefined && this.#options.path.isOpen(attempt.address)) {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -32,6 +32,8 @@
   readonly dialect: CallDialect;
   readonly readClock: () => number;
   readonly log: RelayLog;
+  /** How far the event loop is behind, in milliseconds. */
+  readonly getLagMs: () => number;
   /** Most connections that the backend server takes. */
   readonly maxConnections: () => number;
   /** Latency within which an answer of a route has its full value. */
@@ -215,6 +217,7 @@
       body: new BodyCollector(opened.bodyBytes, opened.body),
       deadlineMs: arrivedAtMs + opened.timeLeftMs,
       arrivedAtMs,
+      onWayMs: delayMs,
       send,
       source,
       phase: "receiving",
@@ -284,13 +287,24 @@
   }
 
   #run(call: GateCallState): void {
-    const { dialect, readClock } = this.#options;
+    const { dialect, readClock, log, getLagMs } = this.#options;
     const backend = this.#gate.backend!;
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
     this.#options.noteRun(call.opened.route, 1);
     const { method, target, requestId } = call.opened;
+    log.write({
+      event: "CallHandedOver",
+      isFailure: false,
+      requestId,
+      route: call.opened.route,
+      isNested: call.opened.isNested,
+      timeLeftMs: call.deadlineMs - nowMs,
+      onWayMs: call.onWayMs,
+      waitedMs: nowMs - call.arrivedAtMs - call.onWayMs,
+      lagMs: getLagMs(),
+    });
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
       timeLeftMs: call.deadlineMs - nowMs,
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -57,6 +57,7 @@
       draw: () => 0,
       getLastRank: () => 0,
       log: { write: () => {} },
+      getLagMs: () => 0,
       hearCallers: () => {},
       noteEnded: () => {},
     });
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -47,6 +47,7 @@
     dialect: DIALECT,
     readClock,
     log: { write: () => {} },
+    getLagMs: () => 0,
     maxConnections: () => 4,
     getObjectiveMs: () => 500,
     noteRun,
