--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -1,23 +1,12 @@
 /** Calls at their entry, over links whose other end may fall silent. */
 import { expect } from "chai";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
-import type { Route } from "../../routes/common/route_table.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import { MemberTable } from "../common/member_table.ts";
 import { EntryCalls } from "../node/entry_calls.ts";
 import { createAnnouncement } from "./announcements.ts";
+import { createEntryRequest, ROUTE } from "./requests.ts";
 
-const ROUTE: Route = {
-  name: "lookup",
-  host: "a.example",
-  prefix: "/",
-  targets: [{ service: "warehouse", weight: 1 }],
-  isIdempotent: true,
-  timeoutMs: 5_000,
-  objectiveMs: 500,
-  rank: 0,
-  maxAttempts: 2,
-};
 const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0, serviceMs: 0 };
 
 /** An entry whose clock and links the test moves. */
@@ -65,19 +54,7 @@
 
   start(change: Partial<EntryRequest> = {}): () => void {
     return this.calls.start(
-      {
-        requestId: "r",
-        route: ROUTE,
-        method: "GET",
-        target: "/",
-        headers: [],
-        body: new Uint8Array(),
-        arrivedAtMs: this.nowMs,
-        deadlineMs: this.nowMs + 5_000,
-        isNested: false,
-        rank: 0,
-        ...change,
-      },
+      createEntryRequest({ arrivedAtMs: this.nowMs, ...change }),
       "warehouse",
       (result) => this.results.push(result),
     );
--- /dev/null
+++ b/src/engine/relay/test/requests.ts
@@ -0,0 +1,34 @@
+/** Requests for tests of the entry. */
+import type { Route } from "../../routes/common/route_table.ts";
+import type { EntryRequest } from "../common/entry_types.ts";
+
+/** A route that may be repeated. */
+export const ROUTE: Route = {
+  name: "lookup",
+  host: "a.example",
+  prefix: "/",
+  targets: [{ service: "warehouse", weight: 1 }],
+  isIdempotent: true,
+  timeoutMs: 5_000,
+  objectiveMs: 500,
+  rank: 0,
+  maxAttempts: 2,
+};
+
+/** Creates a request of that route. */
+export function createEntryRequest(
+  change: Partial<EntryRequest> & Pick<EntryRequest, "arrivedAtMs">,
+): EntryRequest {
+  return {
+    requestId: "r",
+    route: ROUTE,
+    method: "GET",
+    target: "/",
+    headers: [],
+    body: new Uint8Array(),
+    deadlineMs: change.arrivedAtMs + 5_000,
+    isNested: false,
+    rank: 0,
+    ...change,
+  };
+}
