--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -326,6 +326,13 @@
           this.#meshClient.send(address, frame);
         }
       },
+      withdraw: (address: string, call: number) => {
+        if (address === own) {
+          this.#gate.receive(LOCAL, { type: "CallCancelled", call }, () => {});
+        } else {
+          this.#meshClient.withdraw(address, call);
+        }
+      },
       isOpen: (address: string) =>
         address === own || this.#meshClient.isOpen(address),
       getHeardAtMs: (address: string) =>
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -15,8 +15,12 @@
   /** Path and query, unchanged. */
   readonly target: string;
   readonly headers: HeaderList;
-  /** Milliseconds until the caller has its final answer. */
-  readonly timeLeftMs: number;
+  /**
+   * When the caller has its final answer, by the steady clock of the process
+   * that holds the frame. On the wire it is the time that is left as the bytes
+   * leave: a call that waits within a process has that much less.
+   */
+  readonly deadlineMs: number;
   /** Urgency of the route; 0 is the most urgent. */
   readonly rank: number;
   /** Name of the route; keys what is learnt of its service time. */
@@ -153,10 +157,13 @@
 type WireLoad = readonly [number, number, number, number, number?];
 
 /**
- * Turns a frame into the list that is packed: field names on the wire would
- * add some 150 bytes to each call.
+ * Turns a frame into the list that is packed at `nowMs`: field names on the
+ * wire would add some 150 bytes to each call.
  */
-export function flattenFrame(frame: MeshFrame): readonly unknown[] {
+export function flattenFrame(
+  frame: MeshFrame,
+  nowMs: number,
+): readonly unknown[] {
   switch (frame.type) {
     case "CallOpened":
       return [
@@ -167,7 +174,7 @@
         frame.method,
         frame.target,
         frame.headers,
-        Math.ceil(frame.timeLeftMs),
+        Math.ceil(Math.max(0, frame.deadlineMs - nowMs)),
         frame.rank,
         frame.route,
         (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0),
@@ -209,8 +216,14 @@
   }
 }
 
-/** Reads a frame; undefined for one of a newer format. */
-export function parseFrame(fields: readonly unknown[]): MeshFrame | undefined {
+/**
+ * Reads a frame that arrived at `arrivedAtMs` by the receiver's steady clock;
+ * undefined for one of a newer format.
+ */
+export function parseFrame(
+  fields: readonly unknown[],
+  arrivedAtMs: number,
+): MeshFrame | undefined {
   const call = fields[1] as number;
   switch (fields[0]) {
     case TAGS.CallOpened: {
@@ -223,7 +236,7 @@
         method: fields[4] as string,
         target: fields[5] as string,
         headers: fields[6] as HeaderList,
-        timeLeftMs: fields[7] as number,
+        deadlineMs: arrivedAtMs + (fields[7] as number),
         rank: fields[8] as number,
         route: fields[9] as string,
         isIdempotent: (flags & 1) !== 0,
--- a/src/engine/mesh/node/frame_writer.ts
+++ b/src/engine/mesh/node/frame_writer.ts
@@ -12,7 +12,7 @@
 export class FrameWriter {
   readonly #socket: WebSocket;
   readonly #readClock: () => number;
-  #frames: (readonly unknown[])[] = [];
+  #frames: MeshFrame[] = [];
   #bytes = 0;
   #isScheduled = false;
 
@@ -28,7 +28,7 @@
 
   /** Sends a frame with the others of this turn. */
   write(frame: MeshFrame): void {
-    this.#frames.push(flattenFrame(frame));
+    this.#frames.push(frame);
     this.#bytes += measureBody(frame);
     if (this.#bytes >= MESSAGE_BYTES) {
       this.#flush();
@@ -46,7 +46,8 @@
       return;
     }
     const sentAtMs = Math.floor(this.#readClock());
-    const bytes = PACKR.pack([sentAtMs, ...this.#frames]);
+    const lists = this.#frames.map((frame) => flattenFrame(frame, sentAtMs));
+    const bytes = PACKR.pack([sentAtMs, ...lists]);
     this.#frames = [];
     this.#bytes = 0;
     if (this.#socket.readyState === this.#socket.OPEN) {
@@ -55,23 +56,22 @@
   }
 }
 
-/** What one message brought. */
-export interface DecodedMessage {
-  /** By the sender's steady clock, which counts from any time. */
-  readonly sentAtMs: number;
-  readonly frames: readonly MeshFrame[];
-}
+/** Tells when a message arrived; its sender's clock counts from any time. */
+export type DateArrival = (sentAtMs: number) => number;
 
-/** Reads a message; undefined where the bytes are none. */
-export function decodeMessage(bytes: Uint8Array): DecodedMessage | undefined {
+/** Reads the frames of a message; undefined where the bytes are none. */
+export function decodeMessage(
+  bytes: Uint8Array,
+  dateArrival: DateArrival,
+): readonly MeshFrame[] | undefined {
   try {
     const [sentAtMs, ...lists] = PACKR.unpack(bytes) as readonly [
       number,
       ...(readonly unknown[])[],
     ];
-    const frames = lists.map(parseFrame)
+    const arrivedAtMs = dateArrival(sentAtMs);
+    return lists.map((fields) => parseFrame(fields, arrivedAtMs))
       .filter((frame) => frame !== undefined);
-    return { sentAtMs, frames };
   } catch {
     return undefined;
   }
--- a/src/engine/mesh/node/mesh_client.ts
+++ b/src/engine/mesh/node/mesh_client.ts
@@ -17,7 +17,7 @@
   readonly socket: WebSocket;
   readonly writer: FrameWriter;
   /** Frames that wait for the link to open. */
-  readonly waiting: MeshFrame[];
+  waiting: MeshFrame[];
   wasOpen: boolean;
   heardAtMs: number;
   usedAtMs: number;
@@ -50,6 +50,21 @@
     }
   }
 
+  /**
+   * Tells the other end that the caller of a call has left. Frames that still
+   * wait for their link are taken back: a call that is sent once its caller is
+   * gone has no withdrawal behind it, and is run for nobody.
+   */
+  withdraw(address: string, call: number): void {
+    const link = this.#links.get(address);
+    if (link?.socket.readyState === WebSocket.OPEN) {
+      link.writer.write({ type: "CallCancelled", call });
+    } else if (link !== undefined) {
+      link.waiting = link.waiting
+        .filter((frame) => !("call" in frame) || frame.call !== call);
+    }
+  }
+
   /** Opens a link where there is none. */
   open(address: string): void {
     if (!this.#links.has(address)) {
@@ -131,21 +146,24 @@
   }
 
   #watch(address: string, link: MeshLink): void {
-    const { socket, writer, waiting } = link;
+    const { socket, writer } = link;
     socket.on("open", () => {
       link.heardAtMs = this.#options.readClock();
       link.wasOpen = true;
       writer.write(this.#createIntroduction());
-      waiting.splice(0).forEach((frame) => writer.write(frame));
+      const { waiting } = link;
+      link.waiting = [];
+      waiting.forEach((frame) => writer.write(frame));
     });
     socket.on("message", (data: Buffer) => {
-      link.heardAtMs = this.#options.readClock();
-      const message = decodeMessage(data);
-      if (message === undefined) {
+      const nowMs = this.#options.readClock();
+      link.heardAtMs = nowMs;
+      const frames = decodeMessage(data, () => nowMs);
+      if (frames === undefined) {
         this.#lose(address, link, "unreadable message");
         return;
       }
-      message.frames.forEach((frame) => this.#options.onFrame(address, frame));
+      frames.forEach((frame) => this.#options.onFrame(address, frame));
     });
     socket.on("error", (error) => this.#lose(address, link, error.message));
     socket.on("close", () => this.#lose(address, link, "closed"));
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -123,14 +123,17 @@
     this.#links.set(number, link);
     socket.on("message", (data: Buffer) => {
       link.isActive = true;
-      const message = decodeMessage(data);
-      if (message === undefined) {
+      const nowMs = this.#options.readClock();
+      let delayMs = 0;
+      const frames = decodeMessage(data, (sentAtMs) => {
+        delayMs = link.delay.measure(sentAtMs, nowMs);
+        return nowMs - delayMs;
+      });
+      if (frames === undefined) {
         socket.terminate();
         return;
       }
-      const delayMs = link.delay
-        .measure(message.sentAtMs, this.#options.readClock());
-      this.#options.onFrames(number, message.frames, delayMs);
+      this.#options.onFrames(number, frames, delayMs);
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -2,12 +2,28 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { findPort } from "../../../../standin/ports.ts";
-import type { LoadReported, MeshFrame } from "../common/frames.ts";
+import type { CallOpened, LoadReported, MeshFrame } from "../common/frames.ts";
 import { MeshClient } from "../node/mesh_client.ts";
 import { MeshServer } from "../node/mesh_server.ts";
 
 /** Reports are sent where a test asks for them. */
 const NEVER_MS = 3_600_000;
+const CALL: CallOpened = {
+  type: "CallOpened",
+  call: 1,
+  requestId: "r",
+  service: "back",
+  method: "GET",
+  target: "/",
+  headers: [],
+  deadlineMs: 0,
+  rank: 0,
+  route: "lookup",
+  isIdempotent: true,
+  isNested: false,
+  bodyBytes: 0,
+  body: new Uint8Array(),
+};
 const LOAD = { running: 1, queued: 0, limit: 4, pressure: 0, serviceMs: 0 };
 
 /** A server with one client; both keep the frames that they get. */
@@ -21,6 +37,8 @@
   readonly introduced: string[] = [];
   readonly server: MeshServer;
   readonly client: MeshClient;
+  /** The server's clock is ahead by so much. */
+  aheadMs = 0;
 
   constructor(port: number) {
     this.address = `127.0.0.1:${port}`;
@@ -44,7 +62,7 @@
         below: this.below,
         callers: [],
       }),
-      readClock: () => performance.now(),
+      readClock: () => performance.now() + this.aheadMs,
     });
     this.client = new MeshClient({
       onFrame: (_address, frame) => this.atClient.push(frame),
@@ -139,6 +157,23 @@
     expect(link.lost[1]![1]).to.equal(false);
   });
 
+  it("dates the calls of a late message by when it would have come", async () => {
+    await using link = await Link.open();
+    const send = (call: number) => {
+      const deadlineMs = performance.now() + 130;
+      const opened = { ...CALL, call, deadlineMs };
+      link.client.send(link.address, opened);
+      return deadlineMs;
+    };
+    await waitUntil(() => link.introduced.length === 1);
+    link.aheadMs = 600;
+    const deadlineMs = send(1);
+    await waitUntil(() => link.atServer.length === 1);
+    const [late] = link.atServer;
+    const lateByMs = (late as CallOpened).deadlineMs - deadlineMs;
+    expect(Math.abs(lateByMs), "beside the caller's own").to.be.below(100);
+  });
+
   it("carries frames in order, bodies as they were", async () => {
     await using link = await Link.open();
     const parts = [1, 2, 3].map((n) => new Uint8Array([n, 0, 255]));
--- a/src/engine/relay/common/entry_call.ts
+++ b/src/engine/relay/common/entry_call.ts
@@ -52,7 +52,7 @@
 }
 
 /** Creates the frame that hands a call to a node. */
-export function createOpening(call: EntryCall, nowMs: number): CallOpened {
+export function createOpening(call: EntryCall): CallOpened {
   const { request, service } = call;
   const { route, body } = request;
   return {
@@ -63,7 +63,7 @@
     method: request.method,
     target: request.target,
     headers: request.headers,
-    timeLeftMs: Math.max(0, request.deadlineMs - nowMs),
+    deadlineMs: request.deadlineMs,
     rank: request.rank,
     route: route.name,
     isIdempotent: route.isIdempotent,
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -46,6 +46,8 @@
 /** How frames get to a node, and what is known of the way there. */
 export interface MeshPath {
   readonly send: (address: string, frame: MeshFrame) => void;
+  /** Tells a node that a call's caller has left, or takes the call back. */
+  readonly withdraw: (address: string, call: number) => void;
   readonly isOpen: (address: string) => boolean;
   readonly getHeardAtMs: (address: string) => number | undefined;
   /** Opens a link ahead of any call, so that the other end is heard. */
@@ -227,7 +229,7 @@
     call.tried.add(address);
     call.attempt = { member, address, call: call.id, sentAtMs: nowMs };
     const { body } = call.request;
-    path.send(address, createOpening(call, nowMs));
+    path.send(address, createOpening(call));
     for (const bytes of listFurtherParts(body)) {
       path.send(address, { type: "BodyPart", call: call.id, bytes });
     }
@@ -412,9 +414,8 @@
 
   #cancelAttempt(call: EntryCall): void {
     const { attempt } = call;
-    if (attempt !== undefined && this.#options.path.isOpen(attempt.address)) {
-      const frame = { type: "CallCancelled", call: call.id } as const;
-      this.#options.path.send(attempt.address, frame);
+    if (attempt !== undefined) {
+      this.#options.path.withdraw(attempt.address, call.id);
     }
   }
 
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -215,7 +215,7 @@
       id: this.#nextId++,
       opened,
       body: new BodyCollector(opened.bodyBytes, opened.body),
-      deadlineMs: arrivedAtMs + opened.timeLeftMs,
+      deadlineMs: opened.deadlineMs,
       arrivedAtMs,
       onWayMs: delayMs,
       send,
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -1,9 +1,12 @@
 /**
  * Callers left while the link to the backend server's node was being opened,
- * and their calls were run half a second later all the same: the withdrawal
- * was sent on open links only, and the call waited in the link with the time
- * left that it had before. Seen as a run 551 ms after a caller with 133 ms of
- * patience had closed, which ended after 14 ms without having been cut.
+ * and their calls were run half a second later all the same. A withdrawal was
+ * sent on open links only, so it was lost; the call stayed in the link's queue
+ * with the time left that it had when it was put there, and went out whole once
+ * the link opened. Seen as a run 551 ms after a caller with 133 ms of patience
+ * had closed, which ended after 14 ms without having been cut. What settled it:
+ * with a link held for 300 ms a call of 5,000 ms came with 5,000 ms left, and a
+ * call that was withdrawn after 20 ms came with all parts of its body.
  */
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
@@ -82,7 +85,7 @@
         below: [],
         callers: [],
       }),
-      readClock,
+      readClock: () => 0,
     });
     this.#client = new MeshClient({
       onFrame: () => {},
@@ -99,6 +102,7 @@
       budget: { ratio: 0.2, slack: 1_000, windowS: 10 },
       path: {
         send: (to, frame) => this.#client.send(to, frame),
+        withdraw: (to, call) => this.#client.withdraw(to, call),
         isOpen: (to) => this.#client.isOpen(to),
         getHeardAtMs: (to) => this.#client.getHeardAtMs(to),
         probe: () => {},
@@ -172,6 +176,7 @@
     entry.start("waits", 5_000);
     await sleep(HELD_MS);
     const [call] = await entry.letOpen("waits");
-    expect(call!.timeLeftMs).to.be.at.most(5_000 - HELD_MS);
+    // The other node's clock stands at 0, so this is the time left on the wire.
+    expect(call!.deadlineMs).to.be.at.most(5_000 - HELD_MS);
   });
 });
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -34,6 +34,8 @@
           );
           this.sent.push([address, frame]);
         },
+        withdraw: (address, call) =>
+          this.sent.push([address, { type: "CallCancelled", call }]),
         isOpen: () => true,
         getHeardAtMs: (address) => this.heardAtMs.get(address),
         probe: (address) => this.probed.push(address),
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -26,7 +26,7 @@
     method: "POST",
     target: "/a",
     headers: [],
-    timeLeftMs: 500,
+    deadlineMs: 1_500,
     rank: 0,
     route: "transfer",
     isIdempotent: false,
@@ -151,11 +151,13 @@
     await using gate = openGate(server.port);
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
-    gate.receive("1", createCall(1, { timeLeftMs: 130 }), send, 600);
+    const late = createCall(1, { deadlineMs: 1_000 - 600 + 130 });
+    gate.receive("1", late, send, 600);
     expect(gate.readLoad().running).to.equal(0);
     expect(frames.map((frame) => "reason" in frame && frame.reason))
       .to.deep.equal(["deadline"]);
-    gate.receive("1", createCall(2, { timeLeftMs: 130 }), send, 20);
+    const usual = createCall(2, { deadlineMs: 1_000 - 20 + 130 });
+    gate.receive("1", usual, send, 20);
     expect(gate.readLoad().running).to.equal(1);
   });
 });
