--- a/src/base/node/loop_watch.ts
+++ b/src/base/node/loop_watch.ts
@@ -1,6 +1,8 @@
 /**
  * How far the event loop of this process is behind: bytes that it reads now may
- * have lain in their sockets that long.
+ * have lain in their sockets that long, and what follows them may lie there
+ * unread. A request is read a turn before the close of its connection, however
+ * long both have been there.
  */
 
 /** What the watch is built from. */
@@ -10,15 +12,33 @@
   readonly periodMs: number;
 }
 
+/**
+ * From this lag on, in milliseconds, work waits for what lies unread. Work
+ * must not begin half a second after its caller has left, and two processes
+ * and the ways between them share that.
+ */
+const BEHIND_MS = 100;
+/**
+ * Turns of the loop until a close that lies behind a request has been read: the
+ * rest of the present one, and the next. What comes on a connection is read a
+ * turn after it was accepted at the earliest, so the loop is behind as long.
+ */
+const LATE_TURNS = 2;
+
 /** Compares when a periodic timer ran with when it was due. */
 export class LoopWatch {
   readonly #options: LoopWatchOptions;
-  /** When the timer last ran; for the turn of a late run, the time before. */
+  #tickedAtMs: number;
+  /** What is read now has come since; the last tick, unless that was late. */
   #sinceMs: number;
+  #isCatchingUp = false;
+  /** Whether a connection was accepted in the present stretch of turns. */
+  #hasAccepted = false;
 
   constructor(options: LoopWatchOptions) {
     this.#options = options;
-    this.#sinceMs = options.readClock();
+    this.#tickedAtMs = options.readClock();
+    this.#sinceMs = this.#tickedAtMs;
   }
 
   /** Longest time that what is read now may have been there, beyond a period. */
@@ -27,15 +47,56 @@
     return Math.max(0, readClock() - this.#sinceMs - periodMs);
   }
 
-  /** To be called by the timer. Timers run before sockets are read. */
+  /** To be called by the timer. */
   tick(): void {
-    const nowMs = this.#options.readClock();
-    if (this.lagMs === 0) {
-      this.#sinceMs = nowMs;
+    const isLate = this.lagMs > 0;
+    this.#tickedAtMs = this.#options.readClock();
+    if (this.#isCatchingUp) {
+      return;
+    }
+    if (isLate) {
+      this.#catchUp();
     } else {
-      setImmediate(() => {
-        this.#sinceMs = nowMs;
-      });
+      this.#sinceMs = this.#tickedAtMs;
     }
   }
+
+  /**
+   * Notes that a connection was accepted. The loop accepts one a turn, so more
+   * of those that came while it was behind may follow.
+   */
+  noteAccepted(): void {
+    this.#hasAccepted = true;
+  }
+
+  /** Runs `run`, where the loop is behind only once what lay unread is read. */
+  runOnceRead(run: () => void): void {
+    if (this.lagMs < BEHIND_MS) {
+      run();
+    } else {
+      runAfterTurns(LATE_TURNS, run);
+    }
+  }
+
+  #catchUp(): void {
+    this.#isCatchingUp = true;
+    this.#hasAccepted = false;
+    runAfterTurns(LATE_TURNS, () => {
+      if (this.#hasAccepted) {
+        this.#catchUp();
+      } else {
+        this.#isCatchingUp = false;
+        this.#sinceMs = this.#tickedAtMs;
+      }
+    });
+  }
+}
+
+/** Each turn of the loop reads all sockets that have bytes. */
+function runAfterTurns(turns: number, run: () => void): void {
+  if (turns === 0) {
+    run();
+  } else {
+    setImmediate(() => runAfterTurns(turns - 1, run));
+  }
 }
--- a/src/base/test/loop_watch_test.ts
+++ b/src/base/test/loop_watch_test.ts
@@ -29,13 +29,48 @@
     expect(loop.watch.lagMs).to.equal(0);
   });
 
-  it("is behind through the turn that follows a long one, and no longer", async () => {
+  it("is behind through the two turns that follow a long one, and no longer", async () => {
     const loop = new Loop();
     loop.pass(600);
     expect(loop.watch.lagMs, "within the long turn").to.equal(580);
     loop.watch.tick();
     expect(loop.watch.lagMs, "where sockets are read").to.equal(580);
     await passTurn();
+    expect(loop.watch.lagMs, "a turn later").to.equal(580);
+    await passTurn();
+    expect(loop.watch.lagMs).to.equal(0);
+  });
+
+  it("stays behind while connections come out of the listener's queue", async () => {
+    const loop = new Loop();
+    loop.pass(600);
+    loop.watch.tick();
+    for (let accepted = 0; accepted < 3; accepted += 1) {
+      loop.watch.noteAccepted();
+      await passTurn();
+      await passTurn();
+      expect(loop.watch.lagMs).to.equal(580);
+    }
+    await passTurn();
+    await passTurn();
     expect(loop.watch.lagMs).to.equal(0);
   });
+
+  it("runs what was read at once, where it is not behind", () => {
+    const loop = new Loop();
+    let runs = 0;
+    loop.watch.runOnceRead(() => runs += 1);
+    expect(runs).to.equal(1);
+  });
+
+  it("runs what was read two turns later, where it is behind", async () => {
+    const loop = new Loop();
+    loop.pass(600);
+    let runs = 0;
+    loop.watch.runOnceRead(() => runs += 1);
+    await passTurn();
+    expect(runs, "while a close may lie unread").to.equal(0);
+    await passTurn();
+    expect(runs).to.equal(1);
+  });
 });
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -91,7 +91,7 @@
         dialect,
         readClock,
         log,
-        getLagMs: () => this.#loop.lagMs,
+        loop: this.#loop,
         maxConnections: () => this.#control.announcement.connections,
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         noteRun: (route, change) =>
@@ -125,7 +125,7 @@
       draw: Math.random,
       getLastRank: () => this.#lastRank,
       log,
-      getLagMs: () => this.#loop.lagMs,
+      loop: this.#loop,
       hearCallers: (address, report) =>
         this.#tree.hear(address, report, readSteadyMs()),
       noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
--- a/src/engine/relay/common/gate_call_index.ts
+++ b/src/engine/relay/common/gate_call_index.ts
@@ -17,7 +17,8 @@
   readonly onWayMs: number;
   readonly send: SendFrame;
   readonly source: string;
-  phase: "receiving" | "waiting" | "running";
+  /** One that is admitted has its place, but was not handed over yet. */
+  phase: "receiving" | "waiting" | "admitted" | "running";
   startedAtMs: number;
   breakOff: (() => void) | undefined;
 }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -40,6 +40,7 @@
 import { noteResult } from "../common/member.ts";
 import type { MemberTable } from "../common/member_table.ts";
 import { drawForRequest, isRootRefused } from "../common/root_admission.ts";
+import type { CallLoop } from "../common/call_loop.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { computeMemberWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
 
@@ -66,8 +67,7 @@
   /** The least urgent rank of the routes in force. */
   readonly getLastRank: () => number;
   readonly log: RelayLog;
-  /** How far the event loop is behind, in milliseconds. */
-  readonly getLagMs: () => number;
+  readonly loop: CallLoop;
   /** The gate at an address says where the calls there came from. */
   readonly hearCallers: (address: string, report: CallerReport) => void;
   /** A call of a route has its final answer. */
@@ -405,10 +405,10 @@
   }
 
   #logWithdrawn(call: EntryCall): void {
-    const { log, path, readClock, getLagMs } = this.#options;
+    const { log, path, readClock, loop } = this.#options;
     const isLinkOpen = call.attempt !== undefined &&
       path.isOpen(call.attempt.address);
-    const inputs = { nowMs: readClock(), isLinkOpen, lagMs: getLagMs() };
+    const inputs = { nowMs: readClock(), isLinkOpen, lagMs: loop.lagMs };
     log.write(createWithdrawnLine(call, inputs));
   }
 
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -12,6 +12,7 @@
   cutFirstPart,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
+import type { CallLoop } from "../common/call_loop.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import { GateCallIndex } from "../common/gate_call_index.ts";
 import type { GateCallState, SendFrame } from "../common/gate_call_index.ts";
@@ -32,8 +33,7 @@
   readonly dialect: CallDialect;
   readonly readClock: () => number;
   readonly log: RelayLog;
-  /** How far the event loop is behind, in milliseconds. */
-  readonly getLagMs: () => number;
+  readonly loop: CallLoop;
   /** Most connections that the backend server takes. */
   readonly maxConnections: () => number;
   /** Latency within which an answer of a route has its full value. */
@@ -278,7 +278,7 @@
     }
     switch (effect.type) {
       case "RunCall":
-        this.#run(call);
+        this.#runOnceRead(call);
         return;
       case "RefuseCall":
         this.#fail(call, "refused", effect.reason, effect.retryAfterMs);
@@ -286,9 +286,36 @@
     }
   }
 
-  #run(call: GateCallState): void {
-    const { dialect, readClock, log, getLagMs } = this.#options;
-    const backend = this.#gate.backend!;
+  /**
+   * A process that is behind reads a call before its withdrawal: without the
+   * wait 2 to 4 of 8 calls whose callers left while the process was stopped for
+   * 600 ms were run.
+   */
+  #runOnceRead(call: GateCallState): void {
+    call.phase = "admitted";
+    this.#options.loop.runOnceRead(() => {
+      if (this.#calls.has(call.id)) {
+        this.#runOrRefuse(call);
+      }
+    });
+  }
+
+  /** The backend server may have left, and the deadline passed, by now. */
+  #runOrRefuse(call: GateCallState): void {
+    const { backend } = this.#gate;
+    if (backend === undefined) {
+      this.#fail(call, "refused", "no_backend");
+    } else if (backend.isDraining) {
+      this.#fail(call, "refused", "draining");
+    } else if (call.deadlineMs <= this.#options.readClock()) {
+      this.#fail(call, "refused", "deadline");
+    } else {
+      this.#run(call, backend);
+    }
+  }
+
+  #run(call: GateCallState, backend: LocalBackend): void {
+    const { dialect, readClock, log, loop } = this.#options;
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
@@ -303,7 +330,7 @@
       timeLeftMs: call.deadlineMs - nowMs,
       onWayMs: call.onWayMs,
       waitedMs: nowMs - call.arrivedAtMs - call.onWayMs,
-      lagMs: getLagMs(),
+      lagMs: loop.lagMs,
     });
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
@@ -451,11 +478,12 @@
       "serviceMs" | "isLost" | "isRejected"
     >,
   ): void {
-    const wasRunning = call.phase === "running";
+    const { id, phase, opened: { route } } = call;
     this.#calls.remove(call);
-    if (wasRunning) {
-      const { id, opened: { route } } = call;
+    if (phase === "running") {
       this.#options.noteRun(route, -1);
+    }
+    if (phase === "running" || phase === "admitted") {
       this.#step({ type: "CallEnded", id, route, ...ended });
     }
   }
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -112,7 +112,7 @@
       draw: () => 0,
       getLastRank: () => 0,
       log: { write: () => {} },
-      getLagMs: () => 0,
+      loop: { lagMs: 0, runOnceRead: (run) => run() },
       hearCallers: () => {},
       noteEnded: () => {},
     });
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -48,7 +48,7 @@
       draw: () => 0,
       getLastRank: () => 0,
       log: { write: () => {} },
-      getLagMs: () => 0,
+      loop: { lagMs: 0, runOnceRead: (run) => run() },
       hearCallers: () => {},
       noteEnded: () => {},
     });
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -47,7 +47,7 @@
     dialect: DIALECT,
     readClock,
     log: { write: () => {} },
-    getLagMs: () => 0,
+    loop: { lagMs: 0, runOnceRead: (run) => run() },
     maxConnections: () => 4,
     getObjectiveMs: () => 500,
     noteRun,
