--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -2,40 +2,10 @@
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { expect } from "chai";
-import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
-import type { CallDialect } from "../common/dialect.ts";
-import type { LocalBackend } from "../common/gate.ts";
+import type { MeshFrame } from "../../mesh/common/frames.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 import type { GateCallsOptions } from "../node/gate_calls.ts";
-
-const DIALECT: CallDialect = {
-  readTerms: () => ({ requestId: undefined, patienceMs: undefined }),
-  createCallHeaders: (headers) => headers,
-  createBackendHeaders: ({ headers }) => headers,
-  judgeAnswer: () => ({ type: "Answered" }),
-  createAnswerHeaders: (headers) => headers,
-  readLoad: () => undefined,
-};
-
-function createCall(call: number, change: Partial<CallOpened>): CallOpened {
-  return {
-    type: "CallOpened",
-    call,
-    requestId: `r${call}`,
-    service: "warehouse",
-    method: "POST",
-    target: "/a",
-    headers: [],
-    deadlineMs: 1_500,
-    rank: 0,
-    route: "transfer",
-    isIdempotent: false,
-    isNested: false,
-    bodyBytes: 0,
-    body: new Uint8Array(),
-    ...change,
-  };
-}
+import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
 
 /** A gate whose backend server listens at a port. */
 function openGate(
@@ -58,19 +28,6 @@
   return gate;
 }
 
-function createBackend(port: number, startedAtMs?: number): LocalBackend {
-  return {
-    instanceId: "i-1",
-    startedAtMs,
-    service: "warehouse",
-    address: `127.0.0.1:${port}`,
-    dataCentre: "a",
-    slots: 2,
-    isDraining: false,
-    warmUntilMs: 0,
-  };
-}
-
 describe("large bodies at the gate", () => {
   it("are refused beyond what it may hold, and taken again after", async () => {
     await using gate = openGate(9);
--- /dev/null
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -0,0 +1,55 @@
+/** What the gate's tests put around it. */
+import type { CallOpened } from "../../mesh/common/frames.ts";
+import type { CallDialect } from "../common/dialect.ts";
+import type { LocalBackend } from "../common/gate.ts";
+
+/** A dialect without headers of its own. */
+export const DIALECT: CallDialect = {
+  readTerms: () => ({ requestId: undefined, patienceMs: undefined }),
+  createCallHeaders: (headers) => headers,
+  createBackendHeaders: ({ headers }) => headers,
+  judgeAnswer: () => ({ type: "Answered" }),
+  createAnswerHeaders: (headers) => headers,
+  readLoad: () => undefined,
+};
+
+/** Creates a transfer to the service beside the gate. */
+export function createCall(
+  call: number,
+  change: Partial<CallOpened>,
+): CallOpened {
+  return {
+    type: "CallOpened",
+    call,
+    requestId: `r${call}`,
+    service: "warehouse",
+    method: "POST",
+    target: "/a",
+    headers: [],
+    deadlineMs: 1_500,
+    rank: 0,
+    route: "transfer",
+    isIdempotent: false,
+    isNested: false,
+    bodyBytes: 0,
+    body: new Uint8Array(),
+    ...change,
+  };
+}
+
+/** Creates a backend server at a port of this machine. */
+export function createBackend(
+  port: number,
+  startedAtMs?: number,
+): LocalBackend {
+  return {
+    instanceId: "i-1",
+    startedAtMs,
+    service: "warehouse",
+    address: `127.0.0.1:${port}`,
+    dataCentre: "a",
+    slots: 2,
+    isDraining: false,
+    warmUntilMs: 0,
+  };
+}
