--- a/src/engine/relay/common/gate_call_index.ts
+++ b/src/engine/relay/common/gate_call_index.ts
@@ -5,6 +5,13 @@
 /** Where the answer of a call goes. */
 export type SendFrame = (frame: MeshFrame) => void;
 
+/** A request at the backend server, or on its way there. */
+export interface BackendExchange {
+  /** Whether bytes of the request may have left. */
+  readonly hasBegun: boolean;
+  readonly breakOff: () => void;
+}
+
 /** A call from its arrival to its end. */
 export interface GateCallState {
   readonly id: number;
@@ -20,7 +27,8 @@
   /** One that is admitted has its place, but was not handed over yet. */
   phase: "receiving" | "waiting" | "admitted" | "running";
   startedAtMs: number;
-  breakOff: (() => void) | undefined;
+  /** At the backend server; undefined before it is handed over. */
+  exchange: BackendExchange | undefined;
 }
 
 /**
--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -4,6 +4,7 @@
 import { buildConnector, Client, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import type { HeaderList } from "../../mesh/common/frames.ts";
+import type { BackendExchange } from "../common/gate_call_index.ts";
 
 /** One request to the backend server. */
 export interface BackendRequest {
@@ -27,6 +28,8 @@
     readonly head: BackendHead;
     readonly body: Uint8Array;
   }
+  /** `checkStart` said so: nothing was sent. */
+  | { readonly type: "Withheld"; readonly reason: string }
   /** The connection could not be made: nothing was sent. */
   | { readonly type: "NotSent"; readonly reason: string }
   /** The answer was cut, refused by `acceptHead`, or never came. */
@@ -35,6 +38,11 @@
 /** What a request is sent with. */
 export interface BackendSend {
   readonly request: BackendRequest;
+  /**
+   * Says why the request is not sent after all; undefined to send it. Asked
+   * right before its first byte, as it may have waited for a connection.
+   */
+  readonly checkStart: () => string | undefined;
   /** Says why an answer with this head is not read; undefined to read it. */
   readonly checkHead: (head: BackendHead) => string | undefined;
   readonly onEnd: (result: BackendResult) => void;
@@ -79,8 +87,8 @@
     });
   }
 
-  /** Sends a request; the function returned breaks it off. */
-  send(send: BackendSend): () => void {
+  /** Sends a request, once a connection is free. */
+  send(send: BackendSend): BackendExchange {
     const handler = new AnswerHandler(send);
     const { method, target, headers, body } = send.request;
     const options: CollectedOptions = {
@@ -91,7 +99,7 @@
       body: body.length === 0 && !hasBody(method) ? null : body,
     };
     this.#pool.dispatch(options, handler);
-    return () => handler.abort();
+    return handler;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -186,7 +194,7 @@
 }
 
 /** Collects one answer. */
-class AnswerHandler implements Dispatcher.DispatchHandler {
+class AnswerHandler implements Dispatcher.DispatchHandler, BackendExchange {
   connection = createConnectionEnd();
   readonly #send: BackendSend;
   readonly #chunks: Uint8Array[] = [];
@@ -194,12 +202,17 @@
   #head: BackendHead | undefined;
   #isEnded = false;
   #isAborted = false;
+  #hasBegun = false;
 
   constructor(send: BackendSend) {
     this.#send = send;
   }
 
-  abort(): void {
+  get hasBegun(): boolean {
+    return this.#hasBegun;
+  }
+
+  breakOff(): void {
     this.#isAborted = true;
     this.#isEnded = true;
     this.#controller?.abort(new Error("Broken off"));
@@ -207,8 +220,12 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#isAborted) {
-      controller.abort(new Error("Broken off"));
+    const reason = this.#isAborted ? "Broken off" : this.#send.checkStart();
+    if (reason === undefined) {
+      this.#hasBegun = true;
+    } else {
+      this.#end({ type: "Withheld", reason });
+      controller.abort(new Error(reason));
     }
   }
 
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -183,7 +183,7 @@
     const dueMs = this.#options.readClock() - OVERDUE_MS;
     for (const call of [...this.#calls.list()]) {
       if (call.deadlineMs < dueMs) {
-        call.breakOff?.();
+        call.exchange?.breakOff();
         this.#fail(call, "expired", "no answer at the deadline");
       }
     }
@@ -197,7 +197,7 @@
   #takeRunning(): readonly GateCallState[] {
     const running = [...this.#calls.list()]
       .filter(({ phase }) => phase === "running");
-    running.forEach((call) => call.breakOff?.());
+    running.forEach((call) => call.exchange?.breakOff());
     this.#client?.[Symbol.asyncDispose]();
     this.#client = undefined;
     return running;
@@ -222,7 +222,7 @@
       source,
       phase: "receiving",
       startedAtMs: 0,
-      breakOff: undefined,
+      exchange: undefined,
     };
     this.#calls.add(call);
     const callerService = this.#callerServices.get(source);
@@ -338,8 +338,9 @@
       instanceId: backend.instanceId,
     });
     const request = { method, target, headers, body: call.body.join() };
-    call.breakOff = this.#getClient(backend.address).send({
+    call.exchange = this.#getClient(backend.address).send({
       request,
+      checkStart: () => call.deadlineMs <= readClock() ? "deadline" : undefined,
       checkHead: (head) => this.#checkHead(head, requestId),
       onEnd: (result) => this.#finish(call, result),
     });
@@ -361,6 +362,9 @@
       case "Whole":
         this.#answer(call, result.head, result.body);
         return;
+      case "Withheld":
+        this.#fail(call, "refused", result.reason);
+        return;
       case "NotSent":
         this.#options.onBackendLost();
         this.#fail(call, "refused", result.reason);
@@ -446,14 +450,15 @@
 
   /**
    * Work that may be repeated stops with its caller. Work that may not is
-   * left to end: breaking it off would leave open whether it ran.
+   * left to end, once it has begun: breaking it off would leave open whether it
+   * ran. A call that waits for a connection has not begun.
    */
   #cancel(call: GateCallState, reason: string): void {
-    const isRunning = call.phase === "running";
-    if (isRunning && !call.opened.isIdempotent) {
+    const wasRunning = call.exchange?.hasBegun ?? false;
+    if (wasRunning && !call.opened.isIdempotent) {
       return;
     }
-    call.breakOff?.();
+    call.exchange?.breakOff();
     if (call.phase === "waiting") {
       this.#step({ type: "CallWithdrawn", id: call.id });
     }
@@ -467,7 +472,7 @@
       isFailure: false,
       requestId: call.opened.requestId,
       reason,
-      wasRunning: isRunning,
+      wasRunning,
     });
   }
 
--- a/src/engine/relay/test/backend_client_test.ts
+++ b/src/engine/relay/test/backend_client_test.ts
@@ -36,7 +36,12 @@
         headers: [],
         body: new Uint8Array(),
       };
-      client.send({ request, checkHead: () => undefined, onEnd });
+      client.send({
+        request,
+        checkStart: () => undefined,
+        checkHead: () => undefined,
+        onEnd,
+      });
     });
   }
 
@@ -113,6 +118,7 @@
           headers: [],
           body: new Uint8Array(),
         },
+        checkStart: () => undefined,
         checkHead: () => undefined,
         onEnd,
       })
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -57,8 +57,11 @@
 
 describe("a backend server that never answers", () => {
   it("gets its place back after the deadline, also for a transfer", async () => {
+    let takeRequest = () => {};
+    const isTaken = new Promise<void>((resolve) => takeRequest = resolve);
     const server = createServer((socket) => {
       socket.on("error", () => {});
+      socket.once("data", takeRequest);
     });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
@@ -75,6 +78,7 @@
     gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
     expect(gate.readLoad().running).to.equal(1);
     expect(runs).to.deep.equal([["transfer", 1]]);
+    await isTaken;
     gate.receive("1", { type: "CallCancelled", call: 1 }, () => {});
     expect(gate.readLoad().running, "a transfer runs on").to.equal(1);
     nowMs += 1_600;
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -1,7 +1,11 @@
 /**
  * Calls that wait for a connection to the backend server once the gate has
  * admitted them. A transfer whose caller left meanwhile was sent on all the
- * same, as one that may have begun, and any call was sent after its deadline.
+ * same, and any call was sent after its deadline: both were looked at when the
+ * gate admitted them, and not again before their bytes left; a transfer that
+ * had a place counted as one that may have begun. What settled it: with one
+ * connection and two places both requests came to the backend server, one of
+ * them 70 ms after its deadline.
  */
 import { createServer } from "node:http";
 import type { Server, ServerResponse } from "node:http";
