--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -24,6 +24,7 @@
   reduceGate,
 } from "../common/gate.ts";
 import type { GateEffect, GateEvent, LocalBackend } from "../common/gate.ts";
+import { GateLoadLog } from "../common/gate_load_log.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BackendClient } from "./backend_client.ts";
 import type { BackendHead, BackendResult } from "./backend_client.ts";
@@ -54,6 +55,7 @@
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
   readonly #calls = new GateCallIndex();
+  readonly #loadLog = new GateLoadLog();
   /** By link. */
   readonly #callerServices = new Map<string, string>();
   #client: BackendClient | undefined;
@@ -104,6 +106,11 @@
   tick(): void {
     this.#step({ type: "Ticked" });
     this.#endOverdue();
+    const { log, readClock } = this.#options;
+    const line = this.#loadLog.note(this.#gate, readClock());
+    if (line !== undefined) {
+      log.write(line);
+    }
   }
 
   /**
--- /dev/null
+++ b/src/engine/relay/test/gate_load_log_test.ts
@@ -0,0 +1,35 @@
+/** How full a gate was while roots were refused on its account. */
+import { expect } from "chai";
+import { createGate } from "../common/gate.ts";
+import { GateLoadLog } from "../common/gate_load_log.ts";
+
+describe("the log of a gate's load", () => {
+  it("says nothing without pressure", () => {
+    const gate = createGate();
+    const log = new GateLoadLog();
+    for (let nowMs = 0; nowMs <= 3_000; nowMs += 20) {
+      expect(log.note(gate, nowMs)).to.equal(undefined);
+    }
+  });
+
+  it("says once a second how many places were taken under pressure", () => {
+    const gate = createGate();
+    const log = new GateLoadLog();
+    log.note(gate, 0);
+    const lines = [];
+    for (let nowMs = 20; nowMs <= 2_000; nowMs += 20) {
+      gate.running = nowMs <= 500 ? 2 : 6;
+      gate.pressure.pressure = nowMs === 700 ? 0.8 : 0.4;
+      lines.push(log.note(gate, nowMs));
+    }
+    const said = lines.filter((line) => line !== undefined);
+    expect(said).to.have.length(2);
+    expect(said[0]).to.include({
+      meanRunning: 4,
+      leastRunning: 2,
+      pressure: 0.4,
+      mostPressure: 0.8,
+    });
+    expect(said[1]).to.include({ meanRunning: 6, mostPressure: 0.4 });
+  });
+});
