--- a/src/engine/relay/common/gate_load_log.ts
+++ b/src/engine/relay/common/gate_load_log.ts
@@ -48,17 +48,17 @@
       isFailure: false,
       service: state.backend?.service,
       limit: computeLimit(state),
-      meanRunning: roundTo100th(this.#running / this.#looks),
+      meanRunning: trimToHundredths(this.#running / this.#looks),
       leastRunning: this.#leastRunning,
-      meanQueued: roundTo100th(this.#queued / this.#looks),
-      pressure: roundTo100th(pressure),
-      mostPressure: roundTo100th(this.#mostPressure),
-      demand: roundTo100th(demand),
-      lostShare: roundTo100th(lostShare),
+      meanQueued: trimToHundredths(this.#queued / this.#looks),
+      pressure: trimToHundredths(pressure),
+      mostPressure: trimToHundredths(this.#mostPressure),
+      demand: trimToHundredths(demand),
+      lostShare: trimToHundredths(lostShare),
     };
   }
 }
 
-function roundTo100th(value: number): number {
+function trimToHundredths(value: number): number {
   return Math.round(value * 100) / 100;
 }
