--- a/src/base/node/loop_watch.ts
+++ b/src/base/node/loop_watch.ts
@@ -29,7 +29,7 @@
 export class LoopWatch {
   readonly #options: LoopWatchOptions;
   #tickedAtMs: number;
-  /** What is read now has come since; the last tick, unless that was late. */
+  /** What is read now has come since: the last tick, if that was in time. */
   #sinceMs: number;
   #isCatchingUp = false;
   /** Whether a connection was accepted in the present stretch of turns. */
@@ -49,13 +49,13 @@
 
   /** To be called by the timer. */
   tick(): void {
-    const isLate = this.lagMs > 0;
+    const { lagMs } = this;
     this.#tickedAtMs = this.#options.readClock();
     if (this.#isCatchingUp) {
       return;
     }
-    if (isLate) {
-      this.#catchUp();
+    if (lagMs >= BEHIND_MS) {
+      this.#catchUp(this.#tickedAtMs + lagMs);
     } else {
       this.#sinceMs = this.#tickedAtMs;
     }
@@ -78,12 +78,16 @@
     }
   }
 
-  #catchUp(): void {
+  /**
+   * Goes on while connections are accepted, until `endMs` at most: a process
+   * that is slow for long accepts some in each turn, and none of them is old.
+   */
+  #catchUp(endMs: number): void {
     this.#isCatchingUp = true;
     this.#hasAccepted = false;
     runAfterTurns(LATE_TURNS, () => {
-      if (this.#hasAccepted) {
-        this.#catchUp();
+      if (this.#hasAccepted && this.#options.readClock() < endMs) {
+        this.#catchUp(endMs);
       } else {
         this.#isCatchingUp = false;
         this.#sinceMs = this.#tickedAtMs;
--- a/src/base/test/loop_watch_test.ts
+++ b/src/base/test/loop_watch_test.ts
@@ -56,6 +56,26 @@
     expect(loop.watch.lagMs).to.equal(0);
   });
 
+  it("doesn't stay behind longer than it was, whoever connects", async () => {
+    const loop = new Loop();
+    loop.pass(600);
+    loop.watch.tick();
+    loop.pass(590);
+    loop.watch.tick();
+    loop.watch.noteAccepted();
+    await passTurn();
+    await passTurn();
+    expect(loop.watch.lagMs).to.equal(0);
+  });
+
+  it("forgets at once a lag within which nobody has left for long", () => {
+    const loop = new Loop();
+    loop.pass(90);
+    expect(loop.watch.lagMs).to.equal(70);
+    loop.watch.tick();
+    expect(loop.watch.lagMs).to.equal(0);
+  });
+
   it("runs what was read at once, where it is not behind", () => {
     const loop = new Loop();
     let runs = 0;
