--- /dev/null
+++ b/src/engine/relay/common/gate_lines.ts
@@ -0,0 +1,69 @@
+/** The log lines of a call at its gate: what was decided, and by what. */
+import type { FailureKind, LoadFigures } from "../../mesh/common/frames.ts";
+import type { GateCallState } from "./gate_call_index.ts";
+import type { RelayLine } from "./relay_log.ts";
+
+/** Creates the line of a call that its backend server gets. */
+export function createHandedOverLine(
+  call: GateCallState,
+  /** `lagMs`: how far the event loop is behind. */
+  { nowMs, lagMs }: { readonly nowMs: number; readonly lagMs: number },
+): RelayLine {
+  const { opened, deadlineMs, arrivedAtMs, onWayMs } = call;
+  return {
+    event: "CallHandedOver",
+    isFailure: false,
+    requestId: opened.requestId,
+    route: opened.route,
+    isNested: opened.isNested,
+    timeLeftMs: deadlineMs - nowMs,
+    onWayMs,
+    waitedMs: nowMs - arrivedAtMs - onWayMs,
+    lagMs,
+  };
+}
+
+/** Creates the line of a call without an answer of the backend server. */
+export function createFailedLine(
+  call: GateCallState,
+  failed: {
+    readonly kind: FailureKind;
+    readonly reason: string;
+    readonly load: LoadFigures;
+    readonly nowMs: number;
+  },
+): RelayLine {
+  const { requestId, route, rank, isNested } = call.opened;
+  const { kind, reason, load: { running, queued, limit }, nowMs } = failed;
+  return {
+    event: "CallFailed",
+    isFailure: true,
+    requestId,
+    route,
+    rank,
+    isNested,
+    kind,
+    reason,
+    waitedMs: nowMs - call.arrivedAtMs,
+    running,
+    queued,
+    limit,
+  };
+}
+
+/** Creates the line of a call whose caller has left. */
+export function createCancelledLine(
+  call: GateCallState,
+  { reason, wasRunning }: {
+    readonly reason: string;
+    readonly wasRunning: boolean;
+  },
+): RelayLine {
+  return {
+    event: "CallCancelled",
+    isFailure: false,
+    requestId: call.opened.requestId,
+    reason,
+    wasRunning,
+  };
+}
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -24,6 +24,11 @@
   reduceGate,
 } from "../common/gate.ts";
 import type { GateEffect, GateEvent, LocalBackend } from "../common/gate.ts";
+import {
+  createCancelledLine,
+  createFailedLine,
+  createHandedOverLine,
+} from "../common/gate_lines.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BackendClient } from "./backend_client.ts";
@@ -328,17 +333,7 @@
     call.startedAtMs = nowMs;
     this.#options.noteRun(call.opened.route, 1);
     const { method, target, requestId } = call.opened;
-    log.write({
-      event: "CallHandedOver",
-      isFailure: false,
-      requestId,
-      route: call.opened.route,
-      isNested: call.opened.isNested,
-      timeLeftMs: call.deadlineMs - nowMs,
-      onWayMs: call.onWayMs,
-      waitedMs: nowMs - call.arrivedAtMs - call.onWayMs,
-      lagMs: loop.lagMs,
-    });
+    log.write(createHandedOverLine(call, { nowMs, lagMs: loop.lagMs }));
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
       timeLeftMs: call.deadlineMs - nowMs,
@@ -438,20 +433,10 @@
       retryAfterMs,
       load: this.readLoad(),
     };
-    this.#options.log.write({
-      event: "CallFailed",
-      isFailure: true,
-      requestId: call.opened.requestId,
-      route: call.opened.route,
-      rank: call.opened.rank,
-      isNested: call.opened.isNested,
-      kind,
-      reason,
-      waitedMs: this.#options.readClock() - call.arrivedAtMs,
-      running: failed.load.running,
-      queued: failed.load.queued,
-      limit: failed.load.limit,
-    });
+    const { load } = failed;
+    const nowMs = this.#options.readClock();
+    const line = createFailedLine(call, { kind, reason, load, nowMs });
+    this.#options.log.write(line);
     call.send(failed);
   }
 
@@ -474,13 +459,7 @@
       isLost: true,
       isRejected: false,
     });
-    this.#options.log.write({
-      event: "CallCancelled",
-      isFailure: false,
-      requestId: call.opened.requestId,
-      reason,
-      wasRunning,
-    });
+    this.#options.log.write(createCancelledLine(call, { reason, wasRunning }));
   }
 
   #end(
