--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -26,12 +26,16 @@
   lostShare: number;
   /** Least backlog that the window has seen, in milliseconds of all room. */
   leastBacklogMs: number;
+  /** Most requests that ran at a time in the window. */
+  mostRunning: number;
 }
 
 /** Room as it is now. */
 export interface PressureInputs {
   /** Requests that may run at a time. */
   readonly limit: number;
+  /** Requests that run. */
+  readonly running: number;
   /** Time that all places together need for what waits. */
   readonly backlogMs: number;
   readonly nowMs: number;
@@ -71,6 +75,18 @@
 const LOST_ERROR = 4;
 const MAX_LOST_ERROR = 0.5;
 
+/**
+ * With less of its places taken through a whole window a backend server is not
+ * short of room, whatever was lost: its runs waited for what they call.
+ */
+const IDLE_SHARE = 0.5;
+/**
+ * Part of the slow part that is left after such a window. Without it 24
+ * backend servers in the middle of a call tree ran 22 to 27 of 58 calls each at
+ * a pressure of 0.9, a second after the service below had caught up.
+ */
+const IDLE_KEPT = 0.5;
+
 /** Creates the state of a backend server that is not short of room. */
 export function createPressure(nowMs: number): PressureState {
   return {
@@ -83,6 +99,7 @@
     lost: 0,
     lostShare: 0,
     leastBacklogMs: Infinity,
+    mostRunning: 0,
   };
 }
 
@@ -115,8 +132,9 @@
 /** Notes the wait, and moves on where a window has ended. */
 export function updatePressure(
   state: PressureState,
-  { limit, backlogMs, nowMs }: PressureInputs,
+  { limit, running, backlogMs, nowMs }: PressureInputs,
 ): void {
+  state.mostRunning = Math.max(state.mostRunning, running);
   state.leastBacklogMs = Math.min(state.leastBacklogMs, backlogMs);
   const lengthMs = nowMs - state.windowStartMs;
   if (lengthMs < WINDOW_MS) {
@@ -130,11 +148,15 @@
   );
   const lostShare = state.lost / Math.max(1, state.arrived);
   state.lostShare += (Math.min(1, lostShare) - state.lostShare) * DEMAND_GAIN;
+  const isIdle = byBacklog === 0 && state.mostRunning < limit * IDLE_SHARE;
+  const byLoss = isIdle
+    ? 0
+    : Math.min(MAX_LOST_ERROR, state.lostShare * LOST_ERROR);
   const error = limitTo(state.demand - TARGET, MIN_ERROR, MAX_ERROR) +
-    byBacklog * BACKLOG_ERROR +
-    Math.min(MAX_LOST_ERROR, state.lostShare * LOST_ERROR);
+    byBacklog * BACKLOG_ERROR + byLoss;
   const change = error * INTEGRAL_PER_S * lengthMs / 1_000;
-  state.integral = limitTo(state.integral + change, 0, MAX_INTEGRAL);
+  const kept = state.integral * (isIdle ? IDLE_KEPT : 1);
+  state.integral = limitTo(kept + change, 0, MAX_INTEGRAL);
   state.pressure = state.integral === 0
     ? 0
     : limitTo(state.integral + error * PROPORTIONAL + byBacklog, 0, 1);
@@ -143,6 +165,7 @@
   state.lost = 0;
   state.windowStartMs = nowMs;
   state.leastBacklogMs = Infinity;
+  state.mostRunning = running;
 }
 
 function limitTo(value: number, least: number, most: number): number {
--- a/src/engine/admission/test/overload_pressure_test.ts
+++ b/src/engine/admission/test/overload_pressure_test.ts
@@ -34,7 +34,13 @@
     const share = computeDemand(nowMs) * (1 - refused);
     noteAsked(state, share * LIMIT * TICK_MS);
     queuedMs = Math.max(0, queuedMs + (share - 1) * TICK_MS);
-    updatePressure(state, { limit: LIMIT, backlogMs: queuedMs, nowMs });
+    const running = queuedMs > 0 ? LIMIT : share * LIMIT;
+    updatePressure(state, {
+      limit: LIMIT,
+      running,
+      backlogMs: queuedMs,
+      nowMs,
+    });
     admitted.push(share);
     pressures.push(state.pressure);
   }
@@ -76,7 +82,7 @@
     const { pressures } = play(() => 0.9, 10_000);
     expect(Math.max(...pressures)).to.equal(0);
     const state = createPressure(0);
-    const inputs = { limit: LIMIT, nowMs: 60 };
+    const inputs = { limit: LIMIT, running: LIMIT, nowMs: 60 };
     updatePressure(state, { ...inputs, backlogMs: 300 });
     updatePressure(state, { ...inputs, backlogMs: 0, nowMs: 80 });
     updatePressure(state, { ...inputs, backlogMs: 300, nowMs: 100 });
@@ -92,7 +98,8 @@
       noteLost(state);
       noteLost(state);
       noteLost(state);
-      updatePressure(state, { limit: LIMIT, backlogMs: 0, nowMs });
+      const running = 0.9 * LIMIT;
+      updatePressure(state, { limit: LIMIT, running, backlogMs: 0, nowMs });
     }
     expect(state.pressure).to.be.above(0.15);
   });
@@ -107,7 +114,8 @@
             noteRejected(state, LIMIT);
           }
         }
-        updatePressure(state, { limit: LIMIT, backlogMs: 0, nowMs });
+        const running = Math.min(1, 1.2 * (1 - share)) * LIMIT;
+        updatePressure(state, { limit: LIMIT, running, backlogMs: 0, nowMs });
       }
       return state.pressure;
     };
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -290,6 +290,7 @@
   }
   updatePressure(state.pressure, {
     limit: computeLimit(state),
+    running: state.running,
     backlogMs: computeBacklogMs(state),
     nowMs,
   });
--- a/src/engine/relay/test/idle_gate_test.ts
+++ b/src/engine/relay/test/idle_gate_test.ts
@@ -1,7 +1,12 @@
 /**
  * Requests were refused for gates whose places stood idle. The places of a
  * service that makes calls had all been taken by runs that waited for the
- * narrow service below, and many of these came to nothing.
+ * narrow service below, and many of these came to nothing; their losses and
+ * their long runs raised the pressure to its bound, and it fell by 0.36 a second
+ * at most, however idle the gate was by then. What settled it: a second after
+ * the service below had caught up, 24 such gates said
+ *     GateUnderPressure limit=58 meanRunning=25.66 pressure=0.87 lostShare=0.18
+ * and refused 740 of the most urgent requests.
  */
 import { expect } from "chai";
 import { createGate, createLoad, reduceGate } from "../common/gate.ts";
