--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -44,8 +44,8 @@
     this.#open.splice(0).forEach((response) => response.end("done"));
   }
 
-  async waitForFirst(): Promise<void> {
-    while (this.seen.length === 0) {
+  async waitForRequests(count: number): Promise<void> {
+    while (this.seen.length < count) {
       await sleep(5);
     }
   }
@@ -78,7 +78,7 @@
     const backend = createBackend(await busy.backend.open());
     busy.gate.changeBackend({ ...backend, slots: SLOTS });
     busy.take(1, { target: "/first" });
-    await busy.backend.waitForFirst();
+    await busy.backend.waitForRequests(1);
     return busy;
   }
 
@@ -121,6 +121,9 @@
     busy.take(2, { target: "/late", deadlineMs: 1_130, isIdempotent: false });
     busy.nowMs += 200;
     await busy.free();
+    while (busy.frames.length < 2) {
+      await sleep(5);
+    }
     expect(busy.backend.seen).to.deep.equal(["/first"]);
     const failed = busy.frames.filter(({ type }) => type === "CallFailed");
     expect(failed).to.have.length(1);
@@ -131,6 +134,7 @@
     await using busy = await BusyGate.open();
     busy.take(2, { target: "/stays" });
     await busy.free();
+    await busy.backend.waitForRequests(2);
     expect(busy.backend.seen).to.deep.equal(["/first", "/stays"]);
   });
 });
