--- a/src/engine/call/node/call_server.ts
+++ b/src/engine/call/node/call_server.ts
@@ -1,5 +1,5 @@
 /** The listeners of a node: HTTP in, events out, effects carried out. */
-import { createHash, randomBytes } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { CallLoop } from "../../../base/common/call_loop.ts";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
@@ -19,9 +19,7 @@
   encodeClock,
 } from "../../telemetry/common/process_clock.ts";
 import type { ProcessClock } from "../../telemetry/common/process_clock.ts";
-import { CONTEXT_HEADER } from "../common/call_context.ts";
 import type {
-  CallReceived,
   Listener,
   NodeEffect,
   NodeEvent,
@@ -29,7 +27,13 @@
 } from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { probeBackend } from "./backend_probe.ts";
-import { readPath, writeAnswer } from "./exchange.ts";
+import {
+  collectBody,
+  createCallReceived,
+  readBodyBytes,
+} from "./call_reading.ts";
+import type { ArrivedCall } from "./call_reading.ts";
+import { writeAnswer } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
 
 /** What the listeners are built from. */
@@ -67,7 +71,6 @@
 const REPLAY_BYTES = 64 * 1024;
 /** Largest message from another node. */
 const MAX_PEER_BYTES = 256 * 1024;
-const MAX_CALLER_LENGTH = 64;
 const KEEP_ALIVE_MS = 60_000;
 
 /** Owns the three listeners and the exchanges on them. */
@@ -293,10 +296,7 @@
     answer?.(reply);
   }
 
-  #accept(
-    listener: Listener,
-    arrived: Omit<Exchange, "id"> & { readonly bodyBytes: number | undefined },
-  ): void {
+  #accept(listener: Listener, arrived: ArrivedCall): void {
     const { request, response, isFromNode, body } = arrived;
     const { dispatch, loop } = this.#options;
     const id = `${this.#idPrefix}-${(this.#nextId++).toString(36)}`;
@@ -320,87 +320,3 @@
     });
   }
 }
-
-/** Creates what the reducers are told of a call. */
-function createCallReceived(
-  id: string,
-  listener: Listener,
-  arrived: Omit<Exchange, "id"> & { readonly bodyBytes: number | undefined },
-): CallReceived {
-  const { request, body, bodyBytes } = arrived;
-  const context = request.headers[CONTEXT_HEADER];
-  return {
-    type: "CallReceived",
-    exchangeId: id,
-    listener,
-    method: request.method ?? "GET",
-    path: readPath(request.url ?? "/"),
-    contextHeader: Array.isArray(context) ? context[0] : context,
-    bodyBytes,
-    isReplayable: body !== undefined,
-    admissionKey: listener === "edge" ? readAdmissionKey(request) : undefined,
-    ...(listener === "edge" ? readSender(request) : {}),
-    ...readDigest(request, body),
-  };
-}
-
-/**
- * What names a caller: the key of its request, which its own resends share,
- * else its connection; an address alone would be one name for a whole shop.
- */
-function readAdmissionKey(request: IncomingMessage): string | undefined {
-  const key = request.headers["idempotency-key"];
-  const { remoteAddress, remotePort } = request.socket;
-  return typeof key === "string" ? key : `${remoteAddress}:${remotePort}`;
-}
-
-/** What its caller's resends of a request are recognised by. */
-function readSender(
-  { headers, socket, url }: IncomingMessage,
-): Pick<CallReceived, "caller" | "requestId"> {
-  const name = headers["x-caller-id"];
-  const isNamed = typeof name === "string" && name !== "" &&
-    name.length <= MAX_CALLER_LENGTH;
-  const caller = isNamed ? `id ${name}` : `at ${socket.remoteAddress}`;
-  const id = headers["x-request-id"];
-  return typeof id === "string" && id !== ""
-    ? { caller, requestId: `${url} ${id}` }
-    : { caller };
-}
-
-/** The digest is of the length alone where the body isn't held whole. */
-function readDigest(
-  request: IncomingMessage,
-  body: Uint8Array | undefined,
-): Pick<CallReceived, "requestKey" | "digest"> {
-  const hash = createHash("sha256");
-  hash.update(`${request.method} ${request.url}\n`);
-  hash.update(body ?? `${request.headers["content-length"]}`);
-  const digest = hash.digest("base64url");
-  const key = request.headers["idempotency-key"];
-  return typeof key !== "string" || key === ""
-    ? { digest }
-    : { digest, requestKey: { key, fingerprint: digest } };
-}
-
-/** Content-Length; 0 without a body, undefined for a chunked one. */
-function readBodyBytes(request: IncomingMessage): number | undefined {
-  if (request.headers["transfer-encoding"] !== undefined) {
-    return undefined;
-  }
-  return Number(request.headers["content-length"] ?? 0);
-}
-
-function collectBody(
-  request: IncomingMessage,
-  bodyBytes: number,
-  accept: (body: Uint8Array) => void,
-): void {
-  if (bodyBytes === 0) {
-    accept(new Uint8Array(0));
-    return;
-  }
-  const chunks: Uint8Array[] = [];
-  request.on("data", (chunk: Uint8Array) => chunks.push(chunk));
-  request.on("end", () => accept(Buffer.concat(chunks)));
-}
