Wait in tests until every control replica lists a new node

Symptom: "transport by TLS carries calls over two nodes and through a backend server" failed in 2 of 302 runs with 503 "No backend server of custody takes work".

The entry holds its link to any of them, and was told a complete list by one that had not heard of the node yet. The refusal was true ("not run") and allowed: what was wrong is the state that the test began from. Ruled out: the wait of a late loop, which is on the relay's path and not on this one.

--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -212,16 +212,24 @@
     return { ...node, ...addresses, service, backend };
   }
 
-  /** Waits until a control replica lists a node. */
+  /**
+   * Waits until every control replica that answers lists a node: callers may
+   * hold their link to any of them, and hear of the node from that one only.
+   */
   async waitMember(nodeId: string): Promise<void> {
     const endMs = Date.now() + START_MS;
     while (Date.now() < endMs) {
-      for (const { operator } of this.#controls) {
-        const answer = await this.#ask(operator, "/status")
-          .then(({ body }) => body.text(), () => "");
-        if (answer.includes(`"nodeId":"${nodeId}"`)) {
-          return;
-        }
+      const reports = await Promise.all(
+        this.#controls.map(({ operator }) =>
+          this.#ask(operator, "/status")
+            .then(({ body }) => body.text(), () => undefined)
+        ),
+      );
+      const heard = reports.filter((report) => report !== undefined);
+      const isListed = (report: string) =>
+        report.includes(`"nodeId":"${nodeId}"`);
+      if (heard.length > 0 && heard.every(isListed)) {
+        return;
       }
       await sleep(POLL_MS);
     }
