Serve requests by the keys of workspaces, and fail closed without a proof

Cause: no part of the product knew them.

Keys never leave the operator's document: nodes hold digests. A node serves keys only for revokeMs - 100 ms after it asked for the last proof that its configuration is the newest; the replica answers with a round of reads that began after the question, so no clock of a replica matters. A key is called unknown only by a proof asked for after it came; until then the request waits. Clocks that part (suspension, a stepped wall clock) void the lease. The caller's answers move out of caller_server.ts.

--- a/src/base/node/steady_clock.ts
+++ b/src/base/node/steady_clock.ts
@@ -9,3 +9,11 @@
 export function readSteadyMs(): number {
   return Math.floor(performance.timeOrigin + performance.now());
 }
+
+/**
+ * Reads the steady clock and the wall clock together: the one stands still
+ * while the VM is suspended, the other may be stepped.
+ */
+export function readBothClocks() {
+  return { steadyMs: readSteadyMs(), wallMs: Date.now() };
+}
--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -10,6 +10,7 @@
 import type { MemberTable } from "../engine/relay/common/member_table.ts";
 import type { RelayLog } from "../engine/relay/common/relay_log.ts";
 import type { RouteTable } from "../engine/routes/common/route_table.ts";
+import type { KeyAccess } from "../engine/workspaces/common/key_access.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 
 /** What the control side of a relay is built from. */
@@ -18,6 +19,9 @@
   /** Filled with the members that control tells. */
   readonly members: MemberTable;
   readonly log: RelayLog;
+  readonly access: KeyAccess;
+  /** The routes in force were proved to be the newest. */
+  readonly onProof: () => void;
   /** Newer routes are in force. */
   readonly onRoutes: (routes: RouteTable) => void;
 }
@@ -26,6 +30,8 @@
 const DEFAULT_OBJECTIVE_MS = 300;
 /** How long routes that no quorum vouches for are kept aside at the start. */
 const UNCONFIRMED_MS = 4_000;
+/** Least time between questions for a proof, beside those of heartbeats. */
+const ASK_EVERY_MS = 100;
 
 /** Holds the link to control, the announcement, and the routes in force. */
 export class RelayControl implements AsyncDisposable {
@@ -36,6 +42,7 @@
   #routes: RouteTable | undefined;
   #objectives: ReadonlyMap<string, number> = new Map();
   #linkNumber = 0;
+  #askedAtMs = 0;
   #announcement: Announcement;
 
   constructor(options: RelayControlOptions) {
@@ -81,6 +88,13 @@
     this.#link.addReplicas(seeds);
   }
 
+  /** Asks at once for a proof that the routes in force are the newest. */
+  askProof(): void {
+    if (readSteadyMs() - this.#askedAtMs >= ASK_EVERY_MS) {
+      this.#link.send(this.#createHeartbeat());
+    }
+  }
+
   /** Says what has changed of this node. */
   announce(change: Partial<Announcement>): void {
     const { service } = this.#announcement;
@@ -114,6 +128,7 @@
         });
         this.#linkNumber = linkNumber;
         this.#announce(this.#announcement);
+        this.#link.send(this.#createHeartbeat());
         this.#subscribed.clear();
         this.#subscribe();
       },
@@ -125,14 +140,25 @@
         }),
       readConfirmed: (message) =>
         "isConfirmed" in message ? message.isConfirmed : undefined,
-      createHeartbeat: () => ({
-        type: "Heartbeat",
-        tableVersion: 0,
-        routesVersion: this.#routes?.version ?? 0,
-      }),
+      createHeartbeat: () => this.#createHeartbeat(),
     });
   }
 
+  /** Only where keys are needed does a heartbeat ask for a proof. */
+  #createHeartbeat(): NodeMessage {
+    const routesVersion = this.#routes?.version ?? 0;
+    const heartbeat = {
+      type: "Heartbeat",
+      tableVersion: 0,
+      routesVersion,
+    } as const;
+    if (this.#routes?.workspaces === undefined) {
+      return heartbeat;
+    }
+    this.#askedAtMs = readSteadyMs();
+    return { ...heartbeat, proof: this.#options.access.askProof() };
+  }
+
   #announce(announcement: Announcement): void {
     const sequence = this.#announcement.sequence + 1;
     this.#announcement = { ...announcement, sequence };
@@ -150,6 +176,9 @@
       case "RoutesUpdate":
         this.#takeRoutes(message.routes, message.isConfirmed);
         return;
+      case "RoutesProved":
+        this.#takeProof(message.number, message.routesVersion);
+        return;
       case "MemberList":
         if (message.isComplete) {
           this.#options.members.noteComplete(message.service);
@@ -185,6 +214,14 @@
     }
   }
 
+  /** A proof of routes that are still on their way here proves nothing. */
+  #takeProof(number: number, routesVersion: number): void {
+    if (this.routesVersion >= routesVersion) {
+      this.#options.access.acceptProof(number);
+      this.#options.onProof();
+    }
+  }
+
   #renewIncarnation(heard: readonly Announcement[]): void {
     const incarnation = renewIncarnation(this.#announcement, heard);
     if (incarnation !== undefined) {
@@ -217,8 +254,12 @@
     this.#objectives = new Map(
       routes.routes.map(({ name, objectiveMs }) => [name, objectiveMs]),
     );
+    this.#options.access.replaceWorkspaces(routes.workspaces ?? []);
     this.#options.onRoutes(routes);
     this.#subscribe();
+    if (routes.workspaces !== undefined) {
+      this.askProof();
+    }
   }
 
   /** Asks for the members of the services that the routes lead to. */
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -5,7 +5,7 @@
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { LoopWatch } from "../base/node/loop_watch.ts";
-import { readSteadyMs } from "../base/node/steady_clock.ts";
+import { readBothClocks, readSteadyMs } from "../base/node/steady_clock.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
@@ -15,6 +15,12 @@
 import { CallerServer } from "../engine/relay/node/caller_server.ts";
 import { EntryCalls } from "../engine/relay/node/entry_calls.ts";
 import { GateCalls } from "../engine/relay/node/gate_calls.ts";
+import { computeKeyDigest } from "../engine/workspaces/node/key_digest.ts";
+import { KeyAccess } from "../engine/workspaces/common/key_access.ts";
+import {
+  buildRankScale,
+  computeLastRank,
+} from "../engine/workspaces/common/workspace.ts";
 import type { OperatorServer } from "./operator_server.ts";
 import { RelayControl } from "./relay_control.ts";
 import { createRelayOperator } from "./relay_operator.ts";
@@ -54,6 +60,7 @@
   readonly #tree: RelayTree;
   #lastRank = 0;
   readonly #gate: GateCalls;
+  readonly #access: KeyAccess;
   readonly #entry: EntryCalls;
   readonly #callers: CallerServer;
   readonly #meshClient: MeshClient;
@@ -131,8 +138,15 @@
       noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
     });
     this.#meshServer = this.#owned.use(this.#createMeshServer());
+    this.#access = new KeyAccess({
+      leaseMs: settings.keyLeaseMs,
+      readClocks: readBothClocks,
+      computeDigest: computeKeyDigest,
+    });
     this.#callers = this.#owned.use(
       new CallerServer({
+        access: this.#access,
+        askProof: () => this.#control.askProof(),
         address: parseAddress(settings.callers)!,
         dialect,
         startCall: (request, service, onResult) =>
@@ -150,11 +164,12 @@
         settings,
         members: this.#members,
         log,
+        access: this.#access,
+        onProof: () => this.#callers.resumeUnsure(),
         onRoutes: (routes) => {
-          this.#lastRank = Math.max(
-            0,
-            ...routes.routes.map(({ rank }) => rank),
-          );
+          const ranks = routes.routes.map(({ rank }) => rank);
+          const scale = buildRankScale(ranks, routes.workspaces ?? []);
+          this.#lastRank = computeLastRank(scale);
           this.#callers.replaceRoutes(routes);
         },
       }),
@@ -281,6 +296,7 @@
   #tick(): void {
     this.#ticks += 1;
     this.#loop.tick();
+    this.#access.tick();
     this.#callers.tick();
     this.#entry.tick();
     this.#gate.tick();
--- a/src/daemon/relay_settings.ts
+++ b/src/daemon/relay_settings.ts
@@ -20,6 +20,8 @@
   readonly replicas: readonly string[];
   readonly linkPace: LinkPace;
   readonly budget: BudgetTerms;
+  /** How long keys are served without a proof that they hold; undefined: on. */
+  readonly keyLeaseMs: number | undefined;
   /** A drain ends by then, whatever is in progress. */
   readonly drainMs: number;
 }
--- a/src/engine/control/common/control_reducer.ts
+++ b/src/engine/control/common/control_reducer.ts
@@ -27,6 +27,7 @@
   stepMembership,
   tickMembership,
 } from "./presence_step.ts";
+import { noteQuestion, replaceRounds } from "./routes_proof.ts";
 import { confirmRoutes, noteRoutes, pushRoutes } from "./routes_push.ts";
 import {
   confirmTable,
@@ -54,6 +55,8 @@
       });
     case "TableReplaced":
       return replaceTable(state, event, nowMs);
+    case "RoundsReplaced":
+      return replaceRounds(state, event.readRounds);
     case "HoldersReplaced":
       return replaceHolders(state, event.holders);
     case "DrainOrdered":
@@ -144,8 +147,9 @@
   message: Extract<NodeMessage, { type: "Heartbeat" }>,
   nowMs: number,
 ): ControlStep {
-  const { tableVersion, routesVersion } = message;
-  const next = updateLink(state, linkId, { tableVersion });
+  const { tableVersion, routesVersion, proof } = message;
+  const asked = noteQuestion(state, linkId, proof);
+  const next = updateLink(asked, linkId, { tableVersion });
   const nodeId = next.links.get(linkId)?.nodeId ?? "";
   const event: MembershipEvent = {
     type: "NodeHeartbeatReceived",
--- a/src/engine/control/common/control_state.ts
+++ b/src/engine/control/common/control_state.ts
@@ -16,6 +16,8 @@
 import type { Table } from "../../table/common/table_row.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
 import type { HoldersState } from "./holders.ts";
+import { NO_ROUNDS } from "./routes_proof.ts";
+import type { ProofQuestion, ReadRounds } from "./routes_proof.ts";
 
 /** One node's link to this replica. */
 export interface Link {
@@ -35,6 +37,8 @@
   readonly sentRoutesVersion: number;
   /** Wall clock in milliseconds. */
   readonly sentRoutesAtMs: number;
+  /** Proofs that the node asked for, oldest first. */
+  readonly questions: readonly ProofQuestion[];
 }
 
 /** All that a control replica knows. */
@@ -42,6 +46,8 @@
   readonly tableState: TableState;
   /** Whether a quorum vouched for the table. */
   readonly isTableConfirmed: boolean;
+  /** By which this replica proves that its table is current. */
+  readonly readRounds: ReadRounds;
   /** Earlier tables that deltas start from, oldest first. */
   readonly recentTables: readonly Table[];
   readonly membership: MembershipState;
@@ -74,6 +80,8 @@
     /** Whether a quorum vouched for it lately. */
     readonly isCurrent: boolean;
   }
+  /** A round of reads began, or was confirmed. */
+  | { readonly type: "RoundsReplaced"; readonly readRounds: ReadRounds }
   /** Committed changes of the holder sets. */
   | { readonly type: "HoldersReplaced"; readonly holders: HoldersState }
   | { readonly type: "DrainOrdered"; readonly nodeId: string }
@@ -109,6 +117,7 @@
   routesVersion: 0,
   sentRoutesVersion: 0,
   sentRoutesAtMs: 0,
+  questions: [],
 };
 
 /** Creates a replica that knows nothing yet. */
@@ -116,6 +125,7 @@
   return {
     tableState: INITIAL_TABLE_STATE,
     isTableConfirmed: false,
+    readRounds: NO_ROUNDS,
     recentTables: [],
     membership: createMembership(replicaId, nowMs),
     isWarm: false,
--- a/src/engine/control/common/read_sending.ts
+++ b/src/engine/control/common/read_sending.ts
@@ -52,7 +52,7 @@
   state: ReplicationState,
   nowMs: number,
 ): ReplicationStep {
-  const { requestId, startedAtMs, confirmedAtMs } = state.confirmation;
+  const { requestId, startedAtMs, confirmedAtMs, rounds } = state.confirmation;
   const everyMs = state.cluster.discovery?.confirmEveryMs ?? CONFIRM_EVERY_MS;
   const isDue = confirmedAtMs === undefined ||
     Math.abs(nowMs - startedAtMs) >= everyMs;
@@ -60,7 +60,12 @@
     return createReduction(state);
   }
   const id = getRequestId(state);
-  const confirmation = { requestId: id, startedAtMs: nowMs, confirmedAtMs };
+  const confirmation = {
+    requestId: id,
+    startedAtMs: nowMs,
+    confirmedAtMs,
+    rounds: { ...rounds, started: rounds.started + 1 },
+  };
   const next = { ...state, confirmation, nextRequest: state.nextRequest + 1 };
   return stepConsensus(next, { type: "ReadRequested", requestId: id }, nowMs);
 }
--- a/src/engine/control/common/replica_reducer.ts
+++ b/src/engine/control/common/replica_reducer.ts
@@ -139,11 +139,22 @@
 
 function publish(state: ReplicaState, nowMs: number): ReplicaStep {
   return chainReduction(
-    publishTable(publishReplicas(state), nowMs),
+    chainReduction(
+      publishTable(publishReplicas(state), nowMs),
+      (s) => publishRounds(s, nowMs),
+    ),
     (s) => publishHolders(s, nowMs),
   );
 }
 
+/** After the table: a proof may only name a version that was pushed before. */
+function publishRounds(state: ReplicaState, nowMs: number): ReplicaStep {
+  const { rounds } = state.replication.confirmation;
+  return state.control.readRounds === rounds
+    ? createReduction(state)
+    : step(state, { type: "RoundsReplaced", readRounds: rounds }, nowMs);
+}
+
 /** Nodes are told of the replicas with the next answer to a heartbeat. */
 function publishReplicas(state: ReplicaState): ReplicaState {
   const { control, replication } = state;
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -40,6 +40,7 @@
   ReplicationStep,
 } from "./replication_state.ts";
 import { renewConfirmation, resumeReads, startRead } from "./read_sending.ts";
+import { NO_ROUNDS } from "./routes_proof.ts";
 import { expireReads } from "./table_reads.ts";
 
 /** What a replica starts from. */
@@ -74,6 +75,7 @@
       requestId: undefined,
       startedAtMs: nowMs,
       confirmedAtMs: undefined,
+      rounds: NO_ROUNDS,
     },
     isStoringFounding: false,
     voters: consensus.configuration.voters,
--- a/src/engine/control/common/replication_state.ts
+++ b/src/engine/control/common/replication_state.ts
@@ -19,6 +19,7 @@
 } from "../../table/common/table_reducer.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
 import type { HoldersState } from "./holders.ts";
+import type { ReadRounds } from "./routes_proof.ts";
 
 /** Which replicas there are, by their ids in the settings. */
 export interface Cluster {
@@ -91,6 +92,7 @@
   readonly startedAtMs: number;
   /** Start of the last read that was confirmed. */
   readonly confirmedAtMs: number | undefined;
+  readonly rounds: ReadRounds;
 }
 
 /** One replica of the table. */
--- a/src/engine/control/common/table_reads.ts
+++ b/src/engine/control/common/table_reads.ts
@@ -14,7 +14,14 @@
   const { confirmation } = state;
   if (confirmation.requestId === requestId) {
     const confirmedAtMs = confirmation.startedAtMs;
-    const next = { ...confirmation, requestId: undefined, confirmedAtMs };
+    // One round at a time: the one that is confirmed was started last.
+    const { started } = confirmation.rounds;
+    const next = {
+      requestId: undefined,
+      startedAtMs: confirmedAtMs,
+      confirmedAtMs,
+      rounds: { started, confirmed: started },
+    };
     return createReduction({ ...state, confirmation: next });
   }
   return settleRead(state, requestId, true);
--- a/src/engine/link/common/link_messages.ts
+++ b/src/engine/link/common/link_messages.ts
@@ -24,6 +24,8 @@
     readonly type: "Heartbeat";
     readonly tableVersion: number;
     readonly routesVersion?: number;
+    /** Asks for a proof that the routes are the newest; numbers grow. */
+    readonly proof?: number;
   }
   /** The records of an older epoch are copied. */
   | {
@@ -57,6 +59,15 @@
     /** Whether the replica has proved that they are current. */
     readonly isConfirmed: boolean;
   }
+  /**
+   * A quorum vouched, after the question of this number came, that no version
+   * above this one was accepted.
+   */
+  | {
+    readonly type: "RoutesProved";
+    readonly number: number;
+    readonly routesVersion: number;
+  }
   | {
     readonly type: "MemberList";
     readonly service: string;
--- a/src/engine/link/common/node_inbox.ts
+++ b/src/engine/link/common/node_inbox.ts
@@ -49,6 +49,7 @@
     case "DrainOrder":
       return createResult({ type: "DrainRequested" });
     case "RoutesUpdate":
+    case "RoutesProved":
     case "HeartbeatAnswer":
       return createResult();
   }
--- a/src/engine/relay/common/dialect.ts
+++ b/src/engine/relay/common/dialect.ts
@@ -12,6 +12,16 @@
   readonly requestId: string | undefined;
   /** How long the caller will wait; undefined where it doesn't say. */
   readonly patienceMs: number | undefined;
+  /** Key of a workspace, in clear text; undefined where there is none. */
+  readonly key: string | undefined;
+}
+
+/** What a node says of where a request comes from, whatever its caller says. */
+export interface CallOrigin {
+  /** Service whose backend server runs on the VM of the caller. */
+  readonly service: string;
+  /** Name of the workspace whose key the request had. */
+  readonly workspace: string | undefined;
 }
 
 /** What the node says to the backend server about one request. */
@@ -43,10 +53,10 @@
 /** Pure translations at the two edges of the mesh. */
 export interface CallDialect {
   readonly readTerms: (headers: HeaderMap) => CallerTerms;
-  /** Headers that go on, with those of the caller that are the node's own. */
+  /** Headers that go on: no key, and nothing that only a node may say. */
   readonly createCallHeaders: (
     rawHeaders: readonly string[],
-    callerService: string,
+    origin: CallOrigin,
   ) => HeaderList;
   readonly createBackendHeaders: (terms: BackendTerms) => HeaderList;
   readonly judgeAnswer: (head: AnswerHead) => AnswerJudgement;
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -13,15 +13,26 @@
 } from "../../routes/common/route_match.ts";
 import type { RouteIndex } from "../../routes/common/route_match.ts";
 import type { Route, RouteTable } from "../../routes/common/route_table.ts";
-import type { CallDialect } from "../common/dialect.ts";
+import {
+  buildRankScale,
+  joinRanks,
+} from "../../workspaces/common/workspace.ts";
 import type {
-  EntryFailure,
-  EntryRequest,
-  EntryResult,
-} from "../common/entry_types.ts";
+  RankScale,
+  Workspace,
+} from "../../workspaces/common/workspace.ts";
+import type { KeyAccess } from "../../workspaces/common/key_access.ts";
+import type { CallDialect } from "../common/dialect.ts";
+import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { HeldBytes } from "../common/held_bytes.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
+import {
+  createRetryHeaders,
+  getStatus,
+  spreadRetry,
+  writeAnswer,
+} from "./caller_answers.ts";
 import { readBody } from "./body_reader.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
@@ -38,6 +49,9 @@
   readonly address: ListenAddress;
   readonly dialect: CallDialect;
   readonly startCall: StartCall;
+  readonly access: KeyAccess;
+  /** Asks for a proof that the keys known here are those in force. */
+  readonly askProof: () => void;
   /** Notes a call; tells whether the local backend server made it. */
   readonly observeCall: (call: {
     readonly route: string;
@@ -54,25 +68,26 @@
 
 /** Longest wait of a caller that says nothing, where the route allows it. */
 const DEFAULT_PATIENCE_MS = 600_000;
-/** A caller honours a wait of at most this part of the time it has left. */
-const RETRY_PART = 3;
-/** When callers come back to a node that knows no routes yet. */
-const NO_ROUTES_RETRY_MS = 300;
+/** When callers come back to a node that has yet to be told what is in force. */
+const EARLY_RETRY_MS = 300;
 const MEMORY_RETRY_MS = 500;
+/** When callers come back to a node that can't know which keys hold. */
+const LAPSED_RETRY_MS = 500;
 /**
  * Bytes of requests held at a time, those still being read included; more are
  * refused. With as much at the gate, a seventh of a process's 350 MB each.
  */
 const MAX_HELD_BYTES = 50_331_648;
-/**
- * Bodies up to this length go as Latin-1 text, which holds all bytes as they
- * are: Node writes such a body and its head in one piece, and any other one as
- * a list of pieces.
- */
-const MAX_TEXT_BYTES = 16_384;
 /** Larger than any header that a table allows; the table's limit is checked. */
 const MAX_HEADER_BYTES = 131_072;
 
+/** A request that may go on, with the workspace whose key it had. */
+interface Entered {
+  readonly workspace: Workspace | undefined;
+}
+
+const NO_WORKSPACE: Entered = { workspace: undefined };
+
 /** Takes requests, finds their routes, and gives callers their answers. */
 export class CallerServer implements AsyncDisposable {
   readonly #options: CallerServerOptions;
@@ -81,10 +96,13 @@
   readonly #connections = new Map<Duplex, CallerConnection>();
   #routes: RouteTable | undefined;
   #index: RouteIndex = new Map();
+  #ranks: RankScale = buildRankScale([], []);
   #isDraining = false;
   #open = 0;
   readonly #held = new HeldBytes(MAX_HELD_BYTES);
   readonly #waiters = new RouteWaiters<Exchange>();
+  /** Requests with a key that only a newer configuration may have. */
+  readonly #unsure = new RouteWaiters<Exchange>();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -111,16 +129,28 @@
     this.#routes = routes;
     this.#index = buildRouteIndex(routes);
     this.#chooser.trim(routes);
+    this.#ranks = buildRankScale(
+      routes.routes.map(({ rank }) => rank),
+      routes.workspaces ?? [],
+    );
     const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs;
     this.#waiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
-  /** Gives up requests that have waited for routes as long as they may. */
+  /** Looks again at requests whose keys were not known to be unknown. */
+  resumeUnsure(): void {
+    this.#unsure.takeAll().forEach((exchange) => this.#resume(exchange));
+  }
+
+  /** Gives up requests that have waited as long as they may. */
   tick(): void {
-    this.#waiters.takeLate(this.#options.readClock())
-      .forEach((exchange) => this.#refuseForRoutes(exchange));
+    const nowMs = this.#options.readClock();
+    this.#waiters.takeLate(nowMs)
+      .forEach((exchange) => this.#refuseEarly(exchange, "no routes yet"));
+    this.#unsure.takeLate(nowMs)
+      .forEach((exchange) => this.#refuseEarly(exchange, "keys not proved"));
   }
 
   /** Asks callers to leave with each answer. */
@@ -190,31 +220,40 @@
     }
   }
 
-  #waitForRoutes(exchange: Exchange): void {
+  #waitIn(
+    waiters: RouteWaiters<Exchange>,
+    exchange: Exchange,
+    reason: string,
+  ): void {
     const { request, arrivedAtMs } = exchange;
     const { patienceMs = DEFAULT_PATIENCE_MS } = this.#options.dialect
       .readTerms(request.headers);
-    if (!this.#waiters.add(exchange, { arrivedAtMs, patienceMs })) {
-      this.#refuseForRoutes(exchange);
+    if (!waiters.add(exchange, { arrivedAtMs, patienceMs })) {
+      this.#refuseEarly(exchange, reason);
     }
   }
 
-  #refuseForRoutes(exchange: Exchange): void {
-    this.#options.log.write({
+  #refuseEarly(exchange: Exchange, reason: string): void {
+    this.#logRefused(exchange, reason);
+    this.#reply(exchange, 503, EARLY_RETRY_MS);
+  }
+
+  #logRefused(exchange: Exchange, reason: string): void {
+    const { dialect, readClock, log } = this.#options;
+    log.write({
       event: "RequestRefused",
       isFailure: true,
-      requestId: this.#options.dialect.readTerms(exchange.request.headers)
-        .requestId,
-      reason: "no routes yet",
-      elapsedMs: this.#options.readClock() - exchange.arrivedAtMs,
+      requestId: dialect.readTerms(exchange.request.headers).requestId,
+      reason,
+      routesVersion: this.#routes?.version,
+      elapsedMs: readClock() - exchange.arrivedAtMs,
     });
-    this.#reply(exchange, 503, NO_ROUTES_RETRY_MS);
   }
 
   async #take(exchange: Exchange): Promise<void> {
     const { request, response } = exchange;
     if (this.#routes === undefined) {
-      this.#waitForRoutes(exchange);
+      this.#waitIn(this.#waiters, exchange, "no routes yet");
       return;
     }
     const found = this.#findRoute(request, this.#routes);
@@ -222,10 +261,50 @@
       this.#reply(exchange, found.status);
       return;
     }
+    const entered = found.needsKey === true
+      ? this.#checkKey(exchange)
+      : NO_WORKSPACE;
+    if (entered === undefined) {
+      return;
+    }
     const body = await this.#readBody(exchange);
-    if (body !== undefined && !exchange.isGone && !response.destroyed) {
-      this.#start(exchange, found, body);
+    if (body === undefined || exchange.isGone || response.destroyed) {
+      return;
+    }
+    if (found.needsKey === true && !this.#options.access.isValid) {
+      // A body may take longer than the lease that its head came under.
+      this.#refuseLapsed(exchange);
+      return;
     }
+    this.#start(exchange, found, { body, workspace: entered.workspace });
+  }
+
+  /** Undefined where the request was answered, or waits. */
+  #checkKey(exchange: Exchange): Entered | undefined {
+    const { access, askProof, dialect } = this.#options;
+    const { key } = dialect.readTerms(exchange.request.headers);
+    const found = access.check(key, exchange.arrivedAtMs);
+    switch (found.type) {
+      case "Granted":
+        return found;
+      case "UnknownKey":
+        this.#logRefused(exchange, "unknown key");
+        this.#reply(exchange, 401);
+        return undefined;
+      case "Unsure":
+        askProof();
+        this.#waitIn(this.#unsure, exchange, "keys not proved");
+        return undefined;
+      case "Lapsed":
+        this.#refuseLapsed(exchange);
+        return undefined;
+    }
+  }
+
+  #refuseLapsed(exchange: Exchange): void {
+    this.#options.askProof();
+    this.#logRefused(exchange, "lease on keys lapsed");
+    this.#reply(exchange, 503, LAPSED_RETRY_MS);
   }
 
   #findRoute(
@@ -266,7 +345,11 @@
     }
   }
 
-  #start(exchange: Exchange, route: Route, body: Uint8Array): void {
+  #start(
+    exchange: Exchange,
+    route: Route,
+    { body, workspace }: Entered & { readonly body: Uint8Array },
+  ): void {
     const { request, arrivedAtMs } = exchange;
     const { dialect, getCallerService, startCall } = this.#options;
     const { requestId, patienceMs = DEFAULT_PATIENCE_MS } = dialect
@@ -286,13 +369,13 @@
       target: request.url!,
       headers: dialect.createCallHeaders(
         request.rawHeaders,
-        getCallerService(),
+        { service: getCallerService(), workspace: workspace?.name },
       ),
       body,
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
       isNested,
-      rank: route.rank,
+      rank: joinRanks(this.#ranks, workspace, route.rank),
     };
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
@@ -316,30 +399,23 @@
       return;
     }
     const { failure } = result;
+    const { readClock, draw } = this.#options;
+    const timeLeftMs = leavesAtMs - readClock();
     this.#reply(
       exchange,
       getStatus(failure),
       failure.type === "Refused"
-        ? this.#spreadRetry(failure.retryAfterMs, leavesAtMs)
+        ? spreadRetry(failure.retryAfterMs, { timeLeftMs, draw: draw() })
         : undefined,
     );
   }
 
-  /** Callers that were refused together come back apart, while they wait. */
-  #spreadRetry(retryAfterMs: number, leavesAtMs: number): number {
-    const { readClock, draw } = this.#options;
-    const mostMs = Math.max(0, (leavesAtMs - readClock()) / RETRY_PART);
-    return Math.min(retryAfterMs * (0.75 + draw() / 2), mostMs);
-  }
-
   #reply(
     exchange: Exchange,
     status: number,
     retryAfterMs?: number,
   ): void {
-    const headers = retryAfterMs === undefined
-      ? []
-      : ["Retry-After", (retryAfterMs / 1_000).toFixed(3)];
+    const headers = createRetryHeaders(retryAfterMs);
     this.#write(exchange, status, headers, new Uint8Array());
   }
 
@@ -353,29 +429,8 @@
     if (response.headersSent || response.destroyed) {
       return;
     }
-    const own = [...headers, "Content-Length", String(body.length)];
     const connection = this.#getConnection(request.socket);
-    if (this.#isDraining && connection.closeIfLast(exchange)) {
-      own.push("Connection", "close");
-    }
-    response.writeHead(status, own);
-    if (body.length <= MAX_TEXT_BYTES) {
-      const { buffer, byteOffset, length } = body;
-      const bytes = Buffer.from(buffer, byteOffset, length);
-      response.end(bytes.toString("latin1"), "latin1");
-    } else {
-      response.end(body);
-    }
-  }
-}
-
-function getStatus(failure: EntryFailure): number {
-  switch (failure.type) {
-    case "Refused":
-      return 503;
-    case "Unknown":
-      return 502;
-    case "Expired":
-      return 504;
+    const isLast = this.#isDraining && connection.closeIfLast(exchange);
+    writeAnswer(response, { status, headers, body, isLast });
   }
 }
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -9,10 +9,12 @@
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import { MAX_STARTED } from "../common/pipeline.ts";
 import { MAX_WAITING } from "../common/start_wait.ts";
+import { readBothClocks } from "../../../base/node/steady_clock.ts";
+import { KeyAccess } from "../../workspaces/common/key_access.ts";
 import { CallerServer } from "../node/caller_server.ts";
 
 const DIALECT: CallDialect = {
-  readTerms: () => ({ requestId: "r", patienceMs: 5_000 }),
+  readTerms: () => ({ requestId: "r", patienceMs: 5_000, key: undefined }),
   createCallHeaders: () => [],
   createBackendHeaders: ({ headers }) => headers,
   judgeAnswer: () => ({ type: "Answered" }),
@@ -94,6 +96,12 @@
         const number = this.started.length - 1;
         return () => this.withdrawn.push(number);
       },
+      access: new KeyAccess({
+        leaseMs: undefined,
+        readClocks: readBothClocks,
+        computeDigest: (key) => key,
+      }),
+      askProof: () => {},
       observeCall: () => this.isNested,
       noteConnection: () => {},
       getCallerService: () => "front",
--- a/src/engine/relay/test/gate_fakes.ts
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -5,7 +5,11 @@
 
 /** A dialect without headers of its own. */
 export const DIALECT: CallDialect = {
-  readTerms: () => ({ requestId: undefined, patienceMs: undefined }),
+  readTerms: () => ({
+    requestId: undefined,
+    patienceMs: undefined,
+    key: undefined,
+  }),
   createCallHeaders: (headers) => headers,
   createBackendHeaders: ({ headers }) => headers,
   judgeAnswer: () => ({ type: "Answered" }),
--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -1,4 +1,5 @@
 /** What makes a route table invalid as a whole. */
+import { checkWorkspaces } from "../../workspaces/common/workspace.ts";
 import type { Route, RouteTable } from "./route_table.ts";
 
 /** Longest time limit that a route may have: ten minutes. */
@@ -24,7 +25,7 @@
     }
     places.add(place);
   }
-  return undefined;
+  return checkWorkspaces(table.workspaces ?? []);
 }
 
 function checkRoute(
--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -1,4 +1,5 @@
 /** Routes of requests to services, as operators replace them: one document. */
+import type { Workspace } from "../../workspaces/common/workspace.ts";
 
 /** A service that takes a share of a route's requests. */
 export interface RouteTarget {
@@ -26,6 +27,8 @@
   readonly rank: number;
   /** Most backend servers that one request may be handed to. */
   readonly maxAttempts: number;
+  /** Whether only requests with the key of a workspace may come. */
+  readonly needsKey?: boolean;
 }
 
 /** What callers may send, and how long they may take or stay idle. */
@@ -42,6 +45,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly limits: RequestLimits;
+  /** Left out where requests need no keys. */
+  readonly workspaces?: readonly Workspace[];
 }
 
 /** A replacement of the whole table, as it is replicated. */
--- /dev/null
+++ b/src/engine/workspaces/test/key_lease_test.ts
@@ -0,0 +1,156 @@
+/** Keys and leases: what is granted, and when nothing can be known. */
+import { expect } from "chai";
+import { KeyAccess } from "../common/key_access.ts";
+import type { ClockReading } from "../common/key_lease.ts";
+import {
+  buildRankScale,
+  checkWorkspaces,
+  computeLastRank,
+  joinRanks,
+} from "../common/workspace.ts";
+import type { Workspace } from "../common/workspace.ts";
+import { computeKeyDigest } from "../node/key_digest.ts";
+
+const LEASE_MS = 4_900;
+const KEY = "a-key-of-the-mill";
+
+function createWorkspace(
+  name: string,
+  keys: readonly string[],
+  rank?: number,
+): Workspace {
+  return {
+    name,
+    keyDigests: keys.map(computeKeyDigest),
+    rank,
+    ratePerSecond: 0,
+    burst: 0,
+  };
+}
+
+class Clocks {
+  reading: ClockReading = { steadyMs: 1_000, wallMs: 5_000 };
+
+  /** Both go on. */
+  pass(ms: number): void {
+    this.suspend(ms);
+    this.reading = {
+      ...this.reading,
+      steadyMs: this.reading.steadyMs + ms,
+    };
+  }
+
+  /** Only the wall clock goes on. */
+  suspend(ms: number): void {
+    this.reading = { ...this.reading, wallMs: this.reading.wallMs + ms };
+  }
+
+  stepBack(ms: number): void {
+    this.suspend(-ms);
+  }
+}
+
+function createAccess(
+  { leaseMs }: { readonly leaseMs: number | undefined } = {
+    leaseMs: LEASE_MS,
+  },
+) {
+  const clocks = new Clocks();
+  const access = new KeyAccess({
+    leaseMs,
+    readClocks: () => clocks.reading,
+    computeDigest: computeKeyDigest,
+  });
+  access.replaceWorkspaces([createWorkspace("mill", [KEY])]);
+  const prove = () => access.acceptProof(access.askProof());
+  const check = (key: string | null = KEY, ageMs = 0) =>
+    access.check(key ?? undefined, clocks.reading.steadyMs - ageMs).type;
+  return { access, clocks, prove, check };
+}
+
+describe("a key", () => {
+  it("is granted from the first proof to the end of the lease", () => {
+    const { clocks, prove, check } = createAccess();
+    expect(check()).to.equal("Unsure");
+    prove();
+    clocks.pass(LEASE_MS - 1);
+    expect(check()).to.equal("Granted");
+    clocks.pass(1);
+    expect(check()).to.equal("Lapsed");
+    prove();
+    expect(check()).to.equal("Granted");
+  });
+
+  it("counts from the question, not from the proof's arrival", () => {
+    const { access, clocks, check } = createAccess();
+    const number = access.askProof();
+    clocks.pass(LEASE_MS);
+    access.acceptProof(number);
+    expect(check()).to.equal("Lapsed");
+  });
+
+  it("is not served on after a suspension, however short the steady clock", () => {
+    const { clocks, prove, check } = createAccess();
+    prove();
+    clocks.suspend(60_000);
+    expect(check()).to.equal("Unsure");
+    prove();
+    expect(check()).to.equal("Granted");
+  });
+
+  it("is not served on where a step back hides part of a suspension", () => {
+    const { access, clocks, prove, check } = createAccess();
+    prove();
+    clocks.suspend(6_000);
+    clocks.stepBack(3_000);
+    access.tick();
+    expect(check()).to.equal("Unsure");
+  });
+
+  it("is served for ever where the lease has no end", () => {
+    const { clocks, check } = createAccess({ leaseMs: undefined });
+    clocks.pass(3_600_000);
+    expect(check()).to.equal("Granted");
+  });
+
+  it("is unknown only by a proof that was asked for after it came", () => {
+    const { clocks, prove, check } = createAccess();
+    prove();
+    clocks.pass(50);
+    expect(check("other", 10)).to.equal("Unsure");
+    prove();
+    expect(check("other", 10)).to.equal("UnknownKey");
+    expect(check(null, 10)).to.equal("UnknownKey");
+  });
+
+  it("has one holder", () => {
+    const twice = [createWorkspace("a", [KEY]), createWorkspace("b", [KEY])];
+    expect(checkWorkspaces(twice)).to.contain("key in common")
+      .and.not.to.contain(KEY);
+    expect(checkWorkspaces([createWorkspace("a", [KEY, KEY])]))
+      .to.equal(undefined);
+    expect(
+      checkWorkspaces([createWorkspace("a", []), createWorkspace("a", [])]),
+    )
+      .to.contain("twice");
+  });
+});
+
+describe("the rank of a workspace", () => {
+  it("goes before the route's, which decides among equal ones", () => {
+    const first = createWorkspace("first", [], 0);
+    const second = createWorkspace("second", [], 1);
+    const scale = buildRankScale([0, 1, 2], [first, second]);
+    const ranks = [first, second].flatMap((workspace) =>
+      [0, 1, 2].map((rank) => joinRanks(scale, workspace, rank))
+    );
+    expect(ranks).to.deep.equal([0, 1, 2, 3, 4, 5]);
+    expect(computeLastRank(scale)).to.equal(5);
+  });
+
+  it("changes nothing where there are no workspaces", () => {
+    const scale = buildRankScale([0, 2], []);
+    expect(joinRanks(scale, undefined, 2)).to.equal(2);
+    expect(computeLastRank(scale)).to.equal(2);
+  });
+});
