--- a/src/engine/control/common/read_sending.ts
+++ b/src/engine/control/common/read_sending.ts
@@ -48,7 +48,7 @@
 }
 
 /** Has the next proof begin as soon as it can. */
-export function wantConfirmation(state: ReplicationState): ReplicationState {
+export function requestConfirmation(state: ReplicationState): ReplicationState {
   const confirmation = { ...state.confirmation, isWanted: true };
   return { ...state, confirmation };
 }
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -44,7 +44,7 @@
   renewConfirmation,
   resumeReads,
   startRead,
-  wantConfirmation,
+  requestConfirmation,
 } from "./read_sending.ts";
 import { NO_ROUNDS } from "./routes_proof.ts";
 import { expireReads } from "./table_reads.ts";
@@ -118,7 +118,7 @@
     case "TableReadRequested":
       return startRead(state, event.requestId, nowMs);
     case "ProofWanted":
-      return renewConfirmation(wantConfirmation(state), nowMs);
+      return renewConfirmation(requestConfirmation(state), nowMs);
     case "SeedsLearned":
       return addPeers(state, event.seeds, nowMs);
     case "StopPlanned": {
