Let only its owner read what a control replica stores

Cause: the operator's document is stored as it was put, with the keys of workspaces, in files that any user of the VM could read. Change: folder 0700, files 0600.

--- a/src/engine/storage/node/data_folder.ts
+++ b/src/engine/storage/node/data_folder.ts
@@ -27,6 +27,9 @@
   readonly isLocked: boolean;
 }
 
+/** What is stored holds keys of callers: its owner alone may read it. */
+const FOLDER_MODE = 0o700;
+
 /** Creates the folder where it is missing, locks it and recovers. */
 export async function openDataFolder(
   folder: string,
@@ -34,7 +37,7 @@
   options: DataFolderOptions = { isLocked: true },
 ): Promise<Result<DataFolder, StorageError>> {
   try {
-    mkdirSync(folder, { recursive: true });
+    mkdirSync(folder, { recursive: true, mode: FOLDER_MODE });
   } catch (error) {
     const code = (error as NodeJS.ErrnoException).code ?? "unknown";
     const operation = "create";
--- a/src/engine/storage/node/disk_files.ts
+++ b/src/engine/storage/node/disk_files.ts
@@ -6,6 +6,9 @@
 import type { FileResult, Files, OpenFile } from "../common/files.ts";
 import type { FileOperation } from "../common/storage_error.ts";
 
+/** What is stored holds keys of callers: its owner alone may read it. */
+const FILE_MODE = 0o600;
+
 /** Opens the operations on `folder`, which must exist. */
 export function openDiskFiles(folder: string): Files {
   const locate = (name: string) => join(folder, name);
@@ -13,7 +16,7 @@
     list: () => convertErrors("list", folder, readdir(folder)),
     read: (name) => convertErrors("read", locate(name), readFile(locate(name))),
     create: (name) =>
-      convertErrors("create", locate(name), open(locate(name), "w"))
+      convertErrors("create", locate(name), open(locate(name), "w", FILE_MODE))
         .map((handle) => openDiskFile(locate(name), handle)),
     open: (name) =>
       convertErrors("open", locate(name), open(locate(name), "r+"))
--- a/src/engine/storage/test/data_folder_test.ts
+++ b/src/engine/storage/test/data_folder_test.ts
@@ -1,8 +1,10 @@
 /** Data folders on the disk: lock, identity and durability of real files. */
 import {
   mkdtempSync,
+  readdirSync,
   readFileSync,
   rmSync,
+  statSync,
   truncateSync,
   writeFileSync,
 } from "node:fs";
@@ -26,6 +28,19 @@
 
   afterEach(() => rmSync(root, { recursive: true, force: true }));
 
+  it("may be read by its owner alone: it holds keys of callers", async () => {
+    const first = await openOk();
+    const write = createWrite([createEntry(1)]);
+    (await first.storage.append(write))._unsafeUnwrap();
+    await close(first);
+    const names = readdirSync(folder).filter((name) => name !== LOCK_FILE);
+    expect(names).not.to.have.length(0);
+    const files = names.map((name) => join(folder, name));
+    for (const path of [folder, ...files]) {
+      expect(statSync(path).mode & 0o077, path).to.equal(0);
+    }
+  });
+
   it("keeps entries and identity over restarts, and cuts a tail", async () => {
     const first = await openOk();
     expect(first.isNew).to.equal(true);
