Hold only what runs against a workspace's limit

Cause: demand was counted as asked for, so attempts that are refused for pressure, and come back, made a share below 1 while far less ran than the limit allows. Change: demand counts by the part of what was let in that ran. Test: a share is whole where most of what is let in is refused for other reasons.

--- a/src/engine/control/test/usage_step_test.ts
+++ b/src/engine/control/test/usage_step_test.ts
@@ -21,7 +21,13 @@
 const LEARNT_MS = 3_000;
 
 function createUsage(asked: number): WorkspaceUsage {
-  return { name: "mill", asked, askedLately: asked * 0.4, letIn: asked };
+  return {
+    name: "mill",
+    asked,
+    askedLately: asked * 0.4,
+    passed: asked,
+    letIn: asked,
+  };
 }
 
 /** One replica with two nodes, and the last shares that they were told. */
--- a/src/engine/workspaces/common/quota_shares.ts
+++ b/src/engine/workspaces/common/quota_shares.ts
@@ -28,6 +28,8 @@
   readonly asked: number;
   /** Asked for within `LATELY_MS`. */
   readonly askedLately: number;
+  /** Let in within the window, whatever became of it. */
+  readonly passed: number;
   /** Let in within the window, without those that ran nowhere. */
   readonly letIn: number;
 }
@@ -70,8 +72,11 @@
   terms: QuotaTerms,
 ): number {
   const aim = limit + AIMED_PART * (terms.overage * limit + terms.slack);
-  const { asked, letIn } = usage;
-  const askedAWindow = usage.askedLately * terms.windowMs / LATELY_MS;
+  const { letIn } = usage;
+  // What is refused for another reason runs nowhere, and takes no room here.
+  const ran = usage.passed === 0 ? 1 : Math.min(1, letIn / usage.passed);
+  const asked = usage.asked * ran;
+  const askedAWindow = usage.askedLately * ran * terms.windowMs / LATELY_MS;
   if (asked <= aim && askedAWindow <= aim * CHANCE_FACTOR && letIn <= aim) {
     return 1;
   }
@@ -89,12 +94,13 @@
 ): ReadonlyMap<string, WorkspaceUsage> {
   const sums = new Map<string, WorkspaceUsage>();
   for (const list of lists) {
-    for (const { name, asked, askedLately, letIn } of list) {
+    for (const { name, asked, askedLately, passed, letIn } of list) {
       const sum = sums.get(name);
       sums.set(name, {
         name,
         asked: asked + (sum?.asked ?? 0),
         askedLately: askedLately + (sum?.askedLately ?? 0),
+        passed: passed + (sum?.passed ?? 0),
         letIn: letIn + (sum?.letIn ?? 0),
       });
     }
--- a/src/engine/workspaces/common/usage_window.ts
+++ b/src/engine/workspaces/common/usage_window.ts
@@ -4,6 +4,7 @@
 
 interface Slot {
   asked: number;
+  passed: number;
   letIn: number;
 }
 
@@ -29,6 +30,7 @@
   note(workspace: string, isLetIn: boolean): void {
     const slot = this.#getSlot(workspace);
     slot.asked += 1;
+    slot.passed += isLetIn ? 1 : 0;
     slot.letIn += isLetIn ? 1 : 0;
   }
 
@@ -49,6 +51,8 @@
         countAsked(slots) / 2,
       ),
       askedLately: countAsked(slots.slice(0, LATE_SLOTS)) * lateScale,
+      passed: slots.slice(0, this.#slots)
+        .reduce((sum, { passed }) => sum + passed, 0),
       letIn: Math.max(
         0,
         slots.slice(0, this.#slots)
@@ -61,7 +65,7 @@
   advance(): void {
     this.#elapsed += 1;
     for (const [name, slots] of this.#counts) {
-      slots.unshift({ asked: 0, letIn: 0 });
+      slots.unshift({ asked: 0, passed: 0, letIn: 0 });
       slots.length = Math.min(slots.length, 2 * this.#slots);
       if (slots.every(({ asked, letIn }) => asked === 0 && letIn === 0)) {
         this.#counts.delete(name);
@@ -70,7 +74,8 @@
   }
 
   #getSlot(workspace: string): Slot {
-    const slots = this.#counts.get(workspace) ?? [{ asked: 0, letIn: 0 }];
+    const slots = this.#counts.get(workspace) ??
+      [{ asked: 0, passed: 0, letIn: 0 }];
     this.#counts.set(workspace, slots);
     return slots[0]!;
   }
--- a/src/engine/workspaces/test/quota_test.ts
+++ b/src/engine/workspaces/test/quota_test.ts
@@ -110,28 +110,39 @@
 
 describe("a share", () => {
   it("is whole below the limit", () => {
-    expect(computeShare(60, { asked: 60, askedLately: 24, letIn: 60 }, TERMS))
+    expect(
+      computeShare(
+        60,
+        { asked: 60, askedLately: 24, passed: 60, letIn: 60 },
+        TERMS,
+      ),
+    )
       .to.equal(1);
   });
 
   it("is what the limit is of the demand, once a window is full", () => {
     const share = computeShare(
       60,
-      { asked: 480, askedLately: 192, letIn: 67 },
+      { asked: 480, askedLately: 192, passed: 67, letIn: 67 },
       TERMS,
     );
     expect(share).to.be.within(59 / 480, 72 / 480);
   });
 
+  it("is whole where most of what is let in is refused for other reasons", () => {
+    const usage = { asked: 480, askedLately: 192, passed: 480, letIn: 40 };
+    expect(computeShare(60, usage, TERMS)).to.equal(1);
+  });
+
   it("is cut while a window has had more than its due", () => {
     const even = computeShare(
       60,
-      { asked: 480, askedLately: 192, letIn: 67 },
+      { asked: 480, askedLately: 192, passed: 67, letIn: 67 },
       TERMS,
     );
     const over = computeShare(
       60,
-      { asked: 480, askedLately: 192, letIn: 77 },
+      { asked: 480, askedLately: 192, passed: 77, letIn: 77 },
       TERMS,
     );
     expect(over).to.be.below(even * 0.7);
@@ -146,7 +157,13 @@
     gate.decide(WORKSPACE);
     gate.giveBack(WORKSPACE);
     expect(gate.takeReport())
-      .to.deep.equal([{ name: "mill", asked: 2, askedLately: 4, letIn: 1 }]);
+      .to.deep.equal([{
+        name: "mill",
+        asked: 2,
+        askedLately: 4,
+        passed: 2,
+        letIn: 1,
+      }]);
   });
 
   it("lets each share in evenly, and says when there is room", () => {
