Refuse roots by the rank of their workspace and route together

Cause: the least urgent rank was counted over workspaces and routes, the request's own by its route alone, so lookups of rank 2 stood in the middle of six ranks and gave way late. Workspaces' checks move out of caller_server.ts into workspaces/common/workspace_check.ts.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -16,13 +16,11 @@
 import { EntryCalls } from "../engine/relay/node/entry_calls.ts";
 import { GateCalls } from "../engine/relay/node/gate_calls.ts";
 import { computeKeyDigest } from "../engine/workspaces/node/key_digest.ts";
+import { WorkspaceCheck } from "../engine/workspaces/common/workspace_check.ts";
 import { QuotaGate } from "../engine/workspaces/common/quota_gate.ts";
 import { USAGE_MS } from "../engine/workspaces/common/usage_window.ts";
+import { countRanks } from "../engine/workspaces/common/workspace.ts";
 import { KeyAccess } from "../engine/workspaces/common/key_access.ts";
-import {
-  buildRankScale,
-  computeLastRank,
-} from "../engine/workspaces/common/workspace.ts";
 import type { OperatorServer } from "./operator_server.ts";
 import { RelayControl } from "./relay_control.ts";
 import { createRelayOperator } from "./relay_operator.ts";
@@ -62,6 +60,7 @@
   readonly #telemetry: Telemetry;
   readonly #members = new MemberTable();
   readonly #tree: RelayTree;
+  /** The least urgent rank of the routes and workspaces in force. */
   #lastRank = 0;
   readonly #gate: GateCalls;
   readonly #access: KeyAccess;
@@ -154,8 +153,7 @@
     });
     this.#callers = this.#owned.use(
       new CallerServer({
-        quotas: this.#quotas,
-        access: this.#access,
+        workspaces: new WorkspaceCheck(this.#access, this.#quotas),
         askProof: () => this.#control.askProof(),
         address: parseAddress(settings.callers)!,
         dialect,
@@ -178,9 +176,9 @@
         quotas: this.#quotas,
         onTold: () => this.#callers.resumeUnsure(),
         onRoutes: (routes) => {
-          const ranks = routes.routes.map(({ rank }) => rank);
-          const scale = buildRankScale(ranks, routes.workspaces ?? []);
-          this.#lastRank = computeLastRank(scale);
+          const { workspaces = [] } = routes;
+          this.#lastRank = countRanks(routes.routes.map(({ rank }) => rank)) *
+              countRanks(workspaces.map(({ rank = 0 }) => rank)) - 1;
           this.#callers.replaceRoutes(routes);
         },
       }),
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -42,9 +42,9 @@
 } from "./replication_state.ts";
 import {
   renewConfirmation,
+  requestConfirmation,
   resumeReads,
   startRead,
-  requestConfirmation,
 } from "./read_sending.ts";
 import { NO_ROUNDS } from "./routes_proof.ts";
 import { expireReads } from "./table_reads.ts";
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -13,16 +13,13 @@
 } from "../../routes/common/route_match.ts";
 import type { RouteIndex } from "../../routes/common/route_match.ts";
 import type { Route, RouteTable } from "../../routes/common/route_table.ts";
-import {
-  buildRankScale,
-  joinRanks,
-} from "../../workspaces/common/workspace.ts";
+import { countRanks, joinRanks } from "../../workspaces/common/workspace.ts";
+import type { Workspace } from "../../workspaces/common/workspace.ts";
 import type {
-  RankScale,
-  Workspace,
-} from "../../workspaces/common/workspace.ts";
-import type { QuotaGate } from "../../workspaces/common/quota_gate.ts";
-import type { KeyAccess } from "../../workspaces/common/key_access.ts";
+  EntryCheck,
+  EntryRefusal,
+  WorkspaceCheck,
+} from "../../workspaces/common/workspace_check.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import type { RelayLog } from "../common/relay_log.ts";
@@ -50,8 +47,7 @@
   readonly address: ListenAddress;
   readonly dialect: CallDialect;
   readonly startCall: StartCall;
-  readonly access: KeyAccess;
-  readonly quotas: QuotaGate;
+  readonly workspaces: WorkspaceCheck;
   /** Asks for a proof that the keys known here are those in force. */
   readonly askProof: () => void;
   /** Notes a call; tells whether the local backend server made it. */
@@ -73,8 +69,6 @@
 /** When callers come back to a node that has yet to be told what is in force. */
 const EARLY_RETRY_MS = 300;
 const MEMORY_RETRY_MS = 500;
-/** When callers come back to a node that can't know which keys hold. */
-const LAPSED_RETRY_MS = 500;
 /**
  * Bytes of requests held at a time, those still being read included; more are
  * refused. With as much at the gate, a seventh of a process's 350 MB each.
@@ -83,12 +77,12 @@
 /** Larger than any header that a table allows; the table's limit is checked. */
 const MAX_HEADER_BYTES = 131_072;
 
-/** A request that may go on, with the workspace whose key it had. */
-interface Entered {
-  readonly workspace: Workspace | undefined;
-}
-
-const NO_WORKSPACE: Entered = { workspace: undefined };
+/** What the log says of a request that doesn't go on. */
+const REFUSAL_REASONS: Readonly<Record<EntryRefusal["type"], string>> = {
+  UnknownKey: "unknown key",
+  OverLimit: "over limit",
+  LeaseLapsed: "lease on keys lapsed",
+};
 
 /** Takes requests, finds their routes, and gives callers their answers. */
 export class CallerServer implements AsyncDisposable {
@@ -98,7 +92,8 @@
   readonly #connections = new Map<Duplex, CallerConnection>();
   #routes: RouteTable | undefined;
   #index: RouteIndex = new Map();
-  #ranks: RankScale = buildRankScale([], []);
+  /** How many ranks the routes have. */
+  #routeRanks = 1;
   #isDraining = false;
   #open = 0;
   readonly #held = new HeldBytes(MAX_HELD_BYTES);
@@ -131,10 +126,7 @@
     this.#routes = routes;
     this.#index = buildRouteIndex(routes);
     this.#chooser.trim(routes);
-    this.#ranks = buildRankScale(
-      routes.routes.map(({ rank }) => rank),
-      routes.workspaces ?? [],
-    );
+    this.#routeRanks = countRanks(routes.routes.map(({ rank }) => rank));
     const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs;
@@ -262,7 +254,7 @@
   }
 
   async #take(exchange: Exchange): Promise<void> {
-    const { request, response } = exchange;
+    const { request } = exchange;
     if (this.#routes === undefined) {
       this.#waitIn(this.#waiters, exchange, "no routes yet");
       return;
@@ -272,71 +264,69 @@
       this.#reply(exchange, found.status);
       return;
     }
-    const entered = found.needsKey === true
-      ? this.#checkKey(exchange)
-      : NO_WORKSPACE;
-    if (entered === undefined) {
+    if (found.needsKey !== true) {
+      await this.#readAndStart(exchange, found);
       return;
     }
-    const { workspace } = entered;
-    if (workspace !== undefined && !this.#letIn(exchange, workspace)) {
-      return;
+    const { dialect, workspaces } = this.#options;
+    const { key } = dialect.readTerms(request.headers);
+    const checked = workspaces.check(key, exchange.arrivedAtMs);
+    if (this.#hasEntered(exchange, checked)) {
+      await this.#readAndStart(exchange, found, checked.workspace);
     }
+  }
+
+  async #readAndStart(
+    exchange: Exchange,
+    route: Route,
+    workspace?: Workspace,
+  ): Promise<void> {
     const body = await this.#readBody(exchange);
-    if (body === undefined || exchange.isGone || response.destroyed) {
+    if (body === undefined || exchange.isGone || exchange.response.destroyed) {
       return;
     }
-    if (found.needsKey === true && !this.#options.access.isValid) {
-      // A body may take longer than the lease that its head came under.
-      this.#refuseLapsed(exchange);
-      return;
+    const isLate = workspace !== undefined && !this.#hasEntered(
+      exchange,
+      this.#options.workspaces.checkWhole(workspace),
+    );
+    if (!isLate) {
+      this.#start(exchange, route, { body, workspace });
     }
-    this.#start(exchange, found, { body, workspace: entered.workspace });
   }
 
-  /** Undefined where the request was answered, or waits. */
-  #checkKey(exchange: Exchange): Entered | undefined {
-    const { access, askProof, dialect } = this.#options;
-    const { key } = dialect.readTerms(exchange.request.headers);
-    const found = access.check(key, exchange.arrivedAtMs);
-    switch (found.type) {
-      case "Granted":
-        return found;
-      case "UnknownKey":
-        this.#logRefused(exchange, "unknown key");
-        this.#reply(exchange, 401);
-        return undefined;
-      case "Unsure":
-        askProof();
-        this.#waitIn(this.#unsure, exchange, "keys not proved");
-        return undefined;
-      case "Lapsed":
-        this.#refuseLapsed(exchange);
-        return undefined;
+  /** Whether a request goes on; else it waits, or is answered. */
+  #hasEntered(
+    exchange: Exchange,
+    checked: EntryCheck,
+  ): checked is Extract<EntryCheck, { type: "Entered" }> {
+    switch (checked.type) {
+      case "Entered":
+        return true;
+      case "Waiting":
+        this.#options.askProof();
+        this.#waitIn(this.#unsure, exchange, checked.reason);
+        return false;
+      case "Refused":
+        this.#refuseEntry(exchange, checked.refusal);
+        return false;
     }
   }
 
-  /** Whether the limit of its workspace lets a request in. */
-  #letIn(exchange: Exchange, workspace: Workspace): boolean {
-    const decision = this.#options.quotas.decide(workspace);
-    if (decision.type === "LetIn") {
-      return true;
-    }
-    if (decision.type === "Unsure") {
-      this.#waitIn(this.#unsure, exchange, "limits not known yet");
-      return false;
+  #refuseEntry(exchange: Exchange, refusal: EntryRefusal): void {
+    const { type, ...inputs } = refusal;
+    this.#logRefused(exchange, REFUSAL_REASONS[type], inputs);
+    switch (refusal.type) {
+      case "UnknownKey":
+        this.#reply(exchange, 401);
+        return;
+      case "OverLimit":
+        this.#reply(exchange, 429, refusal.retryAfterMs);
+        return;
+      case "LeaseLapsed":
+        this.#options.askProof();
+        this.#reply(exchange, 503, refusal.retryAfterMs);
+        return;
     }
-    const { name } = workspace;
-    const { share, retryAfterMs } = decision;
-    this.#logRefused(exchange, "over limit", { workspace: name, share });
-    this.#reply(exchange, 429, retryAfterMs);
-    return false;
-  }
-
-  #refuseLapsed(exchange: Exchange): void {
-    this.#options.askProof();
-    this.#logRefused(exchange, "lease on keys lapsed");
-    this.#reply(exchange, 503, LAPSED_RETRY_MS);
   }
 
   #findRoute(
@@ -380,7 +370,10 @@
   #start(
     exchange: Exchange,
     route: Route,
-    { body, workspace }: Entered & { readonly body: Uint8Array },
+    { body, workspace }: {
+      readonly body: Uint8Array;
+      readonly workspace: Workspace | undefined;
+    },
   ): void {
     const { request, arrivedAtMs } = exchange;
     const { dialect, getCallerService, startCall } = this.#options;
@@ -407,13 +400,13 @@
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
       isNested,
-      rank: joinRanks(this.#ranks, workspace, route.rank),
+      rank: joinRanks(this.#routeRanks, workspace, route.rank),
     };
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
       isDone = true;
       if (workspace !== undefined && hasNotRun(result)) {
-        this.#options.quotas.giveBack(workspace);
+        this.#options.workspaces.giveBack(workspace);
       }
       this.#finish(exchange, result, arrivedAtMs + patienceMs);
     });
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -174,13 +174,13 @@
   /** Roots are refused where a service on their way is short of room. */
   #refuseRoot(call: EntryCall): boolean {
     const { members, getLastRank } = this.#options;
-    const { route, target, body, arrivedAtMs } = call.request;
+    const { route, rank, target, body, arrivedAtMs } = call.request;
     const { pressure } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     if (pressure === 0) {
       return false;
     }
-    const { rank, name } = route;
+    const { name } = route;
     const lastRank = getLastRank();
     const asked = { route: name, target, body };
     const draw = drawForRequest(asked, arrivedAtMs);
--- a/src/engine/workspaces/common/workspace.ts
+++ b/src/engine/workspaces/common/workspace.ts
@@ -52,39 +52,20 @@
   );
 }
 
-/** How ranks of workspaces and of routes become one. */
-export interface RankScale {
-  /** Ranks that routes have, from 0. */
-  readonly routeRanks: number;
-  /** Ranks that workspaces have, from 0. */
-  readonly workspaceRanks: number;
-}
-
-/** Builds the scale of a configuration. */
-export function buildRankScale(
-  routeRanks: readonly number[],
-  workspaces: readonly Workspace[],
-): RankScale {
-  return {
-    routeRanks: 1 + Math.max(0, ...routeRanks),
-    workspaceRanks: 1 +
-      workspaces.reduce((most, { rank = 0 }) => Math.max(most, rank), 0),
-  };
-}
-
-/** The least urgent rank of a scale. */
-export function computeLastRank(scale: RankScale): number {
-  return scale.routeRanks * scale.workspaceRanks - 1;
+/** Counts the ranks from 0 to the least urgent one that is in use. */
+export function countRanks(ranks: readonly number[]): number {
+  return 1 + ranks.reduce((most, rank) => Math.max(most, rank), 0);
 }
 
 /**
  * Joins the rank of a workspace with that of a route: the workspace's goes
- * first, and among equal ones the route's decides.
+ * first, and among equal ones the route's decides. `routeRanks` is how many
+ * ranks the routes have.
  */
 export function joinRanks(
-  scale: RankScale,
+  routeRanks: number,
   workspace: Workspace | undefined,
   routeRank: number,
 ): number {
-  return (workspace?.rank ?? 0) * scale.routeRanks + routeRank;
+  return (workspace?.rank ?? 0) * routeRanks + routeRank;
 }
