Try refusing roots by learnt work, with pressure by the work that is offered

Hypothesis: an equal pressure should make equal room whatever the mix is, so ranks give way by what their requests take of the scarce service (learnt through the call tree), small ranks together with the next; pressure then follows from the work that would be asked for without any (now's work held against the pressure of a second ago), and waits below count as no shortage above.

--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -14,6 +14,11 @@
   readonly service: string;
 }
 
+/** A callee, and how often a request of the route calls it. */
+export interface CallEdge extends Callee {
+  readonly callsPerRun: number;
+}
+
 /** What the tree is judged by. */
 export interface CallTreeInputs {
   readonly coincidences: CoincidenceCounter;
@@ -88,9 +93,11 @@
    * Lists the routes whose requests make calls, and what they call. A route
    * that runs beside such calls counts until it is shown not to make them.
    */
-  listEdges(nowMs: number): readonly (readonly [string, readonly Callee[]])[] {
+  listEdges(
+    nowMs: number,
+  ): readonly (readonly [string, readonly CallEdge[]])[] {
     const { coincidences } = this.#inputs;
-    const edges = new Map<string, Callee[]>();
+    const edges = new Map<string, CallEdge[]>();
     for (const route of coincidences.listCalled()) {
       const service = this.#services.get(route);
       if (service === undefined || !this.isNested(route, nowMs)) {
@@ -103,7 +110,8 @@
         if (!isRare && share + CERTAIN_ERRORS * error >= MIN_EDGE_SHARE) {
           const callees = edges.get(parent) ?? [];
           edges.set(parent, callees);
-          callees.push({ route, service });
+          const callsPerRun = coincidences.estimateCallsPerRun(route, parent);
+          callees.push({ route, service, callsPerRun });
         }
       }
     }
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -21,6 +21,7 @@
     maxConnections: () => 4,
     getObjectiveMs: () => 500,
     noteRun,
+    isHeldBelow: () => false,
     noteArrival: () => {},
     onBackendLost: () => {},
   });
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -69,6 +69,7 @@
     maxConnections: () => 1,
     getObjectiveMs: () => 500,
     noteRun: () => {},
+    isHeldBelow: () => false,
     noteArrival: () => {},
     onBackendLost: () => {},
   });
--- a/src/engine/relay/test/idle_gate_test.ts
+++ b/src/engine/relay/test/idle_gate_test.ts
@@ -92,6 +92,7 @@
         serviceMs: isLost ? undefined : serviceMs,
         isLost,
         isRejected: false,
+        isHeldBelow: false,
       });
     }
   }
