--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -19,6 +19,7 @@
 import { WorkspaceCheck } from "../engine/workspaces/common/workspace_check.ts";
 import { QuotaGate } from "../engine/workspaces/common/quota_gate.ts";
 import { USAGE_MS } from "../engine/workspaces/common/usage_window.ts";
+import { countRanks } from "../engine/workspaces/common/workspace.ts";
 import { KeyAccess } from "../engine/workspaces/common/key_access.ts";
 import type { OperatorServer } from "./operator_server.ts";
 import { RelayControl } from "./relay_control.ts";
@@ -59,6 +60,8 @@
   readonly #telemetry: Telemetry;
   readonly #members = new MemberTable();
   readonly #tree: RelayTree;
+  /** The least urgent rank of the routes and workspaces in force. */
+  #lastRank = 0;
   readonly #gate: GateCalls;
   readonly #access: KeyAccess;
   readonly #quotas: QuotaGate;
@@ -104,7 +107,6 @@
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         noteRun: (route, change) =>
           this.#tree.noteRun(route, change, readSteadyMs()),
-        isHeldBelow: (route) => this.#tree.isHeldBelow(route),
         noteArrival: (route, service) =>
           this.#tree.noteArrival(route, service, readSteadyMs()),
         onBackendLost: () => this.#loseBackend(),
@@ -132,6 +134,7 @@
       path: this.#createPath(),
       readClock,
       draw: Math.random,
+      getLastRank: () => this.#lastRank,
       log,
       loop: this.#loop,
       hearCallers: (address, report) =>
@@ -172,7 +175,12 @@
         access: this.#access,
         quotas: this.#quotas,
         onTold: () => this.#callers.resumeUnsure(),
-        onRoutes: (routes) => this.#callers.replaceRoutes(routes),
+        onRoutes: (routes) => {
+          const { workspaces = [] } = routes;
+          this.#lastRank = countRanks(routes.routes.map(({ rank }) => rank)) *
+              countRanks(workspaces.map(({ rank = 0 }) => rank)) - 1;
+          this.#callers.replaceRoutes(routes);
+        },
       }),
     );
     this.#operator = this.#owned.use(
--- a/src/daemon/relay_tree.ts
+++ b/src/daemon/relay_tree.ts
@@ -12,10 +12,7 @@
   LoadReported,
   PressureBelow,
 } from "../engine/mesh/common/frames.ts";
-import type {
-  MemberTable,
-  WayPressure,
-} from "../engine/relay/common/member_table.ts";
+import type { MemberTable } from "../engine/relay/common/member_table.ts";
 
 /** What the tree is built from. */
 export interface RelayTreeOptions {
@@ -24,12 +21,6 @@
   readonly getService: () => string;
 }
 
-/**
- * Callees whose pressure is below this part of the worst lead elsewhere: what
- * they take isn't short.
- */
-const PRESSED_PART = 0.5;
-
 /** How often nodes say where calls came from: some ten calls are enough. */
 const CALLERS_MS = 500;
 
@@ -42,8 +33,6 @@
   readonly #tree: CallTree;
   #callersSaidAtMs = 0;
   #hadPressure = false;
-  /** Routes whose calls went where room is short, when last looked. */
-  #held: ReadonlySet<string> = new Set();
 
   constructor(options: RelayTreeOptions) {
     this.#options = options;
@@ -60,11 +49,6 @@
     this.#coincidences.noteRun(route, change, nowMs);
   }
 
-  /** Whether calls that runs of a route make go where room is short. */
-  isHeldBelow(route: string): boolean {
-    return this.#held.has(route);
-  }
-
   /** A call came to the own gate that began on a VM of a service. */
   noteArrival(route: string, callerService: string, nowMs: number): void {
     this.#arrivals.note(route, callerService, nowMs);
@@ -109,26 +93,18 @@
   /** Lists the pressure below each route whose requests make calls here. */
   #listBelow(nowMs: number): readonly PressureBelow[] {
     const { members } = this.#options;
-    const below = this.#tree.listEdges(nowMs).map(([parent, callees]) => {
-      const ways = callees.map(({ service, route, callsPerRun }) => {
-        const way = members.computeWayPressure(service, route, nowMs);
-        return { ...way, costMs: way.costMs * callsPerRun };
-      });
+    return this.#tree.listEdges(nowMs).map(([parent, callees]) => {
+      const ways = callees.map(({ service, route }) =>
+        members.computeWayPressure(service, route, nowMs)
+      );
       const worst = ways.reduce((a, b) => b.pressure > a.pressure ? b : a);
       const { pressure, saidAtMs } = worst;
-      const costMs = ways.filter((way) => isPressed(way, worst))
-        .reduce((sum, way) => sum + way.costMs, 0);
       return [
         parent,
         Math.round(pressure * 1_000) / 1_000,
         pressure === 0 ? 0 : Math.round(nowMs - saidAtMs),
-        pressure === 0 ? 0 : Math.round(costMs),
       ] as const;
     });
-    this.#held = new Set(
-      below.filter(([, pressure]) => pressure > 0).map(([route]) => route),
-    );
-    return below;
   }
 
   /** Takes what is to be said of callers, more seldom than the load. */
@@ -140,7 +116,3 @@
     return this.#arrivals.createReport(nowMs);
   }
 }
-
-function isPressed(way: WayPressure, worst: WayPressure): boolean {
-  return way.pressure > 0 && way.pressure >= worst.pressure * PRESSED_PART;
-}
--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -14,11 +14,6 @@
   readonly service: string;
 }
 
-/** A callee, and how often a request of the route calls it. */
-export interface CallEdge extends Callee {
-  readonly callsPerRun: number;
-}
-
 /** What the tree is judged by. */
 export interface CallTreeInputs {
   readonly coincidences: CoincidenceCounter;
@@ -93,11 +88,9 @@
    * Lists the routes whose requests make calls, and what they call. A route
    * that runs beside such calls counts until it is shown not to make them.
    */
-  listEdges(
-    nowMs: number,
-  ): readonly (readonly [string, readonly CallEdge[]])[] {
+  listEdges(nowMs: number): readonly (readonly [string, readonly Callee[]])[] {
     const { coincidences } = this.#inputs;
-    const edges = new Map<string, CallEdge[]>();
+    const edges = new Map<string, Callee[]>();
     for (const route of coincidences.listCalled()) {
       const service = this.#services.get(route);
       if (service === undefined || !this.isNested(route, nowMs)) {
@@ -110,8 +103,7 @@
         if (!isRare && share + CERTAIN_ERRORS * error >= MIN_EDGE_SHARE) {
           const callees = edges.get(parent) ?? [];
           edges.set(parent, callees);
-          const callsPerRun = coincidences.estimateCallsPerRun(route, parent);
-          callees.push({ route, service, callsPerRun });
+          callees.push({ route, service });
         }
       }
     }
--- a/src/engine/admission/common/coincidence.ts
+++ b/src/engine/admission/common/coincidence.ts
@@ -106,16 +106,6 @@
     return ((calls?.total ?? 0) + (calls?.count ?? 0)) / Math.max(1, runs);
   }
 
-  /**
-   * Estimates the calls of a route that each run of another one makes; calls
-   * that runs of several routes make are told apart. Of long runs up to half of
-   * the calls is missed.
-   */
-  estimateCallsPerRun(route: string, parent: string): number {
-    const { share } = this.explainBy(route, parent);
-    return Math.max(0, share) * this.countCallsPerRun(route, parent);
-  }
-
   /** Lists the routes that ran while calls of a route came. */
   listParents(route: string): readonly string[] {
     return [...this.#calls.get(route)?.pairs.keys() ?? []];
--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -1,25 +1,19 @@
 /**
  * How hard callers' requests that lead to one backend server are to be refused
- * at their entry: as hard as makes the work that would be asked for without any
- * refusal fit the room, with the backlog and a slow correction on top.
+ * at their entry: a proportional-integral controller on the work asked for,
+ * with the backlog as a second input.
  *
  * Load pattern: demand above the room for seconds, from a burst or from
- * clients that repeat. What is begun now asks for work for a second more. So
- * the work that comes now is held against the pressure of when its requests
- * were begun: a surge is answered by its size within a second, and what the
- * answer itself takes off is not mistaken for an end of the surge.
+ * clients that repeat. What is begun now asks for work for a second more, so
+ * the reaction is slow enough not to swing about.
  */
 
 /** What is kept between two updates. */
 export interface PressureState {
   /** How hard to refuse, 0 to 1. */
   pressure: number;
-  /** Slow correction of it. */
+  /** Slow part of it. */
   integral: number;
-  /** Smoothed work that would be asked for without pressure, likewise. */
-  offered: number;
-  /** Pressure at the end of past windows, newest first. */
-  readonly past: number[];
   windowStartMs: number;
   /** Milliseconds of service that were asked for in the window. */
   askedMs: number;
@@ -53,32 +47,26 @@
 const DEMAND_GAIN = 0.3;
 /** Part of the room that is to be asked for: waits grow steeply above. */
 const TARGET = 0.95;
-/** Part of the work asked for that a pressure of 1 takes off. */
-const TAKEN_OFF = 0.85;
 /**
- * Windows between the refusal of a request and the work that it would have
- * asked for: a call at once, or eight calls one after the other.
+ * Part of the error that is added a second. A request asks for work for about
+ * 0.7 s after it is begun, and a pressure of one takes some 0.9 of the room
+ * off: a larger part makes it swing.
  */
-const EFFECT_FROM = 3;
-const EFFECT_TO = 10;
-/**
- * What waits through a whole window is to be gone within so long; the room for
- * it is taken from new requests. Where requests are held up on the way here, no
- * more comes than fits, and only the wait tells that more was begun.
- */
-const DRAIN_MS = 500;
-/** Most of the room that is kept for it. */
-const MAX_DRAIN = 0.4;
-/** Part of the error that is added to the correction a second. */
-const INTEGRAL_PER_S = 0.25;
-/** How far the correction goes down, where less fits than is asked for. */
-const MIN_INTEGRAL = -0.1;
+const INTEGRAL_PER_S = 0.6;
+const PROPORTIONAL = 0.2;
+/** The most urgent rank is only refused for what just happened. */
 const MAX_INTEGRAL = 0.85;
 /** Larger errors, of a storm or of an idle second, count as these. */
 const MAX_ERROR = 0.6;
 const MIN_ERROR = -0.6;
-/** Part of the room kept for what waits that is added to the error. */
-const DRAIN_ERROR = 0.3;
+/**
+ * Pressure for each second of a backlog that never empties in a window: it is
+ * what was begun too much, and reacts before the slow part does.
+ */
+const PER_BACKLOG_S = 3;
+const MAX_BY_BACKLOG = 0.4;
+/** Part of that which is added to the error, so that no backlog stays. */
+const BACKLOG_ERROR = 0.75;
 
 /**
  * Error for each share of requests lost: one that is lost here stands for all
@@ -104,8 +92,6 @@
   return {
     pressure: 0,
     integral: 0,
-    offered: 0,
-    past: [],
     windowStartMs: nowMs,
     askedMs: 0,
     demand: 0,
@@ -156,27 +142,24 @@
   }
   const demand = state.askedMs / (Math.max(1, limit) * lengthMs);
   state.demand += (demand - state.demand) * DEMAND_GAIN;
-  const draining = Math.min(MAX_DRAIN, state.leastBacklogMs / DRAIN_MS);
+  const byBacklog = Math.min(
+    MAX_BY_BACKLOG,
+    state.leastBacklogMs / 1_000 * PER_BACKLOG_S,
+  );
   const lostShare = state.lost / Math.max(1, state.arrived);
   state.lostShare += (Math.min(1, lostShare) - state.lostShare) * DEMAND_GAIN;
-  const isIdle = draining === 0 && state.mostRunning < limit * IDLE_SHARE;
+  const isIdle = byBacklog === 0 && state.mostRunning < limit * IDLE_SHARE;
   const byLoss = isIdle
     ? 0
     : Math.min(MAX_LOST_ERROR, state.lostShare * LOST_ERROR);
   const error = limitTo(state.demand - TARGET, MIN_ERROR, MAX_ERROR) +
-    draining * DRAIN_ERROR + byLoss;
-  const offered = demand / (1 - computePast(state) * TAKEN_OFF);
-  state.offered += (offered - state.offered) * DEMAND_GAIN;
-  const room = TARGET - draining;
-  const wanted = isIdle ? 0 : (1 - room / state.offered) / TAKEN_OFF;
+    byBacklog * BACKLOG_ERROR + byLoss;
   const change = error * INTEGRAL_PER_S * lengthMs / 1_000;
   const kept = state.integral * (isIdle ? IDLE_KEPT : 1);
-  state.integral = wanted <= 0
-    ? limitTo(kept + change, 0, MAX_INTEGRAL)
-    : limitTo(kept + change, MIN_INTEGRAL, MAX_INTEGRAL);
-  state.pressure = limitTo(Math.max(0, wanted) + state.integral, 0, 1);
-  state.past.unshift(state.pressure);
-  state.past.length = Math.min(state.past.length, EFFECT_TO);
+  state.integral = limitTo(kept + change, 0, MAX_INTEGRAL);
+  state.pressure = state.integral === 0
+    ? 0
+    : limitTo(state.integral + error * PROPORTIONAL + byBacklog, 0, 1);
   state.askedMs = 0;
   state.arrived = 0;
   state.lost = 0;
@@ -185,12 +168,6 @@
   state.mostRunning = running;
 }
 
-/** Pressure when the requests whose work comes now were begun. */
-function computePast({ past }: PressureState): number {
-  const then = past.slice(EFFECT_FROM);
-  return then.reduce((sum, one) => sum + one, 0) / Math.max(1, then.length);
-}
-
 function limitTo(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
 }
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -110,8 +110,6 @@
   pressure: number,
   /** Since the gate under pressure said so, in milliseconds. */
   ageMs: number,
-  /** Time that a request of the route takes of the service under pressure. */
-  costMs: number,
 ];
 
 /** Calls by route, then by the service on whose VM they began. */
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -131,7 +131,7 @@
   it("is reported on beside answers where calls are made below", async () => {
     await using link = await Link.open();
     await waitUntil(() => link.client.isOpen(link.address));
-    link.below = [["lookup", 0.5, 20, 440]];
+    link.below = [["lookup", 0.5, 20]];
     link.answer();
     link.server.report();
     await waitUntil(() => link.countReports() === 1);
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -47,8 +47,6 @@
     readonly isLost: boolean;
     /** Whether the backend server said that it did not run it. */
     readonly isRejected: boolean;
-    /** Whether its own calls went to a service that is short of room. */
-    readonly isHeldBelow: boolean;
   }
   | { readonly type: "CallWithdrawn"; readonly id: number }
   | {
@@ -77,8 +75,6 @@
 
 interface ServiceTime {
   meanMs: number;
-  /** The same over runs whose own calls found room; 0 before the first. */
-  freeMs: number;
 }
 
 /** The gate's state; only its reducer changes it. */
@@ -194,7 +190,7 @@
   nowMs: number,
 ): readonly GateEffect[] {
   const { backend, queue } = state;
-  noteAsked(state.pressure, getFreeMs(state, call.route));
+  noteAsked(state.pressure, getServiceMs(state, call.route));
   if (backend === undefined) {
     return [refuseCall(state, call.id, "no_backend")];
   }
@@ -202,8 +198,7 @@
     return [refuseCall(state, call.id, "draining")];
   }
   if (isHopeless(state, call, nowMs)) {
-    // It came too late, and lost no time here: no sign that room is short.
-    return [createRefusal(state, call.id, "deadline")];
+    return [refuseCall(state, call.id, "deadline")];
   }
   if (state.running < computeLimit(state) && queue.length === 0) {
     state.running += 1;
@@ -251,12 +246,12 @@
   }
   state.lastEndMs = nowMs;
   state.running = Math.max(0, state.running - 1);
-  const { serviceMs, route, isLost, isRejected, isHeldBelow } = event;
-  if (isLost && !isHeldBelow) {
+  const { serviceMs, route, isLost, isRejected } = event;
+  if (isLost) {
     noteLost(state.pressure);
   }
   if (isRejected) {
-    noteRejected(state.pressure, getFreeMs(state, route));
+    noteRejected(state.pressure, getServiceMs(state, route));
   }
   if (serviceMs === undefined) {
     return;
@@ -264,18 +259,14 @@
   state.meanMs = state.meanMs === 0
     ? serviceMs
     : state.meanMs + (serviceMs - state.meanMs) * MEAN_GAIN;
-  const time = state.times.get(route) ?? { meanMs: 0, freeMs: 0 };
-  state.times.set(route, time);
-  time.meanMs = smoothTime(time.meanMs, serviceMs);
-  if (!isHeldBelow) {
-    time.freeMs = smoothTime(time.freeMs, serviceMs);
+  const time = state.times.get(route);
+  if (time === undefined) {
+    state.times.set(route, { meanMs: serviceMs });
+  } else {
+    time.meanMs += (serviceMs - time.meanMs) * TIME_GAIN;
   }
 }
 
-function smoothTime(meanMs: number, serviceMs: number): number {
-  return meanMs === 0 ? serviceMs : meanMs + (serviceMs - meanMs) * TIME_GAIN;
-}
-
 /** Another incarnation runs nothing of what the former one ran. */
 function changeBackend(
   state: GateState,
@@ -319,18 +310,6 @@
   return state.times.get(route)?.meanMs ?? FIRST_SERVICE_MS;
 }
 
-/**
- * Time that a run takes where its own calls find room. A run that waits for
- * others holds its place for longer, which is their shortage: counted here,
- * requests that never go there would be refused for it.
- */
-function getFreeMs(state: GateState, route: string): number {
-  const time = state.times.get(route);
-  return time === undefined || time.freeMs === 0
-    ? getServiceMs(state, route)
-    : time.freeMs;
-}
-
 function refuseCall(
   state: GateState,
   id: number,
@@ -339,14 +318,6 @@
   if (reason === "deadline") {
     noteLost(state.pressure);
   }
-  return createRefusal(state, id, reason);
-}
-
-function createRefusal(
-  state: GateState,
-  id: number,
-  reason: GateRefusal,
-): GateEffect {
   const retryAfterMs = computeRetryAfterMs(state);
   return { type: "RefuseCall", id, reason, retryAfterMs };
 }
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -33,8 +33,6 @@
   readonly pressure: number;
   /** When the gate under pressure said so, by the own clock. */
   readonly saidAtMs: number;
-  /** Time that a request of the route takes of the service under pressure. */
-  readonly costMs: number;
 }
 
 /** Answers after which a failing member is left out for a while. */
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -10,11 +10,9 @@
 export interface WayPressure {
   readonly pressure: number;
   readonly saidAtMs: number;
-  /** Time that a request takes there, with all calls that it leads to. */
-  readonly costMs: number;
 }
 
-const NO_PRESSURE: WayPressure = { pressure: 0, saidAtMs: 0, costMs: 0 };
+const NO_PRESSURE: WayPressure = { pressure: 0, saidAtMs: 0 };
 /**
  * Pressure that a gate said so long ago is gone: it may have been passed on
  * over seven levels, 100 ms apart, and must end where nodes pass it in a
@@ -121,11 +119,10 @@
     below: readonly PressureBelow[],
     nowMs: number,
   ): void {
-    const told = below.map(([route, pressure, ageMs, costMs]) => ({
+    const told = below.map(([route, pressure, ageMs]) => ({
       route,
       pressure,
       saidAtMs: nowMs - ageMs,
-      costMs,
     }));
     for (const members of this.#services.values()) {
       const member = members.get(address);
@@ -181,21 +178,15 @@
     let sum = 0;
     let count = 0;
     let saidAtMs = 0;
-    let cost = 0;
     const open = this.list(service).filter(({ load, loadAtMs }) =>
       load !== undefined && load.limit > 0 && nowMs - loadAtMs < LOAD_VALID_MS
     );
     for (const { load, loadAtMs } of listReliable(open)) {
       sum += load!.pressure * load!.limit;
       count += load!.limit;
-      cost += load!.serviceMs * load!.limit;
       saidAtMs = Math.max(saidAtMs, loadAtMs);
     }
-    return count === 0 ? NO_PRESSURE : {
-      pressure: sum / count,
-      saidAtMs,
-      costMs: cost / count,
-    };
+    return count === 0 ? NO_PRESSURE : { pressure: sum / count, saidAtMs };
   }
 
   /** Computes the pressure on the whole way of a route's requests. */
@@ -214,8 +205,6 @@
     let sum = 0;
     let count = 0;
     let saidAtMs = 0;
-    let cost = 0;
-    let told = 0;
     for (const member of this.#services.get(service)?.values() ?? []) {
       if (nowMs - member.loadAtMs >= LOAD_VALID_MS) {
         continue;
@@ -224,16 +213,10 @@
       const found = member.below.find((one) => one.route === route);
       if (found !== undefined && nowMs - found.saidAtMs < WAY_VALID_MS) {
         sum += found.pressure;
-        cost += found.costMs;
-        told += found.costMs > 0 ? 1 : 0;
         saidAtMs = Math.max(saidAtMs, found.saidAtMs);
       }
     }
-    return sum === 0 ? NO_PRESSURE : {
-      pressure: sum / count,
-      saidAtMs,
-      costMs: cost / Math.max(1, told),
-    };
+    return sum === 0 ? NO_PRESSURE : { pressure: sum / count, saidAtMs };
   }
 
   /** Whether the members of a service call no other one. */
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -19,28 +19,17 @@
 /** Bytes of a body that tell it from others; hashing all would cost more. */
 const HASHED_BYTES = 1_024;
 const HASH_RANGE = 0x1_0000_0000;
-/**
- * A rank that takes less than this part of what the next more urgent one takes
- * is refused together with it, in the same share: refusing all of it first
- * would turn many callers away and make next to no room.
- */
-const SMALL_PART = 0.5;
-
-/** Requests of one rank that lead to a service that is short of room. */
-export interface RankDemand {
-  /** 0 is the most urgent. */
-  readonly rank: number;
-  /** Time of that service that they ask for, in milliseconds a second. */
-  readonly work: number;
-}
+/** Part of the pressure in which only the least urgent rank is refused. */
+const LAST_RANK_PART = 0.7;
 
 /** What is asked for one root request. */
 export interface RootRequest {
+  /** 0 is the most urgent. */
   readonly rank: number;
-  /** Part of the work asked for that is to be refused, 0 to 1. */
+  /** The least urgent rank of the table. */
+  readonly lastRank: number;
+  /** Of the narrowest service on its way, 0 to 1. */
   readonly pressure: number;
-  /** Of all ranks that lead there, the request's own among them. */
-  readonly demands: readonly RankDemand[];
   /** From 0 to 1; the same for repeats of a request. */
   readonly draw: number;
 }
@@ -51,49 +40,18 @@
 }
 
 /**
- * Computes which share of a rank is refused: work is taken off the least urgent
- * ranks first, each up to `MAX_SHARE`, until as much is off as the pressure
- * asks for. What a rank's requests take of the scarce service decides how far
- * that goes, so the same pressure makes the same room whatever the mix is.
+ * The least urgent rank bears the larger part of the pressure, so that its
+ * swings don't reach the others; these share the rest, one after the other.
  */
 export function computeRefusedShare(
-  { rank, pressure, demands }: Omit<RootRequest, "draw">,
+  { rank, lastRank, pressure }: Omit<RootRequest, "draw">,
 ): number {
-  const groups = mergeRanks(demands);
-  const all = demands.reduce((sum, { work }) => sum + work, 0);
-  let left = pressure * MAX_SHARE * all;
-  for (const { ranks, work } of groups) {
-    const share = Math.min(MAX_SHARE, left / Math.max(work, Number.EPSILON));
-    if (ranks.includes(rank)) {
-      return share;
-    }
-    left = Math.max(0, left - share * work);
-  }
-  return pressure * MAX_SHARE;
-}
-
-interface RankGroup {
-  readonly ranks: readonly number[];
-  readonly work: number;
-}
-
-/** Least urgent first; a small rank goes with the next more urgent one. */
-function mergeRanks(demands: readonly RankDemand[]): readonly RankGroup[] {
-  const sorted = demands.toSorted((a, b) => b.rank - a.rank);
-  const groups: RankGroup[] = [];
-  let ranks: readonly number[] = [];
-  let work = 0;
-  sorted.forEach((demand, at) => {
-    ranks = [...ranks, demand.rank];
-    work += demand.work;
-    const next = sorted[at + 1];
-    if (next === undefined || work >= next.work * SMALL_PART) {
-      groups.push({ ranks, work });
-      ranks = [];
-      work = 0;
-    }
-  });
-  return groups;
+  const others = lastRank;
+  const last = others === 0 ? 1 : LAST_RANK_PART;
+  const band = rank >= lastRank ? last : (1 - last) / others;
+  const start = rank >= lastRank ? 0 : last + band * (lastRank - rank - 1);
+  const part = (pressure - start) / band;
+  return Math.max(0, Math.min(1, part)) * MAX_SHARE;
 }
 
 /**
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -39,7 +39,6 @@
 } from "../common/link_silence.ts";
 import { noteResult } from "../common/member.ts";
 import type { MemberTable } from "../common/member_table.ts";
-import { RootDemand } from "../common/root_demand.ts";
 import { drawForRequest, isRootRefused } from "../common/root_admission.ts";
 import type { CallLoop } from "../../../base/common/call_loop.ts";
 import type { RelayLog } from "../common/relay_log.ts";
@@ -65,6 +64,8 @@
   readonly path: MeshPath;
   readonly readClock: () => number;
   readonly draw: () => number;
+  /** The least urgent rank of the routes in force. */
+  readonly getLastRank: () => number;
   readonly log: RelayLog;
   readonly loop: CallLoop;
   /** The gate at an address says where the calls there came from. */
@@ -80,7 +81,6 @@
 export class EntryCalls {
   readonly #options: EntryCallsOptions;
   readonly #budget: EntryBudget;
-  readonly #demand = new RootDemand();
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services that no member is known of yet. */
   readonly #waiting = new Set<EntryCall>();
@@ -173,21 +173,21 @@
 
   /** Roots are refused where a service on their way is short of room. */
   #refuseRoot(call: EntryCall): boolean {
-    const { members } = this.#options;
+    const { members, getLastRank } = this.#options;
     const { route, rank, target, body, arrivedAtMs } = call.request;
-    const { pressure, costMs } = members
+    const { pressure } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     if (pressure === 0) {
       return false;
     }
-    this.#demand.note(rank, costMs, arrivedAtMs);
-    const demands = this.#demand.list();
-    const asked = { route: route.name, target, body };
+    const { name } = route;
+    const lastRank = getLastRank();
+    const asked = { route: name, target, body };
     const draw = drawForRequest(asked, arrivedAtMs);
-    const isRefused = isRootRefused({ rank, demands, pressure, draw });
+    const isRefused = isRootRefused({ rank, lastRank, pressure, draw });
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
-      this.#finish(call, failure, "pressure", { costMs, pressure });
+      this.#finish(call, failure, "pressure", { lastRank, pressure });
     }
     return isRefused;
   }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -46,8 +46,6 @@
   readonly getObjectiveMs: (route: string) => number;
   /** A run of a route begins (1) or ends (-1) at the backend server. */
   readonly noteRun: (route: string, change: 1 | -1) => void;
-  /** Whether calls that runs of a route make go where room is short. */
-  readonly isHeldBelow: (route: string) => boolean;
   /** A call of a route came that began on a VM of a service. */
   readonly noteArrival: (route: string, callerService: string) => void;
   /** The backend server refused connections: it may have ended. */
@@ -477,8 +475,7 @@
       this.#options.noteRun(route, -1);
     }
     if (phase === "running" || phase === "admitted") {
-      const isHeldBelow = this.#options.isHeldBelow(route);
-      this.#step({ type: "CallEnded", id, route, isHeldBelow, ...ended });
+      this.#step({ type: "CallEnded", id, route, ...ended });
     }
   }
 
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -110,6 +110,7 @@
       },
       readClock,
       draw: () => 0,
+      getLastRank: () => 0,
       log: { write: () => {} },
       loop: { lagMs: 0, runOnceRead: (run) => run() },
       hearCallers: () => {},
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -46,6 +46,7 @@
       },
       readClock: () => this.nowMs,
       draw: () => 0,
+      getLastRank: () => 0,
       log: { write: () => {} },
       loop: { lagMs: 0, runOnceRead: (run) => run() },
       hearCallers: () => {},
@@ -180,7 +181,7 @@
     const report = {
       type: "LoadReported",
       load: LOAD,
-      below: [["lookup", 0, 0, 0]],
+      below: [["lookup", 0, 0]],
       callers: [],
     } as const;
     entry.calls.receive("a:1", report);
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -21,7 +21,6 @@
     maxConnections: () => 4,
     getObjectiveMs: () => 500,
     noteRun,
-    isHeldBelow: () => false,
     noteArrival: () => {},
     onBackendLost: () => {},
   });
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -69,7 +69,6 @@
     maxConnections: () => 1,
     getObjectiveMs: () => 500,
     noteRun: () => {},
-    isHeldBelow: () => false,
     noteArrival: () => {},
     onBackendLost: () => {},
   });
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -47,7 +47,6 @@
     serviceMs: 10,
     isLost: false,
     isRejected: false,
-    isHeldBelow: false,
   };
   return reduceGate(gate, event as never, nowMs);
 }
--- a/src/engine/relay/test/idle_gate_test.ts
+++ b/src/engine/relay/test/idle_gate_test.ts
@@ -92,7 +92,6 @@
         serviceMs: isLost ? undefined : serviceMs,
         isLost,
         isRejected: false,
-        isHeldBelow: false,
       });
     }
   }
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -155,13 +155,9 @@
   it("is that of the narrowest service, here or below", () => {
     const table = createTable(createAnnouncement("a:1"));
     table.noteLoad("a:1", load, 1_000);
-    table.noteBelow("a:1", [["lookup", 0.6, 100, 440]], 1_000);
+    table.noteBelow("a:1", [["lookup", 0.6, 100]], 1_000);
     const way = table.computeWayPressure(SERVICE, "lookup", 1_000);
-    expect(way).to.deep.equal({
-      pressure: 0.6,
-      saidAtMs: 900,
-      costMs: 440,
-    });
+    expect(way).to.deep.equal({ pressure: 0.6, saidAtMs: 900 });
     expect(table.computeWayPressure(SERVICE, "view", 1_000).pressure)
       .to.equal(0.2);
   });
@@ -172,7 +168,7 @@
     );
     const calm = { ...load, pressure: 0 };
     tables[0]!.noteLoad("a:1", calm, 0);
-    tables[0]!.noteBelow("a:1", [["lookup", 0.9, 0, 440]], 0);
+    tables[0]!.noteBelow("a:1", [["lookup", 0.9, 0]], 0);
     let last = 1;
     for (let nowMs = 0; nowMs <= 3_000; nowMs += 100) {
       const [from, to] = nowMs % 200 === 0 ? [0, 1] : [1, 0];
@@ -181,7 +177,7 @@
       last = way.pressure;
       tables[to]!.noteLoad(address, calm, nowMs);
       const ageMs = nowMs - way.saidAtMs;
-      tables[to]!.noteBelow(address, [["lookup", last, ageMs, 440]], nowMs);
+      tables[to]!.noteBelow(address, [["lookup", last, ageMs]], nowMs);
     }
     expect(last).to.equal(0);
   });
