Split the routes in force off the listener, and spread every Retry-After

Callers refused for memory, routes, leases and limits came back at the same moment; they are told times apart, as those refused for pressure were.

--- a/src/engine/relay/node/caller_answers.ts
+++ b/src/engine/relay/node/caller_answers.ts
@@ -43,12 +43,8 @@
 }
 
 /** Creates the header that says when to come back, in seconds. */
-export function createRetryHeaders(
-  retryAfterMs: number | undefined,
-): HeaderList {
-  return retryAfterMs === undefined
-    ? []
-    : ["Retry-After", (retryAfterMs / 1_000).toFixed(3)];
+export function createRetryHeaders(retryAfterMs: number): HeaderList {
+  return ["Retry-After", (retryAfterMs / 1_000).toFixed(3)];
 }
 
 /** Callers that were refused together come back apart, while they wait. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -6,14 +6,7 @@
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
-import {
-  buildRouteIndex,
-  selectRoute,
-  TargetChooser,
-} from "../../routes/common/route_match.ts";
-import type { RouteIndex } from "../../routes/common/route_match.ts";
 import type { Route, RouteTable } from "../../routes/common/route_table.ts";
-import { countRanks, joinRanks } from "../../workspaces/common/workspace.ts";
 import type { Workspace } from "../../workspaces/common/workspace.ts";
 import type {
   EntryCheck,
@@ -25,6 +18,7 @@
 import type { RelayLog } from "../common/relay_log.ts";
 import { HeldBytes } from "../common/held_bytes.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
+import { RoutesInForce } from "../common/routes_in_force.ts";
 import {
   createRetryHeaders,
   getStatus,
@@ -88,12 +82,8 @@
 export class CallerServer implements AsyncDisposable {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
-  readonly #chooser = new TargetChooser();
   readonly #connections = new Map<Duplex, CallerConnection>();
-  #routes: RouteTable | undefined;
-  #index: RouteIndex = new Map();
-  /** How many ranks the routes have. */
-  #routeRanks = 1;
+  readonly #routes = new RoutesInForce();
   #isDraining = false;
   #open = 0;
   readonly #held = new HeldBytes(MAX_HELD_BYTES);
@@ -123,10 +113,7 @@
 
   /** Puts other routes in force. */
   replaceRoutes(routes: RouteTable): void {
-    this.#routes = routes;
-    this.#index = buildRouteIndex(routes);
-    this.#chooser.trim(routes);
-    this.#routeRanks = countRanks(routes.routes.map(({ rank }) => rank));
+    this.#routes.replace(routes);
     const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs;
@@ -233,7 +220,7 @@
 
   #refuseEarly(exchange: Exchange, reason: string): void {
     this.#logRefused(exchange, reason);
-    this.#reply(exchange, 503, EARLY_RETRY_MS);
+    this.#replyLater(exchange, 503, EARLY_RETRY_MS);
   }
 
   #logRefused(
@@ -247,7 +234,7 @@
       isFailure: true,
       requestId: dialect.readTerms(exchange.request.headers).requestId,
       reason,
-      routesVersion: this.#routes?.version,
+      routesVersion: this.#routes.version,
       ...inputs,
       elapsedMs: readClock() - exchange.arrivedAtMs,
     });
@@ -255,11 +242,11 @@
 
   async #take(exchange: Exchange): Promise<void> {
     const { request } = exchange;
-    if (this.#routes === undefined) {
+    if (!this.#routes.hasTable) {
       this.#waitIn(this.#waiters, exchange, "no routes yet");
       return;
     }
-    const found = this.#findRoute(request, this.#routes);
+    const found = this.#routes.find(readTarget(request));
     if ("status" in found) {
       this.#reply(exchange, found.status);
       return;
@@ -320,37 +307,20 @@
         this.#reply(exchange, 401);
         return;
       case "OverLimit":
-        this.#reply(exchange, 429, refusal.retryAfterMs);
+        this.#replyLater(exchange, 429, refusal.retryAfterMs);
         return;
       case "LeaseLapsed":
         this.#options.askProof();
-        this.#reply(exchange, 503, refusal.retryAfterMs);
+        this.#replyLater(exchange, 503, refusal.retryAfterMs);
         return;
     }
   }
 
-  #findRoute(
-    request: IncomingMessage,
-    { limits }: RouteTable,
-  ): Route | { readonly status: number } {
-    const target = request.url ?? "/";
-    const query = target.indexOf("?");
-    const path = query < 0 ? target : target.slice(0, query);
-    const host = request.headers.host ?? "";
-    const route = selectRoute(this.#index, host, path);
-    if (route === undefined) {
-      return { status: 404 };
-    }
-    const headerBytes = request.rawHeaders
-      .reduce((sum, part) => sum + part.length + 2, 0);
-    return headerBytes > limits.maxHeaderBytes ? { status: 431 } : route;
-  }
-
   async #readBody(exchange: Exchange): Promise<Uint8Array | undefined> {
     const hold = this.#held.open();
     exchange.cleanUps.push(hold.release);
     const read = await readBody(exchange.request, {
-      maxBytes: this.#routes!.limits.maxBodyBytes,
+      maxBytes: this.#routes.limits!.maxBodyBytes,
       hold: hold.add,
     });
     switch (read.type) {
@@ -360,7 +330,7 @@
         this.#reply(exchange, 413);
         return undefined;
       case "NoRoom":
-        this.#reply(exchange, 503, MEMORY_RETRY_MS);
+        this.#replyLater(exchange, 503, MEMORY_RETRY_MS);
         return undefined;
       case "Broken":
         return undefined;
@@ -384,7 +354,7 @@
       return;
     }
     const timeMs = Math.min(route.timeoutMs, patienceMs);
-    const service = this.#chooser.choose(route);
+    const service = this.#routes.chooseService(route);
     const isNested = this.#options
       .observeCall({ route: route.name, service });
     const entry: EntryRequest = {
@@ -400,7 +370,7 @@
       arrivedAtMs,
       deadlineMs: arrivedAtMs + timeMs,
       isNested,
-      rank: joinRanks(this.#routeRanks, workspace, route.rank),
+      rank: this.#routes.computeRank(route, workspace),
     };
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
@@ -408,7 +378,7 @@
       if (workspace !== undefined && hasNotRun(result)) {
         this.#options.workspaces.giveBack(workspace);
       }
-      this.#finish(exchange, result, arrivedAtMs + patienceMs);
+      this.#finish(exchange, result);
     });
     exchange.cleanUps.push(() => {
       if (!isDone) {
@@ -417,33 +387,32 @@
     });
   }
 
-  #finish(
-    exchange: Exchange,
-    result: EntryResult,
-    leavesAtMs: number,
-  ): void {
+  #finish(exchange: Exchange, result: EntryResult): void {
     if (result.type === "Answered") {
       this.#write(exchange, result.status, result.headers, result.body);
       return;
     }
     const { failure } = result;
-    const { readClock, draw } = this.#options;
-    const timeLeftMs = leavesAtMs - readClock();
-    this.#reply(
-      exchange,
-      getStatus(failure),
-      failure.type === "Refused"
-        ? spreadRetry(failure.retryAfterMs, { timeLeftMs, draw: draw() })
-        : undefined,
-    );
+    if (failure.type === "Refused") {
+      this.#replyLater(exchange, getStatus(failure), failure.retryAfterMs);
+    } else {
+      this.#reply(exchange, getStatus(failure));
+    }
   }
 
-  #reply(
-    exchange: Exchange,
-    status: number,
-    retryAfterMs?: number,
-  ): void {
-    const headers = createRetryHeaders(retryAfterMs);
+  #reply(exchange: Exchange, status: number): void {
+    this.#write(exchange, status, [], new Uint8Array());
+  }
+
+  /** Tells a caller that its request ran nowhere, and when to come back. */
+  #replyLater(exchange: Exchange, status: number, retryAfterMs: number): void {
+    const { dialect, readClock, draw } = this.#options;
+    const { request, arrivedAtMs } = exchange;
+    const { patienceMs = DEFAULT_PATIENCE_MS } = dialect
+      .readTerms(request.headers);
+    const timeLeftMs = arrivedAtMs + patienceMs - readClock();
+    const afterMs = spreadRetry(retryAfterMs, { timeLeftMs, draw: draw() });
+    const headers = createRetryHeaders(afterMs);
     this.#write(exchange, status, headers, new Uint8Array());
   }
 
@@ -466,3 +435,9 @@
 function hasNotRun(result: EntryResult): boolean {
   return result.type === "Failed" && result.failure.type === "Refused";
 }
+
+function readTarget({ headers, url, rawHeaders }: IncomingMessage) {
+  const headerBytes = rawHeaders
+    .reduce((sum, part) => sum + part.length + 2, 0);
+  return { host: headers.host ?? "", target: url ?? "/", headerBytes };
+}
