Show operators workspaces, their limits and what is let in

basilpin workspaces, /status of replicas and nodes, and two gauges (keys_served, limited_workspaces).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,7 @@
 import { registerTable } from "./commands/table.ts";
 import { registerTimeline } from "./commands/timeline.ts";
 import { registerTrace } from "./commands/trace.ts";
+import { registerWorkspaces } from "./commands/workspaces.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
 const DEFAULT_CONTROL = "127.0.0.1:7002";
@@ -41,5 +42,6 @@
 registerDrain(program);
 registerTrace(program);
 registerExplain(program);
+registerWorkspaces(program);
 
 await program.parseAsync();
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -295,6 +295,8 @@
       load: this.#gate.readLoad(),
       openCalls: this.#entry.openCount,
       members: this.#members.countNodes(),
+      servesKeys: this.#access.isValid,
+      limitedWorkspaces: this.#quotas.shares,
     };
   }
 
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -2,6 +2,7 @@
 import { parseAddress } from "../base/node/listen.ts";
 import type { LoadFigures } from "../engine/mesh/common/frames.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
+import type { WorkspaceShare } from "../engine/workspaces/common/quota_shares.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type { OperatorRoute } from "./operator_server.ts";
 import type { RelaySettings } from "./relay_settings.ts";
@@ -19,6 +20,10 @@
   readonly openCalls: number;
   /** Nodes of all services that calls may be sent to. */
   readonly members: number;
+  /** Whether requests by keys are served: their lease holds. */
+  readonly servesKeys: boolean;
+  /** Workspaces of which not all requests are let in, with the part that is. */
+  readonly limitedWorkspaces: readonly WorkspaceShare[];
 }
 
 type ReadStatus = () => RelayStatus;
@@ -90,5 +95,15 @@
   ["backend_pressure", "Part of roots to refuse for this backend server", ({
     load,
   }) => load.pressure],
+  [
+    "keys_served",
+    "1 where requests by keys are served: their lease holds",
+    ({ servesKeys }) => Number(servesKeys),
+  ],
+  [
+    "limited_workspaces",
+    "Workspaces of which not all requests are let in",
+    ({ limitedWorkspaces }) => limitedWorkspaces.length,
+  ],
   ["members", "Nodes that calls may be sent to", ({ members }) => members],
 ];
--- a/src/engine/control/common/control_report.ts
+++ b/src/engine/control/common/control_report.ts
@@ -5,6 +5,8 @@
   readReplicaId,
 } from "../../membership/common/membership_state.ts";
 import type { ControlState } from "./control_state.ts";
+import { createWorkspaceReports } from "./workspace_report.ts";
+import type { WorkspaceReport } from "./workspace_report.ts";
 
 /** A node as a control replica reports it. */
 export interface NodeReport extends Announcement {
@@ -31,6 +33,7 @@
   readonly isTableConfirmed: boolean;
   readonly nodes: readonly NodeReport[];
   readonly replicas: readonly ReplicaReport[];
+  readonly workspaces: readonly WorkspaceReport[];
 }
 
 /** Silence that is reported: more than a lost heartbeat or two. */
@@ -52,6 +55,7 @@
       isSilent: report.silentMs > REPORT_SILENCE_MS,
     })),
     replicas: listReplicas(state, nowMs),
+    workspaces: createWorkspaceReports(state, nowMs),
   };
 }
 
--- a/src/engine/control/common/usage_step.ts
+++ b/src/engine/control/common/usage_step.ts
@@ -126,11 +126,21 @@
   if (quotaTerms === undefined || nowMs - startedAtMs < LEARNING_MS) {
     return undefined;
   }
+  return listShares(workspaces, computeUsages(state, nowMs), quotaTerms);
+}
+
+/**
+ * Sums up what all nodes are asked for, as this replica knows: of other
+ * replicas' nodes only what comes near a limit.
+ */
+export function computeUsages(
+  state: ControlState,
+  nowMs: number,
+): ReadonlyMap<string, WorkspaceUsage> {
   const others = [...state.usageDigests.values()]
     .filter((report) => isFresh(report, nowMs))
     .map(({ usages }) => usages);
-  const usages = addUsages([listOwnUsages(state, nowMs), ...others]);
-  return listShares(workspaces, usages, quotaTerms);
+  return addUsages([listOwnUsages(state, nowMs), ...others]);
 }
 
 function listOwnUsages(
--- a/src/engine/control/test/usage_step_test.ts
+++ b/src/engine/control/test/usage_step_test.ts
@@ -7,12 +7,14 @@
 import type { WorkspaceUsage } from "../../workspaces/common/quota_shares.ts";
 import { reduceControl } from "../common/control_reducer.ts";
 import { createControl } from "../common/control_state.ts";
+import { createWorkspaceReports } from "../common/workspace_report.ts";
 import type { ControlEvent, ControlState } from "../common/control_state.ts";
 
+const DIGEST = "digest-of-a-key";
 const TERMS = { windowMs: 5_000, overage: 0.1, slack: 20 };
 const MILL = {
   name: "mill",
-  keyDigests: [],
+  keyDigests: [DIGEST],
   rank: undefined,
   ratePerSecond: 100,
   burst: 100,
@@ -133,6 +135,21 @@
     expect(run.told).to.have.nested.property("shares[0][1]").below(1);
   });
 
+  it("is reported to operators, without keys", () => {
+    const run = new UsageRun();
+    run.pass(LEARNT_MS, 2_000);
+    const [report] = createWorkspaceReports(run.state, run.nowMs);
+    expect(report).to.include({
+      name: "mill",
+      keys: 1,
+      rank: null,
+      ratePerSecond: 100,
+      asked: 4_000,
+    });
+    expect(report!.share).to.be.below(0.2);
+    expect(JSON.stringify(report)).not.to.contain(DIGEST);
+  });
+
   it("is no longer counted once its reporter is silent", () => {
     const run = new UsageRun();
     run.hear(2_000);
--- a/src/engine/workspaces/common/quota_gate.ts
+++ b/src/engine/workspaces/common/quota_gate.ts
@@ -67,6 +67,11 @@
     this.#window = new UsageWindow(options.terms?.windowMs ?? 1);
   }
 
+  /** The shares below 1 that were told last. */
+  get shares(): readonly WorkspaceShare[] {
+    return [...this.#shares ?? []];
+  }
+
   /** Takes the shares below 1, and how many entries there are in all. */
   replaceShares(
     shares: readonly WorkspaceShare[] | undefined,
