--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -66,14 +66,14 @@
     return due;
   }
   const pool = sound.length > 0 ? sound : members;
-  const failing = new Set(listFailing(pool));
+  const failing = listFailing(pool);
   const meanMs = computeMeanServiceMs(pool, options.nowMs);
   let best: Member | undefined;
   let bestScore = Infinity;
   pool.forEach((member, at) => {
     const jitter = ((at + 1) * options.draw * JITTER_STRIDE % 1) * JITTER;
     const score = computeScore(member, meanMs, options) + jitter +
-      (failing.has(member) ? FAILING_PENALTY : 0);
+      (failing.includes(member) ? FAILING_PENALTY : 0);
     if (score < bestScore) {
       best = member;
       bestScore = score;
@@ -94,12 +94,19 @@
     : members.filter((member) => !failing.includes(member));
 }
 
+const NONE_FAILING: readonly Member[] = [];
+
 /** Lists the members that fail far more of their calls than the best one. */
 function listFailing(members: readonly Member[]): readonly Member[] {
-  const least = members.reduce(
-    (min, { failureShare }) => Math.min(min, failureShare),
-    1,
-  );
+  let least = 1;
+  let most = 0;
+  for (const { failureShare } of members) {
+    least = Math.min(least, failureShare);
+    most = Math.max(most, failureShare);
+  }
+  if (most < FAILING_SHARE) {
+    return NONE_FAILING;
+  }
   return members.filter(({ failureShare }) =>
     failureShare >= FAILING_SHARE && failureShare > least * FAILING_RATIO
   );
@@ -130,12 +137,16 @@
   members: readonly Member[],
   nowMs: number,
 ): number {
-  const known = members.flatMap(({ load, loadAtMs }) =>
-    load !== undefined && load.serviceMs > 0 && nowMs - loadAtMs < LOAD_VALID_MS
-      ? [load.serviceMs]
-      : []
-  );
-  return known.reduce((sum, ms) => sum + ms, 0) / Math.max(1, known.length);
+  let sum = 0;
+  let known = 0;
+  for (const { load, loadAtMs } of members) {
+    const isFresh = nowMs - loadAtMs < LOAD_VALID_MS;
+    if (load !== undefined && load.serviceMs > 0 && isFresh) {
+      sum += load.serviceMs;
+      known += 1;
+    }
+  }
+  return sum / Math.max(1, known);
 }
 
 /**
--- a/src/engine/workspaces/node/key_digest.ts
+++ b/src/engine/workspaces/node/key_digest.ts
@@ -1,5 +1,5 @@
 /** Digests of keys: what nodes compare, so that no key is kept or compared. */
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 import type { KeyDigest } from "../common/workspace.ts";
 
 /** Half of a SHA-256 tells keys apart, and halves what is pushed to nodes. */
@@ -7,6 +7,6 @@
 
 /** Computes the digest of a key. */
 export function computeKeyDigest(key: string): KeyDigest {
-  return createHash("sha256").update(key).digest()
+  return hash("sha256", key, "buffer")
     .subarray(0, DIGEST_BYTES).toString("base64url");
 }
