Work shares out once a tick, and copy no links where none asks for a proof

Cause: each answered question and each link summed up the usage of all links, with the square of a replica's nodes; every round of reads copied its map of links. Digests of replicas that are gone are dropped.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -93,7 +93,7 @@
   /** Asks at once for a proof that the routes in force are the newest. */
   askProof(): void {
     if (readSteadyMs() - this.#askedAtMs >= ASK_EVERY_MS) {
-      this.#link.send({ ...this.#createHeartbeat(), isUrgent: true });
+      this.#link.send({ ...this.#askWithHeartbeat(), isUrgent: true });
     }
   }
 
@@ -141,7 +141,7 @@
         });
         this.#linkNumber = linkNumber;
         this.#announce(this.#announcement);
-        this.#link.send(this.#createHeartbeat());
+        this.#link.send(this.#askWithHeartbeat());
         this.#subscribed.clear();
         this.#subscribe();
       },
@@ -153,12 +153,15 @@
         }),
       readConfirmed: (message) =>
         "isConfirmed" in message ? message.isConfirmed : undefined,
-      createHeartbeat: () => this.#createHeartbeat(),
+      createHeartbeat: () => this.#askWithHeartbeat(),
     });
   }
 
-  /** Only where keys are needed does a heartbeat ask for a proof. */
-  #createHeartbeat(): Extract<NodeMessage, { type: "Heartbeat" }> {
+  /**
+   * Creates a heartbeat; where keys are needed it asks for a proof, which is
+   * noted as asked for now.
+   */
+  #askWithHeartbeat(): Extract<NodeMessage, { type: "Heartbeat" }> {
     const routesVersion = this.#routes?.version ?? 0;
     const heartbeat = {
       type: "Heartbeat",
--- a/src/engine/control/common/control_reducer.ts
+++ b/src/engine/control/common/control_reducer.ts
@@ -57,7 +57,7 @@
     case "TableReplaced":
       return replaceTable(state, event, nowMs);
     case "RoundsReplaced":
-      return replaceRounds(state, event.readRounds, nowMs);
+      return replaceRounds(state, event.readRounds);
     case "HoldersReplaced":
       return replaceHolders(state, event.holders);
     case "DrainOrdered":
--- a/src/engine/control/common/routes_proof.ts
+++ b/src/engine/control/common/routes_proof.ts
@@ -12,6 +12,7 @@
   ControlEffect,
   ControlState,
   ControlStep,
+  Link,
 } from "./control_state.ts";
 import { tellShares } from "./usage_step.ts";
 
@@ -53,9 +54,8 @@
 export function replaceRounds(
   state: ControlState,
   readRounds: ReadRounds,
-  nowMs: number,
 ): ControlStep {
-  const links = new Map(state.links);
+  let links: Map<number, Link> | undefined;
   const effects: ControlEffect[] = [];
   const { version: routesVersion } = state.tableState.document.table;
   for (const [linkId, link] of state.links) {
@@ -64,14 +64,18 @@
     const newest = link.questions.findLast(isAnswered);
     if (newest !== undefined) {
       const questions = link.questions.filter((one) => !isAnswered(one));
+      links ??= new Map(state.links);
       links.set(linkId, { ...link, questions });
       const { number } = newest;
       // First, so that a node that was just started lets in its due at once.
-      effects.push(tellShares(state, linkId, nowMs));
+      effects.push(...tellShares(state, [linkId]));
       effects.push(
         createSend(linkId, { type: "RoutesProved", number, routesVersion }),
       );
     }
   }
-  return createReduction({ ...state, links, readRounds }, effects);
+  return createReduction(
+    { ...state, links: links ?? state.links, readRounds },
+    effects,
+  );
 }
--- a/src/engine/control/common/usage_step.ts
+++ b/src/engine/control/common/usage_step.ts
@@ -79,41 +79,53 @@
   if (quotaTerms === undefined || workspaces === undefined || !isDue) {
     return createReduction(state);
   }
-  const own = listOwnUsages(state, nowMs);
   const digest: UsageDigest = {
     type: "UsageDigest",
     owner: readReplicaId(state.membership.self),
-    usages: listNear(state, own, quotaTerms),
+    usages: listNear(state, listOwnUsages(state, nowMs), quotaTerms),
     nodes: countOwnNodes(state),
   };
-  const shares = listAllShares(state, nowMs);
-  const isNews = shares !== undefined &&
-    (shares.length > 0 || (state.toldShares?.length ?? 1) > 0);
-  const sends = isNews
-    ? listNodeLinks(state).map((linkId) => tellShares(state, linkId, nowMs))
-    : [];
-  const next = { ...state, usageSaidAtMs: nowMs, toldShares: shares };
+  const toldShares = listAllShares(state, nowMs);
+  const isNews = toldShares !== undefined &&
+    (toldShares.length > 0 || (state.toldShares?.length ?? 1) > 0);
+  const next: ControlState = {
+    ...state,
+    usageDigests: dropOldDigests(state, nowMs),
+    usageSaidAtMs: nowMs,
+    toldShares,
+  };
+  const sends = isNews ? tellShares(next, listNodeLinks(next)) : [];
   return createReduction(next, [
     { type: "SendToReplicas", message: digest },
     ...sends,
   ]);
 }
 
-/** Creates what a node is told of shares; it may know none yet. */
+/** Creates what nodes are told of shares; the replica may know none yet. */
 export function tellShares(
   state: ControlState,
-  linkId: number,
-  nowMs: number,
-): ControlEffect {
-  const nodes = [...state.usageDigests.values()]
-    .filter((report) => isFresh(report, nowMs))
+  linkIds: readonly number[],
+): readonly ControlEffect[] {
+  const { toldShares, usageDigests } = state;
+  const nodes = [...usageDigests.values()]
     .reduce((sum, report) => sum + report.nodes, countOwnNodes(state));
-  const shares = listAllShares(state, nowMs);
-  return createSend(linkId, {
+  const message = {
     type: "SharesUpdate",
     nodes,
-    ...(shares === undefined ? {} : { shares }),
-  });
+    ...(toldShares === undefined ? {} : { shares: toldShares }),
+  } as const;
+  return linkIds.map((linkId) => createSend(linkId, message));
+}
+
+/** Replicas that are replaced are not heard again. */
+function dropOldDigests(
+  { usageDigests }: ControlState,
+  nowMs: number,
+): ControlState["usageDigests"] {
+  const fresh = [...usageDigests].filter(([, report]) =>
+    isFresh(report, nowMs)
+  );
+  return fresh.length === usageDigests.size ? usageDigests : new Map(fresh);
 }
 
 /** Undefined while this replica can't know what is asked for in all. */
