--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -15,8 +15,10 @@
 import { KeyAccess } from "../../workspaces/common/key_access.ts";
 import { CallerServer } from "../node/caller_server.ts";
 
+const KEY = "a-key";
+const LEASE_MS = 1_000;
 const DIALECT: CallDialect = {
-  readTerms: () => ({ requestId: "r", patienceMs: 5_000, key: undefined }),
+  readTerms: () => ({ requestId: "r", patienceMs: 5_000, key: KEY }),
   createCallHeaders: () => [],
   createBackendHeaders: ({ headers }) => headers,
   judgeAnswer: () => ({ type: "Answered" }),
@@ -77,6 +79,17 @@
   readonly server: CallerServer;
   /** The server's clock is ahead by so much. */
   aheadMs = 0;
+  readonly access = new KeyAccess({
+    leaseMs: LEASE_MS,
+    readClocks: () => {
+      const { steadyMs, wallMs } = readBothClocks();
+      return {
+        steadyMs: steadyMs + this.aheadMs,
+        wallMs: wallMs + this.aheadMs,
+      };
+    },
+    computeDigest: (key) => key,
+  });
 
   constructor(port: number, hasRoutes: boolean) {
     this.url = `http://127.0.0.1:${port}/`;
@@ -99,11 +112,7 @@
         return () => this.withdrawn.push(number);
       },
       workspaces: new WorkspaceCheck(
-        new KeyAccess({
-          leaseMs: undefined,
-          readClocks: readBothClocks,
-          computeDigest: (key) => key,
-        }),
+        this.access,
         new QuotaGate({ terms: undefined, draw: () => 0.5 }),
       ),
       askProof: () => {},
@@ -204,6 +213,44 @@
   });
 });
 
+describe("a request with a key", () => {
+  const HEAD =
+    "POST /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n\r\n";
+
+  /** Sends a head and half of its body, and the rest once time has passed. */
+  async function sendSlowly(callers: Callers, passedMs: number) {
+    const workspace = {
+      name: "mill",
+      keyDigests: [KEY],
+      rank: undefined,
+      ratePerSecond: 0,
+      burst: 0,
+    };
+    callers.access.replaceWorkspaces([workspace]);
+    callers.access.acceptProof(callers.access.askProof());
+    const routes = [{ ...ROUTE, needsKey: true }];
+    callers.server.replaceRoutes({ version: 2, routes, limits: LIMITS });
+    const connection = callers.connect(`${HEAD}ab`);
+    await waitFor(() => callers.server.openCount === 1);
+    callers.aheadMs = passedMs;
+    connection.socket.write("cd");
+    return connection;
+  }
+
+  it("is started where its lease still holds once its body is whole", async () => {
+    await using callers = await Callers.open();
+    await sendSlowly(callers, LEASE_MS / 2);
+    await waitFor(() => callers.started.length === 1);
+  });
+
+  it("is refused where its body took longer than its lease", async () => {
+    await using callers = await Callers.open();
+    const connection = await sendSlowly(callers, LEASE_MS);
+    await waitFor(() => connection.received.includes("HTTP/1.1 503"));
+    expect(callers.started).to.have.length(0);
+  });
+});
+
 describe("requests before any routes are known", () => {
   it("wait for them, and are run then", async () => {
     await using callers = await Callers.open(false);
