Run first requests once the close behind them is read, and accept before them

Callers saw: work went on for callers that had left. Of 200 callers that connected at once to an entry that was slow (it ran for 8 ms of each 68) and closed after 130 ms, calls began up to 1.8 s after the close; the rule is half a second.

Cause: the runtime accepts one connection in each turn of its loop, and each turn also carried out what it had read. Connections waited for seconds while no timer was 100 ms late, so nothing counted as behind; the request was read a turn before the close and sent in between, with its whole patience anew.

Evidence: connections accepted before the burst had none over 500 ms on the same slow entry.

Why it holds: a close that came before a request was read is read two turns later at the latest; the first request of each connection waits for these.

Lines of withdrawn and unanswered calls say queuedMs, the bound on that wait. Errors that end a request unexpectedly have a line now.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -4,6 +4,7 @@
  */
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
+import { FirstRequests } from "../base/node/first_requests.ts";
 import { LoopWatch } from "../base/node/loop_watch.ts";
 import { readBothClocks, readSteadyMs } from "../base/node/steady_clock.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
@@ -76,6 +77,7 @@
     readClock: readSteadyMs,
     periodMs: TICK_MS,
   });
+  readonly #firstRequests = new FirstRequests(readSteadyMs);
   #isStopping = false;
   #ticks = 0;
 
@@ -160,7 +162,11 @@
         startCall: (request, service, onResult) =>
           this.#entry.start(request, service, onResult),
         observeCall: (call) => this.#tree.observe(call, readSteadyMs()),
-        noteConnection: () => this.#loop.noteAccepted(),
+        noteConnection: () => {
+          this.#loop.noteAccepted();
+          this.#firstRequests.noteAccepted();
+        },
+        firstRequests: this.#firstRequests,
         getCallerService: () => this.#control.announcement.service,
         readClock,
         draw: Math.random,
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -40,7 +40,7 @@
     readonly lagMs: number;
   },
 ): RelayLine {
-  const { requestId, route, isNested, arrivedAtMs } = call.request;
+  const { requestId, route, isNested, arrivedAtMs, queuedMs } = call.request;
   const { nowMs, isLinkOpen, lagMs } = withdrawn;
   return {
     event: "CallWithdrawn",
@@ -53,6 +53,7 @@
     isLinkOpen,
     sinceSentMs: call.attempt && nowMs - call.attempt.sentAtMs,
     elapsedMs: nowMs - arrivedAtMs,
+    queuedMs,
     lagMs,
   };
 }
@@ -69,7 +70,8 @@
   },
 ): RelayLine {
   const { failure, reason, nowMs, inputs } = ended;
-  const { requestId, route, rank, isNested, arrivedAtMs } = call.request;
+  const { request } = call;
+  const { requestId, route, rank, isNested, arrivedAtMs, queuedMs } = request;
   return {
     event: "CallNotAnswered",
     isFailure: true,
@@ -83,6 +85,7 @@
     tried: [...call.tried],
     handedOver: call.handedOver,
     elapsedMs: nowMs - arrivedAtMs,
+    queuedMs,
     ...inputs,
   };
 }
--- a/src/engine/relay/common/entry_types.ts
+++ b/src/engine/relay/common/entry_types.ts
@@ -12,6 +12,8 @@
   readonly headers: HeaderList;
   readonly body: Uint8Array;
   readonly arrivedAtMs: number;
+  /** Longest time that it can have waited unread, in milliseconds. */
+  readonly queuedMs: number;
   /** When the caller has its final answer. */
   readonly deadlineMs: number;
   /** Whether the local backend server made the call. */
--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -1,6 +1,7 @@
 /** One connection of a caller, with the requests that came on it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
 import { Pipeline } from "../common/pipeline.ts";
 
 /** A request and its answer. */
@@ -8,21 +9,31 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly arrivedAtMs: number;
+  /** Longest time that its connection can have waited to be accepted. */
+  readonly queuedMs: number;
   /** Run once the answer has left, or can't be sent any more. */
   readonly cleanUps: (() => void)[];
   /** Whether the clean-ups were run. */
   isGone: boolean;
 }
 
+/** What a connection is built from. */
+export interface CallerConnectionOptions {
+  /** Begins with an exchange. */
+  readonly start: (exchange: Exchange) => void;
+  readonly firstRequests: FirstRequestQueue;
+}
+
 /** Starts the exchanges of one connection, and withdraws them. */
 export class CallerConnection {
   readonly #socket: Socket;
-  readonly #start: (exchange: Exchange) => void;
+  readonly #options: CallerConnectionOptions;
   readonly #pipeline = new Pipeline<Exchange>();
+  #isRead = false;
 
-  constructor(socket: Socket, start: (exchange: Exchange) => void) {
+  constructor(socket: Socket, options: CallerConnectionOptions) {
     this.#socket = socket;
-    this.#start = start;
+    this.#options = options;
     // A response that waits for its turn is told nothing of its connection. The
     // end is read a turn or two before the close, and Node's listener ends the
     // other way at once: nobody can be answered any more.
@@ -31,6 +42,11 @@
     socket.on("close", loseAll);
   }
 
+  /** Whether what lay unread when it was accepted has been read. */
+  get isRead(): boolean {
+    return this.#isRead;
+  }
+
   /** Whether all that came has been answered. */
   get isIdle(): boolean {
     return this.#pipeline.size === 0;
@@ -41,6 +57,21 @@
     return this.#pipeline.isClosing;
   }
 
+  /**
+   * A connection may have waited to be accepted for longer than its caller
+   * did, and its close is read after its first request.
+   */
+  runOnceRead(run: () => void): void {
+    if (this.#isRead) {
+      run();
+      return;
+    }
+    this.#options.firstRequests.hold(() => {
+      this.#isRead = true;
+      run();
+    });
+  }
+
   /** Takes a request; one behind an answer that closes is passed over. */
   take(exchange: Exchange): void {
     const { response } = exchange;
@@ -93,7 +124,7 @@
   }
 
   #startAll(exchanges: readonly Exchange[]): void {
-    exchanges.forEach((exchange) => this.#start(exchange));
+    exchanges.forEach((exchange) => this.#options.start(exchange));
   }
 
   #lose(exchanges: readonly Exchange[]): void {
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
@@ -53,6 +54,7 @@
   readonly getCallerService: () => string;
   /** A connection was accepted; more may wait in the listener's queue. */
   readonly noteConnection: () => void;
+  readonly firstRequests: FirstRequestQueue;
   readonly readClock: () => number;
   readonly draw: () => number;
   readonly log: RelayLog;
@@ -71,6 +73,12 @@
 /** Larger than any header that a table allows; the table's limit is checked. */
 const MAX_HEADER_BYTES = 131_072;
 
+/** A request whose body has been read. */
+interface WholeRequest {
+  readonly body: Uint8Array;
+  readonly workspace: Workspace | undefined;
+}
+
 /** What the log says of a request that doesn't go on. */
 const REFUSAL_REASONS: Readonly<Record<EntryRefusal["type"], string>> = {
   UnknownKey: "unknown key",
@@ -166,6 +174,7 @@
       request,
       response,
       arrivedAtMs: this.#options.readClock(),
+      queuedMs: connection.isRead ? 0 : this.#options.firstRequests.queuedMs,
       cleanUps: [() => this.#open -= 1],
       isGone: false,
     };
@@ -177,10 +186,10 @@
     if (found !== undefined) {
       return found;
     }
-    const connection = new CallerConnection(
-      socket,
-      (exchange) => this.#resume(exchange),
-    );
+    const connection = new CallerConnection(socket, {
+      start: (exchange) => this.#resume(exchange),
+      firstRequests: this.#options.firstRequests,
+    });
     this.#connections.set(socket, connection);
     socket.on("close", () => this.#connections.delete(socket));
     return connection;
@@ -201,10 +210,17 @@
 
   #resume(exchange: Exchange): void {
     if (!exchange.isGone) {
-      this.#take(exchange).catch(() => exchange.response.destroy());
+      this.#take(exchange).catch((error) => this.#breakOff(exchange, error));
     }
   }
 
+  /** An unexpected error must not end the process, and all calls in it. */
+  #breakOff(exchange: Exchange, error: unknown): void {
+    const errorName = error instanceof Error ? error.name : typeof error;
+    this.#logRefused(exchange, "unexpected error", { errorName });
+    exchange.response.destroy();
+  }
+
   #waitIn(
     waiters: RouteWaiters<Exchange>,
     exchange: Exchange,
@@ -272,12 +288,26 @@
     if (body === undefined || exchange.isGone || exchange.response.destroyed) {
       return;
     }
-    const isLate = workspace !== undefined && !this.#hasEntered(
+    this.#getConnection(exchange.request.socket).runOnceRead(() => {
+      try {
+        this.#startWhole(exchange, route, { body, workspace });
+      } catch (error) {
+        this.#breakOff(exchange, error);
+      }
+    });
+  }
+
+  #startWhole(exchange: Exchange, route: Route, whole: WholeRequest): void {
+    const { workspace } = whole;
+    if (exchange.isGone) {
+      return;
+    }
+    const mayStart = workspace === undefined || this.#hasEntered(
       exchange,
       this.#options.workspaces.checkWhole(workspace),
     );
-    if (!isLate) {
-      this.#start(exchange, route, { body, workspace });
+    if (mayStart) {
+      this.#start(exchange, route, whole);
     }
   }
 
@@ -340,20 +370,21 @@
   #start(
     exchange: Exchange,
     route: Route,
-    { body, workspace }: {
-      readonly body: Uint8Array;
-      readonly workspace: Workspace | undefined;
-    },
+    { body, workspace }: WholeRequest,
   ): void {
     const { request, arrivedAtMs } = exchange;
-    const { dialect, getCallerService, startCall } = this.#options;
+    const { dialect, getCallerService, readClock, startCall } = this.#options;
     const { requestId, patienceMs = DEFAULT_PATIENCE_MS } = dialect
       .readTerms(request.headers);
     if (requestId === undefined) {
       this.#reply(exchange, 400);
       return;
     }
-    const timeMs = Math.min(route.timeoutMs, patienceMs);
+    const deadlineMs = arrivedAtMs + Math.min(route.timeoutMs, patienceMs);
+    if (readClock() >= deadlineMs) {
+      this.#refuseEarly(exchange, "time limit");
+      return;
+    }
     const service = this.#routes.chooseService(route);
     const isNested = this.#options
       .observeCall({ route: route.name, service });
@@ -368,7 +399,8 @@
       ),
       body,
       arrivedAtMs,
-      deadlineMs: arrivedAtMs + timeMs,
+      deadlineMs,
+      queuedMs: exchange.queuedMs,
       isNested,
       rank: this.#routes.computeRank(route, workspace),
     };
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -118,6 +118,7 @@
       askProof: () => {},
       observeCall: () => this.isNested,
       noteConnection: () => {},
+      firstRequests: { queuedMs: 0, hold: (run) => run() },
       getCallerService: () => "front",
       readClock: () => performance.now() + this.aheadMs,
       draw: () => 0.5,
--- a/src/engine/relay/test/requests.ts
+++ b/src/engine/relay/test/requests.ts
@@ -26,6 +26,7 @@
     target: "/",
     headers: [],
     body: new Uint8Array(),
+    queuedMs: 0,
     deadlineMs: change.arrivedAtMs + 5_000,
     isNested: false,
     rank: 0,
