--- a/src/daemon/node_daemon.ts
+++ b/src/daemon/node_daemon.ts
@@ -1,5 +1,6 @@
 /** The node role: the loop of one node, wired to its listeners. */
 import { EventLoop } from "../base/node/event_loop.ts";
+import { FirstRequests } from "../base/node/first_requests.ts";
 import { LoopWatch } from "../base/node/loop_watch.ts";
 import { DisposalStack } from "../base/common/disposal.ts";
 import { parseAddress } from "../base/node/listen.ts";
@@ -56,6 +57,7 @@
     readClock: readSteadyMs,
     periodMs: TICK_MS,
   });
+  readonly #firstRequests = new FirstRequests(readSteadyMs);
   readonly #calls: CallServer;
   readonly #link: LinkClient<ControlMessage, NodeMessage>;
   readonly #timers: TimerSet;
@@ -219,7 +221,11 @@
     const hintConnections = hasHints(this.#settings) ? HINT_CONNECTIONS : 0;
     return new CallServer({
       loop: this.#watch,
-      noteConnection: () => this.#watch.noteAccepted(),
+      noteConnection: () => {
+        this.#watch.noteAccepted();
+        this.#firstRequests.noteAccepted();
+      },
+      firstRequests: this.#firstRequests,
       listeners: {
         edge: parseAddress(listen.edge)!,
         egress: parseAddress(listen.egress)!,
--- /dev/null
+++ b/src/daemon/test/accept_queue_test.ts
@@ -0,0 +1,77 @@
+/**
+ * Callers left while their connections waited to be accepted, and their calls
+ * were run once they were: the runtime accepts one connection in each turn of
+ * its loop, and reads a request a turn before the close behind it.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { Fleet, readRuns } from "../../../standin/fleet.ts";
+import type { FleetNode } from "../../../standin/fleet.ts";
+import {
+  callOnce,
+  slowDuring,
+  STAY_MS,
+} from "../../../standin/leaving_callers.ts";
+
+const TABLE = "examples/coton-loukkos/table.csv";
+const CALLERS = 300;
+const SLOW = { stoppedMs: 60, runsMs: 8 };
+/** Work must not begin that long after its caller has left. */
+const GONE_MS = 500;
+/** How long a run that should not be is waited for. */
+const SETTLE_MS = 3_000;
+
+describe("callers that leave before a node accepts their connections", () => {
+  let fleet: Fleet;
+  let entry: FleetNode;
+  let served: FleetNode;
+
+  before(async () => {
+    fleet = new Fleet();
+    await fleet.startControl("control-a", "kenitra-a");
+    const dataCentre = "kenitra-a";
+    entry = await fleet.startNode({
+      id: "custody-1",
+      service: "custody",
+      dataCentre,
+    });
+    served = await fleet.startNode({
+      id: "provenance-1",
+      service: "provenance",
+      dataCentre,
+    });
+    const applied = await fleet.run("table", "apply", TABLE, "--wait");
+    expect(applied.exitCode, applied.stderr).to.equal(0);
+    const first = await fetch(`http://${entry.edge}/bales/1`);
+    expect(first.status).to.equal(200);
+  });
+
+  after(() => fleet[Symbol.asyncDispose]());
+
+  /** Connects all at once; resolves when the last caller has left. */
+  async function sendBurst(): Promise<void> {
+    const calls = Array.from(
+      { length: CALLERS },
+      (_, index) =>
+        callOnce(entry.edge, {
+          requestId: `r${index}`,
+          request: `GET /bales/${index} HTTP/1.1\r\nHost: a.example\r\n\r\n`,
+          patienceMs: STAY_MS,
+        }),
+    );
+    await Promise.all(calls);
+  }
+
+  it("have nothing run later than half a second after", async () => {
+    let lateRuns = 0;
+    await slowDuring(entry.child, SLOW, async () => {
+      await sendBurst();
+      await sleep(GONE_MS);
+      const due = await readRuns(served.backendAddress);
+      await sleep(SETTLE_MS);
+      const last = await readRuns(served.backendAddress);
+      lateRuns = last.started - due.started;
+    });
+    expect(lateRuns).to.equal(0);
+  });
+});
--- a/src/engine/call/node/call_server.ts
+++ b/src/engine/call/node/call_server.ts
@@ -1,7 +1,9 @@
 /** The listeners of a node: HTTP in, events out, effects carried out. */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { CallLoop } from "../../../base/common/call_loop.ts";
+import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
 import { createServer } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
@@ -43,6 +45,7 @@
   readonly loop: CallLoop;
   /** A connection was accepted; more may wait in a listener's queue. */
   readonly noteConnection: () => void;
+  readonly firstRequests: FirstRequestQueue;
   /** Most connections to one backend server. */
   readonly connections: number;
   /** Presented on ingress, which then takes only nodes of the authority. */
@@ -83,6 +86,8 @@
   #nextId = 0;
   readonly #asks = new Map<number, (reply: PeerReply) => void>();
   #nextAsk = 0;
+  /** Connections of which what lay unread when they were accepted is read. */
+  readonly #readSockets = new WeakSet<Socket>();
   #isDraining = false;
 
   constructor(options: CallServerOptions) {
@@ -296,9 +301,14 @@
     answer?.(reply);
   }
 
+  /**
+   * A process that is behind, or in whose listener connections wait, reads a
+   * request before a close that came first: a call is decided on once that
+   * close has been read.
+   */
   #accept(listener: Listener, arrived: ArrivedCall): void {
     const { request, response, isFromNode, body } = arrived;
-    const { dispatch, loop } = this.#options;
+    const { dispatch, loop, firstRequests } = this.#options;
     const id = `${this.#idPrefix}-${(this.#nextId++).toString(36)}`;
     let isClosed = false;
     let isTold = false;
@@ -309,14 +319,18 @@
         dispatch({ type: "CallerLeft", exchangeId: id });
       }
     });
-    // A process that is behind reads a request before the close behind it: all
-    // of 8 calls whose callers left while it was stopped for 600 ms were run.
-    loop.runOnceRead(() => {
+    const decide = () => {
+      this.#readSockets.add(request.socket);
       if (!isClosed && !request.socket.readableEnded) {
         isTold = true;
         this.#exchanges.set(id, { id, request, response, isFromNode, body });
         dispatch(createCallReceived(id, listener, arrived));
       }
-    });
+    };
+    if (this.#readSockets.has(request.socket)) {
+      loop.runOnceRead(decide);
+    } else {
+      firstRequests.hold(decide);
+    }
   }
 }
--- a/src/engine/call/test/whole_answer_test.ts
+++ b/src/engine/call/test/whole_answer_test.ts
@@ -81,6 +81,7 @@
       dispatch: (event) => loop.dispatch(event),
       loop: { lagMs: 0, runOnceRead: (run) => run() },
       noteConnection: () => {},
+      firstRequests: { queuedMs: 0, hold: (run) => run() },
       connections: 4,
     });
     await calls.open();
