Let the test of the second look at the lease fail in its own time

With that look taken out, the test never ended: its poll had no bound, so after the runner's time limit it went on, kept its listener open, and the run with it. A check that hangs says nothing of what is broken.

--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -17,6 +17,8 @@
 
 const KEY = "a-key";
 const LEASE_MS = 1_000;
+/** Longest time that a test waits for something. */
+const WAIT_MS = 5_000;
 const DIALECT: CallDialect = {
   readTerms: () => ({ requestId: "r", patienceMs: 5_000, key: KEY }),
   createCallHeaders: () => [],
@@ -426,8 +428,13 @@
   return new Promise((resolve) => setTimeout(resolve, timeMs));
 }
 
+/** Fails in its own time: one that polls on keeps the whole run from its end. */
 async function waitFor(isMet: () => boolean): Promise<void> {
+  const endMs = Date.now() + WAIT_MS;
   while (!isMet()) {
+    if (Date.now() > endMs) {
+      throw new Error(`What was waited for did not happen in ${WAIT_MS} ms`);
+    }
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
 }
