Show that a jump of demand passes a workspace's limit until control has answered

Said on the design's page until now, and tested nowhere: entries let in all that comes until control tells them a share, 1.5 s later.

--- a/src/engine/workspaces/test/quota_test.ts
+++ b/src/engine/workspaces/test/quota_test.ts
@@ -94,6 +94,17 @@
     }
   });
 
+  // Guards against entries that let all of a jump in until control has answered.
+  it("holds where demand jumps from below it to eight times at once", () => {
+    const demand = (atMs: number) => atMs < 12_000 ? 0.5 : 8;
+    const worst = listScenarios({ demand }).map((scenario) => {
+      const { worstWindow } = playQuota(scenario, createShareWay(scenario));
+      return { scenario: describeScenario(scenario), worstWindow };
+    });
+    expect(worst.filter(({ worstWindow }) => worstWindow > ALL))
+      .to.deep.equal([]);
+  });
+
   it("would starve small workspaces in fixed parts, which is why it isn't in them", () => {
     const scenario: QuotaScenario = {
       entries: 78,
