--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,32 @@
+/** Plays soaks by hand: `node out/soak/main.js --seeds 50 --first 1`. */
+import process from "node:process";
+import { Command } from "commander";
+import { runSoak, SHORT_SOAK } from "./soak_run.ts";
+
+const options = new Command("soak")
+  .option("--seeds <count>", "how many seeds are played", "1")
+  .option("--first <seed>", "the first one", "1")
+  .option("--entries <count>", "entries", String(SHORT_SOAK.entries))
+  .option("--backends <count>", "backend servers", String(SHORT_SOAK.backends))
+  .option("--replicas <count>", "replicas", String(SHORT_SOAK.replicas))
+  .option("--seconds <count>", "length of the faults", "12")
+  .option("--overlapping <count>", "faults at a time", "2")
+  .parse().opts<Readonly<Record<string, string>>>();
+
+let brokenSeeds = 0;
+const first = Number(options["first"]);
+for (let seed = first; seed < first + Number(options["seeds"]); seed += 1) {
+  const report = await runSoak({
+    seed,
+    entries: Number(options["entries"]),
+    backends: Number(options["backends"]),
+    replicas: Number(options["replicas"]),
+    callers: SHORT_SOAK.callers,
+    lengthMs: Number(options["seconds"]) * 1_000,
+    overlapping: Number(options["overlapping"]),
+  });
+  brokenSeeds += report.broken.length > 0 ? 1 : 0;
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+}
+process.stdout.write(`${brokenSeeds} seeds broke a rule\n`);
+process.exit(brokenSeeds === 0 ? 0 : 1);
