--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -81,9 +81,8 @@
  */
 const IDLE_SHARE = 0.5;
 /**
- * Part of the slow part that is left after such a window. Without it 24
- * backend servers in the middle of a call tree ran 22 to 27 of 58 calls each at
- * a pressure of 0.9, a second after the service below had caught up.
+ * Part of the slow part that is left after such a window: roots are not refused
+ * for a backend server whose places stand idle.
  */
 const IDLE_KEPT = 0.5;
 
--- a/src/engine/mesh/common/transit_delay.ts
+++ b/src/engine/mesh/common/transit_delay.ts
@@ -3,8 +3,8 @@
  * both ends share: what lies above the least difference of the two clocks.
  *
  * Load pattern: in the first second of a surge a node's event loop may be half
- * a second behind. Calls that lay that long in a socket were handed to the
- * backend server after their callers had left: seven in a run without this.
+ * a second behind. Calls that lay that long in a socket would be handed to the
+ * backend server after their callers have left.
  */
 
 /**
--- a/src/engine/relay/common/gate_queue.ts
+++ b/src/engine/relay/common/gate_queue.ts
@@ -4,9 +4,7 @@
  *
  * Load pattern: more calls than places for seconds. Waiting is bounded by what
  * a refusal costs: a caller's own request may go elsewhere or come back, while
- * a call of a request that was begun takes all the work above it along. With
- * both, and smooth pressure, 39 parents failed in 12 s of a surge at 1.7 times
- * the load where 1,535 had (a run each).
+ * a call of a request that was begun takes all the work above it along.
  */
 
 /** A call before the backend server. */
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -11,9 +11,7 @@
 const MAX_SHARE = 0.85;
 /**
  * For so long the same request meets the same answer while the pressure is the
- * same: a client that repeats at once can't get in by trying often. In 12 s of
- * a surge with such clients 0.85 of the whole credit was earned, 0.76 where
- * each try was drawn anew (a run each; backlog weighed more, too).
+ * same: a client that repeats at once can't get in by trying often.
  */
 const DRAW_PERIOD_MS = 8_000;
 /** Bytes of a body that tell it from others; hashing all would cost more. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -6,7 +6,6 @@
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
-import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { Route, RouteTable } from "../../routes/common/route_table.ts";
 import type { Workspace } from "../../workspaces/common/workspace.ts";
 import type {
@@ -20,15 +19,10 @@
 import { HeldBytes } from "../common/held_bytes.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
 import { RoutesInForce } from "../common/routes_in_force.ts";
-import {
-  createRetryHeaders,
-  getStatus,
-  spreadRetry,
-  writeAnswer,
-} from "./caller_answers.ts";
 import { readBody } from "./body_reader.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
+import { CallerReplies, DEFAULT_PATIENCE_MS } from "./caller_replies.ts";
 
 /** Starts a call and returns what withdraws it. */
 export type StartCall = (
@@ -60,8 +54,6 @@
   readonly log: RelayLog;
 }
 
-/** Longest wait of a caller that says nothing, where the route allows it. */
-const DEFAULT_PATIENCE_MS = 600_000;
 /** When callers come back to a node that has yet to be told what is in force. */
 const EARLY_RETRY_MS = 300;
 const MEMORY_RETRY_MS = 500;
@@ -90,6 +82,7 @@
 export class CallerServer implements AsyncDisposable {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #replies: CallerReplies;
   readonly #connections = new Map<Duplex, CallerConnection>();
   readonly #routes = new RoutesInForce();
   #isDraining = false;
@@ -101,6 +94,12 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#replies = new CallerReplies({
+      ...options,
+      closeIfLast: (exchange) =>
+        this.#isDraining &&
+        this.#getConnection(exchange.request.socket).closeIfLast(exchange),
+    });
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
       (request, response) => this.#accept(request, response),
@@ -236,7 +235,7 @@
 
   #refuseEarly(exchange: Exchange, reason: string): void {
     this.#logRefused(exchange, reason);
-    this.#replyLater(exchange, 503, EARLY_RETRY_MS);
+    this.#replies.replyLater(exchange, 503, EARLY_RETRY_MS);
   }
 
   #logRefused(
@@ -264,7 +263,7 @@
     }
     const found = this.#routes.find(readTarget(request));
     if ("status" in found) {
-      this.#reply(exchange, found.status);
+      this.#replies.reply(exchange, found.status);
       return;
     }
     if (found.needsKey !== true) {
@@ -311,6 +310,13 @@
     }
   }
 
+  /** A request that ran nowhere doesn't count against a limit. */
+  #giveBack(workspace: Workspace | undefined): void {
+    if (workspace !== undefined) {
+      this.#options.workspaces.giveBack(workspace);
+    }
+  }
+
   /** Whether a request goes on; else it waits, or is answered. */
   #hasEntered(
     exchange: Exchange,
@@ -334,14 +340,14 @@
     this.#logRefused(exchange, REFUSAL_REASONS[type], inputs);
     switch (refusal.type) {
       case "UnknownKey":
-        this.#reply(exchange, 401);
+        this.#replies.reply(exchange, 401);
         return;
       case "OverLimit":
-        this.#replyLater(exchange, 429, refusal.retryAfterMs);
+        this.#replies.replyLater(exchange, 429, refusal.retryAfterMs);
         return;
       case "LeaseLapsed":
         this.#options.askProof();
-        this.#replyLater(exchange, 503, refusal.retryAfterMs);
+        this.#replies.replyLater(exchange, 503, refusal.retryAfterMs);
         return;
     }
   }
@@ -357,10 +363,10 @@
       case "Whole":
         return read.body;
       case "TooLarge":
-        this.#reply(exchange, 413);
+        this.#replies.reply(exchange, 413);
         return undefined;
       case "NoRoom":
-        this.#replyLater(exchange, 503, MEMORY_RETRY_MS);
+        this.#replies.replyLater(exchange, 503, MEMORY_RETRY_MS);
         return undefined;
       case "Broken":
         return undefined;
@@ -377,7 +383,7 @@
     const { requestId, patienceMs = DEFAULT_PATIENCE_MS } = dialect
       .readTerms(request.headers);
     if (requestId === undefined) {
-      this.#reply(exchange, 400);
+      this.#replies.reply(exchange, 400);
       return;
     }
     const deadlineMs = arrivedAtMs + Math.min(route.timeoutMs, patienceMs);
@@ -407,10 +413,10 @@
     let isDone = false;
     const withdraw = startCall(entry, service, (result) => {
       isDone = true;
-      if (workspace !== undefined && hasNotRun(result)) {
-        this.#options.workspaces.giveBack(workspace);
+      if (hasNotRun(result)) {
+        this.#giveBack(workspace);
       }
-      this.#finish(exchange, result);
+      this.#replies.finish(exchange, result);
     });
     exchange.cleanUps.push(() => {
       if (!isDone) {
@@ -418,50 +424,6 @@
       }
     });
   }
-
-  #finish(exchange: Exchange, result: EntryResult): void {
-    if (result.type === "Answered") {
-      this.#write(exchange, result.status, result.headers, result.body);
-      return;
-    }
-    const { failure } = result;
-    if (failure.type === "Refused") {
-      this.#replyLater(exchange, getStatus(failure), failure.retryAfterMs);
-    } else {
-      this.#reply(exchange, getStatus(failure));
-    }
-  }
-
-  #reply(exchange: Exchange, status: number): void {
-    this.#write(exchange, status, [], new Uint8Array());
-  }
-
-  /** Tells a caller that its request ran nowhere, and when to come back. */
-  #replyLater(exchange: Exchange, status: number, retryAfterMs: number): void {
-    const { dialect, readClock, draw } = this.#options;
-    const { request, arrivedAtMs } = exchange;
-    const { patienceMs = DEFAULT_PATIENCE_MS } = dialect
-      .readTerms(request.headers);
-    const timeLeftMs = arrivedAtMs + patienceMs - readClock();
-    const afterMs = spreadRetry(retryAfterMs, { timeLeftMs, draw: draw() });
-    const headers = createRetryHeaders(afterMs);
-    this.#write(exchange, status, headers, new Uint8Array());
-  }
-
-  #write(
-    exchange: Exchange,
-    status: number,
-    headers: HeaderList,
-    body: Uint8Array,
-  ): void {
-    const { response, request } = exchange;
-    if (response.headersSent || response.destroyed) {
-      return;
-    }
-    const connection = this.#getConnection(request.socket);
-    const isLast = this.#isDraining && connection.closeIfLast(exchange);
-    writeAnswer(response, { status, headers, body, isLast });
-  }
 }
 
 function hasNotRun(result: EntryResult): boolean {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -209,8 +209,7 @@
 
   /**
    * A process that is behind reads the close of a connection after the request
-   * on it: without the wait 3 to 7 of 8 calls whose callers left while their
-   * entry was stopped for 600 ms were run.
+   * on it, and would send calls for callers that have left.
    */
   #send(call: EntryCall): void {
     this.#options.loop.runOnceRead(() => {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -299,9 +299,8 @@
   }
 
   /**
-   * A process that is behind reads a call before its withdrawal: without the
-   * wait 2 to 4 of 8 calls whose callers left while the process was stopped for
-   * 600 ms were run.
+   * A process that is behind reads a call before its withdrawal, and would run
+   * it for a caller that has left.
    */
   #runOnceRead(call: GateCallState): void {
     call.phase = "admitted";
