Count requests no more against a limit that ran nowhere as time or caller was gone

Callers saw: a workspace near its limit was refused sooner (429) than its requests that ran would have it. A request is counted as its key is checked; where its caller had left, or its time was up, before it was started, the count stayed, though only what runs is held against a limit.

Cause: only refusals of started calls gave the count back.

Both ways now go through one function.

--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -299,6 +299,7 @@
   #startWhole(exchange: Exchange, route: Route, whole: WholeRequest): void {
     const { workspace } = whole;
     if (exchange.isGone) {
+      this.#giveBack(workspace);
       return;
     }
     const mayStart = workspace === undefined || this.#hasEntered(
@@ -388,6 +389,7 @@
     }
     const deadlineMs = arrivedAtMs + Math.min(route.timeoutMs, patienceMs);
     if (readClock() >= deadlineMs) {
+      this.#giveBack(workspace);
       this.#refuseEarly(exchange, "time limit");
       return;
     }
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -93,7 +93,20 @@
     computeDigest: (key) => key,
   });
 
+  readonly workspaces = new WorkspaceCheck(
+    this.access,
+    new QuotaGate({ terms: undefined, draw: () => 0.5 }),
+  );
+  /** Whether first requests wait until they are let go on. */
+  isHolding = false;
+  readonly held: (() => void)[] = [];
+  /** Requests that no longer count against the limit of their workspace. */
+  givenBack = 0;
+
   constructor(port: number, hasRoutes: boolean) {
+    this.workspaces.giveBack = () => {
+      this.givenBack += 1;
+    };
     this.url = `http://127.0.0.1:${port}/`;
     this.server = new CallerServer({
       address: { host: "127.0.0.1", port },
@@ -113,14 +126,14 @@
         const number = this.started.length - 1;
         return () => this.withdrawn.push(number);
       },
-      workspaces: new WorkspaceCheck(
-        this.access,
-        new QuotaGate({ terms: undefined, draw: () => 0.5 }),
-      ),
+      workspaces: this.workspaces,
       askProof: () => {},
       observeCall: () => this.isNested,
       noteConnection: () => {},
-      firstRequests: { queuedMs: 0, hold: (run) => run() },
+      firstRequests: {
+        queuedMs: 0,
+        hold: (run) => this.isHolding ? this.held.push(run) : run(),
+      },
       getCallerService: () => "front",
       readClock: () => performance.now() + this.aheadMs,
       draw: () => 0.5,
@@ -246,6 +259,33 @@
     await waitFor(() => callers.started.length === 1);
   });
 
+  // Guards a limit against requests that ran nowhere as their caller had left.
+  it("counts no more where its caller left before it was started", async () => {
+    await using callers = await Callers.open();
+    callers.isHolding = true;
+    const { socket } = await sendSlowly(callers, 0);
+    await waitFor(() => callers.held.length === 1);
+    socket.destroy();
+    await waitFor(() => callers.server.openCount === 0);
+    callers.held.forEach((run) => run());
+    expect(callers.givenBack).to.equal(1);
+    expect(callers.started).to.have.length(0);
+  });
+
+  it("is refused, and counts no more, where its time is up by then", async () => {
+    await using callers = await Callers.open();
+    callers.isHolding = true;
+    const connection = await sendSlowly(callers, 0);
+    await waitFor(() => callers.held.length === 1);
+    callers.aheadMs = ROUTE.timeoutMs - 1;
+    callers.access.acceptProof(callers.access.askProof());
+    callers.aheadMs += 1;
+    callers.held.forEach((run) => run());
+    await waitFor(() => connection.received.includes("HTTP/1.1 503"));
+    expect(callers.givenBack).to.equal(1);
+    expect(callers.started).to.have.length(0);
+  });
+
   it("is refused where its body took longer than its lease", async () => {
     await using callers = await Callers.open();
     const connection = await sendSlowly(callers, LEASE_MS);
