--- a/soak/main.ts
+++ b/soak/main.ts
@@ -13,6 +13,10 @@
   .option("--overlapping <count>", "faults at a time", "2")
   .parse().opts<Readonly<Record<string, string>>>();
 
+// Ends the processes of the soak with it.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
 let brokenSeeds = 0;
 const first = Number(options["first"]);
 for (let seed = first; seed < first + Number(options["seeds"]); seed += 1) {
