--- a/src/daemon/test/accept_queue_test.ts
+++ b/src/daemon/test/accept_queue_test.ts
@@ -5,15 +5,15 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { Fleet, readRuns } from "../../../standin/fleet.ts";
-import type { FleetNode } from "../../../standin/fleet.ts";
+import { readRuns } from "../../../standin/fleet.ts";
 import {
   callOnce,
   slowDuring,
   STAY_MS,
 } from "../../../standin/leaving_callers.ts";
+import { openCustodyPair } from "./custody_pair.ts";
+import type { CustodyPair } from "./custody_pair.ts";
 
-const TABLE = "examples/coton-loukkos/table.csv";
 const CALLERS = 300;
 const SLOW = { stoppedMs: 60, runsMs: 8 };
 /** Work must not begin that long after its caller has left. */
@@ -22,34 +22,17 @@
 const SETTLE_MS = 3_000;
 
 describe("callers that leave before a node accepts their connections", () => {
-  let fleet: Fleet;
-  let entry: FleetNode;
-  let served: FleetNode;
+  let pair: CustodyPair;
 
   before(async () => {
-    fleet = new Fleet();
-    await fleet.startControl("control-a", "kenitra-a");
-    const dataCentre = "kenitra-a";
-    entry = await fleet.startNode({
-      id: "custody-1",
-      service: "custody",
-      dataCentre,
-    });
-    served = await fleet.startNode({
-      id: "provenance-1",
-      service: "provenance",
-      dataCentre,
-    });
-    const applied = await fleet.run("table", "apply", TABLE, "--wait");
-    expect(applied.exitCode, applied.stderr).to.equal(0);
-    const first = await fetch(`http://${entry.edge}/bales/1`);
-    expect(first.status).to.equal(200);
+    pair = await openCustodyPair();
   });
 
-  after(() => fleet[Symbol.asyncDispose]());
+  after(() => pair.fleet[Symbol.asyncDispose]());
 
   /** Connects all at once; resolves when the last caller has left. */
   async function sendBurst(): Promise<void> {
+    const { entry } = pair;
     const calls = Array.from(
       { length: CALLERS },
       (_, index) =>
@@ -63,6 +46,7 @@
   }
 
   it("have nothing run later than half a second after", async () => {
+    const { entry, served } = pair;
     let lateRuns = 0;
     await slowDuring(entry.child, SLOW, async () => {
       await sendBurst();
--- a/src/daemon/test/caller_left_test.ts
+++ b/src/daemon/test/caller_left_test.ts
@@ -7,15 +7,16 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { Fleet, readRuns } from "../../../standin/fleet.ts";
+import { readRuns } from "../../../standin/fleet.ts";
 import type { FleetNode } from "../../../standin/fleet.ts";
 import {
   leaveSoon,
   openConnections,
   stopDuring,
 } from "../../../standin/leaving_callers.ts";
+import { openCustodyPair } from "./custody_pair.ts";
+import type { CustodyPair } from "./custody_pair.ts";
 
-const TABLE = "examples/coton-loukkos/table.csv";
 const CALLERS = 8;
 /** How long a run that should not be is waited for. */
 const SETTLE_MS = 500;
@@ -25,34 +26,17 @@
 }
 
 describe("callers that leave while a node is stopped", () => {
-  let fleet: Fleet;
-  let entry: FleetNode;
-  let served: FleetNode;
+  let pair: CustodyPair;
 
   before(async () => {
-    fleet = new Fleet();
-    await fleet.startControl("control-a", "kenitra-a");
-    const dataCentre = "kenitra-a";
-    entry = await fleet.startNode({
-      id: "custody-1",
-      service: "custody",
-      dataCentre,
-    });
-    served = await fleet.startNode({
-      id: "provenance-1",
-      service: "provenance",
-      dataCentre,
-    });
-    const applied = await fleet.run("table", "apply", TABLE, "--wait");
-    expect(applied.exitCode, applied.stderr).to.equal(0);
-    const first = await fetch(`http://${entry.edge}/bales/1`);
-    expect(first.status).to.equal(200);
+    pair = await openCustodyPair();
   });
 
-  after(() => fleet[Symbol.asyncDispose]());
+  after(() => pair.fleet[Symbol.asyncDispose]());
 
   /** Counts what is run for callers that leave while a node is stopped. */
   async function countRuns(stopped: FleetNode): Promise<number> {
+    const { entry, served } = pair;
     const before = await readRuns(served.backendAddress);
     const sockets = await openConnections(entry.edge, CALLERS);
     await stopDuring(
@@ -65,10 +49,10 @@
   }
 
   it("have nothing run where that was their entry", async () => {
-    expect(await countRuns(entry)).to.equal(0);
+    expect(await countRuns(pair.entry)).to.equal(0);
   });
 
   it("have nothing run where that was the backend server's", async () => {
-    expect(await countRuns(served)).to.equal(0);
+    expect(await countRuns(pair.served)).to.equal(0);
   });
 });
