Say of each retry why, under which budget, and what repeated runs call

- A call carries how likely it is a repeat: 1 for a retry; for a backend server's own call the share of repeats among the runs that may have made it, as nothing on the wire names the parent.
One byte in a frame.
- CallMoved says the route, the cause and the budget as it stood; CallHandedOver whether the call may be a repeat.
- Metrics: attempts{service,cause}, and the window of the retry budget as the node sees it.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -107,8 +107,8 @@
         loop: this.#loop,
         maxConnections: () => this.#control.announcement.connections,
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
-        noteRun: (route, change) =>
-          this.#tree.noteRun(route, change, readSteadyMs()),
+        noteRun: (run, change) =>
+          this.#tree.noteRun(run, change, readSteadyMs()),
         noteArrival: (route, service) =>
           this.#tree.noteArrival(route, service, readSteadyMs()),
         onBackendLost: () => this.#loseBackend(),
@@ -141,6 +141,7 @@
       loop: this.#loop,
       hearCallers: (address, report) =>
         this.#tree.hear(address, report, readSteadyMs()),
+      noteAttempt: (service, cause) => metrics.countAttempt(service, cause),
       noteEnded: (route, elapsedMs) => metrics.noteDuration(route, elapsedMs),
     });
     this.#meshServer = this.#owned.use(this.#createMeshServer());
@@ -194,6 +195,7 @@
         settings,
         this.#telemetry,
         () => this.#createStatus(),
+        () => this.#entry.countByService(),
       ),
     );
   }
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -1,6 +1,7 @@
 /** What a relay node shows its operators: status, time line, metrics. */
 import { parseAddress } from "../base/node/listen.ts";
 import type { LoadFigures } from "../engine/mesh/common/frames.ts";
+import type { BudgetCounts } from "../engine/relay/common/entry_budget.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
 import type { WorkspaceShare } from "../engine/workspaces/common/quota_shares.ts";
 import { OperatorServer } from "./operator_server.ts";
@@ -28,12 +29,50 @@
 
 type ReadStatus = () => RelayStatus;
 
+/** Counts what this node sent to each service in the last window. */
+type CountByService = () => ReadonlyMap<string, Readonly<BudgetCounts>>;
+
+type BudgetGauge = readonly [
+  name: string,
+  description: string,
+  count: (counts: Readonly<BudgetCounts>) => number,
+];
+
+const BUDGET_GAUGES: readonly BudgetGauge[] = [
+  [
+    "retry_window_firsts",
+    "First attempts of this node in the window of the retry budget",
+    ({ firsts }) => firsts,
+  ],
+  [
+    "retry_window_inherited",
+    "Part of the first attempts that repeated runs made",
+    ({ inherited }) => inherited,
+  ],
+  [
+    "retry_window_retries",
+    "Retries of this node in the window of the retry budget",
+    ({ retries }) => retries,
+  ],
+];
+
 /** Creates the listener, and the gauges that a scrape reads. */
 export function createRelayOperator(
   settings: RelaySettings,
   { metrics, timeline }: Telemetry,
   readStatus: ReadStatus,
+  countByService: CountByService,
 ): OperatorServer {
+  for (const [name, description, count] of BUDGET_GAUGES) {
+    metrics.createLabelledGauge(name, {
+      description,
+      label: "service",
+      read: () =>
+        [...countByService()].map(([service, counts]) =>
+          [service, count(counts)] as const
+        ),
+    });
+  }
   for (const [name, description, read] of GAUGES) {
     metrics.createGauge(name, description, () => read(readStatus()));
   }
--- a/src/daemon/relay_tree.ts
+++ b/src/daemon/relay_tree.ts
@@ -13,6 +13,8 @@
   PressureBelow,
 } from "../engine/mesh/common/frames.ts";
 import type { MemberTable } from "../engine/relay/common/member_table.ts";
+import { RunningRepeats } from "../engine/relay/common/running_repeats.ts";
+import type { BackendRun } from "../engine/relay/common/running_repeats.ts";
 
 /** What the tree is built from. */
 export interface RelayTreeOptions {
@@ -30,6 +32,7 @@
   readonly #coincidences = new CoincidenceCounter();
   readonly #spread = new CallerSpread();
   readonly #arrivals = new SpreadCounter();
+  readonly #repeats = new RunningRepeats();
   readonly #tree: CallTree;
   #callersSaidAtMs = 0;
   #hadPressure = false;
@@ -44,9 +47,10 @@
     });
   }
 
-  /** A run of a route begins (1) or ends (-1) at the own backend server. */
-  noteRun(route: string, change: 1 | -1, nowMs: number): void {
-    this.#coincidences.noteRun(route, change, nowMs);
+  /** A run begins (1) or ends (-1) at the own backend server. */
+  noteRun(run: BackendRun, change: 1 | -1, nowMs: number): void {
+    this.#coincidences.noteRun(run.route, change, nowMs);
+    this.#repeats.noteRun(run, change);
   }
 
   /** A call came to the own gate that began on a VM of a service. */
@@ -59,9 +63,16 @@
     this.#spread.hear(address, report, nowMs);
   }
 
-  /** Notes a call from this VM; tells whether the backend server made it. */
-  observe(call: Callee, nowMs: number): boolean {
-    return this.#tree.observe(call, nowMs);
+  /** Notes a call from this VM; tells whether a run of the server made it. */
+  observe(
+    call: Callee,
+    nowMs: number,
+  ): { readonly isNested: boolean; readonly repeatShare: number } {
+    const isNested = this.#tree.observe(call, nowMs);
+    const repeatShare = isNested && this.#repeats.hasAny
+      ? this.#repeats.computeShare(this.#tree.listParents(call.route, nowMs))
+      : 0;
+    return { isNested, repeatShare };
   }
 
   /** Creates the report that the own node takes like those of others. */
--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -28,6 +28,11 @@
   readonly judgedAtMs: number;
 }
 
+interface ListedParents {
+  readonly parents: readonly string[];
+  readonly listedAtMs: number;
+}
+
 /** A judgement holds for so long: it costs a pass over all reports. */
 const HOLD_MS = 200;
 /** Counts with a smaller standard error are certain enough to decide. */
@@ -58,6 +63,7 @@
 export class CallTree {
   readonly #inputs: CallTreeInputs;
   readonly #judged = new Map<string, Judged>();
+  readonly #parents = new Map<string, ListedParents>();
   /** Service that a route's calls went to last. */
   readonly #services = new Map<string, string>();
 
@@ -84,32 +90,45 @@
     return isNested;
   }
 
-  /**
-   * Lists the routes whose requests make calls, and what they call. A route
-   * that runs beside such calls counts until it is shown not to make them.
-   */
+  /** Lists the routes whose requests make calls, and what they call. */
   listEdges(nowMs: number): readonly (readonly [string, readonly Callee[]])[] {
-    const { coincidences } = this.#inputs;
     const edges = new Map<string, Callee[]>();
-    for (const route of coincidences.listCalled()) {
+    for (const route of this.#inputs.coincidences.listCalled()) {
       const service = this.#services.get(route);
       if (service === undefined || !this.isNested(route, nowMs)) {
         continue;
       }
-      for (const parent of coincidences.listParents(route)) {
-        const { share, error } = coincidences.explainBy(route, parent);
-        const isRare = coincidences.countCallsPerRun(route, parent) >
-          MAX_CALLS_PER_RUN;
-        if (!isRare && share + CERTAIN_ERRORS * error >= MIN_EDGE_SHARE) {
-          const callees = edges.get(parent) ?? [];
-          edges.set(parent, callees);
-          callees.push({ route, service });
-        }
+      for (const parent of this.#listCallers(route)) {
+        const callees = edges.get(parent) ?? [];
+        edges.set(parent, callees);
+        callees.push({ route, service });
       }
     }
     return [...edges];
   }
 
+  /** Lists the routes whose runs may make the calls of a route. */
+  listParents(route: string, nowMs: number): readonly string[] {
+    const before = this.#parents.get(route);
+    if (before !== undefined && nowMs - before.listedAtMs < HOLD_MS) {
+      return before.parents;
+    }
+    const parents = this.#listCallers(route);
+    this.#parents.set(route, { parents, listedAtMs: nowMs });
+    return parents;
+  }
+
+  /** A route that runs beside calls counts until it is shown to make none. */
+  #listCallers(route: string): readonly string[] {
+    const { coincidences } = this.#inputs;
+    return coincidences.listParents(route).filter((parent) => {
+      const { share, error } = coincidences.explainBy(route, parent);
+      const isRare = coincidences.countCallsPerRun(route, parent) >
+        MAX_CALLS_PER_RUN;
+      return !isRare && share + CERTAIN_ERRORS * error >= MIN_EDGE_SHARE;
+    });
+  }
+
   #judge(route: string, nowMs: number): boolean {
     const { coincidences, spread, getService, countNodes } = this.#inputs;
     const { share, error } = coincidences.explain(route);
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -28,6 +28,11 @@
   readonly isIdempotent: boolean;
   /** Whether a backend server's own call: work above it is invested. */
   readonly isNested: boolean;
+  /**
+   * How likely it is that this arrival is a repeat, 0 to 1: 1 for a retry, else
+   * the share of repeats among the runs that may have made the call.
+   */
+  readonly repeatShare: number;
   /** Length of the whole body. */
   readonly bodyBytes: number;
   /** The body, or its first part. */
@@ -154,6 +159,9 @@
   "expired",
 ];
 
+/** Shares go as whole hundredths: one byte in place of nine. */
+const HUNDREDTHS = 100;
+
 type WireLoad = readonly [number, number, number, number, number?];
 
 /**
@@ -180,6 +188,7 @@
         (frame.isIdempotent ? 1 : 0) + (frame.isNested ? 2 : 0),
         frame.bodyBytes,
         frame.body,
+        Math.round(frame.repeatShare * HUNDREDTHS),
       ];
     case "BodyPart":
       return [TAGS.BodyPart, frame.call, frame.bytes];
@@ -243,6 +252,7 @@
         isNested: (flags & 2) !== 0,
         bodyBytes: fields[11] as number,
         body: fields[12] as Uint8Array,
+        repeatShare: ((fields[13] ?? 0) as number) / HUNDREDTHS,
       };
     }
     case TAGS.BodyPart:
@@ -282,14 +292,13 @@
   }
 }
 
-/** Pressure goes as whole hundredths: one byte in place of nine. */
 function flattenLoad(load: LoadFigures): WireLoad {
   const { running, queued, limit, pressure, serviceMs } = load;
-  const hundredths = Math.round(pressure * 100);
+  const hundredths = Math.round(pressure * HUNDREDTHS);
   return [running, queued, limit, hundredths, Math.round(serviceMs)];
 }
 
 function parseLoad([running, queued, limit, hundredths, ms]: WireLoad) {
-  const pressure = hundredths / 100;
+  const pressure = hundredths / HUNDREDTHS;
   return { running, queued, limit, pressure, serviceMs: ms ?? 0 };
 }
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -21,6 +21,7 @@
   route: "lookup",
   isIdempotent: true,
   isNested: false,
+  repeatShare: 0,
   bodyBytes: 0,
   body: new Uint8Array(),
 };
--- a/src/engine/relay/common/entry_budget.ts
+++ b/src/engine/relay/common/entry_budget.ts
@@ -9,12 +9,19 @@
   readonly windowS: number;
 }
 
-interface Slice {
-  readonly second: number;
+/** What a node sent to a service in one window. */
+export interface BudgetCounts {
+  /** First attempts. */
   firsts: number;
+  /** Part of the first attempts that repeated runs made. */
+  inherited: number;
   retries: number;
 }
 
+interface Slice extends BudgetCounts {
+  readonly second: number;
+}
+
 /**
  * Part of the ratio that a node uses itself: a retry of a call that makes calls
  * counts again at each service below, where nobody sees that it is one.
@@ -34,9 +41,11 @@
     this.#terms = terms;
   }
 
-  /** Counts a first attempt. */
-  noteFirst(service: string, nowMs: number): void {
-    this.#getSlice(service, nowMs).firsts += 1;
+  /** Counts a first attempt, of a repeated run by so great a likelihood. */
+  noteFirst(service: string, repeatShare: number, nowMs: number): void {
+    const slice = this.#getSlice(service, nowMs);
+    slice.firsts += 1;
+    slice.inherited += repeatShare;
   }
 
   /** Counts a retry. */
@@ -51,17 +60,28 @@
     nowMs: number,
   ): boolean {
     const { ratio, slack } = this.#terms;
-    let firsts = 0;
-    let retries = 0;
-    for (const slice of this.#listSlices(service, nowMs)) {
-      firsts += slice.firsts;
-      retries += slice.retries;
-    }
+    const { firsts, retries } = this.count(service, nowMs);
     const own = slack / 2 / Math.max(MIN_NODES, fleet.nodes);
     const share = fleet.isLeaf ? LEAF_SHARE : OWN_SHARE;
     return retries + 1 <= own + firsts * ratio * share;
   }
 
+  /** Counts what was sent to a service in the window that ends now. */
+  count(service: string, nowMs: number): Readonly<BudgetCounts> {
+    const sum = { firsts: 0, inherited: 0, retries: 0 };
+    for (const slice of this.#listSlices(service, nowMs)) {
+      sum.firsts += slice.firsts;
+      sum.inherited += slice.inherited;
+      sum.retries += slice.retries;
+    }
+    return sum;
+  }
+
+  /** Lists the services that calls were sent to. */
+  listServices(): readonly string[] {
+    return [...this.#services.keys()];
+  }
+
   #listSlices(service: string, nowMs: number): Slice[] {
     const slices = this.#services.get(service) ?? [];
     this.#services.set(service, slices);
@@ -79,7 +99,7 @@
     if (last?.second === second) {
       return last;
     }
-    const slice = { second, firsts: 0, retries: 0 };
+    const slice = { second, firsts: 0, inherited: 0, retries: 0 };
     slices.push(slice);
     return slice;
   }
--- a/src/engine/relay/common/entry_call.ts
+++ b/src/engine/relay/common/entry_call.ts
@@ -68,6 +68,7 @@
     route: route.name,
     isIdempotent: route.isIdempotent,
     isNested: request.isNested,
+    repeatShare: call.handedOver > 0 ? 1 : request.repeatShare,
     bodyBytes: body.length,
     body: cutFirstPart(body),
   };
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -1,7 +1,8 @@
 /** The log lines of a call at its entry: what was decided, and by what. */
 import type { FailureKind } from "../../mesh/common/frames.ts";
 import type { EntryCall } from "./entry_call.ts";
-import type { EntryFailure } from "./entry_types.ts";
+import type { BudgetCounts } from "./entry_budget.ts";
+import type { EntryFailure, RetryCause } from "./entry_types.ts";
 import type { RelayLine } from "./relay_log.ts";
 
 /** Creates the line of a call that goes on at another member. */
@@ -11,19 +12,28 @@
     /** Address of the member that it leaves. */
     readonly from: string;
     readonly kind: FailureKind;
+    readonly cause: RetryCause;
     readonly reason: string;
+    /** Of the service, before this retry. */
+    readonly budget: Readonly<BudgetCounts>;
     readonly nowMs: number;
   },
 ): RelayLine {
-  const { from, kind, reason, nowMs } = moved;
+  const { from, kind, cause, reason, budget, nowMs } = moved;
+  const { requestId, route, isNested, repeatShare } = call.request;
   return {
     event: "CallMoved",
     isFailure: false,
-    requestId: call.request.requestId,
+    requestId,
+    route: route.name,
+    isNested,
+    repeatShare,
     service: call.service,
     from,
     kind,
+    cause,
     reason,
+    ...budget,
     handedOver: call.handedOver,
     timeLeftMs: call.request.deadlineMs - nowMs,
   };
--- a/src/engine/relay/common/entry_types.ts
+++ b/src/engine/relay/common/entry_types.ts
@@ -18,6 +18,8 @@
   readonly deadlineMs: number;
   /** Whether the local backend server made the call. */
   readonly isNested: boolean;
+  /** How likely it is that a repeated run made the call, 0 to 1. */
+  readonly repeatShare: number;
   /** Of the route; 0 is the most urgent. */
   readonly rank: number;
 }
@@ -29,6 +31,18 @@
   | { readonly type: "Unknown" }
   | { readonly type: "Expired" };
 
+/** Why a call is sent on to another backend server. */
+export type RetryCause =
+  /** The link to its node has been silent. */
+  | "stalled"
+  | "link_lost"
+  /** The backend server answered with a failure. */
+  | "status"
+  | "rejected"
+  | "answer_lost"
+  /** No backend server saw it. */
+  | "refused";
+
 /** What the caller gets. */
 export type EntryResult =
   | {
--- a/src/engine/relay/common/gate_lines.ts
+++ b/src/engine/relay/common/gate_lines.ts
@@ -16,6 +16,7 @@
     requestId: opened.requestId,
     route: opened.route,
     isNested: opened.isNested,
+    repeatShare: opened.repeatShare,
     timeLeftMs: deadlineMs - nowMs,
     onWayMs,
     waitedMs: nowMs - arrivedAtMs - onWayMs,
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -39,11 +39,11 @@
   readonly workspaces: WorkspaceCheck;
   /** Asks for a proof that the keys known here are those in force. */
   readonly askProof: () => void;
-  /** Notes a call; tells whether the local backend server made it. */
+  /** Notes a call; tells whether a run of the local backend server made it. */
   readonly observeCall: (call: {
     readonly route: string;
     readonly service: string;
-  }) => boolean;
+  }) => Pick<EntryRequest, "isNested" | "repeatShare">;
   /** Service whose backend server runs on this VM. */
   readonly getCallerService: () => string;
   /** A connection was accepted; more may wait in the listener's queue. */
@@ -394,8 +394,7 @@
       return;
     }
     const service = this.#routes.chooseService(route);
-    const isNested = this.#options
-      .observeCall({ route: route.name, service });
+    const origin = this.#options.observeCall({ route: route.name, service });
     const entry: EntryRequest = {
       requestId,
       route,
@@ -409,7 +408,7 @@
       arrivedAtMs,
       deadlineMs,
       queuedMs: exchange.queuedMs,
-      isNested,
+      ...origin,
       rank: this.#routes.computeRank(route, workspace),
     };
     let isDone = false;
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -7,6 +7,7 @@
   AnswerOpened,
   CallerReport,
   CallFailed,
+  FailureKind,
   LoadReported,
   MeshFrame,
 } from "../../mesh/common/frames.ts";
@@ -23,13 +24,14 @@
   createWithdrawnLine,
 } from "../common/entry_lines.ts";
 import { EntryBudget } from "../common/entry_budget.ts";
-import type { BudgetTerms } from "../common/entry_budget.ts";
+import type { BudgetCounts, BudgetTerms } from "../common/entry_budget.ts";
 import { decideNextStep } from "../common/entry_decision.ts";
 import type { NextStep } from "../common/entry_decision.ts";
 import type {
   EntryFailure,
   EntryRequest,
   EntryResult,
+  RetryCause,
 } from "../common/entry_types.ts";
 import {
   isMemberSilent,
@@ -70,10 +72,34 @@
   readonly loop: CallLoop;
   /** The gate at an address says where the calls there came from. */
   readonly hearCallers: (address: string, report: CallerReport) => void;
+  /** A call is sent to a service: for the first time, or once more. */
+  readonly noteAttempt: (service: string, cause: "first" | RetryCause) => void;
   /** A call of a route has its final answer. */
   readonly noteEnded: (route: string, elapsedMs: number) => void;
 }
 
+/** How an attempt came to nothing. */
+interface FailedBy {
+  readonly kind: FailureKind;
+  readonly cause: RetryCause;
+  /** For logs. */
+  readonly reason: string;
+}
+
+const STALLED: FailedBy = {
+  kind: "unknown",
+  cause: "stalled",
+  reason: "stalled",
+};
+
+/** What a node's own word on a failed call is counted as. */
+const RETRY_CAUSES: Readonly<Record<FailureKind, RetryCause>> = {
+  refused: "refused",
+  rejected: "rejected",
+  unknown: "answer_lost",
+  expired: "answer_lost",
+};
+
 /** When a root that was refused for pressure may come back. */
 const ROOT_RETRY_MS = 700;
 
@@ -91,6 +117,15 @@
     this.#budget = new EntryBudget(options.budget);
   }
 
+  /** Counts what was sent to each service in the window that ends now. */
+  countByService(): ReadonlyMap<string, Readonly<BudgetCounts>> {
+    const nowMs = this.#options.readClock();
+    return new Map(
+      this.#budget.listServices()
+        .map((name) => [name, this.#budget.count(name, nowMs)]),
+    );
+  }
+
   /** Calls without a final answer. */
   get openCount(): number {
     return this.#calls.size;
@@ -107,7 +142,9 @@
     if (!request.isNested && this.#refuseRoot(call)) {
       return () => {};
     }
-    this.#budget.noteFirst(service, request.arrivedAtMs);
+    const { repeatShare, arrivedAtMs } = request;
+    this.#budget.noteFirst(service, repeatShare, arrivedAtMs);
+    this.#options.noteAttempt(service, "first");
     this.#send(call);
     return () => this.#withdraw(call);
   }
@@ -142,10 +179,12 @@
   /** A link is gone; what was sent on it may run, if it was ever open. */
   loseLink(address: string, reason: string, wasOpen: boolean): void {
     this.#options.members.suspect(address, this.#options.readClock());
-    const kind = wasOpen ? "unknown" : "refused";
-    const calls = [...this.#calls.values()]
-      .filter((call) => call.attempt?.address === address);
-    calls.forEach((call) => this.#fail(call, kind, reason));
+    const failed: FailedBy = wasOpen
+      ? { kind: "unknown", cause: "link_lost", reason }
+      : { kind: "refused", cause: "refused", reason };
+    [...this.#calls.values()]
+      .filter((call) => call.attempt?.address === address)
+      .forEach((call) => this.#fail(call, failed));
   }
 
   /** Ends calls whose time is up, and gives silent links up. */
@@ -163,7 +202,7 @@
         silent.add(call.attempt!.address);
       } else if (silenceMs > STALLED_MS && this.#canRepeat(call, nowMs)) {
         this.#cancelAttempt(call);
-        this.#fail(call, "unknown", "stalled");
+        this.#fail(call, STALLED);
       }
     }
     this.#resumeWaiting();
@@ -279,7 +318,8 @@
     }
     const isFailure = opened.status >= 500;
     if (isFailure && this.#isWorthRepeating(call, nowMs)) {
-      this.#fail(call, "unknown", `status ${opened.status}`);
+      const reason = `status ${opened.status}`;
+      this.#fail(call, { kind: "unknown", cause: "status", reason });
       return;
     }
     // An error of a service that makes calls may come from below.
@@ -311,7 +351,8 @@
       members.removeAddress(call.service, address);
     }
     call.retryAfterMs = Math.max(MIN_RETRY_MS, frame.retryAfterMs);
-    this.#fail(call, frame.kind, frame.reason);
+    const { kind, reason } = frame;
+    this.#fail(call, { kind, cause: RETRY_CAUSES[kind], reason });
   }
 
   #takeLoad(address: string, frame: LoadReported): void {
@@ -326,7 +367,7 @@
     }
   }
 
-  #fail(call: EntryCall, kind: CallFailed["kind"], reason: string): void {
+  #fail(call: EntryCall, { kind, cause, reason }: FailedBy): void {
     const nowMs = this.#options.readClock();
     const { member } = call.attempt!;
     if (kind === "unknown" || kind === "rejected") {
@@ -338,10 +379,13 @@
     const step = this.#decide(call, kind, call.handedOver, nowMs);
     switch (step.type) {
       case "TryElsewhere":
+        this.#options.noteAttempt(call.service, cause);
         this.#options.log.write(createMovedLine(call, {
           from: member.announcement.ingress,
           kind,
+          cause,
           reason,
+          budget: this.#budget.count(call.service, nowMs),
           nowMs,
         }));
         if (step.isArrival) {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -31,6 +31,7 @@
 } from "../common/gate_lines.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
 import type { RelayLog } from "../common/relay_log.ts";
+import type { BackendRun } from "../common/running_repeats.ts";
 import { BackendClient } from "./backend_client.ts";
 import type { BackendHead, BackendResult } from "./backend_client.ts";
 
@@ -44,8 +45,8 @@
   readonly maxConnections: () => number;
   /** Latency within which an answer of a route has its full value. */
   readonly getObjectiveMs: (route: string) => number;
-  /** A run of a route begins (1) or ends (-1) at the backend server. */
-  readonly noteRun: (route: string, change: 1 | -1) => void;
+  /** A run begins (1) or ends (-1) at the backend server. */
+  readonly noteRun: (run: BackendRun, change: 1 | -1) => void;
   /** A call of a route came that began on a VM of a service. */
   readonly noteArrival: (route: string, callerService: string) => void;
   /** The backend server refused connections: it may have ended. */
@@ -330,7 +331,7 @@
     const nowMs = readClock();
     call.phase = "running";
     call.startedAtMs = nowMs;
-    this.#options.noteRun(call.opened.route, 1);
+    this.#options.noteRun(call.opened, 1);
     const { method, target, requestId } = call.opened;
     log.write(createHandedOverLine(call, { nowMs, lagMs: loop.lagMs }));
     const headers = dialect.createBackendHeaders({
@@ -468,13 +469,13 @@
       "serviceMs" | "isLost" | "isRejected"
     >,
   ): void {
-    const { id, phase, opened: { route } } = call;
+    const { id, phase, opened } = call;
     this.#calls.remove(call);
     if (phase === "running") {
-      this.#options.noteRun(route, -1);
+      this.#options.noteRun(opened, -1);
     }
     if (phase === "running" || phase === "admitted") {
-      this.#step({ type: "CallEnded", id, route, ...ended });
+      this.#step({ type: "CallEnded", id, route: opened.route, ...ended });
     }
   }
 
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -114,6 +114,7 @@
       log: { write: () => {} },
       loop: { lagMs: 0, runOnceRead: (run) => run() },
       hearCallers: () => {},
+      noteAttempt: () => {},
       noteEnded: () => {},
     });
   }
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -128,7 +128,7 @@
       },
       workspaces: this.workspaces,
       askProof: () => {},
-      observeCall: () => this.isNested,
+      observeCall: () => ({ isNested: this.isNested, repeatShare: 0 }),
       noteConnection: () => {},
       firstRequests: {
         queuedMs: 0,
--- a/src/engine/relay/test/entry_budget_test.ts
+++ b/src/engine/relay/test/entry_budget_test.ts
@@ -22,7 +22,7 @@
 function createBudget(firsts: number): EntryBudget {
   const budget = new EntryBudget(TERMS);
   for (let n = 0; n < firsts; n += 1) {
-    budget.noteFirst("s", 1_000);
+    budget.noteFirst("s", 0, 1_000);
   }
   return budget;
 }
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -50,6 +50,7 @@
       log: { write: () => {} },
       loop: { lagMs: 0, runOnceRead: (run) => run() },
       hearCallers: () => {},
+      noteAttempt: () => {},
       noteEnded: () => {},
     });
   }
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { expect } from "chai";
 import type { MeshFrame } from "../../mesh/common/frames.ts";
+import type { BackendRun } from "../common/running_repeats.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 import type { GateCallsOptions } from "../node/gate_calls.ts";
 import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
@@ -72,7 +73,7 @@
     const gate = openGate(
       port,
       () => nowMs,
-      (route, change) => runs.push([route, change]),
+      ({ route }, change) => runs.push([route, change]),
     );
     const frames: MeshFrame[] = [];
     gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
@@ -95,7 +96,7 @@
 describe("calls of one message", () => {
   it("are handed over only once all of it is read", async () => {
     const runs: string[] = [];
-    const noteRun = (route: string) => runs.push(route);
+    const noteRun = ({ route }: BackendRun) => runs.push(route);
     await using gate = openGate(9, () => 1_000, noteRun);
     const left = createCall(1, { route: "left" });
     const kept = createCall(2, { route: "kept" });
--- a/src/engine/relay/test/gate_fakes.ts
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -35,6 +35,7 @@
     route: "transfer",
     isIdempotent: false,
     isNested: false,
+    repeatShare: 0,
     bodyBytes: 0,
     body: new Uint8Array(),
     ...change,
--- a/src/engine/relay/test/requests.ts
+++ b/src/engine/relay/test/requests.ts
@@ -29,6 +29,7 @@
     queuedMs: 0,
     deadlineMs: change.arrivedAtMs + 5_000,
     isNested: false,
+    repeatShare: 0,
     rank: 0,
     ...change,
   };
--- a/src/engine/telemetry/node/metrics.ts
+++ b/src/engine/telemetry/node/metrics.ts
@@ -51,6 +51,7 @@
   readonly #calls: Counts = new Map();
   readonly #refusals: Counts = new Map();
   readonly #decisions: Counts = new Map();
+  readonly #attempts: Counts = new Map();
   readonly #durations = new DurationBuckets();
   readonly #gauges: Gauge[] = [];
   #reader: Promise<MetricsReader> | undefined;
@@ -77,6 +78,12 @@
     countOne(this.#decisions, key, () => ({ event, outcome }));
   }
 
+  /** Counts a call that is sent to a service, by why it is sent. */
+  countAttempt(service: string, cause: string): void {
+    const key = `${service} ${cause}`;
+    countOne(this.#attempts, key, () => ({ service, cause }));
+  }
+
   /** Counts how long a call of a route took until its final answer. */
   noteDuration(route: string, durationMs: number): void {
     this.#durations.note(route, durationMs);
@@ -137,6 +144,11 @@
         description: "Decisions on calls and beliefs, by event and outcome",
         counts: this.#decisions,
       },
+      {
+        name: "attempts",
+        description: "Calls sent to a service, by cause; not `first`: retries",
+        counts: this.#attempts,
+      },
     ], this.#durations);
   }
 }
