Carry repeats down the call tree, and count them where calls are sent

Cause: a retry was charged as one arrival at the service that it went to. The run that it starts makes its calls again, the nodes that send these took them for first attempts, and as such they widened the budgets below. The class: a bound that each level keeps by itself does not hold for a tree of levels.

With one level of calls it was kept; most repeats at the bottom were calls of runs that were repeats.

--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -30,12 +30,12 @@
 type ReadStatus = () => RelayStatus;
 
 /** Counts what this node sent to each service in the last window. */
-type CountByService = () => ReadonlyMap<string, Readonly<BudgetCounts>>;
+type CountByService = () => ReadonlyMap<string, BudgetCounts>;
 
 type BudgetGauge = readonly [
   name: string,
   description: string,
-  count: (counts: Readonly<BudgetCounts>) => number,
+  count: (counts: BudgetCounts) => number,
 ];
 
 const BUDGET_GAUGES: readonly BudgetGauge[] = [
--- a/src/daemon/relay_tree.ts
+++ b/src/daemon/relay_tree.ts
@@ -13,8 +13,8 @@
   PressureBelow,
 } from "../engine/mesh/common/frames.ts";
 import type { MemberTable } from "../engine/relay/common/member_table.ts";
-import { RunningRepeats } from "../engine/relay/common/running_repeats.ts";
-import type { BackendRun } from "../engine/relay/common/running_repeats.ts";
+import { RepeatedRuns } from "../engine/relay/common/repeated_runs.ts";
+import type { BackendRun } from "../engine/relay/common/repeated_runs.ts";
 
 /** What the tree is built from. */
 export interface RelayTreeOptions {
@@ -32,7 +32,7 @@
   readonly #coincidences = new CoincidenceCounter();
   readonly #spread = new CallerSpread();
   readonly #arrivals = new SpreadCounter();
-  readonly #repeats = new RunningRepeats();
+  readonly #repeated = new RepeatedRuns();
   readonly #tree: CallTree;
   #callersSaidAtMs = 0;
   #hadPressure = false;
@@ -50,7 +50,9 @@
   /** A run begins (1) or ends (-1) at the own backend server. */
   noteRun(run: BackendRun, change: 1 | -1, nowMs: number): void {
     this.#coincidences.noteRun(run.route, change, nowMs);
-    this.#repeats.noteRun(run, change);
+    if (change === 1) {
+      this.#repeated.noteBegun(run, nowMs);
+    }
   }
 
   /** A call came to the own gate that began on a VM of a service. */
@@ -69,9 +71,11 @@
     nowMs: number,
   ): { readonly isNested: boolean; readonly repeatShare: number } {
     const isNested = this.#tree.observe(call, nowMs);
-    const repeatShare = isNested && this.#repeats.hasAny
-      ? this.#repeats.computeShare(this.#tree.listParents(call.route, nowMs))
-      : 0;
+    if (!isNested) {
+      return { isNested, repeatShare: 0 };
+    }
+    const parents = this.#tree.listParents(call.route, nowMs);
+    const repeatShare = this.#repeated.computeShare(parents, nowMs);
     return { isNested, repeatShare };
   }
 
--- a/src/engine/relay/common/entry_budget.ts
+++ b/src/engine/relay/common/entry_budget.ts
@@ -1,99 +1,198 @@
-/** Retries that this node may send to each service, by a sliding window. */
+/**
+ * Retries that this node may send, by sliding windows.
+ *
+ * The run that a retry starts makes its calls again, and the nodes that send
+ * these take them for first attempts. So a call carries how likely it is that a
+ * repeated run made it; it counts as a repeat then, and widens no budget. Calls
+ * that make calls get a small share of the ratio, route by route: repeats are
+ * the same share of the calls below, whatever the shape and depth of the tree.
+ * What is left is for the services at the bottom, where a retry costs least.
+ */
 
 /** The budget that the nodes of a fleet share. */
 export interface BudgetTerms {
-  /** Retries as a share of the first attempts. */
+  /** Repeats as a share of the first attempts. */
   readonly ratio: number;
-  /** Retries that all nodes together have in any case. */
+  /** Repeats that all nodes together have in any case. */
   readonly slack: number;
   readonly windowS: number;
 }
 
-/** What a node sent to a service in one window. */
+/** What is counted of a call. */
+export interface BudgetedCall {
+  readonly service: string;
+  readonly route: string;
+  /** Whether a backend server's own call. */
+  readonly isNested: boolean;
+  /** How likely it is that a repeated run made it, 0 to 1. */
+  readonly repeatShare: number;
+}
+
+/** What is known where a retry is asked for. */
+export interface RetryContext {
+  /** Nodes that share the slack. */
+  readonly nodes: number;
+  /** Whether runs of the route make calls, or may. */
+  readonly canCallBelow: boolean;
+}
+
+/** What a node sent in one window. */
 export interface BudgetCounts {
   /** First attempts. */
-  firsts: number;
+  readonly firsts: number;
   /** Part of the first attempts that repeated runs made. */
+  readonly inherited: number;
+  readonly retries: number;
+}
+
+/** Counts of one second. */
+interface Slice {
+  readonly second: number;
+  firsts: number;
   inherited: number;
   retries: number;
 }
 
-interface Slice extends BudgetCounts {
-  readonly second: number;
+/** One route's calls to one service. */
+interface RouteCounts {
+  readonly slices: Slice[];
+  /** Rounds a share of less than one retry, up or down, for one window. */
+  rounding: number;
+  roundedAtMs: number;
 }
 
-/**
- * Part of the ratio that a node uses itself: a retry of a call that makes calls
- * counts again at each service below, where nobody sees that it is one.
- */
-const OWN_SHARE = 0.25;
-/** The same for a service that calls no other one. */
-const LEAF_SHARE = 0.6;
+/** Share of the ratio for callers' own requests that make calls. */
+const ROOT_SHARE = 0.2;
+/** The same for calls in the middle, with those that repeated runs make. */
+const NESTED_SHARE = 0.5;
+/** Part of the slack that is dealt out. */
+const SLACK_SHARE = 0.5;
 /** The slack is shared out over at least so many nodes. */
 const MIN_NODES = 8;
 
-/** Counts by service. */
+/** Counts by service and route. */
 export class EntryBudget {
   readonly #terms: BudgetTerms;
-  readonly #services = new Map<string, Slice[]>();
+  readonly #draw: () => number;
+  readonly #services = new Map<string, Map<string, RouteCounts>>();
 
-  constructor(terms: BudgetTerms) {
+  /** `draw` gives a number from 0 to 1, 1 left out. */
+  constructor(
+    terms: BudgetTerms,
+    options: { readonly draw: () => number },
+  ) {
     this.#terms = terms;
+    this.#draw = options.draw;
   }
 
-  /** Counts a first attempt, of a repeated run by so great a likelihood. */
-  noteFirst(service: string, repeatShare: number, nowMs: number): void {
-    const slice = this.#getSlice(service, nowMs);
+  /** Counts a first attempt. */
+  noteFirst(call: BudgetedCall, nowMs: number): void {
+    const slice = this.#getSlice(call, nowMs);
     slice.firsts += 1;
-    slice.inherited += repeatShare;
+    slice.inherited += call.repeatShare;
   }
 
   /** Counts a retry. */
-  noteRetry(service: string, nowMs: number): void {
-    this.#getSlice(service, nowMs).retries += 1;
+  noteRetry(call: BudgetedCall, nowMs: number): void {
+    this.#getSlice(call, nowMs).retries += 1;
   }
 
-  /** Whether one more retry fits, where `nodes` share the budget. */
-  canRetry(
-    service: string,
-    fleet: { readonly nodes: number; readonly isLeaf: boolean },
+  /** Whether one more retry fits. */
+  canRetry(call: BudgetedCall, context: RetryContext, nowMs: number): boolean {
+    return this.#hasServiceRoom(call.service, context.nodes, nowMs) &&
+      (!context.canCallBelow || this.#hasRouteRoom(call, nowMs));
+  }
+
+  /** Counts what was sent to a service in the window that ends now. */
+  count(service: string, nowMs: number): BudgetCounts {
+    const routes = [...this.#services.get(service)?.values() ?? []];
+    return this.#sum(routes, this.#findOldestSecond(nowMs));
+  }
+
+  /** Lists the services that calls were sent to. */
+  listServices(): readonly string[] {
+    return [...this.#services.keys()];
+  }
+
+  #hasServiceRoom(service: string, nodes: number, nowMs: number): boolean {
+    const { ratio, slack } = this.#terms;
+    const ownSlack = slack * SLACK_SHARE / Math.max(MIN_NODES, nodes);
+    const routes = [...this.#services.get(service)?.values() ?? []];
+    return this.#hasRoom(routes, { share: ratio, extra: ownSlack }, nowMs);
+  }
+
+  /**
+   * On a node with few calls the share is less than one retry: part of these
+   * nodes has one, and the fleet as many as it may.
+   */
+  #hasRouteRoom(call: BudgetedCall, nowMs: number): boolean {
+    const route = this.#getRoute(call);
+    const windowMs = this.#terms.windowS * 1_000;
+    if (nowMs - route.roundedAtMs >= windowMs) {
+      route.rounding = this.#draw();
+      route.roundedAtMs = nowMs;
+    }
+    const part = call.isNested ? NESTED_SHARE : ROOT_SHARE;
+    const share = this.#terms.ratio * part;
+    return this.#hasRoom([route], { share, extra: route.rounding }, nowMs);
+  }
+
+  /**
+   * Whether one more retry fits into the whole window and into its last
+   * seconds: a share that is spent at once leaves no room for the repeats that
+   * come from above a moment later.
+   */
+  #hasRoom(
+    routes: readonly RouteCounts[],
+    { share, extra }: { readonly share: number; readonly extra: number },
     nowMs: number,
   ): boolean {
-    const { ratio, slack } = this.#terms;
-    const { firsts, retries } = this.count(service, nowMs);
-    const own = slack / 2 / Math.max(MIN_NODES, fleet.nodes);
-    const share = fleet.isLeaf ? LEAF_SHARE : OWN_SHARE;
-    return retries + 1 <= own + firsts * ratio * share;
+    const oldest = this.#findOldestSecond(nowMs);
+    const spent = this.#sum(routes, oldest);
+    // Repeats may be a second older than the originals that allow them.
+    const earned = this.#sum(routes, oldest + 1);
+    const latest = this.#sum(routes, Math.floor(nowMs / 1_000) - 1);
+    const computeMost = (counts: BudgetCounts) =>
+      countOriginals(counts) * share + extra;
+    return countRepeats(spent) + 1 <= computeMost(earned) &&
+      countRepeats(latest) + 1 <= Math.max(1, computeMost(latest));
   }
 
-  /** Counts what was sent to a service in the window that ends now. */
-  count(service: string, nowMs: number): Readonly<BudgetCounts> {
+  #sum(routes: readonly RouteCounts[], oldestSecond: number): BudgetCounts {
     const sum = { firsts: 0, inherited: 0, retries: 0 };
-    for (const slice of this.#listSlices(service, nowMs)) {
-      sum.firsts += slice.firsts;
-      sum.inherited += slice.inherited;
-      sum.retries += slice.retries;
+    for (const { slices } of routes) {
+      for (const slice of slices) {
+        if (slice.second >= oldestSecond) {
+          sum.firsts += slice.firsts;
+          sum.inherited += slice.inherited;
+          sum.retries += slice.retries;
+        }
+      }
     }
     return sum;
   }
 
-  /** Lists the services that calls were sent to. */
-  listServices(): readonly string[] {
-    return [...this.#services.keys()];
+  /** The second in which the window begins. */
+  #findOldestSecond(nowMs: number): number {
+    return Math.floor(nowMs / 1_000) - this.#terms.windowS;
   }
 
-  #listSlices(service: string, nowMs: number): Slice[] {
-    const slices = this.#services.get(service) ?? [];
-    this.#services.set(service, slices);
-    const oldest = Math.floor(nowMs / 1_000) - this.#terms.windowS;
+  #getRoute({ service, route }: BudgetedCall): RouteCounts {
+    const routes = this.#services.get(service) ??
+      new Map<string, RouteCounts>();
+    this.#services.set(service, routes);
+    const counts = routes.get(route) ??
+      { slices: [], rounding: 0, roundedAtMs: -Infinity };
+    routes.set(route, counts);
+    return counts;
+  }
+
+  #getSlice(call: BudgetedCall, nowMs: number): Slice {
+    const { slices } = this.#getRoute(call);
+    const oldest = this.#findOldestSecond(nowMs);
     while (slices.length > 0 && slices[0]!.second < oldest) {
       slices.shift();
     }
-    return slices;
-  }
-
-  #getSlice(service: string, nowMs: number): Slice {
-    const slices = this.#listSlices(service, nowMs);
     const second = Math.floor(nowMs / 1_000);
     const last = slices.at(-1);
     if (last?.second === second) {
@@ -104,3 +203,11 @@
     return slice;
   }
 }
+
+function countRepeats({ retries, inherited }: BudgetCounts): number {
+  return retries + inherited;
+}
+
+function countOriginals({ firsts, inherited }: BudgetCounts): number {
+  return firsts - inherited;
+}
--- a/src/engine/relay/common/entry_call.ts
+++ b/src/engine/relay/common/entry_call.ts
@@ -2,6 +2,7 @@
 import { cutFirstPart } from "../../mesh/common/body_parts.ts";
 import type { BodyCollector } from "../../mesh/common/body_parts.ts";
 import type { AnswerOpened, CallOpened } from "../../mesh/common/frames.ts";
+import type { BudgetedCall } from "./entry_budget.ts";
 import type {
   Attempt,
   EntryFailure,
@@ -74,6 +75,12 @@
   };
 }
 
+/** Creates what the retry budget counts of a call. */
+export function createBudgeted({ request, service }: EntryCall): BudgetedCall {
+  const { route, isNested, repeatShare } = request;
+  return { service, route: route.name, isNested, repeatShare };
+}
+
 /** Creates what the caller of a call is told that isn't tried further. */
 export function createRefusal(call: EntryCall): EntryFailure {
   return call.mayHaveRun
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -15,7 +15,7 @@
     readonly cause: RetryCause;
     readonly reason: string;
     /** Of the service, before this retry. */
-    readonly budget: Readonly<BudgetCounts>;
+    readonly budget: BudgetCounts;
     readonly nowMs: number;
   },
 ): RelayLine {
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -2,7 +2,7 @@
 import type { LoadFigures, PressureBelow } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
 import { renewMember } from "./member.ts";
-import type { Member } from "./member.ts";
+import type { BelowMember, Member } from "./member.ts";
 import { chooseMember, listReliable, LOAD_VALID_MS } from "./member_choice.ts";
 import type { ChoiceOptions } from "./member_choice.ts";
 
@@ -219,9 +219,24 @@
     return sum === 0 ? NO_PRESSURE : { pressure: sum / count, saidAtMs };
   }
 
-  /** Whether the members of a service call no other one. */
+  /** Whether the members of a service are known to call no other one. */
   isLeaf(service: string): boolean {
-    return this.list(service).every(({ below }) => below.length === 0);
+    return this.#isBelowAll(service, (below) => below.length === 0);
+  }
+
+  /** Whether runs of a route make calls at a service, or may. */
+  canCallBelow(service: string, route: string): boolean {
+    return !this.#isBelowAll(
+      service,
+      (below) => below.every((one) => one.route !== route),
+    );
+  }
+
+  #isBelowAll(
+    service: string,
+    isMet: (below: readonly BelowMember[]) => boolean,
+  ): boolean {
+    return this.list(service).every(({ below }) => isMet(below));
   }
 
   /** Chooses the member of a service that a call is sent to. */
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -12,6 +12,7 @@
   MeshFrame,
 } from "../../mesh/common/frames.ts";
 import {
+  createBudgeted,
   createEntryCall,
   createOpening,
   createRefusal,
@@ -114,11 +115,12 @@
 
   constructor(options: EntryCallsOptions) {
     this.#options = options;
-    this.#budget = new EntryBudget(options.budget);
+    const { budget, draw } = options;
+    this.#budget = new EntryBudget(budget, { draw });
   }
 
   /** Counts what was sent to each service in the window that ends now. */
-  countByService(): ReadonlyMap<string, Readonly<BudgetCounts>> {
+  countByService(): ReadonlyMap<string, BudgetCounts> {
     const nowMs = this.#options.readClock();
     return new Map(
       this.#budget.listServices()
@@ -142,8 +144,7 @@
     if (!request.isNested && this.#refuseRoot(call)) {
       return () => {};
     }
-    const { repeatShare, arrivedAtMs } = request;
-    this.#budget.noteFirst(service, repeatShare, arrivedAtMs);
+    this.#budget.noteFirst(createBudgeted(call), request.arrivedAtMs);
     this.#options.noteAttempt(service, "first");
     this.#send(call);
     return () => this.#withdraw(call);
@@ -389,7 +390,7 @@
           nowMs,
         }));
         if (step.isArrival) {
-          this.#budget.noteRetry(call.service, nowMs);
+          this.#budget.noteRetry(createBudgeted(call), nowMs);
         } else {
           call.rerouted += 1;
         }
@@ -435,9 +436,9 @@
     const others = members.list(call.service).filter(({ announcement }) =>
       !announcement.isDraining && !call.tried.has(announcement.ingress)
     );
-    const fleet = {
+    const context = {
       nodes: members.countNodes(),
-      isLeaf: members.isLeaf(call.service),
+      canCallBelow: members.canCallBelow(call.service, route.name),
     };
     return decideNextStep({
       kind,
@@ -447,7 +448,7 @@
       maxAttempts: route.maxAttempts,
       rerouted: call.rerouted,
       timeLeftMs: deadlineMs - nowMs,
-      canRetry: this.#budget.canRetry(call.service, fleet, nowMs),
+      canRetry: this.#budget.canRetry(createBudgeted(call), context, nowMs),
       hasOtherMember: others.length > 0,
     });
   }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -31,7 +31,7 @@
 } from "../common/gate_lines.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
 import type { RelayLog } from "../common/relay_log.ts";
-import type { BackendRun } from "../common/running_repeats.ts";
+import type { BackendRun } from "../common/repeated_runs.ts";
 import { BackendClient } from "./backend_client.ts";
 import type { BackendHead, BackendResult } from "./backend_client.ts";
 
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { expect } from "chai";
 import type { MeshFrame } from "../../mesh/common/frames.ts";
-import type { BackendRun } from "../common/running_repeats.ts";
+import type { BackendRun } from "../common/repeated_runs.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 import type { GateCallsOptions } from "../node/gate_calls.ts";
 import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
