Deal out no slack to a process that has just started

What callers' backend servers saw: with little traffic, repeats beyond the slack where nodes are started again and again.

Cause: each process has its part of the slack from its start on, whatever the one before it has spent. The class: what was spent is forgotten with who spent it.

Why it works: until a window has passed since its start, a process has only the share of what it sends itself; the shares of two processes in a row add up to no more than their requests allow.

--- a/src/engine/relay/common/entry_budget.ts
+++ b/src/engine/relay/common/entry_budget.ts
@@ -73,15 +73,17 @@
 /** Counts by service and route. */
 export class EntryBudget {
   readonly #terms: BudgetTerms;
+  readonly #startedAtMs: number;
   readonly #draw: () => number;
   readonly #services = new Map<string, Map<string, RouteCounts>>();
 
   /** `draw` gives a number from 0 to 1, 1 left out. */
   constructor(
     terms: BudgetTerms,
-    options: { readonly draw: () => number },
+    options: { readonly startedAtMs: number; readonly draw: () => number },
   ) {
     this.#terms = terms;
+    this.#startedAtMs = options.startedAtMs;
     this.#draw = options.draw;
   }
 
@@ -115,8 +117,12 @@
   }
 
   #hasServiceRoom(service: string, nodes: number, nowMs: number): boolean {
-    const { ratio, slack } = this.#terms;
-    const ownSlack = slack * SLACK_SHARE / Math.max(MIN_NODES, nodes);
+    const { ratio, slack, windowS } = this.#terms;
+    // What a former process at this place spent of the slack isn't known.
+    const hasSlack = nowMs - this.#startedAtMs >= windowS * 1_000;
+    const ownSlack = hasSlack
+      ? slack * SLACK_SHARE / Math.max(MIN_NODES, nodes)
+      : 0;
     const routes = [...this.#services.get(service)?.values() ?? []];
     return this.#hasRoom(routes, { share: ratio, extra: ownSlack }, nowMs);
   }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -115,8 +115,8 @@
 
   constructor(options: EntryCallsOptions) {
     this.#options = options;
-    const { budget, draw } = options;
-    this.#budget = new EntryBudget(budget, { draw });
+    const { budget, readClock, draw } = options;
+    this.#budget = new EntryBudget(budget, { startedAtMs: readClock(), draw });
   }
 
   /** Counts what was sent to each service in the window that ends now. */
--- a/src/engine/relay/test/call_tree_budget_test.ts
+++ b/src/engine/relay/test/call_tree_budget_test.ts
@@ -13,6 +13,8 @@
 const CALM_MS = 11_000;
 const UNTIL_MS = 26_000;
 const ROOTS_PER_S = 60;
+/** So few that the slack is most of what is allowed. */
+const QUIET_ROOTS_PER_S = 12;
 /** Most calls of the lowest service for one request of a caller. */
 const MAX_CALLS = 24;
 const SEEDS = Number(process.env["BASILPIN_SEEDS"] ?? 6);
@@ -21,7 +23,11 @@
 type Tree = Readonly<Record<string, TreeRoute>>;
 
 /** Draws a chain of services, one of them also with requests of its own. */
-function drawTree(depth: number, draw: Random): Tree {
+function drawTree(
+  depth: number,
+  draw: Random,
+  rootsPerS = ROOTS_PER_S,
+): Tree {
   let calls = 1;
   const levels = Array.from({ length: depth }, (_, level) => {
     const times = level === depth - 1 ? 0 : 1 + Math.floor(draw() * 4);
@@ -35,11 +41,7 @@
       service: `s${level}`,
       workMs: 10 + draw() * 40,
       calls: times === 0 ? [] : [{ route: `r${level + 1}`, times }],
-      rootsPerS: level === 0
-        ? ROOTS_PER_S
-        : level === side
-        ? ROOTS_PER_S / 6
-        : 0,
+      rootsPerS: level === 0 ? rootsPerS : level === side ? rootsPerS / 6 : 0,
     }]),
   );
 }
@@ -50,6 +52,7 @@
     readonly seed: number;
     readonly loss: number;
     readonly earlyPart: number;
+    readonly restartEveryMs?: number;
   },
 ): RetryOutcome {
   const { loss, seed, ...rest } = options;
@@ -62,10 +65,10 @@
     nodesPerService: NODES_PER_SERVICE,
     untilMs: UNTIL_MS,
     computeLoss: (nowMs) => nowMs < CALM_MS ? 0 : loss,
-    createBudget: () => {
+    createBudget: (startedAtMs) => {
       const budget = new EntryBudget(
         { ratio: TERMS.ratio, slack: TERMS.slack, windowS: 10 },
-        { draw },
+        { startedAtMs, draw },
       );
       return {
         noteFirst: (call, nowMs) => budget.noteFirst(call, nowMs),
@@ -101,6 +104,23 @@
     }
   }).timeout(LONGEST_MS);
 
+  // Guards services against a slack that is dealt out with each start.
+  it("hold where nodes are restarted all the time", () => {
+    const trees = [
+      drawTree(4, createRandom(1)),
+      drawTree(1, createRandom(1), QUIET_ROOTS_PER_S),
+    ];
+    for (const routes of trees) {
+      for (const restartEveryMs of [500, 4_000]) {
+        const options = { seed: 1, loss: 0.9, earlyPart: 1, restartEveryMs };
+        const outcome = play(routes, options);
+        const depth = Object.keys(routes).length;
+        const shown = `depth ${depth}, started each ${restartEveryMs} ms`;
+        expect(listBroken(outcome), shown).to.deep.equal([]);
+      }
+    }
+  }).timeout(LONGEST_MS);
+
   // Guards callers against a bound that is kept by retrying nothing.
   it("serve nearly all requests where little is lost", () => {
     const routes = drawTree(4, createRandom(1));
--- a/src/engine/relay/test/entry_budget_test.ts
+++ b/src/engine/relay/test/entry_budget_test.ts
@@ -34,7 +34,7 @@
     readonly draw?: number;
   } = {},
 ): EntryBudget {
-  const budget = new EntryBudget(TERMS, { draw: () => draw });
+  const budget = new EntryBudget(TERMS, { startedAtMs: 0, draw: () => draw });
   for (let n = 0; n < firsts; n += 1) {
     budget.noteFirst(call, NOW_MS);
   }
@@ -76,6 +76,16 @@
     expect(countRetries(budget, { context: INNER })).to.equal(0);
   });
 
+  // Guards services against a slack that is dealt out with each start.
+  it("has no slack until a window after the start of the process", () => {
+    const restarted = new EntryBudget(TERMS, {
+      startedAtMs: NOW_MS,
+      draw: () => 0,
+    });
+    expect(countRetries(restarted, { nowMs: NOW_MS + 9_999 })).to.equal(0);
+    expect(countRetries(restarted, { nowMs: NOW_MS + 10_000 })).to.equal(5);
+  });
+
   it("is kept apart by route where retries make calls", () => {
     const budget = createBudget(100, { call: { ...CALL, route: "other" } });
     expect(countRetries(budget, { context: INNER })).to.equal(0);
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -11,7 +11,7 @@
 
 /** An entry whose clock and links the test moves. */
 class Entry {
-  nowMs = 10_000;
+  nowMs = 0;
   readonly sent: (readonly [string, MeshFrame])[] = [];
   readonly probed: string[] = [];
   readonly results: EntryResult[] = [];
@@ -53,6 +53,8 @@
       noteAttempt: () => {},
       noteEnded: () => {},
     });
+    // Whole windows of the budget after the start.
+    this.nowMs = 10_000;
   }
 
   start(change: Partial<EntryRequest> = {}): () => void {
