Take no service for the lowest one before its members have said so

What callers would see: an error that comes from below repeated at the service above, so that all calls below are made again, in the first half second after a start.

Cause: a member that has said nothing counted like one that calls nobody. The class: not known yet taken for no.

Evidence: by reading, and the new test ('passed on while no member has said what it calls', retried before).

'of a service that calls no other is tried at another one' now has its members say so first: what its title takes for given was true of any member before, and is the fault. Its checks stand.

Retries of calls that were stalled or lost go on while nothing is known: the budget bounds them.

--- a/src/engine/relay/common/entry_budget.ts
+++ b/src/engine/relay/common/entry_budget.ts
@@ -32,8 +32,8 @@
 export interface RetryContext {
   /** Nodes that share the slack. */
   readonly nodes: number;
-  /** Whether runs of the route make calls, or may. */
-  readonly canCallBelow: boolean;
+  /** Whether runs of the route make calls. */
+  readonly hasCallsBelow: boolean;
 }
 
 /** What a node sent in one window. */
@@ -102,7 +102,7 @@
   /** Whether one more retry fits. */
   canRetry(call: BudgetedCall, context: RetryContext, nowMs: number): boolean {
     return this.#hasServiceRoom(call.service, context.nodes, nowMs) &&
-      (!context.canCallBelow || this.#hasRouteRoom(call, nowMs));
+      (!context.hasCallsBelow || this.#hasRouteRoom(call, nowMs));
   }
 
   /** Counts what was sent to a service in the window that ends now. */
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -11,8 +11,11 @@
   sentSinceLoad: number;
   load: LoadFigures | undefined;
   loadAtMs: number;
-  /** Pressure below the routes that make calls there, as it says. */
-  below: readonly BelowMember[];
+  /**
+   * Pressure below the routes that make calls there, as it says; undefined
+   * before it has said anything.
+   */
+  below: readonly BelowMember[] | undefined;
   /** Smoothed share of failures among the answers. */
   failureShare: number;
   /** Answers in a row that were failures. */
@@ -99,7 +102,7 @@
     sentSinceLoad: 0,
     load: undefined,
     loadAtMs: 0,
-    below: [],
+    below: undefined,
     failureShare: 0,
     failures: 0,
     ejectedUntilMs: 0,
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -210,7 +210,7 @@
         continue;
       }
       count += 1;
-      const found = member.below.find((one) => one.route === route);
+      const found = member.below?.find((one) => one.route === route);
       if (found !== undefined && nowMs - found.saidAtMs < WAY_VALID_MS) {
         sum += found.pressure;
         saidAtMs = Math.max(saidAtMs, found.saidAtMs);
@@ -221,22 +221,21 @@
 
   /** Whether the members of a service are known to call no other one. */
   isLeaf(service: string): boolean {
-    return this.#isBelowAll(service, (below) => below.length === 0);
+    const told = this.#listBelow(service);
+    return told.length > 0 && told.every((below) => below.length === 0);
   }
 
-  /** Whether runs of a route make calls at a service, or may. */
-  canCallBelow(service: string, route: string): boolean {
-    return !this.#isBelowAll(
-      service,
-      (below) => below.every((one) => one.route !== route),
-    );
+  /** Whether a member has said that runs of a route make calls there. */
+  hasCallsBelow(service: string, route: string): boolean {
+    return this.#listBelow(service)
+      .some((below) => below.some((one) => one.route === route));
   }
 
-  #isBelowAll(
-    service: string,
-    isMet: (below: readonly BelowMember[]) => boolean,
-  ): boolean {
-    return this.list(service).every(({ below }) => isMet(below));
+  /** What members have said is below them. */
+  #listBelow(service: string): readonly (readonly BelowMember[])[] {
+    return this.list(service).flatMap(({ below }) =>
+      below === undefined ? [] : [below]
+    );
   }
 
   /** Chooses the member of a service that a call is sent to. */
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -438,7 +438,7 @@
     );
     const context = {
       nodes: members.countNodes(),
-      canCallBelow: members.canCallBelow(call.service, route.name),
+      hasCallsBelow: members.hasCallsBelow(call.service, route.name),
     };
     return decideNextStep({
       kind,
--- a/src/engine/relay/test/call_tree_budget_test.ts
+++ b/src/engine/relay/test/call_tree_budget_test.ts
@@ -76,7 +76,7 @@
         canRetry: (call, nowMs) =>
           budget.canRetry(
             call,
-            { nodes, canCallBelow: call.canCallBelow },
+            { nodes, hasCallsBelow: call.hasCallsBelow },
             nowMs,
           ),
       };
--- a/src/engine/relay/test/entry_budget_test.ts
+++ b/src/engine/relay/test/entry_budget_test.ts
@@ -4,8 +4,8 @@
 import type { BudgetedCall } from "../common/entry_budget.ts";
 
 const TERMS = { ratio: 0.2, slack: 80, windowS: 10 };
-const LEAF = { nodes: 8, canCallBelow: false };
-const INNER = { nodes: 8, canCallBelow: true };
+const LEAF = { nodes: 8, hasCallsBelow: false };
+const INNER = { nodes: 8, hasCallsBelow: true };
 const CALL = { service: "s", route: "r", isNested: true, repeatShare: 0 };
 /** Whole windows after the start. */
 const NOW_MS = 101_000;
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -86,6 +86,12 @@
     this.calls.receive(address, report);
   }
 
+  /** All members say that they call nobody. */
+  hearAll(): void {
+    this.members.list("warehouse")
+      .forEach(({ announcement }) => this.hear(announcement.ingress));
+  }
+
   listOpenings(): readonly string[] {
     return this.sent.filter(([, { type }]) => type === "CallOpened")
       .map(([address]) => address);
@@ -167,6 +173,7 @@
 
   it("of a service that calls no other is tried at another one, once", () => {
     const entry = new Entry("a:1", "b:1");
+    entry.hearAll();
     entry.start();
     const [first] = entry.listOpenings();
     const { call } = entry.getFirstOpening();
@@ -179,6 +186,16 @@
       .to.deep.equal([500]);
   });
 
+  // Guards services below against repeats before it is known that they exist.
+  it("is passed on while no member has said what it calls", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start();
+    const [first] = entry.listOpenings();
+    entry.calls.receive(first!, answer(entry.getFirstOpening().call, 500));
+    expect(entry.listOpenings()).to.have.length(1);
+    expect(entry.results).to.have.length(1);
+  });
+
   it("of a service that calls others is passed on: below, it would recur", () => {
     const entry = new Entry("a:1", "b:1");
     const report = {
--- a/src/engine/relay/test/retry_simulation.ts
+++ b/src/engine/relay/test/retry_simulation.ts
@@ -21,7 +21,7 @@
   readonly service: string;
   readonly route: string;
   readonly isNested: boolean;
-  readonly canCallBelow: boolean;
+  readonly hasCallsBelow: boolean;
   readonly repeatShare: number;
 }
 
@@ -163,7 +163,7 @@
       service,
       route: name,
       isNested,
-      canCallBelow: calls.length > 0,
+      hasCallsBelow: calls.length > 0,
       repeatShare: isNested
         ? from.repeated.computeShare(parents, this.#nowMs)
         : 0,
