Soak a call tree of real processes, and hold retries and shares served against it

Checked from what callers and backend servers saw: the retry budget of each service, at most 60% of all unserved, no kind of request served less than a quarter as often as all.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,7 +1,11 @@
-/** Plays soaks by hand: `node out/soak/main.js --seeds 50 --first 1`. */
+/**
+ * Plays soaks by hand: `node out/soak/main.js --seeds 50 --first 1`, those of a
+ * call tree with `--tree`.
+ */
 import process from "node:process";
 import { Command } from "commander";
 import { runSoak, SHORT_SOAK } from "./soak_run.ts";
+import { runTreeSoak, SHORT_TREE_SOAK } from "./tree_soak.ts";
 
 const options = new Command("soak")
   .option("--seeds <count>", "how many seeds are played", "1")
@@ -11,7 +15,13 @@
   .option("--replicas <count>", "replicas", String(SHORT_SOAK.replicas))
   .option("--seconds <count>", "length of the faults", "12")
   .option("--overlapping <count>", "faults at a time", "2")
-  .parse().opts<Readonly<Record<string, string>>>();
+  .option("--tree", "services that call each other")
+  .option(
+    "--nodes <count>",
+    "nodes of each service, with --tree",
+    String(SHORT_TREE_SOAK.nodesPerService),
+  )
+  .parse().opts<Readonly<Record<string, string | undefined>>>();
 
 // Ends the processes of the soak with it.
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
@@ -20,15 +30,23 @@
 let brokenSeeds = 0;
 const first = Number(options["first"]);
 for (let seed = first; seed < first + Number(options["seeds"]); seed += 1) {
-  const report = await runSoak({
+  const shared = {
     seed,
-    entries: Number(options["entries"]),
-    backends: Number(options["backends"]),
-    replicas: Number(options["replicas"]),
-    callers: SHORT_SOAK.callers,
     lengthMs: Number(options["seconds"]) * 1_000,
     overlapping: Number(options["overlapping"]),
-  });
+  };
+  const report = options["tree"] === undefined
+    ? await runSoak({
+      ...shared,
+      entries: Number(options["entries"]),
+      backends: Number(options["backends"]),
+      replicas: Number(options["replicas"]),
+      callers: SHORT_SOAK.callers,
+    })
+    : await runTreeSoak({
+      ...shared,
+      nodesPerService: Number(options["nodes"]),
+    });
   brokenSeeds += report.broken.length > 0 ? 1 : 0;
   process.stdout.write(`${JSON.stringify(report)}\n`);
 }
--- a/soak/test/soak_test.ts
+++ b/soak/test/soak_test.ts
@@ -1,8 +1,11 @@
 /** A short soak with fixed seeds; longer ones are played by hand. */
 import { expect } from "chai";
 import { runSoak, SHORT_SOAK } from "../soak_run.ts";
+import { runTreeSoak, SHORT_TREE_SOAK } from "../tree_soak.ts";
 
 const SEEDS = [1, 2];
+/** Both broke the retry budget before repeats were carried down the tree. */
+const TREE_SEEDS = [2, 3];
 const LONGEST_MS = 90_000;
 
 describe("a short soak", () => {
@@ -15,3 +18,14 @@
     }).timeout(LONGEST_MS);
   }
 });
+
+describe("a short soak of a call tree", () => {
+  for (const seed of TREE_SEEDS) {
+    // Guards services against repeats, and kinds of request against starving.
+    it(`keeps budgets and serves all kinds: seed ${seed}`, async () => {
+      const report = await runTreeSoak({ ...SHORT_TREE_SOAK, seed });
+      expect(report.broken).to.deep.equal([]);
+      expect(report.answered).to.be.above(0);
+    }).timeout(LONGEST_MS);
+  }
+});
