Refuse no callers for answers that a backend server breaks off

Cause: a gate took every call that came to no answer for a sign of too much work. Time that runs out is one; a connection that the backend server breaks off is not. The class: a fault taken for load.

Evidence: a backend server with 20 places, 13 taken, that breaks off each fourth answer: pressure 0.14 after 1.5 s (new test, red before), 0 now.

--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -421,9 +421,10 @@
     reason: string,
     retryAfterMs = computeRetryAfterMs(this.#gate),
   ): void {
-    // Refusing more would not help where the backend server rejects at will.
+    // Refusing more would not help where the backend server rejects at will, or
+    // breaks off: time that runs out is what tells of too much work.
     const isRejected = kind === "rejected";
-    const isLost = kind === "expired" || kind === "unknown";
+    const isLost = kind === "expired";
     this.#end(call, { serviceMs: undefined, isLost, isRejected });
     const failed: CallFailed = {
       type: "CallFailed",
