Let in each rank two fifths as often as all at least

Cause: the share of a rank that may be refused was fixed, whatever the others get. The class: a bound on a part taken for a bound on a relation.

Evidence: 60 s of roots at one node under a lasting pressure of 0.7, the least urgent rank 5% of all: 0.17 of what all get (new test, red before); for 5 to 90% and pressures of 0.3 to 1 at least 0.25 now.

Why it works: a node follows how often it lets in all requests (half-life 5 s) and refuses no rank more than to two fifths of that; under the highest pressure all ranks are refused alike, as before.

--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -4,11 +4,15 @@
  */
 import { hashBytes, hashText } from "../../../base/common/hash.ts";
 
+/** Most of one rank that is refused before the next more urgent one is touched. */
+const MAX_SHARE = 0.85;
 /**
- * Most of one rank that is refused before the next more urgent one is touched:
- * no kind of request is starved.
+ * Each rank is let in this often at least, as a part of how often all are: no
+ * kind of request is starved, though part of what is begun fails midway.
  */
-const MAX_SHARE = 0.85;
+const LEAST_PART = 0.4;
+/** After so long a request counts half for how often all are let in. */
+const HALF_LIFE_MS = 5_000;
 /**
  * For so long the same request meets the same answer while the pressure is the
  * same: a client that repeats at once can't get in by trying often.
@@ -28,6 +32,8 @@
   readonly lastRank: number;
   /** Of the narrowest service on its way, 0 to 1. */
   readonly pressure: number;
+  /** How often all requests were let in here lately, 0 to 1. */
+  readonly admittedShare: number;
   /** From 0 to 1; the same for repeats of a request. */
   readonly draw: number;
 }
@@ -42,14 +48,35 @@
  * swings don't reach the others; these share the rest, one after the other.
  */
 export function computeRefusedShare(
-  { rank, lastRank, pressure }: Omit<RootRequest, "draw">,
+  { rank, lastRank, pressure, admittedShare }: Omit<RootRequest, "draw">,
 ): number {
   const others = lastRank;
   const last = others === 0 ? 1 : LAST_RANK_PART;
   const band = rank >= lastRank ? last : (1 - last) / others;
   const start = rank >= lastRank ? 0 : last + band * (lastRank - rank - 1);
   const part = (pressure - start) / band;
-  return Math.max(0, Math.min(1, part)) * MAX_SHARE;
+  const share = Math.max(0, Math.min(1, part)) * MAX_SHARE;
+  return Math.min(share, 1 - LEAST_PART * admittedShare);
+}
+
+/** Follows how often requests of any rank are let in at one node. */
+export class AdmittedShare {
+  #asked = 0;
+  #admitted = 0;
+  #notedAtMs = 0;
+
+  /** 1 before the first request. */
+  get value(): number {
+    return this.#asked === 0 ? 1 : this.#admitted / this.#asked;
+  }
+
+  /** Counts a request. */
+  note(isAdmitted: boolean, nowMs: number): void {
+    const kept = 0.5 ** ((nowMs - this.#notedAtMs) / HALF_LIFE_MS);
+    this.#asked = this.#asked * kept + 1;
+    this.#admitted = this.#admitted * kept + (isAdmitted ? 1 : 0);
+    this.#notedAtMs = nowMs;
+  }
 }
 
 /**
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -42,7 +42,11 @@
 } from "../common/link_silence.ts";
 import { noteResult } from "../common/member.ts";
 import type { MemberTable } from "../common/member_table.ts";
-import { drawForRequest, isRootRefused } from "../common/root_admission.ts";
+import {
+  AdmittedShare,
+  drawForRequest,
+  isRootRefused,
+} from "../common/root_admission.ts";
 import type { CallLoop } from "../../../base/common/call_loop.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { computeMemberWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
@@ -108,6 +112,7 @@
 export class EntryCalls {
   readonly #options: EntryCallsOptions;
   readonly #budget: EntryBudget;
+  readonly #admitted = new AdmittedShare();
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services that no member is known of yet. */
   readonly #waiting = new Set<EntryCall>();
@@ -218,16 +223,19 @@
     const { pressure } = members
       .computeWayPressure(call.service, route.name, arrivedAtMs);
     if (pressure === 0) {
+      this.#admitted.note(true, arrivedAtMs);
       return false;
     }
-    const { name } = route;
     const lastRank = getLastRank();
-    const asked = { route: name, target, body };
+    const admittedShare = this.#admitted.value;
+    const asked = { route: route.name, target, body };
     const draw = drawForRequest(asked, arrivedAtMs);
-    const isRefused = isRootRefused({ rank, lastRank, pressure, draw });
+    const inputs = { lastRank, pressure, admittedShare };
+    const isRefused = isRootRefused({ rank, draw, ...inputs });
+    this.#admitted.note(!isRefused, arrivedAtMs);
     if (isRefused) {
       const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
-      this.#finish(call, failure, "pressure", { lastRank, pressure });
+      this.#finish(call, failure, "pressure", inputs);
     }
     return isRefused;
   }
--- a/src/engine/relay/test/root_admission_test.ts
+++ b/src/engine/relay/test/root_admission_test.ts
@@ -1,6 +1,8 @@
 /** Who is refused at a root. */
 import { expect } from "chai";
+import { createRandom } from "../../../base/test/seeded_random.ts";
 import {
+  AdmittedShare,
   computeRefusedShare,
   drawForRequest,
   isRootRefused,
@@ -8,7 +10,7 @@
 
 describe("roots", () => {
   const share = (rank: number, pressure: number) =>
-    computeRefusedShare({ rank, lastRank: 2, pressure });
+    computeRefusedShare({ rank, lastRank: 2, pressure, admittedShare: 0 });
 
   it("are all begun without pressure", () => {
     expect([0, 1, 2].map((rank) => share(rank, 0))).to.deep.equal([0, 0, 0]);
@@ -28,23 +30,67 @@
   });
 
   it("are never all refused, of whatever rank", () => {
-    const request = { rank: 2, lastRank: 2, pressure: 1 };
+    const request = { rank: 2, lastRank: 2, pressure: 1, admittedShare: 0 };
     expect(isRootRefused({ ...request, draw: 0.9 })).to.equal(false);
     expect(isRootRefused({ ...request, draw: 0.1 })).to.equal(true);
   });
 });
 
+describe("a kind of request of the least urgent rank", () => {
+  const RANKS = [0, 1, 2];
+  const LAST = 2;
+  const ROOTS_PER_S = 200;
+  const LENGTH_S = 60;
+
+  /** Part of it that is let in, and of all, under a lasting pressure. */
+  function play(lastPart: number, pressure: number) {
+    const draw = createRandom(1);
+    const admitted = new AdmittedShare();
+    const begun = { last: 0, all: 0 };
+    const asked = { last: 0, all: 0 };
+    for (let n = 0; n < ROOTS_PER_S * LENGTH_S; n += 1) {
+      const isLast = draw() < lastPart;
+      const rank = isLast ? LAST : RANKS[Math.floor(draw() * LAST)]!;
+      const isRefused = isRootRefused({
+        rank,
+        lastRank: LAST,
+        pressure,
+        admittedShare: admitted.value,
+        draw: draw(),
+      });
+      admitted.note(!isRefused, n * 1_000 / ROOTS_PER_S);
+      asked.all += 1;
+      asked.last += isLast ? 1 : 0;
+      begun.all += isRefused ? 0 : 1;
+      begun.last += isLast && !isRefused ? 1 : 0;
+    }
+    return begun.last / asked.last / (begun.all / asked.all);
+  }
+
+  // Guards the least urgent callers against being starved.
+  it("is let in a quarter as often as all at least, whatever its part", () => {
+    for (const lastPart of [0.05, 0.15, 0.3, 0.6, 0.9]) {
+      for (const pressure of [0.3, 0.6, 0.7, 0.8, 0.9, 1]) {
+        const shown = `${lastPart} of all, pressure ${pressure}`;
+        expect(play(lastPart, pressure), shown).to.be.at.least(0.25);
+      }
+    }
+  });
+});
+
 describe("repeats of a request", () => {
   const body = new Uint8Array([1, 2, 3]);
   const request = { route: "lookup", target: "/a/7f3a", body };
 
+  const pressed = { rank: 2, lastRank: 2, pressure: 0.7, admittedShare: 0 };
+
   /** Share of clients that get in with so many tries a second apart. */
   function countAdmitted(tries: number): number {
     const clients = Array.from({ length: 2_000 }, (_, i) => `/a/${i}`);
     const admitted = clients.filter((target) =>
       Array.from({ length: tries }, (_, n) => n * 20).some((nowMs) => {
         const draw = drawForRequest({ ...request, target }, nowMs);
-        return !isRootRefused({ rank: 2, lastRank: 2, pressure: 0.7, draw });
+        return !isRootRefused({ ...pressed, draw });
       })
     );
     return admitted.length / clients.length;
