--- a/src/engine/admission/common/call_tree.ts
+++ b/src/engine/admission/common/call_tree.ts
@@ -114,7 +114,11 @@
       return before.parents;
     }
     const parents = this.#listCallers(route);
-    this.#parents.set(route, { parents, listedAtMs: nowMs });
+    if (parents.length === 0) {
+      this.#parents.delete(route);
+    } else {
+      this.#parents.set(route, { parents, listedAtMs: nowMs });
+    }
     return parents;
   }
 
--- a/src/engine/relay/common/entry_budget.ts
+++ b/src/engine/relay/common/entry_budget.ts
@@ -76,6 +76,7 @@
   readonly #startedAtMs: number;
   readonly #draw: () => number;
   readonly #services = new Map<string, Map<string, RouteCounts>>();
+  #sweptAtMs: number;
 
   /** `draw` gives a number from 0 to 1, 1 left out. */
   constructor(
@@ -85,10 +86,12 @@
     this.#terms = terms;
     this.#startedAtMs = options.startedAtMs;
     this.#draw = options.draw;
+    this.#sweptAtMs = options.startedAtMs;
   }
 
   /** Counts a first attempt. */
   noteFirst(call: BudgetedCall, nowMs: number): void {
+    this.#forgetIdle(nowMs);
     const slice = this.#getSlice(call, nowMs);
     slice.firsts += 1;
     slice.inherited += call.repeatShare;
@@ -116,6 +119,25 @@
     return [...this.#services.keys()];
   }
 
+  /** Forgets routes without calls in the window: tables change all day. */
+  #forgetIdle(nowMs: number): void {
+    if (nowMs - this.#sweptAtMs < this.#terms.windowS * 1_000) {
+      return;
+    }
+    this.#sweptAtMs = nowMs;
+    const oldest = this.#findOldestSecond(nowMs);
+    for (const [service, routes] of this.#services) {
+      for (const [name, { slices }] of routes) {
+        if (slices.every(({ second }) => second < oldest)) {
+          routes.delete(name);
+        }
+      }
+      if (routes.size === 0) {
+        this.#services.delete(service);
+      }
+    }
+  }
+
   #hasServiceRoom(service: string, nodes: number, nowMs: number): boolean {
     const { ratio, slack, windowS } = this.#terms;
     // What a former process at this place spent of the slack isn't known.
--- a/src/engine/relay/common/repeated_runs.ts
+++ b/src/engine/relay/common/repeated_runs.ts
@@ -19,6 +19,8 @@
 const HALF_LIFE_MS = 100;
 /** Counts below this are dropped. */
 const MIN_COUNT = 0.01;
+/** Longer than any run lasts. */
+const IDLE_MS = 60_000;
 
 /**
  * Follows the runs that begin at one backend server. It goes by runs begun, not
@@ -30,9 +32,7 @@
 
   /** A run begins. */
   noteBegun({ route, repeatShare }: BackendRun, nowMs: number): void {
-    const runs = this.#routes.get(route) ??
-      { begun: 0, repeats: 0, notedAtMs: nowMs };
-    this.#routes.set(route, runs);
+    const runs = this.#routes.get(route) ?? this.#add(route, nowMs);
     const kept = computeKept(runs, nowMs);
     runs.begun = runs.begun * kept + 1;
     const repeats = runs.repeats * kept + repeatShare;
@@ -56,6 +56,18 @@
     }
     return begun === 0 ? 0 : repeats / begun;
   }
+
+  /** Adds a route, and forgets those that nobody asks for any more. */
+  #add(route: string, nowMs: number): RouteRuns {
+    for (const [name, { notedAtMs }] of this.#routes) {
+      if (nowMs - notedAtMs > IDLE_MS) {
+        this.#routes.delete(name);
+      }
+    }
+    const added = { begun: 0, repeats: 0, notedAtMs: nowMs };
+    this.#routes.set(route, added);
+    return added;
+  }
 }
 
 function computeKept({ notedAtMs }: RouteRuns, nowMs: number): number {
--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -4,7 +4,7 @@
  */
 import { hashBytes, hashText } from "../../../base/common/hash.ts";
 
-/** Most of one rank that is refused before the next more urgent one is touched. */
+/** Most of a rank that is refused before the next more urgent one is. */
 const MAX_SHARE = 0.85;
 /**
  * Each rank is let in this often at least, as a part of how often all are: no
--- a/src/engine/relay/test/entry_budget_test.ts
+++ b/src/engine/relay/test/entry_budget_test.ts
@@ -86,6 +86,13 @@
     expect(countRetries(restarted, { nowMs: NOW_MS + 10_000 })).to.equal(5);
   });
 
+  it("forgets routes that nobody calls any more", () => {
+    const budget = createBudget(1);
+    const other = { ...CALL, service: "other" };
+    budget.noteFirst(other, NOW_MS + 20_000);
+    expect(budget.listServices()).to.deep.equal(["other"]);
+  });
+
   it("is kept apart by route where retries make calls", () => {
     const budget = createBudget(100, { call: { ...CALL, route: "other" } });
     expect(countRetries(budget, { context: INNER })).to.equal(0);
