Count what repeated runs call as retries at basilpind's own interface too

Retry tokens bound the retries of one root request over its whole tree, but not the arrivals: the run that a retry starts makes its calls again, and the node that sends these took them for first attempts, which widened its own budget.

Evidence: by reading, and a new test (red before: one first attempt, no retry).

The context carries 'repeat' where an attempt may repeat a run, and calls inherit it from the node's own record of the run. Retries of what provably ran nowhere carry none.

--- a/src/engine/call/common/call_context.ts
+++ b/src/engine/call/common/call_context.ts
@@ -36,6 +36,8 @@
   readonly remainingMs: number;
   /** Retries that this call's subtree may spend. */
   readonly retryTokens: number;
+  /** Whether it repeats a run, or a run that repeats one made the call. */
+  readonly isRepeat?: boolean;
 }
 
 /** A context header that can't be read. */
@@ -59,10 +61,11 @@
     depth: context.depth,
     remaining: Math.max(0, Math.floor(context.remainingMs)),
     tokens: context.retryTokens,
+    ...(context.isRepeat === true ? { repeat: true } : {}),
   });
 }
 
-/** Reads a context; every member must be there and in range. */
+/** Reads a context; every member but `repeat` must be there and in range. */
 export function decodeContext(
   text: string,
 ): Result<CallContext, MalformedContext> {
@@ -79,6 +82,7 @@
       depth: readInteger(members.get("depth")?.[0], MAX_DEPTH),
       remainingMs: readInteger(members.get("remaining")?.[0], 3_600_000),
       retryTokens: readInteger(members.get("tokens")?.[0], 1_000),
+      ...(members.get("repeat")?.[0] === true ? { isRepeat: true } : {}),
     });
   } catch (error) {
     return err(createMalformed((error as Error).message));
--- a/src/engine/call/common/entry_attempts.ts
+++ b/src/engine/call/common/entry_attempts.ts
@@ -24,6 +24,7 @@
   canRetryUnknown,
   computeRemainingMs,
   countAttempt,
+  isRepeat,
 } from "./entry_rules.ts";
 import {
   closeEntry,
@@ -271,6 +272,7 @@
     attemptId,
     remainingMs: computeRemainingMs(call, nowMs),
     retryTokens: share,
+    ...(isRepeat(call) ? { isRepeat: true } : {}),
   };
   const counted = countAttempt(state, call, nowMs);
   const next = stepRouting(
--- a/src/engine/call/common/entry_rules.ts
+++ b/src/engine/call/common/entry_rules.ts
@@ -43,7 +43,16 @@
   return remainingMs - Math.min(MAX_HOP_MARGIN_MS, remainingMs * HOP_MARGIN);
 }
 
-/** Counts an attempt of the call in the node's retry budget. */
+/** Whether the next attempt may repeat a run, or was called by one that does. */
+export function isRepeat(call: EntryCall): boolean {
+  return call.context.isRepeat === true ||
+    call.attemptCount > 0 && !call.isNotRun;
+}
+
+/**
+ * Counts an attempt of the call in the node's retry budget. What a repeated run
+ * calls is a repeat too: as a first attempt it would widen the budget.
+ */
 export function countAttempt(
   state: NodeState,
   call: EntryCall,
@@ -52,7 +61,8 @@
   if (call.isReplacing === true) {
     return state;
   }
-  const type = call.attemptCount === 0 ? "FirstAttemptSent" : "RetrySent";
+  const isFirst = call.attemptCount === 0 && call.context.isRepeat !== true;
+  const type = isFirst ? "FirstAttemptSent" : "RetrySent";
   const step = reduceRetryBudget(state.retryBudget, { type }, nowMs);
   return { ...state, retryBudget: step.state };
 }
--- a/src/engine/call/test/entry_retry_test.ts
+++ b/src/engine/call/test/entry_retry_test.ts
@@ -407,4 +407,28 @@
     }
     expect(retries).to.equal(BUDGET_FLOOR + BUDGET_SHARE * firsts);
   });
+
+  // Guards services below against repeats that widen the budgets there.
+  it("carry on that they repeat a run, and what that calls widens nothing", () => {
+    const node = new Subject({ ...ROW, retries: 8 });
+    const first = node.call("x");
+    node.fail(first.attemptId, true);
+    const retry = node.find("SendAttempt")!;
+    expect([first, retry].map(({ context }) => context.isRepeat))
+      .to.deep.equal([undefined, true]);
+    const below = new Subject(ROW);
+    const contextHeader = encodeContext(retry.context);
+    const called = below.call("y", { listener: "egress", contextHeader });
+    expect(called.context.isRepeat).to.equal(true);
+    expect(below.state.retryBudget.slices.map(({ firsts, retries }) => ({
+      firsts,
+      retries,
+    }))).to.deep.equal([{ firsts: 0, retries: 1 }]);
+  });
+
+  it("of what no backend server ran are no repeats of a run", () => {
+    const node = new Subject({ ...ROW, retries: 8 });
+    node.refuse(node.call("x").attemptId);
+    expect(node.find("SendAttempt")!.context.isRepeat).to.equal(undefined);
+  });
 });
