Read and log what backend servers say of themselves in their answers

The gate keeps a notice by process instance, logs each change (BackendNoticeChanged, BackendLimitUnreadable) and exports the limit (backend_rate_limit, notice in GET /status). It doesn't act on it yet.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -321,6 +321,7 @@
       isDraining: this.#isStopping,
       routesVersion: this.#control.routesVersion,
       backend: this.#gate.backend,
+      notice: this.#gate.notice,
       load: this.#gate.readLoad(),
       openCalls: this.#entry.openCount,
       members: this.#members.countNodes(),
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -2,6 +2,7 @@
 import { parseAddress } from "../base/node/listen.ts";
 import type { LoadFigures } from "../engine/mesh/common/frames.ts";
 import type { BudgetCounts } from "../engine/relay/common/entry_budget.ts";
+import type { BackendNotice } from "../engine/relay/common/backend_notice.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
 import type { WorkspaceShare } from "../engine/workspaces/common/quota_shares.ts";
 import { OperatorServer } from "./operator_server.ts";
@@ -16,6 +17,8 @@
   /** 0 before the first routes. */
   readonly routesVersion: number;
   readonly backend: LocalBackend | undefined;
+  /** What the backend server says of itself; undefined if nothing is known. */
+  readonly notice: BackendNotice | undefined;
   readonly load: LoadFigures;
   /** Number of calls of this node's callers without a final answer. */
   readonly openCalls: number;
@@ -75,6 +78,11 @@
         ),
     });
   }
+  metrics.addLabelledGauge("backend_rate_limit", {
+    description: "Requests a second that the backend server says it takes",
+    label: "instance",
+    read: () => listRateLimits(readStatus()),
+  });
   for (const [name, description, read] of STATUS_GAUGES) {
     metrics.addGauge(name, description, () => read(readStatus()));
   }
@@ -100,6 +108,15 @@
   });
 }
 
+/** Lists the named limit by process instance; empty if none is named. */
+function listRateLimits(
+  { notice }: RelayStatus,
+): readonly (readonly [string, number])[] {
+  return notice?.requestsPerSecond === undefined
+    ? []
+    : [[notice.instance, notice.requestsPerSecond]];
+}
+
 type StatusGauge = readonly [
   name: string,
   description: string,
--- a/src/engine/relay/common/dialect.ts
+++ b/src/engine/relay/common/dialect.ts
@@ -2,6 +2,7 @@
  * The header dialect of callers and backend servers, as an adapter provides it.
  */
 import type { HeaderList, LoadFigures } from "../../mesh/common/frames.ts";
+import type { BackendStatement } from "./backend_notice.ts";
 
 /** Headers by lower-case name, as Node's HTTP parser returns them. */
 export type HeaderMap = Readonly<
@@ -75,4 +76,6 @@
   readonly readLoad: (
     headers: HeaderMap,
   ) => Pick<LoadFigures, "running" | "queued"> | undefined;
+  /** Reads what the backend server says of itself in an answer. */
+  readonly readStatement: (headers: HeaderMap) => BackendStatement;
 }
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -12,6 +12,8 @@
   recordRequest,
   updatePressure,
 } from "../../admission/common/overload_pressure.ts";
+import { applyStatement, formatInstance } from "./backend_notice.ts";
+import type { BackendNotice, ReceivedStatement } from "./backend_notice.ts";
 import { findVictim, insertCall } from "./gate_queue.ts";
 import type { GateCall } from "./gate_queue.ts";
 import type { PressureState } from "../../admission/common/overload_pressure.ts";
@@ -60,6 +62,10 @@
     readonly type: "BackendChanged";
     readonly backend: LocalBackend | undefined;
   }
+  | {
+    readonly type: "StatementReceived";
+    readonly statement: ReceivedStatement;
+  }
   | { readonly type: "Ticked" };
 
 /** Why a call is refused before the backend server receives it. */
@@ -103,8 +109,12 @@
   lastCompletionMs: number;
   /** How strongly entries refuse root requests because of this gate. */
   readonly pressure: PressureState;
+  /** Notices by process instance, in the order of their first statement. */
+  readonly notices: Map<string, BackendNotice>;
 }
 
+/** Notices that are kept; more than instances that follow each other quickly. */
+const MAX_NOTICES = 8;
 /**
  * Share of the slots that is used. Some backend servers slow down by a third
  * once the last twentieth is in use: with 15 slots, 14 concurrent requests give
@@ -131,6 +141,7 @@
     completionGapMs: 0,
     lastCompletionMs: 0,
     pressure: createPressure(0),
+    notices: new Map(),
   };
 }
 
@@ -156,6 +167,8 @@
     }
     case "BackendChanged":
       return changeBackend(state, event.backend, nowMs);
+    case "StatementReceived":
+      return recordStatement(state, event.statement);
     case "Ticked":
       return tick(state, nowMs);
   }
@@ -169,6 +182,13 @@
   return a?.instanceId === b?.instanceId && a?.startedAtMs === b?.startedAtMs;
 }
 
+/** Gets the notice of the current process instance; undefined if it said none. */
+export function getNotice(state: GateState): BackendNotice | undefined {
+  return state.backend === undefined
+    ? undefined
+    : state.notices.get(formatInstance(state.backend));
+}
+
 /** Whether calls may be handed over to the backend server. */
 export function isOpen(state: GateState): boolean {
   return state.backend !== undefined && !state.backend.isDraining;
@@ -306,6 +326,26 @@
     .map(({ id }) => refuseCall(state, id, reason));
 }
 
+function recordStatement(
+  state: GateState,
+  statement: ReceivedStatement,
+): readonly GateEffect[] {
+  const { notices } = state;
+  const before = notices.get(statement.instance);
+  const after = applyStatement(before, statement);
+  if (after !== undefined) {
+    putNotice(state, after);
+  }
+  return [];
+}
+
+function putNotice({ notices }: GateState, notice: BackendNotice): void {
+  notices.set(notice.instance, notice);
+  for (const instance of [...notices.keys()].slice(0, -MAX_NOTICES)) {
+    notices.delete(instance);
+  }
+}
+
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
   const expired = state.queue.filter((call) =>
     hasTooLittleTime(state, call, nowMs)
--- a/src/engine/relay/common/gate_lines.ts
+++ b/src/engine/relay/common/gate_lines.ts
@@ -1,5 +1,6 @@
 /** Log lines of a call at the gate: each decision with its inputs. */
 import type { FailureKind, LoadFigures } from "../../mesh/common/frames.ts";
+import type { BackendNotice, NoticeChange } from "./backend_notice.ts";
 import type { GateCallState } from "./gate_call_index.ts";
 import type { RelayLine } from "./relay_log.ts";
 
@@ -70,3 +71,27 @@
     wasRunning,
   };
 }
+
+/** Creates the line of a change in what a backend server says of itself. */
+export function createNoticeLine(
+  { change, before, after, service, source }: {
+    readonly change: NoticeChange;
+    readonly before: BackendNotice | undefined;
+    readonly after: BackendNotice | undefined;
+    readonly service: string | undefined;
+    /** Where the notice came from, such as the request that was answered. */
+    readonly source: Readonly<Record<string, string>>;
+  },
+): RelayLine {
+  return {
+    event: "BackendNoticeChanged",
+    isFailure: false,
+    ...source,
+    service,
+    instance: after?.instance ?? before?.instance,
+    reason: change,
+    requestsPerSecond: after?.requestsPerSecond,
+    previousPerSecond: before?.requestsPerSecond,
+    isLeaving: after?.isLeaving ?? false,
+  };
+}
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -23,14 +23,22 @@
   computeRetryAfterMs,
   createGate,
   createLoadFigures,
+  getNotice,
   isSameProcessInstance,
   reduceGate,
 } from "../common/gate.ts";
 import type { GateEffect, GateEvent, LocalBackend } from "../common/gate.ts";
+import {
+  EMPTY_STATEMENT,
+  formatInstance,
+  listNoticeChanges,
+} from "../common/backend_notice.ts";
+import type { BackendNotice } from "../common/backend_notice.ts";
 import {
   createCancelledLine,
   createFailedLine,
   createHandedOverLine,
+  createNoticeLine,
 } from "../common/gate_lines.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
 import type { RelayLog } from "../common/relay_log.ts";
@@ -91,6 +99,11 @@
     return this.#gate.backend;
   }
 
+  /** What the backend server says of itself; undefined if nothing is known. */
+  get notice(): BackendNotice | undefined {
+    return getNotice(this.#gate);
+  }
+
   /** Returns the load that is reported to callers. */
   readLoad(): LoadFigures {
     return createLoadFigures(this.#gate);
@@ -348,7 +361,7 @@
     call.phase = "running";
     call.startedAtMs = nowMs;
     this.#options.recordRun(call.opened, 1);
-    const { method, target, requestId } = call.opened;
+    const { method, target } = call.opened;
     log.write(createHandedOverLine(call, { nowMs, lagMs: loop.lagMs }));
     const headers = dialect.createBackendHeaders({
       headers: call.opened.headers,
@@ -359,17 +372,79 @@
     call.exchange = this.#getClient(backend.address).send({
       request,
       checkStart: () => call.deadlineMs <= readClock() ? "deadline" : undefined,
-      checkHead: (head) => this.#checkHead(head, requestId),
+      checkHead: (head) => this.#checkHead(head, call, backend),
       onEnd: (result) => this.#finish(call, result),
     });
   }
 
-  /** Returns why an answer is not a valid one to the request, or undefined. */
-  #checkHead(head: BackendHead, requestId: string): string | undefined {
+  /**
+   * Returns why an answer is not a valid one to the request, or undefined.
+   * Records what a valid one says of the backend server that it was sent to.
+   */
+  #checkHead(
+    head: BackendHead,
+    call: GateCallState,
+    backend: LocalBackend,
+  ): string | undefined {
     const { status, headers } = head;
+    const { requestId } = call.opened;
     const { validateAnswer } = this.#options.dialect;
     const validation = validateAnswer({ status, headers, requestId });
-    return validation.type === "Foreign" ? validation.reason : undefined;
+    switch (validation.type) {
+      case "Foreign":
+        return validation.reason;
+      case "WrongInstance":
+        return undefined;
+      case "Answered":
+      case "NotRun":
+        this.#recordStatement(head, call, backend);
+        return undefined;
+    }
+  }
+
+  #recordStatement(
+    { headers }: BackendHead,
+    call: GateCallState,
+    backend: LocalBackend,
+  ): void {
+    const { dialect, readClock, log } = this.#options;
+    const { requestId } = call.opened;
+    const instance = formatInstance(backend);
+    const said = dialect.readStatement(headers);
+    if (said.limit.type === "Unreadable") {
+      const { text } = said.limit;
+      const event = "BackendLimitUnreadable";
+      log.write({ event, isFailure: true, instance, requestId, text });
+    }
+    const { notices } = this.#gate;
+    if (notices.size === 0 && said === EMPTY_STATEMENT) {
+      return;
+    }
+    const before = notices.get(instance);
+    this.#step({
+      type: "StatementReceived",
+      statement: {
+        ...said,
+        instance,
+        handedOverAtMs: call.startedAtMs,
+        receivedAtMs: readClock(),
+      },
+    });
+    this.#logNoticeChanges(before, notices.get(instance), { requestId });
+  }
+
+  /** Logs each change of a notice; `source` tells where it came from. */
+  #logNoticeChanges(
+    before: BackendNotice | undefined,
+    after: BackendNotice | undefined,
+    source: Readonly<Record<string, string>>,
+  ): void {
+    for (const change of listNoticeChanges(before, after)) {
+      const service = this.#gate.backend?.service;
+      this.#options.log.write(
+        createNoticeLine({ change, before, after, service, source }),
+      );
+    }
   }
 
   #finish(call: GateCallState, result: BackendResult): void {
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -5,6 +5,7 @@
 import { request } from "undici";
 import { findPort } from "../../../../standin/ports.ts";
 import type { Route } from "../../routes/common/route_table.ts";
+import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import { MAX_CONCURRENT_EXCHANGES } from "../common/pipeline.ts";
@@ -26,6 +27,7 @@
   validateAnswer: () => ({ type: "Answered" }),
   createAnswerHeaders: () => [],
   readLoad: () => undefined,
+  readStatement: () => EMPTY_STATEMENT,
 };
 const ROUTE: Route = {
   name: "lookup",
--- a/src/engine/relay/test/gate_fakes.ts
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -1,6 +1,7 @@
 /** Fakes for the tests of the gate. */
 import type { CallOpened } from "../../mesh/common/frames.ts";
 import type { CallDialect } from "../common/dialect.ts";
+import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
 import type { LocalBackend } from "../common/gate.ts";
 
 /** A dialect that adds no headers. */
@@ -15,6 +16,7 @@
   validateAnswer: () => ({ type: "Answered" }),
   createAnswerHeaders: (headers) => headers,
   readLoad: () => undefined,
+  readStatement: () => EMPTY_STATEMENT,
 };
 
 /** Creates a non-idempotent call to the service of the gate's backend server. */
--- a/src/engine/telemetry/common/explanation.ts
+++ b/src/engine/telemetry/common/explanation.ts
@@ -23,6 +23,7 @@
 /** Events that change the state of a process or its view of others. */
 const CHANGE_EVENTS: ReadonlySet<string> = new Set([
   "BackendChanged",
+  "BackendNoticeChanged",
   "ControlLinked",
   "ControlLost",
   "DrainStarted",
