Keep the limit that a backend server names, summed over all nodes

Cause: nobody acted on Server-Limit. Class: what a process says of itself has to be kept where only the sum counts, and must not be lost with that place.

Fix: the gate, which every request to a backend server passes, holds a token bucket (half a second of burst, empty at first). Calls wait for a token in order of urgency: root requests as long as their answer has its full value, calls of runs until they can't finish any more. Load reports carry what the limit leaves as a fraction of a slot, so that entries count the member as little capacity and choose others while these have room; a few calls probe it, half of its limit over all nodes. A restarted gate has forgotten the limit: entries keep it by process instance and pass it on with the introduction of a link, before any of their calls. A lower limit holds at once, a higher one or none only by the answer to a request handed over after the limit was last named. Below 0.5 a second some calls still go out, as only answers can lift a limit. Announcements tell the process instance of the backend server; frames' new fields are optional.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -9,6 +9,7 @@
 import { readBothClocks, readSteadyMs } from "../base/node/steady_clock.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
+import { formatInstance } from "../engine/relay/common/backend_notice.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
 import { isSameProcessInstance } from "../engine/relay/common/gate.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
@@ -121,6 +122,8 @@
           this.#callTree.recordRun(run, change, readSteadyMs()),
         recordArrival: (route, service) =>
           this.#callTree.recordArrival(route, service, readSteadyMs()),
+        recordLimitedCall: (service, outcome) =>
+          metrics.countLimitedCall(service, outcome),
         onBackendLost: () => this.#handleBackendLoss(),
       }),
     );
@@ -133,6 +136,7 @@
         },
         readClock,
         getService: () => this.#control.announcement.service,
+        getNotice: (address) => this.#members.getNotice(address),
       }),
     );
     this.#callTree = new RelayTree({
@@ -286,7 +290,10 @@
       slots,
       isDraining,
     });
-    this.#control.announce({ service, slots, isDraining });
+    const backendInstance = backend === undefined
+      ? current.backendInstance
+      : formatInstance(backend);
+    this.#control.announce({ service, slots, isDraining, backendInstance });
     if (service !== current.service) {
       this.#introduceService();
     }
@@ -322,6 +329,7 @@
       routesVersion: this.#control.routesVersion,
       backend: this.#gate.backend,
       notice: this.#gate.notice,
+      tokens: this.#gate.tokens,
       load: this.#gate.readLoad(),
       openCalls: this.#entry.openCount,
       members: this.#members.countNodes(),
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -1,8 +1,10 @@
 /** The operator listener of a relay node: status, timeline and metrics. */
 import { parseAddress } from "../base/node/listen.ts";
-import type { LoadFigures } from "../engine/mesh/common/frames.ts";
+import type {
+  BackendNotice,
+  LoadFigures,
+} from "../engine/mesh/common/frames.ts";
 import type { BudgetCounts } from "../engine/relay/common/entry_budget.ts";
-import type { BackendNotice } from "../engine/relay/common/backend_notice.ts";
 import type { LocalBackend } from "../engine/relay/common/gate.ts";
 import type { WorkspaceShare } from "../engine/workspaces/common/quota_shares.ts";
 import { OperatorServer } from "./operator_server.ts";
@@ -19,6 +21,8 @@
   readonly backend: LocalBackend | undefined;
   /** What the backend server says of itself; undefined if nothing is known. */
   readonly notice: BackendNotice | undefined;
+  /** Calls that its rate limit allows now; undefined without one. */
+  readonly tokens: number | undefined;
   readonly load: LoadFigures;
   /** Number of calls of this node's callers without a final answer. */
   readonly openCalls: number;
@@ -83,6 +87,16 @@
     label: "instance",
     read: () => listRateLimits(readStatus()),
   });
+  metrics.addLabelledGauge("backend_tokens", {
+    description: "Calls that this limit allows to be handed over at once",
+    label: "instance",
+    read: () => {
+      const { notice, tokens } = readStatus();
+      return notice === undefined || tokens === undefined
+        ? []
+        : [[notice.instance, tokens]];
+    },
+  });
   for (const [name, description, read] of STATUS_GAUGES) {
     metrics.addGauge(name, description, () => read(readStatus()));
   }
--- a/src/engine/admission/common/overload_pressure.ts
+++ b/src/engine/admission/common/overload_pressure.ts
@@ -34,7 +34,10 @@
 
 /** Capacity and load at the time of an update. */
 export interface PressureInputs {
-  /** Requests that may run at a time. */
+  /**
+   * Requests that run at a time when the backend server gets all that it takes;
+   * below 1 if a limit on the request rate allows fewer.
+   */
   readonly limit: number;
   /** Requests that are running. */
   readonly running: number;
@@ -144,7 +147,8 @@
   if (lengthMs < WINDOW_MS) {
     return;
   }
-  const demand = state.requestedMs / (Math.max(1, limit) * lengthMs);
+  const capacity = limit === 0 ? 1 : limit;
+  const demand = state.requestedMs / (capacity * lengthMs);
   state.demand += (demand - state.demand) * DEMAND_GAIN;
   const backlogPressure = Math.min(
     MAX_BACKLOG_PRESSURE,
--- a/src/engine/membership/common/announcement.ts
+++ b/src/engine/membership/common/announcement.ts
@@ -26,6 +26,11 @@
   readonly connections: number;
   /** Whether the node accepts no new work. */
   readonly isDraining: boolean;
+  /**
+   * Process instance of the backend server; undefined before the first, and
+   * from nodes that don't tell it.
+   */
+  readonly backendInstance?: string | undefined;
 }
 
 /**
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -93,12 +93,35 @@
   readonly running: number;
   /** Calls that wait at the gate. */
   readonly queued: number;
-  /** Requests that may run at a time; 0 if none may. */
+  /**
+   * Requests that run at a time when the backend server gets all that it takes;
+   * 0 if it takes none, below 1 if a limit on the request rate allows fewer.
+   */
   readonly limit: number;
   /** How strongly to refuse root requests whose call path leads here, 0 to 1. */
   readonly pressure: number;
   /** Mean service time, in milliseconds; 0 if unknown. */
   readonly serviceMs: number;
+  /**
+   * What the backend server says of itself; undefined if the node knows of
+   * nothing, as after its start.
+   */
+  readonly notice?: BackendNotice | undefined;
+}
+
+/** What a process instance of a backend server has said, as far as known. */
+export interface BackendNotice {
+  /** Process instance that it holds for. */
+  readonly instance: string;
+  /** Undefined if the instance names no limit, or no longer does. */
+  readonly requestsPerSecond: number | undefined;
+  /** An instance that leaves never takes requests again. */
+  readonly isLeaving: boolean;
+  /**
+   * When the limit was last said, by the steady clock of the process that holds
+   * the notice, in milliseconds. On the wire it is an age.
+   */
+  readonly saidAtMs: number;
 }
 
 /** Periodic report on links in use; it also serves as a heartbeat. */
@@ -132,6 +155,8 @@
 export interface CallerIntroduced {
   readonly type: "CallerIntroduced";
   readonly service: string;
+  /** What the sender knows of the receiver's backend server. */
+  readonly notice?: BackendNotice | undefined;
 }
 
 /** Any frame. */
@@ -167,8 +192,26 @@
 /** Ratios are sent as whole hundredths: one byte instead of nine. */
 const HUNDREDTHS = 100;
 
-/** `LoadFigures` on the wire: running, queued, limit, pressure, serviceMs. */
-type WireLoad = readonly [number, number, number, number, number?];
+/** `BackendNotice` on the wire; the last field is an age in milliseconds. */
+type WireNotice = readonly [
+  instance: string,
+  requestsPerSecond: number | null,
+  isLeaving: 0 | 1,
+  ageMs: number,
+];
+
+/**
+ * `LoadFigures` on the wire: running, queued, limit, pressure, serviceMs,
+ * notice.
+ */
+type WireLoad = readonly [
+  number,
+  number,
+  number,
+  number,
+  number?,
+  WireNotice?,
+];
 
 /**
  * Converts a frame to the list of fields that is encoded at `nowMs`. Field names
@@ -206,7 +249,7 @@
         frame.call,
         frame.status,
         frame.headers,
-        flattenLoad(frame.load),
+        flattenLoad(frame.load, nowMs),
         frame.bodyBytes,
         frame.body,
       ];
@@ -217,17 +260,23 @@
         FAILURE_KINDS.indexOf(frame.kind),
         frame.reason,
         Math.ceil(frame.retryAfterMs),
-        flattenLoad(frame.load),
+        flattenLoad(frame.load, nowMs),
       ];
     case "LoadReported":
       return [
         TAGS.LoadReported,
-        flattenLoad(frame.load),
+        flattenLoad(frame.load, nowMs),
         frame.below ?? null,
         frame.callers,
       ];
     case "CallerIntroduced":
-      return [TAGS.CallerIntroduced, frame.service];
+      return [
+        TAGS.CallerIntroduced,
+        frame.service,
+        ...(frame.notice === undefined
+          ? []
+          : [flattenNotice(frame.notice, nowMs)]),
+      ];
   }
 }
 
@@ -271,7 +320,7 @@
         call,
         status: fields[2] as number,
         headers: fields[3] as HeaderList,
-        load: parseLoad(fields[4] as WireLoad),
+        load: parseLoad(fields[4] as WireLoad, arrivedAtMs),
         bodyBytes: fields[5] as number,
         body: fields[6] as Uint8Array,
       };
@@ -282,29 +331,74 @@
         kind: FAILURE_KINDS[fields[2] as number] ?? "unknown",
         reason: fields[3] as string,
         retryAfterMs: fields[4] as number,
-        load: parseLoad(fields[5] as WireLoad),
+        load: parseLoad(fields[5] as WireLoad, arrivedAtMs),
       };
     case TAGS.LoadReported:
       return {
         type: "LoadReported",
-        load: parseLoad(fields[1] as WireLoad),
+        load: parseLoad(fields[1] as WireLoad, arrivedAtMs),
         below: (fields[2] ?? undefined) as LoadReported["below"],
         callers: (fields[3] ?? []) as CallerReport,
       };
     case TAGS.CallerIntroduced:
-      return { type: "CallerIntroduced", service: fields[1] as string };
+      return {
+        type: "CallerIntroduced",
+        service: fields[1] as string,
+        notice: parseNotice(fields[2] as WireNotice | undefined, arrivedAtMs),
+      };
     default:
       return undefined;
   }
 }
 
-function flattenLoad(load: LoadFigures): WireLoad {
-  const { running, queued, limit, pressure, serviceMs } = load;
-  const hundredths = Math.round(pressure * HUNDREDTHS);
-  return [running, queued, limit, hundredths, Math.round(serviceMs)];
+function flattenLoad(load: LoadFigures, nowMs: number): WireLoad {
+  const { running, queued, limit, pressure, serviceMs, notice } = load;
+  const figures = [
+    running,
+    queued,
+    Math.round(limit * HUNDREDTHS) / HUNDREDTHS,
+    Math.round(pressure * HUNDREDTHS),
+    Math.round(serviceMs),
+  ] as const;
+  return notice === undefined
+    ? figures
+    : [...figures, flattenNotice(notice, nowMs)];
 }
 
-function parseLoad([running, queued, limit, hundredths, ms]: WireLoad) {
-  const pressure = hundredths / HUNDREDTHS;
-  return { running, queued, limit, pressure, serviceMs: ms ?? 0 };
+function parseLoad(fields: WireLoad, arrivedAtMs: number): LoadFigures {
+  const [running, queued, limit, hundredths, serviceMs, notice] = fields;
+  return {
+    running,
+    queued,
+    limit,
+    pressure: hundredths / HUNDREDTHS,
+    serviceMs: serviceMs ?? 0,
+    notice: parseNotice(notice, arrivedAtMs),
+  };
+}
+
+function flattenNotice(notice: BackendNotice, nowMs: number): WireNotice {
+  const { instance, requestsPerSecond, isLeaving, saidAtMs } = notice;
+  return [
+    instance,
+    requestsPerSecond ?? null,
+    isLeaving ? 1 : 0,
+    Math.round(Math.max(0, nowMs - saidAtMs)),
+  ];
+}
+
+function parseNotice(
+  fields: WireNotice | undefined,
+  arrivedAtMs: number,
+): BackendNotice | undefined {
+  if (fields === undefined) {
+    return undefined;
+  }
+  const [instance, requestsPerSecond, isLeaving, ageMs] = fields;
+  return {
+    instance,
+    requestsPerSecond: requestsPerSecond ?? undefined,
+    isLeaving: isLeaving === 1,
+    saidAtMs: arrivedAtMs - ageMs,
+  };
 }
--- a/src/engine/mesh/node/mesh_client.ts
+++ b/src/engine/mesh/node/mesh_client.ts
@@ -1,6 +1,6 @@
 /** Links that a node opens to other nodes, one for each address. */
 import { WebSocket } from "ws";
-import type { MeshFrame } from "../common/frames.ts";
+import type { BackendNotice, MeshFrame } from "../common/frames.ts";
 import { decodeMessage, FrameWriter } from "./frame_writer.ts";
 
 /** What the client depends on. */
@@ -13,6 +13,11 @@
   readonly readClock: () => number;
   /** Returns the service on whose VM calls begin; sent first on each link. */
   readonly getService: () => string;
+  /**
+   * Returns what is known of the backend server at an address, which the
+   * introduction passes on; undefined if nothing is.
+   */
+  readonly getNotice: (address: string) => BackendNotice | undefined;
 }
 
 interface MeshLink {
@@ -101,9 +106,9 @@
 
   /** Sends a changed service of this VM on all open links. */
   introduce(): void {
-    for (const { socket, writer } of this.#links.values()) {
+    for (const [address, { socket, writer }] of this.#links) {
       if (socket.readyState === WebSocket.OPEN) {
-        writer.write(this.#createIntroduction());
+        writer.write(this.#createIntroduction(address));
       }
     }
   }
@@ -126,8 +131,13 @@
     await Promise.resolve();
   }
 
-  #createIntroduction(): MeshFrame {
-    return { type: "CallerIntroduced", service: this.#options.getService() };
+  #createIntroduction(address: string): MeshFrame {
+    const { getService, getNotice } = this.#options;
+    return {
+      type: "CallerIntroduced",
+      service: getService(),
+      notice: getNotice(address),
+    };
   }
 
   #connect(address: string): MeshLink {
@@ -158,7 +168,7 @@
     socket.on("open", () => {
       link.lastReceivedAtMs = this.#options.readClock();
       link.wasOpen = true;
-      writer.write(this.#createIntroduction());
+      writer.write(this.#createIntroduction(address));
       const { queuedFrames } = link;
       link.queuedFrames = [];
       queuedFrames.forEach((frame) => writer.write(frame));
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -70,6 +70,7 @@
       onLost: (_address, reason, wasOpen) => this.lost.push([reason, wasOpen]),
       readClock: () => performance.now(),
       getService: () => "front",
+      getNotice: () => undefined,
     });
   }
 
--- a/src/engine/relay/common/backend_notice.ts
+++ b/src/engine/relay/common/backend_notice.ts
@@ -3,6 +3,7 @@
  * second it takes from all nodes together, and that it leaves. Each holds for
  * one process instance.
  */
+import type { BackendNotice } from "../../mesh/common/frames.ts";
 import type { LocalBackend } from "./gate.ts";
 
 /** The limit on the request rate that the head of one answer names. */
@@ -24,21 +25,6 @@
   isLeaving: false,
 };
 
-/** What a process instance of a backend server has said, as far as known. */
-export interface BackendNotice {
-  /** Process instance that it holds for, from `formatInstance`. */
-  readonly instance: string;
-  /** Undefined if the instance names no limit, or no longer does. */
-  readonly requestsPerSecond: number | undefined;
-  /** An instance that leaves never takes requests again. */
-  readonly isLeaving: boolean;
-  /**
-   * When the limit was last said, by the steady clock of the process that holds
-   * the notice, in milliseconds. On the wire it is an age.
-   */
-  readonly saidAtMs: number;
-}
-
 /** A statement and the exchange that it was received in. */
 export interface ReceivedStatement extends BackendStatement {
   readonly instance: string;
@@ -114,13 +100,23 @@
   | "limit named"
   | "limit changed"
   | "limit lifted"
-  | "leaving";
+  | "leaving"
+  /** Another process instance has replaced the one that said something. */
+  | "forgotten";
 
 /** Lists what changed; empty if nothing but the time has. */
 export function listNoticeChanges(
   before: BackendNotice | undefined,
   after: BackendNotice | undefined,
 ): readonly NoticeChange[] {
+  if (before !== undefined && before.instance !== after?.instance) {
+    const isForgotten = before.requestsPerSecond !== undefined ||
+      before.isLeaving;
+    return [
+      ...(isForgotten ? ["forgotten" as const] : []),
+      ...listNoticeChanges(undefined, after),
+    ];
+  }
   const changes: NoticeChange[] = [];
   const previous = before?.requestsPerSecond;
   const next = after?.requestsPerSecond;
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -1,5 +1,6 @@
 /** Log lines of a call at its entry: each decision with its inputs. */
-import type { FailureKind } from "../../mesh/common/frames.ts";
+import type { BackendNotice, FailureKind } from "../../mesh/common/frames.ts";
+import type { NoticeChange } from "./backend_notice.ts";
 import type { EntryCall } from "./entry_call.ts";
 import type { BudgetCounts } from "./entry_budget.ts";
 import type { EntryFailure, RetryCause } from "./entry_types.ts";
@@ -99,3 +100,26 @@
     ...inputs,
   };
 }
+
+/** Creates the line of a change in what a member's backend server says. */
+export function createMemberNoticeLine(
+  { change, before, after, address }: {
+    readonly change: NoticeChange;
+    readonly before: BackendNotice | undefined;
+    readonly after: BackendNotice | undefined;
+    /** Address of the member's node, which passed the notice on. */
+    readonly address: string;
+  },
+): RelayLine {
+  return {
+    event: "MemberNoticeChanged",
+    isFailure: false,
+    member: address,
+    instance: after?.instance,
+    previousInstance: before?.instance,
+    reason: change,
+    requestsPerSecond: after?.requestsPerSecond,
+    previousPerSecond: before?.requestsPerSecond,
+    isLeaving: after?.isLeaving ?? false,
+  };
+}
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -4,7 +4,7 @@
  * gate's limits apply to all callers. The reducer updates its state in place:
  * it runs for each call, and nothing else keeps a reference to the state.
  */
-import type { LoadFigures } from "../../mesh/common/frames.ts";
+import type { BackendNotice, LoadFigures } from "../../mesh/common/frames.ts";
 import {
   createPressure,
   recordLostRequest,
@@ -12,11 +12,25 @@
   recordRequest,
   updatePressure,
 } from "../../admission/common/overload_pressure.ts";
-import { applyStatement, formatInstance } from "./backend_notice.ts";
-import type { BackendNotice, ReceivedStatement } from "./backend_notice.ts";
+import {
+  applyStatement,
+  formatInstance,
+  listNoticeChanges,
+  mergeNotices,
+} from "./backend_notice.ts";
+import type { ReceivedStatement } from "./backend_notice.ts";
 import { findVictim, insertCall } from "./gate_queue.ts";
 import type { GateCall } from "./gate_queue.ts";
 import type { PressureState } from "../../admission/common/overload_pressure.ts";
+import {
+  changeRate,
+  computeTokenRate,
+  createTokenBucket,
+  estimateTokenWaitMs,
+  putBackToken,
+  tryTakeToken,
+} from "./token_bucket.ts";
+import type { TokenBucket } from "./token_bucket.ts";
 
 /** The backend server of this node, as it announced itself. */
 export interface LocalBackend {
@@ -56,6 +70,8 @@
     readonly isLost: boolean;
     /** Whether the backend server reported that it did not run the call. */
     readonly isRejected: boolean;
+    /** Whether bytes of it may have reached the backend server. */
+    readonly wasSent: boolean;
   }
   | { readonly type: "CallWithdrawn"; readonly id: number }
   | {
@@ -66,6 +82,8 @@
     readonly type: "StatementReceived";
     readonly statement: ReceivedStatement;
   }
+  /** An entry tells what it knows of the backend server of this node. */
+  | { readonly type: "NoticeTold"; readonly notice: BackendNotice }
   | { readonly type: "Ticked" };
 
 /** Why a call is refused before the backend server receives it. */
@@ -74,11 +92,18 @@
   | "draining"
   | "queue_full"
   | "deadline"
-  | "displaced";
+  | "displaced"
+  /** It would get its turn under the rate limit too late. */
+  | "rate_limit";
 
 /** Decision of the gate. */
 export type GateEffect =
-  | { readonly type: "RunCall"; readonly id: number }
+  | {
+    readonly type: "RunCall";
+    readonly id: number;
+    /** Whether it had to wait at the gate. */
+    readonly wasQueued: boolean;
+  }
   | {
     readonly type: "RefuseCall";
     readonly id: number;
@@ -111,6 +136,8 @@
   readonly pressure: PressureState;
   /** Notices by process instance, in the order of their first statement. */
   readonly notices: Map<string, BackendNotice>;
+  /** Rate limit of the current process instance; undefined if it names none. */
+  bucket: TokenBucket | undefined;
 }
 
 /** Notices that are kept; more than instances that follow each other quickly. */
@@ -129,6 +156,10 @@
 const DEFAULT_SERVICE_MS = 20;
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 2_000;
+/** The same where a rate limit makes the caller wait. */
+const MAX_LIMITED_RETRY_AFTER_MS = 10_000;
+/** Lowest capacity that is reported of a backend server that takes requests. */
+const MIN_CAPACITY = 0.01;
 
 /** Creates the gate of a node whose backend server has not announced itself. */
 export function createGate(): GateState {
@@ -142,6 +173,7 @@
     lastCompletionMs: 0,
     pressure: createPressure(0),
     notices: new Map(),
+    bucket: undefined,
   };
 }
 
@@ -168,7 +200,12 @@
     case "BackendChanged":
       return changeBackend(state, event.backend, nowMs);
     case "StatementReceived":
-      return recordStatement(state, event.statement);
+      return recordStatement(state, event.statement, nowMs);
+    case "NoticeTold": {
+      const { notice } = event;
+      const before = state.notices.get(notice.instance);
+      return putNotice(state, mergeNotices(before, notice), nowMs);
+    }
     case "Ticked":
       return tick(state, nowMs);
   }
@@ -202,21 +239,48 @@
     : Math.max(1, Math.floor(backend.slots * USABLE_SLOT_RATIO));
 }
 
+/**
+ * Computes how many calls run at a time when the gate hands over as many as it
+ * may. Under a rate limit that is a fraction of the limit on running calls.
+ */
+export function computeCapacity(state: GateState): number {
+  const limit = computeLimit(state);
+  const { bucket, meanServiceMs } = state;
+  if (limit === 0 || bucket === undefined) {
+    return limit;
+  }
+  const serviceMs = meanServiceMs === 0 ? DEFAULT_SERVICE_MS : meanServiceMs;
+  const limited = computeTokenRate(bucket) * serviceMs / 1_000;
+  return Math.min(limit, Math.max(MIN_CAPACITY, limited));
+}
+
 /** Creates the load figures that are sent to callers. */
 export function createLoadFigures(state: GateState): LoadFigures {
   return {
     running: state.running,
     queued: state.queue.length,
-    limit: computeLimit(state),
+    limit: computeCapacity(state),
     pressure: state.pressure.pressure,
     serviceMs: state.meanServiceMs,
+    notice: getNotice(state),
   };
 }
 
 /** Estimates when a refused caller would find a free slot. */
-export function computeRetryAfterMs(state: GateState): number {
-  const waitMs = (state.queue.length + 1) * Math.max(1, state.completionGapMs);
-  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+export function computeRetryAfterMs(state: GateState, nowMs: number): number {
+  const { queue, bucket } = state;
+  const slotWaitMs = (queue.length + 1) * Math.max(1, state.completionGapMs);
+  const waitMs = Math.max(
+    MIN_RETRY_AFTER_MS,
+    Math.min(MAX_RETRY_AFTER_MS, slotWaitMs),
+  );
+  return bucket === undefined ? waitMs : Math.max(
+    waitMs,
+    Math.min(
+      MAX_LIMITED_RETRY_AFTER_MS,
+      estimateTokenWaitMs(bucket, queue.length, nowMs),
+    ),
+  );
 }
 
 function admitCall(
@@ -227,26 +291,61 @@
   const { backend, queue } = state;
   recordRequest(state.pressure, getServiceMs(state, call.route));
   if (backend === undefined) {
-    return [refuseCall(state, call.id, "no_backend")];
+    return [refuseCall(state, call.id, "no_backend", nowMs)];
   }
   if (backend.isDraining) {
-    return [refuseCall(state, call.id, "draining")];
+    return [refuseCall(state, call.id, "draining", nowMs)];
   }
   if (hasTooLittleTime(state, call, nowMs)) {
-    return [refuseCall(state, call.id, "deadline")];
+    return [refuseCall(state, call.id, "deadline", nowMs)];
   }
-  if (state.running < computeLimit(state) && queue.length === 0) {
+  if (queue.length === 0 && canRunOne(state, nowMs)) {
     state.running += 1;
-    return [{ type: "RunCall", id: call.id }];
+    return [{ type: "RunCall", id: call.id, wasQueued: false }];
   }
   insertCall(queue, call);
   const victim = findVictim(queue, backend.slots);
   if (victim === undefined) {
-    return [];
+    return refuseOverLimit(state, nowMs);
   }
   queue.splice(queue.indexOf(victim), 1);
   const reason = victim.id === call.id ? "queue_full" : "displaced";
-  return [refuseCall(state, victim.id, reason)];
+  return [refuseCall(state, victim.id, reason, nowMs)];
+}
+
+/** Whether one more call may run; if so, its token is taken. */
+function canRunOne(state: GateState, nowMs: number): boolean {
+  const { bucket } = state;
+  return state.running < computeLimit(state) &&
+    (bucket === undefined || tryTakeToken(bucket, nowMs));
+}
+
+/**
+ * Refuses the calls that would get their token too late: a root request later
+ * than its answer has its full value, as it may be sent elsewhere, and a nested
+ * one later than it can finish, as its refusal wastes the work done so far.
+ */
+function refuseOverLimit(
+  state: GateState,
+  nowMs: number,
+): readonly GateEffect[] {
+  const { bucket, queue } = state;
+  if (bucket === undefined) {
+    return [];
+  }
+  const effects: GateEffect[] = [];
+  const waiting = queue.splice(0);
+  for (const call of waiting) {
+    const startMs = nowMs + estimateTokenWaitMs(bucket, queue.length, nowMs);
+    const lastMs = call.isNested ? call.deadlineMs : call.dueAtMs;
+    const usualMs = state.serviceTimes.get(call.route)?.meanMs ?? 0;
+    if (startMs > nowMs && startMs + usualMs / 2 >= lastMs) {
+      effects.push(refuseCall(state, call.id, "rate_limit", nowMs));
+    } else {
+      queue.push(call);
+    }
+  }
+  return effects;
 }
 
 /** Whether the time left covers no more than half of a usual run. */
@@ -261,14 +360,18 @@
 
 function runQueued(state: GateState, nowMs: number): readonly GateEffect[] {
   const effects: GateEffect[] = [];
-  const limit = computeLimit(state);
-  while (state.running < limit && state.queue.length > 0) {
-    const call = state.queue.shift()!;
+  const { queue } = state;
+  while (queue.length > 0 && state.running < computeLimit(state)) {
+    const call = queue[0]!;
     if (hasTooLittleTime(state, call, nowMs)) {
-      effects.push(refuseCall(state, call.id, "deadline"));
-    } else {
+      queue.shift();
+      effects.push(refuseCall(state, call.id, "deadline", nowMs));
+    } else if (canRunOne(state, nowMs)) {
+      queue.shift();
       state.running += 1;
-      effects.push({ type: "RunCall", id: call.id });
+      effects.push({ type: "RunCall", id: call.id, wasQueued: true });
+    } else {
+      break;
     }
   }
   return effects;
@@ -286,7 +389,10 @@
   }
   state.lastCompletionMs = nowMs;
   state.running = Math.max(0, state.running - 1);
-  const { serviceMs, route, isLost, isRejected } = event;
+  const { serviceMs, route, isLost, isRejected, wasSent } = event;
+  if (!wasSent && state.bucket !== undefined) {
+    putBackToken(state.bucket, nowMs);
+  }
   if (isLost) {
     recordLostRequest(state.pressure);
   }
@@ -317,33 +423,67 @@
   backend: LocalBackend | undefined,
   nowMs: number,
 ): readonly GateEffect[] {
+  if (!isSameProcessInstance(state.backend, backend)) {
+    state.bucket = undefined;
+  }
   state.backend = backend;
+  return applyNotice(state, nowMs);
+}
+
+/**
+ * Applies the notice of the current process instance, and runs or refuses what
+ * waits.
+ */
+function applyNotice(state: GateState, nowMs: number): readonly GateEffect[] {
+  const { backend } = state;
+  updateBucket(state, getNotice(state)?.requestsPerSecond, nowMs);
   if (isOpen(state)) {
-    return runQueued(state, nowMs);
+    return [...runQueued(state, nowMs), ...refuseOverLimit(state, nowMs)];
   }
   const reason = backend === undefined ? "no_backend" : "draining";
   return state.queue.splice(0)
-    .map(({ id }) => refuseCall(state, id, reason));
+    .map(({ id }) => refuseCall(state, id, reason, nowMs));
+}
+
+function updateBucket(
+  state: GateState,
+  requestsPerSecond: number | undefined,
+  nowMs: number,
+): void {
+  if (requestsPerSecond === undefined) {
+    state.bucket = undefined;
+  } else if (state.bucket === undefined) {
+    state.bucket = createTokenBucket(requestsPerSecond, nowMs);
+  } else {
+    changeRate(state.bucket, requestsPerSecond, nowMs);
+  }
 }
 
 function recordStatement(
   state: GateState,
   statement: ReceivedStatement,
+  nowMs: number,
 ): readonly GateEffect[] {
-  const { notices } = state;
-  const before = notices.get(statement.instance);
+  const before = state.notices.get(statement.instance);
   const after = applyStatement(before, statement);
-  if (after !== undefined) {
-    putNotice(state, after);
-  }
-  return [];
+  return after === undefined ? [] : putNotice(state, after, nowMs);
 }
 
-function putNotice({ notices }: GateState, notice: BackendNotice): void {
+/** Stores a notice; applies it if it is about the current process instance. */
+function putNotice(
+  state: GateState,
+  notice: BackendNotice,
+  nowMs: number,
+): readonly GateEffect[] {
+  const { notices } = state;
+  const before = notices.get(notice.instance);
   notices.set(notice.instance, notice);
   for (const instance of [...notices.keys()].slice(0, -MAX_NOTICES)) {
     notices.delete(instance);
   }
+  const isApplied = getNotice(state) === notice &&
+    listNoticeChanges(before, notice).length > 0;
+  return isApplied ? applyNotice(state, nowMs) : [];
 }
 
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
@@ -355,12 +495,16 @@
     state.queue.splice(0, state.queue.length, ...remaining);
   }
   updatePressure(state.pressure, {
-    limit: computeLimit(state),
+    limit: computeCapacity(state),
     running: state.running,
     backlogMs: computeBacklogMs(state),
     nowMs,
   });
-  return expired.map(({ id }) => refuseCall(state, id, "deadline"));
+  return [
+    ...expired.map(({ id }) => refuseCall(state, id, "deadline", nowMs)),
+    ...(state.bucket === undefined ? [] : runQueued(state, nowMs)),
+    ...refuseOverLimit(state, nowMs),
+  ];
 }
 
 /** Computes how long all slots together need for the queue. */
@@ -369,7 +513,8 @@
     (sum, { route }) => sum + getServiceMs(state, route),
     0,
   );
-  return workMs / Math.max(1, computeLimit(state));
+  const capacity = computeCapacity(state);
+  return workMs / (capacity === 0 ? 1 : capacity);
 }
 
 function getServiceMs(state: GateState, route: string): number {
@@ -380,10 +525,11 @@
   state: GateState,
   id: number,
   reason: GateRefusal,
+  nowMs: number,
 ): GateEffect {
   if (reason === "deadline") {
     recordLostRequest(state.pressure);
   }
-  const retryAfterMs = computeRetryAfterMs(state);
+  const retryAfterMs = computeRetryAfterMs(state, nowMs);
   return { type: "RefuseCall", id, reason, retryAfterMs };
 }
--- a/src/engine/relay/common/gate_lines.ts
+++ b/src/engine/relay/common/gate_lines.ts
@@ -1,6 +1,10 @@
 /** Log lines of a call at the gate: each decision with its inputs. */
-import type { FailureKind, LoadFigures } from "../../mesh/common/frames.ts";
-import type { BackendNotice, NoticeChange } from "./backend_notice.ts";
+import type {
+  BackendNotice,
+  FailureKind,
+  LoadFigures,
+} from "../../mesh/common/frames.ts";
+import type { NoticeChange } from "./backend_notice.ts";
 import type { GateCallState } from "./gate_call_index.ts";
 import type { RelayLine } from "./relay_log.ts";
 
--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -19,6 +19,13 @@
   readonly canProbe: boolean;
   /** Whether a member with calls in progress has been silent for too long. */
   readonly isSilent: (member: Member) => boolean;
+  /**
+   * Returns how many requests a second a member's backend server takes from all
+   * nodes together; undefined if it names no limit.
+   */
+  readonly getRateLimit: (member: Member) => number | undefined;
+  /** Returns the number of nodes that may send calls to a member. */
+  readonly countNodes: () => number;
 }
 
 /** A load that was received longer ago is ignored. */
@@ -50,6 +57,15 @@
 /** Bounds of the slowness: a service time may stem from a few unusual runs. */
 const MIN_SLOWNESS = 0.4;
 const MAX_SLOWNESS = 3;
+/**
+ * Lowest score of a member whose backend server names a limit: it gets calls
+ * once the slots of the others are in use.
+ */
+const MIN_LIMITED_SCORE = 1;
+/** Share of a named limit that the probes of all nodes together use. */
+const LIMITED_PROBE_SHARE = 0.5;
+/** Limits below count as this one when the probe interval is computed. */
+const MIN_PROBED_PER_SECOND = 0.5;
 /** Penalty of a member whose limit is 0; higher than any other score. */
 const CLOSED_PENALTY = 100;
 
@@ -66,12 +82,10 @@
     member.ejectedUntilMs <= options.nowMs && !options.isSilent(member)
   );
   const probed = options.canProbe
-    ? listFailing(members).find((member) =>
-      member.probeAtMs <= options.nowMs && eligible.includes(member)
-    )
+    ? findDueProbe(members, eligible, options)
     : undefined;
   if (probed !== undefined) {
-    probed.probeAtMs = options.nowMs + PROBE_INTERVAL_MS;
+    probed.probeAtMs = options.nowMs + computeProbeIntervalMs(probed, options);
     return probed;
   }
   const candidates = eligible.length > 0 ? eligible : members;
@@ -92,6 +106,36 @@
   return best;
 }
 
+/** Finds an eligible member that fails calls or is limited, and is due. */
+function findDueProbe(
+  members: readonly Member[],
+  eligible: readonly Member[],
+  { nowMs, getRateLimit }: ChoiceOptions,
+): Member | undefined {
+  const failing = listFailing(members);
+  return eligible.find((member) =>
+    member.probeAtMs <= nowMs &&
+    (failing.includes(member) || getRateLimit(member) !== undefined)
+  );
+}
+
+/**
+ * Computes when to probe a member again. Without probes a limit that no longer
+ * holds would be believed until the other members are full.
+ */
+function computeProbeIntervalMs(
+  member: Member,
+  { getRateLimit, countNodes }: ChoiceOptions,
+): number {
+  const requestsPerSecond = getRateLimit(member);
+  if (requestsPerSecond === undefined) {
+    return PROBE_INTERVAL_MS;
+  }
+  const probesPerSecond = LIMITED_PROBE_SHARE *
+    Math.max(MIN_PROBED_PER_SECOND, requestsPerSecond) / countNodes();
+  return Math.max(PROBE_INTERVAL_MS, 1_000 / probesPerSecond);
+}
+
 /**
  * Lists the members without the failing ones. Their capacity can't be counted
  * on: a root request that makes eight calls to a member that refuses half of
@@ -135,7 +179,9 @@
     member;
   const isFresh = load !== undefined &&
     options.nowMs - loadReceivedAtMs < LOAD_VALID_MS;
-  const slots = Math.max(1, isFresh ? load.limit : announcement.slots);
+  const isLimited = options.getRateLimit(member) !== undefined;
+  const knownSlots = isLimited ? 1 : announcement.slots;
+  const slots = Math.max(1, isFresh ? load.limit : knownSlots);
   const inUse = isFresh
     ? Math.max(outstanding, load.running + load.queued + sentSinceLoad)
     : outstanding;
@@ -143,8 +189,9 @@
     ? 0
     : REMOTE_PENALTY;
   const slowness = isFresh ? computeSlowness(load.serviceMs, meanMs) : 1;
-  return (inUse + 1) / slots * slowness + distance + member.failureShare +
-    (isFresh && load.limit === 0 ? CLOSED_PENALTY : 0);
+  const score = (inUse + 1) / slots * slowness + distance +
+    member.failureShare + (isFresh && load.limit === 0 ? CLOSED_PENALTY : 0);
+  return isLimited ? Math.max(MIN_LIMITED_SCORE, score) : score;
 }
 
 /** Computes the mean service time of the members with a fresh load. */
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -1,9 +1,11 @@
 /** The members of all services, with their loads and reported pressure. */
 import type {
+  BackendNotice,
   DownstreamPressure,
   LoadFigures,
 } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
+import { mergeNotices } from "./backend_notice.ts";
 import { updateMember } from "./member.ts";
 import type { Member, RoutePressure } from "./member.ts";
 import { chooseMember, listReliable, LOAD_VALID_MS } from "./member_choice.ts";
@@ -29,6 +31,8 @@
  * restarted process listens again after about a second.
  */
 const PROBE_DELAY_MS = 300;
+/** Notices that are kept; above the backend servers that say something. */
+const MAX_NOTICES = 4_096;
 
 /** Stores members by service and address. */
 export class MemberTable {
@@ -40,6 +44,12 @@
    * members are preferred until a load is received from the address.
    */
   readonly #suspected = new Map<string, number>();
+  /**
+   * Latest notices by address. They outlive the members: a restarted node has
+   * forgotten what its backend server said, and the members of a service are
+   * listed anew after a restart of control.
+   */
+  readonly #notices = new Map<string, BackendNotice>();
 
   /** Whether members of the service were ever recorded. */
   isKnown(service: string): boolean {
@@ -121,6 +131,33 @@
     }
   }
 
+  /** Gets what the backend server of the node at an address says of itself. */
+  getNotice(address: string): BackendNotice | undefined {
+    return this.#notices.get(address);
+  }
+
+  /** Records a notice that the node at an address passes on. */
+  recordNotice(address: string, notice: BackendNotice): void {
+    const before = this.#notices.get(address);
+    const isSameInstance = before?.instance === notice.instance;
+    const merged = mergeNotices(isSameInstance ? before : undefined, notice);
+    this.#notices.delete(address);
+    this.#notices.set(address, merged);
+    if (this.#notices.size > MAX_NOTICES) {
+      const [oldest] = this.#notices.keys();
+      this.#notices.delete(oldest!);
+    }
+  }
+
+  /** Finds the notice of a member's current process instance. */
+  #findNotice({ announcement }: Member): BackendNotice | undefined {
+    const { ingress, backendInstance } = announcement;
+    const notice = this.#notices.get(ingress);
+    const isCurrent = backendInstance === undefined ||
+      backendInstance === notice?.instance;
+    return isCurrent ? notice : undefined;
+  }
+
   /** Records the pressure downstream of a member's routes, as it reports it. */
   recordDownstreamPressure(
     address: string,
@@ -172,7 +209,7 @@
     );
   }
 
-  /** Counts the nodes that share the retry budget's slack with this one. */
+  /** Counts the nodes that calls may be sent to, those of all services. */
   countNodes(): number {
     let count = 0;
     for (const members of this.#services.values()) {
@@ -261,7 +298,10 @@
   }
 
   /** Chooses the member of a service that a call is sent to. */
-  choose(service: string, options: ChoiceOptions): Member | undefined {
+  choose(
+    service: string,
+    options: Omit<ChoiceOptions, "getRateLimit" | "countNodes">,
+  ): Member | undefined {
     const { tried } = options;
     const members = this.list(service).filter(({ announcement }) =>
       !announcement.isDraining && !tried.has(announcement.ingress)
@@ -269,7 +309,11 @@
     const reachable = members.filter(({ announcement }) =>
       !this.#suspected.has(announcement.ingress)
     );
-    return chooseMember(reachable.length > 0 ? reachable : members, options);
+    return chooseMember(reachable.length > 0 ? reachable : members, {
+      ...options,
+      getRateLimit: (member) => this.#findNotice(member)?.requestsPerSecond,
+      countNodes: () => this.countNodes(),
+    });
   }
 
   #has(address: string): boolean {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -8,6 +8,7 @@
   CallerReport,
   CallFailed,
   FailureKind,
+  LoadFigures,
   LoadReported,
   MeshFrame,
 } from "../../mesh/common/frames.ts";
@@ -19,7 +20,9 @@
   MIN_RETRY_AFTER_MS,
 } from "../common/entry_call.ts";
 import type { EntryCall } from "../common/entry_call.ts";
+import { listNoticeChanges } from "../common/backend_notice.ts";
 import {
+  createMemberNoticeLine,
   createMovedLine,
   createUnansweredLine,
   createWithdrawnLine,
@@ -372,7 +375,7 @@
   #openAnswer(address: string, opened: AnswerOpened): void {
     const { members, readClock } = this.#options;
     const nowMs = readClock();
-    members.recordLoad(address, opened.load, nowMs);
+    this.#recordLoad(address, opened.load, nowMs);
     const call = this.#findCurrent(address, opened.call);
     if (call === undefined) {
       return;
@@ -403,7 +406,7 @@
 
   #receiveFailure(address: string, frame: CallFailed): void {
     const { members, readClock } = this.#options;
-    members.recordLoad(address, frame.load, readClock());
+    this.#recordLoad(address, frame.load, readClock());
     const call = this.#findCurrent(address, frame.call);
     if (call === undefined) {
       return;
@@ -416,10 +419,25 @@
     this.#fail(call, { kind, cause: RETRY_CAUSES[kind], reason });
   }
 
+  /** Records a member's load, and what its backend server says of itself. */
+  #recordLoad(address: string, load: LoadFigures, nowMs: number): void {
+    const { members, log } = this.#options;
+    members.recordLoad(address, load, nowMs);
+    if (load.notice === undefined) {
+      return;
+    }
+    const before = members.getNotice(address);
+    members.recordNotice(address, load.notice);
+    const after = members.getNotice(address);
+    for (const change of listNoticeChanges(before, after)) {
+      log.write(createMemberNoticeLine({ change, before, after, address }));
+    }
+  }
+
   #receiveLoad(address: string, frame: LoadReported): void {
     const { members, readClock, receiveCallerReport } = this.#options;
     const nowMs = readClock();
-    members.recordLoad(address, frame.load, nowMs);
+    this.#recordLoad(address, frame.load, nowMs);
     if (frame.below !== undefined) {
       members.recordDownstreamPressure(address, frame.below, nowMs);
     }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -4,6 +4,7 @@
  */
 import type {
   AnswerOpened,
+  BackendNotice,
   CallFailed,
   CallOpened,
   FailureKind,
@@ -33,7 +34,6 @@
   formatInstance,
   listNoticeChanges,
 } from "../common/backend_notice.ts";
-import type { BackendNotice } from "../common/backend_notice.ts";
 import {
   createCancelledLine,
   createFailedLine,
@@ -61,10 +61,24 @@
   readonly recordRun: (run: BackendRun, change: 1 | -1) => void;
   /** Records the arrival of a call that was made on a VM of a service. */
   readonly recordArrival: (route: string, callerService: string) => void;
+  /** Counts a call under a rate limit of the backend server. */
+  readonly recordLimitedCall: (
+    service: string,
+    outcome: LimitedOutcome,
+  ) => void;
   /** Called if the backend server refuses connections or was replaced. */
   readonly onBackendLost: () => void;
 }
 
+/** What became of a call under a rate limit. */
+export type LimitedOutcome =
+  /** It was handed over without a wait. */
+  | "handed_over"
+  /** It was handed over after it had waited at the gate. */
+  | "waited"
+  /** It was refused, as its turn would have come too late. */
+  | "refused";
+
 /** A call is failed this long after its deadline if it has no answer. */
 const ANSWER_GRACE_MS = 1_000;
 
@@ -104,6 +118,11 @@
     return getNotice(this.#gate);
   }
 
+  /** Calls that may be handed over at once; undefined without a rate limit. */
+  get tokens(): number | undefined {
+    return this.#gate.bucket?.tokens;
+  }
+
   /** Returns the load that is reported to callers. */
   readLoad(): LoadFigures {
     return createLoadFigures(this.#gate);
@@ -125,7 +144,14 @@
       before.address === backend.address &&
       !isSameProcessInstance(before, backend);
     const aborted = isReplaced ? this.#abortRunning() : [];
+    const { notices } = this.#gate;
     this.#step({ type: "BackendChanged", backend });
+    if (before !== undefined && backend !== undefined) {
+      const { instanceId } = backend;
+      const previous = notices.get(formatInstance(before));
+      const next = notices.get(formatInstance(backend));
+      this.#logNoticeChanges(previous, next, { instanceId });
+    }
     aborted.forEach((call) => this.#fail(call, "unknown", "backend_restarted"));
   }
 
@@ -189,6 +215,7 @@
       }
       case "CallerIntroduced":
         this.#callerServices.set(linkId, frame.service);
+        this.#receiveNotice(linkId, frame.notice);
         return;
       case "AnswerOpened":
       case "CallFailed":
@@ -240,6 +267,22 @@
     return running;
   }
 
+  /**
+   * Takes over what an entry knows of the backend server. A node that was
+   * restarted has forgotten it, and gets it before any call of that entry.
+   */
+  #receiveNotice(linkId: string, notice: BackendNotice | undefined): void {
+    if (notice === undefined) {
+      return;
+    }
+    const { notices } = this.#gate;
+    const before = notices.get(notice.instance);
+    this.#step({ type: "NoticeTold", notice });
+    this.#logNoticeChanges(before, notices.get(notice.instance), {
+      link: linkId,
+    });
+  }
+
   #openCall(arrival: {
     readonly linkId: string;
     readonly opened: CallOpened;
@@ -316,14 +359,26 @@
     }
     switch (effect.type) {
       case "RunCall":
+        this.#countLimited(effect.wasQueued ? "waited" : "handed_over");
         this.#runAfterBacklogRead(call);
         return;
       case "RefuseCall":
+        if (effect.reason === "rate_limit") {
+          this.#countLimited("refused");
+        }
         this.#fail(call, "refused", effect.reason, effect.retryAfterMs);
         return;
     }
   }
 
+  /** Counts a call if the backend server names a limit. */
+  #countLimited(outcome: LimitedOutcome): void {
+    const { backend, bucket } = this.#gate;
+    if (backend !== undefined && bucket !== undefined) {
+      this.#options.recordLimitedCall(backend.service, outcome);
+    }
+  }
+
   /**
    * Runs an admitted call once the event loop has caught up. A process that lags
    * reads a call before its cancellation, and would run it for a caller that has
@@ -510,7 +565,10 @@
     call: GateCallState,
     kind: FailureKind,
     reason: string,
-    retryAfterMs = computeRetryAfterMs(this.#gate),
+    retryAfterMs = computeRetryAfterMs(
+      this.#gate,
+      this.#options.readClock(),
+    ),
   ): void {
     // Only expired calls indicate overload: refusing more calls doesn't help if
     // the backend server rejects them for its own reasons or closes connections.
@@ -567,7 +625,9 @@
       this.#options.recordRun(opened, -1);
     }
     if (phase === "running" || phase === "admitted") {
-      this.#step({ type: "CallEnded", id, route: opened.route, ...ended });
+      const wasSent = call.exchange?.hasStartedSending ?? false;
+      const { route } = opened;
+      this.#step({ type: "CallEnded", id, route, wasSent, ...ended });
     }
   }
 
--- a/src/engine/relay/test/backend_notice_test.ts
+++ b/src/engine/relay/test/backend_notice_test.ts
@@ -6,8 +6,8 @@
   listNoticeChanges,
   mergeNotices,
 } from "../common/backend_notice.ts";
+import type { BackendNotice } from "../../mesh/common/frames.ts";
 import type {
-  BackendNotice,
   NamedLimit,
   ReceivedStatement,
 } from "../common/backend_notice.ts";
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -91,6 +91,7 @@
       onLost: () => {},
       readClock,
       getService: () => "front",
+      getNotice: () => undefined,
     });
     const members = new MemberTable();
     const address = `127.0.0.1:${proxyPort}`;
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -23,6 +23,7 @@
     getObjectiveMs: () => 500,
     recordRun,
     recordArrival: () => {},
+    recordLimitedCall: () => {},
     onBackendLost: () => {},
   });
   gate.changeBackend(createBackend(port));
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -71,6 +71,7 @@
     getObjectiveMs: () => 500,
     recordRun: () => {},
     recordArrival: () => {},
+    recordLimitedCall: () => {},
     onBackendLost: () => {},
   });
 
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -47,6 +47,7 @@
     serviceMs: 10,
     isLost: false,
     isRejected: false,
+    wasSent: true,
   };
   return reduceGate(gate, event as never, nowMs);
 }
--- a/src/engine/relay/test/idle_gate_test.ts
+++ b/src/engine/relay/test/idle_gate_test.ts
@@ -94,6 +94,7 @@
         serviceMs: isLost ? undefined : serviceMs,
         isLost,
         isRejected: false,
+        wasSent: true,
       });
     }
   }
--- a/src/engine/relay/test/lost_answers_test.ts
+++ b/src/engine/relay/test/lost_answers_test.ts
@@ -68,6 +68,7 @@
     getObjectiveMs: () => CALL_TIMEOUT_MS,
     recordRun: () => {},
     recordArrival: () => {},
+    recordLimitedCall: () => {},
     onBackendLost: () => {},
   });
   gate.changeBackend({ ...createBackend(port), slots: SLOTS });
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -33,6 +33,43 @@
   return counts;
 }
 
+describe("a member whose backend server names a limit", () => {
+  const limited = { ...createAnnouncement("near:1"), backendInstance: "i-1" };
+  const other = createAnnouncement("other:1");
+  const notice = {
+    instance: "i-1",
+    requestsPerSecond: 8,
+    isLeaving: false,
+    saidAtMs: 0,
+  };
+
+  it("gets calls once the others are full, and some to learn of its end", () => {
+    const table = createTable(limited, other);
+    table.recordNotice("near:1", notice);
+    expect(sendCalls(table, SLOTS)).to.deep.equal({
+      "near:1": 1,
+      "other:1": SLOTS - 1,
+    });
+    expect(sendCalls(table, 16)).to.deep.equal({ "near:1": 1, "other:1": 15 });
+    expect(choose(createTable(other), 0)).to.equal("other:1");
+    // Both nodes together use half of the limit for this: 2 a second each.
+    expect(choose(table, 499)).not.to.equal(undefined);
+    expect(table.get(SERVICE, "near:1")?.probeAtMs).to.equal(500);
+  });
+
+  it("stays limited over a restart of its node, until it is replaced", () => {
+    const table = createTable(limited, other);
+    table.recordNotice("near:1", notice);
+    choose(table);
+    table.replace(SERVICE, [{ ...limited, incarnation: 2 }, other]);
+    expect(choose(table, 1)).to.equal("near:1");
+    expect(choose(table, 2), "no more than the probe").to.equal("other:1");
+    table.replace(SERVICE, [{ ...limited, backendInstance: "i-2" }]);
+    table.put(other);
+    expect(sendCalls(table, 10)).to.deep.equal({ "near:1": 5, "other:1": 5 });
+  });
+});
+
 describe("the choice of a member", () => {
   const near = createAnnouncement("near:1");
   const other = createAnnouncement("other:1");
--- a/src/engine/telemetry/common/explanation.ts
+++ b/src/engine/telemetry/common/explanation.ts
@@ -29,6 +29,7 @@
   "DrainStarted",
   "IncarnationRenewed",
   "LinkLost",
+  "MemberNoticeChanged",
   "ProcessStarted",
   "ProcessStopped",
   "RoutesInForce",
--- a/src/engine/telemetry/node/metrics.ts
+++ b/src/engine/telemetry/node/metrics.ts
@@ -52,6 +52,7 @@
   readonly #refusals: Counts = new Map();
   readonly #decisions: Counts = new Map();
   readonly #attempts: Counts = new Map();
+  readonly #limitedCalls: Counts = new Map();
   readonly #durations = new DurationBuckets();
   readonly #gauges: Gauge[] = [];
   #reader: Promise<MetricsReader> | undefined;
@@ -84,6 +85,12 @@
     incrementCount(this.#attempts, key, () => ({ service, cause }));
   }
 
+  /** Counts a call at a gate whose backend server names a limit, by outcome. */
+  countLimitedCall(service: string, outcome: string): void {
+    const key = `${service} ${outcome}`;
+    incrementCount(this.#limitedCalls, key, () => ({ service, outcome }));
+  }
+
   /** Records the time until the final answer of a call of a route. */
   recordDuration(route: string, durationMs: number): void {
     this.#durations.record(route, durationMs);
@@ -148,6 +155,11 @@
         description: "Calls sent to a service, by cause; not `first`: retries",
         counts: this.#attempts,
       },
+      {
+        name: "limited_calls",
+        description: "Calls under a limit that a backend server names",
+        counts: this.#limitedCalls,
+      },
     ], this.#durations);
   }
 }
