Send nothing to a backend server that said in an answer that it leaves

Cause: the header was read by nobody; a drain was known from heartbeats alone.

Fix: the gate drains the process instance that said so, whatever it announces later, and moves waiting calls on as not run; its node announces the drain. Each entry keeps the leave itself by process instance, over lost links, restarted nodes and member lists that are sent anew, until the announcement names another instance.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -124,6 +124,7 @@
           this.#callTree.recordArrival(route, service, readSteadyMs()),
         recordLimitedCall: (service, outcome) =>
           metrics.countLimitedCall(service, outcome),
+        onBackendLeaving: () => this.changeBackend(this.#gate.backend),
         onBackendLost: () => this.#handleBackendLoss(),
       }),
     );
@@ -266,10 +267,12 @@
 
   /**
    * Applies an announcement of the backend server; undefined after its loss.
+   * One that said in an answer that it leaves drains, whatever it announces.
    */
-  changeBackend(backend: LocalBackend | undefined): void {
+  changeBackend(announced: LocalBackend | undefined): void {
     const previous = this.#gate.backend;
-    this.#gate.changeBackend(backend);
+    this.#gate.changeBackend(announced);
+    const { backend } = this.#gate;
     const current = this.#control.announcement;
     const service = backend?.service ?? current.service;
     const isDraining = this.#isStopping || backend === undefined ||
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -436,7 +436,12 @@
  */
 function applyNotice(state: GateState, nowMs: number): readonly GateEffect[] {
   const { backend } = state;
-  updateBucket(state, getNotice(state)?.requestsPerSecond, nowMs);
+  const notice = getNotice(state);
+  updateBucket(state, notice?.requestsPerSecond, nowMs);
+  if (backend !== undefined && (notice?.isLeaving ?? false)) {
+    // Whatever its announcements say: those of a leaving one may be older.
+    state.backend = { ...backend, isDraining: true };
+  }
   if (isOpen(state)) {
     return [...runQueued(state, nowMs), ...refuseOverLimit(state, nowMs)];
   }
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -149,6 +149,18 @@
     }
   }
 
+  /**
+   * Lists the members of a service that take new calls, but for those at the
+   * addresses that a call was sent to before.
+   */
+  listOpen(service: string, tried: ReadonlySet<string>): readonly Member[] {
+    return this.list(service).filter((member) => {
+      const { isDraining, ingress } = member.announcement;
+      return !isDraining && !tried.has(ingress) &&
+        !(this.#findNotice(member)?.isLeaving ?? false);
+    });
+  }
+
   /** Finds the notice of a member's current process instance. */
   #findNotice({ announcement }: Member): BackendNotice | undefined {
     const { ingress, backendInstance } = announcement;
@@ -302,10 +314,7 @@
     service: string,
     options: Omit<ChoiceOptions, "getRateLimit" | "countNodes">,
   ): Member | undefined {
-    const { tried } = options;
-    const members = this.list(service).filter(({ announcement }) =>
-      !announcement.isDraining && !tried.has(announcement.ingress)
-    );
+    const members = this.listOpen(service, options.tried);
     const reachable = members.filter(({ announcement }) =>
       !this.#suspected.has(announcement.ingress)
     );
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -515,9 +515,7 @@
   ): NextStep {
     const { members } = this.#options;
     const { route, deadlineMs } = call.request;
-    const others = members.list(call.service).filter(({ announcement }) =>
-      !announcement.isDraining && !call.tried.has(announcement.ingress)
-    );
+    const others = members.listOpen(call.service, call.tried);
     const context = {
       nodes: members.countNodes(),
       hasDownstreamCalls: members.hasDownstreamCalls(call.service, route.name),
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -66,6 +66,8 @@
     service: string,
     outcome: LimitedOutcome,
   ) => void;
+  /** Called if the backend server said in an answer that it leaves. */
+  readonly onBackendLeaving: () => void;
   /** Called if the backend server refuses connections or was replaced. */
   readonly onBackendLost: () => void;
 }
@@ -150,7 +152,7 @@
       const { instanceId } = backend;
       const previous = notices.get(formatInstance(before));
       const next = notices.get(formatInstance(backend));
-      this.#logNoticeChanges(previous, next, { instanceId });
+      this.#reportNoticeChanges(previous, next, { instanceId });
     }
     aborted.forEach((call) => this.#fail(call, "unknown", "backend_restarted"));
   }
@@ -278,7 +280,7 @@
     const { notices } = this.#gate;
     const before = notices.get(notice.instance);
     this.#step({ type: "NoticeTold", notice });
-    this.#logNoticeChanges(before, notices.get(notice.instance), {
+    this.#reportNoticeChanges(before, notices.get(notice.instance), {
       link: linkId,
     });
   }
@@ -485,21 +487,28 @@
         receivedAtMs: readClock(),
       },
     });
-    this.#logNoticeChanges(before, notices.get(instance), { requestId });
+    this.#reportNoticeChanges(before, notices.get(instance), { requestId });
   }
 
-  /** Logs each change of a notice; `source` tells where it came from. */
-  #logNoticeChanges(
+  /**
+   * Logs each change of a notice, and reports a leave; `source` tells where it
+   * came from.
+   */
+  #reportNoticeChanges(
     before: BackendNotice | undefined,
     after: BackendNotice | undefined,
     source: Readonly<Record<string, string>>,
   ): void {
-    for (const change of listNoticeChanges(before, after)) {
+    const changes = listNoticeChanges(before, after);
+    for (const change of changes) {
       const service = this.#gate.backend?.service;
       this.#options.log.write(
         createNoticeLine({ change, before, after, service, source }),
       );
     }
+    if (changes.includes("leaving")) {
+      this.#options.onBackendLeaving();
+    }
   }
 
   #finish(call: GateCallState, result: BackendResult): void {
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -24,6 +24,7 @@
     recordRun,
     recordArrival: () => {},
     recordLimitedCall: () => {},
+    onBackendLeaving: () => {},
     onBackendLost: () => {},
   });
   gate.changeBackend(createBackend(port));
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -72,6 +72,7 @@
     recordRun: () => {},
     recordArrival: () => {},
     recordLimitedCall: () => {},
+    onBackendLeaving: () => {},
     onBackendLost: () => {},
   });
 
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -132,6 +132,29 @@
     expect(describeEffects(end(gate, 1))).to.deep.equal([]);
   });
 
+  it("hands nothing over once an answer said that the backend server leaves", () => {
+    const gate = openGate(1);
+    arrive(gate, createCall(1));
+    arrive(gate, createCall(2));
+    const statement = {
+      instance: "i-1",
+      limit: { type: "None" },
+      isLeaving: true,
+      handedOverAtMs: 0,
+      receivedAtMs: 5,
+    } as const;
+    const left = reduceGate(gate, { type: "StatementReceived", statement }, 5);
+    expect(describeEffects(left)).to.deep.equal(["refuse 2 draining"]);
+    reduceGate(gate, { type: "BackendChanged", backend: BACKEND }, 6);
+    expect(describeEffects(arrive(gate, createCall(3))))
+      .to.deep.equal(["refuse 3 draining"]);
+    const backend = { ...BACKEND, startedAtMs: 7 };
+    reduceGate(gate, { type: "BackendChanged", backend }, 7);
+    expect(describeEffects(end(gate, 1))).to.deep.equal([]);
+    expect(describeEffects(arrive(gate, createCall(4))))
+      .to.deep.equal(["run 4"]);
+  });
+
   it("refuses at once a call that can't finish before its deadline", () => {
     const gate = openGate(1);
     arrive(gate, createCall(1));
--- a/src/engine/relay/test/lost_answers_test.ts
+++ b/src/engine/relay/test/lost_answers_test.ts
@@ -69,6 +69,7 @@
     recordRun: () => {},
     recordArrival: () => {},
     recordLimitedCall: () => {},
+    onBackendLeaving: () => {},
     onBackendLost: () => {},
   });
   gate.changeBackend({ ...createBackend(port), slots: SLOTS });
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -70,6 +70,33 @@
   });
 });
 
+describe("a member whose backend server says that it leaves", () => {
+  const leaving = { ...createAnnouncement("near:1"), backendInstance: "i-1" };
+  const notice = {
+    instance: "i-1",
+    requestsPerSecond: undefined,
+    isLeaving: true,
+    saidAtMs: 5,
+  };
+
+  it("gets no call, whatever its node and control say of it later", () => {
+    const table = createTable(leaving);
+    table.recordNotice("near:1", notice);
+    expect(choose(table)).to.equal(undefined);
+    table.recordNotice("near:1", { ...notice, isLeaving: false, saidAtMs: 9 });
+    table.remove(SERVICE, "near:1");
+    table.replace(SERVICE, [{ ...leaving, incarnation: 2 }]);
+    expect(choose(table)).to.equal(undefined);
+  });
+
+  it("gets calls again once another process instance has replaced it", () => {
+    const table = createTable(leaving);
+    table.recordNotice("near:1", notice);
+    table.put({ ...leaving, sequence: 2, backendInstance: "i-2" });
+    expect(choose(table)).to.equal("near:1");
+  });
+});
+
 describe("the choice of a member", () => {
   const near = createAnnouncement("near:1");
   const other = createAnnouncement("other:1");
