Let the soak's backend servers name limits and leave, and check both rules

In series with the stops, kills, freezes and changes; an entry is excused only by a restart or freeze of its own. In three of ten seeds all backend servers do, in the others one is spared.

--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -8,18 +8,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Random } from "../src/base/test/seeded_random.ts";
 import { formatRequest } from "../platform/standin/front_and_back.ts";
+import { BACKEND_HEADER } from "../platform/standin/standin_backend.ts";
+import type { ObservedCall } from "../platform/standin/statement_rules.ts";
 
 /** The result of one request, as its caller observed it. */
-export interface SoakOutcome {
-  readonly requestId: string;
-  /** `host:port` of the entry node that the request was sent to. */
-  readonly entry: string;
+export interface SoakOutcome extends ObservedCall {
   /** Whether the request is on the non-idempotent route. */
   readonly isTransfer: boolean;
-  /** Time of the monotonic clock. */
-  readonly sentAtMs: number;
-  /** Time of the monotonic clock. */
-  readonly endedAtMs: number;
   /**
    * `left`: the caller closed the connection before a complete answer; `cut`:
    * the connection was closed by the other side before a complete answer.
@@ -105,7 +100,10 @@
     endedAtMs,
     end,
     status: head === "" ? undefined : Number(head.slice(9, 12)),
-    hasSeal: /\r\nserver-seal:/i.test(head),
+    hasSeal: findHeader(head, "server-seal") !== undefined,
+    backend: findHeader(head, BACKEND_HEADER),
+    namesLimit: findHeader(head, "server-limit") !== undefined,
+    isLeaving: findHeader(head, "server-leaving") === "1",
     body: answer.slice(head.length),
   });
   if (/\r\nconnection: close/i.test(head)) {
@@ -113,6 +111,10 @@
   }
 }
 
+function findHeader(head: string, name: string): string | undefined {
+  return new RegExp(`\\r\\n${name}: *([^\\r]*)`, "i").exec(head)?.[1];
+}
+
 interface ExchangeResult {
   readonly endedAtMs: number;
   readonly end: SoakOutcome["end"];
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -15,7 +15,13 @@
   PlatformProcess,
   ProgramRole,
 } from "../platform/standin/platform_fleet.ts";
-import type { BackendRun } from "../platform/standin/standin_backend.ts";
+import type {
+  BackendRun,
+  StandinBackend,
+} from "../platform/standin/standin_backend.ts";
+import type {
+  Disturbance as EntryDisturbance,
+} from "../platform/standin/statement_rules.ts";
 
 /** The number of processes of each kind in a soak test. */
 export interface SoakSize {
@@ -61,6 +67,8 @@
   readonly members: SoakMember[] = [];
   readonly entries: PlatformNode[] = [];
   readonly stops: PlannedStop[] = [];
+  /** Restarts and freezes of entry nodes, in the order in which they ended. */
+  readonly entryDisturbances: EntryDisturbance[] = [];
   /** The newest acknowledged version of the routes; 0 before the first. */
   version = 0;
   readonly #fleet = new PlatformFleet();
@@ -73,6 +81,11 @@
     return fleet;
   }
 
+  /** The backend servers that requests run at. */
+  get backends(): readonly StandinBackend[] {
+    return this.#backends.map(({ backend }) => backend);
+  }
+
   /** Lists the requests that backend servers began to run. */
   listRuns(): readonly BackendRun[] {
     return this.#backends.flatMap(({ backend }) => backend.runs);
@@ -133,6 +146,7 @@
     process.child.kill("SIGKILL");
     await waitForExit(process.child);
     member.process = await this.#fleet.startReplacement(member.role, process);
+    this.#recordEntryDisturbance(member, startedAtMs);
     member.isBusy = false;
   }
 
@@ -199,10 +213,20 @@
     }
     member.isBusy = true;
     member.disturbedAtMs = Infinity;
+    const startMs = performance.now();
     await injectFault(member.process);
     member.disturbedAtMs = performance.now();
+    this.#recordEntryDisturbance(member, startMs);
     member.isBusy = false;
   }
+
+  #recordEntryDisturbance({ process }: SoakMember, startMs: number): void {
+    const entry = this.entries.find(({ ip }) => ip === process.ip);
+    if (entry !== undefined) {
+      const endMs = performance.now();
+      this.entryDisturbances.push({ entry: entry.callers, startMs, endMs });
+    }
+  }
 }
 
 function createRoutes(version: number): string {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -13,6 +13,7 @@
 import type { Disturbance } from "./soak_checks.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakMember, SoakSize } from "./soak_fleet.ts";
+import { listStatementViolations, playStatements } from "./soak_statements.ts";
 
 /** Parameters of a soak test. */
 export interface SoakOptions extends SoakSize {
@@ -33,6 +34,9 @@
   readonly faultsPlayed: number;
   /** Acknowledged changes of the routes. */
   readonly changes: number;
+  /** Limits that backend servers named, and leaves that they announced. */
+  readonly limits: number;
+  readonly leaves: number;
   /** Violated invariants, one line each. */
   readonly broken: readonly string[];
 }
@@ -52,6 +56,10 @@
 const MAX_FREEZE_MS = 900;
 const MAX_DOWNTIME_MS = 800;
 const MAX_FAULT_INTERVAL_MS = 900;
+/** Offset of the seeds of statements; those of callers lie below. */
+const STATEMENT_SEED_BASE = 900;
+/** Share of seeds in which one backend server makes no statements. */
+const SPARING_RATIO = 0.7;
 
 /** Runs the soak test of one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -64,7 +72,16 @@
     recordOutcome: (outcome) => outcomes.push(outcome),
   });
   await sleep(WARM_UP_MS);
+  const createStatementRandom = (index: number) =>
+    createRandom(options.seed * 1_000 + STATEMENT_SEED_BASE + index);
+  const spared = createStatementRandom(-1)() < SPARING_RATIO ? 1 : 0;
+  const statements = playStatements(
+    fleet.backends.slice(spared),
+    createStatementRandom,
+    performance.now() + options.lengthMs,
+  );
   const injected = await injectFaults(fleet, random, options);
+  const said = await statements;
   await sleep(RECOVERY_MS);
   const broken = [...await listUnrecovered(fleet, outcomes)];
   isStopped = true;
@@ -75,12 +92,18 @@
     stops: fleet.stops,
     disturbances: injected.disturbances,
   }));
+  broken.push(...listStatementViolations(said, fleet.backends, {
+    calls: outcomes,
+    disturbances: fleet.entryDisturbances,
+  }));
   return {
     seed: options.seed,
     requests: outcomes.length,
     answered: outcomes.filter(({ status }) => status === 200).length,
     faultsPlayed: injected.count,
     changes: injected.changes,
+    limits: said.limits.length,
+    leaves: said.leaves.length,
     broken,
   };
 }
