--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -9,10 +9,12 @@
 import { readBothClocks, readSteadyMs } from "../base/node/steady_clock.ts";
 import { MeshClient } from "../engine/mesh/node/mesh_client.ts";
 import { MeshServer } from "../engine/mesh/node/mesh_server.ts";
-import { formatInstance } from "../engine/relay/common/backend_notice.ts";
 import type { CallDialect } from "../engine/relay/common/dialect.ts";
-import { isSameProcessInstance } from "../engine/relay/common/gate.ts";
-import type { LocalBackend } from "../engine/relay/common/gate.ts";
+import {
+  formatInstance,
+  isSameProcessInstance,
+} from "../engine/relay/common/local_backend.ts";
+import type { LocalBackend } from "../engine/relay/common/local_backend.ts";
 import { MemberTable } from "../engine/relay/common/member_table.ts";
 import { CallerServer } from "../engine/relay/node/caller_server.ts";
 import { EntryCalls } from "../engine/relay/node/entry_calls.ts";
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -5,7 +5,7 @@
   LoadFigures,
 } from "../engine/mesh/common/frames.ts";
 import type { BudgetCounts } from "../engine/relay/common/entry_budget.ts";
-import type { LocalBackend } from "../engine/relay/common/gate.ts";
+import type { LocalBackend } from "../engine/relay/common/local_backend.ts";
 import type { WorkspaceShare } from "../engine/workspaces/common/quota_shares.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type { OperatorRoute } from "./operator_server.ts";
--- a/src/engine/relay/common/backend_notice.ts
+++ b/src/engine/relay/common/backend_notice.ts
@@ -4,7 +4,6 @@
  * one process instance.
  */
 import type { BackendNotice } from "../../mesh/common/frames.ts";
-import type { LocalBackend } from "./gate.ts";
 
 /** The limit on the request rate that the head of one answer names. */
 export type NamedLimit =
@@ -33,15 +32,6 @@
   readonly receivedAtMs: number;
 }
 
-/** Formats the identity of a process instance; equal for the same one only. */
-export function formatInstance(
-  { instanceId, startedAtMs }: Pick<LocalBackend, "instanceId" | "startedAtMs">,
-): string {
-  return startedAtMs === undefined
-    ? instanceId
-    : `${instanceId} ${startedAtMs}`;
-}
-
 /**
  * Applies a statement of the instance that `current` is about, or of the first
  * one that says anything; undefined if nothing was ever said.
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -1,6 +1,6 @@
 /** Log lines of a call at its entry: each decision with its inputs. */
 import type { BackendNotice, FailureKind } from "../../mesh/common/frames.ts";
-import type { NoticeChange } from "./backend_notice.ts";
+import { listNoticeChanges } from "./backend_notice.ts";
 import type { EntryCall } from "./entry_call.ts";
 import type { BudgetCounts } from "./entry_budget.ts";
 import type { EntryFailure, RetryCause } from "./entry_types.ts";
@@ -101,25 +101,22 @@
   };
 }
 
-/** Creates the line of a change in what a member's backend server says. */
-export function createMemberNoticeLine(
-  { change, before, after, address }: {
-    readonly change: NoticeChange;
-    readonly before: BackendNotice | undefined;
-    readonly after: BackendNotice | undefined;
-    /** Address of the member's node, which passed the notice on. */
-    readonly address: string;
-  },
-): RelayLine {
-  return {
+/** Creates a line for each change in what a member's backend server says. */
+export function createMemberNoticeLines(
+  /** Address of the member's node, which passed the notice on. */
+  member: string,
+  before: BackendNotice | undefined,
+  after: BackendNotice | undefined,
+): readonly RelayLine[] {
+  return listNoticeChanges(before, after).map((change) => ({
     event: "MemberNoticeChanged",
     isFailure: false,
-    member: address,
+    member,
     instance: after?.instance,
     previousInstance: before?.instance,
     reason: change,
     requestsPerSecond: after?.requestsPerSecond,
     previousPerSecond: before?.requestsPerSecond,
     isLeaving: after?.isLeaving ?? false,
-  };
+  }));
 }
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -4,9 +4,8 @@
  * gate's limits apply to all callers. The reducer updates its state in place:
  * it runs for each call, and nothing else keeps a reference to the state.
  */
-import type { BackendNotice, LoadFigures } from "../../mesh/common/frames.ts";
+import type { BackendNotice } from "../../mesh/common/frames.ts";
 import {
-  createPressure,
   recordLostRequest,
   recordRejection,
   recordRequest,
@@ -14,45 +13,30 @@
 } from "../../admission/common/overload_pressure.ts";
 import {
   applyStatement,
-  formatInstance,
   listNoticeChanges,
   mergeNotices,
 } from "./backend_notice.ts";
-import type { ReceivedStatement } from "./backend_notice.ts";
+import type { NoticeChange, ReceivedStatement } from "./backend_notice.ts";
 import { findVictim, insertCall } from "./gate_queue.ts";
 import type { GateCall } from "./gate_queue.ts";
-import type { PressureState } from "../../admission/common/overload_pressure.ts";
+import {
+  computeCapacity,
+  computeLimit,
+  computeRetryAfterMs,
+  DEFAULT_SERVICE_MS,
+  getNotice,
+  isOpen,
+} from "./gate_state.ts";
+import type { GateState } from "./gate_state.ts";
+import { isSameProcessInstance } from "./local_backend.ts";
+import type { LocalBackend } from "./local_backend.ts";
 import {
   changeRate,
-  computeTokenRate,
   createTokenBucket,
   estimateTokenWaitMs,
   putBackToken,
   tryTakeToken,
 } from "./token_bucket.ts";
-import type { TokenBucket } from "./token_bucket.ts";
-
-/** The backend server of this node, as it announced itself. */
-export interface LocalBackend {
-  readonly instanceId: string;
-  /**
-   * Wall-clock time of its start, in milliseconds. It tells process instances
-   * apart: a restarted backend server may keep its `instanceId`, but no longer
-   * runs its earlier calls. Undefined if the backend server doesn't report it.
-   */
-  readonly startedAtMs: number | undefined;
-  readonly service: string;
-  readonly address: string;
-  readonly dataCentre: string;
-  /** Number of requests that it can run at the same time. */
-  readonly slots: number;
-  readonly isDraining: boolean;
-  /**
-   * End of the slow phase after its start, in milliseconds by this node's steady
-   * clock. The name is part of the body of `GET /status`.
-   */
-  readonly warmUntilMs: number;
-}
 
 /** Input of the gate's reducer. */
 export type GateEvent =
@@ -81,11 +65,24 @@
   | {
     readonly type: "StatementReceived";
     readonly statement: ReceivedStatement;
+    readonly source: NoticeSource;
   }
   /** An entry tells what it knows of the backend server of this node. */
-  | { readonly type: "NoticeTold"; readonly notice: BackendNotice }
+  | {
+    readonly type: "NoticeTold";
+    readonly notice: BackendNotice;
+    readonly source: NoticeSource;
+  }
   | { readonly type: "Ticked" };
 
+/** Where a notice came from, for the log. */
+export interface NoticeSource {
+  /** Request that was answered. */
+  readonly requestId?: string;
+  /** Link of the entry that told it. */
+  readonly link?: string;
+}
+
 /** Why a call is refused before the backend server receives it. */
 export type GateRefusal =
   | "no_backend"
@@ -109,73 +106,22 @@
     readonly id: number;
     readonly reason: GateRefusal;
     readonly retryAfterMs: number;
+  }
+  /** What is known of the backend server has changed. */
+  | {
+    readonly type: "NoticeChanged";
+    readonly changes: readonly NoticeChange[];
+    readonly before: BackendNotice | undefined;
+    readonly after: BackendNotice | undefined;
+    readonly source: NoticeSource;
   };
 
-/** Service time of one route. */
-interface ServiceTime {
-  /** Smoothed mean. */
-  meanMs: number;
-}
-
-/** State of the gate; only its reducer changes it. */
-export interface GateState {
-  backend: LocalBackend | undefined;
-  /** Calls that occupy a slot. */
-  running: number;
-  /** Waiting calls, in the order in which they will run. */
-  readonly queue: GateCall[];
-  /** Service times by route. */
-  readonly serviceTimes: Map<string, ServiceTime>;
-  /** Smoothed service time over all routes; 0 before the first sample. */
-  meanServiceMs: number;
-  /** Smoothed time between two completions while calls are waiting. */
-  completionGapMs: number;
-  /** Time of the last completion. */
-  lastCompletionMs: number;
-  /** How strongly entries refuse root requests because of this gate. */
-  readonly pressure: PressureState;
-  /** Notices by process instance, in the order of their first statement. */
-  readonly notices: Map<string, BackendNotice>;
-  /** Rate limit of the current process instance; undefined if it names none. */
-  bucket: TokenBucket | undefined;
-}
-
 /** Notices that are kept; more than instances that follow each other quickly. */
 const MAX_NOTICES = 8;
-/**
- * Share of the slots that is used. Some backend servers slow down by a third
- * once the last twentieth is in use: with 15 slots, 14 concurrent requests give
- * a higher throughput than 15.
- */
-const USABLE_SLOT_RATIO = 0.95;
 /** Weight of a new sample in the smoothed service time over all routes. */
 const MEAN_SERVICE_GAIN = 0.02;
 /** The same in a route's service time and in the completion gap. */
 const SAMPLE_GAIN = 0.1;
-/** Assumed service time of a route without a sample. */
-const DEFAULT_SERVICE_MS = 20;
-const MIN_RETRY_AFTER_MS = 50;
-const MAX_RETRY_AFTER_MS = 2_000;
-/** The same where a rate limit makes the caller wait. */
-const MAX_LIMITED_RETRY_AFTER_MS = 10_000;
-/** Lowest capacity that is reported of a backend server that takes requests. */
-const MIN_CAPACITY = 0.01;
-
-/** Creates the gate of a node whose backend server has not announced itself. */
-export function createGate(): GateState {
-  return {
-    backend: undefined,
-    running: 0,
-    queue: [],
-    serviceTimes: new Map(),
-    meanServiceMs: 0,
-    completionGapMs: 0,
-    lastCompletionMs: 0,
-    pressure: createPressure(0),
-    notices: new Map(),
-    bucket: undefined,
-  };
-}
 
 /** Applies an event to the gate; returns the resulting decisions in order. */
 export function reduceGate(
@@ -200,89 +146,17 @@
     case "BackendChanged":
       return changeBackend(state, event.backend, nowMs);
     case "StatementReceived":
-      return recordStatement(state, event.statement, nowMs);
+      return recordStatement(state, event, nowMs);
     case "NoticeTold": {
-      const { notice } = event;
+      const { notice, source } = event;
       const before = state.notices.get(notice.instance);
-      return putNotice(state, mergeNotices(before, notice), nowMs);
+      return putNotice(state, mergeNotices(before, notice), source, nowMs);
     }
     case "Ticked":
       return tick(state, nowMs);
   }
 }
 
-/** Whether two announcements are of the same process instance. */
-export function isSameProcessInstance(
-  a: LocalBackend | undefined,
-  b: LocalBackend | undefined,
-): boolean {
-  return a?.instanceId === b?.instanceId && a?.startedAtMs === b?.startedAtMs;
-}
-
-/** Gets the notice of the current process instance; undefined if it said none. */
-export function getNotice(state: GateState): BackendNotice | undefined {
-  return state.backend === undefined
-    ? undefined
-    : state.notices.get(formatInstance(state.backend));
-}
-
-/** Whether calls may be handed over to the backend server. */
-export function isOpen(state: GateState): boolean {
-  return state.backend !== undefined && !state.backend.isDraining;
-}
-
-/** Computes how many calls may run at the same time. */
-export function computeLimit(state: GateState): number {
-  const { backend } = state;
-  return backend === undefined || backend.isDraining
-    ? 0
-    : Math.max(1, Math.floor(backend.slots * USABLE_SLOT_RATIO));
-}
-
-/**
- * Computes how many calls run at a time when the gate hands over as many as it
- * may. Under a rate limit that is a fraction of the limit on running calls.
- */
-export function computeCapacity(state: GateState): number {
-  const limit = computeLimit(state);
-  const { bucket, meanServiceMs } = state;
-  if (limit === 0 || bucket === undefined) {
-    return limit;
-  }
-  const serviceMs = meanServiceMs === 0 ? DEFAULT_SERVICE_MS : meanServiceMs;
-  const limited = computeTokenRate(bucket) * serviceMs / 1_000;
-  return Math.min(limit, Math.max(MIN_CAPACITY, limited));
-}
-
-/** Creates the load figures that are sent to callers. */
-export function createLoadFigures(state: GateState): LoadFigures {
-  return {
-    running: state.running,
-    queued: state.queue.length,
-    limit: computeCapacity(state),
-    pressure: state.pressure.pressure,
-    serviceMs: state.meanServiceMs,
-    notice: getNotice(state),
-  };
-}
-
-/** Estimates when a refused caller would find a free slot. */
-export function computeRetryAfterMs(state: GateState, nowMs: number): number {
-  const { queue, bucket } = state;
-  const slotWaitMs = (queue.length + 1) * Math.max(1, state.completionGapMs);
-  const waitMs = Math.max(
-    MIN_RETRY_AFTER_MS,
-    Math.min(MAX_RETRY_AFTER_MS, slotWaitMs),
-  );
-  return bucket === undefined ? waitMs : Math.max(
-    waitMs,
-    Math.min(
-      MAX_LIMITED_RETRY_AFTER_MS,
-      estimateTokenWaitMs(bucket, queue.length, nowMs),
-    ),
-  );
-}
-
 function admitCall(
   state: GateState,
   call: GateCall,
@@ -423,11 +297,15 @@
   backend: LocalBackend | undefined,
   nowMs: number,
 ): readonly GateEffect[] {
+  const before = getNotice(state);
   if (!isSameProcessInstance(state.backend, backend)) {
     state.bucket = undefined;
   }
   state.backend = backend;
-  return applyNotice(state, nowMs);
+  const effects = applyNotice(state, nowMs);
+  return backend === undefined
+    ? effects
+    : [...effects, ...createNoticeChanged(before, getNotice(state), {})];
 }
 
 /**
@@ -466,18 +344,19 @@
 
 function recordStatement(
   state: GateState,
-  statement: ReceivedStatement,
+  { statement, source }: Extract<GateEvent, { type: "StatementReceived" }>,
   nowMs: number,
 ): readonly GateEffect[] {
   const before = state.notices.get(statement.instance);
   const after = applyStatement(before, statement);
-  return after === undefined ? [] : putNotice(state, after, nowMs);
+  return after === undefined ? [] : putNotice(state, after, source, nowMs);
 }
 
 /** Stores a notice; applies it if it is about the current process instance. */
 function putNotice(
   state: GateState,
   notice: BackendNotice,
+  source: NoticeSource,
   nowMs: number,
 ): readonly GateEffect[] {
   const { notices } = state;
@@ -486,9 +365,22 @@
   for (const instance of [...notices.keys()].slice(0, -MAX_NOTICES)) {
     notices.delete(instance);
   }
-  const isApplied = getNotice(state) === notice &&
-    listNoticeChanges(before, notice).length > 0;
-  return isApplied ? applyNotice(state, nowMs) : [];
+  const changed = createNoticeChanged(before, notice, source);
+  return changed.length > 0 && getNotice(state) === notice
+    ? [...applyNotice(state, nowMs), ...changed]
+    : changed;
+}
+
+/** Creates the effect of a changed notice; none if only the time changed. */
+function createNoticeChanged(
+  before: BackendNotice | undefined,
+  after: BackendNotice | undefined,
+  source: NoticeSource,
+): readonly GateEffect[] {
+  const changes = listNoticeChanges(before, after);
+  return changes.length === 0
+    ? []
+    : [{ type: "NoticeChanged", changes, before, after, source }];
 }
 
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
--- a/src/engine/relay/common/gate_lines.ts
+++ b/src/engine/relay/common/gate_lines.ts
@@ -1,10 +1,6 @@
 /** Log lines of a call at the gate: each decision with its inputs. */
-import type {
-  BackendNotice,
-  FailureKind,
-  LoadFigures,
-} from "../../mesh/common/frames.ts";
-import type { NoticeChange } from "./backend_notice.ts";
+import type { FailureKind, LoadFigures } from "../../mesh/common/frames.ts";
+import type { GateEffect } from "./gate.ts";
 import type { GateCallState } from "./gate_call_index.ts";
 import type { RelayLine } from "./relay_log.ts";
 
@@ -76,18 +72,13 @@
   };
 }
 
-/** Creates the line of a change in what a backend server says of itself. */
-export function createNoticeLine(
-  { change, before, after, service, source }: {
-    readonly change: NoticeChange;
-    readonly before: BackendNotice | undefined;
-    readonly after: BackendNotice | undefined;
-    readonly service: string | undefined;
-    /** Where the notice came from, such as the request that was answered. */
-    readonly source: Readonly<Record<string, string>>;
-  },
-): RelayLine {
-  return {
+/** Creates a line for each change in what a backend server says of itself. */
+export function createNoticeLines(
+  effect: Extract<GateEffect, { type: "NoticeChanged" }>,
+  service: string | undefined,
+): readonly RelayLine[] {
+  const { changes, before, after, source } = effect;
+  return changes.map((change) => ({
     event: "BackendNoticeChanged",
     isFailure: false,
     ...source,
@@ -97,5 +88,5 @@
     requestsPerSecond: after?.requestsPerSecond,
     previousPerSecond: before?.requestsPerSecond,
     isLeaving: after?.isLeaving ?? false,
-  };
+  }));
 }
--- a/src/engine/relay/common/gate_load_log.ts
+++ b/src/engine/relay/common/gate_load_log.ts
@@ -4,8 +4,8 @@
  * of the overload control, refusals at the limit are not, and the lines of
  * single calls don't distinguish the two.
  */
-import { computeLimit } from "./gate.ts";
-import type { GateState } from "./gate.ts";
+import { computeLimit } from "./gate_state.ts";
+import type { GateState } from "./gate_state.ts";
 import type { RelayLine } from "./relay_log.ts";
 
 /** Pressure changes noticeably within about a second. */
--- /dev/null
+++ b/src/engine/relay/common/gate_state.ts
@@ -0,0 +1,133 @@
+/** State of the admission gate, and the figures that follow from it. */
+import type { BackendNotice, LoadFigures } from "../../mesh/common/frames.ts";
+import { createPressure } from "../../admission/common/overload_pressure.ts";
+import type { PressureState } from "../../admission/common/overload_pressure.ts";
+import type { GateCall } from "./gate_queue.ts";
+import { formatInstance } from "./local_backend.ts";
+import type { LocalBackend } from "./local_backend.ts";
+import { computeTokenRate, estimateTokenWaitMs } from "./token_bucket.ts";
+import type { TokenBucket } from "./token_bucket.ts";
+
+/** Service time of one route. */
+interface ServiceTime {
+  /** Smoothed mean. */
+  meanMs: number;
+}
+
+/** State of the gate; only its reducer changes it. */
+export interface GateState {
+  backend: LocalBackend | undefined;
+  /** Calls that occupy a slot. */
+  running: number;
+  /** Waiting calls, in the order in which they will run. */
+  readonly queue: GateCall[];
+  /** Service times by route. */
+  readonly serviceTimes: Map<string, ServiceTime>;
+  /** Smoothed service time over all routes; 0 before the first sample. */
+  meanServiceMs: number;
+  /** Smoothed time between two completions while calls are waiting. */
+  completionGapMs: number;
+  /** Time of the last completion. */
+  lastCompletionMs: number;
+  /** How strongly entries refuse root requests because of this gate. */
+  readonly pressure: PressureState;
+  /** Notices by process instance, in the order of their first statement. */
+  readonly notices: Map<string, BackendNotice>;
+  /** Rate limit of the current process instance; undefined if it names none. */
+  bucket: TokenBucket | undefined;
+}
+
+/**
+ * Share of the slots that is used. Some backend servers slow down by a third
+ * once the last twentieth is in use: with 15 slots, 14 concurrent requests give
+ * a higher throughput than 15.
+ */
+const USABLE_SLOT_RATIO = 0.95;
+/** Assumed service time of a route without a sample. */
+export const DEFAULT_SERVICE_MS = 20;
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 2_000;
+/** The same where a rate limit makes the caller wait. */
+const MAX_LIMITED_RETRY_AFTER_MS = 10_000;
+/** Lowest capacity that is reported of a backend server that takes requests. */
+const MIN_CAPACITY = 0.01;
+
+/** Creates the gate of a node whose backend server has not announced itself. */
+export function createGate(): GateState {
+  return {
+    backend: undefined,
+    running: 0,
+    queue: [],
+    serviceTimes: new Map(),
+    meanServiceMs: 0,
+    completionGapMs: 0,
+    lastCompletionMs: 0,
+    pressure: createPressure(0),
+    notices: new Map(),
+    bucket: undefined,
+  };
+}
+
+/** Gets the notice of the current process instance; undefined if it said none. */
+export function getNotice(state: GateState): BackendNotice | undefined {
+  return state.backend === undefined
+    ? undefined
+    : state.notices.get(formatInstance(state.backend));
+}
+
+/** Whether calls may be handed over to the backend server. */
+export function isOpen(state: GateState): boolean {
+  return state.backend !== undefined && !state.backend.isDraining;
+}
+
+/** Computes how many calls may run at the same time. */
+export function computeLimit(state: GateState): number {
+  const { backend } = state;
+  return backend === undefined || backend.isDraining
+    ? 0
+    : Math.max(1, Math.floor(backend.slots * USABLE_SLOT_RATIO));
+}
+
+/**
+ * Computes how many calls run at a time when the gate hands over as many as it
+ * may. Under a rate limit that is a fraction of the limit on running calls.
+ */
+export function computeCapacity(state: GateState): number {
+  const limit = computeLimit(state);
+  const { bucket, meanServiceMs } = state;
+  if (limit === 0 || bucket === undefined) {
+    return limit;
+  }
+  const serviceMs = meanServiceMs === 0 ? DEFAULT_SERVICE_MS : meanServiceMs;
+  const limited = computeTokenRate(bucket) * serviceMs / 1_000;
+  return Math.min(limit, Math.max(MIN_CAPACITY, limited));
+}
+
+/** Creates the load figures that are sent to callers. */
+export function createLoadFigures(state: GateState): LoadFigures {
+  return {
+    running: state.running,
+    queued: state.queue.length,
+    limit: computeCapacity(state),
+    pressure: state.pressure.pressure,
+    serviceMs: state.meanServiceMs,
+    notice: getNotice(state),
+  };
+}
+
+/** Estimates when a refused caller would find a free slot. */
+export function computeRetryAfterMs(state: GateState, nowMs: number): number {
+  const { queue, bucket } = state;
+  const slotWaitMs = (queue.length + 1) * Math.max(1, state.completionGapMs);
+  const waitMs = Math.max(
+    MIN_RETRY_AFTER_MS,
+    Math.min(MAX_RETRY_AFTER_MS, slotWaitMs),
+  );
+  return bucket === undefined ? waitMs : Math.max(
+    waitMs,
+    Math.min(
+      MAX_LIMITED_RETRY_AFTER_MS,
+      estimateTokenWaitMs(bucket, queue.length, nowMs),
+    ),
+  );
+}
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -20,9 +20,8 @@
   MIN_RETRY_AFTER_MS,
 } from "../common/entry_call.ts";
 import type { EntryCall } from "../common/entry_call.ts";
-import { listNoticeChanges } from "../common/backend_notice.ts";
 import {
-  createMemberNoticeLine,
+  createMemberNoticeLines,
   createMovedLine,
   createUnansweredLine,
   createWithdrawnLine,
@@ -429,9 +428,8 @@
     const before = members.getNotice(address);
     members.recordNotice(address, load.notice);
     const after = members.getNotice(address);
-    for (const change of listNoticeChanges(before, after)) {
-      log.write(createMemberNoticeLine({ change, before, after, address }));
-    }
+    createMemberNoticeLines(address, before, after)
+      .forEach((line) => log.write(line));
   }
 
   #receiveLoad(address: string, frame: LoadReported): void {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -20,25 +20,25 @@
 import type { CallDialect } from "../common/dialect.ts";
 import { GateCallIndex } from "../common/gate_call_index.ts";
 import type { GateCallState, SendFrame } from "../common/gate_call_index.ts";
+import { reduceGate } from "../common/gate.ts";
+import type { GateEffect, GateEvent } from "../common/gate.ts";
 import {
   computeRetryAfterMs,
   createGate,
   createLoadFigures,
   getNotice,
-  isSameProcessInstance,
-  reduceGate,
-} from "../common/gate.ts";
-import type { GateEffect, GateEvent, LocalBackend } from "../common/gate.ts";
+} from "../common/gate_state.ts";
 import {
-  EMPTY_STATEMENT,
   formatInstance,
-  listNoticeChanges,
-} from "../common/backend_notice.ts";
+  isSameProcessInstance,
+} from "../common/local_backend.ts";
+import type { LocalBackend } from "../common/local_backend.ts";
+import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
 import {
   createCancelledLine,
   createFailedLine,
   createHandedOverLine,
-  createNoticeLine,
+  createNoticeLines,
 } from "../common/gate_lines.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
 import type { RelayLog } from "../common/relay_log.ts";
@@ -146,14 +146,7 @@
       before.address === backend.address &&
       !isSameProcessInstance(before, backend);
     const aborted = isReplaced ? this.#abortRunning() : [];
-    const { notices } = this.#gate;
     this.#step({ type: "BackendChanged", backend });
-    if (before !== undefined && backend !== undefined) {
-      const { instanceId } = backend;
-      const previous = notices.get(formatInstance(before));
-      const next = notices.get(formatInstance(backend));
-      this.#reportNoticeChanges(previous, next, { instanceId });
-    }
     aborted.forEach((call) => this.#fail(call, "unknown", "backend_restarted"));
   }
 
@@ -217,7 +210,10 @@
       }
       case "CallerIntroduced":
         this.#callerServices.set(linkId, frame.service);
-        this.#receiveNotice(linkId, frame.notice);
+        if (frame.notice !== undefined) {
+          const { notice } = frame;
+          this.#step({ type: "NoticeTold", notice, source: { link: linkId } });
+        }
         return;
       case "AnswerOpened":
       case "CallFailed":
@@ -269,22 +265,6 @@
     return running;
   }
 
-  /**
-   * Takes over what an entry knows of the backend server. A node that was
-   * restarted has forgotten it, and gets it before any call of that entry.
-   */
-  #receiveNotice(linkId: string, notice: BackendNotice | undefined): void {
-    if (notice === undefined) {
-      return;
-    }
-    const { notices } = this.#gate;
-    const before = notices.get(notice.instance);
-    this.#step({ type: "NoticeTold", notice });
-    this.#reportNoticeChanges(before, notices.get(notice.instance), {
-      link: linkId,
-    });
-  }
-
   #openCall(arrival: {
     readonly linkId: string;
     readonly opened: CallOpened;
@@ -355,6 +335,10 @@
   }
 
   #perform(effect: GateEffect): void {
+    if (effect.type === "NoticeChanged") {
+      this.#reportNotice(effect);
+      return;
+    }
     const call = this.#calls.get(effect.id);
     if (call === undefined) {
       return;
@@ -373,6 +357,17 @@
     }
   }
 
+  #reportNotice(
+    effect: Extract<GateEffect, { type: "NoticeChanged" }>,
+  ): void {
+    const { log, onBackendLeaving } = this.#options;
+    const service = this.#gate.backend?.service;
+    createNoticeLines(effect, service).forEach((line) => log.write(line));
+    if (effect.changes.includes("leaving")) {
+      onBackendLeaving();
+    }
+  }
+
   /** Counts a call if the backend server names a limit. */
   #countLimited(outcome: LimitedOutcome): void {
     const { backend, bucket } = this.#gate;
@@ -473,13 +468,12 @@
       const event = "BackendLimitUnreadable";
       log.write({ event, isFailure: true, instance, requestId, text });
     }
-    const { notices } = this.#gate;
-    if (notices.size === 0 && said === EMPTY_STATEMENT) {
+    if (this.#gate.notices.size === 0 && said === EMPTY_STATEMENT) {
       return;
     }
-    const before = notices.get(instance);
     this.#step({
       type: "StatementReceived",
+      source: { requestId },
       statement: {
         ...said,
         instance,
@@ -487,28 +481,6 @@
         receivedAtMs: readClock(),
       },
     });
-    this.#reportNoticeChanges(before, notices.get(instance), { requestId });
-  }
-
-  /**
-   * Logs each change of a notice, and reports a leave; `source` tells where it
-   * came from.
-   */
-  #reportNoticeChanges(
-    before: BackendNotice | undefined,
-    after: BackendNotice | undefined,
-    source: Readonly<Record<string, string>>,
-  ): void {
-    const changes = listNoticeChanges(before, after);
-    for (const change of changes) {
-      const service = this.#gate.backend?.service;
-      this.#options.log.write(
-        createNoticeLine({ change, before, after, service, source }),
-      );
-    }
-    if (changes.includes("leaving")) {
-      this.#options.onBackendLeaving();
-    }
   }
 
   #finish(call: GateCallState, result: BackendResult): void {
--- a/src/engine/relay/test/gate_fakes.ts
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -2,7 +2,7 @@
 import type { CallOpened } from "../../mesh/common/frames.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
-import type { LocalBackend } from "../common/gate.ts";
+import type { LocalBackend } from "../common/local_backend.ts";
 
 /** A dialect that adds no headers. */
 export const DIALECT: CallDialect = {
--- a/src/engine/relay/test/gate_load_log_test.ts
+++ b/src/engine/relay/test/gate_load_log_test.ts
@@ -1,6 +1,6 @@
 /** Log lines on the slots in use while the gate is under pressure. */
 import { expect } from "chai";
-import { createGate } from "../common/gate.ts";
+import { createGate } from "../common/gate_state.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
 
 describe("the log of a gate's load", () => {
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -1,7 +1,10 @@
 /** The gate of one backend server: which calls run, wait or are refused. */
 import { expect } from "chai";
-import { computeLimit, createGate, reduceGate } from "../common/gate.ts";
-import type { GateEffect, GateState, LocalBackend } from "../common/gate.ts";
+import { reduceGate } from "../common/gate.ts";
+import type { GateEffect } from "../common/gate.ts";
+import { computeLimit, createGate } from "../common/gate_state.ts";
+import type { GateState } from "../common/gate_state.ts";
+import type { LocalBackend } from "../common/local_backend.ts";
 import type { GateCall } from "../common/gate_queue.ts";
 
 const BACKEND: LocalBackend = {
@@ -53,11 +56,16 @@
 }
 
 function describeEffects(effects: readonly GateEffect[]): readonly string[] {
-  return effects.map((effect) =>
-    effect.type === "RunCall"
-      ? `run ${effect.id}`
-      : `refuse ${effect.id} ${effect.reason}`
-  );
+  return effects.map((effect) => {
+    switch (effect.type) {
+      case "RunCall":
+        return `run ${effect.id}`;
+      case "RefuseCall":
+        return `refuse ${effect.id} ${effect.reason}`;
+      case "NoticeChanged":
+        return effect.changes.join(", ");
+    }
+  });
 }
 
 describe("the gate", () => {
@@ -143,8 +151,13 @@
       handedOverAtMs: 0,
       receivedAtMs: 5,
     } as const;
-    const left = reduceGate(gate, { type: "StatementReceived", statement }, 5);
-    expect(describeEffects(left)).to.deep.equal(["refuse 2 draining"]);
+    const said = {
+      type: "StatementReceived",
+      statement,
+      source: {},
+    } as const;
+    expect(describeEffects(reduceGate(gate, said, 5)))
+      .to.deep.equal(["refuse 2 draining", "leaving"]);
     reduceGate(gate, { type: "BackendChanged", backend: BACKEND }, 6);
     expect(describeEffects(arrive(gate, createCall(3))))
       .to.deep.equal(["refuse 3 draining"]);
--- a/src/engine/relay/test/idle_gate_test.ts
+++ b/src/engine/relay/test/idle_gate_test.ts
@@ -10,8 +10,10 @@
  * and refused 740 of the most urgent requests.
  */
 import { expect } from "chai";
-import { createGate, createLoadFigures, reduceGate } from "../common/gate.ts";
-import type { GateEffect, GateEvent, GateState } from "../common/gate.ts";
+import { reduceGate } from "../common/gate.ts";
+import type { GateEffect, GateEvent } from "../common/gate.ts";
+import { createGate, createLoadFigures } from "../common/gate_state.ts";
+import type { GateState } from "../common/gate_state.ts";
 
 const TICK_MS = 20;
 const SLOTS = 60;
--- a/src/engine/relay/test/rate_limit_test.ts
+++ b/src/engine/relay/test/rate_limit_test.ts
@@ -2,13 +2,14 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import type { BackendNotice } from "../../mesh/common/frames.ts";
+import { reduceGate } from "../common/gate.ts";
+import type { GateEffect, GateEvent } from "../common/gate.ts";
 import {
   computeRetryAfterMs,
   createGate,
   createLoadFigures,
-  reduceGate,
-} from "../common/gate.ts";
-import type { GateEffect, GateEvent, GateState } from "../common/gate.ts";
+} from "../common/gate_state.ts";
+import type { GateState } from "../common/gate_state.ts";
 import { createBackend } from "./gate_fakes.ts";
 
 const BACKEND = { ...createBackend(1), slots: 24 };
@@ -58,13 +59,18 @@
           isRejected: false,
           wasSent: true,
         });
-      } else {
+      } else if (effect.type === "RefuseCall") {
         this.refused.push(effect.reason);
       }
     }
     return effects;
   }
 
+  /** Tells the gate what an entry knows of the backend server. */
+  tell(notice: BackendNotice): void {
+    this.step({ type: "NoticeTold", notice, source: {} });
+  }
+
   arrive(isNested = false): void {
     this.step({
       type: "CallArrived",
@@ -114,13 +120,13 @@
       fc.property(limits, plays, (limit, steps) => {
         const gate = new Gate();
         gate.restart();
-        gate.step({ type: "NoticeTold", notice: createNotice(limit) });
+        gate.tell(createNotice(limit));
         for (const { kind, lengthMs } of steps) {
           if (kind === "freeze") {
             gate.nowMs += lengthMs;
           } else if (kind === "restart") {
             gate.restart();
-            gate.step({ type: "NoticeTold", notice: createNotice(limit) });
+            gate.tell(createNotice(limit));
           } else {
             gate.pass(lengthMs, kind === "load" ? 5 : 0);
           }
@@ -136,7 +142,7 @@
   it("hands over as many calls as the limit allows", () => {
     const gate = new Gate();
     gate.restart();
-    gate.step({ type: "NoticeTold", notice: createNotice(12.5) });
+    gate.tell(createNotice(12.5));
     gate.pass(8_000, 1);
     expect(gate.ranAtMs.length).to.be.within(98, 102);
     expect(new Set(gate.refused)).to.deep.equal(new Set(["rate_limit"]));
@@ -145,7 +151,7 @@
   it("sends a few calls to a server that takes none, to learn that it does", () => {
     const gate = new Gate();
     gate.restart();
-    gate.step({ type: "NoticeTold", notice: createNotice(0) });
+    gate.tell(createNotice(0));
     gate.pass(10_000, 1);
     expect(gate.ranAtMs.length).to.be.within(4, 5);
   });
@@ -153,7 +159,7 @@
   it("refuses root requests whose turn comes too late, and lets calls of runs wait", () => {
     const gate = new Gate();
     gate.restart();
-    gate.step({ type: "NoticeTold", notice: createNotice(1) });
+    gate.tell(createNotice(1));
     gate.arrive();
     expect(gate.refused).to.deep.equal(["rate_limit"]);
     expect(computeRetryAfterMs(gate.state, gate.nowMs)).to.equal(1_000);
@@ -166,7 +172,8 @@
   it("gets its token back for a call of which no byte was sent", () => {
     const gate = createGate();
     reduceGate(gate, { type: "BackendChanged", backend: BACKEND }, 0);
-    reduceGate(gate, { type: "NoticeTold", notice: createNotice(1) }, 0);
+    const told = { type: "NoticeTold", source: {} } as const;
+    reduceGate(gate, { ...told, notice: createNotice(1) }, 0);
     const call = {
       id: 1,
       route: "lookup",
@@ -195,19 +202,19 @@
     const gate = new Gate();
     gate.restart();
     expect(createLoadFigures(gate.state).limit).to.equal(22);
-    gate.step({ type: "NoticeTold", notice: createNotice(12.5) });
+    gate.tell(createNotice(12.5));
     expect(createLoadFigures(gate.state).limit).to.equal(0.25);
     gate.pass(4_000, 1);
     expect(createLoadFigures(gate.state).limit).to.be.closeTo(0.1, 0.01);
     expect(createLoadFigures(gate.state).pressure).to.be.above(0);
-    gate.step({ type: "NoticeTold", notice: createNotice(undefined, 1) });
+    gate.tell(createNotice(undefined, 1));
     expect(createLoadFigures(gate.state).limit).to.equal(22);
   });
 
   it("holds it for the process instance that named it alone", () => {
     const gate = new Gate();
     gate.restart();
-    gate.step({ type: "NoticeTold", notice: createNotice(1) });
+    gate.tell(createNotice(1));
     gate.step({ type: "BackendChanged", backend: undefined });
     gate.step({ type: "BackendChanged", backend: BACKEND });
     expect(gate.state.bucket?.requestsPerSecond).to.equal(1);
