--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -161,9 +161,13 @@
     "Calls that wait for the backend server",
     ({ load }) => load.queued,
   ],
-  ["backend_limit", "Calls that may run at a time; 0 where none may", ({
-    load,
-  }) => load.limit],
+  [
+    "backend_limit",
+    "Calls that run at a time where it gets all it takes; 0 if it takes none",
+    ({
+      load,
+    }) => load.limit,
+  ],
   ["backend_pressure", "Part of roots to refuse for this backend server", ({
     load,
   }) => load.pressure],
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -34,7 +34,7 @@
   changeRate,
   createTokenBucket,
   estimateTokenWaitMs,
-  putBackToken,
+  settleToken,
   tryTakeToken,
 } from "./token_bucket.ts";
 
@@ -173,8 +173,7 @@
   if (hasTooLittleTime(state, call, nowMs)) {
     return [refuseCall(state, call.id, "deadline", nowMs)];
   }
-  if (queue.length === 0 && canRunOne(state, nowMs)) {
-    state.running += 1;
+  if (queue.length === 0 && tryReserve(state, call.id, nowMs)) {
     return [{ type: "RunCall", id: call.id, wasQueued: false }];
   }
   insertCall(queue, call);
@@ -187,11 +186,13 @@
   return [refuseCall(state, victim.id, reason, nowMs)];
 }
 
-/** Whether one more call may run; if so, its token is taken. */
-function canRunOne(state: GateState, nowMs: number): boolean {
+/** Takes a slot, and a token under a rate limit; false if one is missing. */
+function tryReserve(state: GateState, id: number, nowMs: number): boolean {
   const { bucket } = state;
-  return state.running < computeLimit(state) &&
-    (bucket === undefined || tryTakeToken(bucket, nowMs));
+  const isReserved = state.running < computeLimit(state) &&
+    (bucket === undefined || tryTakeToken(bucket, id, nowMs));
+  state.running += isReserved ? 1 : 0;
+  return isReserved;
 }
 
 /**
@@ -240,9 +241,8 @@
     if (hasTooLittleTime(state, call, nowMs)) {
       queue.shift();
       effects.push(refuseCall(state, call.id, "deadline", nowMs));
-    } else if (canRunOne(state, nowMs)) {
+    } else if (tryReserve(state, call.id, nowMs)) {
       queue.shift();
-      state.running += 1;
       effects.push({ type: "RunCall", id: call.id, wasQueued: true });
     } else {
       break;
@@ -263,9 +263,9 @@
   }
   state.lastCompletionMs = nowMs;
   state.running = Math.max(0, state.running - 1);
-  const { serviceMs, route, isLost, isRejected, wasSent } = event;
-  if (!wasSent && state.bucket !== undefined) {
-    putBackToken(state.bucket, nowMs);
+  const { serviceMs, route, isLost, isRejected } = event;
+  if (state.bucket !== undefined) {
+    settleToken(state.bucket, event, nowMs);
   }
   if (isLost) {
     recordLostRequest(state.pressure);
@@ -297,7 +297,7 @@
   backend: LocalBackend | undefined,
   nowMs: number,
 ): readonly GateEffect[] {
-  const before = getNotice(state);
+  const before = state.lastNotice;
   if (!isSameProcessInstance(state.backend, backend)) {
     state.bucket = undefined;
   }
@@ -316,9 +316,11 @@
   const { backend } = state;
   const notice = getNotice(state);
   updateBucket(state, notice?.requestsPerSecond, nowMs);
-  if (backend !== undefined && (notice?.isLeaving ?? false)) {
-    // Whatever its announcements say: those of a leaving one may be older.
-    state.backend = { ...backend, isDraining: true };
+  if (backend !== undefined) {
+    state.lastNotice = notice;
+    // Its announcements may still say that it is ready.
+    const isDraining = backend.isDraining || (notice?.isLeaving ?? false);
+    state.backend = { ...backend, isDraining };
   }
   if (isOpen(state)) {
     return [...runQueued(state, nowMs), ...refuseOverLimit(state, nowMs)];
--- a/src/engine/relay/common/gate_load_log.ts
+++ b/src/engine/relay/common/gate_load_log.ts
@@ -4,7 +4,7 @@
  * of the overload control, refusals at the limit are not, and the lines of
  * single calls don't distinguish the two.
  */
-import { computeLimit } from "./gate_state.ts";
+import { computeCapacity } from "./gate_state.ts";
 import type { GateState } from "./gate_state.ts";
 import type { RelayLine } from "./relay_log.ts";
 
@@ -51,7 +51,7 @@
       event: "GateUnderPressure",
       isFailure: false,
       service: state.backend?.service,
-      limit: computeLimit(state),
+      limit: roundToHundredths(computeCapacity(state)),
       meanRunning: roundToHundredths(this.#runningSum / this.#sampleCount),
       leastRunning: this.#minRunning,
       meanQueued: roundToHundredths(this.#queuedSum / this.#sampleCount),
--- a/src/engine/relay/common/gate_state.ts
+++ b/src/engine/relay/common/gate_state.ts
@@ -33,6 +33,8 @@
   readonly pressure: PressureState;
   /** Notices by process instance, in the order of their first statement. */
   readonly notices: Map<string, BackendNotice>;
+  /** Notice of the process instance that was announced last, if it has one. */
+  lastNotice: BackendNotice | undefined;
   /** Rate limit of the current process instance; undefined if it names none. */
   bucket: TokenBucket | undefined;
 }
@@ -64,6 +66,7 @@
     lastCompletionMs: 0,
     pressure: createPressure(0),
     notices: new Map(),
+    lastNotice: undefined,
     bucket: undefined,
   };
 }
--- a/src/engine/relay/common/token_bucket.ts
+++ b/src/engine/relay/common/token_bucket.ts
@@ -13,6 +13,8 @@
   tokens: number;
   /** When `tokens` was computed, in milliseconds. */
   updatedAtMs: number;
+  /** Ids of the calls in progress that hold a token of this bucket. */
+  readonly holders: Set<number>;
 }
 
 /** Tokens that gather while nothing is sent, in seconds of the rate. */
@@ -28,7 +30,12 @@
   requestsPerSecond: number,
   nowMs: number,
 ): TokenBucket {
-  return { requestsPerSecond, tokens: 0, updatedAtMs: nowMs };
+  return {
+    requestsPerSecond,
+    tokens: 0,
+    updatedAtMs: nowMs,
+    holders: new Set(),
+  };
 }
 
 /** Changes the rate; tokens beyond the new burst are lost. */
@@ -42,20 +49,31 @@
   bucket.tokens = Math.min(bucket.tokens, computeBurst(bucket));
 }
 
-/** Takes a token for one request; false if there is none. */
-export function tryTakeToken(bucket: TokenBucket, nowMs: number): boolean {
+/** Takes a token for a call; false if there is none. */
+export function tryTakeToken(
+  bucket: TokenBucket,
+  id: number,
+  nowMs: number,
+): boolean {
   updateTokens(bucket, nowMs);
   if (bucket.tokens < 1) {
     return false;
   }
   bucket.tokens -= 1;
+  bucket.holders.add(id);
   return true;
 }
 
-/** Puts back the token of a request of which no byte was sent. */
-export function putBackToken(bucket: TokenBucket, nowMs: number): void {
-  updateTokens(bucket, nowMs);
-  bucket.tokens = Math.min(computeBurst(bucket), bucket.tokens + 1);
+/** Ends a call; puts back its token if no byte of it was sent. */
+export function settleToken(
+  bucket: TokenBucket,
+  { id, wasSent }: { readonly id: number; readonly wasSent: boolean },
+  nowMs: number,
+): void {
+  if (bucket.holders.delete(id) && !wasSent) {
+    updateTokens(bucket, nowMs);
+    bucket.tokens = Math.min(computeBurst(bucket), bucket.tokens + 1);
+  }
 }
 
 /**
--- a/src/engine/relay/test/rate_limit_test.ts
+++ b/src/engine/relay/test/rate_limit_test.ts
@@ -185,16 +185,18 @@
     };
     reduceGate(gate, { type: "CallArrived", call }, 2_000);
     expect(gate.bucket?.tokens).to.equal(0);
-    const ended = {
+    const neverHeld = {
       type: "CallEnded",
-      id: 1,
+      id: 2,
       route: "lookup",
       serviceMs: undefined,
       isLost: false,
       isRejected: false,
       wasSent: false,
     } as const;
-    reduceGate(gate, ended, 2_000);
+    reduceGate(gate, neverHeld, 2_000);
+    expect(gate.bucket?.tokens).to.equal(0);
+    reduceGate(gate, { ...neverHeld, id: 1 }, 2_000);
     expect(gate.bucket?.tokens).to.equal(1);
   });
 
@@ -218,8 +220,11 @@
     gate.step({ type: "BackendChanged", backend: undefined });
     gate.step({ type: "BackendChanged", backend: BACKEND });
     expect(gate.state.bucket?.requestsPerSecond).to.equal(1);
+    gate.step({ type: "BackendChanged", backend: undefined });
     const backend = { ...BACKEND, startedAtMs: 5 };
-    gate.step({ type: "BackendChanged", backend });
+    const effects = gate.step({ type: "BackendChanged", backend });
     expect(gate.state.bucket).to.equal(undefined);
+    expect(effects.map((effect) => "changes" in effect && effect.changes))
+      .to.deep.equal([["forgotten"]]);
   });
 });
