--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -19,9 +19,7 @@
   BackendRun,
   StandinBackend,
 } from "../platform/standin/standin_backend.ts";
-import type {
-  Disturbance as EntryDisturbance,
-} from "../platform/standin/statement_rules.ts";
+import type { EntryDisturbance } from "../platform/standin/statement_rules.ts";
 
 /** The number of processes of each kind in a soak test. */
 export interface SoakSize {
