Never push out the notice of the current process instance

What callers would see: nothing; a backend server could get more than it takes. A gate keeps eight notices and dropped the oldest by first statement, so that nine other instances that entries tell of at one address pushed out the current one's.

Fix: the oldest of the others is dropped. The new test of rate_limit_test (20 former instances told) fails without it: 9 passed, 1 failed; with it 136 of 136 tests of relay pass.

--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -381,8 +381,10 @@
   const { notices } = state;
   const before = notices.get(notice.instance);
   notices.set(notice.instance, notice);
-  for (const instance of [...notices.keys()].slice(0, -MAX_NOTICES)) {
-    notices.delete(instance);
+  if (notices.size > MAX_NOTICES) {
+    const current = getNotice(state)?.instance;
+    const oldest = [...notices.keys()].find((other) => other !== current);
+    notices.delete(oldest!);
   }
   const changed = createNoticeChanged(before, notice, source);
   return changed.length > 0 && getNotice(state) === notice
--- a/src/engine/relay/test/rate_limit_test.ts
+++ b/src/engine/relay/test/rate_limit_test.ts
@@ -169,6 +169,18 @@
     expect(gate.ranAtMs).to.have.length(1);
   });
 
+  // Guards against a limit that is pushed out by those of former instances.
+  it("keeps it however many other instances it is told of", () => {
+    const gate = new Gate();
+    gate.restart();
+    gate.tell(createNotice(1));
+    for (let n = 0; n < 20; n += 1) {
+      gate.tell({ ...createNotice(5), instance: `former-${n}` });
+    }
+    expect(gate.state.bucket?.requestsPerSecond).to.equal(1);
+    expect(createLoadFigures(gate.state).notice?.requestsPerSecond).to.equal(1);
+  });
+
   it("gives the oldest runs their turns first", () => {
     const gate = createGate();
     reduceGate(gate, { type: "BackendChanged", backend: BACKEND }, 0);
