--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,10 +1,12 @@
 /**
  * Runs soak tests from the command line, one per seed:
  * `node out/soak/main.js --seeds 50 --first 1`. With `--tree`, runs the soak
- * test of a call tree.
+ * test of a call tree, with `--crashes` that of requests that end the backend
+ * servers that run them.
  */
 import process from "node:process";
 import { Command } from "commander";
+import { runCrashSoak } from "./crash_soak.ts";
 import { runSoak, SHORT_SOAK } from "./soak_run.ts";
 import { runTreeSoak, SHORT_TREE_SOAK } from "./tree_soak.ts";
 
@@ -17,6 +19,7 @@
   .option("--seconds <count>", "duration of fault injection", "12")
   .option("--overlapping <count>", "maximum number of concurrent faults", "2")
   .option("--tree", "run the soak test of a call tree")
+  .option("--crashes", "run the soak test of requests that end servers")
   .option(
     "--nodes <count>",
     "nodes per service, with --tree",
@@ -37,7 +40,12 @@
     lengthMs: Number(options["seconds"]) * 1_000,
     overlapping: Number(options["overlapping"]),
   };
-  const report = options["tree"] === undefined
+  const report = options["crashes"] !== undefined
+    ? await runCrashSoak({
+      ...common,
+      workers: Number(options["backends"]) + 1,
+    })
+    : options["tree"] === undefined
     ? await runSoak({
       ...common,
       entries: Number(options["entries"]),
--- a/soak/test/soak_test.ts
+++ b/soak/test/soak_test.ts
@@ -1,5 +1,6 @@
 /** Short soak tests with fixed seeds; longer ones run from the command line. */
 import { expect } from "chai";
+import { runCrashSoak, SHORT_CRASH_SOAK } from "../crash_soak.ts";
 import { runSoak, SHORT_SOAK } from "../soak_run.ts";
 import { runTreeSoak, SHORT_TREE_SOAK } from "../tree_soak.ts";
 
@@ -9,6 +10,7 @@
  * count as repeats at every service downstream.
  */
 const TREE_SEEDS = [2, 3];
+const CRASH_SEEDS = [1];
 const TEST_TIMEOUT_MS = 90_000;
 
 describe("a short soak", () => {
@@ -34,3 +36,15 @@
     }).timeout(TEST_TIMEOUT_MS);
   }
 });
+
+describe("a short soak of requests that end backend servers", () => {
+  for (const seed of CRASH_SEEDS) {
+    // Guards against such requests that run on, and others that pay for them,
+    // when processes are killed and frozen and servers end from outside.
+    it(`stops them and serves the others: seed ${seed}`, async () => {
+      const report = await runCrashSoak({ ...SHORT_CRASH_SOAK, seed });
+      expect(report.broken).to.deep.equal([]);
+      expect(report.answered).to.be.above(0);
+    }).timeout(TEST_TIMEOUT_MS);
+  }
+});
--- a/src/engine/call/node/backend_probe.ts
+++ b/src/base/node/backend_probe.ts
@@ -1,6 +1,6 @@
 /** Probes whether a backend server accepts connections. */
 import { connect } from "node:net";
-import { parseAddress } from "../../../base/node/listen.ts";
+import { parseAddress } from "./listen.ts";
 
 const PROBE_TIMEOUT_MS = 500;
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { readUserName } from "./command_context.ts";
 import { registerDrain } from "./commands/drain.ts";
 import { registerExplain } from "./commands/explain.ts";
+import { registerQuarantine } from "./commands/quarantine.ts";
 import { registerStatus } from "./commands/status.ts";
 import { registerTable } from "./commands/table.ts";
 import { registerTimeline } from "./commands/timeline.ts";
@@ -43,5 +44,6 @@
 registerTrace(program);
 registerExplain(program);
 registerWorkspaces(program);
+registerQuarantine(program);
 
 await program.parseAsync();
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -17,6 +17,10 @@
   ReplicaEvent,
   ReplicaState,
 } from "../engine/control/common/replica_reducer.ts";
+import {
+  createOrderCommand,
+  listCrashRows,
+} from "../engine/control/common/crash_records.ts";
 import { listHolders } from "../engine/control/common/holders.ts";
 import type { ReplicationOptions } from "../engine/control/common/replication_reducer.ts";
 import { isClusterMessage } from "../engine/link/common/cluster_messages.ts";
@@ -49,6 +53,7 @@
   OperatorRequest,
   OperatorRoute,
 } from "./operator_server.ts";
+import { parseQuarantineOrder } from "./quarantine_body.ts";
 import { ReplicaDisk } from "./replica_disk.ts";
 import { reportSecurity } from "./security.ts";
 import type { Security } from "./security.ts";
@@ -300,6 +305,8 @@
       ],
       ["POST /table/edits", (request) => this.#requests.handleEdit(request)],
       ["POST /drain", (request) => this.#requestDrain(request)],
+      ["GET /quarantine", () => this.#listQuarantine()],
+      ["POST /quarantine", (request) => this.#orderQuarantine(request)],
     ]);
     return new OperatorServer({
       address: parseAddress(this.#settings.listen.operator)!,
@@ -327,6 +334,30 @@
     return { status: 202, body: { nodeId, isDraining: true } };
   }
 
+  #listQuarantine(): OperatorAnswer {
+    const { crashes } = this.#loop.state.replication;
+    return { status: 200, body: listCrashRows(crashes, readSteadyMs()) };
+  }
+
+  #orderQuarantine({ body, operator }: OperatorRequest): OperatorAnswer {
+    const order = parseQuarantineOrder(body);
+    if (order.isErr()) {
+      return { status: 400, body: { message: order.error } };
+    }
+    const { crashes } = this.#loop.state.replication;
+    const context = { operator, nowMs: readSteadyMs() };
+    const command = createOrderCommand(crashes, order.value, context);
+    if (command === undefined) {
+      const { service, fingerprint } = order.value;
+      const message = `No evidence against ${JSON.stringify(fingerprint)} in ` +
+        `service ${JSON.stringify(service)}; see basilpin quarantine list`;
+      return { status: 404, body: { message } };
+    }
+    this.#telemetry.log.info({ ...order.value, operator }, "QuarantineOrdered");
+    this.#loop.dispatch({ type: "CrashReportReceived", command });
+    return { status: 202, body: order.value };
+  }
+
   #createStatus() {
     const { control, replication } = this.#loop.state;
     const nowMs = readSteadyMs();
@@ -348,6 +379,14 @@
       "Version of the table",
       () => readState().replication.tableState.table.version,
     );
+    metrics.addLabelledGauge("recorded_requests", {
+      description: "Requests with evidence that they end backend servers",
+      label: "service",
+      read: () =>
+        [...readState().replication.crashes].map(([service, record]) =>
+          [service, record.size] as const
+        ),
+    });
     metrics.addGauge(
       "members",
       "Nodes whose lease runs",
--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -4,6 +4,7 @@
   ControlMessage,
   NodeMessage,
 } from "../engine/link/common/link_messages.ts";
+import type { CrashKnowledge } from "../engine/quarantine/common/crash_knowledge.ts";
 import { LinkClient } from "../engine/link/node/link_client.ts";
 import { renewIncarnation } from "../engine/membership/common/announcement.ts";
 import type { Announcement } from "../engine/membership/common/announcement.ts";
@@ -22,6 +23,8 @@
   readonly log: RelayLog;
   readonly access: KeyAccess;
   readonly quotas: QuotaGate;
+  /** What this node knows of requests that end backend servers. */
+  readonly crashes: CrashKnowledge;
   /**
    * Called after a proof of the routes or new workspace shares were received.
    */
@@ -114,6 +117,11 @@
     }
   }
 
+  /** Reports evidence against requests, without waiting for a heartbeat. */
+  reportCrashes(): void {
+    this.#link.send(this.#createHeartbeat());
+  }
+
   /** Reports the usage of the workspaces at this node to control. */
   reportUsage(): void {
     if (this.#routes?.workspaces === undefined) {
@@ -182,10 +190,12 @@
    */
   #createHeartbeat(): Extract<NodeMessage, { type: "Heartbeat" }> {
     const routesVersion = this.#routes?.version ?? 0;
+    const crashes = this.#options.crashes.createReports();
     const heartbeat = {
       type: "Heartbeat",
       tableVersion: 0,
       routesVersion,
+      ...(crashes.length === 0 ? {} : { crashes }),
     } as const;
     if (this.#routes?.workspaces === undefined) {
       return heartbeat;
@@ -233,6 +243,9 @@
         }
         this.#renewIncarnation(message.members);
         return;
+      case "CrashUpdate":
+        this.#options.crashes.receive(message.report, "control");
+        return;
       case "MemberUpdate":
         this.#options.members.put(message.announcement);
         this.#renewIncarnation([message.announcement]);
@@ -312,7 +325,8 @@
       for (const { service } of targets) {
         if (!this.#subscribedServices.has(service) && this.#link.isOpen) {
           this.#subscribedServices.add(service);
-          this.#link.send({ type: "Subscribe", service });
+          const wantsCrashes = true;
+          this.#link.send({ type: "Subscribe", service, wantsCrashes });
         }
       }
     }
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -33,6 +33,9 @@
 import { Telemetry } from "./telemetry.ts";
 import { RelayTree } from "./relay_tree.ts";
 import { LineLog } from "./line_log.ts";
+import { createCrashKnowledge } from "./relay_crashes.ts";
+import type { CrashKnowledge } from "../engine/quarantine/common/crash_knowledge.ts";
+import type { CrashReport } from "../engine/quarantine/common/crash_messages.ts";
 
 /**
  * Tick interval of entry and gate; calls expire at most this late. The
@@ -76,6 +79,7 @@
    * force.
    */
   #lastRank = 0;
+  readonly #crashes: CrashKnowledge;
   readonly #gate: GateCalls;
   readonly #access: KeyAccess;
   readonly #quotas: QuotaGate;
@@ -91,6 +95,8 @@
     periodMs: TICK_MS,
   });
   readonly #firstRequests = new FirstRequests(readSteadyMs);
+  /** Whether evidence was found since the last tick. */
+  #hasNewCrashes = false;
   #isStopping = false;
   #ticks = 0;
 
@@ -112,6 +118,11 @@
     );
     const readClock = readSteadyMs;
     const log = this.#log;
+    this.#crashes = createCrashKnowledge({
+      log,
+      metrics,
+      onFound: (report) => this.#publishCrashes(report),
+    });
     this.#gate = this.#disposables.use(
       new GateCalls({
         dialect,
@@ -128,6 +139,11 @@
           metrics.countLimitedCall(service, outcome),
         onBackendLeaving: () => this.changeBackend(this.#gate.backend),
         onBackendLost: () => this.#handleBackendLoss(),
+        ingress: settings.mesh,
+        crashes: this.#crashes,
+        countEnd: (service, sign) => metrics.countBackendEnd(service, sign),
+        countSuspect: (service, outcome) =>
+          metrics.countSuspectCall(service, outcome),
       }),
     );
     this.#meshClient = this.#disposables.use(
@@ -161,6 +177,8 @@
       recordAttempt: (service, cause) => metrics.countAttempt(service, cause),
       recordCallDuration: (route, elapsedMs) =>
         metrics.recordDuration(route, elapsedMs),
+      crashes: this.#crashes,
+      getCallerService: () => this.#control.announcement.service,
     });
     this.#meshServer = this.#disposables.use(this.#createMeshServer());
     this.#access = new KeyAccess({
@@ -199,6 +217,7 @@
         log,
         access: this.#access,
         quotas: this.#quotas,
+        crashes: this.#crashes,
         onAccessUpdated: () => this.#callers.resumeProofWaiters(),
         onRoutes: (routes) => {
           const { workspaces = [] } = routes;
@@ -351,6 +370,10 @@
     this.#ticks += 1;
     this.#loopWatch.tick();
     this.#access.tick();
+    if (this.#hasNewCrashes) {
+      this.#hasNewCrashes = false;
+      this.#control.reportCrashes();
+    }
     this.#callers.tick();
     this.#entry.tick();
     this.#gate.tick();
@@ -362,6 +385,7 @@
     }
     if (this.#ticks % IDLE_CHECK_INTERVAL_TICKS === 0) {
       this.#meshClient.closeIdle();
+      this.#crashes.prune();
     }
   }
 
@@ -387,6 +411,23 @@
     );
   }
 
+  /**
+   * Tells the nodes that call this one of new evidence at once, so that copies
+   * of the request which come to them meanwhile aren't handed over.
+   */
+  #publishCrashes(report: CrashReport): void {
+    if (report.service === this.#gate.backend?.service) {
+      this.#meshServer.broadcast({
+        type: "LoadReported",
+        load: this.#gate.readLoad(),
+        below: undefined,
+        callers: [],
+        crashes: report,
+      });
+    }
+    this.#hasNewCrashes = true;
+  }
+
   /**
    * Stops calls to a backend server that no longer accepts connections, until
    * it announces itself again.
--- a/src/engine/call/node/call_server.ts
+++ b/src/engine/call/node/call_server.ts
@@ -31,7 +31,7 @@
   SignalHeaders,
 } from "../common/call_events.ts";
 import { AttemptSender } from "./attempt_sender.ts";
-import { probeBackend } from "./backend_probe.ts";
+import { probeBackend } from "../../../base/node/backend_probe.ts";
 import {
   collectBody,
   createCallReceived,
--- a/src/engine/control/common/holder_proposals.ts
+++ b/src/engine/control/common/command_proposals.ts
@@ -1,22 +1,27 @@
-/** Proposes changes of the holder sets to the replicated log. */
+/** Proposes commands that nobody waits for to the replicated log. */
 import { setEntry } from "../../../base/common/maps.ts";
 import { createReduction } from "../../../base/common/reduction.ts";
 import type { HolderCommand } from "../../claims/common/holder_set_reducer.ts";
 import { findLeader } from "../../consensus/common/term.ts";
+import type { CrashCommand } from "../../quarantine/common/crash_messages.ts";
 import { stepConsensus } from "./consensus_step.ts";
+import { formatCrashCommand, updateCrashes } from "./crash_records.ts";
 import { updateHolders } from "./holders.ts";
 import { encodeCommand } from "./replicated_codec.ts";
 import { createRequestId, parseSettingsId } from "./replication_state.ts";
 import type { ReplicationState, ReplicationStep } from "./replication_state.ts";
 
+/** A change of holders, or evidence against requests. */
+export type UnansweredCommand = HolderCommand | CrashCommand;
+
 /**
  * Proposes a command if this replica is the leader, or forwards it to the
  * leader. The command may be lost: nodes report, and the leader plans,
  * repeatedly.
  */
-export function requestHolderChange(
+export function requestCommand(
   state: ReplicationState,
-  command: HolderCommand,
+  command: UnansweredCommand,
   nowMs: number,
 ): ReplicationStep {
   const leaderId = findLeader(state.consensus);
@@ -31,20 +36,20 @@
 /** Proposes a command, unless it changes nothing or is already proposed. */
 export function proposeCommand(
   state: ReplicationState,
-  command: HolderCommand,
+  command: UnansweredCommand,
   nowMs: number,
 ): ReplicationStep {
   const name = createProposalName(command);
   const isNeeded = state.consensus.role.type === "Leader" &&
-    updateHolders(state.holders, command) !== state.holders &&
-    ![...state.holderProposals.values()].includes(name);
+    isChange(state, command) &&
+    ![...state.commandProposals.values()].includes(name);
   if (!isNeeded) {
     return createReduction(state);
   }
   const requestId = createRequestId(state);
   const next: ReplicationState = {
     ...state,
-    holderProposals: setEntry(state.holderProposals, requestId, name),
+    commandProposals: setEntry(state.commandProposals, requestId, name),
     nextRequest: state.nextRequest + 1,
   };
   const payload = encodeCommand(command);
@@ -52,12 +57,23 @@
   return stepConsensus(next, event, nowMs);
 }
 
-function createProposalName(command: HolderCommand): string {
-  const { type, service } = command;
+function isChange(
+  { holders, crashes }: ReplicationState,
+  command: UnansweredCommand,
+): boolean {
+  return command.type === "CrashesReported"
+    ? updateCrashes(crashes, command) !== crashes
+    : updateHolders(holders, command) !== holders;
+}
+
+function createProposalName(command: UnansweredCommand): string {
+  const { type } = command;
   switch (type) {
     case "HolderSetProposed":
-      return `${type}/${service}`;
+      return `${type}/${command.service}`;
     case "HolderCopied":
-      return `${type}/${service}/${command.epoch}/${command.nodeId}`;
+      return `${type}/${command.service}/${command.epoch}/${command.nodeId}`;
+    case "CrashesReported":
+      return `${type}/${formatCrashCommand(command)}`;
   }
 }
--- a/src/engine/control/common/holder_settling.ts
+++ b/src/engine/control/common/command_settling.ts
@@ -1,4 +1,4 @@
-/** Completion of proposed changes of the holder sets. */
+/** Completion of proposed commands that nobody waits for. */
 import { deleteEntry } from "../../../base/common/maps.ts";
 import type { ReplicationState } from "./replication_state.ts";
 
@@ -10,10 +10,10 @@
   state: ReplicationState,
   requestId: string,
 ): ReplicationState {
-  return state.holderProposals.has(requestId)
+  return state.commandProposals.has(requestId)
     ? {
       ...state,
-      holderProposals: deleteEntry(state.holderProposals, requestId),
+      commandProposals: deleteEntry(state.commandProposals, requestId),
     }
     : state;
 }
--- a/src/engine/control/common/consensus_step.ts
+++ b/src/engine/control/common/consensus_step.ts
@@ -13,7 +13,8 @@
 import { applyEdit } from "../../table/common/table_reducer.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
 import { commitEdit, retryEdit } from "./edit_requests.ts";
-import { removeProposal } from "./holder_settling.ts";
+import { removeProposal } from "./command_settling.ts";
+import { updateCrashes } from "./crash_records.ts";
 import { updateHolders } from "./holders.ts";
 import {
   decodeCommand,
@@ -130,9 +131,7 @@
   state: ReplicationState,
   command: ReplicatedCommand,
 ): ReplicationStep {
-  const next = command.type === "TableEdited"
-    ? { ...state, tableState: applyEdit(state.tableState, command.edit).state }
-    : { ...state, holders: updateHolders(state.holders, command) };
+  const next = applyReplicated(state, command);
   const events = state.consensus.role.type === "Leader"
     ? listEvents(state, next, command)
     : [];
@@ -142,6 +141,22 @@
   );
 }
 
+function applyReplicated(
+  state: ReplicationState,
+  command: ReplicatedCommand,
+): ReplicationState {
+  switch (command.type) {
+    case "TableEdited": {
+      const { state: tableState } = applyEdit(state.tableState, command.edit);
+      return { ...state, tableState };
+    }
+    case "CrashesReported":
+      return { ...state, crashes: updateCrashes(state.crashes, command) };
+    default:
+      return { ...state, holders: updateHolders(state.holders, command) };
+  }
+}
+
 function listEvents(
   previous: ReplicationState,
   state: ReplicationState,
@@ -154,6 +169,9 @@
       ? [{ type: "EditAccepted", version, editId, operator }]
       : [];
   }
+  if (command.type === "CrashesReported") {
+    return [];
+  }
   const { service } = command;
   const { epoch, members } = state.holders.get(service)?.active ?? {};
   return epoch === undefined ||
--- a/src/engine/control/common/control_reducer.ts
+++ b/src/engine/control/common/control_reducer.ts
@@ -20,6 +20,7 @@
   ControlState,
   ControlStep,
 } from "./control_state.ts";
+import { createCrashList, replaceCrashes } from "./crash_push.ts";
 import { replaceHolders, sendHolders } from "./holder_push.ts";
 import {
   createHeartbeatAnswer,
@@ -66,6 +67,8 @@
       return updateReadRounds(state, event.readRounds);
     case "HoldersReplaced":
       return replaceHolders(state, event.holders);
+    case "CrashesReplaced":
+      return replaceCrashes(state, event.crashes, nowMs);
     case "DrainOrdered":
       return requestDrain(state, event.nodeId);
     case "Ticked":
@@ -87,7 +90,7 @@
     case "Announce":
       return acceptNode(state, linkId, message, nowMs);
     case "Subscribe":
-      return subscribe(state, linkId, message.service);
+      return subscribe(state, linkId, message, nowMs);
     case "Unsubscribe": {
       const services = link.services
         .filter((service) => service !== message.service);
@@ -146,11 +149,18 @@
 function subscribe(
   state: ControlState,
   linkId: number,
-  service: string,
+  { service, wantsCrashes = false }: Extract<
+    NodeMessage,
+    { type: "Subscribe" }
+  >,
+  nowMs: number,
 ): ControlStep {
   const link = state.links.get(linkId) ?? NEW_LINK;
   const services = [...new Set([...link.services, service])];
-  return createReduction(updateLink(state, linkId, { services }), [
+  const next = updateLink(state, linkId, { services, wantsCrashes });
+  // A node must know the evidence before the members that it may call.
+  return createReduction(next, [
+    ...(wantsCrashes ? createCrashList(next, linkId, { service, nowMs }) : []),
     createSend(linkId, createMemberList(state, service)),
   ]);
 }
--- a/src/engine/control/common/control_state.ts
+++ b/src/engine/control/common/control_state.ts
@@ -19,6 +19,7 @@
 import type { TableState } from "../../table/common/table_reducer.ts";
 import type { Table } from "../../table/common/table_row.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+import type { CrashRecords } from "./crash_records.ts";
 import type { HoldersState } from "./holders.ts";
 import { INITIAL_READ_ROUNDS } from "./routes_proof.ts";
 import type { ProofRequest, ReadRounds } from "./routes_proof.ts";
@@ -46,6 +47,8 @@
   readonly sentRoutesAtMs: number;
   /** Outstanding requests for proofs, oldest first. */
   readonly proofRequests: readonly ProofRequest[];
+  /** Whether the node reads updates of evidence against requests. */
+  readonly wantsCrashes: boolean;
   /** Usage last reported by the node; undefined before its first report. */
   readonly usage: ReceivedUsage | undefined;
 }
@@ -69,6 +72,8 @@
   readonly links: ReadonlyMap<number, Link>;
   /** The committed holder sets, by service. */
   readonly holders: HoldersState;
+  /** The committed evidence against requests, by service. */
+  readonly crashes: CrashRecords;
   /** Link addresses of the replicas; empty without discovery. */
   readonly replicas: readonly string[];
   /** Undefined if limits of workspaces are not enforced. */
@@ -112,6 +117,8 @@
   | { readonly type: "RoundsReplaced"; readonly readRounds: ReadRounds }
   /** The committed holder sets changed. */
   | { readonly type: "HoldersReplaced"; readonly holders: HoldersState }
+  /** The committed evidence against requests changed. */
+  | { readonly type: "CrashesReplaced"; readonly crashes: CrashRecords }
   | { readonly type: "DrainOrdered"; readonly nodeId: string }
   | { readonly type: "Ticked" };
 
@@ -146,6 +153,7 @@
   sentRoutesVersion: 0,
   sentRoutesAtMs: 0,
   proofRequests: [],
+  wantsCrashes: false,
   usage: undefined,
 };
 
@@ -167,6 +175,7 @@
     isWarm: false,
     links: new Map(),
     holders: new Map(),
+    crashes: new Map(),
     replicas: [],
     quotaTerms,
     startedAtMs: nowMs,
--- a/src/engine/control/common/replica_reducer.ts
+++ b/src/engine/control/common/replica_reducer.ts
@@ -84,6 +84,7 @@
     case "FoundingStored":
     case "EditRequested":
     case "HolderChangeRequested":
+    case "CrashReportReceived":
     case "TableReadRequested":
     case "ProofWanted":
     case "SeedsLearned":
@@ -101,7 +102,11 @@
           createReduction<ReplicaState, ReplicaEffect>(next, result.effects),
           (s) => requestHolderChanges(s, event, nowMs),
         ),
-        (s) => requestProof(s, event, nowMs),
+        (s) =>
+          chainReduction(
+            reportCrashes(s, event, nowMs),
+            (reported) => requestProof(reported, event, nowMs),
+          ),
       );
     }
   }
@@ -123,6 +128,23 @@
     : createReduction(state);
 }
 
+/** Requests that the evidence which a node reports is replicated. */
+function reportCrashes(
+  state: ReplicaState,
+  event: ControlEvent,
+  nowMs: number,
+): ReplicaStep {
+  if (
+    event.type !== "NodeMessageReceived" ||
+    event.message.type !== "Heartbeat" || event.message.crashes === undefined
+  ) {
+    return createReduction(state);
+  }
+  const { crashes: reports } = event.message;
+  const command = { type: "CrashesReported", reports, atMs: nowMs } as const;
+  return step(state, { type: "CrashReportReceived", command }, nowMs);
+}
+
 /**
  * Requests the changes of holders that follow from a node's report or from
  * presence.
@@ -169,12 +191,16 @@
 }
 
 function publish(state: ReplicaState, nowMs: number): ReplicaStep {
-  return chainReduction(
-    chainReduction(
-      publishTable(publishReplicas(state), nowMs),
-      (s) => publishRounds(s, nowMs),
-    ),
+  // Nodes must know the evidence before they are sent routes.
+  const steps: readonly ((s: ReplicaState) => ReplicaStep)[] = [
+    (s) => publishCrashes(s, nowMs),
+    (s) => publishTable(publishReplicas(s), nowMs),
+    (s) => publishRounds(s, nowMs),
     (s) => publishHolders(s, nowMs),
+  ];
+  return steps.reduce<ReplicaStep>(
+    (result, step) => chainReduction(result, step),
+    createReduction(state),
   );
 }
 
@@ -207,6 +233,13 @@
   };
 }
 
+function publishCrashes(state: ReplicaState, nowMs: number): ReplicaStep {
+  const { crashes } = state.replication;
+  return state.control.crashes === crashes
+    ? createReduction(state)
+    : step(state, { type: "CrashesReplaced", crashes }, nowMs);
+}
+
 function publishHolders(state: ReplicaState, nowMs: number): ReplicaStep {
   const { holders } = state.replication;
   return state.control.holders === holders
--- a/src/engine/control/common/replicated_codec.ts
+++ b/src/engine/control/common/replicated_codec.ts
@@ -12,24 +12,31 @@
   TableEdit,
   TableState,
 } from "../../table/common/table_reducer.ts";
+import type { CrashEvidence } from "../../quarantine/common/crash_evidence.ts";
+import type { CrashCommand } from "../../quarantine/common/crash_messages.ts";
+import type { CrashRecords } from "./crash_records.ts";
 import type { HoldersState } from "./holders.ts";
 
 /** A command in the replicated log. */
 export type ReplicatedCommand =
   | { readonly type: "TableEdited"; readonly edit: TableEdit }
-  | HolderCommand;
+  | HolderCommand
+  | CrashCommand;
 
 /** The state that the commands of the log result in. */
 export interface ReplicatedState {
   readonly tableState: TableState;
   /** The holder sets, by service. */
   readonly holders: HoldersState;
+  /** Evidence against requests, by service. */
+  readonly crashes: CrashRecords;
 }
 
 /** The state before any command. */
 export const INITIAL_REPLICATED_STATE: ReplicatedState = {
   tableState: INITIAL_TABLE_STATE,
   holders: new Map(),
+  crashes: new Map(),
 };
 
 /**
@@ -45,6 +52,8 @@
     string,
     HoldersState extends ReadonlyMap<string, infer Sets> ? Sets : never,
   ])[];
+  /** Absent in snapshots of former versions. */
+  readonly crashes?: readonly (readonly [string, readonly CrashEvidence[]])[];
 }
 
 /** Encodes a command as JSON in UTF-8. */
@@ -64,6 +73,9 @@
     format: FORMAT,
     table: encodeTableState(state.tableState),
     holders: [...state.holders],
+    crashes: [...state.crashes].map(([service, record]) =>
+      [service, [...record.values()]] as const
+    ),
   };
   return encodeJson(encoded);
 }
@@ -78,8 +90,23 @@
     ? {
       tableState: decodeTableState(decoded.table),
       holders: new Map(decoded.holders),
+      crashes: decodeCrashes(decoded.crashes ?? []),
     }
-    : { tableState: decodeTableState(decoded), holders: new Map() };
+    : {
+      ...INITIAL_REPLICATED_STATE,
+      tableState: decodeTableState(decoded),
+    };
+}
+
+function decodeCrashes(
+  encoded: NonNullable<EncodedState["crashes"]>,
+): CrashRecords {
+  return new Map(
+    encoded.map(([service, evidence]) => [
+      service,
+      new Map(evidence.map((each) => [each.fingerprint, each])),
+    ]),
+  );
 }
 
 function encodeJson(value: unknown): Uint8Array {
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -25,7 +25,7 @@
   listAlivePeers,
   removeSilentPeers,
 } from "./peer_discovery.ts";
-import { proposeCommand, requestHolderChange } from "./holder_proposals.ts";
+import { proposeCommand, requestCommand } from "./command_proposals.ts";
 import { selectConfigurationChange } from "./replica_repair.ts";
 import { INITIAL_REPLICATED_STATE } from "./replicated_codec.ts";
 import {
@@ -81,7 +81,7 @@
     cluster,
     consensus,
     ...INITIAL_REPLICATED_STATE,
-    holderProposals: new Map(),
+    commandProposals: new Map(),
     peers,
     edits: new Map(),
     reads: new Map(),
@@ -122,7 +122,8 @@
       return startEdit(state, { edit, origin }, nowMs);
     }
     case "HolderChangeRequested":
-      return requestHolderChange(state, event.command, nowMs);
+    case "CrashReportReceived":
+      return requestCommand(state, event.command, nowMs);
     case "TableReadRequested":
       return startRead(state, event.requestId, nowMs);
     case "ProofWanted":
--- a/src/engine/control/common/replication_state.ts
+++ b/src/engine/control/common/replication_state.ts
@@ -18,6 +18,8 @@
   TableState,
 } from "../../table/common/table_reducer.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
+import type { CrashCommand } from "../../quarantine/common/crash_messages.ts";
+import type { CrashRecords } from "./crash_records.ts";
 import type { HoldersState } from "./holders.ts";
 import type { ReadRounds } from "./routes_proof.ts";
 
@@ -116,8 +118,10 @@
   readonly tableState: TableState;
   /** The holder sets as of the commit index, by service. */
   readonly holders: HoldersState;
-  /** Names of the changes of holders proposed by this replica, by request. */
-  readonly holderProposals: ReadonlyMap<string, string>;
+  /** Evidence against requests as of the commit index, by service. */
+  readonly crashes: CrashRecords;
+  /** Names of the unanswered commands that this replica proposed, by request. */
+  readonly commandProposals: ReadonlyMap<string, string>;
   /** The other replicas, by id in the settings. */
   readonly peers: ReadonlyMap<string, Peer>;
   /** Unanswered edits, by request. */
@@ -158,6 +162,11 @@
     readonly type: "HolderChangeRequested";
     readonly command: HolderCommand;
   }
+  /** A node or an operator reports evidence against requests. */
+  | {
+    readonly type: "CrashReportReceived";
+    readonly command: CrashCommand;
+  }
   | { readonly type: "TableReadRequested"; readonly requestId: number }
   /** Requests at a node wait for a proof that the table is current. */
   | { readonly type: "ProofWanted" }
--- a/src/engine/control/test/holder_replication_test.ts
+++ b/src/engine/control/test/holder_replication_test.ts
@@ -227,6 +227,7 @@
     expect(decodeReplicated(encode(old))).to.deep.equal({
       tableState: { ...INITIAL_TABLE_STATE, answers },
       holders: new Map(),
+      crashes: new Map(),
     });
   });
 });
--- a/src/engine/link/common/cluster_messages.ts
+++ b/src/engine/link/common/cluster_messages.ts
@@ -1,6 +1,7 @@
 /** Messages between control replicas about the replicated state. */
 import type { ConsensusMessage } from "../../consensus/common/consensus_messages.ts";
 import type { HolderCommand } from "../../claims/common/holder_set_reducer.ts";
+import type { CrashCommand } from "../../quarantine/common/crash_messages.ts";
 import type {
   EditOutcome,
   TableEdit,
@@ -42,10 +43,10 @@
   readonly edit: TableEdit;
 }
 
-/** Forwards a change of holders to the leader; not answered. */
+/** Forwards a command to the leader; not answered. */
 export interface HolderForward {
   readonly type: "HolderForward";
-  readonly command: HolderCommand;
+  readonly command: HolderCommand | CrashCommand;
 }
 
 /** Result of an edit. */
--- a/src/engine/link/common/link_messages.ts
+++ b/src/engine/link/common/link_messages.ts
@@ -2,6 +2,7 @@
 import type { Announcement } from "../../membership/common/announcement.ts";
 import type { HolderSets } from "../../claims/common/claim_types.ts";
 import type { PresenceMessage } from "../../membership/common/presence_messages.ts";
+import type { CrashReport } from "../../quarantine/common/crash_messages.ts";
 import type { RouteTable } from "../../routes/common/route_table.ts";
 import type {
   WorkspaceShare,
@@ -23,7 +24,12 @@
     /** Version of its routes; absent if the node uses no routes. */
     readonly routesVersion?: number;
   }
-  | { readonly type: "Subscribe"; readonly service: string }
+  | {
+    readonly type: "Subscribe";
+    readonly service: string;
+    /** Whether the node reads `CrashUpdate` messages. */
+    readonly wantsCrashes?: boolean;
+  }
   | { readonly type: "Unsubscribe"; readonly service: string }
   | {
     readonly type: "Heartbeat";
@@ -33,6 +39,12 @@
     readonly proof?: number;
     /** Whether requests at the node wait for that proof. */
     readonly isUrgent?: boolean;
+    /**
+     * Evidence against requests that the node found, until control confirms
+     * it by a `CrashUpdate`. Replicas of former versions end at messages of an
+     * unknown type, but ignore unknown fields.
+     */
+    readonly crashes?: readonly CrashReport[];
   }
   /** Requested and admitted usage at the node of workspaces with a limit. */
   | {
@@ -97,6 +109,8 @@
     readonly isComplete: boolean;
   }
   | { readonly type: "MemberUpdate"; readonly announcement: Announcement }
+  /** Evidence against requests of a service that the node subscribes to. */
+  | { readonly type: "CrashUpdate"; readonly report: CrashReport }
   | {
     readonly type: "MemberLoss";
     readonly service: string;
--- a/src/engine/link/common/node_inbox.ts
+++ b/src/engine/link/common/node_inbox.ts
@@ -51,6 +51,7 @@
     case "RoutesUpdate":
     case "RoutesProved":
     case "SharesUpdate":
+    case "CrashUpdate":
     case "HeartbeatAnswer":
       return createResult();
   }
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -1,5 +1,16 @@
 /** Frames that nodes exchange about calls; a message carries many frames. */
 
+import type { EvidencedEnd } from "../../quarantine/common/crash_evidence.ts";
+import {
+  flattenEnd,
+  parseEnd,
+} from "../../quarantine/common/crash_messages.ts";
+import type {
+  CrashReport,
+  WireEnd,
+  WireEvidence,
+} from "../../quarantine/common/crash_messages.ts";
+
 /** Names and values alternately, as received. */
 export type HeaderList = readonly string[];
 
@@ -37,6 +48,8 @@
   readonly bodyBytes: number;
   /** The body, or its first part. */
   readonly body: Uint8Array;
+  /** What the sender knows of ends of backend servers that ran it. */
+  readonly evidence?: readonly WireEvidence[] | undefined;
 }
 
 /** The next part of the body of a call or of its answer. */
@@ -85,6 +98,8 @@
   /** Time after which to retry, in milliseconds; 0 if unknown. */
   readonly retryAfterMs: number;
   readonly load: LoadFigures;
+  /** End of the backend server that ran the call; undefined if it lives on. */
+  readonly ended?: EvidencedEnd | undefined;
 }
 
 /** Load of one backend server, as measured by its node. */
@@ -132,6 +147,8 @@
   readonly below: readonly DownstreamPressure[] | undefined;
   /** The services that call this one; empty if there is nothing new. */
   readonly callers: CallerReport;
+  /** New evidence about requests that end backend servers. */
+  readonly crashes?: CrashReport | undefined;
 }
 
 /** Pressure in the downstream services that requests of a route call. */
@@ -238,6 +255,7 @@
         frame.bodyBytes,
         frame.body,
         Math.round(frame.repeatShare * HUNDREDTHS),
+        ...(frame.evidence === undefined ? [] : [frame.evidence]),
       ];
     case "BodyPart":
       return [TAGS.BodyPart, frame.call, frame.bytes];
@@ -261,6 +279,7 @@
         frame.reason,
         Math.ceil(frame.retryAfterMs),
         flattenLoad(frame.load, nowMs),
+        ...(frame.ended === undefined ? [] : [flattenEnd(frame.ended)]),
       ];
     case "LoadReported":
       return [
@@ -268,6 +287,9 @@
         flattenLoad(frame.load, nowMs),
         frame.below ?? null,
         frame.callers,
+        ...(frame.crashes === undefined
+          ? []
+          : [[frame.crashes.service, frame.crashes.evidence]]),
       ];
     case "CallerIntroduced":
       return [
@@ -308,6 +330,7 @@
         bodyBytes: fields[11] as number,
         body: fields[12] as Uint8Array,
         repeatShare: ((fields[13] ?? 0) as number) / HUNDREDTHS,
+        evidence: fields[14] as CallOpened["evidence"],
       };
     }
     case TAGS.BodyPart:
@@ -332,6 +355,7 @@
         reason: fields[3] as string,
         retryAfterMs: fields[4] as number,
         load: parseLoad(fields[5] as WireLoad, arrivedAtMs),
+        ended: parseOptionalEnd(fields[6] as WireEnd | undefined),
       };
     case TAGS.LoadReported:
       return {
@@ -339,6 +363,7 @@
         load: parseLoad(fields[1] as WireLoad, arrivedAtMs),
         below: (fields[2] ?? undefined) as LoadReported["below"],
         callers: (fields[3] ?? []) as CallerReport,
+        crashes: parseCrashes(fields[4] as WireCrashes | undefined),
       };
     case TAGS.CallerIntroduced:
       return {
@@ -351,6 +376,23 @@
   }
 }
 
+type WireCrashes = readonly [
+  service: string,
+  evidence: CrashReport["evidence"],
+];
+
+function parseOptionalEnd(
+  fields: WireEnd | undefined,
+): EvidencedEnd | undefined {
+  return fields && parseEnd(fields);
+}
+
+function parseCrashes(
+  fields: WireCrashes | undefined,
+): CrashReport | undefined {
+  return fields && { service: fields[0], evidence: fields[1] };
+}
+
 function flattenLoad(load: LoadFigures, nowMs: number): WireLoad {
   const { running, queued, limit, pressure, serviceMs, notice } = load;
   const figures = [
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -88,6 +88,11 @@
     accepted.writer.write(frame);
   }
 
+  /** Sends a frame on all links. */
+  broadcast(frame: MeshFrame): void {
+    this.#links.forEach(({ writer }) => writer.write(frame));
+  }
+
   /**
    * Sends the report on links in use. One of the load alone is not sent on
    * links whose answers have carried the load.
--- /dev/null
+++ b/src/engine/quarantine/common/crash_evidence.ts
@@ -0,0 +1,271 @@
+/**
+ * Evidence against requests: the ends of process instances of backend servers
+ * that ran them. Evidence of several processes can be merged in any order, and
+ * more than once, with the same result.
+ */
+import type { Fingerprint } from "./quarantine_reducer.ts";
+import { hasCaller } from "./request_identity.ts";
+
+/** The end of a process instance while it ran a request. */
+export interface EvidencedEnd {
+  /** Process instance that ended. */
+  readonly instance: string;
+  /**
+   * Whether no other request can have caused it: it ran no other one, or no
+   * other suspect, or all others are pardoned.
+   */
+  readonly wasAlone: boolean;
+  /** Number of other requests that it ran. */
+  readonly others: number;
+}
+
+/** What is known of one request. */
+export interface CrashEvidence {
+  readonly fingerprint: Fingerprint;
+  /** Ends that it may have caused. */
+  readonly ends: readonly EvidencedEnd[];
+  /** Instances whose ends it can't have caused: a whole answer came later. */
+  readonly pardoned: readonly string[];
+  /** When the last of these became known, by the holder's clock, in ms. */
+  readonly changedAtMs: number;
+}
+
+/** The evidence of one service, in the order of its changes. */
+export type CrashRecord = ReadonlyMap<Fingerprint, CrashEvidence>;
+
+/** What follows from the evidence for the next run of a request. */
+export type CrashVerdict =
+  | { readonly type: "Clear" }
+  /** It may run, but beside no other suspect. */
+  | { readonly type: "Suspect" }
+  | { readonly type: "Quarantined"; readonly untilMs: number };
+
+/** The record without evidence. */
+export const EMPTY_CRASH_RECORD: CrashRecord = new Map();
+
+/**
+ * Ends alone that prove the guilt of a request. A single one may be an end from
+ * outside that coincided with a lone run of an innocent suspect.
+ */
+const PROVING_ENDS = 2;
+/**
+ * Quarantine until a request is tried again, once and alone: an innocent one
+ * may have been proved guilty by ends from outside.
+ */
+const FIRST_QUARANTINE_MS = 30_000;
+/**
+ * Quarantine after a trial that ended another backend server; each later one
+ * doubles it. A request is tried three times on the first day at most, and 12
+ * times in a year.
+ */
+const LATER_QUARANTINE_MS = 6 * 3_600_000;
+/** Ends that are kept of one request. */
+const MAX_ENDS = 12;
+/** Pardoned instances that are kept of one request. */
+const MAX_PARDONED = 24;
+/** Most requests in the record of one service. */
+export const MAX_RECORDED = 1_024;
+/** A suspect that is not proved guilty is forgotten after this time. */
+const SUSPECT_TTL_MS = 24 * 3_600_000;
+/**
+ * Time for which pardons are kept, so that an end which is reported late isn't
+ * held against the request again.
+ */
+const PARDON_TTL_MS = 60_000;
+
+/** Decides on the next run of a request. */
+export function evaluateEvidence(
+  evidence: CrashEvidence | undefined,
+  nowMs: number,
+): CrashVerdict {
+  if (evidence === undefined || evidence.ends.length === 0) {
+    return { type: "Clear" };
+  }
+  const trials = countEndsAlone(evidence) - PROVING_ENDS;
+  const untilMs = evidence.changedAtMs + computeQuarantineMs(trials);
+  return trials >= 0 && untilMs > nowMs
+    ? { type: "Quarantined", untilMs }
+    : { type: "Suspect" };
+}
+
+/** Computes the length of the quarantine after a number of failed trials. */
+function computeQuarantineMs(trials: number): number {
+  return trials === 0
+    ? FIRST_QUARANTINE_MS
+    : LATER_QUARANTINE_MS * 2 ** (trials - 1);
+}
+
+/** Counts the ends of instances at which the request ran alone. */
+export function countEndsAlone({ ends }: CrashEvidence): number {
+  return ends.filter(({ wasAlone }) => wasAlone).length;
+}
+
+/** Creates the evidence of one end. */
+export function createEndEvidence(
+  fingerprint: Fingerprint,
+  end: EvidencedEnd,
+  nowMs: number,
+): CrashEvidence {
+  return { fingerprint, ends: [end], pardoned: [], changedAtMs: nowMs };
+}
+
+/**
+ * Lists the evidence that follows by elimination: of the requests that ran at
+ * the end of an instance, all but one are pardoned.
+ */
+export function listEliminated(
+  record: CrashRecord,
+  instance: string,
+): readonly CrashEvidence[] {
+  const pardoned = [...record.values()].filter((evidence) =>
+    !hasCaller(evidence.fingerprint) && evidence.pardoned.includes(instance)
+  );
+  const remaining = [...record.values()].flatMap((evidence) => {
+    const end = evidence.ends.find((other) => other.instance === instance);
+    return end === undefined ? [] : [{ evidence, end }];
+  });
+  const requests = remaining.filter(({ evidence }) =>
+    !hasCaller(evidence.fingerprint)
+  );
+  const isOnlyOne = requests.length === 1 &&
+    pardoned.length >= requests[0]!.end.others;
+  return isOnlyOne
+    ? remaining.filter(({ end }) => !end.wasAlone)
+      .map(({ evidence, end }) => ({
+        ...evidence,
+        ends: [{ ...end, wasAlone: true }],
+        pardoned: [],
+      }))
+    : [];
+}
+
+/** Creates the evidence that a request caused none of its known ends. */
+export function createPardon(
+  { fingerprint, ends }: CrashEvidence,
+  nowMs: number,
+): CrashEvidence {
+  const pardoned = ends.map(({ instance }) => instance);
+  return { fingerprint, ends: [], pardoned, changedAtMs: nowMs };
+}
+
+/** Adds evidence; returns the same record if all of it is known. */
+export function applyEvidence(
+  record: CrashRecord,
+  received: readonly CrashEvidence[],
+  nowMs: number,
+): CrashRecord {
+  const next = new Map(record);
+  let isChanged = false;
+  for (const evidence of received) {
+    const { fingerprint } = evidence;
+    const before = next.get(fingerprint);
+    const merged = mergeEvidence(before, evidence);
+    if (merged !== before) {
+      next.delete(fingerprint);
+      next.set(fingerprint, merged);
+      isChanged = true;
+    }
+  }
+  return isChanged ? pruneRecord(next, nowMs) : record;
+}
+
+/** Removes what has expired; returns the same record if nothing has. */
+export function pruneRecord(record: CrashRecord, nowMs: number): CrashRecord {
+  const kept = [...record].filter(([, evidence]) =>
+    !isExpired(evidence, nowMs)
+  );
+  if (kept.length > MAX_RECORDED) {
+    return new Map(selectRetained(kept));
+  }
+  return kept.length === record.size ? record : new Map(kept);
+}
+
+/** Whether a record holds all that the evidence says. */
+export function isKnown(record: CrashRecord, evidence: CrashEvidence): boolean {
+  const before = record.get(evidence.fingerprint);
+  return before !== undefined && mergeEvidence(before, evidence) === before;
+}
+
+/** Merges evidence of one request; returns `before` if it says nothing new. */
+export function mergeEvidence(
+  before: CrashEvidence | undefined,
+  received: CrashEvidence,
+): CrashEvidence {
+  const known = before ?? { ...received, ends: [], pardoned: [] };
+  const pardons = received.pardoned
+    .filter((instance) => !known.pardoned.includes(instance));
+  const pardoned = [...known.pardoned, ...pardons];
+  const ends = mergeEnds(known.ends, received.ends)
+    .filter(({ instance }) => !pardoned.includes(instance));
+  if (
+    before !== undefined && pardons.length === 0 &&
+    isSameEnds(before.ends, ends)
+  ) {
+    return before;
+  }
+  const changedAtMs = Math.max(known.changedAtMs, received.changedAtMs);
+  return limitEvidence({ ...known, ends, pardoned, changedAtMs });
+}
+
+function mergeEnds(
+  before: readonly EvidencedEnd[],
+  received: readonly EvidencedEnd[],
+): readonly EvidencedEnd[] {
+  const byInstance = new Map(before.map((end) => [end.instance, end]));
+  for (const end of received) {
+    const known = byInstance.get(end.instance);
+    if (known === undefined || (end.wasAlone && !known.wasAlone)) {
+      byInstance.set(end.instance, end);
+    }
+  }
+  return [...byInstance.values()];
+}
+
+function isSameEnds(
+  a: readonly EvidencedEnd[],
+  b: readonly EvidencedEnd[],
+): boolean {
+  return a.length === b.length && a.every((end, index) => end === b[index]);
+}
+
+/** Drops what is over the limits: first ends that prove least. */
+function limitEvidence(evidence: CrashEvidence): CrashEvidence {
+  const { ends, pardoned } = evidence;
+  if (ends.length <= MAX_ENDS && pardoned.length <= MAX_PARDONED) {
+    return evidence;
+  }
+  const ranked = [
+    ...ends.filter(({ wasAlone }) => wasAlone),
+    ...ends.filter(({ wasAlone }) => !wasAlone),
+  ];
+  return {
+    ...evidence,
+    ends: ranked.slice(0, MAX_ENDS),
+    pardoned: pardoned.slice(-MAX_PARDONED),
+  };
+}
+
+function isExpired(evidence: CrashEvidence, nowMs: number): boolean {
+  const ageMs = nowMs - evidence.changedAtMs;
+  if (evidence.ends.length === 0) {
+    return ageMs > PARDON_TTL_MS;
+  }
+  return countEndsAlone(evidence) < PROVING_ENDS && ageMs > SUSPECT_TTL_MS;
+}
+
+/** Selects what stays of a full record: the most ends alone, then the newest. */
+function selectRetained(
+  entries: readonly (readonly [Fingerprint, CrashEvidence])[],
+): readonly (readonly [Fingerprint, CrashEvidence])[] {
+  const ranked = entries
+    .map(([fingerprint, evidence], index) => ({
+      fingerprint,
+      index,
+      weight: evidence.ends.length === 0 ? -1 : countEndsAlone(evidence),
+    }))
+    .sort((a, b) => b.weight - a.weight || b.index - a.index);
+  const retained = new Set(
+    ranked.slice(0, MAX_RECORDED).map(({ fingerprint }) => fingerprint),
+  );
+  return entries.filter(([fingerprint]) => retained.has(fingerprint));
+}
--- a/src/engine/relay/common/entry_call.ts
+++ b/src/engine/relay/common/entry_call.ts
@@ -63,7 +63,10 @@
 }
 
 /** Creates the frame that sends a call to a node. */
-export function createCallOpened(call: EntryCall): CallOpened {
+export function createCallOpened(
+  call: EntryCall,
+  evidence: CallOpened["evidence"],
+): CallOpened {
   const { request, service } = call;
   const { route, body } = request;
   return {
@@ -82,6 +85,7 @@
     repeatShare: call.handoverCount > 0 ? 1 : request.repeatShare,
     bodyBytes: body.length,
     body: cutFirstPart(body),
+    ...(evidence === undefined ? {} : { evidence }),
   };
 }
 
--- a/src/engine/relay/common/entry_lines.ts
+++ b/src/engine/relay/common/entry_lines.ts
@@ -77,7 +77,7 @@
     readonly reason: string;
     readonly nowMs: number;
     /** Further values that the decision depended on. */
-    readonly inputs: Readonly<Record<string, number>>;
+    readonly inputs: Readonly<Record<string, unknown>>;
   },
 ): RelayLine {
   const { failure, reason, nowMs, inputs } = details;
--- a/src/engine/relay/common/local_backend.ts
+++ b/src/engine/relay/common/local_backend.ts
@@ -30,6 +30,14 @@
   return a?.instanceId === b?.instanceId && a?.startedAtMs === b?.startedAtMs;
 }
 
+/**
+ * Formats the identity of a process instance that ended, as its node and others
+ * know it: instance ids may be unique at one node only.
+ */
+export function formatEndedInstance(instance: string, ingress: string): string {
+  return `${instance}@${ingress}`;
+}
+
 /** Formats the identity of a process instance; equal for the same one only. */
 export function formatInstance(
   { instanceId, startedAtMs }: Pick<LocalBackend, "instanceId" | "startedAtMs">,
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -161,6 +161,18 @@
     });
   }
 
+  /** Lists the open members whose links weren't lost; all if there are none. */
+  listReachable(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): readonly Member[] {
+    const members = this.listOpen(service, tried);
+    const reachable = members.filter(({ announcement }) =>
+      !this.#suspected.has(announcement.ingress)
+    );
+    return reachable.length > 0 ? reachable : members;
+  }
+
   /** Finds the notice of a member's current process instance. */
   #findNotice({ announcement }: Member): BackendNotice | undefined {
     const { ingress, backendInstance } = announcement;
@@ -314,11 +326,7 @@
     service: string,
     options: Omit<ChoiceOptions, "getRateLimit" | "countNodes">,
   ): Member | undefined {
-    const members = this.listOpen(service, options.tried);
-    const reachable = members.filter(({ announcement }) =>
-      !this.#suspected.has(announcement.ingress)
-    );
-    return chooseMember(reachable.length > 0 ? reachable : members, {
+    return chooseMember(this.listReachable(service, options.tried), {
       ...options,
       getRateLimit: (member) => this.#findNotice(member)?.requestsPerSecond,
       countNodes: () => this.countNodes(),
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -5,9 +5,7 @@
 } from "../../mesh/common/body_parts.ts";
 import type {
   AnswerOpened,
-  CallerReport,
   CallFailed,
-  FailureKind,
   LoadFigures,
   LoadReported,
   MeshFrame,
@@ -26,18 +24,23 @@
   createUnansweredLine,
   createWithdrawnLine,
 } from "../common/entry_lines.ts";
+import { describeEvidence } from "../common/crash_lines.ts";
+import { isSuspectRefusal } from "../common/suspect_refusal.ts";
+import {
+  chooseSuspectMember,
+  EntrySuspects,
+} from "../common/entry_suspects.ts";
 import { EntryBudget } from "../common/entry_budget.ts";
-import type {
-  BudgetCounts,
-  RetryBudgetLimits,
-} from "../common/entry_budget.ts";
+import type { BudgetCounts } from "../common/entry_budget.ts";
+import { RETRY_CAUSES, STALLED_FAILURE } from "../common/attempt_failure.ts";
+import type { AttemptFailure } from "../common/attempt_failure.ts";
+import type { EntryCallsOptions } from "../common/entry_options.ts";
 import { decideNextStep } from "../common/entry_decision.ts";
 import type { NextStep } from "../common/entry_decision.ts";
 import type {
   EntryFailure,
   EntryRequest,
   EntryResult,
-  RetryCause,
 } from "../common/entry_types.ts";
 import {
   CALL_STALL_LIMIT_MS,
@@ -46,85 +49,14 @@
   measureCallSilence,
 } from "../common/link_silence.ts";
 import { recordResult } from "../common/member.ts";
-import type { MemberTable } from "../common/member_table.ts";
+import type { Member } from "../common/member.ts";
 import {
   AdmittedShare,
   drawForRequest,
   isRootRefused,
 } from "../common/root_admission.ts";
-import type { CallLoop } from "../../../base/common/call_loop.ts";
-import type { RelayLog } from "../common/relay_log.ts";
 import { computeMemberWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
 
-/** The links to the ingress addresses of other nodes. */
-export interface MeshLinks {
-  /** Sends a frame, on a new link if there is none. */
-  readonly send: (address: string, frame: MeshFrame) => void;
-  /** Cancels a call at a node, or drops its frames if they are still queued. */
-  readonly withdraw: (address: string, call: number) => void;
-  /** Returns whether frames sent now leave at once. */
-  readonly isOpen: (address: string) => boolean;
-  /**
-   * Returns when the last message was received on a link; undefined without a
-   * link and for this node's own address.
-   */
-  readonly getLastReceivedAtMs: (address: string) => number | undefined;
-  /** Opens a link without a call, so that the node's reports are received. */
-  readonly probe: (address: string) => void;
-  /** Closes a link as lost. */
-  readonly drop: (address: string, reason: string) => void;
-}
-
-/** What the entry calls depend on. */
-export interface EntryCallsOptions {
-  /** Data centre of this node, preferred when a member is chosen. */
-  readonly dataCentre: string;
-  readonly members: MemberTable;
-  readonly budget: RetryBudgetLimits;
-  readonly links: MeshLinks;
-  /** Steady clock, in milliseconds. */
-  readonly readClock: () => number;
-  /** Returns a random number from 0 to 1. */
-  readonly draw: () => number;
-  /** Returns the least urgent rank of the routes in force. */
-  readonly getLastRank: () => number;
-  readonly log: RelayLog;
-  readonly loop: CallLoop;
-  /** Receives the report of a gate about the services that call it. */
-  readonly receiveCallerReport: (address: string, report: CallerReport) => void;
-  /** Counts an attempt at a call of a service: the first, or a retry. */
-  readonly recordAttempt: (
-    service: string,
-    cause: "first" | RetryCause,
-  ) => void;
-  /** Records the time from a call's arrival to its end, in milliseconds. */
-  readonly recordCallDuration: (route: string, elapsedMs: number) => void;
-}
-
-/** Why an attempt failed. */
-interface AttemptFailure {
-  readonly kind: FailureKind;
-  /** Counted and logged if the call is retried. */
-  readonly cause: RetryCause;
-  /** For logs. */
-  readonly reason: string;
-}
-
-/** The link of an attempt has been silent for `CALL_STALL_LIMIT_MS`. */
-const STALLED_FAILURE: AttemptFailure = {
-  kind: "unknown",
-  cause: "stalled",
-  reason: "stalled",
-};
-
-/** The retry cause for each kind of failure that a node reports. */
-const RETRY_CAUSES: Readonly<Record<FailureKind, RetryCause>> = {
-  refused: "refused",
-  rejected: "rejected",
-  unknown: "answer_lost",
-  expired: "answer_lost",
-};
-
 /** Retry time of a root request that was refused for pressure. */
 const ROOT_RETRY_MS = 700;
 
@@ -136,6 +68,7 @@
 export class EntryCalls {
   readonly #options: EntryCallsOptions;
   readonly #budget: EntryBudget;
+  readonly #suspects: EntrySuspects;
   readonly #admittedShare = new AdmittedShare();
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services without a known member. */
@@ -144,7 +77,8 @@
 
   constructor(options: EntryCallsOptions) {
     this.#options = options;
-    const { budget, readClock, draw } = options;
+    const { budget, readClock, draw, crashes } = options;
+    this.#suspects = new EntrySuspects({ ...options, knowledge: crashes });
     this.#budget = new EntryBudget(budget, { startedAtMs: readClock(), draw });
   }
 
@@ -220,7 +154,12 @@
       : { kind: "refused", cause: "refused", reason };
     [...this.#calls.values()]
       .filter((call) => call.attempt?.address === address)
-      .forEach((call) => this.#fail(call, failure));
+      .forEach((call) => {
+        if (wasOpen) {
+          this.#suspects.recordLinkLoss(call);
+        }
+        this.#fail(call, failure);
+      });
   }
 
   /**
@@ -251,6 +190,9 @@
       }
     }
     this.#resumeMemberWaiters();
+    this.#suspects.examineLost((service, ingress) =>
+      members.get(service, ingress)?.announcement.backendInstance
+    );
     silentAddresses.forEach((address) => links.drop(address, "silent"));
     members.takeDueProbes(nowMs).forEach((address) => links.probe(address));
   }
@@ -319,17 +261,24 @@
 
   /** Chooses a member and sends the call there; without one, it waits. */
   #sendNow(call: EntryCall): void {
-    const { members, dataCentre, readClock, draw, links } = this.#options;
+    const { members, readClock, links } = this.#options;
     const nowMs = readClock();
-    const member = members.choose(call.service, {
-      dataCentre,
-      tried: call.tried,
-      nowMs,
-      draw: draw(),
-      canProbe: call.request.route.isIdempotent && !call.request.isNested,
-      isSilent: (candidate) =>
-        isMemberSilent(candidate, links.getLastReceivedAtMs, nowMs),
-    });
+    const judgement = this.#suspects.evaluate(call);
+    const { verdict } = judgement;
+    if (verdict.type === "Quarantined") {
+      call.retryAfterMs = verdict.untilMs - nowMs;
+      const failure = createFailure(call);
+      const inputs = describeEvidence(judgement.evidence);
+      this.#finish(call, failure, "quarantined", inputs);
+      return;
+    }
+    const isSuspect = verdict.type === "Suspect";
+    const member = isSuspect
+      ? chooseSuspectMember(
+        members.listReachable(call.service, call.tried),
+        judgement,
+      )
+      : this.#chooseMember(call, nowMs);
     if (member === undefined) {
       this.#waitForMember(call, nowMs);
       return;
@@ -341,12 +290,26 @@
     call.tried.add(address);
     call.attempt = { member, address, call: call.id, sentAtMs: nowMs };
     const { body } = call.request;
-    links.send(address, createCallOpened(call));
+    const evidence = isSuspect ? this.#suspects.flatten(judgement) : undefined;
+    links.send(address, createCallOpened(call, evidence));
     for (const bytes of listFurtherParts(body)) {
       links.send(address, { type: "BodyPart", call: call.id, bytes });
     }
   }
 
+  #chooseMember(call: EntryCall, nowMs: number): Member | undefined {
+    const { members, dataCentre, draw, links } = this.#options;
+    return members.choose(call.service, {
+      dataCentre,
+      tried: call.tried,
+      nowMs,
+      draw: draw(),
+      canProbe: call.request.route.isIdempotent && !call.request.isNested,
+      isSilent: (candidate) =>
+        isMemberSilent(candidate, links.getLastReceivedAtMs, nowMs),
+    });
+  }
+
   /** Queues a call while a first member may still be reported, or refuses it. */
   #waitForMember(call: EntryCall, nowMs: number): void {
     const { arrivedAtMs, deadlineMs } = call.request;
@@ -398,6 +361,7 @@
     if (!body.isComplete) {
       return;
     }
+    this.#suspects.recordAnswer(call);
     this.#end(call);
     const { status, headers } = opened;
     call.onResult({ type: "Answered", status, headers, body: body.join() });
@@ -414,7 +378,15 @@
       members.removeAddress(call.service, address);
     }
     call.retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, frame.retryAfterMs);
-    const { kind, reason } = frame;
+    const { kind, reason, ended } = frame;
+    if (ended !== undefined) {
+      this.#suspects.recordEnd(call, ended);
+    }
+    if (isSuspectRefusal(reason)) {
+      // Another member would run it beside the suspects of this one.
+      this.#finish(call, createFailure(call), reason);
+      return;
+    }
     this.#fail(call, { kind, cause: RETRY_CAUSES[kind], reason });
   }
 
@@ -442,6 +414,9 @@
     if (frame.callers.length > 0) {
       receiveCallerReport(address, frame.callers);
     }
+    if (frame.crashes !== undefined) {
+      this.#options.crashes.receive(frame.crashes, "node");
+    }
   }
 
   /** Ends an attempt as failed, and retries the call elsewhere or ends it. */
@@ -563,7 +538,7 @@
     call: EntryCall,
     failure: EntryFailure,
     reason: string,
-    inputs: Readonly<Record<string, number>> = {},
+    inputs: Readonly<Record<string, unknown>> = {},
   ): void {
     const { readClock, log } = this.#options;
     this.#end(call);
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -16,8 +16,6 @@
   cutFirstPart,
   listFurtherParts,
 } from "../../mesh/common/body_parts.ts";
-import type { CallLoop } from "../../../base/common/call_loop.ts";
-import type { CallDialect } from "../common/dialect.ts";
 import { GateCallIndex } from "../common/gate_call_index.ts";
 import type { GateCallState, SendFrame } from "../common/gate_call_index.ts";
 import { reduceGate } from "../common/gate.ts";
@@ -28,58 +26,21 @@
   createLoadFigures,
   getNotice,
 } from "../common/gate_state.ts";
-import {
-  formatInstance,
-  isSameProcessInstance,
-} from "../common/local_backend.ts";
+import { isSameProcessInstance } from "../common/local_backend.ts";
 import type { LocalBackend } from "../common/local_backend.ts";
-import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
 import {
   createCancelledLine,
   createFailedLine,
   createHandedOverLine,
-  createNoticeLines,
 } from "../common/gate_lines.ts";
 import { GateLoadLog } from "../common/gate_load_log.ts";
-import type { RelayLog } from "../common/relay_log.ts";
-import type { BackendRun } from "../common/repeated_runs.ts";
+import type { EvidencedEnd } from "../../quarantine/common/crash_evidence.ts";
 import { BackendClient } from "./backend_client.ts";
 import type { BackendHead, BackendResult } from "./backend_client.ts";
-
-/** What the gate's calls depend on. */
-export interface GateCallsOptions {
-  readonly dialect: CallDialect;
-  /** Steady clock, in milliseconds. */
-  readonly readClock: () => number;
-  readonly log: RelayLog;
-  readonly loop: CallLoop;
-  /** Returns the maximum number of connections to the backend server. */
-  readonly maxConnections: () => number;
-  /** Returns the latency objective of a route, in milliseconds. */
-  readonly getObjectiveMs: (route: string) => number;
-  /** Records that a run at the backend server begins (1) or ends (-1). */
-  readonly recordRun: (run: BackendRun, change: 1 | -1) => void;
-  /** Records the arrival of a call that was made on a VM of a service. */
-  readonly recordArrival: (route: string, callerService: string) => void;
-  /** Counts a call under a rate limit of the backend server. */
-  readonly recordLimitedCall: (
-    service: string,
-    outcome: LimitedOutcome,
-  ) => void;
-  /** Called if the backend server said in an answer that it leaves. */
-  readonly onBackendLeaving: () => void;
-  /** Called if the backend server refuses connections or was replaced. */
-  readonly onBackendLost: () => void;
-}
-
-/** What became of a call under a rate limit. */
-export type LimitedOutcome =
-  /** It was handed over without a wait. */
-  | "handed_over"
-  /** It was handed over after it had waited at the gate. */
-  | "waited"
-  /** It was refused, as its turn would have come too late. */
-  | "refused";
+import { GateCrashes } from "./gate_crashes.ts";
+import type { GateCallsOptions } from "./gate_options.ts";
+import type { EndedCall } from "./gate_crashes.ts";
+import { GateStatements } from "./gate_statements.ts";
 
 /** A call is failed this long after its deadline if it has no answer. */
 const ANSWER_GRACE_MS = 1_000;
@@ -95,6 +56,8 @@
   #client: BackendClient | undefined;
   /** The backend server last announced, kept while it is silent. */
   #lastKnownBackend: LocalBackend | undefined;
+  readonly #crashes: GateCrashes;
+  readonly #statements: GateStatements;
   #nextId = 1;
   /** Whether more frames of the current message follow. */
   #isReadingMessage = false;
@@ -103,6 +66,19 @@
 
   constructor(options: GateCallsOptions) {
     this.#options = options;
+    this.#crashes = new GateCrashes({
+      ...options,
+      knowledge: options.crashes,
+      getBackend: () => this.#gate.backend ?? this.#lastKnownBackend,
+      listRunning: () => this.#listRunning(),
+      getCallerService: (linkId) => this.#callerServices.get(linkId) ?? "",
+      failCall: (call, failure) => this.#failEnded(call, failure),
+    });
+    this.#statements = new GateStatements({
+      ...options,
+      gate: this.#gate,
+      step: (event) => this.#step(event),
+    });
   }
 
   /** Number of calls that have not ended. */
@@ -147,7 +123,9 @@
       !isSameProcessInstance(before, backend);
     const aborted = isReplaced ? this.#abortRunning() : [];
     this.#step({ type: "BackendChanged", backend });
-    aborted.forEach((call) => this.#fail(call, "unknown", "backend_restarted"));
+    if (isReplaced) {
+      this.#crashes.recordReplacement(before, aborted);
+    }
   }
 
   /** Advances the gate, fails overdue calls, and logs the load under pressure. */
@@ -257,14 +235,26 @@
    * wait for the deadline.
    */
   #abortRunning(): readonly GateCallState[] {
-    const running = [...this.#calls.list()]
-      .filter(({ phase }) => phase === "running");
+    const running = this.#listRunning();
     running.forEach((call) => call.exchange?.abort());
     this.#client?.[Symbol.asyncDispose]();
     this.#client = undefined;
     return running;
   }
 
+  #listRunning(): readonly GateCallState[] {
+    return [...this.#calls.list()].filter(({ phase }) => phase === "running");
+  }
+
+  /** Fails a call whose connection broke, or whose backend server ended. */
+  #failEnded(call: GateCallState, { reason, ended }: EndedCall): void {
+    if (!this.#calls.has(call.id)) {
+      return;
+    }
+    call.exchange?.abort();
+    this.#fail(call, "unknown", reason, { ended });
+  }
+
   #openCall(arrival: {
     readonly linkId: string;
     readonly opened: CallOpened;
@@ -287,6 +277,7 @@
       exchange: undefined,
     };
     this.#calls.add(call);
+    this.#crashes.receiveEvidence(call);
     const callerService = this.#callerServices.get(linkId);
     if (callerService !== undefined) {
       this.#options.recordArrival(opened.route, callerService);
@@ -336,7 +327,7 @@
 
   #perform(effect: GateEffect): void {
     if (effect.type === "NoticeChanged") {
-      this.#reportNotice(effect);
+      this.#statements.reportNotice(effect);
       return;
     }
     const call = this.#calls.get(effect.id);
@@ -345,37 +336,22 @@
     }
     switch (effect.type) {
       case "RunCall":
-        this.#countLimited(effect.wasQueued ? "waited" : "handed_over");
+        this.#statements.countLimited(
+          effect.wasQueued ? "waited" : "handed_over",
+        );
         this.#runAfterBacklogRead(call);
         return;
       case "RefuseCall":
         if (effect.reason === "rate_limit") {
-          this.#countLimited("refused");
+          this.#statements.countLimited("refused");
         }
-        this.#fail(call, "refused", effect.reason, effect.retryAfterMs);
+        this.#fail(call, "refused", effect.reason, {
+          retryAfterMs: effect.retryAfterMs,
+        });
         return;
     }
   }
 
-  #reportNotice(
-    effect: Extract<GateEffect, { type: "NoticeChanged" }>,
-  ): void {
-    const { log, onBackendLeaving } = this.#options;
-    const service = this.#gate.backend?.service;
-    createNoticeLines(effect, service).forEach((line) => log.write(line));
-    if (effect.changes.includes("leaving")) {
-      onBackendLeaving();
-    }
-  }
-
-  /** Counts a call if the backend server names a limit. */
-  #countLimited(outcome: LimitedOutcome): void {
-    const { backend, bucket } = this.#gate;
-    if (backend !== undefined && bucket !== undefined) {
-      this.#options.recordLimitedCall(backend.service, outcome);
-    }
-  }
-
   /**
    * Runs an admitted call once the event loop has caught up. A process that lags
    * reads a call before its cancellation, and would run it for a caller that has
@@ -403,7 +379,38 @@
     } else if (call.deadlineMs <= this.#options.readClock()) {
       this.#fail(call, "refused", "deadline");
     } else {
-      this.#run(call, backend);
+      this.#takeTurn(call, backend);
+    }
+  }
+
+  /** Runs a call, unless it is suspected of ending backend servers. */
+  #takeTurn(call: GateCallState, backend: LocalBackend): void {
+    const turn = this.#crashes.requestTurn(call, backend.service);
+    switch (turn.type) {
+      case "Run":
+        this.#run(call, backend);
+        return;
+      case "Wait":
+        return;
+      case "Refuse": {
+        const { reason, retryAfterMs } = turn;
+        this.#fail(call, "refused", reason, { retryAfterMs });
+        return;
+      }
+    }
+  }
+
+  /** Lets the suspects that wait take their turns. */
+  #continueSuspects(): void {
+    for (
+      let id = this.#crashes.takeNext();
+      id !== undefined;
+      id = this.#crashes.takeNext()
+    ) {
+      const call = this.#calls.get(id);
+      if (call !== undefined) {
+        this.#runOrRefuse(call);
+      }
     }
   }
 
@@ -449,40 +456,11 @@
         return undefined;
       case "Answered":
       case "NotRun":
-        this.#recordStatement(head, call, backend);
+        this.#statements.recordStatement(head, call, backend);
         return undefined;
     }
   }
 
-  #recordStatement(
-    { headers }: BackendHead,
-    call: GateCallState,
-    backend: LocalBackend,
-  ): void {
-    const { dialect, readClock, log } = this.#options;
-    const { requestId } = call.opened;
-    const instance = formatInstance(backend);
-    const said = dialect.readStatement(headers);
-    if (said.limit.type === "Unreadable") {
-      const { text } = said.limit;
-      const event = "BackendLimitUnreadable";
-      log.write({ event, isFailure: true, instance, requestId, text });
-    }
-    if (this.#gate.notices.size === 0 && said === EMPTY_STATEMENT) {
-      return;
-    }
-    this.#step({
-      type: "StatementReceived",
-      source: { requestId },
-      statement: {
-        ...said,
-        instance,
-        handedOverAtMs: call.startedAtMs,
-        receivedAtMs: readClock(),
-      },
-    });
-  }
-
   #finish(call: GateCallState, result: BackendResult): void {
     if (!this.#calls.has(call.id)) {
       return;
@@ -499,7 +477,7 @@
         this.#fail(call, "refused", result.reason);
         return;
       case "Broken":
-        this.#fail(call, "unknown", result.reason);
+        this.#crashes.holdFailure(call, result.reason);
         return;
     }
   }
@@ -523,6 +501,7 @@
       case "Answered":
         break;
     }
+    this.#crashes.recordAnswer(call);
     // Failures may be immediate, and would lower the estimated service time.
     const isFailure = status >= 500;
     const serviceMs = isFailure ? undefined : readClock() - call.startedAtMs;
@@ -546,10 +525,16 @@
     call: GateCallState,
     kind: FailureKind,
     reason: string,
-    retryAfterMs = computeRetryAfterMs(
-      this.#gate,
-      this.#options.readClock(),
-    ),
+    {
+      retryAfterMs = computeRetryAfterMs(
+        this.#gate,
+        this.#options.readClock(),
+      ),
+      ended,
+    }: {
+      readonly retryAfterMs?: number;
+      readonly ended?: EvidencedEnd | undefined;
+    } = {},
   ): void {
     // Only expired calls indicate overload: refusing more calls doesn't help if
     // the backend server rejects them for its own reasons or closes connections.
@@ -563,6 +548,7 @@
       reason,
       retryAfterMs,
       load: this.readLoad(),
+      ended,
     };
     const { load } = failed;
     const nowMs = this.#options.readClock();
@@ -602,6 +588,7 @@
   ): void {
     const { id, phase, opened } = call;
     this.#calls.remove(call);
+    this.#crashes.leave(call);
     if (phase === "running") {
       this.#options.recordRun(opened, -1);
     }
@@ -610,6 +597,7 @@
       const { route } = opened;
       this.#step({ type: "CallEnded", id, route, wasSent, ...ended });
     }
+    this.#continueSuspects();
   }
 
   #getClient(address: string): BackendClient {
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -18,6 +18,7 @@
 import { EntryCalls } from "../node/entry_calls.ts";
 import { createAnnouncement } from "./announcements.ts";
 import { createEntryRequest } from "./requests.ts";
+import { createCrashKnowledge } from "./crash_fakes.ts";
 
 const NEVER_MS = 3_600_000;
 const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0, serviceMs: 0 };
@@ -116,6 +117,8 @@
       receiveCallerReport: () => {},
       recordAttempt: () => {},
       recordCallDuration: () => {},
+      crashes: createCrashKnowledge(),
+      getCallerService: () => "front",
     });
   }
 
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -6,6 +6,7 @@
 import { EntryCalls } from "../node/entry_calls.ts";
 import { createAnnouncement } from "./announcements.ts";
 import { createEntryRequest, ROUTE } from "./requests.ts";
+import { createCrashKnowledge } from "./crash_fakes.ts";
 
 const LOAD = { running: 0, queued: 0, limit: 10, pressure: 0, serviceMs: 0 };
 
@@ -52,6 +53,8 @@
       receiveCallerReport: () => {},
       recordAttempt: () => {},
       recordCallDuration: () => {},
+      crashes: createCrashKnowledge(),
+      getCallerService: () => "front",
     });
     // A full window of the budget after the start: there is slack from then on.
     this.nowMs = 10_000;
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -5,8 +5,9 @@
 import type { MeshFrame } from "../../mesh/common/frames.ts";
 import type { BackendRun } from "../common/repeated_runs.ts";
 import { GateCalls } from "../node/gate_calls.ts";
-import type { GateCallsOptions } from "../node/gate_calls.ts";
+import type { GateCallsOptions } from "../node/gate_options.ts";
 import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { createCrashKnowledge } from "./crash_fakes.ts";
 
 /** Opens a gate whose backend server listens at `port`. */
 function openGate(
@@ -26,6 +27,10 @@
     recordLimitedCall: () => {},
     onBackendLeaving: () => {},
     onBackendLost: () => {},
+    ingress: "a:1",
+    crashes: createCrashKnowledge(),
+    countEnd: () => {},
+    countSuspect: () => {},
   });
   gate.changeBackend(createBackend(port));
   return gate;
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -14,6 +14,7 @@
 import type { MeshFrame } from "../../mesh/common/frames.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { createCrashKnowledge } from "./crash_fakes.ts";
 
 /** Time in which a request that is sent in error would arrive. */
 const SETTLE_MS = 100;
@@ -74,6 +75,10 @@
     recordLimitedCall: () => {},
     onBackendLeaving: () => {},
     onBackendLost: () => {},
+    ingress: "a:1",
+    crashes: createCrashKnowledge(),
+    countEnd: () => {},
+    countSuspect: () => {},
   });
 
   static async open(): Promise<BusyGate> {
--- a/src/engine/relay/test/lost_answers_test.ts
+++ b/src/engine/relay/test/lost_answers_test.ts
@@ -7,6 +7,7 @@
 import type { MeshFrame } from "../../mesh/common/frames.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { createCrashKnowledge } from "./crash_fakes.ts";
 
 const SLOTS = 20;
 /** More than half of the slots, and far from all. */
@@ -71,6 +72,10 @@
     recordLimitedCall: () => {},
     onBackendLeaving: () => {},
     onBackendLost: () => {},
+    ingress: "a:1",
+    crashes: createCrashKnowledge(),
+    countEnd: () => {},
+    countSuspect: () => {},
   });
   gate.changeBackend({ ...createBackend(port), slots: SLOTS });
   return gate;
--- a/src/engine/telemetry/common/explanation.ts
+++ b/src/engine/telemetry/common/explanation.ts
@@ -22,6 +22,7 @@
 
 /** Events that change the state of a process or its view of others. */
 const CHANGE_EVENTS: ReadonlySet<string> = new Set([
+  "BackendEnded",
   "BackendChanged",
   "BackendNoticeChanged",
   "ControlLinked",
@@ -35,6 +36,7 @@
   "RoutesInForce",
   "SettingsInvalid",
   "SettingsRead",
+  "SuspectChanged",
 ]);
 /** Events that report why a call failed or was moved. */
 const FAILURE_EVENTS: ReadonlySet<string> = new Set([
--- a/src/engine/telemetry/node/metrics.ts
+++ b/src/engine/telemetry/node/metrics.ts
@@ -53,6 +53,8 @@
   readonly #decisions: Counts = new Map();
   readonly #attempts: Counts = new Map();
   readonly #limitedCalls: Counts = new Map();
+  readonly #backendEnds: Counts = new Map();
+  readonly #suspectCalls: Counts = new Map();
   readonly #durations = new DurationBuckets();
   readonly #gauges: Gauge[] = [];
   #reader: Promise<MetricsReader> | undefined;
@@ -91,6 +93,18 @@
     incrementCount(this.#limitedCalls, key, () => ({ service, outcome }));
   }
 
+  /** Counts an end of the backend server, by what showed it. */
+  countBackendEnd(service: string, evidence: string): void {
+    const key = `${service} ${evidence}`;
+    incrementCount(this.#backendEnds, key, () => ({ service, evidence }));
+  }
+
+  /** Counts a call of a suspect at its gate, by outcome. */
+  countSuspectCall(service: string, outcome: string): void {
+    const key = `${service} ${outcome}`;
+    incrementCount(this.#suspectCalls, key, () => ({ service, outcome }));
+  }
+
   /** Records the time until the final answer of a call of a route. */
   recordDuration(route: string, durationMs: number): void {
     this.#durations.record(route, durationMs);
@@ -160,6 +174,16 @@
         description: "Calls under a limit that a backend server names",
         counts: this.#limitedCalls,
       },
+      {
+        name: "backend_ends",
+        description: "Ends of backend servers, by what showed them",
+        counts: this.#backendEnds,
+      },
+      {
+        name: "suspect_calls",
+        description: "Calls suspected of ending backend servers, by outcome",
+        counts: this.#suspectCalls,
+      },
     ], this.#durations);
   }
 }
