Soak requests that end backend servers, and test their evidence in the log

It checks runs later than 3 s after the third (3 allowed, entries in touch only), and that the others are served wherever no killed or frozen process excuses them.

--- a/soak/crash_soak.ts
+++ b/soak/crash_soak.ts
@@ -15,7 +15,7 @@
   PlatformProcess,
 } from "../platform/standin/platform_fleet.ts";
 import { computeServedShare } from "../platform/standin/crash_rules.ts";
-import type { Interval } from "../platform/standin/crash_rules.ts";
+import type { Interval, ServedShare } from "../platform/standin/crash_rules.ts";
 import { createRandom } from "../src/base/test/seeded_random.ts";
 import type { Random } from "../src/base/test/seeded_random.ts";
 
@@ -39,8 +39,12 @@
   readonly ends: number;
   /** Runs of each request that ends backend servers, by its name. */
   readonly runs: Readonly<Record<string, number>>;
-  /** Share of the other requests that were served far from any fault. */
-  readonly servedShare: number;
+  /**
+   * The other requests that no killed or frozen process, or lack of backend
+   * servers, excuses, and those of the end, in which no fault begins.
+   */
+  readonly calm: ServedShare;
+  readonly last: ServedShare;
   /** Violated invariants, one line each. */
   readonly broken: readonly string[];
 }
@@ -67,6 +71,8 @@
 /** Time after a fault until requests count as far from it. */
 const RECOVERY_MS = 4_000;
 const MIN_SERVED_SHARE = 0.98;
+/** Time from the end of a backend server until its next instance has calls. */
+const MAX_DOWN_MS = 2_000;
 
 /** Runs the soak test of one seed. */
 export async function runCrashSoak(
@@ -100,16 +106,17 @@
   }));
   const ends = fleet.listEnds();
   const excused = [
-    ...faults,
-    ...ends.map(({ atMs }) => ({ startMs: atMs, endMs: atMs + RECOVERY_MS })),
+    ...faults.filter(({ entries }) => entries?.length !== 0),
+    ...listShortages(ends, workers),
   ];
-  const servedShare = computeServedShare(fleet.outcomes, {
+  const calm = computeServedShare(fleet.outcomes, {
     fromMs: -Infinity,
     excused,
   });
-  const last = { fromMs: performance.now() - RECOVERY_MS };
-  const lastShare = computeServedShare(fleet.outcomes, last);
-  for (const [name, share] of Object.entries({ servedShare, lastShare })) {
+  const last = computeServedShare(fleet.outcomes, {
+    fromMs: performance.now() - RECOVERY_MS,
+  });
+  for (const [name, { share }] of Object.entries({ calm, last })) {
     if (share < MIN_SERVED_SHARE) {
       broken.push(`only ${share} of the others served: ${name}`);
     }
@@ -121,11 +128,26 @@
     faultsPlayed: faults.length,
     ends: ends.length,
     runs,
-    servedShare,
+    calm,
+    last,
     broken,
   };
 }
 
+/** Lists the intervals in which all backend servers but one have ended. */
+function listShortages(
+  ends: readonly { readonly atMs: number }[],
+  workers: number,
+): readonly Interval[] {
+  return ends
+    .filter(({ atMs }) =>
+      ends.filter((other) =>
+        other.atMs <= atMs && other.atMs > atMs - MAX_DOWN_MS
+      ).length >= workers - 1
+    )
+    .map(({ atMs }) => ({ startMs: atMs, endMs: atMs + MAX_DOWN_MS }));
+}
+
 interface NodeFault extends Interval {
   /** Entries that it excuses; undefined for all. */
   readonly entries: readonly string[] | undefined;
