Hold the end of a backend server that has left against no request

Callers would have seen: a server that deregisters first, serves on and exits leaves its last runs as suspects, and with two such ends as guilty, refused for 30 s. Cause: a departure clears the backend server like a silence does, and the gate then takes the exit for a crash (the test of a server that is known to be lost shows that it is held against its calls).

A third of the slots, not a quarter, may be held by suspects that wait: with 15 slots and 14 runs at an end, three other servers take all of them.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -293,6 +293,17 @@
   changeBackend(announced: LocalBackend | undefined): void {
     const previous = this.#gate.backend;
     this.#gate.changeBackend(announced);
+    this.#announceBackend(previous);
+  }
+
+  /** Applies the notice of the backend server that it has left. */
+  recordDeparture(): void {
+    const previous = this.#gate.backend;
+    this.#gate.recordDeparture();
+    this.#announceBackend(previous);
+  }
+
+  #announceBackend(previous: LocalBackend | undefined): void {
     const { backend } = this.#gate;
     const current = this.#control.announcement;
     const service = backend?.service ?? current.service;
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -128,6 +128,13 @@
     }
   }
 
+  /** Records that the backend server has left; it may still end its runs. */
+  recordDeparture(): void {
+    const left = this.#gate.backend ?? this.#lastKnownBackend;
+    this.changeBackend(undefined);
+    this.#lastKnownBackend = left && { ...left, isDraining: true };
+  }
+
   /** Advances the gate, fails overdue calls, and logs the load under pressure. */
   tick(): void {
     this.#step({ type: "Ticked" });
--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -84,7 +84,7 @@
 /** Time after which a suspect that found too many others may come back. */
 const BUSY_RETRY_MS = 1_000;
 /** Part of the slots that waiting suspects may hold. */
-const MAX_WAITING_SHARE = 0.25;
+const MAX_WAITING_SHARE = 1 / 3;
 /** Time for which a broken call may be due to an end that shows later. */
 const BROKEN_TTL_MS = 10_000;
 const MAX_BROKEN = 64;
