Report evidence once, by the node that finds it

Each entry whose attempt ended a server reported what its gate had just told it, and each node that heard of a pardon reported what follows from it: with many nodes a report from each, sent again with each heartbeat for up to 60 s, since control confirms only what is new.

--- a/src/engine/quarantine/common/crash_knowledge.ts
+++ b/src/engine/quarantine/common/crash_knowledge.ts
@@ -240,7 +240,13 @@
       : createFingerprints(request, this.#options.computeDigest);
   }
 
-  #addOwn(service: string, evidence: readonly CrashEvidence[]): void {
+  /** Adds own evidence, and has it reported unless it is known. */
+  #addOwn(service: string, found: readonly CrashEvidence[]): void {
+    const known = this.#services.get(service)?.record ?? EMPTY_CRASH_RECORD;
+    const evidence = found.filter((each) => !isKnown(known, each));
+    if (evidence.length === 0) {
+      return;
+    }
     this.#add(service, evidence, "own");
     const { unreported } = this.#services.get(service)!;
     for (const each of evidence) {
@@ -264,7 +270,7 @@
     const before = this.#services.get(service)?.record ?? EMPTY_CRASH_RECORD;
     const after = applyEvidence(before, evidence, nowMs);
     this.#replace(service, after);
-    this.#eliminate(service, before, evidence);
+    this.#eliminate(service, before, { evidence, source });
     for (const { fingerprint } of evidence) {
       const changed = after.get(fingerprint);
       if (changed !== undefined && changed !== before.get(fingerprint)) {
@@ -273,21 +279,26 @@
     }
   }
 
-  /** Adds what follows from new pardons. */
+  /** Adds what follows from new pardons; only their finder reports it. */
   #eliminate(
     service: string,
     before: CrashRecord,
-    received: readonly CrashEvidence[],
+    { evidence, source }: {
+      readonly evidence: readonly CrashEvidence[];
+      readonly source: EvidenceSource;
+    },
   ): void {
-    const instances = received.flatMap(({ fingerprint, pardoned }) => {
+    const instances = evidence.flatMap(({ fingerprint, pardoned }) => {
       const known = before.get(fingerprint)?.pardoned ?? [];
       return pardoned.filter((instance) => !known.includes(instance));
     });
     const { record } = this.#services.get(service)!;
     const found = [...new Set(instances)]
       .flatMap((instance) => listEliminated(record, instance));
-    if (found.length > 0) {
+    if (source === "own") {
       this.#addOwn(service, found);
+    } else if (found.length > 0) {
+      this.#add(service, found, source);
     }
   }
 
