Fail only calls that were sent when the backend server has ended

By reading: calls that wait for a connection at that moment would have been failed as unknown, so that a transfer which ran nowhere could not be resent. They fail by themselves, as refused.

--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -179,9 +179,12 @@
       const current = this.#options.getBackend();
       if (isAlive) {
         this.#keepBroken(backend);
-      } else if (isSameProcessInstance(current, backend)) {
-        const calls = this.#options.listRunning();
-        this.#recordEnd(backend, "connection_refused", calls);
+      } else if (
+        current !== undefined && isSameProcessInstance(current, backend)
+      ) {
+        // Those not sent yet fail by themselves, as refused.
+        const calls = this.#options.listRunning().filter(hasStarted);
+        this.#recordEnd(current, "connection_refused", calls);
       }
       this.#releaseHeld();
     });
--- a/src/engine/relay/test/gate_crashes_test.ts
+++ b/src/engine/relay/test/gate_crashes_test.ts
@@ -58,7 +58,7 @@
   readonly call: (number: number, target?: string) => void;
 }
 
-function openGate(port: number): OpenGate {
+function openGate(port: number, connections = SLOTS): OpenGate {
   const knowledge = createCrashKnowledge();
   const outcomes: SuspectOutcome[] = [];
   const gate = new GateCalls({
@@ -66,7 +66,7 @@
     readClock: () => 1_000,
     log: { write: () => {} },
     loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
-    maxConnections: () => SLOTS,
+    maxConnections: () => connections,
     getObjectiveMs: () => 500,
     recordRun: () => {},
     recordArrival: () => {},
@@ -144,6 +144,21 @@
       .to.include({ Suspect: 4, Quarantined: 0 });
   });
 
+  // Guards against calls of unknown outcome that no backend server received.
+  it("leaves a call that waits for a connection as not run", async () => {
+    await using backend = new SocketBackend();
+    const { gate, frames, call } = openGate(await backend.open(), 1);
+    await using _gate = gate;
+    [1, 2].forEach((number) => call(number));
+    await backend.waitForRequests(1);
+    backend.end();
+    await waitForFrames(frames, 2);
+    const kinds = new Map(
+      listEnds(frames).map(({ call, kind }) => [call, kind]),
+    );
+    expect([...kinds].sort()).to.deep.equal([[1, "unknown"], [2, "refused"]]);
+  });
+
   it("is held against a call that it ran alone", async () => {
     await using backend = new SocketBackend();
     const { gate, frames, call } = openGate(await backend.open());
