Try a quarantined request again after 5 s, then after 10 minutes and longer

The first trial comes after 5 s, and is left out where three servers ended already, so that a request costs three still.

--- a/src/engine/quarantine/common/crash_evidence.ts
+++ b/src/engine/quarantine/common/crash_evidence.ts
@@ -49,16 +49,23 @@
  */
 const PROVING_ENDS = 2;
 /**
- * Quarantine until a request is tried again, once and alone: an innocent one
- * may have been proved guilty by ends from outside.
+ * Quarantine after two ends, until a request is tried again, once and alone: an
+ * innocent one may have been proved guilty by ends from outside. By then the
+ * backend servers have started again.
  */
-const FIRST_QUARANTINE_MS = 30_000;
+const FIRST_QUARANTINE_MS = 5_000;
 /**
- * Quarantine after a trial that ended another backend server; each later one
- * doubles it. A request is tried three times on the first day at most, and 12
- * times in a year.
+ * Quarantine after three ends. Where a service ends over and over for another
+ * reason, innocent requests are quarantined too, and this is what they wait
+ * once it is mended.
  */
-const LATER_QUARANTINE_MS = 6 * 3_600_000;
+const LATER_QUARANTINE_MS = 600_000;
+/**
+ * Each further end makes it this many times as long: a request is tried three
+ * times on the first day at most, and seven times in a year.
+ */
+const QUARANTINE_GROWTH = 6;
+const FIRST_QUARANTINE_ENDS = 2;
 /** Ends that are kept of one request. */
 const MAX_ENDS = 12;
 /** Pardoned instances that are kept of one request. */
@@ -81,18 +88,20 @@
   if (evidence === undefined || evidence.ends.length === 0) {
     return { type: "Clear" };
   }
-  const trials = countEndsAlone(evidence) - PROVING_ENDS;
-  const untilMs = evidence.changedAtMs + computeQuarantineMs(trials);
-  return trials >= 0 && untilMs > nowMs
+  const isProved = countEndsAlone(evidence) >= PROVING_ENDS;
+  const untilMs = evidence.changedAtMs +
+    computeQuarantineMs(evidence.ends.length);
+  return isProved && untilMs > nowMs
     ? { type: "Quarantined", untilMs }
     : { type: "Suspect" };
 }
 
-/** Computes the length of the quarantine after a number of failed trials. */
-function computeQuarantineMs(trials: number): number {
-  return trials === 0
+/** Computes the length of the quarantine after a number of ends. */
+function computeQuarantineMs(ends: number): number {
+  return ends <= FIRST_QUARANTINE_ENDS
     ? FIRST_QUARANTINE_MS
-    : LATER_QUARANTINE_MS * 2 ** (trials - 1);
+    : LATER_QUARANTINE_MS *
+      QUARANTINE_GROWTH ** (ends - FIRST_QUARANTINE_ENDS - 1);
 }
 
 /** Counts the ends of instances at which the request ran alone. */
--- a/src/engine/quarantine/test/crash_evidence_test.ts
+++ b/src/engine/quarantine/test/crash_evidence_test.ts
@@ -114,10 +114,19 @@
       ).type;
     expect(evaluateAt(1, 0)).to.equal("Suspect");
     expect(evaluateAt(2, 0)).to.equal("Quarantined");
-    expect(evaluateAt(2, 30_000)).to.equal("Suspect");
-    expect(evaluateAt(3, 6 * HOUR_MS - 1)).to.equal("Quarantined");
-    expect(evaluateAt(3, 6 * HOUR_MS)).to.equal("Suspect");
-    expect(evaluateAt(4, 12 * HOUR_MS - 1)).to.equal("Quarantined");
+    expect(evaluateAt(2, 4_999)).to.equal("Quarantined");
+    expect(evaluateAt(2, 5_000)).to.equal("Suspect");
+    expect(evaluateAt(3, 600_000 - 1)).to.equal("Quarantined");
+    expect(evaluateAt(3, 600_000)).to.equal("Suspect");
+    expect(evaluateAt(4, HOUR_MS - 1)).to.equal("Quarantined");
+    expect(evaluateAt(4, HOUR_MS)).to.equal("Suspect");
+  });
+
+  // Guards against a trial that costs a fourth backend server.
+  it("quarantines it for long at once if it was part of three ends", () => {
+    const ends = [["i-1", false], ["i-2", true], ["i-3", true]] as const;
+    expect(evaluateEvidence(createEnds("a", ends), NOW_MS + 5_000).type)
+      .to.equal("Quarantined");
   });
 
   it("never quarantines a request that ran beside others only", () => {
