--- a/src/cli/commands/quarantine.ts
+++ b/src/cli/commands/quarantine.ts
@@ -24,6 +24,7 @@
     .description("requests that end the backend servers that run them");
   group.command("list")
     .description("what is recorded against requests, by fingerprint")
+    .addHelpText("after", "\nExample: basilpin quarantine list --json")
     .action(async (_options, command) =>
       finishCommand(await listRecorded(createContext(command)))
     );
@@ -32,6 +33,10 @@
       .description(description)
       .argument("<service>", "service whose backend servers ended")
       .argument("<fingerprint>", "as listed, or as in the line of a refusal")
+      .addHelpText(
+        "after",
+        `\nExample: basilpin quarantine ${action} custody 1c0d5e9fQwMVgfS8R_SxEH`,
+      )
       .action(async (service, fingerprint, _options, command) =>
         finishCommand(
           await sendOrder(createContext(command), {
--- a/src/cli/test/session_test.ts
+++ b/src/cli/test/session_test.ts
@@ -91,6 +91,9 @@
       ["drain", "--help"],
       ["trace", "check", "--help"],
       ["trace", "replay", "--help"],
+      ["quarantine", "list", "--help"],
+      ["quarantine", "clear", "--help"],
+      ["quarantine", "add", "--help"],
     ]);
     const operatorDefault = /(\(default:\s+)"[^"]*"/g;
     snapshots.match("help", session.replace(operatorDefault, '$1"DEFAULT"'));
