--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -173,7 +173,7 @@
     }, { control });
   }
 
-  /** Starts a node; `controlIp` may differ, where a proxy stands before it. */
+  /** Starts a node beside an upstream of a service. */
   async startNode(service, ip = this.newIp()) {
     const { control, outbound, ready, inbound, app } = this.addresses(ip);
     return await this.#start("node", ip, {
@@ -184,6 +184,17 @@
     }, { inbound, outbound, ready, control });
   }
 
+  /** Writes another service to the settings of a node, and sends SIGHUP. */
+  changeService(machine, service) {
+    const text = readFileSync(machine.file, "utf8");
+    writeFileSync(
+      machine.file,
+      text.replace(/^service = .*$/m, `service = ${JSON.stringify(service)}`),
+    );
+    machine.child.kill("SIGHUP");
+    this.record.add("settings changed, SIGHUP", { ip: machine.ip, service });
+  }
+
   async #start(role, ip, fields, listen) {
     const file = path.join(this.#folder, `${ip}.toml`);
     const base = this.#base;
