--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,6 +11,7 @@
   runCase,
   send,
   sleep,
+  STABLE_MS,
   Upstream,
   waitFor,
 } from "../lib/fleet.mjs";
@@ -141,6 +142,7 @@
     "no request was served",
   );
 
+  await sleep(STABLE_MS);
   const sentAtMs = nowMs();
   const client = new SlowClient(
     front.outbound,
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -101,6 +101,8 @@
   recoveryS: 15,
 };
 export const HEARTBEAT_MS = 1500;
+/** Time after the starts from which all machines are in touch. */
+export const STABLE_MS = 3500;
 
 function formatToml(table) {
   const plain = [];
