--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -21,7 +21,7 @@
   waitFor,
 } from "../lib/fleet.mjs";
 
-const BODY_BYTES = 14_000_000;
+const BODY_BYTES = 16_000_000;
 /** Rate at which the client reads at first. */
 const SLOW_BYTES_PER_S = 300_000;
 const READ_INTERVAL_MS = 20;
