--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -122,6 +122,17 @@
    * nothing, as after its start.
    */
   readonly notice?: BackendNotice | undefined;
+  /**
+   * Ratio of the capacity to the slot time that root requests would ask for if
+   * all were admitted; above 1 there is capacity to spare. Undefined if the gate
+   * doesn't measure it.
+   */
+  readonly spare?: number | undefined;
+  /**
+   * How long work takes on the backend server's machine at this moment, relative
+   * to usual; undefined if the backend server doesn't say so.
+   */
+  readonly slowdown?: number | undefined;
 }
 
 /** What a process instance of a backend server has said, as far as known. */
@@ -157,6 +168,10 @@
   pressure: number,
   /** Time since the gate under pressure reported it, in milliseconds. */
   ageMs: number,
+  /** The lowest `spare` downstream; undefined if no gate reports one. */
+  spare?: number | undefined,
+  /** Slot time that a run of the route costs there, in milliseconds. */
+  costMs?: number | undefined,
 ];
 
 /** Number of calls by route, then by the service on whose VM they began. */
@@ -219,15 +234,18 @@
 
 /**
  * `LoadFigures` on the wire: running, queued, limit, pressure, serviceMs,
- * notice.
+ * notice, spare, slowdown. An absent field before a present one is `undefined`,
+ * which earlier builds read as absent too.
  */
 type WireLoad = readonly [
-  number,
-  number,
-  number,
-  number,
-  number?,
-  WireNotice?,
+  running: number,
+  queued: number,
+  limit: number,
+  pressure: number,
+  serviceMs?: number,
+  notice?: WireNotice | undefined,
+  spare?: number | undefined,
+  slowdown?: number | undefined,
 ];
 
 /**
@@ -394,7 +412,8 @@
 }
 
 function flattenLoad(load: LoadFigures, nowMs: number): WireLoad {
-  const { running, queued, limit, pressure, serviceMs, notice } = load;
+  const { running, queued, limit, pressure, serviceMs } = load;
+  const { notice, spare, slowdown } = load;
   const figures = [
     running,
     queued,
@@ -402,13 +421,21 @@
     Math.round(pressure * HUNDREDTHS),
     Math.round(serviceMs),
   ] as const;
-  return notice === undefined
-    ? figures
-    : [...figures, flattenNotice(notice, nowMs)];
+  const wireNotice = notice && flattenNotice(notice, nowMs);
+  if (spare === undefined && slowdown === undefined) {
+    return wireNotice === undefined ? figures : [...figures, wireNotice];
+  }
+  return [
+    ...figures,
+    wireNotice,
+    spare && Math.round(spare * HUNDREDTHS),
+    slowdown && Math.round(slowdown * HUNDREDTHS),
+  ];
 }
 
 function parseLoad(fields: WireLoad, arrivedAtMs: number): LoadFigures {
   const [running, queued, limit, hundredths, serviceMs, notice] = fields;
+  const [spare, slowdown] = fields.slice(6) as (number | undefined)[];
   return {
     running,
     queued,
@@ -416,6 +443,8 @@
     pressure: hundredths / HUNDREDTHS,
     serviceMs: serviceMs ?? 0,
     notice: parseNotice(notice, arrivedAtMs),
+    spare: spare && spare / HUNDREDTHS,
+    slowdown: slowdown && slowdown / HUNDREDTHS,
   };
 }
 
--- a/src/engine/relay/common/dialect.ts
+++ b/src/engine/relay/common/dialect.ts
@@ -1,7 +1,7 @@
 /**
  * The header dialect of callers and backend servers, as an adapter provides it.
  */
-import type { HeaderList, LoadFigures } from "../../mesh/common/frames.ts";
+import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { BackendStatement } from "./backend_notice.ts";
 
 /** Headers by lower-case name, as Node's HTTP parser returns them. */
@@ -58,6 +58,18 @@
    */
   | { readonly type: "Foreign"; readonly reason: string };
 
+/**
+ * Load that a backend server reports in an answer. A figure that is missing or
+ * that can't be read is undefined.
+ */
+export interface BackendLoad {
+  readonly running: number | undefined;
+  readonly queued: number | undefined;
+  readonly slots: number | undefined;
+  /** How long work takes on its machine at this moment, relative to usual. */
+  readonly slowdown: number | undefined;
+}
+
 /** Pure translations of headers at the two edges of the mesh. */
 export interface CallDialect {
   readonly readRequestMetadata: (headers: HeaderMap) => RequestMetadata;
@@ -73,9 +85,7 @@
   /**
    * Reads the load that the backend server reports; undefined if it doesn't.
    */
-  readonly readLoad: (
-    headers: HeaderMap,
-  ) => Pick<LoadFigures, "running" | "queued"> | undefined;
+  readonly readLoad: (headers: HeaderMap) => BackendLoad | undefined;
   /** Reads what the backend server says of itself in an answer. */
   readonly readStatement: (headers: HeaderMap) => BackendStatement;
 }
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -29,6 +29,7 @@
   isOpen,
 } from "./gate_state.ts";
 import type { GateState } from "./gate_state.ts";
+import type { BackendLoad } from "./dialect.ts";
 import { isSameProcessInstance } from "./local_backend.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import {
@@ -74,6 +75,8 @@
     readonly notice: BackendNotice;
     readonly source: NoticeSource;
   }
+  /** The current backend server reported its load in an answer. */
+  | { readonly type: "LoadReported"; readonly load: BackendLoad }
   | { readonly type: "Ticked" };
 
 /** Where a notice came from, for the log. */
@@ -158,6 +161,9 @@
       const before = state.notices.get(notice.instance);
       return putNotice(state, mergeNotices(before, notice), source, nowMs);
     }
+    case "LoadReported":
+      recordSlowdown(state, event.load.slowdown, nowMs);
+      return [];
     case "Ticked":
       return tick(state, nowMs);
   }
@@ -305,6 +311,17 @@
   }
 }
 
+/** Records the slowdown of the backend server's machine, if it names one. */
+function recordSlowdown(
+  state: GateState,
+  slowdown: number | undefined,
+  nowMs: number,
+): void {
+  if (slowdown !== undefined) {
+    state.slowdown = { factor: slowdown, reportedAtMs: nowMs };
+  }
+}
+
 /**
  * Replaces the backend server. Running calls stay counted: if the process
  * instance has changed, the node reports the end of each of them.
@@ -317,6 +334,7 @@
   const before = state.lastNotice;
   if (!isSameProcessInstance(state.backend, backend)) {
     state.bucket = undefined;
+    state.slowdown = undefined;
   }
   state.backend = backend;
   const effects = applyNotice(state, nowMs);
--- a/src/engine/relay/common/gate_state.ts
+++ b/src/engine/relay/common/gate_state.ts
@@ -37,6 +37,15 @@
   lastNotice: BackendNotice | undefined;
   /** Rate limit of the current process instance; undefined if it names none. */
   bucket: TokenBucket | undefined;
+  /** Slowdown of the backend server's machine; undefined if it names none. */
+  slowdown: ReportedSlowdown | undefined;
+}
+
+/** How long work takes on a backend server's machine, as it last said. */
+export interface ReportedSlowdown {
+  /** Relative to usual. */
+  readonly factor: number;
+  readonly reportedAtMs: number;
 }
 
 /**
@@ -68,6 +77,7 @@
     notices: new Map(),
     lastNotice: undefined,
     bucket: undefined,
+    slowdown: undefined,
   };
 }
 
@@ -119,6 +129,7 @@
     pressure: state.pressure.pressure,
     serviceMs: state.meanServiceMs,
     notice: getNotice(state),
+    ...(state.slowdown && { slowdown: state.slowdown.factor }),
   };
 }
 
--- a/src/engine/relay/node/gate_statements.ts
+++ b/src/engine/relay/node/gate_statements.ts
@@ -72,6 +72,10 @@
     const { dialect, readClock, log, gate, step } = this.#options;
     const { requestId } = call.opened;
     const instance = formatInstance(backend);
+    const load = dialect.readLoad(headers);
+    if (load !== undefined && instance === getInstance(gate)) {
+      step({ type: "LoadReported", load });
+    }
     const said = dialect.readStatement(headers);
     if (said.limit.type === "Unreadable") {
       const { text } = said.limit;
@@ -93,3 +97,8 @@
     });
   }
 }
+
+/** Gets the current process instance of the gate's backend server. */
+function getInstance({ backend }: GateState): string | undefined {
+  return backend && formatInstance(backend);
+}
