--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -286,6 +286,7 @@
     const head = this.#head!;
     const { isFailed, isEndReceived, socket } = this.connectionEnd;
     const wholeAnswer = { type: "Whole", head, body } as const;
+    closeIfUnsent(socket);
     if (isFailed || (isEndReceived && isChunked(head))) {
       this.#settle(TRUNCATED_ANSWER);
     } else if (isEndReceived && !hasLength(head) && socket !== undefined) {
@@ -315,6 +316,17 @@
   }
 }
 
+/**
+ * Closes a connection whose answer came before all of the request was written.
+ * Undici takes a body in memory for sent, and would write the next request
+ * behind the rest of it, where the server may never read it.
+ */
+function closeIfUnsent(socket: Socket | undefined): void {
+  if (socket !== undefined && socket.writableLength > 0) {
+    socket.destroy();
+  }
+}
+
 function hasLength({ headers }: BackendHead): boolean {
   return headers["content-length"] !== undefined;
 }
--- a/src/engine/relay/test/backend_client_test.ts
+++ b/src/engine/relay/test/backend_client_test.ts
@@ -5,14 +5,20 @@
 import { BackendClient } from "../node/backend_client.ts";
 import type { BackendResult } from "../node/backend_client.ts";
 
+const SHORT_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+/** More than the socket buffers of a connection hold. */
+const LONG_BODY_BYTES = 33_554_432;
+
 describe("an answer of the backend server", () => {
   let server: Server;
+  const accepted = new Set<Socket>();
   let client: BackendClient;
   /** How the server answers a request. */
   let answer: (socket: Socket) => void;
 
   beforeEach(async () => {
     server = createServer((socket) => {
+      accepted.add(socket);
       socket.on("error", () => {});
       socket.on("data", () => answer(socket));
     });
@@ -20,28 +26,26 @@
       server.listen(0, "127.0.0.1", resolve)
     );
     const { port } = server.address() as AddressInfo;
-    client = new BackendClient(`127.0.0.1:${port}`, 4);
+    // One, so that requests sent one after the other share it if they can.
+    client = new BackendClient(`127.0.0.1:${port}`, 1);
   });
 
   afterEach(async () => {
     await client[Symbol.asyncDispose]();
+    accepted.forEach((socket) => socket.destroy());
+    accepted.clear();
     await new Promise<void>((resolve) => server.close(() => resolve()));
   });
 
-  function send(): Promise<BackendResult> {
+  function send({ body = new Uint8Array(), checkHead = () => undefined }: {
+    readonly body?: Uint8Array;
+    readonly checkHead?: () => string | undefined;
+  } = {}): Promise<BackendResult> {
     return new Promise((onEnd) => {
-      const request = {
-        method: "GET",
-        target: "/a",
-        headers: [],
-        body: new Uint8Array(),
-      };
-      client.send({
-        request,
-        checkStart: () => undefined,
-        checkHead: () => undefined,
-        onEnd,
-      });
+      const method = body.length === 0 ? "GET" : "POST";
+      const request = { method, target: "/a", headers: [], body };
+      const checkStart = () => undefined;
+      client.send({ request, checkStart, checkHead, onEnd });
     });
   }
 
@@ -108,6 +112,57 @@
     expect(describeResult(await send())).to.equal("whole two");
   });
 
+  // A rejected answer belongs to no request: what follows it on its connection
+  // may be the answer to the request that it was rejected for.
+  it("that is rejected ends its connection", async () => {
+    const sockets = new Set<Socket>();
+    let rest = "";
+    answer = (socket) => {
+      sockets.add(socket);
+      socket.write(`${SHORT_HEAD}${rest}one`);
+      rest = "";
+    };
+    expect(describeResult(await send())).to.equal("whole one");
+    rest = `odd${SHORT_HEAD}`;
+    const result = await send({ checkHead: () => "no id" });
+    expect(result).to.deep.equal({ type: "Broken", reason: "no id" });
+    expect(describeResult(await send())).to.equal("whole one");
+    expect(sockets.size).to.equal(2);
+  });
+
+  // The next request was written behind the rest of the body, and waited until
+  // the server read that or closed the connection.
+  it("that comes before a long body was sent ends its connection", async () => {
+    const sockets = new Set<Socket>();
+    answer = (socket) => {
+      if (!sockets.has(socket)) {
+        sockets.add(socket);
+        socket.pause();
+        socket.write(`${SHORT_HEAD}one`);
+      }
+    };
+    const body = new Uint8Array(LONG_BODY_BYTES);
+    expect(describeResult(await send({ body }))).to.equal("whole one");
+    expect(describeResult(await send())).to.equal("whole one");
+    expect(sockets.size).to.equal(2);
+  });
+
+  it("that is rejected before a long body was sent ends its connection", async () => {
+    const sockets = new Set<Socket>();
+    answer = (socket) => {
+      if (!sockets.has(socket)) {
+        sockets.add(socket);
+        socket.pause();
+        socket.write(`${SHORT_HEAD}one`);
+      }
+    };
+    const body = new Uint8Array(LONG_BODY_BYTES);
+    const result = await send({ body, checkHead: () => "no id" });
+    expect(result).to.deep.equal({ type: "Broken", reason: "no id" });
+    expect(describeResult(await send())).to.equal("whole one");
+    expect(sockets.size).to.equal(2);
+  });
+
   it("is known not to have been requested if no server listens", async () => {
     const unused = new BackendClient("127.0.0.1:1", 1);
     const result = await new Promise<BackendResult>((onEnd) =>
--- a/src/engine/routing/node/hint_poller.ts
+++ b/src/engine/routing/node/hint_poller.ts
@@ -24,9 +24,14 @@
 /** Polls one backend server until disposed. */
 export class HintPoller implements AsyncDisposable {
   readonly #options: HintPollerOptions;
+  /**
+   * Without pipelining, each connection is closed after one answer. The answers
+   * have no id, so that an extra one on a connection that is used again would
+   * be taken for the answer to the next poll.
+   */
   readonly #agent = new Agent({
     connections: MAX_HINT_CONNECTIONS,
-    pipelining: 1,
+    pipelining: 0,
     maxResponseSize: MAX_ANSWER_BYTES,
   });
   #timer: NodeJS.Timeout | undefined;
