Keep a link open while a call waits for its answer

Callers saw 504 at the time limit of their route for runs of over 30 s where the entry sent nothing else to the gate meanwhile.

Cause: MeshClient.closeIdle closed links on which nothing was sent for 30 s, also under a call, and told nobody.

Changed: closeIdle leaves the links to addresses that calls are at, which the entry lists. A call is at an address until its answer is complete, it is withdrawn or its time is up, so that links without calls are closed as before.

Evidence: "is not closed as idle while a call waits for its answer" (mesh_link_test) and "is listed until the call ends" (entry_calls_test) fail on the code before (the link was closed; the entry had no such list) and pass now, one run each.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -395,7 +395,7 @@
       this.#control.reportUsage();
     }
     if (this.#ticks % IDLE_CHECK_INTERVAL_TICKS === 0) {
-      this.#meshClient.closeIdle();
+      this.#meshClient.closeIdle(this.#entry.listCalledAddresses());
       this.#crashes.prune();
     }
   }
--- a/src/engine/mesh/node/mesh_client.ts
+++ b/src/engine/mesh/node/mesh_client.ts
@@ -37,7 +37,7 @@
 
 /** Allows for several round trips and one lost packet. */
 const CONNECT_TIMEOUT_MS = 800;
-/** Links on which nothing is sent for this long are closed. */
+/** Links without calls on which nothing is sent for this long are closed. */
 const IDLE_TIMEOUT_MS = 30_000;
 /** Largest message accepted; above any that `FrameWriter` sends. */
 export const MAX_MESSAGE_BYTES = 16_777_216;
@@ -113,11 +113,14 @@
     }
   }
 
-  /** Closes the links on which nothing was sent for `IDLE_TIMEOUT_MS`. */
-  closeIdle(): void {
+  /**
+   * Closes the links on which nothing was sent for `IDLE_TIMEOUT_MS`, except to
+   * `calledAddresses`, where calls are in progress: an answer may take longer.
+   */
+  closeIdle(calledAddresses: ReadonlySet<string>): void {
     const idleSinceMs = this.#options.readClock() - IDLE_TIMEOUT_MS;
     for (const [address, link] of this.#links) {
-      if (link.lastUsedAtMs < idleSinceMs) {
+      if (link.lastUsedAtMs < idleSinceMs && !calledAddresses.has(address)) {
         this.#links.delete(address);
         link.socket.terminate();
       }
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -8,6 +8,8 @@
 
 /** No periodic reports: tests call `report`. */
 const NEVER_MS = 3_600_000;
+/** More than the time after which links without traffic are closed. */
+const LONGER_THAN_IDLE_MS = 31_000;
 const CALL: CallOpened = {
   type: "CallOpened",
   call: 1,
@@ -40,6 +42,8 @@
   readonly client: MeshClient;
   /** How far the server's clock is ahead of the client's. */
   aheadMs = 0;
+  /** How far the client's clock is ahead of the test's. */
+  clientAheadMs = 0;
 
   constructor(port: number) {
     this.address = `127.0.0.1:${port}`;
@@ -68,7 +72,7 @@
     this.client = new MeshClient({
       onFrame: (_address, frame) => this.atClient.push(frame),
       onLost: (_address, reason, wasOpen) => this.lost.push([reason, wasOpen]),
-      readClock: () => performance.now(),
+      readClock: () => performance.now() + this.clientAheadMs,
       getService: () => "front",
       getNotice: () => undefined,
     });
@@ -159,6 +163,22 @@
     expect(link.lost[1]![1]).to.equal(false);
   });
 
+  // The answer was lost with the link if it took over 30 s and nothing else was
+  // sent meanwhile.
+  it("is not closed as idle while a call waits for its answer", async () => {
+    await using link = await Link.open();
+    link.client.send(link.address, CALL);
+    await waitUntil(() => link.atServer.length === 1);
+    link.clientAheadMs = LONGER_THAN_IDLE_MS;
+    link.client.closeIdle(new Set([link.address]));
+    expect(link.client.isOpen(link.address)).to.equal(true);
+    link.answer();
+    await waitUntil(() => link.atClient.length === 1);
+    expect(link.lost).to.deep.equal([]);
+    link.client.closeIdle(new Set());
+    expect(link.client.isOpen(link.address)).to.equal(false);
+  });
+
   it("computes deadlines from when a late message should have arrived", async () => {
     await using link = await Link.open();
     const send = (call: number) => {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -162,6 +162,17 @@
       });
   }
 
+  /** Lists the addresses of nodes at which calls are in progress. */
+  listCalledAddresses(): ReadonlySet<string> {
+    const addresses = new Set<string>();
+    for (const { attempt } of this.#calls.values()) {
+      if (attempt !== undefined) {
+        addresses.add(attempt.address);
+      }
+    }
+    return addresses;
+  }
+
   /**
    * Ends expired calls, retries stalled ones, drops silent links, and probes
    * suspect members that are due.
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -105,6 +105,33 @@
   }
 }
 
+describe("a node with a call in progress", () => {
+  // Its link must not be closed as idle, however long the call takes.
+  it("is listed until the call ends", () => {
+    const entry = new Entry("a:1");
+    expect([...entry.calls.listCalledAddresses()]).to.deep.equal([]);
+    entry.start();
+    expect([...entry.calls.listCalledAddresses()]).to.deep.equal(["a:1"]);
+    entry.calls.receive("a:1", {
+      type: "AnswerOpened",
+      call: entry.getFirstOpening().call,
+      status: 200,
+      headers: [],
+      load: LOAD,
+      bodyBytes: 2,
+      body: new Uint8Array(1),
+    });
+    expect([...entry.calls.listCalledAddresses()]).to.deep.equal(["a:1"]);
+    entry.calls.receive("a:1", {
+      type: "BodyPart",
+      call: entry.getFirstOpening().call,
+      bytes: new Uint8Array(1),
+    });
+    expect([...entry.calls.listCalledAddresses()]).to.deep.equal([]);
+    expect(entry.results).to.have.length(1);
+  });
+});
+
 describe("a node that falls silent", () => {
   it("gets no more calls where another can take them", () => {
     const entry = new Entry("a:1", "b:1");
