Decide for each connection of a drain whether it is served or closed

Callers saw: a call that a backend server sent during the drain of its node, on a connection opened before the listener closed, ran elsewhere and was cut at the node's exit. Connections in the accept queue were reset. Slow readers lost the rest of their answer when the listener closed.

Cause: CallerServer knew a connection only from its first request on, so close() did not reach one without a request. Closing the listener makes the kernel reset the connections that were not accepted yet. Server.close() of node:http and closeIdleConnections() destroy a connection once response.end() was called, though bytes of the answer are still unwritten.

Change: connections are registered when they are accepted. closeListener first accepts what waits in the queue (250 ms at most), then closes the listener only, by close() of net.Server. RelayDaemon.drain waits for this close, within its time limit. CallerServer.close() therefore returns a promise; connections with requests in progress still stop accepting within the call, as the test of this relies on.

Why it works: whether a connection is idle is decided by the exchanges that were accepted on it and not yet written, and nothing is accepted on it after it was ended.

--- /dev/null
+++ b/src/base/node/listener_close.ts
@@ -0,0 +1,37 @@
+/** Closes the listener of a server, and leaves its connections alone. */
+import { Server } from "node:net";
+import { readSteadyMs } from "./steady_clock.ts";
+
+/**
+ * Longest time for which connections that wait to be accepted delay the close,
+ * in milliseconds: more may come all the time.
+ */
+const MAX_ACCEPT_MS = 250;
+
+/**
+ * Accepts the connections that wait in the accept queue, and then stops to
+ * listen. The kernel resets what is in the queue when the listener is closed,
+ * although its callers are connected and may have sent a request. Later callers
+ * are refused by the kernel. One that connects in the turn of the event loop in
+ * which the listener is closed may still be reset; none of its bytes were read.
+ *
+ * `close` of an HTTP server is not called: it also destroys connections whose
+ * answer is complete but not yet written.
+ */
+export async function closeListener(server: Server): Promise<void> {
+  const endMs = readSteadyMs() + MAX_ACCEPT_MS;
+  let hasAccepted = true;
+  const recordAccepted = () => hasAccepted = true;
+  server.on("connection", recordAccepted);
+  while (hasAccepted && readSteadyMs() < endMs) {
+    hasAccepted = false;
+    await waitForTurn();
+  }
+  server.off("connection", recordAccepted);
+  Server.prototype.close.call(server);
+}
+
+/** Resolves when the sockets that are readable now have been read once. */
+export function waitForTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -346,8 +346,12 @@
     this.#control.announce({ isDraining: true });
     this.#callers.drain();
     await waitUntil(() => readSteadyMs() >= startedAtMs + DRAIN_NOTICE_MS);
-    this.#callers.close();
-    await waitUntil(() => this.#isIdle() || readSteadyMs() >= endMs);
+    // Until the close is complete, further requests may still be taken.
+    let isClosed = false;
+    this.#callers.close().then(() => isClosed = true);
+    await waitUntil(() =>
+      (isClosed && this.#isIdle()) || readSteadyMs() >= endMs
+    );
     this.#control.leave();
     this.#telemetry.record({ type: "DrainEnded" });
   }
--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -26,6 +26,8 @@
   /** Starts to process an exchange. */
   readonly start: (exchange: Exchange) => void;
   readonly firstRequests: FirstRequestQueue;
+  /** When the connection was accepted, by the steady clock. */
+  readonly acceptedAtMs: number;
 }
 
 /** Starts the exchanges of a connection in order, and ends them with it. */
@@ -34,6 +36,7 @@
   readonly #options: CallerConnectionOptions;
   readonly #pipeline = new Pipeline<Exchange>();
   #hasReadBacklog = false;
+  #hasReceived = false;
 
   constructor(socket: Socket, options: CallerConnectionOptions) {
     this.#socket = socket;
@@ -52,6 +55,16 @@
     return this.#hasReadBacklog;
   }
 
+  /** When it was accepted, by the steady clock. */
+  get acceptedAtMs(): number {
+    return this.#options.acceptedAtMs;
+  }
+
+  /** Whether a request has been received on it. */
+  get hasReceived(): boolean {
+    return this.#hasReceived;
+  }
+
   /** Whether every request received has been answered. */
   get isIdle(): boolean {
     return this.#pipeline.size === 0;
@@ -81,6 +94,7 @@
   /** Adds a request; ignored if an earlier answer closes the connection. */
   receive(exchange: Exchange): void {
     const { response } = exchange;
+    this.#hasReceived = true;
     const next = this.#pipeline.add(exchange);
     if (!response.shouldKeepAlive) {
       this.#pipeline.stopAccepting();
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -8,6 +8,10 @@
 import type { Duplex } from "node:stream";
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
 import { listen } from "../../../base/node/listen.ts";
+import {
+  closeListener,
+  waitForTurn,
+} from "../../../base/node/listener_close.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
 import type { Route, RouteTable } from "../../routes/common/route_table.ts";
 import type { Workspace } from "../../workspaces/common/workspace.ts";
@@ -17,6 +21,7 @@
   WorkspaceCheck,
 } from "../../workspaces/common/workspace_check.ts";
 import type { CallDialect } from "../common/dialect.ts";
+import { computeFirstRequestWaitMs } from "../common/drain_close.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BufferedBytes } from "../common/held_bytes.ts";
@@ -115,13 +120,14 @@
       ...options,
       closeIfLast: (exchange) =>
         this.#isDraining &&
-        this.#getConnection(exchange.request.socket).closeIfLast(exchange),
+        this.#getConnection(exchange.request.socket)
+            ?.closeIfLast(exchange) === true,
     });
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
       (request, response) => this.#acceptRequest(request, response),
     );
-    this.#server.on("connection", options.recordConnection);
+    this.#server.on("connection", (socket) => this.#acceptConnection(socket));
     this.#server.on(
       "clientError",
       (_error, socket) => this.#rejectMalformed(socket),
@@ -170,11 +176,26 @@
     this.#isDraining = true;
   }
 
-  /** Accepts no more connections; those in use end with their last answer. */
-  close(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
-    this.#connections.forEach((connection) => connection.closeWhenIdle());
+  /**
+   * Accepts no more connections, and resolves when no connection takes further
+   * requests. Those in use end after their last answer has been written, the
+   * others at once, except that a new one has a short time for its first
+   * request.
+   */
+  async close(): Promise<void> {
+    this.#closeConnections((connection) => !connection.isIdle);
+    await closeListener(this.#server);
+    this.#closeConnections((connection) => this.#getWaitMs(connection) === 0);
+    const waitMs = Array.from(
+      this.#connections.values(),
+      (connection) => this.#getWaitMs(connection),
+    ).reduce((longest, one) => Math.max(longest, one), 0);
+    if (waitMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+      // Requests that arrived in time are read before their connections close.
+      await waitForTurn();
+      this.#closeConnections(() => true);
+    }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -184,9 +205,9 @@
 
   #acceptRequest(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#getConnection(request.socket);
-    if (connection.isClosing) {
-      // An earlier answer closes the connection: the caller takes this request
-      // as unread.
+    if (connection === undefined || connection.isClosing) {
+      // The connection is closed, or an earlier answer closes it: the caller
+      // takes this request as unread.
       return;
     }
     this.#openCount += 1;
@@ -203,18 +224,32 @@
     connection.receive(exchange);
   }
 
-  #getConnection(socket: Socket): CallerConnection {
-    const known = this.#connections.get(socket);
-    if (known !== undefined) {
-      return known;
-    }
+  #acceptConnection(socket: Socket): void {
+    this.#options.recordConnection();
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#resume(exchange),
       firstRequests: this.#options.firstRequests,
+      acceptedAtMs: this.#options.readClock(),
     });
     this.#connections.set(socket, connection);
     socket.on("close", () => this.#connections.delete(socket));
-    return connection;
+  }
+
+  /** Returns the connection of a request; only a closed one is not known. */
+  #getConnection(socket: Socket): CallerConnection | undefined {
+    return this.#connections.get(socket);
+  }
+
+  #closeConnections(isChosen: (one: CallerConnection) => boolean): void {
+    for (const connection of this.#connections.values()) {
+      if (isChosen(connection)) {
+        connection.closeWhenIdle();
+      }
+    }
+  }
+
+  #getWaitMs(connection: CallerConnection): number {
+    return computeFirstRequestWaitMs(connection, this.#options.readClock());
   }
 
   /**
@@ -316,7 +351,7 @@
     if (body === undefined || exchange.isEnded || exchange.response.destroyed) {
       return;
     }
-    this.#getConnection(exchange.request.socket).runAfterBacklogRead(() => {
+    this.#getConnection(exchange.request.socket)?.runAfterBacklogRead(() => {
       try {
         this.#startReceived(exchange, route, { body, workspace });
       } catch (error) {
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -8,6 +8,7 @@
 import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
+import { NEW_CONNECTION_MS } from "../common/drain_close.ts";
 import { MAX_CONCURRENT_EXCHANGES } from "../common/pipeline.ts";
 import { MAX_WAITING } from "../common/start_wait.ts";
 import { readBothClocks } from "../../../base/node/steady_clock.ts";
@@ -20,6 +21,8 @@
 const LEASE_MS = 1_000;
 /** Time after which a test stops waiting for a condition. */
 const WAIT_MS = 5_000;
+/** More than the socket buffers of both ends hold. */
+const LONG_BODY_BYTES = 33_554_432;
 const DIALECT: CallDialect = {
   readRequestMetadata: () => ({ requestId: "r", timeoutMs: 5_000, key: KEY }),
   createCallHeaders: () => [],
@@ -77,6 +80,8 @@
   /** Indexes of the withdrawn calls, in order of start. */
   readonly withdrawn: number[] = [];
   isNested = false;
+  /** Number of connections accepted. */
+  acceptedCount = 0;
   /** Answers the call started last. */
   answer: (body: Uint8Array) => void = () => {};
   readonly url: string;
@@ -131,7 +136,7 @@
       workspaces: this.workspaces,
       requestProof: () => {},
       observeCall: () => ({ isNested: this.isNested, repeatShare: 0 }),
-      recordConnection: () => {},
+      recordConnection: () => this.acceptedCount += 1,
       firstRequests: {
         queuedMs: 0,
         enqueue: (run) => this.isHolding ? this.held.push(run) : run(),
@@ -476,6 +481,124 @@
   });
 });
 
+describe("a drain", () => {
+  /** Opens a connection and sends `text` once the server has accepted it. */
+  async function connectAccepted(callers: Callers, text: string) {
+    const connection = callers.connect("");
+    await waitFor(() => callers.acceptedCount === 1);
+    connection.socket.write(text);
+    return connection;
+  }
+
+  // Guards against a request that is taken too late for the grace period, on a
+  // connection which was open but without a request when the drain closed.
+  const texts = { "nothing": "", "half a head": "GET /0 HTT" };
+  for (const [name, text] of Object.entries(texts)) {
+    it(`closes a connection that has sent ${name}, and takes nothing`, async () => {
+      await using callers = await Callers.open();
+      const connection = await connectAccepted(callers, text);
+      await sleep(20);
+      callers.aheadMs = NEW_CONNECTION_MS;
+      callers.server.drain();
+      await callers.server.close();
+      connection.socket.write(formatRequests(1).slice(text.length));
+      await sleep(50);
+      expect(callers.started).to.have.length(0);
+      await waitFor(() => connection.isClosed);
+      expect(connection.received).to.equal("");
+    });
+  }
+
+  // Guards against an error event without a listener, which ends the process.
+  it("ignores malformed bytes after the close", async () => {
+    await using callers = await Callers.open();
+    const connection = await connectAccepted(callers, "GET /0 HTT");
+    await sleep(20);
+    callers.aheadMs = NEW_CONNECTION_MS;
+    await callers.server.close();
+    connection.socket.write("NO REQUEST AT ALL\r\n\r\n");
+    await waitFor(() => connection.isClosed);
+    expect(callers.started).to.have.length(0);
+  });
+
+  // Guards against a first request that arrives together with the close.
+  it("serves the first request of a connection opened just before", async () => {
+    await using callers = await Callers.open();
+    const connection = await connectAccepted(callers, "");
+    callers.server.drain();
+    const closing = callers.server.close();
+    connection.socket.write(formatRequests(1));
+    await closing;
+    await waitFor(() => callers.started.length === 1);
+    callers.ends[0]!();
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 200"]);
+    expect(connection.received).to.include("Connection: close");
+  });
+
+  // Guards against resets of connections that the kernel has established and
+  // the process has not accepted yet: closing the listener resets these.
+  it("serves the connections that wait to be accepted", async () => {
+    await using callers = await Callers.open();
+    const count = 50;
+    const connections = Array.from(
+      { length: count },
+      () => callers.connect(formatRequests(1)),
+    );
+    // Sockets connect in the next tick.
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+    expect(callers.acceptedCount).to.equal(0);
+    callers.server.drain();
+    await callers.server.close();
+    await waitFor(() => callers.started.length === count);
+    callers.ends.forEach((end) => end());
+    await waitFor(() => connections.every(({ isClosed }) => isClosed));
+    expect(connections.flatMap(listStatuses)).to.have.length(count);
+    const late = callers.connect(formatRequests(1));
+    await waitFor(() => late.isClosed);
+    expect(callers.started).to.have.length(count);
+  });
+
+  it("closes a connection whose requests have been answered", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(formatRequests(1));
+    await waitFor(() => callers.started.length === 1);
+    callers.ends[0]!();
+    await waitFor(() => listStatuses(connection).length === 1);
+    callers.server.drain();
+    await callers.server.close();
+    connection.socket.write(formatRequests(1, 1));
+    await waitFor(() => connection.isClosed);
+    expect(callers.started).to.have.length(1);
+  });
+
+  // Guards against closing a connection after `response.end()` was called and
+  // before the socket has taken all bytes of the answer.
+  const starts = { "before it": false, "in it": true };
+  for (const [when, isInDrain] of Object.entries(starts)) {
+    it(`lets a slow reader read an answer begun ${when}`, async () => {
+      await using callers = await Callers.open();
+      const connection = callers.connect(formatRequests(1));
+      connection.socket.pause();
+      await waitFor(() => callers.started.length === 1);
+      if (isInDrain) {
+        callers.server.drain();
+      }
+      callers.answer(Buffer.alloc(LONG_BODY_BYTES, "x"));
+      await sleep(50);
+      callers.server.drain();
+      await callers.server.close();
+      await sleep(50);
+      expect(callers.server.openCount).to.equal(1);
+      connection.socket.resume();
+      await waitFor(() => connection.isClosed);
+      const bodyAt = connection.received.indexOf("\r\n\r\n") + 4;
+      expect(connection.received.length - bodyAt).to.equal(LONG_BODY_BYTES);
+      expect(callers.server.openCount).to.equal(0);
+    });
+  }
+});
+
 function sleep(timeMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, timeMs));
 }
