Keep the shares of a traffic split when its weights change

Callers saw: after the weights of a route's trafficSplit were changed, requests went to the wrong targets. A target of weight 0 got 200 of 300 requests, and one of two equal targets 248 of 300.

Cause: TargetChooser kept what each target was owed by its index and in the scale of the old weights (90 and 10), and went on in the scale of the new ones (1 and 0), where the debt is that of many requests. A target added or removed in front moved the debts to others. Besides, every route at every node began with the largest target, so that a target with a tenth of the weight got nothing on routes with a request or two.

Change: the targets are decided on in turn, each by a phase from 0 to 1 that advances by its share of the requests which the targets before it leave. Phases begin at random, drawn by a function that is passed in.

Why it works: a phase is evenly distributed whatever the shares were, so there is nothing to carry over from earlier weights. A share of 0 never moves its phase, and targets of weight 0 are left out anyway. Each decision is off by less than one request over any run of requests.

--- a/src/engine/relay/common/routes_in_force.ts
+++ b/src/engine/relay/common/routes_in_force.ts
@@ -30,11 +30,16 @@
  * targets continues when the table is replaced.
  */
 export class RoutesInForce {
-  readonly #chooser = new TargetChooser();
+  readonly #chooser: TargetChooser;
   #table: RouteTable | undefined;
   #index: RouteIndex = new Map();
   #routeRanks = 1;
 
+  /** `draw` returns a random number from 0 to 1. */
+  constructor(draw: () => number) {
+    this.#chooser = new TargetChooser(draw);
+  }
+
   /** Whether a table has been put in force. */
   get hasTable(): boolean {
     return this.#table !== undefined;
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -106,7 +106,7 @@
   readonly #server: Server;
   readonly #replies: CallerReplies;
   readonly #connections = new Map<Duplex, CallerConnection>();
-  readonly #routes = new RoutesInForce();
+  readonly #routes: RoutesInForce;
   #isDraining = false;
   #openCount = 0;
   readonly #bufferedBytes = new BufferedBytes(MAX_BUFFERED_BYTES);
@@ -116,6 +116,7 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#routes = new RoutesInForce(options.draw);
     this.#replies = new CallerReplies({
       ...options,
       closeIfLast: (exchange) =>
--- a/src/engine/routes/common/route_match.ts
+++ b/src/engine/routes/common/route_match.ts
@@ -29,46 +29,75 @@
 }
 
 /**
- * Selects the target of each request of a route by smooth weighted round robin,
- * so that even short sequences of requests keep the shares of the targets.
+ * Selects the target of each request of a route, so that even short sequences
+ * of requests keep the shares of the targets.
+ *
+ * The targets are decided on in turn: each takes its weight's share of the
+ * requests that those before it have left. Whether it takes the next one
+ * depends on a phase from 0 to 1, which advances by this share and wraps around
+ * when the target takes a request. A phase is evenly distributed whatever the
+ * shares were, so it says nothing of earlier weights, and stays valid when
+ * weights change or targets are added, removed or moved.
  */
 export class TargetChooser {
-  /** Current weights of the targets, by route name. */
-  readonly #currentWeights = new Map<string, number[]>();
+  readonly #draw: () => number;
+  /** Phases of the decisions, by route name. */
+  readonly #phases = new Map<string, number[]>();
 
-  /** Chooses the service of the next request, and updates the weights. */
-  choose(route: Route): string {
-    const { targets, name } = route;
+  /**
+   * `draw` returns a random number from 0 to 1. Phases begin at random, because
+   * otherwise the first requests of all routes and nodes would have the same
+   * target.
+   */
+  constructor(draw: () => number) {
+    this.#draw = draw;
+  }
+
+  /** Chooses the service of the next request, and advances the phases. */
+  choose({ name, targets }: Route): string {
     if (targets.length === 1) {
       return targets[0]!.service;
     }
-    const weights = this.#currentWeights.get(name) ?? [];
-    this.#currentWeights.set(name, weights);
-    weights.length = targets.length;
-    let best = 0;
-    let total = 0;
-    targets.forEach(({ weight }, index) => {
-      total += weight;
-      weights[index] = (weights[index] ?? 0) + weight;
-      if (weights[index]! > weights[best]!) {
-        best = index;
-      }
+    const phases = this.#phases.get(name) ?? [];
+    this.#phases.set(name, phases);
+    const weighted = targets.filter(({ weight }) => weight > 0);
+    const shares = computeSharesOfRest(weighted.map(({ weight }) => weight));
+    const index = shares.findIndex((share, at) => {
+      const phase = (phases[at] ?? this.#draw()) + share;
+      const isTaken = phase >= 1;
+      phases[at] = isTaken ? phase - 1 : phase;
+      return isTaken;
     });
-    weights[best] = weights[best]! - total;
-    return targets[best]!.service;
+    // The last target takes what the others leave.
+    return weighted.at(index)!.service;
   }
 
   /** Removes the state of routes that are not in the table. */
   prune(table: RouteTable): void {
     const names = new Set(table.routes.map(({ name }) => name));
-    for (const name of this.#currentWeights.keys()) {
+    for (const name of this.#phases.keys()) {
       if (!names.has(name)) {
-        this.#currentWeights.delete(name);
+        this.#phases.delete(name);
       }
     }
   }
 }
 
+/**
+ * Computes each weight but the last, divided by the sum of itself and those
+ * after it.
+ */
+function computeSharesOfRest(weights: readonly number[]): readonly number[] {
+  let rest = 0;
+  return weights.toReversed()
+    .map((weight) => {
+      rest += weight;
+      return weight / rest;
+    })
+    .toReversed()
+    .slice(0, -1);
+}
+
 function readHostName(host: string): string {
   const colon = host.indexOf(":");
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -1,5 +1,6 @@
 /** Matching, load balancing, validation and replacement of routes. */
 import { expect } from "chai";
+import { createRandom } from "../../../base/test/seeded_random.ts";
 import { applyEdit } from "../../table/common/table_reducer.ts";
 import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
 import type {
@@ -70,13 +71,11 @@
       { service: "new", weight: 10 },
       { service: "none", weight: 0 },
     ];
-    const chooser = new TargetChooser();
-    const counts = new Map<string, number>();
-    for (let n = 0; n < 100; n += 1) {
-      const service = chooser.choose(createRoute({ targets }));
-      counts.set(service, (counts.get(service) ?? 0) + 1);
+    for (const phase of [0.05, 0.5, 0.95]) {
+      const chooser = new TargetChooser(() => phase);
+      expect(countChoices(chooser, createRoute({ targets }), 100))
+        .to.deep.equal({ old: 90, new: 10 });
     }
-    expect([...counts]).to.deep.equal([["old", 90], ["new", 10]]);
   });
 
   const faults: readonly [string, Partial<Route>][] = [
@@ -102,6 +101,122 @@
   });
 });
 
+/** Chooses `count` times; returns how often each service was chosen. */
+function countChoices(
+  chooser: TargetChooser,
+  route: Route,
+  count: number,
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (let n = 0; n < count; n += 1) {
+    const service = chooser.choose(route);
+    counts[service] = (counts[service] ?? 0) + 1;
+  }
+  return counts;
+}
+
+/**
+ * Chooses `count` times; returns how far the count of a target was from its
+ * share at most, after any of these requests.
+ */
+function measureDeviation(
+  chooser: TargetChooser,
+  route: Route,
+  count: number,
+): number {
+  const { targets } = route;
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  const counts = new Map<string, number>();
+  let deviation = 0;
+  for (let n = 1; n <= count; n += 1) {
+    const chosen = chooser.choose(route);
+    counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+    for (const { service, weight } of targets) {
+      const off = (counts.get(service) ?? 0) - n * weight / total;
+      deviation = Math.max(deviation, Math.abs(off));
+    }
+  }
+  return deviation;
+}
+
+// Guards against state in the scale, or at the index, of earlier weights: a
+// target of weight 0 once got 200 of 300 requests after a change.
+describe("a change of the targets of a route", () => {
+  const before = createRoute({
+    targets: [{ service: "old", weight: 90 }, { service: "new", weight: 10 }],
+  });
+
+  /** Yields a chooser after each number of requests on the old weights. */
+  function* createUsedChoosers() {
+    for (let used = 0; used <= 100; used += 1) {
+      const chooser = new TargetChooser(createRandom(used));
+      countChoices(chooser, before, used);
+      yield chooser;
+    }
+  }
+
+  it("gives a target of weight 0 nothing from then on", () => {
+    const services = [["old", "new"], ["new", "old"]] as const;
+    for (const [kept, ended] of services) {
+      const after = createRoute({
+        targets: [
+          { service: kept, weight: 1 },
+          { service: ended, weight: 0 },
+        ],
+      });
+      for (const chooser of createUsedChoosers()) {
+        expect(countChoices(chooser, after, 300))
+          .to.deep.equal({ [kept]: 300 });
+      }
+    }
+  });
+
+  const changes: Readonly<Record<string, Readonly<Record<string, number>>>> = {
+    "equal weights": { old: 1, new: 1 },
+    "weights in a smaller scale": { old: 0.9, new: 0.1 },
+    "weights in a larger scale": { old: 1_000, new: 3_000 },
+    "the targets in another order": { new: 1, old: 9 },
+    "a target added in front": { extra: 5, old: 4, new: 1 },
+    "a target added at the end": { old: 4, new: 1, extra: 5 },
+    "a target removed and two added": { new: 5, extra: 3, other: 2 },
+  };
+  for (const [what, weights] of Object.entries(changes)) {
+    it(`keeps the shares of any requests from then on with ${what}`, () => {
+      const targets = Object.entries(weights)
+        .map(([service, weight]) => ({ service, weight }));
+      const after = createRoute({ targets });
+      // Each decision between a target and those after it is off by less than
+      // one request; a rounding error is allowed.
+      const maxDeviation = targets.length - 1 + 1e-6;
+      for (const chooser of createUsedChoosers()) {
+        expect(measureDeviation(chooser, after, 300))
+          .to.be.lessThan(maxDeviation);
+      }
+    });
+  }
+
+  // Guards against choosers that all begin with the same target: the smaller
+  // one then gets nothing on routes, or at nodes, with few requests.
+  it("keeps the shares over many routes with a request each", () => {
+    const chooser = new TargetChooser(createRandom(1));
+    const names = Array.from({ length: 10_000 }, (_, n) => `route-${n}`);
+    const countNew = (targets: Route["targets"]) =>
+      names.filter((name) =>
+        chooser.choose(createRoute({ name, targets })) === "new"
+      ).length;
+    const equal = before.targets.map((target) => ({ ...target, weight: 1 }));
+    // Each range is five standard deviations wide on either side.
+    for (let round = 0; round < 3; round += 1) {
+      expect(countNew(before.targets)).to.be.within(850, 1_150);
+    }
+    for (let round = 0; round < 3; round += 1) {
+      expect(countNew(equal)).to.be.within(4_750, 5_250);
+    }
+    chooser.prune(createTable(2));
+    expect(countNew(before.targets)).to.be.within(850, 1_150);
+  });
+});
+
 describe("a replacement of the routes", () => {
   it("is accepted on the version that stands, and its resend too", () => {
     const first = replace(INITIAL_TABLE_STATE, 0, 5);
