Estimate a backend server's usual speed independently of its mix of routes

Cause: the service time that a gate reports is a mean over all calls that moves by 2% a call. With routes of 62 and 39 ms, a change of the mix looked like a change of speed, and a change of speed showed after fifty calls. The slowdown that a backend server reports would have counted twice beside it.

Change: gates whose backend server reports a slowdown keep a cost for each route and one slowness with a time constant of 150 ms, and report the mean of the costs times the slowness. Each sample is divided by the slowdown at its start. A slowdown counts for 600 ms after its last report. Other gates report what they did before.

--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -32,6 +32,11 @@
 import type { BackendLoad } from "./dialect.ts";
 import { isSameProcessInstance } from "./local_backend.ts";
 import type { LocalBackend } from "./local_backend.ts";
+import {
+  createSpeedEstimate,
+  recordSample,
+  recordSlowdownChange,
+} from "./speed_estimate.ts";
 import {
   changeRate,
   createTokenBucket,
@@ -126,6 +131,8 @@
 const MEAN_SERVICE_GAIN = 0.02;
 /** The same in a route's service time and in the completion gap. */
 const SAMPLE_GAIN = 0.1;
+/** A slowdown is determined anew every 600 ms; an older one says nothing. */
+const SLOWDOWN_VALID_MS = 600;
 /**
  * Time that a run is left after a nested call, for its other calls and its own
  * work.
@@ -299,6 +306,9 @@
   if (serviceMs === undefined) {
     return;
   }
+  if (state.speed !== undefined) {
+    recordSample(state.speed, { route, serviceMs }, nowMs);
+  }
   state.meanServiceMs = state.meanServiceMs === 0
     ? serviceMs
     : state.meanServiceMs +
@@ -319,6 +329,23 @@
 ): void {
   if (slowdown !== undefined) {
     state.slowdown = { factor: slowdown, reportedAtMs: nowMs };
+    state.speed ??= createSpeedEstimate();
+    recordSlowdownChange(state.speed, slowdown, nowMs);
+  }
+}
+
+/**
+ * Takes the machine to be as usual once the last report is too old. Otherwise a
+ * backend server that got no calls because it was slow would never report again
+ * that it no longer is.
+ */
+function expireSlowdown(state: GateState, nowMs: number): void {
+  const { slowdown } = state;
+  if (
+    slowdown !== undefined && slowdown.factor > 1 &&
+    nowMs - slowdown.reportedAtMs >= SLOWDOWN_VALID_MS
+  ) {
+    recordSlowdown(state, 1, nowMs);
   }
 }
 
@@ -335,6 +362,7 @@
   if (!isSameProcessInstance(state.backend, backend)) {
     state.bucket = undefined;
     state.slowdown = undefined;
+    state.speed = undefined;
   }
   state.backend = backend;
   const effects = applyNotice(state, nowMs);
@@ -423,6 +451,7 @@
 }
 
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
+  expireSlowdown(state, nowMs);
   const expired = state.queue.filter((call) =>
     hasTooLittleTime(state, call, nowMs)
   );
--- a/src/engine/relay/common/gate_state.ts
+++ b/src/engine/relay/common/gate_state.ts
@@ -5,6 +5,8 @@
 import type { GateCall } from "./gate_queue.ts";
 import { formatInstance } from "./local_backend.ts";
 import type { LocalBackend } from "./local_backend.ts";
+import { computeUsualServiceMs } from "./speed_estimate.ts";
+import type { SpeedEstimate } from "./speed_estimate.ts";
 import { computeTokenRate, estimateTokenWaitMs } from "./token_bucket.ts";
 import type { TokenBucket } from "./token_bucket.ts";
 
@@ -39,6 +41,8 @@
   bucket: TokenBucket | undefined;
   /** Slowdown of the backend server's machine; undefined if it names none. */
   slowdown: ReportedSlowdown | undefined;
+  /** Usual speed of a backend server that names a slowdown. */
+  speed: SpeedEstimate | undefined;
 }
 
 /** How long work takes on a backend server's machine, as it last said. */
@@ -78,6 +82,7 @@
     lastNotice: undefined,
     bucket: undefined,
     slowdown: undefined,
+    speed: undefined,
   };
 }
 
@@ -127,7 +132,9 @@
     queued: state.queue.length,
     limit: computeCapacity(state),
     pressure: state.pressure.pressure,
-    serviceMs: state.meanServiceMs,
+    serviceMs: state.speed === undefined
+      ? state.meanServiceMs
+      : computeUsualServiceMs(state.speed),
     notice: getNotice(state),
     ...(state.slowdown && { slowdown: state.slowdown.factor }),
   };
