Place calls by expected time to finish where members report a slowdown

Cause: a member's score was the share of its slots in use times its slowness, plus a fixed penalty of 0.15 of the slots for another data centre. It is no time, so slow and fast servers got unlike waits, calls crossed without a wait to save, and calls gathered at the member whose last report was best.

Change: between members of which one reports a slowdown, a call is drawn with weights that rise with a member's capacity and fall with its cost: the expected time to finish plus the delay of other calls. It stays in its data centre unless that costs more than half a service time there. Members without samples get a quarter of their part of the calls. Other services keep the rule they had; so do those where a backend server names a rate limit.

--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -5,6 +5,7 @@
  * or that fail part of their calls although their health checks succeed.
  */
 import type { Member } from "./member.ts";
+import { choosePlacement, hasSlowdown } from "./placement.ts";
 
 /** Inputs of a choice besides the members. */
 export interface ChoiceOptions {
@@ -90,6 +91,13 @@
   }
   const candidates = eligible.length > 0 ? eligible : members;
   const failing = listFailing(candidates);
+  if (isPlacedByTime(candidates, options)) {
+    return choosePlacement(candidates, {
+      ...options,
+      loadValidMs: LOAD_VALID_MS,
+      getPenalty: (member) => computePenalty(member, failing),
+    });
+  }
   const meanMs = computeMeanServiceMs(candidates, options.nowMs);
   let best: Member | undefined;
   let bestScore = Infinity;
@@ -106,6 +114,25 @@
   return best;
 }
 
+/**
+ * Whether members are compared by expected time to finish: as soon as one reports
+ * its slowdown, unless one names a rate limit, which the time doesn't contain.
+ */
+function isPlacedByTime(
+  members: readonly Member[],
+  { getRateLimit }: ChoiceOptions,
+): boolean {
+  return members.some(hasSlowdown) &&
+    members.every((member) => getRateLimit(member) === undefined);
+}
+
+/** Computes the penalty of a member that fails calls or takes none. */
+function computePenalty(member: Member, failing: readonly Member[]): number {
+  const { load, failureShare } = member;
+  return failureShare + (failing.includes(member) ? FAILING_PENALTY : 0) +
+    (load?.limit === 0 ? CLOSED_PENALTY : 0);
+}
+
 /** Finds an eligible member that fails calls or is limited, and is due. */
 function findDueProbe(
   members: readonly Member[],
