Log and measure placements by expected time to finish

Cause: which member got the calls of a node, and by which figures, couldn't be told from outside.

Change: entries write a line CallsPlaced every 5 s for each service whose members report a slowdown, with the calls and the figures of each member. The operator listener has the gauges backend_slowdown and backend_usual_ms where the backend server names a slowdown. Other services have neither.

--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -97,6 +97,21 @@
         : [[notice.instance, tokens]];
     },
   });
+  metrics.addLabelledGauge("backend_slowdown", {
+    description: "How long work takes at the backend server, 1 as usual",
+    label: "service",
+    read: () => listByService(readStatus(), ({ slowdown }) => slowdown),
+  });
+  metrics.addLabelledGauge("backend_usual_ms", {
+    description: "Usual service time of a backend server with a slowdown",
+    label: "service",
+    read: () =>
+      listByService(
+        readStatus(),
+        ({ slowdown, serviceMs }) =>
+          slowdown === undefined ? undefined : serviceMs,
+      ),
+  });
   for (const [name, description, read] of STATUS_GAUGES) {
     metrics.addGauge(name, description, () => read(readStatus()));
   }
@@ -131,6 +146,17 @@
     : [[notice.instance, notice.requestsPerSecond]];
 }
 
+/** Lists a figure of the own backend server; empty if it isn't known. */
+function listByService(
+  { load, backend }: RelayStatus,
+  getFigure: (load: LoadFigures) => number | undefined,
+): readonly (readonly [string, number])[] {
+  const figure = getFigure(load);
+  return figure === undefined || backend === undefined
+    ? []
+    : [[backend.service, figure]];
+}
+
 type StatusGauge = readonly [
   name: string,
   description: string,
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -50,6 +50,7 @@
 } from "../common/link_silence.ts";
 import { recordResult } from "../common/member.ts";
 import type { Member } from "../common/member.ts";
+import { PlacementLog } from "../common/placement_log.ts";
 import {
   AdmittedShare,
   drawForRequest,
@@ -70,6 +71,7 @@
   readonly #budget: EntryBudget;
   readonly #suspects: EntrySuspects;
   readonly #admittedShare = new AdmittedShare();
+  readonly #placementLog: PlacementLog;
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services without a known member. */
   readonly #memberWaiters = new Set<EntryCall>();
@@ -79,6 +81,7 @@
     this.#options = options;
     const { budget, readClock, draw, crashes } = options;
     this.#suspects = new EntrySuspects({ ...options, knowledge: crashes });
+    this.#placementLog = new PlacementLog(options.dataCentre);
     this.#budget = new EntryBudget(budget, { startedAtMs: readClock(), draw });
   }
 
@@ -298,8 +301,8 @@
   }
 
   #chooseMember(call: EntryCall, nowMs: number): Member | undefined {
-    const { members, dataCentre, draw, links } = this.#options;
-    return members.choose(call.service, {
+    const { members, dataCentre, draw, links, log } = this.#options;
+    const member = members.choose(call.service, {
       dataCentre,
       tried: call.tried,
       nowMs,
@@ -308,6 +311,12 @@
       isSilent: (candidate) =>
         isMemberSilent(candidate, links.getLastReceivedAtMs, nowMs),
     });
+    const line = member &&
+      this.#placementLog.record(call.service, member, nowMs);
+    if (line !== undefined) {
+      log.write(line);
+    }
+    return member;
   }
 
   /** Queues a call while a first member may still be reported, or refuses it. */
