--- a/src/engine/relay/common/gate_state.ts
+++ b/src/engine/relay/common/gate_state.ts
@@ -7,6 +7,8 @@
 import type { GateCall } from "./gate_queue.ts";
 import { formatInstance } from "./local_backend.ts";
 import type { LocalBackend } from "./local_backend.ts";
+import { computeUsualServiceMs } from "./speed_estimate.ts";
+import type { SpeedEstimate } from "./speed_estimate.ts";
 import { computeTokenRate, estimateTokenWaitMs } from "./token_bucket.ts";
 import type { TokenBucket } from "./token_bucket.ts";
 
@@ -45,6 +47,8 @@
   isRoomMeasured: boolean;
   /** Slowdown of the backend server's machine; undefined if it names none. */
   slowdown: ReportedSlowdown | undefined;
+  /** Usual speed of a backend server that names a slowdown. */
+  speed: SpeedEstimate | undefined;
 }
 
 /** How long work takes on a backend server's machine, as it last said. */
@@ -86,6 +90,7 @@
     bucket: undefined,
     isRoomMeasured: false,
     slowdown: undefined,
+    speed: undefined,
   };
 }
 
@@ -135,7 +140,9 @@
     queued: state.queue.length,
     limit: computeCapacity(state),
     pressure: state.pressure.pressure,
-    serviceMs: state.meanServiceMs,
+    serviceMs: state.speed === undefined
+      ? state.meanServiceMs
+      : computeUsualServiceMs(state.speed),
     notice: getNotice(state),
     ...(state.isRoomMeasured && { spare: state.room.ratio }),
     ...(state.slowdown && { slowdown: state.slowdown.factor }),
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -51,6 +51,7 @@
 import { recordResult } from "../common/member.ts";
 import type { Bottleneck, Member } from "../common/member.ts";
 import { RootPlan } from "../common/root_plan.ts";
+import { PlacementLog } from "../common/placement_log.ts";
 import {
   AdmittedShare,
   drawForRequest,
@@ -72,6 +73,7 @@
   readonly #suspects: EntrySuspects;
   readonly #admittedShare = new AdmittedShare();
   readonly #rootPlan = new RootPlan();
+  readonly #placementLog: PlacementLog;
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services without a known member. */
   readonly #memberWaiters = new Set<EntryCall>();
@@ -81,6 +83,7 @@
     this.#options = options;
     const { budget, readClock, draw, crashes } = options;
     this.#suspects = new EntrySuspects({ ...options, knowledge: crashes });
+    this.#placementLog = new PlacementLog(options.dataCentre);
     this.#budget = new EntryBudget(budget, { startedAtMs: readClock(), draw });
   }
 
@@ -357,8 +360,8 @@
   }
 
   #chooseMember(call: EntryCall, nowMs: number): Member | undefined {
-    const { members, dataCentre, draw, links } = this.#options;
-    return members.choose(call.service, {
+    const { members, dataCentre, draw, links, log } = this.#options;
+    const member = members.choose(call.service, {
       dataCentre,
       tried: call.tried,
       nowMs,
@@ -367,6 +370,12 @@
       isSilent: (candidate) =>
         isMemberSilent(candidate, links.getLastReceivedAtMs, nowMs),
     });
+    const line = member &&
+      this.#placementLog.record(call.service, member, nowMs);
+    if (line !== undefined) {
+      log.write(line);
+    }
+    return member;
   }
 
   /** Queues a call while a first member may still be reported, or refuses it. */
