Bound the bytes of answers that callers have not read

Callers themselves saw nothing until the process would have ended.

Cause: CallerReplies wrote each answer whole, however much of the earlier ones was unread.

Changed: - UnsentAnswers (pure) counts the answers that are not sent completely: 48 MB over all connections, like the limit on request bodies, and 8 MB more for answers of up to 16 KB, so that a few large answers don't take the room of all others. - An answer beyond that takes the place of answers without progress for 5 s, longest first, and only if that makes enough room: their connections are closed (`StalledAnswerCut`). Otherwise its caller gets an empty 502 (`AnswerDropped`), as the request has run. Other answers are not cut, nor are those that wait behind an earlier request of their connection. - Bodies over 64 KB are written in parts, which shows whether they are read. The rest is written at once when a caller ends its own direction, since Node then ends the other one: such a caller gets its whole answer as before. - Memory counts as free once the response or its connection has closed.

Evidence: "leaves room for small ones only, and isn't cut while it is read" and "is cut for another once nothing of it was read for some time" (caller_server_test) fail on the code before and pass now. "is complete for a caller that has ended its own direction" and "frees its room when its caller leaves" pass on both.

--- a/src/engine/relay/node/caller_answers.ts
+++ b/src/engine/relay/node/caller_answers.ts
@@ -23,18 +23,31 @@
  * byte: Node sends a string together with the head in one write, but a buffer
  * as a list of separate pieces.
  */
-const MAX_LATIN1_BODY_BYTES = 16_384;
+export const MAX_LATIN1_BODY_BYTES = 16_384;
+/**
+ * Longer bodies are written in parts of this size, each once the caller has
+ * read enough of the one before, which shows whether it reads at all. Node
+ * writes what is buffered on a connection as a whole, without such a sign.
+ */
+const BODY_PART_BYTES = 65_536;
 
-/** Writes a complete answer, always with a `Content-Length`. */
+/**
+ * Writes a complete answer, always with a `Content-Length`. Calls `onProgress`
+ * when a part of a long body was sent. Returns what writes the rest of it.
+ */
 export function writeAnswer(
   response: ServerResponse,
   { status, headers, body, isLast }: CallerAnswer,
-): void {
+  onProgress: () => void,
+): () => void {
   const allHeaders = [...headers, "Content-Length", String(body.length)];
   if (isLast) {
     allHeaders.push("Connection", "close");
   }
   response.writeHead(status, allHeaders);
+  if (body.length > BODY_PART_BYTES) {
+    return writeParts(response, body, onProgress);
+  }
   if (body.length <= MAX_LATIN1_BODY_BYTES) {
     const { buffer, byteOffset, length } = body;
     const bytes = Buffer.from(buffer, byteOffset, length);
@@ -42,6 +55,39 @@
   } else {
     response.end(body);
   }
+  return () => {};
+}
+
+function writeParts(
+  response: ServerResponse,
+  body: Uint8Array,
+  onProgress: () => void,
+): () => void {
+  let rest = body;
+  const canWrite = () => !response.destroyed && !response.writableEnded;
+  const writeNext = () => {
+    if (!canWrite()) {
+      return;
+    }
+    if (rest.length <= BODY_PART_BYTES) {
+      response.end(rest);
+      return;
+    }
+    const part = rest.subarray(0, BODY_PART_BYTES);
+    rest = rest.subarray(BODY_PART_BYTES);
+    response.write(part, (error) => {
+      if (error === null || error === undefined) {
+        onProgress();
+        writeNext();
+      }
+    });
+  };
+  writeNext();
+  return () => {
+    if (canWrite()) {
+      response.end(rest);
+    }
+  };
 }
 
 /** Creates the `Retry-After` header, in seconds with three decimals. */
--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -19,6 +19,10 @@
   readonly cleanUps: (() => void)[];
   /** Whether the clean-ups have been called. */
   isEnded: boolean;
+  /** Called once its answer takes no more memory. */
+  readonly releases: (() => void)[];
+  /** Writes what is left of its answer at once. */
+  sendRest: () => void;
 }
 
 /** What a connection depends on. */
@@ -33,6 +37,8 @@
   readonly #socket: Socket;
   readonly #options: CallerConnectionOptions;
   readonly #pipeline = new Pipeline<Exchange>();
+  /** Those whose answers may take memory; all until their responses close. */
+  readonly #unreleased = new Set<Exchange>();
   #hasReadBacklog = false;
 
   constructor(socket: Socket, options: CallerConnectionOptions) {
@@ -44,7 +50,15 @@
     // can be sent any more.
     const cleanUpAll = () => this.#cleanUp(this.#pipeline.closeAll());
     socket.on("end", cleanUpAll);
-    socket.on("close", cleanUpAll);
+    socket.on("close", () => {
+      cleanUpAll();
+      this.#unreleased.forEach((exchange) => this.#release(exchange));
+    });
+    // Before Node's own listener, which ends the other direction: a caller that
+    // has ended its own reads on to the end of the answer.
+    socket.prependListener("end", () => {
+      this.#unreleased.forEach(({ sendRest }) => sendRest());
+    });
   }
 
   /** Whether all bytes that were unread when it was accepted have been read. */
@@ -85,6 +99,7 @@
     if (!response.shouldKeepAlive) {
       this.#pipeline.stopAccepting();
     }
+    this.#unreleased.add(exchange);
     response.on("close", () => this.#end(exchange));
     this.#startAll(next);
     if (this.#pipeline.hasWaiting) {
@@ -114,6 +129,7 @@
   #end(exchange: Exchange): void {
     const next = this.#pipeline.end(exchange);
     this.#cleanUp([exchange]);
+    this.#release(exchange);
     if (this.#socket.destroyed) {
       return;
     }
@@ -134,6 +150,11 @@
     exchanges.forEach((exchange) => this.#options.start(exchange));
   }
 
+  #release(exchange: Exchange): void {
+    this.#unreleased.delete(exchange);
+    exchange.releases.splice(0).forEach((release) => release());
+  }
+
   #cleanUp(exchanges: readonly Exchange[]): void {
     for (const exchange of exchanges) {
       if (!exchange.isEnded) {
--- a/src/engine/relay/node/caller_replies.ts
+++ b/src/engine/relay/node/caller_replies.ts
@@ -2,10 +2,14 @@
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryResult } from "../common/entry_types.ts";
+import type { RelayLog } from "../common/relay_log.ts";
+import { UnsentAnswers } from "../common/unsent_answers.ts";
+import type { UnsentAnswerLimits } from "../common/unsent_answers.ts";
 import {
   computeRetryWaitMs,
   createRetryAfterHeaders,
   getStatus,
+  MAX_LATIN1_BODY_BYTES,
   writeAnswer,
 } from "./caller_answers.ts";
 import type { Exchange } from "./caller_connection.ts";
@@ -19,16 +23,34 @@
   readonly draw: () => number;
   /** Returns whether the answer to an exchange closes the connection. */
   readonly closeIfLast: (exchange: Exchange) => boolean;
+  readonly log: RelayLog;
 }
 
+/**
+ * Limits on answers that callers have not read. Like the limit on the bodies of
+ * requests, `maxBytes` is a seventh of the 350 MB of a process. An answer has at
+ * most 16 MB. A body is sent in parts of 64 KB, so that an answer without
+ * progress for `stallMs` is read at less than 13 KB a second.
+ */
+const UNSENT_ANSWER_LIMITS: UnsentAnswerLimits = {
+  maxBytes: 50_331_648,
+  smallReserveBytes: 8_388_608,
+  smallBytes: MAX_LATIN1_BODY_BYTES,
+  stallMs: 5_000,
+};
+
 /** Timeout of a caller that states none; the route may set a shorter one. */
 export const DEFAULT_CALLER_TIMEOUT_MS = 600_000;
 
 const EMPTY = new Uint8Array();
 
+/** Status in place of an answer without room: the request has run. */
+const ANSWER_DROPPED_STATUS = 502;
+
 /** Writes one answer to each exchange, unless its caller has left. */
 export class CallerReplies {
   readonly #options: CallerRepliesOptions;
+  readonly #unsent = new UnsentAnswers<Exchange>(UNSENT_ANSWER_LIMITS);
 
   constructor(options: CallerRepliesOptions) {
     this.#options = options;
@@ -78,10 +100,70 @@
     body: Uint8Array,
   ): void {
     const { response } = exchange;
-    if (response.headersSent || response.destroyed) {
+    if (exchange.isEnded || response.headersSent || response.destroyed) {
+      return;
+    }
+    if (!this.#makeRoom(exchange, body.length)) {
+      this.reply(exchange, ANSWER_DROPPED_STATUS);
       return;
     }
-    const isLast = this.#options.closeIfLast(exchange);
-    writeAnswer(response, { status, headers, body, isLast });
+    const { readClock, closeIfLast } = this.#options;
+    const isLast = closeIfLast(exchange);
+    exchange.sendRest = writeAnswer(
+      response,
+      { status, headers, body, isLast },
+      () => this.#unsent.recordProgress(exchange, readClock()),
+    );
+  }
+
+  /**
+   * Counts an answer as unsent until its exchange ends, and cuts stalled ones
+   * for it. Returns whether there is room for it.
+   */
+  #makeRoom(exchange: Exchange, bytes: number): boolean {
+    if (bytes === 0) {
+      return true;
+    }
+    const nowMs = this.#options.readClock();
+    const room = this.#unsent.evaluate(bytes, nowMs);
+    if (room.type === "NoRoom") {
+      this.#logDropped("AnswerDropped", exchange, bytes);
+      return false;
+    }
+    for (const stalled of room.stalled) {
+      this.#logDropped("StalledAnswerCut", stalled, bytes);
+      this.#unsent.remove(stalled);
+      stalled.request.socket.destroy();
+    }
+    this.#count(exchange, bytes, nowMs);
+    return true;
+  }
+
+  /** Counts an answer as being sent from when it is the first of its connection. */
+  #count(exchange: Exchange, bytes: number, nowMs: number): void {
+    const { response, releases } = exchange;
+    const isFirst = response.socket !== null;
+    this.#unsent.add(exchange, bytes, isFirst ? nowMs : undefined);
+    releases.push(() => this.#unsent.remove(exchange));
+    if (!isFirst) {
+      const { readClock } = this.#options;
+      response.once(
+        "socket",
+        () => this.#unsent.recordProgress(exchange, readClock()),
+      );
+    }
+  }
+
+  /** Logs an answer that is not sent; `bytes` is what room was needed for. */
+  #logDropped(event: string, exchange: Exchange, bytes: number): void {
+    const { dialect, log } = this.#options;
+    const { headers } = exchange.request;
+    log.write({
+      event,
+      isFailure: true,
+      requestId: dialect.readRequestMetadata(headers).requestId,
+      bytes,
+      unsentBytes: this.#unsent.bytes,
+    });
   }
 }
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -199,6 +199,8 @@
         : this.#options.firstRequests.queuedMs,
       cleanUps: [() => this.#openCount -= 1],
       isEnded: false,
+      releases: [],
+      sendRest: () => {},
     };
     connection.receive(exchange);
   }
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -77,6 +77,8 @@
   /** Indexes of the withdrawn calls, in order of start. */
   readonly withdrawn: number[] = [];
   isNested = false;
+  /** What answers each call, in order of start. */
+  readonly answers: ((body: Uint8Array) => void)[] = [];
   /** Answers the call started last. */
   answer: (body: Uint8Array) => void = () => {};
   readonly url: string;
@@ -125,6 +127,7 @@
         );
         this.answer = (bytes) =>
           onResult({ type: "Answered", status: 200, headers: [], body: bytes });
+        this.answers.push(this.answer);
         const number = this.started.length - 1;
         return () => this.withdrawn.push(number);
       },
@@ -231,6 +234,122 @@
   });
 });
 
+describe("an answer to a caller that reads slowly", () => {
+  /** Of 16 MB, the largest answer; three of these take all room. */
+  const LARGE = new Uint8Array(16_777_216);
+  /** More than the time after which an answer that isn't read may be cut. */
+  const STALLED_MS = 6_000;
+
+  /** Requests a large answer, and reads none of it. */
+  async function openSlow(callers: Callers): Promise<Socket> {
+    const { hostname, port } = new URL(callers.url);
+    const count = callers.started.length;
+    const socket = connect(Number(port), hostname);
+    socket.on("error", () => {});
+    socket.pause();
+    socket.write(formatRequests(1));
+    await waitFor(() => callers.started.length === count + 1);
+    callers.answer(LARGE);
+    return socket;
+  }
+
+  /** Sends a request to be answered with `answer`; returns what is received. */
+  async function exchange(callers: Callers, answer: Uint8Array) {
+    const count = callers.started.length;
+    const received = request(`${callers.url}bytes`, { reset: true });
+    await waitFor(() => callers.started.length === count + 1);
+    callers.answer(answer);
+    const { statusCode, body } = await received;
+    const { byteLength } = await body.arrayBuffer();
+    return [statusCode, byteLength];
+  }
+
+  /** Reads until more than `length` bytes were received, or the close. */
+  function countBytes(socket: Socket, length = LARGE.length): Promise<number> {
+    return new Promise((resolve) => {
+      let bytes = 0;
+      socket.on("data", (data) => {
+        bytes += data.length;
+        if (bytes > length) {
+          resolve(bytes);
+        }
+      });
+      socket.on("close", () => resolve(bytes));
+      socket.resume();
+    });
+  }
+
+  // Such answers filled the memory of the node.
+  it("leaves room for small ones only, and isn't cut while it is read", async () => {
+    await using callers = await Callers.open();
+    const slow = [];
+    for (let n = 0; n < 3; n += 1) {
+      slow.push(await openSlow(callers));
+    }
+    expect(await exchange(callers, LARGE)).to.deep.equal([502, 0]);
+    const small = new Uint8Array(16_384);
+    expect(await exchange(callers, small)).to.deep.equal([200, 16_384]);
+    for (const socket of slow) {
+      expect(await countBytes(socket)).to.be.above(LARGE.length);
+    }
+    expect(await exchange(callers, LARGE))
+      .to.deep.equal([200, LARGE.length]);
+    slow.forEach((socket) => socket.destroy());
+  });
+
+  it("is cut for another once nothing of it was read for some time", async () => {
+    await using callers = await Callers.open();
+    const stalled = [await openSlow(callers), await openSlow(callers)];
+    callers.aheadMs = STALLED_MS;
+    const slow = await openSlow(callers);
+    expect(await exchange(callers, LARGE))
+      .to.deep.equal([200, LARGE.length]);
+    const counts = await Promise.all(
+      stalled.map((socket) => countBytes(socket)),
+    );
+    expect(counts.filter((bytes) => bytes > LARGE.length)).to.have.length(1);
+    expect(await countBytes(slow)).to.be.above(LARGE.length);
+    [...stalled, slow].forEach((socket) => socket.destroy());
+  });
+
+  it("isn't cut while it waits for the answer to an earlier request", async () => {
+    await using callers = await Callers.open();
+    const { socket } = callers.connect(formatRequests(4));
+    await waitFor(() => callers.started.length === 4);
+    callers.answers.slice(1, 4).forEach((answer) => answer(LARGE));
+    callers.aheadMs = STALLED_MS;
+    expect(await exchange(callers, LARGE)).to.deep.equal([502, 0]);
+    socket.removeAllListeners("data");
+    const read = countBytes(socket, 3 * LARGE.length);
+    callers.answers[0]!(new Uint8Array(1));
+    expect(await read).to.be.above(3 * LARGE.length);
+    expect(await exchange(callers, LARGE))
+      .to.deep.equal([200, LARGE.length]);
+    socket.destroy();
+  });
+
+  it("is complete for a caller that has ended its own direction", async () => {
+    await using callers = await Callers.open();
+    const socket = await openSlow(callers);
+    socket.end();
+    const read = countBytes(socket);
+    expect(await read).to.be.above(LARGE.length);
+    socket.destroy();
+    await waitFor(() => callers.server.openCount === 0);
+  });
+
+  it("frees its room when its caller leaves", async () => {
+    await using callers = await Callers.open();
+    for (let n = 0; n < 4; n += 1) {
+      const slow = [await openSlow(callers), await openSlow(callers)];
+      slow.forEach((socket) => socket.destroy());
+      await waitFor(() => callers.server.openCount === 0);
+    }
+    expect(await exchange(callers, LARGE))
+      .to.deep.equal([200, LARGE.length]);
+  });
+});
+
 describe("a request with a key", () => {
   const HEAD =
     "POST /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n\r\n";
