Hold limits of workspaces at a jump of demand and without control

Cause: a jump was known to control by the next regular reports, and in force after 1.5 s; until then, and while all replicas were down or warming up, entry nodes admitted everything by their last shares of 1.

Change, in three parts that need each other: - An entry node that sees a workspace grow within 100 ms reports at once (20 in a row, then two a second), and replicas pass growth near a limit on at once (every 100 ms at most). `UsageReport` and `UsageDigest` get `isPrompt`, usages `askedNow` and `leavingSoon`, all optional. - The share is also bounded by the room in the window: what is admitted replaces what leaves the window and fills the room within 1 s. - `SharesUpdate` gets `utilizations`. Where the link to control is lost, or updates stay out for three reports, an entry node keeps to its part of the limit by its smoothed usage and the last total (`quota_ceiling.ts`). Such a refusal is `over ceiling` in log lines and in the metric of decisions; it is apart from `over limit`. Without `utilizations` there are no ceilings.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -133,6 +133,17 @@
     }
   }
 
+  /** Reports usage at once if the requests of a workspace grew. */
+  reportGrownUsage(): void {
+    if (this.#routes?.workspaces === undefined) {
+      return;
+    }
+    const usages = this.#options.quotas.createPromptReport();
+    if (usages !== undefined) {
+      this.#link.send({ type: "UsageReport", usages, isPrompt: true });
+    }
+  }
+
   /**
    * Announces a change of this node; leaves its service first if that changes.
    */
@@ -172,12 +183,14 @@
         this.#subscribedServices.clear();
         this.#subscribe();
       },
-      onClose: (replica) =>
+      onClose: (replica) => {
+        this.#options.quotas.recordControlLoss();
         this.#options.log.write({
           event: "ControlLost",
           isFailure: true,
           replica,
-        }),
+        });
+      },
       readConfirmed: (message) =>
         "isConfirmed" in message ? message.isConfirmed : undefined,
       createHeartbeat: () => this.#createHeartbeat(),
@@ -225,7 +238,11 @@
         this.#receiveProof(message.number, message.routesVersion);
         return;
       case "SharesUpdate":
-        this.#options.quotas.replaceShares(message.shares, message.nodes);
+        this.#options.quotas.replaceShares(
+          message.shares,
+          message.nodes,
+          message.utilizations,
+        );
         this.#options.onAccessUpdated();
         return;
       case "MemberList":
--- a/src/engine/workspaces/common/usage_window.ts
+++ b/src/engine/workspaces/common/usage_window.ts
@@ -1,5 +1,5 @@
 /** Counts the requests of each workspace at one entry node. */
-import { RECENT_SPAN_MS } from "./quota_shares.ts";
+import { RAPID_SPAN_MS, RECENT_SPAN_MS } from "./quota_shares.ts";
 import type { WorkspaceUsage } from "./quota_shares.ts";
 
 /** Requests within one interval; see `WorkspaceUsage` for the fields. */
@@ -13,6 +13,13 @@
  * Interval at which the window advances and is reported; length of a bucket.
  */
 export const USAGE_INTERVAL_MS = 500;
+/**
+ * Interval at which an entry checks whether the requests of a workspace grew;
+ * length of a tick.
+ */
+export const PROMPT_INTERVAL_MS = 100;
+const TICKS_PER_BUCKET = USAGE_INTERVAL_MS / PROMPT_INTERVAL_MS;
+const RAPID_TICKS = RAPID_SPAN_MS / PROMPT_INTERVAL_MS;
 const RECENT_BUCKETS = RECENT_SPAN_MS / USAGE_INTERVAL_MS;
 /** A single bucket is too small a sample to be scaled up. */
 const MIN_ELAPSED_BUCKETS = 2;
@@ -27,6 +34,13 @@
    * recent demand is scaled up.
    */
   #elapsedBuckets = 1;
+  /**
+   * Requests received in each of the last ticks, by workspace, the current tick
+   * first.
+   */
+  readonly #ticksByWorkspace = new Map<string, number[]>();
+  #hasTicked = false;
+  #ticksInBucket = 0;
 
   constructor(windowMs: number) {
     this.#windowBuckets = Math.ceil(windowMs / USAGE_INTERVAL_MS);
@@ -38,6 +52,9 @@
     bucket.asked += 1;
     bucket.passed += isAdmitted ? 1 : 0;
     bucket.letIn += isAdmitted ? 1 : 0;
+    const ticks = this.#ticksByWorkspace.get(workspace) ?? [0];
+    ticks[0]! += 1;
+    this.#ticksByWorkspace.set(workspace, ticks);
   }
 
   /** Records that an admitted request was not run by any backend server. */
@@ -46,8 +63,50 @@
     bucket.letIn -= 1;
   }
 
-  /** Lists the usage within the window, by workspace. */
-  list(): readonly WorkspaceUsage[] {
+  /**
+   * Returns the requests admitted within the window, without those that were
+   * not run.
+   */
+  countAdmitted(workspace: string): number {
+    const buckets = this.#bucketsByWorkspace.get(workspace) ?? [];
+    return this.#countLetIn(buckets, this.#bucketRatio);
+  }
+
+  /**
+   * Returns the requests received within the window, and those of the current
+   * bucket.
+   */
+  countAsked(
+    workspace: string,
+  ): { readonly window: number; readonly current: number } {
+    const buckets = this.#bucketsByWorkspace.get(workspace) ?? [];
+    return {
+      window: countAsked(buckets.slice(0, this.#windowBuckets)),
+      current: buckets[0]?.asked ?? 0,
+    };
+  }
+
+  /** Lists the workspaces with requests in the last completed tick. */
+  listActive(): readonly string[] {
+    return [...this.#ticksByWorkspace].flatMap(([name, ticks]) =>
+      (ticks[1] ?? 0) > 0 ? [name] : []
+    );
+  }
+
+  /** Returns the requests received in the last completed tick. */
+  countLastTick(workspace: string): number {
+    return this.#ticksByWorkspace.get(workspace)?.[1] ?? 0;
+  }
+
+  /**
+   * Lists the usage within the window, by workspace, at the end of a bucket or
+   * of a tick; of a jump only `hasGrown`.
+   */
+  list(
+    endOf: "Bucket" | "Tick" = "Bucket",
+    hasGrown: (workspace: string) => boolean = () => false,
+  ): readonly WorkspaceUsage[] {
+    const bucketRatio = endOf === "Bucket" ? 1 : this.#bucketRatio;
     const elapsed = Math.max(MIN_ELAPSED_BUCKETS, this.#elapsedBuckets);
     const recentScale = RECENT_BUCKETS / Math.min(elapsed, RECENT_BUCKETS);
     return [...this.#bucketsByWorkspace].map(([name, buckets]) => ({
@@ -59,17 +118,29 @@
       askedLately: countAsked(buckets.slice(0, RECENT_BUCKETS)) * recentScale,
       passed: buckets.slice(0, this.#windowBuckets)
         .reduce((sum, { passed }) => sum + passed, 0),
-      letIn: Math.max(
-        0,
-        buckets.slice(0, this.#windowBuckets)
-          .reduce((sum, { letIn }) => sum + letIn, 0),
-      ),
+      letIn: this.#countLetIn(buckets, bucketRatio),
+      ...this.#countLeaving(buckets, bucketRatio),
+      ...(hasGrown(name) ? { askedNow: this.#countNow(name) } : {}),
     }));
   }
 
+  /** Advances by `PROMPT_INTERVAL_MS`. */
+  tick(): void {
+    this.#hasTicked = true;
+    this.#ticksInBucket += 1;
+    for (const [name, ticks] of this.#ticksByWorkspace) {
+      ticks.unshift(0);
+      ticks.length = Math.min(ticks.length, RAPID_TICKS + 1);
+      if (ticks.every((count) => count === 0)) {
+        this.#ticksByWorkspace.delete(name);
+      }
+    }
+  }
+
   /** Advances by `USAGE_INTERVAL_MS`; removes workspaces without requests. */
   advance(): void {
     this.#elapsedBuckets += 1;
+    this.#ticksInBucket = 0;
     for (const [name, buckets] of this.#bucketsByWorkspace) {
       buckets.unshift({ asked: 0, passed: 0, letIn: 0 });
       buckets.length = Math.min(buckets.length, 2 * this.#windowBuckets);
@@ -79,6 +150,47 @@
     }
   }
 
+  /** Elapsed part of the current bucket, 0 to 1. */
+  get #bucketRatio(): number {
+    return Math.min(1, this.#ticksInBucket / TICKS_PER_BUCKET);
+  }
+
+  /** Requests received within the last `RAPID_SPAN_MS` of whole ticks. */
+  #countNow(name: string): number {
+    return (this.#ticksByWorkspace.get(name) ?? [])
+      .slice(1, RAPID_TICKS + 1)
+      .reduce((sum, count) => sum + count, 0);
+  }
+
+  /**
+   * Counts the admitted requests of the oldest second. Returns nothing before
+   * the first tick, as where nothing is reported promptly.
+   */
+  #countLeaving(
+    buckets: readonly Bucket[],
+    bucketRatio: number,
+  ): Pick<WorkspaceUsage, "leavingSoon"> {
+    if (!this.#hasTicked) {
+      return {};
+    }
+    const last = this.#windowBuckets;
+    const leavingSoon = (buckets[last]?.letIn ?? 0) * (1 - bucketRatio) +
+      (buckets[last - 1]?.letIn ?? 0) +
+      (buckets[last - 2]?.letIn ?? 0) * bucketRatio;
+    return { leavingSoon: Math.max(0, leavingSoon) };
+  }
+
+  /**
+   * Counts the admitted requests of the window; the oldest bucket counts for
+   * its part within the window.
+   */
+  #countLetIn(buckets: readonly Bucket[], bucketRatio: number): number {
+    const whole = buckets.slice(0, this.#windowBuckets)
+      .reduce((sum, { letIn }) => sum + letIn, 0);
+    const oldest = buckets[this.#windowBuckets]?.letIn ?? 0;
+    return Math.max(0, whole + oldest * (1 - bucketRatio));
+  }
+
   #getCurrentBucket(workspace: string): Bucket {
     const buckets = this.#bucketsByWorkspace.get(workspace) ??
       [{ asked: 0, passed: 0, letIn: 0 }];
