Close the listener in a short turn of the event loop

Cause: closeListener took any turn without a new connection for the sign of an empty queue. The queue is looked at at the start of a turn; a connection that came while the turn did other work was reset.

Change: the turn must also be short, at most 5% of the time waited so far; this limit grows because a busy loop may have no short turns. The time limit of 250 ms stays.

--- a/src/base/node/listener_close.ts
+++ b/src/base/node/listener_close.ts
@@ -1,6 +1,6 @@
 /** Closes the listener of a server, and leaves its connections alone. */
 import { Server } from "node:net";
-import { readSteadyMs } from "./steady_clock.ts";
+import { performance } from "node:perf_hooks";
 
 /**
  * Longest time for which connections that wait to be accepted delay the close,
@@ -8,6 +8,14 @@
  */
 const MAX_ACCEPT_MS = 250;
 
+/**
+ * Longest turn of the event loop after which the accept queue counts as empty,
+ * as a ratio of the time waited so far. The queue is looked at early in a turn,
+ * and a connection that comes later in it is reset, so a short turn is best.
+ * The limit grows because a busy loop may have no short turns.
+ */
+const MAX_TURN_RATIO = 0.05;
+
 /**
  * Accepts the connections that wait in the accept queue, and then stops to
  * listen. The kernel resets what is in the queue when the listener is closed,
@@ -19,13 +27,18 @@
  * answer is complete but not yet written.
  */
 export async function closeListener(server: Server): Promise<void> {
-  const endMs = readSteadyMs() + MAX_ACCEPT_MS;
-  let hasAccepted = true;
+  const startedAtMs = performance.now();
+  let isQueueEmpty = false;
+  let waitedMs = 0;
+  let hasAccepted = false;
   const recordAccepted = () => hasAccepted = true;
   server.on("connection", recordAccepted);
-  while (hasAccepted && readSteadyMs() < endMs) {
+  while (!isQueueEmpty && waitedMs < MAX_ACCEPT_MS) {
     hasAccepted = false;
     await waitForTurn();
+    const turnMs = performance.now() - startedAtMs - waitedMs;
+    waitedMs += turnMs;
+    isQueueEmpty = !hasAccepted && turnMs <= MAX_TURN_RATIO * waitedMs;
   }
   server.off("connection", recordAccepted);
   Server.prototype.close.call(server);
