Hold departures of backend servers at the control replicas

Cause: a node knows of departures in its memory only.

A node now announces the instance that left last (`departedInstance`, an optional field). Each control replica holds it for 60 s, several times longer than a heartbeat can be late, also when the node is lost or leaves. Where the node announces that instance again, replicas store and publish it as draining, so no entry sends it anything, even before the node itself knows; and they name the departure in the node's announcement, by which the node and restarted replicas learn of it. The node then excludes the instance. A departure of an instance that the node hasn't heard of is announced too.

Callers' notices (isLeaving) were the other way. They reach a restarted node only from entries that still call it, and an entry that never called it knows of none. Replicas hold one text per departure of the last 60 s, at most 8 a node. Earlier builds pass the field on and don't act on it.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -29,6 +29,11 @@
    * Called after a proof of the routes or new workspace shares were received.
    */
   readonly onAccessUpdated: () => void;
+  /**
+   * Called with the process instance of the backend server that left last, as
+   * control holds it.
+   */
+  readonly onDeparture: (instance: string) => void;
   /** Called when newer routes have come into force. */
   readonly onRoutes: (routes: RouteTable) => void;
 }
@@ -241,14 +246,14 @@
             this.#options.members.put(member)
           );
         }
-        this.#renewIncarnation(message.members);
+        this.#receiveOwn(message.members);
         return;
       case "CrashUpdate":
         this.#options.crashes.receive(message.report, "control");
         return;
       case "MemberUpdate":
         this.#options.members.put(message.announcement);
-        this.#renewIncarnation([message.announcement]);
+        this.#receiveOwn([message.announcement]);
         return;
       case "MemberLoss":
         this.#options.members.remove(message.service, message.nodeId);
@@ -274,6 +279,18 @@
     }
   }
 
+  /** Receives what control holds of this node, maybe from before its start. */
+  #receiveOwn(received: readonly Announcement[]): void {
+    this.#renewIncarnation(received);
+    received
+      .filter(({ nodeId }) => nodeId === this.#announcement.nodeId)
+      .forEach(({ departedInstance }) => {
+        if (departedInstance !== undefined) {
+          this.#options.onDeparture(departedInstance);
+        }
+      });
+  }
+
   #renewIncarnation(received: readonly Announcement[]): void {
     const incarnation = renewIncarnation(this.#announcement, received);
     if (incarnation !== undefined) {
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -19,6 +19,7 @@
 import { CallerServer } from "../engine/relay/node/caller_server.ts";
 import { EntryCalls } from "../engine/relay/node/entry_calls.ts";
 import { GateCalls } from "../engine/relay/node/gate_calls.ts";
+import { DEPARTURE_RETENTION_MS } from "../engine/membership/common/departures.ts";
 import { computeKeyDigest } from "../engine/workspaces/node/key_digest.ts";
 import { WorkspaceCheck } from "../engine/workspaces/common/workspace_check.ts";
 import { QuotaGate } from "../engine/workspaces/common/quota_gate.ts";
@@ -64,9 +65,24 @@
  */
 const DRAIN_NOTICE_MS = 2_500;
 const POLL_INTERVAL_MS = 20;
+/**
+ * How long a node refuses a process instance that left before the node started,
+ * in milliseconds: until no control replica holds the departure any more.
+ */
+const LEARNED_DEPARTURE_MS = DEPARTURE_RETENTION_MS + 15_000;
 /** Link id of the calls that this node sends to its own gate. */
 const LOCAL_LINK_ID = "local";
 
+/** Identity of a process instance of the backend server. */
+type ProcessInstanceId = Pick<LocalBackend, "instanceId" | "startedAtMs">;
+
+/** A departure from before the start of this node. */
+interface FormerDeparture {
+  readonly instance: string;
+  /** End of its effect, by the steady clock, in milliseconds. */
+  readonly untilMs: number;
+}
+
 /** A running relay node. */
 export class RelayDaemon implements AsyncDisposable {
   readonly #settings: RelaySettings;
@@ -97,6 +113,10 @@
   readonly #firstRequests = new FirstRequests(readSteadyMs);
   /** Whether evidence was found since the last tick. */
   #hasNewCrashes = false;
+  /** Process instance that has left this node, as announced. */
+  #departedInstance: string | undefined;
+  /** Process instance that left before this start, as control holds it. */
+  #formerDeparture: FormerDeparture | undefined;
   #isStopping = false;
   #ticks = 0;
 
@@ -218,6 +238,7 @@
         access: this.#access,
         quotas: this.#quotas,
         crashes: this.#crashes,
+        onDeparture: (instance) => this.#receiveDeparture(instance),
         onAccessUpdated: () => this.#callers.resumeProofWaiters(),
         onRoutes: (routes) => {
           const { workspaces = [] } = routes;
@@ -288,21 +309,52 @@
 
   /**
    * Applies an announcement of the backend server; undefined after its loss.
-   * One that said in an answer that it leaves drains, whatever it announces.
+   * One that said in an answer that it leaves drains, whatever it announces;
+   * one that left before this start gets nothing.
    */
   changeBackend(announced: LocalBackend | undefined): void {
     const previous = this.#gate.backend;
-    this.#gate.changeBackend(announced);
+    const hasLeft = announced !== undefined && this.#hasFormerlyLeft(announced);
+    this.#gate.changeBackend(hasLeft ? undefined : announced);
     this.#announceBackend(previous);
   }
 
-  /** Applies the notice of the backend server that it has left. */
-  recordDeparture(): void {
+  /**
+   * Applies the notice of a backend server that it has left; `isCurrent` unless
+   * another one has replaced it, or none has announced itself since the start.
+   */
+  recordDeparture(departed: ProcessInstanceId, isCurrent: boolean): void {
     const previous = this.#gate.backend;
-    this.#gate.recordDeparture();
+    this.#departedInstance = formatInstance(departed);
+    if (isCurrent) {
+      this.#gate.recordDeparture();
+    }
     this.#announceBackend(previous);
   }
 
+  /** Applies a departure from before this start, as control holds it. */
+  #receiveDeparture(instance: string): void {
+    const isKnown = instance === this.#departedInstance ||
+      instance === this.#formerDeparture?.instance;
+    if (isKnown) {
+      return;
+    }
+    const untilMs = readSteadyMs() + LEARNED_DEPARTURE_MS;
+    this.#formerDeparture = { instance, untilMs };
+    this.#log.write({ event: "DepartureLearned", isFailure: false, instance });
+    const { backend } = this.#gate;
+    if (backend !== undefined && this.#hasFormerlyLeft(backend)) {
+      this.#gate.recordDeparture();
+      this.#announceBackend(backend);
+    }
+  }
+
+  #hasFormerlyLeft(backend: LocalBackend): boolean {
+    const former = this.#formerDeparture;
+    return former !== undefined && readSteadyMs() < former.untilMs &&
+      former.instance === formatInstance(backend);
+  }
+
   #announceBackend(previous: LocalBackend | undefined): void {
     const { backend } = this.#gate;
     const current = this.#control.announcement;
@@ -312,6 +364,7 @@
     const slots = backend?.slots ?? current.slots;
     const isSame = service === current.service && slots === current.slots &&
       isDraining === current.isDraining &&
+      this.#departedInstance === current.departedInstance &&
       isSameProcessInstance(previous, backend);
     if (isSame) {
       return;
@@ -328,7 +381,13 @@
     const backendInstance = backend === undefined
       ? current.backendInstance
       : formatInstance(backend);
-    this.#control.announce({ service, slots, isDraining, backendInstance });
+    this.#control.announce({
+      service,
+      slots,
+      isDraining,
+      backendInstance,
+      departedInstance: this.#departedInstance,
+    });
     if (service !== current.service) {
       this.#introduceService();
     }
--- a/src/engine/membership/common/announcement.ts
+++ b/src/engine/membership/common/announcement.ts
@@ -31,6 +31,11 @@
    * from nodes that don't tell it.
    */
   readonly backendInstance?: string | undefined;
+  /**
+   * Process instance of the backend server that left last; undefined if none
+   * has, and from nodes that don't tell it.
+   */
+  readonly departedInstance?: string | undefined;
 }
 
 /**
--- a/src/engine/membership/common/membership_reducer.ts
+++ b/src/engine/membership/common/membership_reducer.ts
@@ -9,6 +9,7 @@
 } from "../../../base/common/reduction.ts";
 import { setEntry } from "../../../base/common/maps.ts";
 import type { Announcement } from "./announcement.ts";
+import { applyDepartures, pruneDepartures } from "./departures.ts";
 import {
   DIGEST_INTERVAL_MS,
   LEASE_MS,
@@ -75,7 +76,8 @@
   event: Extract<MembershipEvent, { type: "NodeAnnounced" }>,
   nowMs: number,
 ): MembershipStep {
-  const { announcement, linkNumber, tableVersion } = event;
+  const { linkNumber, tableVersion } = event;
+  const announcement = applyDepartures(state.departures, event.announcement);
   const { nodeId } = announcement;
   const presence: Presence = { announcement, linkNumber };
   if (!isNewerPresence(presence, state.members.get(nodeId))) {
@@ -127,7 +129,11 @@
   const silent = [...current.linkedNodes]
     .filter(([, node]) => nowMs - node.lastReceivedAtMs > LEASE_MS)
     .map(([nodeId]) => nodeId);
-  const step = removeLinkedNodes({ ...current, lastTickAtMs: nowMs }, silent);
+  const departures = pruneDepartures(current.departures, nowMs);
+  const step = removeLinkedNodes(
+    { ...current, departures, lastTickAtMs: nowMs },
+    silent,
+  );
   return chainReduction(
     chainReduction(step, (s) => expireOwners(s, nowMs)),
     (s) => sendDigest(s, tableVersion, nowMs),
--- a/src/engine/membership/common/membership_state.ts
+++ b/src/engine/membership/common/membership_state.ts
@@ -1,5 +1,6 @@
 /** The state of presence at one control replica. */
 import type { Announcement } from "./announcement.ts";
+import type { Departures } from "./departures.ts";
 import type { MemberIndex } from "./member_index.ts";
 import type { Presence } from "./presence_messages.ts";
 
@@ -55,6 +56,8 @@
   readonly members: ReadonlyMap<string, Member>;
   /** The same members by service. */
   readonly index: MemberIndex;
+  /** Backend servers that have left lately. */
+  readonly departures: Departures;
   /** The nodes linked to this replica, by node id. */
   readonly linkedNodes: ReadonlyMap<string, LinkedNode>;
   /** The process instances of the other replicas, by name. */
@@ -90,6 +93,7 @@
     sequence: 0,
     members: new Map(),
     index: new Map(),
+    departures: new Map(),
     linkedNodes: new Map(),
     owners: new Map(),
   };
--- a/src/engine/membership/common/presence.ts
+++ b/src/engine/membership/common/presence.ts
@@ -10,6 +10,7 @@
 import { deleteEntry, setEntry } from "../../../base/common/maps.ts";
 import { isNewerAnnouncement } from "./announcement.ts";
 import type { Announcement } from "./announcement.ts";
+import { applyDepartures, recordDeparture } from "./departures.ts";
 import { updateIndex } from "./member_index.ts";
 import type { IndexChange } from "./member_index.ts";
 import {
@@ -90,6 +91,7 @@
   const linkedNodes = new Map(state.linkedNodes);
   const effects: MembershipEffect[] = [];
   const indexChanges: IndexChange[] = [];
+  let { departures } = state;
   for (const nodeId of change.removed) {
     const member = members.get(nodeId);
     if (member?.owner === owner) {
@@ -100,9 +102,15 @@
     }
   }
   for (const presence of change.put) {
-    const { announcement, linkNumber } = presence;
-    const { nodeId } = announcement;
+    const { linkNumber } = presence;
+    const { nodeId } = presence.announcement;
     const current = members.get(nodeId);
+    departures = recordDeparture(
+      departures,
+      presence.announcement,
+      state.lastTickAtMs,
+    );
+    const announcement = applyDepartures(departures, presence.announcement);
     if (isNewerPresence(presence, current)) {
       members.set(nodeId, { announcement, linkNumber, owner });
       indexChanges.push({ before: current?.announcement, after: announcement });
@@ -115,7 +123,10 @@
     }
   }
   const index = updateIndex(state.index, indexChanges);
-  return createReduction({ ...state, members, index, linkedNodes }, effects);
+  return createReduction(
+    { ...state, members, index, linkedNodes, departures },
+    effects,
+  );
 }
 
 /** Receives a message of another replica. */
