Hold an end against calls that broke just before the others

Cause, by reading: the gate waits 5 ms for all connections of a process that ends to break. A busy gate saw one break first while another call went on, took it for a lost answer, and failed it without a record.

Such calls are now kept, as those are whose server answers a probe, and an end within 500 ms counts as run by them too. No other call is then the only suspect of that end.

Evidence: gate_crashes_test.ts, "is held against it if the others break soon after", fails before (evidence of one request of two) and passes now, with the 12 others; the tests of src/engine/quarantine and entry_suspects_test.ts pass (34).

--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -90,6 +90,12 @@
 const MAX_BROKEN = 64;
 /** Time in which all connections of a process that ends are seen to break. */
 const SIMULTANEOUS_MS = 5;
+/**
+ * Time from the first broken connection of a process that ends to the last, as a
+ * busy gate sees them. A call that broke that long before an end may have
+ * caused it.
+ */
+const SAME_END_MS = 500;
 /** Broken calls with larger bodies are not kept. */
 const MAX_BROKEN_BODY_BYTES = 65_536;
 
@@ -172,6 +178,9 @@
       hasStarted(call)
     );
     if (backend === undefined || held.size === 0 || isAnyLeft) {
+      if (backend !== undefined) {
+        this.#keepBroken(backend);
+      }
       this.#releaseHeld();
       return;
     }
@@ -184,7 +193,8 @@
       ) {
         // Those not sent yet fail by themselves, as refused.
         const calls = this.#options.listRunning().filter(hasStarted);
-        this.#recordEnd(current, "connection_refused", calls);
+        const broken = this.#takeBroken(current, SAME_END_MS);
+        this.#recordEnd(current, "connection_refused", calls, broken);
       }
       this.#releaseHeld();
     });
@@ -195,12 +205,7 @@
     former: LocalBackend,
     calls: readonly GateCallState[],
   ): void {
-    const instance = this.#format(former);
-    const earliestMs = this.#options.readClock() - BROKEN_TTL_MS;
-    const broken = this.#broken.filter(({ atMs, ...each }) =>
-      each.instance === instance && atMs >= earliestMs
-    );
-    this.#broken = [];
+    const broken = this.#takeBroken(former, BROKEN_TTL_MS);
     this.#recordEnd(former, "replaced", calls, broken);
   }
 
@@ -250,10 +255,13 @@
     const { service } = backend;
     const instance = this.#format(backend);
     const sent = calls.filter(hasStarted);
+    // A call that broke within the same end has left the lane already.
+    const sameEndMs = this.#options.readClock() - SAME_END_MS;
+    const isLaneShared = broken.some(({ atMs }) => atMs >= sameEndMs);
     const runs = [
       ...sent.map((call) => ({
         request: this.#identify(call),
-        isOnlySuspect: this.#lane.running === call.id,
+        isOnlySuspect: this.#lane.running === call.id && !isLaneShared,
       })),
       ...broken.map(({ request }) => ({ request, isOnlySuspect: false })),
     ];
@@ -298,6 +306,17 @@
       .slice(-MAX_BROKEN);
   }
 
+  /** Takes the broken calls that an end of their instance may explain. */
+  #takeBroken(backend: LocalBackend, maxAgeMs: number): readonly BrokenCall[] {
+    const instance = this.#format(backend);
+    const earliestMs = this.#options.readClock() - maxAgeMs;
+    const broken = this.#broken.filter((each) =>
+      each.instance === instance && each.atMs >= earliestMs
+    );
+    this.#broken = [];
+    return broken;
+  }
+
   #format(backend: LocalBackend): string {
     return formatEndedInstance(formatInstance(backend), this.#options.ingress);
   }
--- a/src/engine/relay/test/gate_crashes_test.ts
+++ b/src/engine/relay/test/gate_crashes_test.ts
@@ -228,6 +228,27 @@
     expect(knowledge.hasRecord(SERVICE)).to.equal(false);
   });
 
+  // Guards against an end that a busy process sees on one connection first, and
+  // holds against the other calls only.
+  it("is held against it if the others break soon after", async () => {
+    await using backend = new SocketBackend();
+    const { gate, frames, knowledge, call } = openGate(await backend.open());
+    await using _gate = gate;
+    [1, 2].forEach((number) => call(number));
+    await backend.waitForRequests(2);
+    backend.received[0]!.resetAndDestroy();
+    await waitForFrames(frames, 1);
+    backend.end();
+    await waitForFrames(frames, 2);
+    const [report] = knowledge.createReports();
+    // Each of the two has a fingerprint with its caller and one without.
+    expect(report!.evidence).to.have.length(4);
+    expect(listEnds(frames)[1]).to.include({
+      reason: "backend_ended",
+      wasAlone: false,
+    });
+  });
+
   // Guards against an instance that starts again before it can be probed.
   it("is held against it if another instance shows up", async () => {
     await using backend = new SocketBackend();
