Count ceilings by ticks, and forget usage under another limit

Cause: the new test on the platform held 45 requests in a window of 39, three times out of three, with all replicas killed. An entry smoothed a total that control hadn't sent as 0, and kept its own usage under a limit of 1,000 a second after that was lowered to 10: its part came out as much more than half. By buckets of 500 ms, requests of a burst also counted as gone up to 500 ms early.

Change: admitted requests are counted by ticks of 100 ms for ceilings; a total that isn't sent counts as half of the limit; a changed limit drops what was known. The simulation computes sums only where something is sent.

--- a/src/engine/workspaces/common/quota_ceiling.ts
+++ b/src/engine/workspaces/common/quota_ceiling.ts
@@ -22,7 +22,7 @@
  * `MIN_SENT_UTILIZATION` of what that replica knew; the usage that other
  * replicas leave out of their digests, up to 0.15 of the limit, comes on top.
  */
-const ASSUMED_UTILIZATION = 0.5;
+export const ASSUMED_UTILIZATION = 0.5;
 /**
  * Parts of the overage and of the slack that the ceilings of all entry nodes
  * together contain. The rest covers what entry nodes admitted above their usual
@@ -65,8 +65,8 @@
   terms: QuotaTerms,
   entries: number,
 ): number {
-  const total = Math.max(known?.total ?? 0, ASSUMED_UTILIZATION * limit);
-  const part = limit * (known?.own ?? 0) / Math.max(1, total);
+  const { own, total } = known ?? { own: 0, total: 0 };
+  const part = limit * own / Math.max(1, total);
   const allowance = CEILING_OVERAGE_RATIO * terms.overage * limit +
     CEILING_SLACK_RATIO * terms.slack;
   return part + allowance / Math.max(1, entries);
--- a/src/engine/workspaces/common/quota_gate.ts
+++ b/src/engine/workspaces/common/quota_gate.ts
@@ -1,5 +1,9 @@
 /** Admits the requests of workspaces at one entry node, within their limits. */
-import { computeCeiling, updateKnownUsage } from "./quota_ceiling.ts";
+import {
+  ASSUMED_UTILIZATION,
+  computeCeiling,
+  updateKnownUsage,
+} from "./quota_ceiling.ts";
 import type { KnownUsage } from "./quota_ceiling.ts";
 import { computeWindowLimit, RECENT_SPAN_MS } from "./quota_shares.ts";
 import type {
@@ -172,7 +176,7 @@
       return { type: "LetIn" };
     }
     const { name } = workspace;
-    this.#limits.set(name, limit);
+    this.#setLimit(name, limit);
     const share = this.#getShare(name);
     const ceiling = share === undefined || !this.#isControlSilent
       ? Infinity
@@ -282,6 +286,17 @@
     );
   }
 
+  /** Forgets the usage under another limit: it may be far from the new one. */
+  #setLimit(name: string, limit: number): void {
+    if ((this.#limits.get(name) ?? limit) !== limit) {
+      this.#knownUsages.set(name, {
+        own: 0,
+        total: ASSUMED_UTILIZATION * limit,
+      });
+    }
+    this.#limits.set(name, limit);
+  }
+
   /** Smooths the usage; keeps it as last known while control is silent. */
   #updateKnownUsages(usages: readonly WorkspaceUsage[]): void {
     if (this.#utilizations === undefined || this.#isControlSilent) {
@@ -289,7 +304,8 @@
     }
     const ownByName = new Map(usages.map(({ name, letIn }) => [name, letIn]));
     for (const [name, limit] of this.#limits) {
-      const total = (this.#utilizations.get(name) ?? 0) * limit;
+      const total = (this.#utilizations.get(name) ?? ASSUMED_UTILIZATION) *
+        limit;
       const latest = { own: ownByName.get(name) ?? 0, total };
       const known = updateKnownUsage(
         this.#knownUsages.get(name),
--- a/src/engine/workspaces/common/usage_window.ts
+++ b/src/engine/workspaces/common/usage_window.ts
@@ -9,6 +9,12 @@
   letIn: number;
 }
 
+/** Requests admitted in the ticks of a window. */
+interface AdmittedTicks {
+  readonly ticks: number[];
+  sum: number;
+}
+
 /**
  * Interval at which the window advances and is reported; length of a bucket.
  */
@@ -27,6 +33,7 @@
 /** A sliding window of requests for each workspace that had any within it. */
 export class UsageWindow {
   readonly #windowBuckets: number;
+  readonly #windowTicks: number;
   /** By workspace, the current bucket first; up to two windows. */
   readonly #bucketsByWorkspace = new Map<string, Bucket[]>();
   /**
@@ -39,11 +46,14 @@
    * first.
    */
   readonly #ticksByWorkspace = new Map<string, number[]>();
+  /** Admitted requests by tick, the current one first, and their sum. */
+  readonly #admittedByWorkspace = new Map<string, AdmittedTicks>();
   #hasTicked = false;
   #ticksInBucket = 0;
 
   constructor(windowMs: number) {
     this.#windowBuckets = Math.ceil(windowMs / USAGE_INTERVAL_MS);
+    this.#windowTicks = Math.ceil(windowMs / PROMPT_INTERVAL_MS);
   }
 
   /** Records a request, and whether it was admitted. */
@@ -52,6 +62,7 @@
     bucket.asked += 1;
     bucket.passed += isAdmitted ? 1 : 0;
     bucket.letIn += isAdmitted ? 1 : 0;
+    this.#addAdmitted(workspace, isAdmitted ? 1 : 0);
     const ticks = this.#ticksByWorkspace.get(workspace) ?? [0];
     ticks[0]! += 1;
     this.#ticksByWorkspace.set(workspace, ticks);
@@ -61,15 +72,16 @@
   recordNotRun(workspace: string): void {
     const bucket = this.#getCurrentBucket(workspace);
     bucket.letIn -= 1;
+    this.#addAdmitted(workspace, -1);
   }
 
   /**
    * Returns the requests admitted within the window, without those that were
-   * not run.
+   * not run. It is exact to a tick: by buckets, requests that came together
+   * would count as gone up to 500 ms early.
    */
   countAdmitted(workspace: string): number {
-    const buckets = this.#bucketsByWorkspace.get(workspace) ?? [];
-    return this.#countLetIn(buckets, this.#bucketRatio);
+    return this.#admittedByWorkspace.get(workspace)?.sum ?? 0;
   }
 
   /**
@@ -128,6 +140,7 @@
   tick(): void {
     this.#hasTicked = true;
     this.#ticksInBucket += 1;
+    this.#advanceAdmitted();
     for (const [name, ticks] of this.#ticksByWorkspace) {
       ticks.unshift(0);
       ticks.length = Math.min(ticks.length, RAPID_TICKS + 1);
@@ -150,6 +163,29 @@
     }
   }
 
+  #addAdmitted(workspace: string, count: number): void {
+    const admitted = this.#admittedByWorkspace.get(workspace) ??
+      { ticks: [0], sum: 0 };
+    admitted.ticks[0]! += count;
+    admitted.sum += count;
+    this.#admittedByWorkspace.set(workspace, admitted);
+  }
+
+  #advanceAdmitted(): void {
+    for (const [name, admitted] of this.#admittedByWorkspace) {
+      admitted.ticks.unshift(0);
+      // The oldest tick is only partly within the window, and counts whole.
+      if (admitted.ticks.length > this.#windowTicks + 1) {
+        admitted.sum -= admitted.ticks.pop()!;
+      }
+      if (
+        admitted.sum === 0 && admitted.ticks.every((count) => count === 0)
+      ) {
+        this.#admittedByWorkspace.delete(name);
+      }
+    }
+  }
+
   /** Elapsed part of the current bucket, 0 to 1. */
   get #bucketRatio(): number {
     return Math.min(1, this.#ticksInBucket / TICKS_PER_BUCKET);
--- a/src/engine/workspaces/test/quota_simulation.ts
+++ b/src/engine/workspaces/test/quota_simulation.ts
@@ -148,6 +148,19 @@
   readonly regular: readonly WorkspaceUsage[] | undefined;
 }
 
+/** Lists what counts of the last report of each entry node. */
+function listCurrent(
+  reports: readonly {
+    readonly atMs: number;
+    readonly usages: readonly WorkspaceUsage[];
+  }[],
+  atMs: number,
+) {
+  return reports.map(({ usages, atMs: reportedAtMs }) =>
+    listCurrentUsages(usages, atMs - reportedAtMs)
+  );
+}
+
 /**
  * Simulates control replicas: prompt reports come into force after
  * `PROMPT_SHARE_DELAY_MS`, regular ones after `SHARE_DELAY_MS`.
@@ -183,9 +196,6 @@
         : { atMs, usages };
     },
     step: (atMs: number, isWarm: boolean) => {
-      const current = reports.map(({ usages, atMs: reportedAtMs }) =>
-        listCurrentUsages(usages, atMs - reportedAtMs)
-      );
       const isRegular = atMs % USAGE_INTERVAL_MS === 0;
       const due = [
         ...(isGrown
@@ -193,7 +203,9 @@
           : []),
         ...(isRegular ? [{ delayMs: SHARE_DELAY_MS, isPrompt: false }] : []),
       ];
-      const usages = addUsages(current);
+      const usages = due.length === 0
+        ? NO_USAGES
+        : addUsages(listCurrent(reports, atMs));
       underway = [
         ...underway,
         ...due.map(({ delayMs, isPrompt }) => ({
@@ -210,9 +222,12 @@
       latest = [latest, ...arrived].reduce((newest, one) =>
         one.atMs >= newest.atMs ? one : newest
       );
+      if (arrived.length === 0) {
+        return undefined;
+      }
       const shares = listShares([workspace], latest.usages, TERMS);
       const isSent = arrived.some(({ isPrompt }) => !isPrompt) ||
-        (arrived.length > 0 && hasChangedMuch(sentShares, shares));
+        hasChangedMuch(sentShares, shares);
       if (!isSent || !isWarm) {
         return undefined;
       }
