Prove a request's guilt by three ends of which it ran alone at one

Now the third end proves it if the request ran alone there. A request that is innocent of ends from outside is tried again after its quarantine, as before.

Evidence: the new test of crash_evidence_test.ts asserts the verdict that the former rule doesn't give (Suspect by reading, not run on it).

--- a/src/engine/quarantine/common/crash_evidence.ts
+++ b/src/engine/quarantine/common/crash_evidence.ts
@@ -48,6 +48,12 @@
  * outside that coincided with a lone run of an innocent suspect.
  */
 const PROVING_ENDS = 2;
+/**
+ * Ends that prove it with a single one alone: where two ends come before either
+ * is known, the request runs beside others at both, and the first run alone is
+ * the third.
+ */
+const PROVING_ENDS_BESIDE = 3;
 /**
  * Quarantine after two ends, until a request is tried again, once and alone: an
  * innocent one may have been proved guilty by ends from outside. By then the
@@ -88,14 +94,20 @@
   if (evidence === undefined || evidence.ends.length === 0) {
     return { type: "Clear" };
   }
-  const isProved = countEndsAlone(evidence) >= PROVING_ENDS;
   const untilMs = evidence.changedAtMs +
     computeQuarantineMs(evidence.ends.length);
-  return isProved && untilMs > nowMs
+  return isProved(evidence) && untilMs > nowMs
     ? { type: "Quarantined", untilMs }
     : { type: "Suspect" };
 }
 
+/** Whether the ends prove that the request causes them. */
+function isProved(evidence: CrashEvidence): boolean {
+  const alone = countEndsAlone(evidence);
+  return alone >= PROVING_ENDS ||
+    alone > 0 && evidence.ends.length >= PROVING_ENDS_BESIDE;
+}
+
 /** Computes the length of the quarantine after a number of ends. */
 function computeQuarantineMs(ends: number): number {
   return ends <= FIRST_QUARANTINE_ENDS
@@ -259,7 +271,7 @@
   if (evidence.ends.length === 0) {
     return ageMs > PARDON_TTL_MS;
   }
-  return countEndsAlone(evidence) < PROVING_ENDS && ageMs > SUSPECT_TTL_MS;
+  return !isProved(evidence) && ageMs > SUSPECT_TTL_MS;
 }
 
 /** Selects what stays of a full record: the most ends alone, then the newest. */
--- a/src/engine/quarantine/test/crash_evidence_test.ts
+++ b/src/engine/quarantine/test/crash_evidence_test.ts
@@ -57,6 +57,18 @@
 }
 
 describe("evidence against requests", () => {
+  // Guards against a fourth end: where two ends come before either is known, the
+  // request ran beside others at both, and runs alone at the third.
+  it("proves a request's guilt by three ends, of which it ran alone at one", () => {
+    const ends = [["i-1", false], ["i-2", false], ["i-3", true]] as const;
+    const verdicts = [1, 2, 3].map((count) =>
+      evaluateEvidence(createEnds("a", ends.slice(0, count)), NOW_MS).type
+    );
+    expect(verdicts).to.deep.equal(["Suspect", "Suspect", "Quarantined"]);
+    const innocent = createEnds("a", [["i-1", true], ["i-2", false]]);
+    expect(evaluateEvidence(innocent, NOW_MS).type).to.equal("Suspect");
+  });
+
   it("is the same in whatever order, and however often, it comes", () => {
     fc.assert(
       fc.property(
