Hold workspaces against ceilings only after a whole window of requests

Change: no ceilings before a whole window since the first request, and control counts as silent after six reports without an update.

--- a/src/engine/workspaces/common/quota_ceiling.ts
+++ b/src/engine/workspaces/common/quota_ceiling.ts
@@ -31,8 +31,8 @@
  */
 const CEILING_OVERAGE_RATIO = 0.4;
 const CEILING_SLACK_RATIO = 0.8;
-/** Reports after a start until which the window isn't full: 5 s. */
-const FILL_REPORTS = 10;
+/** Reports after the first request until which the window isn't full: 5 s. */
+export const FILL_REPORTS = 10;
 /**
  * Least weight of the newest figure in the smoothed usage, per report. With
  * 0.02 and two reports a second, clients that moved to another entry node are
@@ -42,7 +42,8 @@
 const SMOOTHING = 0.02;
 
 /**
- * Advances the smoothed usage by one report, the `reports`th since the start.
+ * Advances the smoothed usage by one report, the `reports`th since this entry
+ * node had its first request.
  * A workspace without known usage had no requests here until now.
  */
 export function updateKnownUsage(
--- a/src/engine/workspaces/common/quota_gate.ts
+++ b/src/engine/workspaces/common/quota_gate.ts
@@ -2,6 +2,7 @@
 import {
   ASSUMED_UTILIZATION,
   computeCeiling,
+  FILL_REPORTS,
   updateKnownUsage,
 } from "./quota_ceiling.ts";
 import type { KnownUsage } from "./quota_ceiling.ts";
@@ -73,9 +74,10 @@
 
 /**
  * Number of reports after which control counts as silent, if it last sent the
- * utilization of any workspace: it then sends an update for each report.
+ * utilization of any workspace: it then sends an update for each report. With 2,
+ * replicas that were busy with the first reports of a burst counted as silent.
  */
-const MAX_UPDATE_AGE_REPORTS = 2;
+const MAX_UPDATE_AGE_REPORTS = 5;
 /**
  * Prompt reports that an entry may send in a row; one more for each regular
  * report. At a jump they are needed until the demand of `RECENT_SPAN_MS`, by
@@ -113,7 +115,7 @@
   #entryCount = 1;
   /** Number of reports created since shares were last received. */
   #reportsSinceShares = 0;
-  /** Number of reports created since the start. */
+  /** Number of reports created since the first request of a workspace. */
   #reports = 0;
   /** As last received; undefined if control sends none (former versions). */
   #utilizations: ReadonlyMap<string, number> | undefined;
@@ -178,7 +180,7 @@
     const { name } = workspace;
     this.#setLimit(name, limit);
     const share = this.#getShare(name);
-    const ceiling = share === undefined || !this.#isControlSilent
+    const ceiling = share === undefined || !this.#isCeilingInForce
       ? Infinity
       : this.#getCeiling(name, limit, terms);
     if (
@@ -221,7 +223,7 @@
       "Bucket",
       (name) => this.#grownWorkspaces.has(name),
     );
-    this.#reports += 1;
+    this.#reports += this.#limits.size > 0 || this.#reports > 0 ? 1 : 0;
     this.#updateKnownUsages(usages);
     this.#window.advance();
     this.#reportsSinceShares += 1;
@@ -277,6 +279,15 @@
         this.#reportsSinceShares > MAX_UPDATE_AGE_REPORTS));
   }
 
+  /**
+   * Whether requests are held against ceilings. Before a whole window of
+   * requests, what is usual isn't known: a ceiling by the first ones would refuse
+   * most of the others.
+   */
+  get #isCeilingInForce(): boolean {
+    return this.#reports > FILL_REPORTS && this.#isControlSilent;
+  }
+
   #getCeiling(name: string, limit: number, terms: QuotaTerms): number {
     const draw = this.#ceilingDraws.get(name) ?? this.#options.draw();
     this.#ceilingDraws.set(name, draw);
