--- a/src/engine/workspaces/common/quota_gate.ts
+++ b/src/engine/workspaces/common/quota_gate.ts
@@ -180,7 +180,7 @@
     const { name } = workspace;
     this.#setLimit(name, limit);
     const share = this.#getShare(name);
-    const ceiling = share === undefined || !this.#isCeilingInForce
+    const ceiling = share === undefined || !this.#isControlSilent
       ? Infinity
       : this.#getCeiling(name, limit, terms);
     if (
@@ -279,19 +279,14 @@
         this.#reportsSinceShares > MAX_UPDATE_AGE_REPORTS));
   }
 
-  /**
-   * Whether requests are held against ceilings. Before a whole window of
-   * requests, what is usual isn't known: a ceiling by the first ones would refuse
-   * most of the others.
-   */
-  get #isCeilingInForce(): boolean {
-    return this.#reports > FILL_REPORTS && this.#isControlSilent;
-  }
-
   #getCeiling(name: string, limit: number, terms: QuotaTerms): number {
     const draw = this.#ceilingDraws.get(name) ?? this.#options.draw();
     this.#ceilingDraws.set(name, draw);
-    const known = this.#knownUsages.get(name);
+    // Before a whole window of requests, what is usual isn't known: a part by the
+    // first ones would refuse most of the others.
+    const known = this.#reports > FILL_REPORTS
+      ? this.#knownUsages.get(name)
+      : { own: limit / this.#entryCount, total: limit };
     return Math.floor(
       computeCeiling(limit, known, terms, this.#entryCount) + draw,
     );
--- a/src/engine/workspaces/test/quota_test.ts
+++ b/src/engine/workspaces/test/quota_test.ts
@@ -325,12 +325,13 @@
   });
 
   // Guards against refusals of nearly all requests in the first seconds.
-  it("has no ceiling before a whole window of requests", () => {
+  it("admits an equal part before a whole window of requests", () => {
     const gate = new QuotaGate({ terms: TERMS, draw: () => 0 });
     gate.replaceShares([], 2, [["mill", 0.5]]);
     Array.from({ length: 30 }).forEach(() => gate.createReport());
     gate.recordControlLoss();
-    expect(countAdmitted(gate)).to.equal(200);
+    // Half of the 60, and half of the allowance of 18.4.
+    expect(countAdmitted(gate)).to.equal(39);
   });
 
   // Guards against refusals where clients move to another entry node.
