Decide on root requests in a module of their own

entry_calls.ts held both ways of the decision beside the attempts of calls. RootDecisions is pure but for the demand that it keeps. No behaviour changes; 74 tests of entries, root plans and members pass.

--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -49,17 +49,12 @@
   measureCallSilence,
 } from "../common/link_silence.ts";
 import { recordResult } from "../common/member.ts";
-import type { Bottleneck, Member } from "../common/member.ts";
-import { RootPlan } from "../common/root_plan.ts";
+import type { Member } from "../common/member.ts";
 import { PlacementLog } from "../common/placement_log.ts";
-import {
-  AdmittedShare,
-  drawForRequest,
-  isRootRefused,
-} from "../common/root_admission.ts";
+import { RootDecisions } from "../common/root_decision.ts";
 import { computeMemberWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
 
-/** Retry time of a root request that was refused for pressure. */
+/** Retry time of a root request that was refused for load. */
 const ROOT_RETRY_MS = 700;
 
 /**
@@ -71,8 +66,7 @@
   readonly #options: EntryCallsOptions;
   readonly #budget: EntryBudget;
   readonly #suspects: EntrySuspects;
-  readonly #admittedShare = new AdmittedShare();
-  readonly #rootPlan = new RootPlan();
+  readonly #roots: RootDecisions;
   readonly #placementLog: PlacementLog;
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services without a known member. */
@@ -82,6 +76,7 @@
   constructor(options: EntryCallsOptions) {
     this.#options = options;
     const { budget, readClock, draw, crashes } = options;
+    this.#roots = new RootDecisions(options);
     this.#suspects = new EntrySuspects({ ...options, knowledge: crashes });
     this.#placementLog = new PlacementLog(options.dataCentre);
     this.#budget = new EntryBudget(budget, { startedAtMs: readClock(), draw });
@@ -214,76 +209,17 @@
   }
 
   /**
-   * Refuses a root request according to its rank if a service on its call path
-   * is short of capacity. Returns whether it was refused.
+   * Refuses a root request if a service on its call path is short of capacity.
+   * Returns whether it was refused.
    */
   #tryRefuseRoot(call: EntryCall): boolean {
-    const { members } = this.#options;
-    const { route, arrivedAtMs } = call.request;
-    const bottleneck = members
-      .findBottleneck(call.service, route.name, arrivedAtMs);
-    return bottleneck === undefined
-      ? this.#tryRefuseByPressure(call)
-      : this.#tryRefuseByPlan(call, bottleneck);
-  }
-
-  /** Refuses a root request beyond the planned share of its kind. */
-  #tryRefuseByPlan(call: EntryCall, bottleneck: Bottleneck): boolean {
-    const { route, rank, arrivedAtMs } = call.request;
-    const { service, ratio, costMs } = bottleneck;
-    const share = this.#rootPlan.computeShare(
-      {
-        service,
-        route: route.name,
-        rank,
-        routeRank: route.rank,
-        costMs,
-        ratio,
-      },
-      arrivedAtMs,
-    );
-    const isRefused = share < 1 && this.#drawForCall(call) >= share;
-    if (isRefused) {
-      const inputs = { bottleneck: service, ratio, costMs, share };
-      this.#refuseRoot(call, "capacity", inputs);
-    }
-    return isRefused;
-  }
-
-  /** Refuses a root request by the band of its rank in the path's pressure. */
-  #tryRefuseByPressure(call: EntryCall): boolean {
-    const { members, getLastRank } = this.#options;
-    const { route, rank, arrivedAtMs } = call.request;
-    const { pressure } = members
-      .computePathPressure(call.service, route.name, arrivedAtMs);
-    if (pressure === 0) {
-      this.#admittedShare.record(true, arrivedAtMs);
+    const decision = this.#roots.decide(call.request, call.service);
+    if (decision.type === "Admit") {
       return false;
     }
-    const lastRank = getLastRank();
-    const admittedShare = this.#admittedShare.value;
-    const draw = this.#drawForCall(call);
-    const inputs = { lastRank, pressure, admittedShare };
-    const isRefused = isRootRefused({ rank, draw, ...inputs });
-    this.#admittedShare.record(!isRefused, arrivedAtMs);
-    if (isRefused) {
-      this.#refuseRoot(call, "pressure", inputs);
-    }
-    return isRefused;
-  }
-
-  #drawForCall({ request }: EntryCall): number {
-    const { route, target, body, arrivedAtMs } = request;
-    return drawForRequest({ route: route.name, target, body }, arrivedAtMs);
-  }
-
-  #refuseRoot(
-    call: EntryCall,
-    reason: string,
-    inputs: Readonly<Record<string, unknown>>,
-  ): void {
     const failure = { type: "Refused", retryAfterMs: ROOT_RETRY_MS } as const;
-    this.#finish(call, failure, reason, inputs);
+    this.#finish(call, failure, decision.reason, decision.inputs);
+    return true;
   }
 
   /**
