Take the mean of the members' ratios for the capacity of a service

The sum of the members' capacities over the sum of their demands is ruled by one member of 19 that has a queue, though calls are sent to the others.

Change: the mean of the ratios, weighted by limits, each 1.5 at most.

--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -31,6 +31,11 @@
  * restarted process listens again after about a second.
  */
 const PROBE_DELAY_MS = 300;
+/**
+ * Most that the ratio of a member counts with: more capacity than this over its
+ * demand makes up for no shortage at other members.
+ */
+const MAX_MEMBER_RATIO = 1.5;
 /** Notices that are kept; above the backend servers that say something. */
 const MAX_NOTICES = 4_096;
 
@@ -328,10 +333,14 @@
     return downstream.ratio < own.ratio ? downstream : own;
   }
 
-  /** Computes the capacity of a service's reliable members over its demand. */
+  /**
+   * Computes the capacity of a service's reliable members over its demand: the
+   * mean of their ratios, weighted by their limits. One member with a queue of
+   * its own is no shortage, as calls are sent to the others.
+   */
   #computeOwnRoom(service: string, nowMs: number): Bottleneck | undefined {
     let capacity = 0;
-    let offered = 0;
+    let spareCapacity = 0;
     let serviceMs = 0;
     let reportedAtMs = 0;
     const fresh = this.#listFresh(service, nowMs);
@@ -339,7 +348,7 @@
       const { spare, limit } = load!;
       if (spare !== undefined && limit > 0) {
         capacity += limit;
-        offered += limit / spare;
+        spareCapacity += limit * Math.min(MAX_MEMBER_RATIO, spare);
         serviceMs += load!.serviceMs * limit;
         reportedAtMs = Math.max(reportedAtMs, loadReceivedAtMs);
       }
@@ -347,7 +356,7 @@
     if (capacity === 0) {
       return undefined;
     }
-    const ratio = capacity / offered;
+    const ratio = spareCapacity / capacity;
     return { service, ratio, costMs: serviceMs / capacity, reportedAtMs };
   }
 
