Take a route that seems to make less than one call a run for none

Change: fewer than 0.7 calls a run count as none, and a route has to explain calls by two standard deviations, one before.

Not yet measured on the deployment.

--- a/src/daemon/relay_tree.ts
+++ b/src/daemon/relay_tree.ts
@@ -39,6 +39,12 @@
  * the callers only: it isn't needed for decisions.
  */
 const REPORTED_RATIO = 1.3;
+/**
+ * Runs that seem to make fewer calls than this are taken to make none: long runs
+ * that call nothing reach 0.6 while load rises, and would be refused for a
+ * service that they don't use.
+ */
+const MIN_CALLS_PER_RUN = 0.7;
 
 /** Records the observations of one node in its call tree. */
 export class RelayTree {
@@ -170,7 +176,7 @@
     const { members } = this.#options;
     const found = callees.flatMap(({ service, route, callsPerRun }) => {
       const one = members.findBottleneck(service, route, nowMs);
-      return one === undefined
+      return one === undefined || callsPerRun < MIN_CALLS_PER_RUN
         ? []
         : [{ ...one, costMs: one.costMs * callsPerRun }];
     });
--- a/src/engine/admission/common/call_rates.ts
+++ b/src/engine/admission/common/call_rates.ts
@@ -48,7 +48,7 @@
  * Standard deviations by which a product has to exceed what the others explain:
  * the number of calls in an interval has a Poisson distribution.
  */
-const NOISE_DEVIATIONS = 1;
+const NOISE_DEVIATIONS = 2;
 /** A route with fewer runs, with decay, is forgotten. */
 const MIN_RUNS = 0.05;
 /** Rounds of coordinate descent; a few routes settle within ten. */
