--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -143,17 +143,6 @@
     }
   }
 
-  /** Reports usage at once if the requests of a workspace grew. */
-  reportGrownUsage(): void {
-    if (this.#routes?.workspaces === undefined) {
-      return;
-    }
-    const usages = this.#options.quotas.createPromptReport();
-    if (usages !== undefined) {
-      this.#link.send({ type: "UsageReport", usages, isPrompt: true });
-    }
-  }
-
   /**
    * Announces a change of this node; leaves its service first if that changes.
    */
@@ -193,14 +182,12 @@
         this.#subscribedServices.clear();
         this.#subscribe();
       },
-      onClose: (replica) => {
-        this.#options.quotas.recordControlLoss();
+      onClose: (replica) =>
         this.#options.log.write({
           event: "ControlLost",
           isFailure: true,
           replica,
-        });
-      },
+        }),
       readConfirmed: (message) =>
         "isConfirmed" in message ? message.isConfirmed : undefined,
       createHeartbeat: () => this.#createHeartbeat(),
@@ -248,11 +235,7 @@
         this.#receiveProof(message.number, message.routesVersion);
         return;
       case "SharesUpdate":
-        this.#options.quotas.replaceShares(
-          message.shares,
-          message.nodes,
-          message.utilizations,
-        );
+        this.#options.quotas.replaceShares(message.shares, message.nodes);
         this.#options.onAccessUpdated();
         return;
       case "MemberList":
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -23,10 +23,7 @@
 import { computeKeyDigest } from "../engine/workspaces/node/key_digest.ts";
 import { WorkspaceCheck } from "../engine/workspaces/common/workspace_check.ts";
 import { QuotaGate } from "../engine/workspaces/common/quota_gate.ts";
-import {
-  PROMPT_INTERVAL_MS,
-  USAGE_INTERVAL_MS,
-} from "../engine/workspaces/common/usage_window.ts";
+import { USAGE_INTERVAL_MS } from "../engine/workspaces/common/usage_window.ts";
 import { countRanks } from "../engine/workspaces/common/workspace.ts";
 import { KeyAccess } from "../engine/workspaces/common/key_access.ts";
 import type { OperatorServer } from "./operator_server.ts";
@@ -60,8 +57,6 @@
 const OWN_LOAD_INTERVAL_TICKS = REPORT_INTERVAL_MS / TICK_MS;
 /** Ticks between usage reports of workspaces. */
 const USAGE_INTERVAL_TICKS = USAGE_INTERVAL_MS / TICK_MS;
-/** Ticks between checks whether a workspace's requests grew. */
-const PROMPT_INTERVAL_TICKS = PROMPT_INTERVAL_MS / TICK_MS;
 /** Ticks between checks for idle links. */
 const IDLE_CHECK_INTERVAL_TICKS = 500;
 /**
@@ -461,9 +456,6 @@
     if (this.#ticks % OWN_LOAD_INTERVAL_TICKS === 0) {
       this.#recordOwnLoad();
     }
-    if (this.#ticks % PROMPT_INTERVAL_TICKS === 0) {
-      this.#control.reportGrownUsage();
-    }
     if (this.#ticks % USAGE_INTERVAL_TICKS === 0) {
       this.#control.reportUsage();
     }
--- a/src/engine/control/common/control_reducer.ts
+++ b/src/engine/control/common/control_reducer.ts
@@ -36,7 +36,7 @@
   pushRoutes,
   recordRoutesVersion,
 } from "./routes_push.ts";
-import { forwardUsage, recordUsage, tickUsage } from "./usage_step.ts";
+import { recordUsage, tickUsage } from "./usage_step.ts";
 import {
   confirmTable,
   pushTable,
@@ -99,11 +99,8 @@
     case "Heartbeat":
       return receiveHeartbeat(state, linkId, message, nowMs);
     case "UsageReport": {
-      const { usages, isPrompt = false } = message;
-      const next = recordUsage(state, linkId, usages, nowMs);
-      return isPrompt
-        ? forwardUsage(next, usages, nowMs)
-        : createReduction(next);
+      const { usages } = message;
+      return createReduction(recordUsage(state, linkId, usages, nowMs));
     }
     case "ReportCopied":
       return createReduction(state);
--- a/src/engine/control/common/control_state.ts
+++ b/src/engine/control/common/control_state.ts
@@ -14,7 +14,6 @@
 import type {
   QuotaTerms,
   WorkspaceShare,
-  WorkspaceUtilization,
 } from "../../workspaces/common/quota_shares.ts";
 import { INITIAL_TABLE_STATE } from "../../table/common/table_reducer.ts";
 import type { TableState } from "../../table/common/table_reducer.ts";
@@ -90,20 +89,8 @@
   >;
   /** When usage was last sent to the replicas; steady clock in milliseconds. */
   readonly usageSentAtMs: number;
-  /**
-   * When usage was last sent to the replicas because it grew; steady clock in
-   * milliseconds.
-   */
-  readonly promptUsageSentAtMs: number;
-  /**
-   * When shares were last sent to the nodes because usage grew; steady clock in
-   * milliseconds.
-   */
-  readonly promptSharesSentAtMs: number;
   /** Shares last sent to the nodes; undefined before the first ones. */
   readonly sentShares: readonly WorkspaceShare[] | undefined;
-  /** Utilizations last sent with them. */
-  readonly sentUtilizations: readonly WorkspaceUtilization[];
 }
 
 /** An event at a control replica. */
@@ -194,10 +181,7 @@
     startedAtMs: nowMs,
     usageDigests: new Map(),
     usageSentAtMs: 0,
-    promptUsageSentAtMs: 0,
-    promptSharesSentAtMs: 0,
     sentShares: undefined,
-    sentUtilizations: [],
   };
 }
 
--- a/src/engine/control/common/presence_step.ts
+++ b/src/engine/control/common/presence_step.ts
@@ -18,7 +18,7 @@
   PresenceChannel,
   PresenceMessage,
 } from "../../membership/common/presence_messages.ts";
-import { recordUsageDigest, sendChangedShares } from "./usage_step.ts";
+import { recordUsageDigest } from "./usage_step.ts";
 import { createSend, listLinks } from "./control_state.ts";
 import type {
   ControlEffect,
@@ -54,10 +54,7 @@
     return createReduction(state, sendDrainOrder(state, message.nodeId));
   }
   if (message.type === "UsageDigest") {
-    const next = recordUsageDigest(state, message, nowMs);
-    return message.isPrompt === true
-      ? sendChangedShares(next, nowMs)
-      : createReduction(next);
+    return createReduction(recordUsageDigest(state, message, nowMs));
   }
   const event = { type: "PresenceReceived", channel, message } as const;
   const step = stepMembership(state, event, nowMs);
--- a/src/engine/control/common/usage_step.ts
+++ b/src/engine/control/common/usage_step.ts
@@ -7,26 +7,19 @@
  * lost, and the messages grow with the number of workspaces near their limits,
  * not with the number of nodes.
  */
-import {
-  chainReduction,
-  createReduction,
-} from "../../../base/common/reduction.ts";
+import { createReduction } from "../../../base/common/reduction.ts";
 import { setEntry } from "../../../base/common/maps.ts";
 import { parseReplicaId } from "../../membership/common/membership_state.ts";
 import type { UsageDigest } from "../../membership/common/presence_messages.ts";
 import {
   addUsages,
   computeWindowLimit,
-  listCurrentUsages,
   listShares,
-  listUtilizations,
-  RAPID_SPAN_MS,
 } from "../../workspaces/common/quota_shares.ts";
 import type {
   QuotaTerms,
   WorkspaceShare,
   WorkspaceUsage,
-  WorkspaceUtilization,
 } from "../../workspaces/common/quota_shares.ts";
 import { createSend, updateLink } from "./control_state.ts";
 import type {
@@ -50,28 +43,14 @@
  * Time after its start during which a replica sends no shares: it lasts for two
  * reports of each node and replica, as some haven't been received yet.
  */
-export const WARM_UP_MS = 2_500;
+const WARM_UP_MS = 2_500;
 /** Minimum time between two digests of one replica. */
 const MIN_DIGEST_INTERVAL_MS = 450;
 /**
  * A workspace is omitted from a digest if its usage at the nodes linked to this
  * replica is below this part of an equal share of its limit.
  */
-const NEAR_LIMIT_RATIO = 0.15;
-/**
- * Minimum time between two messages that a replica sends because usage grew:
- * one digest, and one message of shares to each node.
- */
-export const MIN_PROMPT_INTERVAL_MS = 100;
-/**
- * Relative change of a share that is sent without waiting for the next tick.
- */
-const PROMPT_CHANGE_RATIO = 0.1;
-/**
- * Usage expected within a second, relative to an equal share of the limit, from
- * which growth is passed on without waiting for the next tick.
- */
-const PROMPT_LEVEL_RATIO = 0.5;
+const NEAR_LIMIT_RATIO = 0.4;
 
 /** Records the usage reported by a node. */
 export function recordUsage(
@@ -107,15 +86,20 @@
   if (quotaTerms === undefined || workspaces === undefined || !isDue) {
     return createReduction(state);
   }
-  const digest = createUsageDigest(state, quotaTerms, nowMs);
-  const computed = computeShares(state, nowMs);
-  const isChanged = computed !== undefined &&
-    (isSomeSent(computed) || isSomeSent(state));
+  const digest: UsageDigest = {
+    type: "UsageDigest",
+    owner: parseReplicaId(state.membership.self),
+    usages: listNearLimit(state, listLinkedUsages(state, nowMs), quotaTerms),
+    nodes: countLinkedNodes(state),
+  };
+  const sentShares = computeShares(state, nowMs);
+  const isChanged = sentShares !== undefined &&
+    (sentShares.length > 0 || (state.sentShares?.length ?? 1) > 0);
   const next: ControlState = {
     ...state,
-    ...computed ?? { sentShares: undefined, sentUtilizations: [] },
     usageDigests: removeStaleDigests(state, nowMs),
     usageSentAtMs: nowMs,
+    sentShares,
   };
   const sends = isChanged ? createSharesUpdates(next, listNodeLinks(next)) : [];
   return createReduction(next, [
@@ -124,114 +108,6 @@
   ]);
 }
 
-/**
- * Passes growth that a node reported on to the other replicas, and the shares
- * that follow from it to the linked nodes. What the minimum intervals hold back
- * goes with the next report or tick.
- */
-export function forwardUsage(
-  state: ControlState,
-  reported: readonly WorkspaceUsage[],
-  nowMs: number,
-): ControlStep {
-  const { quotaTerms } = state;
-  const isDue = nowMs - state.promptUsageSentAtMs >= MIN_PROMPT_INTERVAL_MS;
-  const isPassedOn = quotaTerms !== undefined && isDue &&
-    isNearLimitSoon(state, reported, quotaTerms, nowMs);
-  const step: ControlStep = isPassedOn
-    ? createReduction({ ...state, promptUsageSentAtMs: nowMs }, [{
-      type: "SendToReplicas",
-      message: {
-        ...createUsageDigest(state, quotaTerms, nowMs),
-        isPrompt: true,
-      },
-    }])
-    : createReduction(state);
-  return chainReduction(step, (s) => sendChangedShares(s, nowMs));
-}
-
-/**
- * Sends the shares to the linked nodes if they differ much from those last
- * sent.
- */
-export function sendChangedShares(
-  state: ControlState,
-  nowMs: number,
-): ControlStep {
-  if (nowMs - state.promptSharesSentAtMs < MIN_PROMPT_INTERVAL_MS) {
-    return createReduction(state);
-  }
-  const computed = computeShares(state, nowMs);
-  if (
-    computed === undefined ||
-    !hasChangedMuch(state.sentShares ?? [], computed.sentShares)
-  ) {
-    return createReduction(state);
-  }
-  const next = { ...state, ...computed, promptSharesSentAtMs: nowMs };
-  return createReduction(next, createSharesUpdates(next, listNodeLinks(next)));
-}
-
-/** Whether a share differs by more than `PROMPT_CHANGE_RATIO`. */
-export function hasChangedMuch(
-  before: readonly WorkspaceShare[],
-  after: readonly WorkspaceShare[],
-): boolean {
-  const beforeByName = new Map(before);
-  const afterByName = new Map(after);
-  return [...before, ...after].some(([name]) => {
-    const [old = 1, now = 1] = [beforeByName.get(name), afterByName.get(name)];
-    return Math.abs(now - old) > PROMPT_CHANGE_RATIO * old;
-  });
-}
-
-/**
- * Whether the linked nodes' usage of a reported workspace comes near an equal
- * share of its limit within a second.
- */
-function isNearLimitSoon(
-  state: ControlState,
-  reported: readonly WorkspaceUsage[],
-  terms: QuotaTerms,
-  nowMs: number,
-): boolean {
-  const { workspaces = [] } = state.tableState.document.table;
-  const names = new Set(reported.map(({ name }) => name));
-  const usages = new Map(
-    listLinkedUsages(state, nowMs).map((usage) => [usage.name, usage]),
-  );
-  const replicaCount = 1 + state.usageDigests.size;
-  return workspaces.some((workspace) => {
-    const { letIn = 0, askedNow = 0 } = usages.get(workspace.name) ?? {};
-    const soon = letIn + askedNow * 1_000 / RAPID_SPAN_MS;
-    const equalShare = computeWindowLimit(workspace, terms) / replicaCount;
-    return names.has(workspace.name) && soon >= PROMPT_LEVEL_RATIO * equalShare;
-  });
-}
-
-function createUsageDigest(
-  state: ControlState,
-  terms: QuotaTerms,
-  nowMs: number,
-): UsageDigest {
-  return {
-    type: "UsageDigest",
-    owner: parseReplicaId(state.membership.self),
-    usages: listNearLimit(state, listLinkedUsages(state, nowMs), terms),
-    nodes: countLinkedNodes(state),
-  };
-}
-
-function isSomeSent(
-  { sentShares, sentUtilizations }: Pick<
-    ControlState,
-    "sentShares" | "sentUtilizations"
-  >,
-): boolean {
-  // Before the first shares, undefined, there is something to send.
-  return (sentShares?.length ?? 1) > 0 || sentUtilizations.length > 0;
-}
-
 /**
  * Creates the messages that send the shares to nodes; they carry the number of
  * nodes alone until this replica knows the shares.
@@ -240,15 +116,13 @@
   state: ControlState,
   linkIds: readonly number[],
 ): readonly ControlEffect[] {
-  const { sentShares, sentUtilizations, usageDigests } = state;
+  const { sentShares, usageDigests } = state;
   const nodes = [...usageDigests.values()]
     .reduce((sum, report) => sum + report.nodes, countLinkedNodes(state));
   const message = {
     type: "SharesUpdate",
     nodes,
-    ...(sentShares === undefined
-      ? {}
-      : { shares: sentShares, utilizations: sentUtilizations }),
+    ...(sentShares === undefined ? {} : { shares: sentShares }),
   } as const;
   return linkIds.map((linkId) => createSend(linkId, message));
 }
@@ -264,29 +138,19 @@
   return fresh.length === usageDigests.size ? usageDigests : new Map(fresh);
 }
 
-/** The shares and utilizations that nodes are sent. */
-interface ComputedShares {
-  readonly sentShares: readonly WorkspaceShare[];
-  readonly sentUtilizations: readonly WorkspaceUtilization[];
-}
-
 /**
  * Computes the shares; undefined until this replica can know the total usage.
  */
 function computeShares(
   state: ControlState,
   nowMs: number,
-): ComputedShares | undefined {
+): readonly WorkspaceShare[] | undefined {
   const { quotaTerms, startedAtMs } = state;
   const { workspaces = [] } = state.tableState.document.table;
   if (quotaTerms === undefined || nowMs - startedAtMs < WARM_UP_MS) {
     return undefined;
   }
-  const usages = computeUsages(state, nowMs);
-  return {
-    sentShares: listShares(workspaces, usages, quotaTerms),
-    sentUtilizations: listUtilizations(workspaces, usages, quotaTerms),
-  };
+  return listShares(workspaces, computeUsages(state, nowMs), quotaTerms);
 }
 
 /**
@@ -298,7 +162,8 @@
   nowMs: number,
 ): ReadonlyMap<string, WorkspaceUsage> {
   const others = [...state.usageDigests.values()]
-    .flatMap((report) => listFreshUsages(report, nowMs));
+    .filter((report) => isFresh(report, nowMs))
+    .map(({ usages }) => usages);
   return addUsages([listLinkedUsages(state, nowMs), ...others]);
 }
 
@@ -307,7 +172,7 @@
   nowMs: number,
 ): readonly WorkspaceUsage[] {
   const reports = [...state.links.values()].flatMap(({ usage }) =>
-    usage === undefined ? [] : listFreshUsages(usage, nowMs)
+    usage !== undefined && isFresh(usage, nowMs) ? [usage.usages] : []
   );
   return [...addUsages(reports).values()];
 }
@@ -339,15 +204,6 @@
   return listNodeLinks(state).length;
 }
 
-function listFreshUsages(
-  report: ReceivedUsage,
-  nowMs: number,
-): readonly (readonly WorkspaceUsage[])[] {
-  return isFresh(report, nowMs)
-    ? [listCurrentUsages(report.usages, nowMs - report.receivedAtMs)]
-    : [];
-}
-
 function isFresh(report: { readonly receivedAtMs: number }, nowMs: number) {
   return nowMs - report.receivedAtMs < REPORT_TTL_MS;
 }
--- a/src/engine/control/common/workspace_report.ts
+++ b/src/engine/control/common/workspace_report.ts
@@ -42,7 +42,7 @@
       ratePerSecond,
       burst,
       asked: Math.round(usage?.asked ?? 0),
-      letIn: Math.round(usage?.letIn ?? 0),
+      letIn: usage?.letIn ?? 0,
       share: shares.get(name) ?? 1,
     };
   });
--- a/src/engine/link/common/link_messages.ts
+++ b/src/engine/link/common/link_messages.ts
@@ -7,7 +7,6 @@
 import type {
   WorkspaceShare,
   WorkspaceUsage,
-  WorkspaceUtilization,
 } from "../../workspaces/common/quota_shares.ts";
 import type { TableDelta } from "../../table/common/table_delta.ts";
 import type { Table } from "../../table/common/table_row.ts";
@@ -51,8 +50,6 @@
   | {
     readonly type: "UsageReport";
     readonly usages: readonly WorkspaceUsage[];
-    /** Whether it was sent because the requests of a workspace grew. */
-    readonly isPrompt?: boolean;
   }
   /** The node has copied the records of holders of an earlier epoch. */
   | {
@@ -101,11 +98,6 @@
     readonly type: "SharesUpdate";
     /** Workspaces with a share below 1; absent if not yet known. */
     readonly shares?: readonly WorkspaceShare[];
-    /**
-     * Utilizations of the workspaces near their limits; absent with `shares`,
-     * and from replicas of former versions.
-     */
-    readonly utilizations?: readonly WorkspaceUtilization[];
     /** Number of nodes in the cluster, over all replicas. */
     readonly nodes: number;
   }
--- a/src/engine/membership/common/presence_messages.ts
+++ b/src/engine/membership/common/presence_messages.ts
@@ -68,8 +68,6 @@
   readonly usages: readonly WorkspaceUsage[];
   /** Number of nodes linked to the owner. */
   readonly nodes: number;
-  /** Whether it was sent because the requests of a workspace grew. */
-  readonly isPrompt?: boolean;
 }
 
 /** A message between control replicas. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -97,7 +97,6 @@
 const REFUSAL_REASONS: Readonly<Record<EntryRefusal["type"], string>> = {
   UnknownKey: "unknown key",
   OverLimit: "over limit",
-  OverCeiling: "over ceiling",
   LeaseLapsed: "lease on keys lapsed",
 };
 
@@ -416,7 +415,6 @@
         this.#replies.reply(exchange, 401);
         return;
       case "OverLimit":
-      case "OverCeiling":
         this.#replies.replyRetryLater(exchange, 429, refusal.retryAfterMs);
         return;
       case "LeaseLapsed":
--- a/src/engine/workspaces/common/quota_gate.ts
+++ b/src/engine/workspaces/common/quota_gate.ts
@@ -1,23 +1,11 @@
 /** Admits the requests of workspaces at one entry node, within their limits. */
-import {
-  ASSUMED_UTILIZATION,
-  computeCeiling,
-  FILL_REPORTS,
-  updateKnownUsage,
-} from "./quota_ceiling.ts";
-import type { KnownUsage } from "./quota_ceiling.ts";
-import { computeWindowLimit, RECENT_SPAN_MS } from "./quota_shares.ts";
+import { computeWindowLimit } from "./quota_shares.ts";
 import type {
   QuotaTerms,
   WorkspaceShare,
   WorkspaceUsage,
-  WorkspaceUtilization,
 } from "./quota_shares.ts";
-import {
-  PROMPT_INTERVAL_MS,
-  USAGE_INTERVAL_MS,
-  UsageWindow,
-} from "./usage_window.ts";
+import { USAGE_INTERVAL_MS, UsageWindow } from "./usage_window.ts";
 import type { Workspace } from "./workspace.ts";
 
 /** Result of checking a request against the limit of its workspace. */
@@ -33,14 +21,6 @@
     readonly retryAfterMs: number;
     /** Share of the workspace's requests that is admitted now, 0 to 1. */
     readonly share: number;
-  }
-  /** Control is silent, and the window holds this entry's part of the limit. */
-  | {
-    readonly type: "OverCeiling";
-    /** Expected time until the ceiling allows more requests, in ms. */
-    readonly retryAfterMs: number;
-    /** Requests per window that this entry admits. */
-    readonly ceiling: number;
   };
 
 /** Options of `QuotaGate`. */
@@ -72,28 +52,6 @@
  */
 const STALE_SHARE_RATIO = 0.8;
 
-/**
- * Number of reports after which control counts as silent, if it last sent the
- * utilization of any workspace: it then sends an update for each report. With 2,
- * replicas that were busy with the first reports of a burst counted as silent.
- */
-const MAX_UPDATE_AGE_REPORTS = 5;
-/**
- * Prompt reports that an entry may send in a row; one more for each regular
- * report. At a jump they are needed until the demand of `RECENT_SPAN_MS`, by
- * which shares are computed otherwise, is that after the jump.
- */
-const MAX_PROMPT_REPORTS = RECENT_SPAN_MS / PROMPT_INTERVAL_MS;
-/** Smoothed requests per window below which a workspace is forgotten. */
-const MIN_KNOWN_USAGE = 0.01;
-/** Growth within a tick, relative to the usual, that is reported promptly. */
-const PROMPT_GROWTH_RATIO = 2;
-/**
- * Usual requests per window below which each request is reported promptly: a
- * jump over all entries shows as single requests at each.
- */
-const SMALL_USAGE = 5;
-
 /**
  * Requests that an entry node may admit before it knows the share of a
  * workspace.
@@ -115,23 +73,6 @@
   #entryCount = 1;
   /** Number of reports created since shares were last received. */
   #reportsSinceShares = 0;
-  /** Number of reports created since the first request of a workspace. */
-  #reports = 0;
-  /** As last received; undefined if control sends none (former versions). */
-  #utilizations: ReadonlyMap<string, number> | undefined;
-  /** Whether the link was lost since shares were last received. */
-  #isControlLost = false;
-  readonly #knownUsages = new Map<string, KnownUsage>();
-  /** Window limits of the workspaces that sent requests, by name. */
-  readonly #limits = new Map<string, number>();
-  /**
-   * Random numbers by which fractions of ceilings are rounded, while control is
-   * silent.
-   */
-  readonly #ceilingDraws = new Map<string, number>();
-  #promptReportsLeft = MAX_PROMPT_REPORTS;
-  /** Workspaces whose growth in the last tick is reported promptly. */
-  #grownWorkspaces: ReadonlySet<string> = new Set();
 
   constructor(options: QuotaGateOptions) {
     this.#options = options;
@@ -144,30 +85,21 @@
   }
 
   /**
-   * Replaces the shares below 1 and the utilizations, unless the shares are
-   * undefined, and the total number of entry nodes.
+   * Replaces the shares below 1, unless undefined, and the total number of
+   * entry nodes.
    */
   replaceShares(
     shares: readonly WorkspaceShare[] | undefined,
     entries: number,
-    utilizations?: readonly WorkspaceUtilization[],
   ): void {
     this.#entryCount = Math.max(1, entries);
     if (shares !== undefined) {
-      this.#utilizations = utilizations && new Map(utilizations);
-      this.#isControlLost = false;
-      this.#ceilingDraws.clear();
       this.#shares = new Map(shares);
       this.#reportsSinceShares = 0;
       this.#initialCredits.clear();
     }
   }
 
-  /** Records that the link to control was lost: its knowledge is now old. */
-  recordControlLoss(): void {
-    this.#isControlLost = true;
-  }
-
   /** Decides whether to admit a request with a key of a workspace. */
   decide(workspace: Workspace): QuotaDecision {
     const { terms } = this.#options;
@@ -178,18 +110,7 @@
       return { type: "LetIn" };
     }
     const { name } = workspace;
-    this.#setLimit(name, limit);
     const share = this.#getShare(name);
-    const ceiling = share === undefined || !this.#isControlSilent
-      ? Infinity
-      : this.#getCeiling(name, limit, terms);
-    if (
-      ceiling !== Infinity && this.#window.countAdmitted(name) + 1 > ceiling
-    ) {
-      this.#window.record(name, false);
-      const retryAfterMs = Math.max(MIN_RETRY_MS, terms.windowMs / 2);
-      return { type: "OverCeiling", ceiling, retryAfterMs };
-    }
     const isAdmitted = share === undefined
       ? this.#spendInitialCredit(name, limit, terms)
       : share === 1 || this.#spendCredit(name, share);
@@ -219,113 +140,15 @@
    * window by one interval.
    */
   createReport(): readonly WorkspaceUsage[] {
-    const usages = this.#window.list(
-      "Bucket",
-      (name) => this.#grownWorkspaces.has(name),
-    );
-    this.#reports += this.#limits.size > 0 || this.#reports > 0 ? 1 : 0;
-    this.#updateKnownUsages(usages);
+    const usages = this.#window.list();
     this.#window.advance();
     this.#reportsSinceShares += 1;
-    this.#promptReportsLeft = Math.min(
-      MAX_PROMPT_REPORTS,
-      this.#promptReportsLeft + 1,
-    );
     for (const initial of this.#initialCredits.values()) {
       initial.credit += initial.creditPerReport;
     }
     return usages;
   }
 
-  /**
-   * Advances the window by one tick. Creates a report if the requests of a
-   * workspace grew, unless too many were created lately. It lists all
-   * workspaces, as replicas replace the whole usage of a node.
-   */
-  createPromptReport(): readonly WorkspaceUsage[] | undefined {
-    this.#window.tick();
-    this.#grownWorkspaces = new Set(
-      this.#promptReportsLeft >= 1
-        ? this.#window.listActive().filter((name) => this.#hasGrown(name))
-        : [],
-    );
-    if (this.#grownWorkspaces.size === 0) {
-      return undefined;
-    }
-    this.#promptReportsLeft -= 1;
-    return this.#window.list(
-      "Tick",
-      (name) => this.#grownWorkspaces.has(name),
-    );
-  }
-
-  #hasGrown(name: string): boolean {
-    const { windowMs } = this.#options.terms!;
-    const { window, current } = this.#window.countAsked(name);
-    const usual = window - current;
-    const expected = usual * PROMPT_INTERVAL_MS / windowMs;
-    return usual < SMALL_USAGE ||
-      this.#window.countLastTick(name) >= 1 + PROMPT_GROWTH_RATIO * expected;
-  }
-
-  /**
-   * Whether what this entry knows of the others may be old. Former versions of
-   * control send no utilizations; under them no ceilings apply.
-   */
-  get #isControlSilent(): boolean {
-    const utilizations = this.#utilizations;
-    return utilizations !== undefined && (this.#isControlLost ||
-      (utilizations.size > 0 &&
-        this.#reportsSinceShares > MAX_UPDATE_AGE_REPORTS));
-  }
-
-  #getCeiling(name: string, limit: number, terms: QuotaTerms): number {
-    const draw = this.#ceilingDraws.get(name) ?? this.#options.draw();
-    this.#ceilingDraws.set(name, draw);
-    // Before a whole window of requests, what is usual isn't known: a part by the
-    // first ones would refuse most of the others.
-    const known = this.#reports > FILL_REPORTS
-      ? this.#knownUsages.get(name)
-      : { own: limit / this.#entryCount, total: limit };
-    return Math.floor(
-      computeCeiling(limit, known, terms, this.#entryCount) + draw,
-    );
-  }
-
-  /** Forgets the usage under another limit: it may be far from the new one. */
-  #setLimit(name: string, limit: number): void {
-    if ((this.#limits.get(name) ?? limit) !== limit) {
-      this.#knownUsages.set(name, {
-        own: 0,
-        total: ASSUMED_UTILIZATION * limit,
-      });
-    }
-    this.#limits.set(name, limit);
-  }
-
-  /** Smooths the usage; keeps it as last known while control is silent. */
-  #updateKnownUsages(usages: readonly WorkspaceUsage[]): void {
-    if (this.#utilizations === undefined || this.#isControlSilent) {
-      return;
-    }
-    const ownByName = new Map(usages.map(({ name, letIn }) => [name, letIn]));
-    for (const [name, limit] of this.#limits) {
-      const total = (this.#utilizations.get(name) ?? ASSUMED_UTILIZATION) *
-        limit;
-      const latest = { own: ownByName.get(name) ?? 0, total };
-      const known = updateKnownUsage(
-        this.#knownUsages.get(name),
-        latest,
-        this.#reports,
-      );
-      this.#knownUsages.set(name, known);
-      if (known.own < MIN_KNOWN_USAGE && latest.own === 0) {
-        this.#knownUsages.delete(name);
-        this.#limits.delete(name);
-      }
-    }
-  }
-
   /** Returns the share to admit; undefined before any shares were received. */
   #getShare(name: string): number | undefined {
     if (this.#shares === undefined) {
--- a/src/engine/workspaces/common/workspace_check.ts
+++ b/src/engine/workspaces/common/workspace_check.ts
@@ -15,14 +15,6 @@
     readonly share: number;
     readonly retryAfterMs: number;
   }
-  /** Control is silent, and the entry admitted its part of the limit. */
-  | {
-    readonly type: "OverCeiling";
-    readonly workspace: string;
-    /** Requests per window that the entry admits. */
-    readonly ceiling: number;
-    readonly retryAfterMs: number;
-  }
   /** The lease on the keys has expired: the key may have been revoked. */
   | { readonly type: "LeaseLapsed"; readonly retryAfterMs: number };
 
@@ -95,7 +87,6 @@
       case "Unsure":
         return { type: "Waiting", reason: "limits not known yet" };
       case "OverLimit":
-      case "OverCeiling":
         return {
           type: "Refused",
           refusal: { ...decision, workspace: workspace.name },
