Plan root requests by capacity only where the table has workspaces

Change: workspaces alone call for it. Placement stays on for the services whose members name a slowdown.

--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -55,7 +55,6 @@
    * listed anew after a restart of control.
    */
   readonly #notices = new Map<string, BackendNotice>();
-  #hasSlowdowns = false;
 
   /** Whether members of the service were ever recorded. */
   isKnown(service: string): boolean {
@@ -124,15 +123,9 @@
     return [...this.#services.keys()];
   }
 
-  /** Whether any backend server has named the slowdown of its machine. */
-  get hasSlowdowns(): boolean {
-    return this.#hasSlowdowns;
-  }
-
   /** Records the load that the member at an address reports. */
   recordLoad(address: string, load: LoadFigures, nowMs: number): void {
     this.#suspected.delete(address);
-    this.#hasSlowdowns ||= load.slowdown !== undefined;
     for (const members of this.#services.values()) {
       const member = members.get(address);
       if (member !== undefined) {
