--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -84,11 +84,6 @@
     return this.#routes !== undefined;
   }
 
-  /** Whether the table in force defines workspaces. */
-  get hasWorkspaces(): boolean {
-    return (this.#routes?.workspaces ?? []).length > 0;
-  }
-
   /** Whether a route in force has the service as a target. */
   isRouted(service: string): boolean {
     return this.#routes?.routes.some(({ targets }) =>
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -149,7 +149,7 @@
         readClock,
         log,
         loop: this.#loopWatch,
-        isRoomMeasured: () => this.#control.hasWorkspaces,
+        isRoomMeasured: () => settings.plansByCapacity,
         maxConnections: () => this.#control.announcement.connections,
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         recordRun: (run, change) =>
--- a/src/daemon/relay_settings.ts
+++ b/src/daemon/relay_settings.ts
@@ -27,6 +27,11 @@
    * How long keys are served without a new proof, in ms; undefined: no limit.
    */
   readonly keyLeaseMs: number | undefined;
+  /**
+   * Whether gates measure their capacity, and root requests are planned by it;
+   * otherwise they are refused by the pressure.
+   */
+  readonly plansByCapacity: boolean;
   /** Undefined if workspace quotas are not enforced. */
   readonly quotaTerms: QuotaTerms | undefined;
   /** Longest duration of a drain in ms; calls still open then are abandoned. */
