--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -182,6 +182,7 @@
     this.#callTree = new RelayTree({
       members: this.#members,
       getService: () => this.#control.announcement.service,
+      estimatesCosts: settings.plansByCapacity,
     });
     this.#entry = new EntryCalls({
       dataCentre,
--- a/src/daemon/relay_tree.ts
+++ b/src/daemon/relay_tree.ts
@@ -5,6 +5,7 @@
   CallerSpread,
   SpreadCounter,
 } from "../engine/admission/common/caller_spread.ts";
+import { CallRates } from "../engine/admission/common/call_rates.ts";
 import { CallTree } from "../engine/admission/common/call_tree.ts";
 import type {
   Callee,
@@ -27,6 +28,8 @@
   readonly members: MemberTable;
   /** Returns the service of the own backend server. */
   readonly getService: () => string;
+  /** Whether to estimate what runs cost the services that they call. */
+  readonly estimatesCosts: boolean;
 }
 
 /**
@@ -49,7 +52,7 @@
 /** Records the observations of one node in its call tree. */
 export class RelayTree {
   readonly #options: RelayTreeOptions;
-  readonly #coincidences = new CoincidenceCounter();
+  readonly #coincidences: CoincidenceCounter;
   readonly #spread = new CallerSpread();
   readonly #arrivals = new SpreadCounter();
   readonly #repeated = new RepeatedRuns();
@@ -59,6 +62,9 @@
 
   constructor(options: RelayTreeOptions) {
     this.#options = options;
+    this.#coincidences = new CoincidenceCounter(
+      options.estimatesCosts ? new CallRates() : undefined,
+    );
     this.#tree = new CallTree({
       coincidences: this.#coincidences,
       spread: this.#spread,
--- a/src/engine/admission/common/coincidence.ts
+++ b/src/engine/admission/common/coincidence.ts
@@ -9,7 +9,7 @@
  * is always active and a single coincidence has no significance.
  */
 
-import { CallRates } from "./call_rates.ts";
+import type { CallRates } from "./call_rates.ts";
 
 /** Estimate of the share of a route's calls that runs of other routes made. */
 export interface ShareEstimate {
@@ -66,13 +66,18 @@
 export class CoincidenceCounter {
   readonly #parents = new Map<string, Parent>();
   readonly #calls = new Map<string, Calls>();
-  readonly #rates = new CallRates();
+  readonly #rates: CallRates | undefined;
   #intervalStartMs = 0;
 
+  /** `rates` are fed with what is recorded here; undefined if not needed. */
+  constructor(rates?: CallRates) {
+    this.#rates = rates;
+  }
+
   /** Records that a run began (1) or ended (-1) at the own backend server. */
   recordRun(route: string, change: 1 | -1, nowMs: number): void {
     this.#advance(nowMs);
-    this.#rates.recordRun(route, change, nowMs);
+    this.#rates?.recordRun(route, change, nowMs);
     const parent = this.#parents.get(route) ??
       { running: 0, changedAtMs: nowMs, runMs: 0, runs: 0 };
     this.#parents.set(route, parent);
@@ -84,7 +89,7 @@
   /** Records a call of a route from this VM. */
   recordCall(route: string, nowMs: number): void {
     this.#advance(nowMs);
-    this.#rates.recordCall(route, nowMs);
+    this.#rates?.recordCall(route, nowMs);
     const calls = this.#calls.get(route) ??
       { count: 0, total: 0, pairs: new Map<string, Pair>() };
     this.#calls.set(route, calls);
@@ -122,7 +127,7 @@
 
   /** Estimates how many calls of `route` a run of each other route makes. */
   estimateCallsPerRun(route: string): ReadonlyMap<string, number> {
-    return this.#rates.estimateCallsPerRun(route);
+    return this.#rates?.estimateCallsPerRun(route) ?? new Map();
   }
 
   /** Lists the routes with active runs at calls of a route. */
--- a/src/engine/admission/test/call_tree_test.ts
+++ b/src/engine/admission/test/call_tree_test.ts
@@ -1,6 +1,7 @@
 /** Detects the calls of backend servers in simulated call trees. */
 import { expect } from "chai";
 import { CallerSpread, SpreadCounter } from "../common/caller_spread.ts";
+import { CallRates } from "../common/call_rates.ts";
 import { CallTree } from "../common/call_tree.ts";
 import { CoincidenceCounter } from "../common/coincidence.ts";
 import { listNodeServices, simulateCalls } from "./call_simulation.ts";
@@ -68,7 +69,7 @@
   const services = listNodeServices(options.nodes);
   const counts = new Map(Object.entries(options.nodes));
   const nodes = services.map((service) => {
-    const coincidences = new CoincidenceCounter();
+    const coincidences = new CoincidenceCounter(new CallRates());
     const spread = new CallerSpread();
     const getService = () => service;
     const countNodes = () => counts;
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -55,6 +55,8 @@
    * listed anew after a restart of control.
    */
   readonly #notices = new Map<string, BackendNotice>();
+  /** Whether any gate was known to measure its capacity. */
+  #hasRatios = false;
 
   /** Whether members of the service were ever recorded. */
   isKnown(service: string): boolean {
@@ -126,6 +128,7 @@
   /** Records the load that the member at an address reports. */
   recordLoad(address: string, load: LoadFigures, nowMs: number): void {
     this.#suspected.delete(address);
+    this.#hasRatios ||= load.spare !== undefined;
     for (const members of this.#services.values()) {
       const member = members.get(address);
       if (member !== undefined) {
@@ -196,6 +199,7 @@
     const downstream = reports.map((report) => {
       const [route, pressure, ageMs, ratio, costMs = 0, service = ""] = report;
       const reportedAtMs = nowMs - ageMs;
+      this.#hasRatios ||= ratio !== undefined;
       const bottleneck = ratio === undefined
         ? undefined
         : { service, ratio, costMs, reportedAtMs };
@@ -318,6 +322,9 @@
     route: string,
     nowMs: number,
   ): Bottleneck | undefined {
+    if (!this.#hasRatios) {
+      return undefined;
+    }
     const own = this.#computeOwnRoom(service, nowMs);
     const downstream = this.#computeDownstreamRoom(service, route, nowMs);
     if (own === undefined || downstream === undefined) {
