Log which answer clears a suspect, and how long its ends took

A line that says Clear doesn't tell a whole answer from one at the deadline, nor a pardon of the gate from one of an entry, so that the log of a request which is run again and again can't tell why. The line now names status, who answered, the time that the run took and had, and the ends taken back with the time from hand-over to end. That time goes with the evidence, as a fourth field of an end that former versions neither send nor read.

--- a/src/engine/quarantine/common/crash_evidence.ts
+++ b/src/engine/quarantine/common/crash_evidence.ts
@@ -17,6 +17,11 @@
   readonly wasAlone: boolean;
   /** Number of other requests that it ran. */
   readonly others: number;
+  /**
+   * Time from the hand-over of the request to the end, in milliseconds;
+   * undefined if the end was seen late, or found by a former version.
+   */
+  readonly afterMs?: number | undefined;
 }
 
 /** What is known of one request. */
@@ -187,13 +192,34 @@
   const byInstance = new Map(before.map((end) => [end.instance, end]));
   for (const end of received) {
     const known = byInstance.get(end.instance);
-    if (known === undefined || (end.wasAlone && !known.wasAlone)) {
-      byInstance.set(end.instance, end);
-    }
+    byInstance.set(
+      end.instance,
+      known === undefined ? end : mergeEnd(known, end),
+    );
   }
   return [...byInstance.values()];
 }
 
+/**
+ * Merges what is known of one end; returns `before` if nothing is new. Of the
+ * runs of several copies the longest counts.
+ */
+function mergeEnd(before: EvidencedEnd, received: EvidencedEnd): EvidencedEnd {
+  const wasAlone = before.wasAlone || received.wasAlone;
+  const afterMs = computeLongest(before.afterMs, received.afterMs);
+  return wasAlone === before.wasAlone && afterMs === before.afterMs ? before : {
+    ...(before.wasAlone || !received.wasAlone ? before : received),
+    afterMs,
+  };
+}
+
+function computeLongest(
+  a: number | undefined,
+  b: number | undefined,
+): number | undefined {
+  return a === undefined || b === undefined ? a ?? b : Math.max(a, b);
+}
+
 function isSameEnds(
   a: readonly EvidencedEnd[],
   b: readonly EvidencedEnd[],
--- a/src/engine/quarantine/common/crash_knowledge.ts
+++ b/src/engine/quarantine/common/crash_knowledge.ts
@@ -18,6 +18,7 @@
 import type { CrashReport } from "./crash_messages.ts";
 import { CrashVerdicts } from "./crash_verdicts.ts";
 import type { CrashVerdict } from "./crash_verdicts.ts";
+import type { ObservedAnswer } from "./observed_answer.ts";
 import type { Fingerprint } from "./quarantine_reducer.ts";
 import {
   createFingerprints,
@@ -51,6 +52,10 @@
   readonly before: CrashVerdict["type"];
   readonly after: CrashVerdict["type"];
   readonly source: EvidenceSource;
+  /** The evidence before, which the change may have taken back. */
+  readonly former: CrashEvidence | undefined;
+  /** The answer that changed it; undefined if this node observed none. */
+  readonly answer: ObservedAnswer | undefined;
 }
 
 /** The verdict on a request, and the evidence for it. */
@@ -67,6 +72,8 @@
   readonly request: RequestIdentity;
   /** Whether no other suspect ran. */
   readonly isOnlySuspect: boolean;
+  /** Time from its hand-over to the end in ms; undefined if unknown. */
+  readonly ranMs?: number | undefined;
 }
 
 /** The evidence that one run gives. */
@@ -139,9 +146,17 @@
       createFingerprints(request, computeDigest)
     );
     const others = new Set(prints.map(([common]) => common)).size - 1;
-    const recorded = runs.map(({ isOnlySuspect }, index): RecordedEnd => ({
+    const recorded = runs.map((
+      { isOnlySuspect, ranMs },
+      index,
+    ): RecordedEnd => ({
       fingerprints: prints[index]!,
-      end: { instance, wasAlone: isOnlySuspect || others === 0, others },
+      end: {
+        instance,
+        wasAlone: isOnlySuspect || others === 0,
+        others,
+        afterMs: ranMs,
+      },
     }));
     this.#addOwn(
       service,
@@ -162,7 +177,11 @@
   }
 
   /** Records a whole answer: the request didn't cause the ends recorded. */
-  recordWhole(service: string, request: RequestIdentity): void {
+  recordWhole(
+    service: string,
+    request: RequestIdentity,
+    answer: ObservedAnswer,
+  ): void {
     const fingerprints = this.#findRecorded(service, request);
     if (fingerprints === undefined) {
       return;
@@ -176,7 +195,7 @@
         : [createPardon(evidence, nowMs)];
     });
     if (pardons.length > 0) {
-      this.#addOwn(service, pardons);
+      this.#addOwn(service, pardons, answer);
     }
   }
 
@@ -187,7 +206,7 @@
   ): void {
     const nowMs = this.#options.readClock();
     const parsed = evidence.map((each) => parseEvidence(each, nowMs));
-    this.#add(service, parsed, source);
+    this.#add(service, parsed, { source });
     if (source === "control") {
       this.#confirmReported(service, parsed);
     }
@@ -244,13 +263,17 @@
   }
 
   /** Adds own evidence, and has it reported unless it is known. */
-  #addOwn(service: string, found: readonly CrashEvidence[]): void {
+  #addOwn(
+    service: string,
+    found: readonly CrashEvidence[],
+    answer?: ObservedAnswer,
+  ): void {
     const known = this.#services.get(service)?.record ?? EMPTY_CRASH_RECORD;
     const evidence = found.filter((each) => !isKnown(known, each));
     if (evidence.length === 0) {
       return;
     }
-    this.#add(service, evidence, "own");
+    this.#add(service, evidence, { source: "own", answer });
     const { unreported } = this.#services.get(service)!;
     for (const each of evidence) {
       const { fingerprint } = each;
@@ -267,7 +290,10 @@
   #add(
     service: string,
     evidence: readonly CrashEvidence[],
-    source: EvidenceSource,
+    { source, answer }: {
+      readonly source: EvidenceSource;
+      readonly answer?: ObservedAnswer | undefined;
+    },
   ): void {
     const nowMs = this.#options.readClock();
     const known = this.#services.get(service);
@@ -280,7 +306,12 @@
     for (const { fingerprint } of evidence) {
       const changed = after.get(fingerprint);
       if (changed !== undefined && changed !== before.get(fingerprint)) {
-        this.#reportVerdict(changed, verdicts, current, { service, source });
+        this.#reportVerdict(changed, verdicts, current, {
+          service,
+          source,
+          former: before.get(fingerprint),
+          answer,
+        });
       }
     }
   }
@@ -304,7 +335,7 @@
     if (source === "own") {
       this.#addOwn(service, found);
     } else if (found.length > 0) {
-      this.#add(service, found, source);
+      this.#add(service, found, { source });
     }
   }
 
@@ -312,13 +343,13 @@
     evidence: CrashEvidence,
     former: CrashVerdicts,
     current: CrashVerdicts,
-    where: { readonly service: string; readonly source: EvidenceSource },
+    context: Pick<VerdictChange, "service" | "source" | "former" | "answer">,
   ): void {
     const nowMs = this.#options.readClock();
     const before = former.evaluate(evidence.fingerprint, nowMs).type;
     const after = current.evaluate(evidence.fingerprint, nowMs).type;
     if (before !== after) {
-      const change = { ...where, evidence, before, after };
+      const change = { ...context, evidence, before, after };
       this.#options.onVerdictChanged(change);
     }
   }
--- a/src/engine/quarantine/common/crash_messages.ts
+++ b/src/engine/quarantine/common/crash_messages.ts
@@ -1,11 +1,12 @@
 /** Evidence against requests on the wire, between nodes and with control. */
 import type { CrashEvidence, EvidencedEnd } from "./crash_evidence.ts";
 
-/** `EvidencedEnd` on the wire. */
+/** `EvidencedEnd` on the wire; former versions send and read three fields. */
 export type WireEnd = readonly [
   instance: string,
   wasAlone: 0 | 1,
   others: number,
+  afterMs?: number,
 ];
 
 /** `CrashEvidence` on the wire; the last field is an age in milliseconds. */
@@ -32,16 +33,18 @@
 
 /** Converts an end to its wire form. */
 export function flattenEnd(
-  { instance, wasAlone, others }: EvidencedEnd,
+  { instance, wasAlone, others, afterMs }: EvidencedEnd,
 ): WireEnd {
-  return [instance, wasAlone ? 1 : 0, others];
+  const end = [instance, wasAlone ? 1 : 0, others] as const;
+  return afterMs === undefined ? end : [...end, afterMs];
 }
 
 /** Parses an end. */
 export function parseEnd(
-  [instance, wasAlone, others]: WireEnd,
+  [instance, wasAlone, others, afterMs]: WireEnd,
 ): EvidencedEnd {
-  return { instance, wasAlone: wasAlone === 1, others };
+  const end = { instance, wasAlone: wasAlone === 1, others };
+  return afterMs === undefined ? end : { ...end, afterMs };
 }
 
 /** Converts evidence to its wire form at `nowMs` by the sender's clock. */
--- a/src/engine/quarantine/test/crash_knowledge_test.ts
+++ b/src/engine/quarantine/test/crash_knowledge_test.ts
@@ -6,6 +6,12 @@
 import { computeRequestDigest } from "../node/request_digest.ts";
 
 const SERVICE = "worker";
+const ANSWER = {
+  status: 200,
+  answeredBy: "i-0",
+  runMs: 30,
+  timeLeftMs: 1_000,
+};
 
 /** The knowledge of one node, and what it tells others. */
 class Node {
@@ -46,7 +52,7 @@
   it("holds an end against the one request that wasn't answered since", () => {
     const node = new Node();
     node.end("i-1", "/guilty", "/innocent");
-    node.knowledge.recordWhole(SERVICE, createRequest("/innocent"));
+    node.knowledge.recordWhole(SERVICE, createRequest("/innocent"), ANSWER);
     expect(node.getVerdict("/innocent")).to.equal("Clear");
     expect(node.getVerdict("/guilty")).to.equal("Suspect");
     node.end("i-2", "/guilty");
@@ -64,7 +70,7 @@
     const node = new Node();
     ["i-1", "i-2"].forEach((instance) => node.end(instance, "/guilty"));
     const other = { ...createRequest("/guilty"), callerService: "other" };
-    node.knowledge.recordWhole(SERVICE, other);
+    node.knowledge.recordWhole(SERVICE, other, ANSWER);
     expect(node.getVerdict("/guilty", "other")).to.equal("Clear");
     expect(node.getVerdict("/guilty")).to.equal("Quarantined");
   });
@@ -73,7 +79,7 @@
   it("is reported by its finder only, until control confirms it", () => {
     const [finder, other] = [new Node(), new Node()];
     finder.end("i-1", "/guilty", "/innocent");
-    finder.knowledge.recordWhole(SERVICE, createRequest("/innocent"));
+    finder.knowledge.recordWhole(SERVICE, createRequest("/innocent"), ANSWER);
     finder.found.forEach((report) => other.knowledge.receive(report, "node"));
     expect(other.getVerdict("/guilty")).to.equal("Suspect");
     expect(other.found).to.deep.equal([]);
@@ -97,7 +103,7 @@
   it("costs nothing again once it is forgotten", () => {
     const node = new Node();
     node.end("i-1", "/innocent");
-    node.knowledge.recordWhole(SERVICE, createRequest("/innocent"));
+    node.knowledge.recordWhole(SERVICE, createRequest("/innocent"), ANSWER);
     expect(node.knowledge.hasRecord(SERVICE)).to.equal(true);
     node.nowMs += 60_001;
     node.knowledge.prune();
--- a/src/engine/quarantine/test/crash_simulation.ts
+++ b/src/engine/quarantine/test/crash_simulation.ts
@@ -212,7 +212,12 @@
     }
     server.runs = server.runs.filter((run) => !due.includes(run));
     for (const run of due) {
-      this.#knowledge.recordWhole(SERVICE, createRequest(run.target));
+      this.#knowledge.recordWhole(SERVICE, createRequest(run.target), {
+        status: 200,
+        answeredBy: "",
+        runMs: run.isGuilty ? CRASH_MS : this.#options.serviceTimeMs,
+        timeLeftMs: Infinity,
+      });
       server.lane.leave(run.id);
     }
     this.#continueLane(server);
--- a/src/engine/relay/common/crash_lines.ts
+++ b/src/engine/relay/common/crash_lines.ts
@@ -39,8 +39,9 @@
 
 /** Creates the line of a request on which the verdict changes. */
 export function createVerdictLine(
-  { service, evidence, before, after, source }: VerdictChange,
+  change: VerdictChange,
 ): RelayLine {
+  const { service, evidence, before, after, source } = change;
   return {
     event: "SuspectChanged",
     isFailure: after === "Quarantined",
@@ -49,6 +50,28 @@
     before,
     source,
     ...describeEvidence([evidence]),
+    ...describeAnswer(change),
+  };
+}
+
+/** Describes the answer that changed a verdict, and the ends it took back. */
+function describeAnswer(
+  { answer, former }: VerdictChange,
+): Readonly<Record<string, unknown>> {
+  if (answer === undefined) {
+    return {};
+  }
+  const { status, answeredBy, runMs, timeLeftMs } = answer;
+  return {
+    answerStatus: status,
+    answeredBy,
+    answerMs: runMs,
+    answerTimeLeftMs: timeLeftMs,
+    formerEnds: former?.ends.map(({ instance, wasAlone, afterMs }) => ({
+      instance,
+      wasAlone,
+      afterMs,
+    })),
   };
 }
 
--- a/src/engine/relay/common/entry_suspects.ts
+++ b/src/engine/relay/common/entry_suspects.ts
@@ -64,11 +64,16 @@
     knowledge.recordReportedEnd(call.service, this.#identify(call), end);
   }
 
-  /** Records a whole answer to a call. */
-  recordAnswer(call: EntryCall): void {
+  /** Records a complete answer with this status to a call. */
+  recordAnswer(call: EntryCall, status: number): void {
     const { knowledge } = this.#options;
     if (knowledge.hasRecord(call.service)) {
-      knowledge.recordWhole(call.service, this.#identify(call));
+      knowledge.recordWhole(call.service, this.#identify(call), {
+        status,
+        answeredBy: call.attempt!.address,
+        runMs: undefined,
+        timeLeftMs: undefined,
+      });
     }
   }
 
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -395,7 +395,7 @@
     if (!body.isComplete) {
       return;
     }
-    this.#suspects.recordAnswer(call);
+    this.#suspects.recordAnswer(call, opened.status);
     this.#end(call);
     const { status, headers } = opened;
     call.onResult({ type: "Answered", status, headers, body: body.join() });
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -535,7 +535,7 @@
       case "Answered":
         break;
     }
-    this.#crashes.recordAnswer(call);
+    this.#crashes.recordAnswer(call, status);
     // Failures may be immediate, and would lower the estimated service time.
     const isFailure = status >= 500;
     const serviceMs = isFailure ? undefined : readClock() - call.startedAtMs;
--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -79,6 +79,8 @@
   readonly instance: string;
   readonly request: RequestIdentity;
   readonly atMs: number;
+  /** Time from its hand-over until it broke. */
+  readonly ranMs: number;
 }
 
 /** Time after which a suspect that found too many others may come back. */
@@ -141,12 +143,18 @@
     return this.#lane.takeNext();
   }
 
-  /** Records that the backend server answered a call, and lives on. */
-  recordAnswer(call: GateCallState): void {
-    const { knowledge } = this.#options;
-    const { service } = call.opened;
+  /** Records the complete answer with this status to a call. */
+  recordAnswer(call: GateCallState, status: number): void {
+    const { knowledge, readClock, getBackend } = this.#options;
+    const { opened: { service }, startedAtMs, deadlineMs } = call;
     if (knowledge.hasRecord(service)) {
-      knowledge.recordWhole(service, this.#identify(call));
+      const backend = getBackend();
+      knowledge.recordWhole(service, this.#identify(call), {
+        status,
+        answeredBy: backend === undefined ? "" : this.#format(backend),
+        runMs: readClock() - startedAtMs,
+        timeLeftMs: deadlineMs - startedAtMs,
+      });
     }
   }
 
@@ -263,8 +271,15 @@
       ...sent.map((call) => ({
         request: this.#identify(call),
         isOnlySuspect: this.#lane.running === call.id && !isLaneShared,
+        ranMs: sign === "connection_refused"
+          ? this.#measureRun(call)
+          : undefined,
+      })),
+      ...broken.map(({ request, ranMs }) => ({
+        request,
+        isOnlySuspect: false,
+        ranMs,
       })),
-      ...broken.map(({ request }) => ({ request, isOnlySuspect: false })),
     ];
     const isBlamed = !backend.isDraining && runs.length > 0;
     const recorded = isBlamed
@@ -308,12 +323,22 @@
     const instance = this.#format(backend);
     const kept = this.#held
       .filter(({ call }) => call.opened.bodyBytes <= MAX_BROKEN_BODY_BYTES)
-      .map(({ call }) => ({ instance, atMs, request: this.#identify(call) }));
+      .map(({ call }) => ({
+        instance,
+        atMs,
+        request: this.#identify(call),
+        ranMs: this.#measureRun(call),
+      }));
     this.#broken = [...this.#broken, ...kept]
       .filter((each) => atMs - each.atMs <= BROKEN_TTL_MS)
       .slice(-MAX_BROKEN);
   }
 
+  /** Time from the hand-over of a call until the first held call failed. */
+  #measureRun({ startedAtMs }: GateCallState): number {
+    return Math.max(0, Math.round(this.#heldSinceMs - startedAtMs));
+  }
+
   /** Takes the broken calls that an end of their instance may explain. */
   #takeBroken(backend: LocalBackend, maxAgeMs: number): readonly BrokenCall[] {
     const instance = this.#format(backend);
