Clear a suspect only by an answer of a run that did all its work

Cause: any answer was taken as proof that the run was whole. It proves that the server was alive. A server that stops at the deadline, or whose run fails before it gets that far, answers 504 or 500, and gate and entry took back all ends held against the request, everywhere, for a minute.

evaluateAnswer says for each kind of answer what it proves, at gate and entry: a 2xx or 3xx to a request that was sent completely clears; 4xx clears only if the run lasted as long as those that ended servers; 5xx, and answers to a request of which bytes were unsent, clear nothing. An entry doesn't know what a server was sent of a body, and leaves such requests to the gate. basilpin_suspect_answers_total counts them by what they prove.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -171,6 +171,8 @@
         countEnd: (service, sign) => metrics.countBackendEnd(service, sign),
         countSuspect: (service, outcome) =>
           metrics.countSuspectCall(service, outcome),
+        countProof: (service, proof) =>
+          metrics.countSuspectAnswer(service, proof),
       }),
     );
     this.#meshClient = this.#disposables.use(
--- a/src/engine/quarantine/common/crash_knowledge.ts
+++ b/src/engine/quarantine/common/crash_knowledge.ts
@@ -1,4 +1,6 @@
 /** What a node knows of requests that end backend servers, by service. */
+import { evaluateAnswer } from "./answer_proof.ts";
+import type { AnswerProof, ObservedAnswer } from "./answer_proof.ts";
 import {
   applyEvidence,
   createEndEvidence,
@@ -18,7 +20,6 @@
 import type { CrashReport } from "./crash_messages.ts";
 import { CrashVerdicts } from "./crash_verdicts.ts";
 import type { CrashVerdict } from "./crash_verdicts.ts";
-import type { ObservedAnswer } from "./observed_answer.ts";
 import type { Fingerprint } from "./quarantine_reducer.ts";
 import {
   createFingerprints,
@@ -176,27 +177,33 @@
     this.#addOwn(service, listEvidence({ fingerprints, end }, readClock()));
   }
 
-  /** Records a whole answer: the request didn't cause the ends recorded. */
-  recordWhole(
+  /**
+   * Records an answer. That of a whole run shows that the request didn't cause
+   * the ends recorded. Returns what it proves about a suspect.
+   */
+  recordAnswer(
     service: string,
     request: RequestIdentity,
     answer: ObservedAnswer,
-  ): void {
+  ): AnswerProof | undefined {
     const fingerprints = this.#findRecorded(service, request);
     if (fingerprints === undefined) {
-      return;
+      return undefined;
     }
     const { record } = this.#services.get(service)!;
-    const nowMs = this.#options.readClock();
-    const pardons = fingerprints.flatMap((fingerprint) => {
-      const evidence = record.get(fingerprint);
-      return evidence === undefined || evidence.ends.length === 0
-        ? []
-        : [createPardon(evidence, nowMs)];
-    });
-    if (pardons.length > 0) {
+    const held = fingerprints
+      .flatMap((fingerprint) => record.get(fingerprint) ?? [])
+      .filter(({ ends }) => ends.length > 0);
+    if (held.length === 0) {
+      return undefined;
+    }
+    const proof = evaluateAnswer(answer, findLongestEnd(held));
+    if (proof === "whole") {
+      const nowMs = this.#options.readClock();
+      const pardons = held.map((evidence) => createPardon(evidence, nowMs));
       this.#addOwn(service, pardons, answer);
     }
+    return proof;
   }
 
   /** Receives the evidence of other processes. */
@@ -388,6 +395,16 @@
   );
 }
 
+function findLongestEnd(
+  evidence: readonly CrashEvidence[],
+): number | undefined {
+  const timesMs = evidence.flatMap(({ ends }) =>
+    ends.map(({ afterMs }) => afterMs)
+  );
+  const known = timesMs.filter((afterMs) => afterMs !== undefined);
+  return known.length < timesMs.length ? undefined : Math.max(...known);
+}
+
 function listPrefixes(record: CrashRecord): ReadonlySet<string> {
   return new Set([...record.keys()].map(getPrefix));
 }
--- a/src/engine/quarantine/test/crash_knowledge_test.ts
+++ b/src/engine/quarantine/test/crash_knowledge_test.ts
@@ -1,13 +1,15 @@
 /** What a node knows of requests that end backend servers. */
 import { expect } from "chai";
 import { CrashKnowledge } from "../common/crash_knowledge.ts";
+import type { ObservedAnswer } from "../common/answer_proof.ts";
 import type { CrashReport } from "../common/crash_messages.ts";
 import type { RequestIdentity } from "../common/request_identity.ts";
 import { computeRequestDigest } from "../node/request_digest.ts";
 
 const SERVICE = "worker";
-const ANSWER = {
+const ANSWER: ObservedAnswer = {
   status: 200,
+  isRequestSent: true,
   answeredBy: "i-0",
   runMs: 30,
   timeLeftMs: 1_000,
@@ -52,13 +54,27 @@
   it("holds an end against the one request that wasn't answered since", () => {
     const node = new Node();
     node.end("i-1", "/guilty", "/innocent");
-    node.knowledge.recordWhole(SERVICE, createRequest("/innocent"), ANSWER);
+    node.knowledge.recordAnswer(SERVICE, createRequest("/innocent"), ANSWER);
     expect(node.getVerdict("/innocent")).to.equal("Clear");
     expect(node.getVerdict("/guilty")).to.equal("Suspect");
     node.end("i-2", "/guilty");
     expect(node.getVerdict("/guilty")).to.equal("Quarantined");
   });
 
+  // Guards against an answer that clears a request whose run stopped early.
+  it("is held against a request whose run did not do all its work", () => {
+    const statuses = [[504, "expired"], [500, "failed"], [400, "rejected"]];
+    for (const [status, proof] of statuses) {
+      const node = new Node();
+      node.end("i-1", "/guilty");
+      const answer = { ...ANSWER, status: Number(status) };
+      const request = createRequest("/guilty");
+      const found = node.knowledge.recordAnswer(SERVICE, request, answer);
+      expect(found).to.equal(proof);
+      expect(node.getVerdict("/guilty"), proof as string).to.equal("Suspect");
+    }
+  });
+
   it("is held against a request whatever service calls", () => {
     const node = new Node();
     ["i-1", "i-2"].forEach((instance) => node.end(instance, "/guilty"));
@@ -70,7 +86,7 @@
     const node = new Node();
     ["i-1", "i-2"].forEach((instance) => node.end(instance, "/guilty"));
     const other = { ...createRequest("/guilty"), callerService: "other" };
-    node.knowledge.recordWhole(SERVICE, other, ANSWER);
+    node.knowledge.recordAnswer(SERVICE, other, ANSWER);
     expect(node.getVerdict("/guilty", "other")).to.equal("Clear");
     expect(node.getVerdict("/guilty")).to.equal("Quarantined");
   });
@@ -79,7 +95,7 @@
   it("is reported by its finder only, until control confirms it", () => {
     const [finder, other] = [new Node(), new Node()];
     finder.end("i-1", "/guilty", "/innocent");
-    finder.knowledge.recordWhole(SERVICE, createRequest("/innocent"), ANSWER);
+    finder.knowledge.recordAnswer(SERVICE, createRequest("/innocent"), ANSWER);
     finder.found.forEach((report) => other.knowledge.receive(report, "node"));
     expect(other.getVerdict("/guilty")).to.equal("Suspect");
     expect(other.found).to.deep.equal([]);
@@ -103,7 +119,7 @@
   it("costs nothing again once it is forgotten", () => {
     const node = new Node();
     node.end("i-1", "/innocent");
-    node.knowledge.recordWhole(SERVICE, createRequest("/innocent"), ANSWER);
+    node.knowledge.recordAnswer(SERVICE, createRequest("/innocent"), ANSWER);
     expect(node.knowledge.hasRecord(SERVICE)).to.equal(true);
     node.nowMs += 60_001;
     node.knowledge.prune();
--- a/src/engine/quarantine/test/crash_simulation.ts
+++ b/src/engine/quarantine/test/crash_simulation.ts
@@ -26,6 +26,8 @@
   readonly copies: number;
   /** Time between ends from outside; undefined for none. */
   readonly endEveryMs: number | undefined;
+  /** Share of the runs of the guilty request that end a server; 1 if omitted. */
+  readonly endingShare?: number;
 }
 
 /** What became of the requests. */
@@ -45,6 +47,8 @@
   readonly id: number;
   readonly target: string;
   readonly isGuilty: boolean;
+  /** Whether it ends its server. */
+  isEnding: boolean;
   /** Attempts of this request so far. */
   readonly attempt: number;
   endsAtMs: number;
@@ -149,6 +153,7 @@
       id: this.#nextId++,
       target,
       isGuilty: target === GUILTY,
+      isEnding: false,
       attempt,
       endsAtMs: 0,
       waitsFromMs: this.#nowMs,
@@ -196,6 +201,8 @@
     }
     const { serviceTimeMs } = this.#options;
     run.endsAtMs = this.#nowMs + (run.isGuilty ? CRASH_MS : serviceTimeMs);
+    run.isEnding = run.isGuilty &&
+      this.#draw() < (this.#options.endingShare ?? 1);
     if (!run.isGuilty) {
       const waitedMs = this.#nowMs - run.waitsFromMs;
       this.#longestWaitMs = Math.max(this.#longestWaitMs, waitedMs);
@@ -205,15 +212,16 @@
 
   #step(server: Server): void {
     const due = server.runs.filter(({ endsAtMs }) => endsAtMs <= this.#nowMs);
-    if (due.some(({ isGuilty }) => isGuilty)) {
+    if (due.some(({ isEnding }) => isEnding)) {
       this.#guiltyEnds += 1;
       this.#end(server);
       return;
     }
     server.runs = server.runs.filter((run) => !due.includes(run));
     for (const run of due) {
-      this.#knowledge.recordWhole(SERVICE, createRequest(run.target), {
+      this.#knowledge.recordAnswer(SERVICE, createRequest(run.target), {
         status: 200,
+        isRequestSent: true,
         answeredBy: "",
         runMs: run.isGuilty ? CRASH_MS : this.#options.serviceTimeMs,
         timeLeftMs: Infinity,
--- a/src/engine/relay/common/entry_suspects.ts
+++ b/src/engine/relay/common/entry_suspects.ts
@@ -64,13 +64,14 @@
     knowledge.recordReportedEnd(call.service, this.#identify(call), end);
   }
 
-  /** Records a complete answer with this status to a call. */
+  /** Records the complete answer with this status to a call. */
   recordAnswer(call: EntryCall, status: number): void {
     const { knowledge } = this.#options;
     if (knowledge.hasRecord(call.service)) {
-      knowledge.recordWhole(call.service, this.#identify(call), {
+      knowledge.recordAnswer(call.service, this.#identify(call), {
         status,
         answeredBy: call.attempt!.address,
+        isRequestSent: call.request.body.length === 0 ? true : undefined,
         runMs: undefined,
         timeLeftMs: undefined,
       });
--- a/src/engine/relay/common/gate_call_index.ts
+++ b/src/engine/relay/common/gate_call_index.ts
@@ -11,6 +11,8 @@
 export interface BackendExchange {
   /** Whether bytes of the request may have been sent. */
   readonly hasStartedSending: boolean;
+  /** Whether all of it was written when the answer ended. */
+  readonly hasSentAll: boolean;
   /** Closes the exchange without waiting for the answer. */
   readonly abort: () => void;
 }
--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -226,6 +226,7 @@
   #isSettled = false;
   #isAborted = false;
   #hasStartedSending = false;
+  #hasSentAll = true;
 
   constructor(options: BackendSendOptions) {
     this.#options = options;
@@ -235,6 +236,10 @@
     return this.#hasStartedSending;
   }
 
+  get hasSentAll(): boolean {
+    return this.#hasSentAll;
+  }
+
   abort(): void {
     this.#isAborted = true;
     this.#isSettled = true;
@@ -286,7 +291,12 @@
     const head = this.#head!;
     const { isFailed, isEndReceived, socket } = this.connectionEnd;
     const wholeAnswer = { type: "Whole", head, body } as const;
-    closeIfUnsent(socket);
+    this.#hasSentAll = (socket?.writableLength ?? 0) === 0;
+    if (!this.#hasSentAll) {
+      // Undici takes a body in memory for sent, and would write the next request
+      // behind the rest of it, where the server may never read it.
+      socket?.destroy();
+    }
     if (isFailed || (isEndReceived && isChunked(head))) {
       this.#settle(TRUNCATED_ANSWER);
     } else if (isEndReceived && !hasLength(head) && socket !== undefined) {
@@ -316,17 +326,6 @@
   }
 }
 
-/**
- * Closes a connection whose answer came before all of the request was written.
- * Undici takes a body in memory for sent, and would write the next request
- * behind the rest of it, where the server may never read it.
- */
-function closeIfUnsent(socket: Socket | undefined): void {
-  if (socket !== undefined && socket.writableLength > 0) {
-    socket.destroy();
-  }
-}
-
 function hasLength({ headers }: BackendHead): boolean {
   return headers["content-length"] !== undefined;
 }
--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -3,6 +3,7 @@
  * the requests that may have ended one run one after the other.
  */
 import { probeBackend } from "../../../base/node/backend_probe.ts";
+import type { AnswerProof } from "../../quarantine/common/answer_proof.ts";
 import type { EvidencedEnd } from "../../quarantine/common/crash_evidence.ts";
 import { CLEAR_JUDGEMENT } from "../../quarantine/common/crash_knowledge.ts";
 import type {
@@ -48,6 +49,8 @@
   readonly countEnd: (service: string, evidence: EndSign) => void;
   /** Counts a call of a suspect, by what became of it. */
   readonly countSuspect: (service: string, outcome: SuspectOutcome) => void;
+  /** Counts an answer to a suspect, by what it proves. */
+  readonly countProof: (service: string, proof: AnswerProof) => void;
 }
 
 /** What showed that the backend server ended. */
@@ -145,16 +148,21 @@
 
   /** Records the complete answer with this status to a call. */
   recordAnswer(call: GateCallState, status: number): void {
-    const { knowledge, readClock, getBackend } = this.#options;
+    const { knowledge, readClock, getBackend, countProof } = this.#options;
     const { opened: { service }, startedAtMs, deadlineMs } = call;
-    if (knowledge.hasRecord(service)) {
-      const backend = getBackend();
-      knowledge.recordWhole(service, this.#identify(call), {
-        status,
-        answeredBy: backend === undefined ? "" : this.#format(backend),
-        runMs: readClock() - startedAtMs,
-        timeLeftMs: deadlineMs - startedAtMs,
-      });
+    if (!knowledge.hasRecord(service)) {
+      return;
+    }
+    const backend = getBackend();
+    const proof = knowledge.recordAnswer(service, this.#identify(call), {
+      status,
+      answeredBy: backend === undefined ? "" : this.#format(backend),
+      isRequestSent: call.exchange?.hasSentAll ?? true,
+      runMs: readClock() - startedAtMs,
+      timeLeftMs: deadlineMs - startedAtMs,
+    });
+    if (proof !== undefined) {
+      countProof(service, proof);
     }
   }
 
--- a/src/engine/relay/node/gate_options.ts
+++ b/src/engine/relay/node/gate_options.ts
@@ -1,5 +1,6 @@
 /** What the calls at a gate depend on. */
 import type { CallLoop } from "../../../base/common/call_loop.ts";
+import type { AnswerProof } from "../../quarantine/common/answer_proof.ts";
 import type { CrashKnowledge } from "../../quarantine/common/crash_knowledge.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { DrainTimes } from "../common/drain_decision.ts";
@@ -45,4 +46,6 @@
   readonly countEnd: (service: string, sign: EndSign) => void;
   /** Counts a call of a suspect, by what became of it. */
   readonly countSuspect: (service: string, outcome: SuspectOutcome) => void;
+  /** Counts an answer to a suspect, by what it proves. */
+  readonly countProof: (service: string, proof: AnswerProof) => void;
 }
--- a/src/engine/relay/test/crash_lines_test.ts
+++ b/src/engine/relay/test/crash_lines_test.ts
@@ -22,8 +22,9 @@
     });
     const run = { request: REQUEST, isOnlySuspect: false, ranMs: 80 };
     knowledge.recordEnd("worker", "i-1@a:1", [run]);
-    knowledge.recordWhole("worker", REQUEST, {
+    knowledge.recordAnswer("worker", REQUEST, {
       status: 200,
+      isRequestSent: true,
       answeredBy: "i-2@b:1",
       runMs: 85,
       timeLeftMs: 1_500,
--- a/src/engine/relay/test/entry_suspects_test.ts
+++ b/src/engine/relay/test/entry_suspects_test.ts
@@ -184,6 +184,25 @@
     expect((second as CallOpened).evidence).to.equal(undefined);
   });
 
+  // Guards against an answer at the deadline that clears the request.
+  it("stays suspect if its answer is an error", () => {
+    const knowledge = createKnowledge();
+    recordEnds(knowledge, "i-1");
+    const entry = new Entry(knowledge, 0);
+    entry.start({ route: { ...ROUTE, isIdempotent: false } });
+    const [address, frame] = entry.sent[0]!;
+    entry.calls.receive(address, {
+      type: "AnswerOpened",
+      call: (frame as CallOpened).call,
+      status: 504,
+      headers: [],
+      load: LOAD,
+      bodyBytes: 0,
+      body: new Uint8Array(),
+    });
+    expect(knowledge.countByVerdict(SERVICE)).to.include({ Suspect: 2 });
+  });
+
   it("is not sent elsewhere if too many wait with it", () => {
     const knowledge = createKnowledge();
     recordEnds(knowledge, "i-1");
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -36,6 +36,7 @@
     crashes: createCrashKnowledge(),
     countEnd: () => {},
     countSuspect: () => {},
+    countProof: () => {},
   });
   gate.changeBackend(createBackend(port));
   return gate;
--- a/src/engine/relay/test/gate_crashes_test.ts
+++ b/src/engine/relay/test/gate_crashes_test.ts
@@ -12,6 +12,8 @@
 
 const SERVICE = "warehouse";
 const SLOTS = 16;
+/** More than the buffers between a gate and a server that doesn't read hold. */
+const UNREAD_BODY_BYTES = 16_777_216;
 
 /** A backend server whose connections a test answers, cuts and ends. */
 class SocketBackend implements AsyncDisposable {
@@ -34,8 +36,10 @@
     }
   }
 
-  answer(index: number): void {
-    this.received[index]!.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  answer(index: number, status = "200 OK"): void {
+    this.received[index]!.write(
+      `HTTP/1.1 ${status}\r\nContent-Length: 0\r\n\r\n`,
+    );
   }
 
   end(): void {
@@ -56,6 +60,7 @@
   readonly outcomes: SuspectOutcome[];
   /** Sends a call of a target of its own. */
   readonly call: (number: number, target?: string) => void;
+  readonly callWithBody: (number: number, body: Uint8Array) => void;
 }
 
 function openGate(port: number, connections = SLOTS): OpenGate {
@@ -79,6 +84,7 @@
     crashes: knowledge,
     countEnd: () => {},
     countSuspect: (_service, outcome) => outcomes.push(outcome),
+    countProof: () => {},
   });
   gate.changeBackend({ ...createBackend(port), slots: SLOTS });
   const frames: MeshFrame[] = [];
@@ -88,7 +94,12 @@
       createCall(number, { target, isIdempotent: true }),
       (frame) => frames.push(frame),
     );
-  return { gate, knowledge, frames, outcomes, call };
+  const callWithBody = (number: number, body: Uint8Array) => {
+    const change = { target: `/${number}`, bodyBytes: body.length, body };
+    const opened = createCall(number, change);
+    gate.receive("1", opened, (frame) => frames.push(frame));
+  };
+  return { gate, knowledge, frames, outcomes, call, callWithBody };
 }
 
 function listEnds(frames: readonly MeshFrame[]) {
@@ -112,13 +123,14 @@
   knowledge: CrashKnowledge,
   targets: readonly string[],
   instance = "i-0",
+  body = new Uint8Array(),
 ): void {
   const runs = targets.map((target) => ({
     request: {
       method: "POST",
       host: "",
       target,
-      body: new Uint8Array(),
+      body,
       callerService: "",
     },
     isOnlySuspect: false,
@@ -296,6 +308,36 @@
     await backend.waitForRequests(4);
   });
 
+  // Guards against an answer at the deadline that clears the request.
+  it("stay suspects if the backend server answers with an error", async () => {
+    await using backend = new SocketBackend();
+    const { gate, frames, knowledge, call } = openGate(await backend.open());
+    await using _gate = gate;
+    recordEnd(knowledge, ["/1", "/other"]);
+    call(1);
+    await backend.waitForRequests(1);
+    backend.answer(0, "504 Gateway Timeout");
+    await waitForFrames(frames, 1);
+    expect(knowledge.countByVerdict(SERVICE)).to.include({ Suspect: 4 });
+  });
+
+  // Guards against a long body of which the backend server read a part.
+  it("stay suspects if the answer comes before all was sent", async () => {
+    await using backend = new SocketBackend();
+    const { gate, frames, knowledge, callWithBody } = openGate(
+      await backend.open(),
+    );
+    await using _gate = gate;
+    const body = new Uint8Array(UNREAD_BODY_BYTES);
+    recordEnd(knowledge, ["/1", "/other"], "i-0", body);
+    callWithBody(1, body);
+    await backend.waitForRequests(1);
+    backend.received[0]!.pause();
+    backend.answer(0);
+    await waitForFrames(frames, 1);
+    expect(knowledge.countByVerdict(SERVICE)).to.include({ Suspect: 4 });
+  });
+
   // Guards against slots that waiting suspects take from all others.
   it("are refused once too many of them wait", async () => {
     await using backend = new SocketBackend();
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -81,6 +81,7 @@
     crashes: createCrashKnowledge(),
     countEnd: () => {},
     countSuspect: () => {},
+    countProof: () => {},
   });
 
   static async open(): Promise<BusyGate> {
--- a/src/engine/relay/test/lost_answers_test.ts
+++ b/src/engine/relay/test/lost_answers_test.ts
@@ -78,6 +78,7 @@
     crashes: createCrashKnowledge(),
     countEnd: () => {},
     countSuspect: () => {},
+    countProof: () => {},
   });
   gate.changeBackend({ ...createBackend(port), slots: SLOTS });
   return gate;
--- a/src/engine/telemetry/node/metrics.ts
+++ b/src/engine/telemetry/node/metrics.ts
@@ -55,6 +55,7 @@
   readonly #limitedCalls: Counts = new Map();
   readonly #backendEnds: Counts = new Map();
   readonly #suspectCalls: Counts = new Map();
+  readonly #suspectAnswers: Counts = new Map();
   readonly #durations = new DurationBuckets();
   readonly #gauges: Gauge[] = [];
   #reader: Promise<MetricsReader> | undefined;
@@ -105,6 +106,12 @@
     incrementCount(this.#suspectCalls, key, () => ({ service, outcome }));
   }
 
+  /** Counts an answer to a suspect at its gate, by what it proves. */
+  countSuspectAnswer(service: string, proof: string): void {
+    const key = `${service} ${proof}`;
+    incrementCount(this.#suspectAnswers, key, () => ({ service, proof }));
+  }
+
   /** Records the time until the final answer of a call of a route. */
   recordDuration(route: string, durationMs: number): void {
     this.#durations.record(route, durationMs);
@@ -184,6 +191,11 @@
         description: "Calls suspected of ending backend servers, by outcome",
         counts: this.#suspectCalls,
       },
+      {
+        name: "suspect_answers",
+        description: "Answers to suspects, by what they prove",
+        counts: this.#suspectAnswers,
+      },
     ], this.#durations);
   }
 }
