Refuse suspects that waited until their run can prove nothing

Cause: a suspect waited until its deadline. A run with less time than those took that ended a server proves nothing.

--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -142,6 +142,7 @@
     this.#gate.isRoomMeasured = isRoomMeasured();
     this.#step({ type: "Ticked" });
     this.#failOverdue();
+    this.#refuseOverdueSuspects();
     const line = this.#loadLog.sample(this.#gate, readClock());
     if (line !== undefined) {
       log.write(line);
@@ -434,6 +435,16 @@
     }
   }
 
+  /** Refuses the suspects that have waited for too long. */
+  #refuseOverdueSuspects(): void {
+    for (const id of this.#crashes.listOverdue()) {
+      const call = this.#calls.get(id);
+      if (call !== undefined) {
+        this.#runOrRefuse(call);
+      }
+    }
+  }
+
   /** Lets the suspects that wait take their turns. */
   #continueSuspects(): void {
     for (
