Clear a suspect of basilpind's own interface only by a whole run, too

The same cause as at the relay, found by reading: any complete answer cleared the suspect at its owner, so that an answer 500 or 504 let a request that ends backend servers run at the next ones. The status of the answer now decides, by the same function. Its test failed before (the fourth run was let in).

--- a/src/engine/call/common/node_state.ts
+++ b/src/engine/call/common/node_state.ts
@@ -108,6 +108,8 @@
   readonly fingerprint?: Fingerprint | undefined;
   /** Status of an answer that is buffered until its outcome is stored. */
   readonly collectedStatus?: number;
+  /** Status of the answer that is being relayed; undefined before. */
+  readonly answeredStatus?: number;
   /**
    * Whether it continues without a caller, so that a resend of its idempotency
    * key gets its answer.
--- a/src/engine/call/common/quarantine_ledger.ts
+++ b/src/engine/call/common/quarantine_ledger.ts
@@ -281,7 +281,7 @@
 }
 
 /**
- * Ends a run. One with a complete answer clears its suspect; any other only
+ * Ends a run. One that did all its work clears its suspect; any other only
  * returns the lease.
  */
 function endRun(
--- a/src/engine/call/common/served_reducer.ts
+++ b/src/engine/call/common/served_reducer.ts
@@ -6,6 +6,7 @@
   chainReduction,
 } from "../../../base/common/reduction.ts";
 import type { AdmissionEvent } from "../../admission/common/admission_types.ts";
+import { evaluateAnswer } from "../../quarantine/common/answer_proof.ts";
 import { EMPTY_POOL } from "../../retry/common/retry_tokens.ts";
 import { createSignalHeaders } from "./answers.ts";
 import type { OwnAnswer } from "./answers.ts";
@@ -34,7 +35,12 @@
   const call = state.served.get(attemptId)!;
   const { left } = call.pool;
   // The answer returns the tokens, so no call below may spend them any more.
-  const relaying: ServedCall = { ...call, phase: "relaying", pool: EMPTY_POOL };
+  const relaying: ServedCall = {
+    ...call,
+    phase: "relaying",
+    pool: EMPTY_POOL,
+    answeredStatus: answer.status,
+  };
   const served = setEntry(state.served, attemptId, relaying);
   // A stored answer is no sample of the backend server's latency.
   const event: AdmissionEvent = isReplay(call)
@@ -133,7 +139,10 @@
   const call = state.served.get(attemptId)!;
   const { nowMs } = deps;
   const step = chainReduction(
-    endLease(state, attemptId, { isWhole, nowMs }),
+    endLease(state, attemptId, {
+      isWhole: isWhole && isOfWholeRun(call),
+      nowMs,
+    }),
     (next) => releaseServed(next, attemptId, deps),
   );
   const { exchangeId, origin } = call;
@@ -142,6 +151,14 @@
     : appendEffects(step, { type: "DropExchange", exchangeId });
 }
 
+/** Whether the answer to a call shows that its run did all its work. */
+function isOfWholeRun({ answeredStatus }: ServedCall): boolean {
+  const proof = answeredStatus === undefined
+    ? "failed"
+    : evaluateAnswer({ status: answeredStatus, isRequestSent: true });
+  return proof === "whole";
+}
+
 /**
  * Cancels an attempt whose caller disconnected, and frees its slot. One that
  * has won a claim continues until its deadline, so that a resend of its key
--- a/src/engine/call/test/quarantine_steps_test.ts
+++ b/src/engine/call/test/quarantine_steps_test.ts
@@ -90,9 +90,9 @@
   }
 
   /** Answers an attempt completely. */
-  finish(nodeId: string, attemptId: string): void {
+  finish(nodeId: string, attemptId: string, status = 200): void {
     this.running.get(nodeId)!.delete(attemptId);
-    const answer = { status: 200, outcome: "ran", tokens: 0 } as const;
+    const answer = { status, outcome: "ran", tokens: 0 } as const;
     this.step(nodeId, {
       type: "AttemptAnswered",
       attemptId,
@@ -167,6 +167,23 @@
 }
 
 describe("suspects among the nodes of a service", () => {
+  // Guards against an answer that clears a request whose run stopped early.
+  it("stay suspect if a run is answered with an error", () => {
+    for (const status of [500, 504]) {
+      const service = new TestService();
+      service.receive("n0", GUILTY_DIGEST);
+      service.crash("n0");
+      const second = service.receive("n1", GUILTY_DIGEST);
+      service.finish("n1", second, status);
+      const third = service.receive("n1", GUILTY_DIGEST);
+      expect(service.isRunning("n1", third)).to.equal(true);
+      service.crash("n1");
+      const fourth = service.receive("n2", GUILTY_DIGEST);
+      expect(service.isRunning("n2", fourth), `${status}`).to.equal(false);
+      expect(service.answers.get(fourth)).to.equal(422);
+    }
+  });
+
   it("run at one node at a time, and nowhere after the second crash", () => {
     const service = new TestService();
     service.receive("n0", GUILTY_DIGEST);
--- a/src/engine/quarantine/common/answer_proof.ts
+++ b/src/engine/quarantine/common/answer_proof.ts
@@ -1,11 +1,9 @@
 /** What the answer to a run proves about the request. */
 
-/** The answer to one run, as observed at its gate or at its entry. */
-export interface ObservedAnswer {
+/** The answer to one run, as far as it proves anything. */
+export interface RunAnswer {
   /** HTTP status. */
   readonly status: number;
-  /** Process instance that answered; the member's address at an entry. */
-  readonly answeredBy: string;
   /**
    * Whether the backend server was sent all of the request before it answered;
    * undefined if the observer can't tell.
@@ -15,9 +13,15 @@
    * Time from the hand-over to the answer in milliseconds; undefined at an
    * entry, which doesn't know when its member handed the call over.
    */
-  readonly runMs: number | undefined;
+  readonly runMs?: number | undefined;
+}
+
+/** An answer as observed at a gate or an entry, for logs. */
+export interface ObservedAnswer extends RunAnswer {
+  /** Process instance that answered; the member's address at an entry. */
+  readonly answeredBy: string;
   /** Time from the hand-over to the deadline in milliseconds; as `runMs`. */
-  readonly timeLeftMs: number | undefined;
+  readonly timeLeftMs?: number | undefined;
 }
 
 /** What an answer proves. Only a whole run speaks for the request. */
@@ -42,8 +46,8 @@
  * the request to an end of its backend server; undefined if none is known.
  */
 export function evaluateAnswer(
-  { status, isRequestSent, runMs }: ObservedAnswer,
-  longestEndMs: number | undefined,
+  { status, isRequestSent, runMs }: RunAnswer,
+  longestEndMs?: number,
 ): AnswerProof {
   if (status >= SERVER_ERROR) {
     return status === GATEWAY_TIMEOUT ? "expired" : "failed";
--- a/src/engine/quarantine/common/node_quarantine.ts
+++ b/src/engine/quarantine/common/node_quarantine.ts
@@ -19,7 +19,7 @@
     | "lingering"
     /** The run is over; the owner is notified until it acknowledges that. */
     | "ending";
-  /** Whether the run ended with a complete answer. */
+  /** Whether the run did all its work, as its complete answer shows. */
   readonly isWhole: boolean;
   /** Start of this phase, steady clock in milliseconds. */
   readonly phaseStartedAtMs: number;
--- a/src/engine/quarantine/test/answer_proof_test.ts
+++ b/src/engine/quarantine/test/answer_proof_test.ts
@@ -17,11 +17,8 @@
       IS_SENT.flatMap((isRequestSent) =>
         RUNS_MS.flatMap((runMs) =>
           ENDS_MS.map((longestEndMs) => {
-            const answer = { status, isRequestSent, runMs, timeLeftMs: 1_000 };
-            const proof = evaluateAnswer(
-              { ...answer, answeredBy: "i-1" },
-              longestEndMs,
-            );
+            const answer = { status, isRequestSent, runMs };
+            const proof = evaluateAnswer(answer, longestEndMs);
             const sent = `sent ${isRequestSent}`;
             const run = `run ${runMs} ms, ends ${longestEndMs} ms`;
             return `${status}, ${sent}, ${run}: ${proof}`;
--- a/src/engine/relay/common/entry_suspects.ts
+++ b/src/engine/relay/common/entry_suspects.ts
@@ -72,8 +72,6 @@
         status,
         answeredBy: call.attempt!.address,
         isRequestSent: call.request.body.length === 0 ? true : undefined,
-        runMs: undefined,
-        timeLeftMs: undefined,
       });
     }
   }
