Close connections whose bytes bring an answer no further

Backend servers may send bytes that are no answer, without end.

Cause: the parser limits the fields of a head, but neither its status line nor the extension of a chunk, and nothing limits how long they take.

The client of the backend server now counts the bytes since an answer last came further, by a head or by a part of its body: 64 KB or 1 s of them break it, as any other bytes that are no answer do. Bodies without a stated length may hold 32 MB of a gate together; beyond that the longest is broken.

Seven kinds in endless_answers_test.ts; three failed before (status line, slow status line, chunk extension).

--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -67,6 +67,18 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Calls with a larger answer fail, to bound memory. */
 const MAX_ANSWER_BYTES = 16_777_216;
+/**
+ * Most bytes of all answers without a stated length that are held at a time.
+ * Such an answer may never end; beyond this the longest one fails.
+ */
+const MAX_UNSIZED_BYTES = 33_554_432;
+/**
+ * Most bytes that bring an answer no further. The parser limits the fields of a
+ * head to less, but neither its status line nor the extension of a chunk.
+ */
+const MAX_IDLE_BYTES = 65_536;
+/** Longest time for which such bytes are read. */
+const MAX_IDLE_MS = 1_000;
 
 const TRUNCATED_ANSWER: BackendResult = {
   type: "Broken",
@@ -86,6 +98,8 @@
   /** Host and port. */
   readonly address: string;
   readonly #pool: Pool;
+  /** Answers that are awaited or read. */
+  readonly #open = new Set<AnswerHandler>();
 
   constructor(address: string, connections: number) {
     this.address = address;
@@ -104,7 +118,11 @@
 
   /** Sends a request as soon as a connection is free. */
   send(options: BackendSendOptions): BackendExchange {
-    const handler = new AnswerHandler(options);
+    const handler = new AnswerHandler(options, {
+      onSettled: () => this.#open.delete(handler),
+      onUnsizedBytes: () => this.#limitUnsized(),
+    });
+    this.#open.add(handler);
     const { method, target, headers, body } = options.request;
     const dispatchOptions: AnswerDispatchOptions = {
       answerHandler: handler,
@@ -117,9 +135,25 @@
     return handler;
   }
 
+  /** Fails the answers of which bytes arrive that bring them no further. */
+  checkProgress(nowMs: number): void {
+    [...this.#open].forEach((handler) => handler.checkProgress(nowMs));
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#pool.destroy();
   }
+
+  /** Fails the longest answer without a stated length if all are too long. */
+  #limitUnsized(): void {
+    const unsized = [...this.#open].filter(({ unsizedBytes }) =>
+      unsizedBytes > 0
+    ).sort((a, b) => b.unsizedBytes - a.unsizedBytes);
+    const bytes = unsized.reduce((sum, each) => sum + each.unsizedBytes, 0);
+    if (bytes > MAX_UNSIZED_BYTES) {
+      unsized[0]!.break("answers without a length are too long");
+    }
+  }
 }
 
 /** Whether requests of a method have a body, even if it is empty. */
@@ -216,10 +250,21 @@
   });
 }
 
+/** What the client of an answer is told. */
+interface AnswerEvents {
+  /** The outcome is known, or the exchange was aborted. */
+  readonly onSettled: () => void;
+  /** Bytes of an answer without a stated length arrived. */
+  readonly onUnsizedBytes: () => void;
+}
+
 /** Reads one answer, and reports the outcome once. */
 class AnswerHandler implements Dispatcher.DispatchHandler, BackendExchange {
   connectionEnd = createConnectionEndState();
+  /** Bytes that are held of an answer without a stated length; 0 of others. */
+  unsizedBytes = 0;
   readonly #options: BackendSendOptions;
+  readonly #events: AnswerEvents;
   readonly #chunks: Uint8Array[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #head: BackendHead | undefined;
@@ -227,9 +272,14 @@
   #isAborted = false;
   #hasStartedSending = false;
   #hasSentAll = true;
+  /** Bytes received on the connection when the answer last came further. */
+  #bytesBefore = 0;
+  /** When bytes were first seen since then; undefined before. */
+  #idleSinceMs: number | undefined;
 
-  constructor(options: BackendSendOptions) {
+  constructor(options: BackendSendOptions, events: AnswerEvents) {
     this.#options = options;
+    this.#events = events;
   }
 
   get hasStartedSending(): boolean {
@@ -240,9 +290,30 @@
     return this.#hasSentAll;
   }
 
+  /** Fails the answer, and closes its connection. */
+  break(reason: string): void {
+    this.#settle({ type: "Broken", reason });
+    this.#controller?.abort(new Error(reason));
+  }
+
+  /** Fails the answer if bytes arrive that bring it no further. */
+  checkProgress(nowMs: number): void {
+    const bytes = (this.connectionEnd.socket?.bytesRead ?? 0) -
+      this.#bytesBefore;
+    if (!this.#hasStartedSending || this.#isSettled || bytes <= 0) {
+      return;
+    }
+    this.#idleSinceMs ??= nowMs;
+    if (bytes > MAX_IDLE_BYTES || nowMs - this.#idleSinceMs > MAX_IDLE_MS) {
+      const part = this.#head === undefined ? "head" : "body";
+      this.break(`${bytes} bytes brought the ${part} of an answer no further`);
+    }
+  }
+
   abort(): void {
     this.#isAborted = true;
     this.#isSettled = true;
+    this.#events.onSettled();
     this.#controller?.abort(
       new Error("Exchange with the backend server aborted"),
     );
@@ -255,6 +326,7 @@
       : this.#options.checkStart();
     if (reason === undefined) {
       this.#hasStartedSending = true;
+      this.#recordProgress();
     } else {
       this.#settle({ type: "Withheld", reason });
       controller.abort(new Error(reason));
@@ -266,6 +338,7 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
+    this.#recordProgress();
     if (status < 200) {
       return;
     }
@@ -282,6 +355,11 @@
     chunk: Buffer,
   ): void {
     this.#chunks.push(chunk);
+    this.#recordProgress();
+    if (!hasLength(this.#head!)) {
+      this.unsizedBytes += chunk.length;
+      this.#events.onUnsizedBytes();
+    }
   }
 
   onResponseEnd(): void {
@@ -318,9 +396,16 @@
     this.#settle({ type, reason });
   }
 
+  /** Records that a head, an interim one, or a part of the body arrived. */
+  #recordProgress(): void {
+    this.#bytesBefore = this.connectionEnd.socket?.bytesRead ?? 0;
+    this.#idleSinceMs = undefined;
+  }
+
   #settle(result: BackendResult): void {
     if (!this.#isSettled) {
       this.#isSettled = true;
+      this.#events.onSettled();
       this.#options.onEnd(result);
     }
   }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -142,6 +142,7 @@
     this.#gate.isRoomMeasured = isRoomMeasured();
     this.#step({ type: "Ticked" });
     this.#failOverdue();
+    this.#client?.checkProgress(readClock());
     this.#refuseOverdueSuspects();
     const line = this.#loadLog.sample(this.#gate, readClock());
     if (line !== undefined) {
--- /dev/null
+++ b/src/engine/relay/test/endless_answers_test.ts
@@ -0,0 +1,129 @@
+/** Bytes of a backend server that are no answer and never end. */
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { BackendClient } from "../node/backend_client.ts";
+import type { BackendResult } from "../node/backend_client.ts";
+
+const PART_BYTES = 65_536;
+const TICK_MS = 20;
+/** Longest time until the connection is closed. */
+const CLOSE_LIMIT_MS = 3_000;
+/** More than a client may read before it closes the connection. */
+const MAX_SENT_BYTES = 67_108_864;
+const HEAD = "HTTP/1.1 200 OK\r\n";
+
+interface Result {
+  readonly type: BackendResult["type"];
+  readonly sentBytes: number;
+}
+
+/** Writes parts until the connection closes; returns how many bytes. */
+async function writeEndlessly(
+  socket: Socket,
+  part: string,
+  pauseMs: number,
+): Promise<number> {
+  let sentBytes = 0;
+  while (!socket.destroyed && sentBytes < MAX_SENT_BYTES) {
+    sentBytes += part.length;
+    if (!socket.write(part)) {
+      await new Promise<unknown>((resolve) => {
+        socket.once("drain", resolve).once("close", resolve);
+      });
+    }
+    await sleep(pauseMs);
+  }
+  return sentBytes;
+}
+
+/** Sends one request to a server that never stops to write. */
+async function receiveEndless(
+  { start, part, pauseMs }: {
+    readonly start: string;
+    readonly part: string;
+    readonly pauseMs: number;
+  },
+): Promise<Result> {
+  const sent: Promise<number>[] = [];
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(start);
+      sent.push(writeEndlessly(socket, part, pauseMs));
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new BackendClient(`127.0.0.1:${port}`, 1);
+  const tick = setInterval(
+    () => client.checkProgress(performance.now()),
+    TICK_MS,
+  );
+  try {
+    const result = await new Promise<BackendResult>((onEnd) => {
+      const request = {
+        method: "GET",
+        target: "/",
+        headers: [],
+        body: new Uint8Array(),
+      };
+      const checkStart = () => undefined;
+      client.send({ request, checkStart, checkHead: checkStart, onEnd });
+    });
+    const closed = await Promise.race([
+      Promise.all(sent),
+      sleep(CLOSE_LIMIT_MS).then(() => [MAX_SENT_BYTES]),
+    ]);
+    return { type: result.type, sentBytes: closed[0]! };
+  } finally {
+    clearInterval(tick);
+    await client[Symbol.asyncDispose]();
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  }
+}
+
+describe("bytes without end from a backend server", () => {
+  const parts = "a".repeat(PART_BYTES);
+  const kinds = [
+    ["in the status line", "HTTP/1.1 200 ", parts, "Broken"],
+    ["in a header", `${HEAD}X-A: `, parts, "Broken"],
+    ["in headers", HEAD, "X-A: a\r\n".repeat(8_192), "Broken"],
+    [
+      "in the extension of a chunk",
+      `${HEAD}Transfer-Encoding: chunked\r\n\r\n1;`,
+      parts,
+      "Broken",
+    ],
+    ["in a body without a length", `${HEAD}\r\n`, parts, "Broken"],
+    [
+      "behind a whole answer",
+      `${HEAD}Content-Length: 1\r\n\r\na`,
+      parts,
+      "Whole",
+    ],
+  ] as const;
+  for (const [kind, start, part, type] of kinds) {
+    // Guards against a connection that is read until the deadline.
+    it(`${kind} end with their connection`, async () => {
+      const result = await receiveEndless({ start, part, pauseMs: 0 });
+      expect(result.type).to.equal(type);
+      expect(result.sentBytes).to.be.below(MAX_SENT_BYTES);
+    });
+  }
+
+  // Guards against a head that is awaited until the deadline.
+  it("in a slow status line end with their connection", async () => {
+    const result = await receiveEndless({
+      start: "HTTP/1.1 200 ",
+      part: "a",
+      pauseMs: 100,
+    });
+    expect(result.type).to.equal("Broken");
+    expect(result.sentBytes).to.be.below(MAX_SENT_BYTES);
+  });
+});
