Let suspects wait until their deadline again

Most suspects behind an end are innocent; an answer at the deadline is harmless now that it clears nothing, and a late run is served now and then.

--- a/src/engine/relay/common/suspect_refusal.ts
+++ b/src/engine/relay/common/suspect_refusal.ts
@@ -1,10 +1,6 @@
 /** Why a gate refuses a request that is suspected of ending backend servers. */
 
-const REASONS = [
-  "quarantined",
-  "suspects_waiting",
-  "suspect_out_of_time",
-] as const;
+const REASONS = ["quarantined", "suspects_waiting"] as const;
 
 /** Reason of a refusal, as in the frame of a failed call. */
 export type SuspectRefusal = (typeof REASONS)[number];
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -143,7 +143,6 @@
     this.#step({ type: "Ticked" });
     this.#failOverdue();
     this.#client?.checkProgress(readClock());
-    this.#refuseOverdueSuspects();
     const line = this.#loadLog.sample(this.#gate, readClock());
     if (line !== undefined) {
       log.write(line);
@@ -436,16 +435,6 @@
     }
   }
 
-  /** Refuses the suspects that have waited for too long. */
-  #refuseOverdueSuspects(): void {
-    for (const id of this.#crashes.listOverdue()) {
-      const call = this.#calls.get(id);
-      if (call !== undefined) {
-        this.#runOrRefuse(call);
-      }
-    }
-  }
-
   /** Lets the suspects that wait take their turns. */
   #continueSuspects(): void {
     for (
--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -13,7 +13,6 @@
 import { findHost } from "../../quarantine/common/request_identity.ts";
 import type { RequestIdentity } from "../../quarantine/common/request_identity.ts";
 import { SuspectLane } from "../../quarantine/common/suspect_lane.ts";
-import { computeLatestStartMs } from "../../quarantine/common/suspect_wait.ts";
 import { createBackendEndedLine } from "../common/crash_lines.ts";
 import type { GateCallState } from "../common/gate_call_index.ts";
 import {
@@ -87,7 +86,7 @@
   readonly ranMs: number;
 }
 
-/** Time after which a suspect that got no turn may come back. */
+/** Time after which a suspect that found too many others may come back. */
 const BUSY_RETRY_MS = 1_000;
 /** Part of the slots that waiting suspects may hold. */
 const MAX_WAITING_SHARE = 1 / 3;
@@ -109,8 +108,6 @@
 export class GateCrashes {
   readonly #options: GateCrashesOptions;
   readonly #lane = new SuspectLane();
-  /** Until when the suspects that wait may be handed over, by call id. */
-  readonly #latestStartsMs = new Map<number, number>();
   /** Failed calls whose cause is being probed. */
   #held: { readonly call: GateCallState; readonly reason: string }[] = [];
   /** When the first of them failed. */
@@ -123,7 +120,7 @@
 
   /** Decides whether a call may be handed over now. */
   requestTurn(call: GateCallState, service: string): Turn {
-    const { verdict, evidence } = this.#evaluate(call, service);
+    const { verdict } = this.#evaluate(call, service);
     switch (verdict.type) {
       case "Clear":
         this.#lane.leave(call.id);
@@ -135,26 +132,13 @@
           verdict.untilMs - this.#options.readClock(),
         );
       case "Suspect":
-        return this.#requestSuspectTurn(
-          call,
-          service,
-          computeLatestStartMs(call, evidence),
-        );
+        return this.#requestSuspectTurn(call, service);
     }
   }
 
   /** Removes a call that has ended. */
   leave(call: GateCallState): void {
     this.#lane.leave(call.id);
-    this.#latestStartsMs.delete(call.id);
-  }
-
-  /** Lists the suspects, by call id, that have waited for too long. */
-  listOverdue(): readonly number[] {
-    const nowMs = this.#options.readClock();
-    return [...this.#latestStartsMs]
-      .filter(([, latestStartMs]) => latestStartMs < nowMs)
-      .map(([id]) => id);
   }
 
   /** Takes the suspect whose turn it is, by call id. */
@@ -248,17 +232,8 @@
       : CLEAR_JUDGEMENT;
   }
 
-  #requestSuspectTurn(
-    call: GateCallState,
-    service: string,
-    latestStartMs: number,
-  ): Turn {
-    const { getBackend, countSuspect, readClock } = this.#options;
-    this.#latestStartsMs.delete(call.id);
-    if (latestStartMs < readClock()) {
-      this.#lane.leave(call.id);
-      return this.#refuse(service, "suspect_out_of_time", BUSY_RETRY_MS);
-    }
+  #requestSuspectTurn(call: GateCallState, service: string): Turn {
+    const { getBackend, countSuspect } = this.#options;
     if (this.#lane.tryEnter(call.id)) {
       countSuspect(service, "run");
       return { type: "Run" };
@@ -269,7 +244,6 @@
       return this.#refuse(service, "suspects_waiting", BUSY_RETRY_MS);
     }
     this.#lane.wait(call.id);
-    this.#latestStartsMs.set(call.id, latestStartMs);
     countSuspect(service, "waited");
     return { type: "Wait" };
   }
