Count the bytes of answers without a length once, and test their limit

Each part of such an answer walked and sorted all open answers; a sum is kept now, and they are sorted only over the limit. A part that arrives after an answer was broken is no longer kept. The test of suspects at an entry answers in one place.

--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -100,6 +100,8 @@
   readonly #pool: Pool;
   /** Answers that are awaited or read. */
   readonly #open = new Set<AnswerHandler>();
+  /** Bytes that are held of those without a stated length. */
+  #unsizedBytes = 0;
 
   constructor(address: string, connections: number) {
     this.address = address;
@@ -119,8 +121,8 @@
   /** Sends a request as soon as a connection is free. */
   send(options: BackendSendOptions): BackendExchange {
     const handler = new AnswerHandler(options, {
-      onSettled: () => this.#open.delete(handler),
-      onUnsizedBytes: () => this.#limitUnsized(),
+      onSettled: () => this.#close(handler),
+      onUnsizedBytes: (count) => this.#addUnsized(count),
     });
     this.#open.add(handler);
     const { method, target, headers, body } = options.request;
@@ -144,14 +146,19 @@
     await this.#pool.destroy();
   }
 
-  /** Fails the longest answer without a stated length if all are too long. */
-  #limitUnsized(): void {
-    const unsized = [...this.#open].filter(({ unsizedBytes }) =>
-      unsizedBytes > 0
-    ).sort((a, b) => b.unsizedBytes - a.unsizedBytes);
-    const bytes = unsized.reduce((sum, each) => sum + each.unsizedBytes, 0);
-    if (bytes > MAX_UNSIZED_BYTES) {
-      unsized[0]!.break("answers without a length are too long");
+  #close(handler: AnswerHandler): void {
+    if (this.#open.delete(handler)) {
+      this.#unsizedBytes -= handler.unsizedBytes;
+    }
+  }
+
+  /** Counts bytes, and fails the longest of the answers if there are too many. */
+  #addUnsized(count: number): void {
+    this.#unsizedBytes += count;
+    if (this.#unsizedBytes > MAX_UNSIZED_BYTES) {
+      const [longest] = [...this.#open]
+        .sort((a, b) => b.unsizedBytes - a.unsizedBytes);
+      longest?.break("answers without a length are too long");
     }
   }
 }
@@ -255,7 +262,7 @@
   /** The outcome is known, or the exchange was aborted. */
   readonly onSettled: () => void;
   /** Bytes of an answer without a stated length arrived. */
-  readonly onUnsizedBytes: () => void;
+  readonly onUnsizedBytes: (count: number) => void;
 }
 
 /** Reads one answer, and reports the outcome once. */
@@ -354,11 +361,14 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.#isSettled) {
+      return;
+    }
     this.#chunks.push(chunk);
     this.#recordProgress();
     if (!hasLength(this.#head!)) {
       this.unsizedBytes += chunk.length;
-      this.#events.onUnsizedBytes();
+      this.#events.onUnsizedBytes(chunk.length);
     }
   }
 
--- a/src/engine/relay/test/endless_answers_test.ts
+++ b/src/engine/relay/test/endless_answers_test.ts
@@ -13,6 +13,8 @@
 /** More than a client may read before it closes the connection. */
 const MAX_SENT_BYTES = 67_108_864;
 const HEAD = "HTTP/1.1 200 OK\r\n";
+/** Answers of which each stays below the limit of a single one. */
+const CONCURRENT = 6;
 
 interface Result {
   readonly type: BackendResult["type"];
@@ -116,6 +118,47 @@
     });
   }
 
+  // Guards against memory that grows with the number of such answers.
+  it("in several bodies without a length are limited together", async () => {
+    const sockets: Socket[] = [];
+    const server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write(`${HEAD}\r\n`);
+        return writeEndlessly(socket, parts, 0);
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const client = new BackendClient(`127.0.0.1:${port}`, CONCURRENT);
+    const results = await Promise.all(
+      Array.from(
+        { length: CONCURRENT },
+        () =>
+          new Promise<BackendResult>((onEnd) => {
+            const request = {
+              method: "GET",
+              target: "/",
+              headers: [],
+              body: new Uint8Array(),
+            };
+            const checkStart = () => undefined;
+            client.send({ request, checkStart, checkHead: checkStart, onEnd });
+          }),
+      ),
+    );
+    sockets.forEach((socket) => socket.destroy());
+    await client[Symbol.asyncDispose]();
+    server.close();
+    const reasons = results.map((result) =>
+      result.type === "Broken" ? result.reason : result.type
+    );
+    expect(reasons).to.include("answers without a length are too long");
+  });
+
   // Guards against a head that is awaited until the deadline.
   it("in a slow status line end with their connection", async () => {
     const result = await receiveEndless({
--- a/src/engine/relay/test/entry_suspects_test.ts
+++ b/src/engine/relay/test/entry_suspects_test.ts
@@ -68,6 +68,20 @@
     return this.sent.map(([address]) => address);
   }
 
+  /** Answers the last attempt completely. */
+  answerLast(status: number): void {
+    const [address, frame] = this.sent.at(-1)!;
+    this.calls.receive(address, {
+      type: "AnswerOpened",
+      call: (frame as CallOpened).call,
+      status,
+      headers: [],
+      load: LOAD,
+      bodyBytes: 0,
+      body: new Uint8Array(),
+    });
+  }
+
   /** Fails the last attempt: the backend server ended that ran it. */
   failLast(instance: string, wasAlone: boolean): void {
     const [address, frame] = this.sent.at(-1)!;
@@ -169,16 +183,7 @@
     recordEnds(knowledge, "i-1");
     const entry = new Entry(knowledge, 0);
     entry.start();
-    const [address, frame] = entry.sent[0]!;
-    entry.calls.receive(address, {
-      type: "AnswerOpened",
-      call: (frame as CallOpened).call,
-      status: 200,
-      headers: [],
-      load: LOAD,
-      bodyBytes: 0,
-      body: new Uint8Array(),
-    });
+    entry.answerLast(200);
     entry.start();
     const [, second] = entry.sent.at(-1)!;
     expect((second as CallOpened).evidence).to.equal(undefined);
@@ -190,16 +195,7 @@
     recordEnds(knowledge, "i-1");
     const entry = new Entry(knowledge, 0);
     entry.start({ route: { ...ROUTE, isIdempotent: false } });
-    const [address, frame] = entry.sent[0]!;
-    entry.calls.receive(address, {
-      type: "AnswerOpened",
-      call: (frame as CallOpened).call,
-      status: 504,
-      headers: [],
-      load: LOAD,
-      bodyBytes: 0,
-      body: new Uint8Array(),
-    });
+    entry.answerLast(504);
     expect(knowledge.countByVerdict(SERVICE)).to.include({ Suspect: 2 });
   });
 
