--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -16,13 +16,13 @@
 const MAX_LOST = 3;
 const STABLE_WINDOW_MS = 3_000;
 const TROUBLE_AT_MS = 3_000;
-/** The doses of `garble` in the site file: 0.02 of the answers for 5.5 s. */
-const TROUBLE_MS = 5_500;
-const SPOILT_EVERY = 50;
+/** The doses of `garble` in the site file: 0.05 of the answers, for 5 s. */
+const TROUBLE_MS = 5_000;
+const SPOILT_EVERY = 20;
 const TRAFFIC_MS = 16_000;
-const INTERVAL_MS = 25;
+const INTERVAL_MS = 20;
 const CHUNK = "1\r\na\r\n";
-const CHUNKS_PER_WRITE = 8_192;
+const CHUNKS_PER_WRITE = 16_384;
 
 /** Writes a head, then chunks until the connection is closed. */
 async function answerWithoutEnd(record, response, answer) {
@@ -32,7 +32,7 @@
   socket.write(
     `HTTP/1.1 200 OK\r\n${lines}Transfer-Encoding: chunked\r\n\r\n`,
   );
-  const part = CHUNK.repeat(CHUNKS_PER_WRITE);
+  const part = Buffer.from(CHUNK.repeat(CHUNKS_PER_WRITE));
   let written = 0;
   while (!socket.destroyed) {
     written += CHUNKS_PER_WRITE;
@@ -57,7 +57,7 @@
       startPair(fleet, record, "sidecar-3", "wuno96b"),
       startPair(fleet, record, "sidecar-4", "wuno96b"),
     ]);
-    pairs.forEach(({ upstream }) => upstream.workMs = 300);
+    pairs.forEach(({ upstream }) => upstream.workMs = 340);
     const status = await configure(fleet, record, {
       version: "00000007",
       resources: [
