--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -24,6 +24,17 @@
 const CHUNK = "1\r\na\r\n";
 const CHUNKS_PER_WRITE = 16_384;
 
+/** Waits until more can be written, or the connection is closed. */
+function waitForRoom(socket) {
+  return new Promise((resolve) => {
+    const end = () => {
+      socket.off("drain", end).off("close", end);
+      resolve();
+    };
+    socket.on("drain", end).on("close", end);
+  });
+}
+
 /** Writes a head, then chunks until the connection is closed. */
 async function answerWithoutEnd(record, response, answer) {
   const { socket } = response;
@@ -37,9 +48,7 @@
   while (!socket.destroyed) {
     written += CHUNKS_PER_WRITE;
     if (!socket.write(part)) {
-      await new Promise((resolve) =>
-        socket.once("drain", resolve).once("close", resolve)
-      );
+      await waitForRoom(socket);
     }
     await sleep(0);
   }
