--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -7,6 +7,7 @@
   createRoute,
   createService,
   LIMITS,
+  listLost,
   runCase,
   sleep,
   startPair,
@@ -125,17 +126,13 @@
     clearInterval(samples);
     clients.forEach((client) => client.close());
     // The faulty upstream doesn't count as a sound one, whatever it ran.
-    const runIds = new Set(
-      pairs.filter(({ upstream }) => upstream !== spoiling)
-        .flatMap(({ upstream }) =>
-          upstream.runs.map(({ requestId }) => requestId)
-        ),
-    );
+    const sound = pairs.map(({ upstream }) => upstream)
+      .filter((upstream) => upstream !== spoiling);
     let worst = 0;
     pairs.forEach(({ node }, index) => {
       const { answers } = clients[index];
       const unanswered = answers.filter(({ status }) => status === 0);
-      const lost = unanswered.filter(({ id }) => runIds.has(id)).length;
+      const lost = listLost(answers, sound).length;
       const ends = node.ends.filter(({ isOwn }) => isOwn).length;
       worst = Math.max(worst, lost);
       record.write(
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -7,6 +7,7 @@
   createRoute,
   createService,
   LIMITS,
+  listLost,
   runCase,
   send,
   sleep,
@@ -99,14 +100,9 @@
     clearInterval(transfers);
     await Promise.all(calls);
     clients.forEach((client) => client.close());
-    const runIds = new Set(
-      pairs.flatMap(({ upstream }) =>
-        upstream.runs.map(({ requestId }) => requestId)
-      ),
-    );
     const { answers } = clients[2];
     const unanswered = answers.filter(({ status }) => status === 0);
-    const lost = unanswered.filter(({ id }) => runIds.has(id));
+    const lost = listLost(answers, pairs.map(({ upstream }) => upstream));
     const ends = node.ends.filter(({ isOwn }) => isOwn);
     record.write(
       `${node.name}: ${answers.length} requests, ${unanswered.length} without ` +
