Parse an announced address once, into an IP address and a port

Cause: the address stayed text up to the connection pool, whose URL parser takes a host of digits for an IPv4 address and throws out of a message handler.

--- a/src/base/node/backend_probe.ts
+++ b/src/base/node/backend_probe.ts
@@ -1,6 +1,6 @@
 /** Probes whether a backend server accepts connections. */
 import { connect } from "node:net";
-import { parseAddress } from "./listen.ts";
+import type { ListenAddress } from "./listen.ts";
 
 const PROBE_TIMEOUT_MS = 500;
 
@@ -9,10 +9,9 @@
  * fails with an error; a time-out counts as alive, because a process that is
  * slow to accept connections has not crashed.
  */
-export function probeBackend(address: string): Promise<boolean> {
-  const { host, port } = parseAddress(address)!;
+export function probeBackend(address: ListenAddress): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect({ host, port });
+    const socket = connect(address);
     const settle = (isAlive: boolean) => {
       socket.destroy();
       resolve(isAlive);
--- a/src/base/node/listen.ts
+++ b/src/base/node/listen.ts
@@ -1,5 +1,7 @@
 /** Addresses in the form `host:port`, and servers that listen on them. */
+import { isIP } from "node:net";
 import type { AddressInfo, Server } from "node:net";
+import type { IpEndpoint } from "../common/ip_endpoint.ts";
 
 /** Address on which a server listens. */
 export interface ListenAddress {
@@ -17,6 +19,17 @@
   return { host, port: Number(match[2]) };
 }
 
+/**
+ * Parses `ip:port` of a service to connect to. Returns undefined for host names,
+ * for IPv6 zones and for port 0, which no client can use.
+ */
+export function parseIpEndpoint(text: string): IpEndpoint | undefined {
+  const address = parseAddress(text);
+  return address !== undefined && address.port > 0 && isIP(address.host) !== 0
+    ? { ip: address.host, port: address.port }
+    : undefined;
+}
+
 /** Formats an address as `host:port`, an IPv6 address in brackets. */
 export function formatAddress(address: ListenAddress): string {
   const host = address.host.includes(":") ? `[${address.host}]` : address.host;
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -3,6 +3,7 @@
  * for callers on its VM, the gate of its backend server and the control link.
  */
 import { DisposalStack } from "../base/common/disposal.ts";
+import { formatIpEndpoint } from "../base/common/ip_endpoint.ts";
 import { parseAddress } from "../base/node/listen.ts";
 import { FirstRequests } from "../base/node/first_requests.ts";
 import { LoopWatch } from "../base/node/loop_watch.ts";
@@ -31,7 +32,7 @@
 import type { OperatorServer } from "./operator_server.ts";
 import { RelayControl } from "./relay_control.ts";
 import { createRelayOperator } from "./relay_operator.ts";
-import type { RelayStatus } from "./relay_operator.ts";
+import type { BackendStatus, RelayStatus } from "./relay_operator.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 import { Telemetry } from "./telemetry.ts";
 import { RelayTree } from "./relay_tree.ts";
@@ -447,7 +448,7 @@
       isReady: this.isReady,
       isDraining: this.#isStopping,
       routesVersion: this.#control.routesVersion,
-      backend: this.#gate.backend,
+      backend: createBackendStatus(this.#gate.backend),
       notice: this.#gate.notice,
       tokens: this.#gate.tokens,
       load: this.#gate.readLoad(),
@@ -610,6 +611,12 @@
   }
 }
 
+function createBackendStatus(
+  backend: LocalBackend | undefined,
+): BackendStatus | undefined {
+  return backend && { ...backend, address: formatIpEndpoint(backend.address) };
+}
+
 async function waitUntil(isMet: () => boolean): Promise<void> {
   while (!isMet()) {
     await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -12,13 +12,18 @@
 import type { RelaySettings } from "./relay_settings.ts";
 import type { Telemetry } from "./telemetry.ts";
 
+/** The backend server of a node, with its address as `ip:port`. */
+export type BackendStatus = Omit<LocalBackend, "address"> & {
+  readonly address: string;
+};
+
 /** Current status of a relay node, as in the body of `GET /status`. */
 export interface RelayStatus {
   readonly isReady: boolean;
   readonly isDraining: boolean;
   /** 0 before the first routes. */
   readonly routesVersion: number;
-  readonly backend: LocalBackend | undefined;
+  readonly backend: BackendStatus | undefined;
   /** What the backend server says of itself; undefined if nothing is known. */
   readonly notice: BackendNotice | undefined;
   /** Calls that its rate limit allows now; undefined without one. */
--- a/src/engine/call/node/call_server.ts
+++ b/src/engine/call/node/call_server.ts
@@ -7,7 +7,11 @@
 import type { Socket } from "node:net";
 import type { CallLoop } from "../../../base/common/call_loop.ts";
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
-import { listen, type ListenAddress } from "../../../base/node/listen.ts";
+import {
+  listen,
+  type ListenAddress,
+  parseAddress,
+} from "../../../base/node/listen.ts";
 import { ServedConnections } from "../../../base/node/served_connections.ts";
 import { createServer } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
@@ -167,7 +171,7 @@
       return;
     }
     if (effect.type === "ProbeBackend") {
-      probeBackend(effect.address).then((isAlive) =>
+      probeBackend(parseAddress(effect.address)!).then((isAlive) =>
         this.#options.dispatch({ type: "BackendProbed", isAlive })
       );
       return;
--- a/src/engine/relay/common/local_backend.ts
+++ b/src/engine/relay/common/local_backend.ts
@@ -1,5 +1,7 @@
 /** Identity and announced state of a node's own backend server. */
 
+import type { IpEndpoint } from "../../../base/common/ip_endpoint.ts";
+
 /** The backend server of this node, as it announced itself. */
 export interface LocalBackend {
   readonly instanceId: string;
@@ -10,7 +12,7 @@
    */
   readonly startedAtMs: number | undefined;
   readonly service: string;
-  readonly address: string;
+  readonly address: IpEndpoint;
   readonly dataCentre: string;
   /** Number of requests that it can run at the same time. */
   readonly slots: number;
--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -3,6 +3,8 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, Pool } from "undici";
 import type { Dispatcher } from "undici";
+import { formatIpEndpoint } from "../../../base/common/ip_endpoint.ts";
+import type { IpEndpoint } from "../../../base/common/ip_endpoint.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { BackendExchange } from "../common/gate_call_index.ts";
 
@@ -95,17 +97,16 @@
 
 /** Pools the connections to the backend server at one address. */
 export class BackendClient implements AsyncDisposable {
-  /** Host and port. */
-  readonly address: string;
+  readonly address: IpEndpoint;
   readonly #pool: Pool;
   /** Answers that are awaited or read. */
   readonly #open = new Set<AnswerHandler>();
   /** Bytes that are held of those without a stated length. */
   #unsizedBytes = 0;
 
-  constructor(address: string, connections: number) {
+  constructor(address: IpEndpoint, connections: number) {
     this.address = address;
-    this.#pool = new Pool(`http://${address}`, {
+    this.#pool = new Pool(`http://${formatIpEndpoint(address)}`, {
       connections,
       pipelining: 1,
       headersTimeout: 0,
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -2,6 +2,8 @@
  * Carries out the decisions of the admission gate: runs calls at the backend
  * server beside this node, and answers or refuses them.
  */
+import { isSameEndpoint } from "../../../base/common/ip_endpoint.ts";
+import type { IpEndpoint } from "../../../base/common/ip_endpoint.ts";
 import type {
   AnswerOpened,
   BackendNotice,
@@ -120,7 +122,7 @@
     const before = this.#gate.backend ?? this.#lastKnownBackend;
     this.#lastKnownBackend = backend ?? before;
     const isReplaced = before !== undefined && backend !== undefined &&
-      before.address === backend.address &&
+      isSameEndpoint(before.address, backend.address) &&
       !isSameProcessInstance(before, backend);
     const aborted = isReplaced ? this.#abortRunning() : [];
     this.#step({ type: "BackendChanged", backend });
@@ -647,12 +649,14 @@
     this.#continueSuspects();
   }
 
-  #getClient(address: string): BackendClient {
-    if (this.#client?.address !== address) {
-      this.#client?.[Symbol.asyncDispose]();
-      const connections = Math.max(1, this.#options.maxConnections());
-      this.#client = new BackendClient(address, connections);
+  #getClient(address: IpEndpoint): BackendClient {
+    const client = this.#client;
+    if (client !== undefined && isSameEndpoint(client.address, address)) {
+      return client;
     }
+    client?.[Symbol.asyncDispose]();
+    const connections = Math.max(1, this.#options.maxConnections());
+    this.#client = new BackendClient(address, connections);
     return this.#client;
   }
 }
--- a/src/engine/relay/node/gate_crashes.ts
+++ b/src/engine/relay/node/gate_crashes.ts
@@ -200,7 +200,8 @@
       this.#releaseHeld();
       return;
     }
-    probeBackend(backend.address).then((isAlive) => {
+    const { ip, port } = backend.address;
+    probeBackend({ host: ip, port }).then((isAlive) => {
       const current = this.#options.getBackend();
       if (isAlive) {
         this.#keepBroken(backend);
--- a/src/engine/relay/test/backend_client_test.ts
+++ b/src/engine/relay/test/backend_client_test.ts
@@ -27,7 +27,7 @@
     );
     const { port } = server.address() as AddressInfo;
     // One, so that requests sent one after the other share it if they can.
-    client = new BackendClient(`127.0.0.1:${port}`, 1);
+    client = new BackendClient({ ip: "127.0.0.1", port }, 1);
   });
 
   afterEach(async () => {
@@ -164,7 +164,7 @@
   });
 
   it("is known not to have been requested if no server listens", async () => {
-    const unused = new BackendClient("127.0.0.1:1", 1);
+    const unused = new BackendClient({ ip: "127.0.0.1", port: 1 }, 1);
     const result = await new Promise<BackendResult>((onEnd) =>
       unused.send({
         request: {
--- a/src/engine/relay/test/endless_answers_test.ts
+++ b/src/engine/relay/test/endless_answers_test.ts
@@ -60,7 +60,7 @@
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const client = new BackendClient(`127.0.0.1:${port}`, 1);
+  const client = new BackendClient({ ip: "127.0.0.1", port }, 1);
   const tick = setInterval(
     () => client.checkProgress(performance.now()),
     TICK_MS,
@@ -133,7 +133,7 @@
       server.listen(0, "127.0.0.1", resolve)
     );
     const { port } = server.address() as AddressInfo;
-    const client = new BackendClient(`127.0.0.1:${port}`, CONCURRENT);
+    const client = new BackendClient({ ip: "127.0.0.1", port }, CONCURRENT);
     const results = await Promise.all(
       Array.from(
         { length: CONCURRENT },
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -7,44 +7,22 @@
 import { GateCalls } from "../node/gate_calls.ts";
 import type { GateCallsOptions } from "../node/gate_options.ts";
 import { computeDrainTimes } from "../common/drain_decision.ts";
-import type { DrainTimes } from "../common/drain_decision.ts";
-import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
-import { createCrashKnowledge } from "./crash_fakes.ts";
+import { createBackend, createCall } from "./gate_fakes.ts";
+import { openGate } from "./open_gate.ts";
 
 /** Opens a gate whose backend server listens at `port`. */
-function openGate(
+function openGateAt(
   port: number,
-  readClock = () => 1_000,
-  recordRun: GateCallsOptions["recordRun"] = () => {},
-  getDrainTimes: () => DrainTimes | undefined = () => undefined,
+  options: Partial<GateCallsOptions> = {},
 ): GateCalls {
-  const gate = new GateCalls({
-    dialect: DIALECT,
-    getDrainTimes,
-    readClock,
-    log: { write: () => {} },
-    loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
-    isRoomMeasured: () => false,
-    maxConnections: () => 4,
-    getObjectiveMs: () => 500,
-    recordRun,
-    recordArrival: () => {},
-    recordLimitedCall: () => {},
-    onBackendLeaving: () => {},
-    onBackendLost: () => {},
-    ingress: "a:1",
-    crashes: createCrashKnowledge(),
-    countEnd: () => {},
-    countSuspect: () => {},
-    countProof: () => {},
-  });
+  const gate = openGate(options);
   gate.changeBackend(createBackend(port));
   return gate;
 }
 
 describe("large bodies at the gate", () => {
   it("are refused beyond its memory limit, and accepted once it is free", async () => {
-    await using gate = openGate(9);
+    await using gate = openGateAt(9);
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
     const bodyBytes = 30 * 1_048_576;
@@ -59,7 +37,7 @@
   });
 
   it("may be larger than that limit if there is no other", async () => {
-    await using gate = openGate(9);
+    await using gate = openGateAt(9);
     const frames: MeshFrame[] = [];
     const bodyBytes = 64 * 1_048_576;
     gate.receive("1", createCall(1, { bodyBytes }), (frame) => {
@@ -83,11 +61,10 @@
     const { port } = server.address() as AddressInfo;
     let nowMs = 1_000;
     const runs: (readonly [string, number])[] = [];
-    const gate = openGate(
-      port,
-      () => nowMs,
-      ({ route }, change) => runs.push([route, change]),
-    );
+    const gate = openGateAt(port, {
+      readClock: () => nowMs,
+      recordRun: ({ route }, change) => runs.push([route, change]),
+    });
     const frames: MeshFrame[] = [];
     gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
     expect(gate.readLoad().running).to.equal(1);
@@ -110,7 +87,7 @@
   it("are handed over only once all of its frames are read", async () => {
     const runs: string[] = [];
     const recordRun = ({ route }: BackendRun) => runs.push(route);
-    await using gate = openGate(9, () => 1_000, recordRun);
+    await using gate = openGateAt(9, { recordRun });
     const left = createCall(1, { route: "left" });
     const kept = createCall(2, { route: "kept" });
     const cancelled = { type: "CallCancelled", call: 1 } as const;
@@ -123,7 +100,7 @@
 describe("a call that was late on its way", () => {
   it("is refused where its caller has left by now", async () => {
     await using server = await openSilentServer();
-    await using gate = openGate(server.port);
+    await using gate = openGateAt(server.port);
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
     const late = createCall(1, { deadlineMs: 1_000 - 600 + 130 });
@@ -140,7 +117,7 @@
 describe("a backend server that starts again under its id", () => {
   it("leaves what ran before unknown, and runs what waits", async () => {
     await using server = await openSilentServer();
-    await using gate = openGate(server.port);
+    await using gate = openGateAt(server.port);
     gate.changeBackend(createBackend(server.port, 1_000));
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
@@ -156,7 +133,7 @@
 
   it("is recognized as restarted even if it was silent in between", async () => {
     await using server = await openSilentServer();
-    await using gate = openGate(server.port);
+    await using gate = openGateAt(server.port);
     gate.changeBackend(createBackend(server.port, 1_000));
     const frames: MeshFrame[] = [];
     gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
@@ -185,12 +162,10 @@
     await using server = await openSilentServer();
     const times = computeDrainTimes(1_000, DRAIN_MS);
     let nowMs = 1_000;
-    await using gate = openGate(
-      server.port,
-      () => nowMs,
-      () => {},
-      () => times,
-    );
+    await using gate = openGateAt(server.port, {
+      readClock: () => nowMs,
+      getDrainTimes: () => times,
+    });
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
     nowMs = times.lastStartMs;
@@ -207,7 +182,7 @@
   // Guards against calls that wait until the process ends, and are cut then.
   it("is refused at the end if it was not handed over", async () => {
     await using server = await openSilentServer();
-    await using gate = openGate(server.port);
+    await using gate = openGateAt(server.port);
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
     for (let call = 1; call <= RUNNING + 2; call += 1) {
@@ -224,7 +199,7 @@
   // Guards against a refusal of a call that runs.
   it("is refused when recalled if it was not handed over", async () => {
     await using server = await openSilentServer();
-    await using gate = openGate(server.port);
+    await using gate = openGateAt(server.port);
     const frames: MeshFrame[] = [];
     const send = (frame: MeshFrame) => frames.push(frame);
     const recall = (call: number) =>
--- a/src/engine/relay/test/gate_fakes.ts
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -53,7 +53,7 @@
     instanceId: "i-1",
     startedAtMs,
     service: "warehouse",
-    address: `127.0.0.1:${port}`,
+    address: { ip: "127.0.0.1", port },
     dataCentre: "a",
     slots: 2,
     isDraining: false,
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -11,7 +11,7 @@
   instanceId: "i-1",
   startedAtMs: undefined,
   service: "warehouse",
-  address: "127.0.0.1:1",
+  address: { ip: "127.0.0.1", port: 1 },
   dataCentre: "a",
   slots: 2,
   isDraining: false,
--- a/src/engine/relay/test/idle_gate_test.ts
+++ b/src/engine/relay/test/idle_gate_test.ts
@@ -51,7 +51,7 @@
         instanceId: "i-1",
         startedAtMs: undefined,
         service: "ledger",
-        address: "127.0.0.1:1",
+        address: { ip: "127.0.0.1", port: 1 },
         dataCentre: "a",
         slots: SLOTS,
         isDraining: false,
--- a/src/engine/relay/test/placement_server.ts
+++ b/src/engine/relay/test/placement_server.ts
@@ -74,12 +74,12 @@
   }
 
   start(nowMs: number): void {
-    const { address, dataCentre, slots } = this.options;
+    const { address: instanceId, dataCentre, slots } = this.options;
     const backend = {
-      instanceId: address,
+      instanceId,
       startedAtMs: nowMs,
       service: "warehouse",
-      address,
+      address: { ip: "127.0.0.1", port: 1 },
       dataCentre,
       slots,
       isDraining: false,
--- a/src/engine/relay/test/speed_estimate_test.ts
+++ b/src/engine/relay/test/speed_estimate_test.ts
@@ -9,7 +9,7 @@
   instanceId: "i-1",
   startedAtMs: 1,
   service: "warehouse",
-  address: "127.0.0.1:1",
+  address: { ip: "127.0.0.1", port: 1 },
   dataCentre: "a",
   slots: 22,
   isDraining: false,
