Compare services when a waiting call is handed over

Cause: the gate compared services only when a call arrived. After a change of the backend server its queue ran there, whatever its service.

Change: the change of a backend server refuses the calls for other services that were not handed over, and the hand-over compares again.

--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -125,6 +125,9 @@
       isSameEndpoint(before.address, backend.address) &&
       !isSameProcessInstance(before, backend);
     const aborted = isReplaced ? this.#abortRunning() : [];
+    if (backend !== undefined) {
+      this.#refuseOtherServices(backend.service);
+    }
     this.#step({ type: "BackendChanged", backend });
     if (isReplaced) {
       this.#crashes.recordReplacement(before, aborted);
@@ -261,6 +264,12 @@
     return running;
   }
 
+  /** Refuses the calls for other services that have not been handed over. */
+  #refuseOtherServices(service: string): void {
+    [...this.#calls.list()].filter(({ opened }) => opened.service !== service)
+      .forEach((call) => this.#recall(call, "other_service"));
+  }
+
   #listRunning(): readonly GateCallState[] {
     return [...this.#calls.list()].filter(({ phase }) => phase === "running");
   }
@@ -389,13 +398,15 @@
   }
 
   /**
-   * Runs an admitted call; refuses it if the backend server is gone or
-   * draining, or the deadline has passed.
+   * Runs an admitted call; refuses it if the backend server is gone, draining
+   * or of another service by now, or the deadline has passed.
    */
   #runOrRefuse(call: GateCallState): void {
     const { backend } = this.#gate;
     if (backend === undefined) {
       this.#fail(call, "refused", "no_backend");
+    } else if (backend.service !== call.opened.service) {
+      this.#fail(call, "refused", "other_service");
     } else if (backend.isDraining) {
       this.#fail(call, "refused", "draining");
     } else if (call.deadlineMs <= this.#options.readClock()) {
--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -83,6 +83,44 @@
   });
 });
 
+describe("calls that wait when a backend server of another service takes over", () => {
+  // Guards against a service that is compared only when a call arrives.
+  it("are refused, and not run by it", async () => {
+    await using server = await openSilentServer();
+    await using gate = openGateAt(server.port);
+    const frames: MeshFrame[] = [];
+    const send = (frame: MeshFrame) => frames.push(frame);
+    for (let call = 1; call <= 4; call += 1) {
+      gate.receive("1", createCall(call, {}), send);
+    }
+    await server.received(1);
+    const next = { ...createBackend(server.port, 2_000), service: "ledger" };
+    gate.changeBackend({ ...next, instanceId: "i-2", slots: 50 });
+    const failures = frames.filter((frame) => frame.type === "CallFailed");
+    expect(failures.map(({ call, kind }) => `${call} ${kind}`))
+      .to.have.members(["1 unknown", "2 refused", "3 refused", "4 refused"]);
+    expect(failures.filter(({ reason }) => reason === "other_service"))
+      .to.have.length(3);
+    expect(gate.openCount).to.equal(0);
+  });
+
+  it("for a turn of the event loop are refused", async () => {
+    await using server = await openSilentServer();
+    const turns: (() => void)[] = [];
+    await using gate = openGateAt(server.port, {
+      loop: { lagMs: 0, runAfterPendingReads: (run) => turns.push(run) },
+    });
+    const frames: MeshFrame[] = [];
+    gate.receive("1", createCall(1, {}), (frame) => frames.push(frame));
+    const next = { ...createBackend(server.port, 2_000), service: "ledger" };
+    gate.changeBackend({ ...next, instanceId: "i-2" });
+    turns.splice(0).forEach((run) => run());
+    expect(frames.map((frame) => "reason" in frame && frame.reason))
+      .to.deep.equal(["other_service"]);
+    expect(gate.readLoad().running).to.equal(0);
+  });
+});
+
 describe("calls of one message", () => {
   it("are handed over only once all of its frames are read", async () => {
     const runs: string[] = [];
