Ask whose heartbeat it is before it replaces the backend server

Callers saw: after one heartbeat of another writer, acknowledged with 200, the sound backend server beside a node got no request any more, for as long as the node ran; under its own id and another service's name it ran that service's requests, and calls from its VM had the wrong Caller-Service.

Cause: the node believed the newest announcement, whatever its address, and the highest sequence number and start time, without a bound; whoever they replaced was ignored for good.

Refusals are 4xx with a reason, logged once a sender and counted.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -84,11 +84,10 @@
     return this.#routes !== undefined;
   }
 
-  /** Whether a route in force has the service as a target. */
-  isRouted(service: string): boolean {
-    return this.#routes?.routes.some(({ targets }) =>
-      targets.some((target) => target.service === service)
-    ) ?? false;
+  /** Path of a service's health check; undefined if the routes don't name it. */
+  getHealthPath(service: string): string | undefined {
+    return this.#routes?.healthChecks
+      ?.find((check) => check.service === service)?.path;
   }
 
   /**
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -63,6 +63,8 @@
 /** Ticks between checks for idle links. */
 const IDLE_CHECK_INTERVAL_TICKS = 500;
 const POLL_INTERVAL_MS = 20;
+/** Senders of refused announcements that are remembered, to log each once. */
+const MAX_REFUSED_SENDERS = 64;
 /**
  * Longest time that a drain waits for callers to close their ends of idle
  * connections, in milliseconds. Bytes that arrive after the process has ended
@@ -122,6 +124,8 @@
   /** Process instance that left before this start, as control holds it. */
   #formerDeparture: FormerDeparture | undefined;
   #isStopping = false;
+  /** Senders of refused announcements, each with the cause. */
+  readonly #refusedSenders = new Set<string>();
   #drainTimes: DrainTimes | undefined;
   #ticks = 0;
 
@@ -307,17 +311,30 @@
   }
 
   /**
-   * Logs a refused announcement of a backend server; the previous one
-   * stays in force.
+   * Counts a refused announcement of a backend server by its cause, and logs
+   * the first one of each sender; the previous announcement stays in force.
    */
-  reportRefusedAnnouncement(instanceId: string, reason: string): void {
+  reportRefusedAnnouncement(
+    instanceId: string,
+    { cause, reason }: { readonly cause: string; readonly reason: string },
+  ): void {
     const event = "AnnouncementRefused";
-    this.#log.write({ event, isFailure: true, instanceId, reason });
+    const sender = `${instanceId} ${cause}`;
+    if (this.#refusedSenders.has(sender)) {
+      this.#telemetry.metrics.countDecision(event, cause);
+      return;
+    }
+    if (this.#refusedSenders.size >= MAX_REFUSED_SENDERS) {
+      this.#refusedSenders.clear();
+    }
+    this.#refusedSenders.add(sender);
+    const line = { instanceId, reason: cause, detail: reason };
+    this.#log.write({ event, isFailure: true, ...line });
   }
 
-  /** Whether a route in force has the service as a target. */
-  isRouted(service: string): boolean {
-    return this.#control.isRouted(service);
+  /** Path of a service's health check; undefined if the routes don't name it. */
+  getHealthPath(service: string): string | undefined {
+    return this.#control.getHealthPath(service);
   }
 
   /**
--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -41,12 +41,21 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Where the backend servers of a service answer about their health. */
+export interface HealthCheck {
+  readonly service: string;
+  /** Begins with a slash; all characters are visible ASCII. */
+  readonly path: string;
+}
+
 /** All routes in force. */
 export interface RouteTable {
   /** Increases with every replacement, not always by 1; 0: the empty table. */
   readonly version: number;
   readonly routes: readonly Route[];
   readonly limits: RequestLimits;
+  /** Undefined in tables that an earlier build has stored. */
+  readonly healthChecks?: readonly HealthCheck[];
   /** Undefined if requests need no keys. */
   readonly workspaces?: readonly Workspace[];
 }
