Hold each body in one buffer, and bound the work of reading it

Cause: each chunk became an object in a list, a hundred times its byte, while the limits counted bytes; and nothing bounded the callbacks.

Change: one growing buffer for a body in place of six lists, a bound on small pieces, one reader of bodies for all listeners, with limits for each call.

--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -1,5 +1,10 @@
 /** The HTTP listener for operators, in both roles. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import {
+  closeAfter,
+  limitUnreadBody,
+  readBody,
+} from "../base/node/body_reader.ts";
 import { listen, type ListenAddress } from "../base/node/listen.ts";
 import { ServedConnections } from "../base/node/served_connections.ts";
 import { createServer } from "../base/node/tls.ts";
@@ -58,6 +63,7 @@
     const server = { tls, isMutual: false };
     this.#server = createServer(server, (request, response) => {
       if (this.#connections.accept(request, response)) {
+        limitUnreadBody(request, response);
         this.#handleRequest(request, response).catch(() => response.destroy());
       }
     });
@@ -96,11 +102,11 @@
     }
     const name = `${request.method} ${url.pathname}`;
     const route = this.#options.routes.get(name);
-    const body = await readBody(request);
+    const body = await readJson(request, response);
     const answer = route === undefined
       ? createNotFoundAnswer(name, [...this.#options.routes.keys()])
-      : "malformed" in body
-      ? { status: 400, body: { message: "Body is not JSON" } }
+      : "refusal" in body
+      ? body.refusal
       : await route({
         query: url.searchParams,
         body: body.value,
@@ -145,24 +151,42 @@
   return { status: 404, body: { message } };
 }
 
-type ParsedBody = { readonly value: unknown } | { readonly malformed: true };
-
-async function readBody(request: IncomingMessage): Promise<ParsedBody> {
-  const chunks: Uint8Array[] = [];
-  let total = 0;
-  for await (const chunk of request) {
-    total += (chunk as Uint8Array).length;
-    if (total > MAX_BODY_BYTES) {
-      return { malformed: true };
-    }
-    chunks.push(chunk as Uint8Array);
+/** A parsed body, or the answer to an invalid one. */
+type ParsedBody =
+  | { readonly value: unknown }
+  | { readonly refusal: OperatorAnswer };
+
+async function readJson(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<ParsedBody> {
+  const result = await readBody(request, { maxBytes: MAX_BODY_BYTES });
+  switch (result.type) {
+    case "Whole":
+      return parseJson(result.body);
+    case "TooLarge":
+      response.shouldKeepAlive = false;
+      return createRefusal(413, `Body exceeds ${MAX_BODY_BYTES} bytes`);
+    case "TooManyPieces":
+      closeAfter(request, response);
+      return createRefusal(408, "Body comes in too many small pieces");
+    case "NoRoom":
+    case "Broken":
+      throw new Error("The body did not arrive completely");
   }
-  if (total === 0) {
+}
+
+function parseJson(bytes: Uint8Array): ParsedBody {
+  if (bytes.length === 0) {
     return { value: undefined };
   }
   try {
-    return { value: JSON.parse(Buffer.concat(chunks).toString("utf8")) };
+    return { value: JSON.parse(new TextDecoder().decode(bytes)) };
   } catch {
-    return { malformed: true };
+    return createRefusal(400, "Body is not JSON");
   }
 }
+
+function createRefusal(status: number, message: string): ParsedBody {
+  return { refusal: { status, body: { message } } };
+}
--- a/src/engine/call/node/answer_collector.ts
+++ b/src/engine/call/node/answer_collector.ts
@@ -1,6 +1,7 @@
 /** Buffers the answer of a backend server completely, up to a size limit. */
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
+import { ByteCollector } from "../../../base/common/byte_collector.ts";
 import type { StoredAnswer } from "../../claims/common/claim_types.ts";
 import { copyEndToEndHeaders } from "./exchange.ts";
 
@@ -30,23 +31,19 @@
 ): Promise<CollectedAnswer> {
   const headers = copyEndToEndHeaders(flattenHeaders(answer.headers));
   const { statusCode } = answer;
-  const chunks: Uint8Array[] = [];
+  const collector = new ByteCollector();
   const remaining = answer.body[Symbol.asyncIterator]();
-  let totalBytes = 0;
   let result = await remaining.next();
   while (result.done !== true) {
-    const chunk = result.value as Uint8Array;
-    chunks.push(chunk);
-    totalBytes += chunk.length;
-    if (totalBytes > maxBytes) {
-      const body = Readable.from(joinChunks(chunks, remaining), {
-        objectMode: false,
-      });
+    collector.add(result.value as Uint8Array);
+    if (collector.length > maxBytes) {
+      const read = joinRest(collector.join(), remaining);
+      const body = Readable.from(read, { objectMode: false });
       return { relayable: { statusCode, headers, body }, stored: undefined };
     }
     result = await remaining.next();
   }
-  const bodyBase64 = Buffer.concat(chunks).toString("base64");
+  const bodyBase64 = Buffer.from(collector.join()).toString("base64");
   const stored = { status: statusCode, headers, bodyBase64 };
   return { relayable: createRelayableAnswer(stored), stored };
 }
@@ -74,11 +71,11 @@
   return flat;
 }
 
-/** Yields the buffered chunks, then the chunks that have not been read yet. */
-async function* joinChunks(
-  buffered: readonly Uint8Array[],
+/** Yields the buffered bytes, then the chunks that have not been read yet. */
+async function* joinRest(
+  buffered: Uint8Array,
   remaining: AsyncIterator<unknown>,
 ): AsyncGenerator<unknown> {
-  yield* buffered;
+  yield buffered;
   yield* { [Symbol.asyncIterator]: () => remaining };
 }
--- a/src/engine/call/node/call_reading.ts
+++ b/src/engine/call/node/call_reading.ts
@@ -1,6 +1,9 @@
 /** Converts an HTTP request into the event that the reducers handle. */
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import { ByteCollector } from "../../../base/common/byte_collector.ts";
+import { PieceMeter } from "../../../base/common/piece_meter.ts";
+import { readSteadyMs } from "../../../base/node/steady_clock.ts";
 import { CONTEXT_HEADER } from "../common/call_context.ts";
 import type { CallReceived, Listener } from "../common/call_events.ts";
 import { readPath } from "./exchange.ts";
@@ -94,7 +97,8 @@
 
 /**
  * Buffers a body of known length and passes it to `onBody`, synchronously if
- * it is empty. Never calls `onBody` if the request is cut off.
+ * it is empty. Never calls `onBody` if the request is cut off; closes the
+ * connection of one that comes in too many small pieces.
  */
 export function collectBody(
   request: IncomingMessage,
@@ -105,7 +109,14 @@
     onBody(new Uint8Array(0));
     return;
   }
-  const chunks: Uint8Array[] = [];
-  request.on("data", (chunk: Uint8Array) => chunks.push(chunk));
-  request.on("end", () => onBody(Buffer.concat(chunks)));
+  const collector = new ByteCollector();
+  const pieces = new PieceMeter(readSteadyMs);
+  request.on("data", (chunk: Uint8Array) => {
+    if (pieces.add(chunk.length)) {
+      collector.add(chunk);
+    } else {
+      request.socket.destroy();
+    }
+  });
+  request.on("end", () => onBody(collector.join()));
 }
--- a/src/engine/mesh/common/body_parts.ts
+++ b/src/engine/mesh/common/body_parts.ts
@@ -1,4 +1,5 @@
 /** Splits bodies into parts that fit into a frame, and joins them again. */
+import { ByteCollector } from "../../../base/common/byte_collector.ts";
 import { MAX_PART_BYTES } from "./frames.ts";
 
 /** Returns the part that is sent with the opening frame. */
@@ -23,9 +24,8 @@
 
 /** Collects the parts of a body of known length. */
 export class BodyCollector {
-  readonly #parts: Uint8Array[] = [];
+  readonly #bytes = new ByteCollector();
   readonly #totalBytes: number;
-  #receivedBytes = 0;
 
   constructor(totalBytes: number, first: Uint8Array) {
     this.#totalBytes = totalBytes;
@@ -34,19 +34,16 @@
 
   /** Whether all bytes have been received. */
   get isComplete(): boolean {
-    return this.#receivedBytes >= this.#totalBytes;
+    return this.#bytes.length >= this.#totalBytes;
   }
 
   /** Adds the next part. */
   add(part: Uint8Array): void {
-    this.#parts.push(part);
-    this.#receivedBytes += part.length;
+    this.#bytes.add(part);
   }
 
-  /** Joins the parts; a body of one part isn't copied. */
+  /** Returns the whole body; nothing may be added after that. */
   join(): Uint8Array {
-    return this.#parts.length === 1
-      ? this.#parts[0]!
-      : Buffer.concat(this.#parts);
+    return this.#bytes.join();
   }
 }
--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -3,8 +3,10 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, Pool } from "undici";
 import type { Dispatcher } from "undici";
+import { ByteCollector } from "../../../base/common/byte_collector.ts";
 import { formatIpEndpoint } from "../../../base/common/ip_endpoint.ts";
 import type { IpEndpoint } from "../../../base/common/ip_endpoint.ts";
+import { PieceMeter } from "../../../base/common/piece_meter.ts";
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { BackendExchange } from "../common/gate_call_index.ts";
 
@@ -273,7 +275,8 @@
   unsizedBytes = 0;
   readonly #options: BackendSendOptions;
   readonly #events: AnswerEvents;
-  readonly #chunks: Uint8Array[] = [];
+  readonly #body = new ByteCollector();
+  readonly #pieces = new PieceMeter(() => performance.now());
   #controller: Dispatcher.DispatchController | undefined;
   #head: BackendHead | undefined;
   #isSettled = false;
@@ -348,6 +351,9 @@
   ): void {
     this.#recordProgress();
     if (status < 200) {
+      if (!this.#pieces.add(0)) {
+        this.break("too many interim answers");
+      }
       return;
     }
     const rawHeaders = readRawHeaders(controller);
@@ -365,7 +371,11 @@
     if (this.#isSettled) {
       return;
     }
-    this.#chunks.push(chunk);
+    if (!this.#pieces.add(chunk.length)) {
+      this.break("the answer comes in too many small pieces");
+      return;
+    }
+    this.#body.add(chunk);
     this.#recordProgress();
     if (!hasLength(this.#head!)) {
       this.unsizedBytes += chunk.length;
@@ -374,9 +384,7 @@
   }
 
   onResponseEnd(): void {
-    const body = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
+    const body = this.#body.join();
     const head = this.#head!;
     const { isFailed, isEndReceived, socket } = this.connectionEnd;
     const wholeAnswer = { type: "Whole", head, body } as const;
--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -2,9 +2,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
+import { hasBody } from "../../../base/node/body_reader.ts";
 import { closeLingering } from "../../../base/node/lingering_close.ts";
 import { Pipeline } from "../common/pipeline.ts";
-import { hasBody } from "./body_reader.ts";
 
 /** A request with its response. */
 export interface Exchange {
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -7,6 +7,11 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
+import {
+  closeAfter,
+  limitUnreadBody,
+  readBody,
+} from "../../../base/node/body_reader.ts";
 import { listen } from "../../../base/node/listen.ts";
 import {
   closeListener,
@@ -31,7 +36,6 @@
 import { BufferedBytes } from "../common/held_bytes.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
 import { RoutesInForce } from "../common/routes_in_force.ts";
-import { readBody } from "./body_reader.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
 import { CallerReplies, DEFAULT_CALLER_TIMEOUT_MS } from "./caller_replies.ts";
@@ -274,6 +278,7 @@
       request.resume();
       return;
     }
+    limitUnreadBody(request, response);
     this.#openCount += 1;
     const exchange: Exchange = {
       request,
@@ -525,8 +530,15 @@
       case "Whole":
         return result.body;
       case "TooLarge":
+        this.#logRefused(exchange, "body too large");
+        exchange.response.shouldKeepAlive = false;
         this.#replies.reply(exchange, 413);
         return undefined;
+      case "TooManyPieces":
+        this.#logRefused(exchange, "body in too many small pieces");
+        closeAfter(exchange.request, exchange.response);
+        this.#replies.reply(exchange, 408);
+        return undefined;
       case "NoRoom":
         this.#replies.replyRetryLater(exchange, 503, MEMORY_RETRY_MS);
         return undefined;
--- a/src/engine/relay/test/endless_answers_test.ts
+++ b/src/engine/relay/test/endless_answers_test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
+import { writeEndlessly } from "../../../../standin/endless_writer.ts";
 import { BackendClient } from "../node/backend_client.ts";
 import type { BackendResult } from "../node/backend_client.ts";
 
@@ -21,25 +22,6 @@
   readonly sentBytes: number;
 }
 
-/** Writes parts until the connection closes; returns how many bytes. */
-async function writeEndlessly(
-  socket: Socket,
-  part: string,
-  pauseMs: number,
-): Promise<number> {
-  let sentBytes = 0;
-  while (!socket.destroyed && sentBytes < MAX_SENT_BYTES) {
-    sentBytes += part.length;
-    if (!socket.write(part)) {
-      await new Promise<unknown>((resolve) => {
-        socket.once("drain", resolve).once("close", resolve);
-      });
-    }
-    await sleep(pauseMs);
-  }
-  return sentBytes;
-}
-
 /** Sends one request to a server that never stops to write. */
 async function receiveEndless(
   { start, part, pauseMs }: {
@@ -55,7 +37,8 @@
     socket.on("error", () => {});
     socket.once("data", () => {
       socket.write(start);
-      sent.push(writeEndlessly(socket, part, pauseMs));
+      const maxBytes = MAX_SENT_BYTES;
+      sent.push(writeEndlessly(socket, { part, pauseMs, maxBytes }));
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -102,6 +85,24 @@
       "Broken",
     ],
     ["in a body without a length", `${HEAD}\r\n`, parts, "Broken"],
+    [
+      "in chunks of one byte",
+      `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+      "1\r\na\r\n".repeat(8_192),
+      "Broken",
+    ],
+    [
+      "in chunks of a hundred bytes",
+      `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+      `64\r\n${"a".repeat(100)}\r\n`.repeat(600),
+      "Broken",
+    ],
+    [
+      "in interim answers",
+      "",
+      "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(2_048),
+      "Broken",
+    ],
     [
       "behind a whole answer",
       `${HEAD}Content-Length: 1\r\n\r\na`,
@@ -126,7 +127,11 @@
       socket.on("error", () => {});
       socket.once("data", () => {
         socket.write(`${HEAD}\r\n`);
-        return writeEndlessly(socket, parts, 0);
+        return writeEndlessly(socket, {
+          part: parts,
+          pauseMs: 0,
+          maxBytes: MAX_SENT_BYTES,
+        });
       });
     });
     await new Promise<void>((resolve) =>
