Divide the memory of a process among the limits on held bytes

Callers saw: answers with a length that stop just before their end took 559 MB at a node that may use 350; the platform kills such a process, with all requests on its VM.

Cause: limits were constants that add up to more than the process has, and answers with a length, or from other nodes in parts, counted nowhere.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -18,6 +18,7 @@
   isSameProcessInstance,
 } from "../engine/relay/common/local_backend.ts";
 import type { LocalBackend } from "../engine/relay/common/local_backend.ts";
+import { computeMemoryShares } from "../engine/relay/common/memory_shares.ts";
 import { MemberTable } from "../engine/relay/common/member_table.ts";
 import { CallerServer } from "../engine/relay/node/caller_server.ts";
 import { EntryCalls } from "../engine/relay/node/entry_calls.ts";
@@ -153,8 +154,10 @@
       metrics,
       onFound: (report) => this.#publishCrashes(report),
     });
+    const memory = computeMemoryShares(settings.memoryBytes);
     this.#gate = this.#disposables.use(
       new GateCalls({
+        memory,
         dialect,
         getDrainTimes,
         readClock,
@@ -198,6 +201,7 @@
       estimatesCosts: settings.plansByCapacity,
     });
     this.#entry = new EntryCalls({
+      memory,
       dataCentre,
       members: this.#members,
       budget,
@@ -216,7 +220,9 @@
       crashes: this.#crashes,
       getCallerService: () => this.#control.announcement.service,
     });
-    this.#meshServer = this.#disposables.use(this.#createMeshServer());
+    this.#meshServer = this.#disposables.use(
+      this.#createMeshServer(memory.links),
+    );
     this.#access = new KeyAccess({
       leaseMs: settings.keyLeaseMs,
       readClocks: readBothClocks,
@@ -228,6 +234,7 @@
     });
     this.#callers = this.#disposables.use(
       new CallerServer({
+        memory,
         workspaces: new WorkspaceCheck(this.#access, this.#quotas),
         requestProof: () => this.#control.requestProof(),
         address: parseAddress(settings.callers)!,
@@ -607,8 +614,9 @@
     };
   }
 
-  #createMeshServer(): MeshServer {
+  #createMeshServer(maxBufferedBytes: number): MeshServer {
     return new MeshServer({
+      maxBufferedBytes,
       address: parseAddress(this.#settings.mesh)!,
       onFrames: (link, frames, delayMs) =>
         this.#gate.receiveAll(String(link), frames, {
--- a/src/daemon/relay_settings.ts
+++ b/src/daemon/relay_settings.ts
@@ -34,6 +34,8 @@
   readonly plansByCapacity: boolean;
   /** Undefined if workspace quotas are not enforced. */
   readonly quotaTerms: QuotaTerms | undefined;
+  /** Memory that the process may use, in bytes. */
+  readonly memoryBytes: number;
   /** Longest duration of a drain in ms; calls still open then are abandoned. */
   readonly drainMs: number;
 }
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -30,6 +30,8 @@
   readonly reportIntervalMs: number;
   /** Creates the next report, sent on all links in use. */
   readonly createReport: () => LoadReported;
+  /** Bytes that all peers together may leave unread. */
+  readonly maxBufferedBytes: number;
   /** Steady clock, in milliseconds. */
   readonly readClock: () => number;
 }
@@ -44,8 +46,8 @@
   hasSentLoad: boolean;
 }
 
-/** A link is closed if its peer leaves more than this many bytes unread. */
-const MAX_BUFFERED_BYTES = 33_554_432;
+/** A link with fewer unread bytes is never closed for them. */
+const MIN_CONGESTED_BYTES = 1_048_576;
 
 /** Accepts links, and identifies them by number. */
 export class MeshServer implements AsyncDisposable {
@@ -80,7 +82,7 @@
     if (accepted === undefined) {
       return;
     }
-    if (accepted.writer.bufferedBytes > MAX_BUFFERED_BYTES) {
+    if (this.#isTooCongested(accepted)) {
       accepted.socket.terminate();
       return;
     }
@@ -123,6 +125,19 @@
     await new Promise<void>((resolve) => this.#http.close(() => resolve()));
   }
 
+  /** Whether a link takes a large part of the bytes that may be unread. */
+  #isTooCongested({ writer }: AcceptedLink): boolean {
+    const { bufferedBytes } = writer;
+    if (bufferedBytes <= MIN_CONGESTED_BYTES) {
+      return false;
+    }
+    const all = [...this.#links.values()]
+      .map((link) => link.writer.bufferedBytes);
+    const total = all.reduce((sum, bytes) => sum + bytes, 0);
+    return total > this.#options.maxBufferedBytes &&
+      bufferedBytes >= Math.max(...all) / 2;
+  }
+
   #accept(socket: WebSocket): void {
     const number = this.#nextLink++;
     const link = {
--- a/src/engine/mesh/test/mesh_link_test.ts
+++ b/src/engine/mesh/test/mesh_link_test.ts
@@ -48,6 +48,7 @@
   constructor(port: number) {
     this.address = `127.0.0.1:${port}`;
     this.server = new MeshServer({
+      maxBufferedBytes: 16_777_216,
       address: { host: "127.0.0.1", port },
       onFrames: (_link, frames) => {
         for (const frame of frames) {
--- a/src/engine/relay/common/attempt_failure.ts
+++ b/src/engine/relay/common/attempt_failure.ts
@@ -18,6 +18,13 @@
   reason: "stalled",
 };
 
+/** The answer has no room in memory beside others that arrive in parts. */
+export const NO_ROOM_FAILURE: AttemptFailure = {
+  kind: "unknown",
+  cause: "answer_lost",
+  reason: "no room for the answer",
+};
+
 /** The retry cause for each kind of failure that a node reports. */
 export const RETRY_CAUSES: Readonly<Record<FailureKind, RetryCause>> = {
   refused: "refused",
--- a/src/engine/relay/common/entry_options.ts
+++ b/src/engine/relay/common/entry_options.ts
@@ -6,6 +6,7 @@
 import type { RetryBudgetLimits } from "./entry_budget.ts";
 import type { RetryCause } from "./entry_types.ts";
 import type { MemberTable } from "./member_table.ts";
+import type { MemoryShares } from "./memory_shares.ts";
 import type { RelayLog } from "./relay_log.ts";
 
 /** The links to the ingress addresses of other nodes. */
@@ -36,6 +37,8 @@
 
 /** What the entry calls depend on. */
 export interface EntryCallsOptions {
+  /** Limits on the bytes that are held. */
+  readonly memory: MemoryShares;
   /** Data centre of this node, preferred when a member is chosen. */
   readonly dataCentre: string;
   readonly members: MemberTable;
--- a/src/engine/relay/common/gate_call_index.ts
+++ b/src/engine/relay/common/gate_call_index.ts
@@ -39,19 +39,19 @@
   exchange: BackendExchange | undefined;
 }
 
-/**
- * Limit on the bytes of request bodies that are buffered. Further calls are
- * refused, so that many large uploads at once don't exhaust the memory.
- */
-const MAX_BODY_BYTES = 50_331_648;
-
 /** Finds calls by their id, and by their link and their number there. */
 export class GateCallIndex {
   readonly #calls = new Map<number, GateCallState>();
   /** Ids of calls, by link and by number on the link. */
   readonly #byLink = new Map<string, Map<number, number>>();
+  readonly #maxBodyBytes: number;
   #bodyBytes = 0;
 
+  /** `maxBodyBytes` limits the bodies of all calls, unless there is only one. */
+  constructor(maxBodyBytes: number) {
+    this.#maxBodyBytes = maxBodyBytes;
+  }
+
   /** Number of calls in progress. */
   get size(): number {
     return this.#calls.size;
@@ -116,6 +116,6 @@
    * added. A single body may be larger.
    */
   isOverBodyLimit(ownBytes: number): boolean {
-    return this.#bodyBytes > MAX_BODY_BYTES && this.#bodyBytes > ownBytes;
+    return this.#bodyBytes > this.#maxBodyBytes && this.#bodyBytes > ownBytes;
   }
 }
--- a/src/engine/relay/node/backend_client.ts
+++ b/src/engine/relay/node/backend_client.ts
@@ -71,11 +71,6 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Calls with a larger answer fail, to bound memory. */
 const MAX_ANSWER_BYTES = 16_777_216;
-/**
- * Most bytes of all answers without a stated length that are held at a time.
- * Such an answer may never end; beyond this the longest one fails.
- */
-const MAX_UNSIZED_BYTES = 33_554_432;
 /**
  * Most bytes that bring an answer no further. The parser limits the fields of a
  * head to less, but neither its status line nor the extension of a chunk.
@@ -97,19 +92,32 @@
   "ENETUNREACH",
 ]);
 
+/** Limits of a client. */
+export interface BackendClientLimits {
+  /** Connections at a time. */
+  readonly connections: number;
+  /**
+   * Memory of all answers that are being read. Any of them may never end; beyond
+   * this the largest one fails.
+   */
+  readonly maxHeldBytes: number;
+}
+
 /** Pools the connections to the backend server at one address. */
 export class BackendClient implements AsyncDisposable {
   readonly address: IpEndpoint;
   readonly #pool: Pool;
   /** Answers that are awaited or read. */
   readonly #open = new Set<AnswerHandler>();
-  /** Bytes that are held of those without a stated length. */
-  #unsizedBytes = 0;
+  readonly #maxHeldBytes: number;
+  /** Memory that they take. */
+  #heldBytes = 0;
 
-  constructor(address: IpEndpoint, connections: number) {
+  constructor(address: IpEndpoint, limits: BackendClientLimits) {
     this.address = address;
+    this.#maxHeldBytes = limits.maxHeldBytes;
     this.#pool = new Pool(`http://${formatIpEndpoint(address)}`, {
-      connections,
+      connections: limits.connections,
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -125,7 +133,7 @@
   send(options: BackendSendOptions): BackendExchange {
     const handler = new AnswerHandler(options, {
       onSettled: () => this.#close(handler),
-      onUnsizedBytes: (count) => this.#addUnsized(count),
+      onGrown: (bytes) => this.#addHeld(bytes),
     });
     this.#open.add(handler);
     const { method, target, headers, body } = options.request;
@@ -151,17 +159,17 @@
 
   #close(handler: AnswerHandler): void {
     if (this.#open.delete(handler)) {
-      this.#unsizedBytes -= handler.unsizedBytes;
+      this.#heldBytes -= handler.heldBytes;
     }
   }
 
-  /** Counts bytes, and fails the longest of the answers if there are too many. */
-  #addUnsized(count: number): void {
-    this.#unsizedBytes += count;
-    if (this.#unsizedBytes > MAX_UNSIZED_BYTES) {
-      const [longest] = [...this.#open]
-        .sort((a, b) => b.unsizedBytes - a.unsizedBytes);
-      longest?.break("answers without a length are too long");
+  /** Counts memory, and fails the largest of the answers if it is too much. */
+  #addHeld(bytes: number): void {
+    this.#heldBytes += bytes;
+    if (this.#heldBytes > this.#maxHeldBytes) {
+      const [largest] = [...this.#open]
+        .sort((a, b) => b.heldBytes - a.heldBytes);
+      largest?.break("the answers in progress take too much memory");
     }
   }
 }
@@ -264,15 +272,13 @@
 interface AnswerEvents {
   /** The outcome is known, or the exchange was aborted. */
   readonly onSettled: () => void;
-  /** Bytes of an answer without a stated length arrived. */
-  readonly onUnsizedBytes: (count: number) => void;
+  /** The answer takes more memory than before, by so many bytes. */
+  readonly onGrown: (bytes: number) => void;
 }
 
 /** Reads one answer, and reports the outcome once. */
 class AnswerHandler implements Dispatcher.DispatchHandler, BackendExchange {
   connectionEnd = createConnectionEndState();
-  /** Bytes that are held of an answer without a stated length; 0 of others. */
-  unsizedBytes = 0;
   readonly #options: BackendSendOptions;
   readonly #events: AnswerEvents;
   readonly #body = new ByteCollector();
@@ -293,6 +299,11 @@
     this.#events = events;
   }
 
+  /** Memory that the body takes, in bytes. */
+  get heldBytes(): number {
+    return this.#body.heldBytes;
+  }
+
   get hasStartedSending(): boolean {
     return this.#hasStartedSending;
   }
@@ -375,11 +386,12 @@
       this.break("the answer comes in too many small pieces");
       return;
     }
+    const before = this.#body.heldBytes;
     this.#body.add(chunk);
     this.#recordProgress();
-    if (!hasLength(this.#head!)) {
-      this.unsizedBytes += chunk.length;
-      this.#events.onUnsizedBytes(chunk.length);
+    const growth = this.#body.heldBytes - before;
+    if (growth > 0) {
+      this.#events.onGrown(growth);
     }
   }
 
--- a/src/engine/relay/node/caller_replies.ts
+++ b/src/engine/relay/node/caller_replies.ts
@@ -3,9 +3,9 @@
 import type { HeaderList } from "../../mesh/common/frames.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { EntryResult } from "../common/entry_types.ts";
+import type { MemoryShares } from "../common/memory_shares.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { UnsentAnswers } from "../common/unsent_answers.ts";
-import type { UnsentAnswerLimits } from "../common/unsent_answers.ts";
 import {
   computeRetryWaitMs,
   createRetryAfterHeaders,
@@ -19,6 +19,8 @@
 
 /** What the replies depend on. */
 export interface CallerRepliesOptions {
+  /** Limits on the bytes that are held. */
+  readonly memory: MemoryShares;
   readonly dialect: CallDialect;
   /** Steady clock, in milliseconds. */
   readonly readClock: () => number;
@@ -35,17 +37,10 @@
 }
 
 /**
- * Limits on answers that callers have not read. Like the limit on the bodies of
- * requests, `maxBytes` is a seventh of the 350 MB of a process. An answer has at
- * most 16 MB. A body is sent in parts of 64 KB, so that an answer without
- * progress for `stallMs` is read at less than 13 KB a second.
+ * A body is sent in parts of 64 KB, so that an answer without progress for this
+ * long is read at less than 13 KB a second.
  */
-const UNSENT_ANSWER_LIMITS: UnsentAnswerLimits = {
-  maxBytes: 50_331_648,
-  smallReserveBytes: 8_388_608,
-  smallBytes: MAX_LATIN1_BODY_BYTES,
-  stallMs: 5_000,
-};
+const STALL_MS = 5_000;
 
 /** Timeout of a caller that states none; the route may set a shorter one. */
 export const DEFAULT_CALLER_TIMEOUT_MS = 600_000;
@@ -58,10 +53,17 @@
 /** Writes one answer to each exchange, unless its caller has left. */
 export class CallerReplies {
   readonly #options: CallerRepliesOptions;
-  readonly #unsent = new UnsentAnswers<Exchange>(UNSENT_ANSWER_LIMITS);
+  readonly #unsent: UnsentAnswers<Exchange>;
 
   constructor(options: CallerRepliesOptions) {
     this.#options = options;
+    const { unsentAnswers, shortAnswers } = options.memory;
+    this.#unsent = new UnsentAnswers({
+      maxBytes: unsentAnswers,
+      smallReserveBytes: shortAnswers,
+      smallBytes: MAX_LATIN1_BODY_BYTES,
+      stallMs: STALL_MS,
+    });
   }
 
   /** Answers with the result of a call. */
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -32,6 +32,7 @@
 } from "../common/drain_decision.ts";
 import type { DrainTimes } from "../common/drain_decision.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
+import type { MemoryShares } from "../common/memory_shares.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BufferedBytes } from "../common/held_bytes.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
@@ -49,6 +50,8 @@
 
 /** What the listener depends on. */
 export interface CallerServerOptions {
+  /** Limits on the bytes that are held. */
+  readonly memory: MemoryShares;
   readonly address: ListenAddress;
   readonly dialect: CallDialect;
   readonly startCall: StartCall;
@@ -85,12 +88,6 @@
 const CLOSE_POLL_MS = 10;
 /** Retry time when the memory for request bodies is used up. */
 const MEMORY_RETRY_MS = 500;
-/**
- * Limit on the bytes of request bodies in memory, including those still being
- * read; requests beyond it are refused. The gate has a limit of the same size;
- * each is a seventh of the 350 MB of a process.
- */
-const MAX_BUFFERED_BYTES = 50_331_648;
 /**
  * Limit of Node's parser, above that of any route table: the limit of the table
  * in force is checked for each request.
@@ -123,13 +120,14 @@
   readonly #routes: RoutesInForce;
   #isDraining = false;
   #openCount = 0;
-  readonly #bufferedBytes = new BufferedBytes(MAX_BUFFERED_BYTES);
+  readonly #bufferedBytes: BufferedBytes;
   readonly #routeWaiters = new RouteWaiters<Exchange>();
   /** Requests that wait for a proof of their key, or for their rate limit. */
   readonly #proofWaiters = new RouteWaiters<Exchange>();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#bufferedBytes = new BufferedBytes(options.memory.requestBodies);
     this.#routes = new RoutesInForce(options.draw);
     this.#replies = new CallerReplies({
       ...options,
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -34,7 +34,11 @@
 } from "../common/entry_suspects.ts";
 import { EntryBudget } from "../common/entry_budget.ts";
 import type { BudgetCounts } from "../common/entry_budget.ts";
-import { RETRY_CAUSES, STALLED_FAILURE } from "../common/attempt_failure.ts";
+import {
+  NO_ROOM_FAILURE,
+  RETRY_CAUSES,
+  STALLED_FAILURE,
+} from "../common/attempt_failure.ts";
 import type { AttemptFailure } from "../common/attempt_failure.ts";
 import type { EntryCallsOptions } from "../common/entry_options.ts";
 import { decideNextStep } from "../common/entry_decision.ts";
@@ -386,10 +390,25 @@
     const isOwnFailure = isFailure && members.isLeaf(call.service);
     this.#recordResult(call, isOwnFailure, nowMs);
     const body = new BodyCollector(opened.bodyBytes, opened.body);
+    if (!body.isComplete && !this.#hasRoomFor(opened.bodyBytes)) {
+      this.#cancelAttempt(call);
+      this.#fail(call, NO_ROOM_FAILURE);
+      return;
+    }
     call.answer = { opened, body };
     this.#finishAnswer(call);
   }
 
+  /** Whether another answer may be collected; a single one always may. */
+  #hasRoomFor(bodyBytes: number): boolean {
+    const collectedBytes = [...this.#calls.values()].reduce(
+      (sum, { answer }) => sum + (answer?.opened.bodyBytes ?? 0),
+      0,
+    );
+    return collectedBytes === 0 ||
+      collectedBytes + bodyBytes <= this.#options.memory.collectedAnswers;
+  }
+
   #finishAnswer(call: EntryCall): void {
     const { opened, body } = call.answer!;
     if (!body.isComplete) {
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -52,7 +52,7 @@
 export class GateCalls implements AsyncDisposable {
   readonly #options: GateCallsOptions;
   readonly #gate = createGate();
-  readonly #calls = new GateCallIndex();
+  readonly #calls: GateCallIndex;
   readonly #loadLog = new GateLoadLog();
   /** Services on whose VMs the calls of each link begin, by link. */
   readonly #callerServices = new Map<string, string>();
@@ -69,6 +69,7 @@
 
   constructor(options: GateCallsOptions) {
     this.#options = options;
+    this.#calls = new GateCallIndex(options.memory.gateBodies);
     this.#crashes = new GateCrashes({
       ...options,
       knowledge: options.crashes,
@@ -666,8 +667,11 @@
       return client;
     }
     client?.[Symbol.asyncDispose]();
-    const connections = Math.max(1, this.#options.maxConnections());
-    this.#client = new BackendClient(address, connections);
+    const { memory, maxConnections } = this.#options;
+    this.#client = new BackendClient(address, {
+      connections: Math.max(1, maxConnections()),
+      maxHeldBytes: memory.backendAnswers,
+    });
     return this.#client;
   }
 }
--- a/src/engine/relay/node/gate_options.ts
+++ b/src/engine/relay/node/gate_options.ts
@@ -4,6 +4,7 @@
 import type { CrashKnowledge } from "../../quarantine/common/crash_knowledge.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import type { DrainTimes } from "../common/drain_decision.ts";
+import type { MemoryShares } from "../common/memory_shares.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import type { BackendRun } from "../common/repeated_runs.ts";
 import type { SuspectOutcome } from "../common/suspect_refusal.ts";
@@ -12,6 +13,8 @@
 
 /** What the gate's calls depend on. */
 export interface GateCallsOptions {
+  /** Limits on the bytes that are held. */
+  readonly memory: MemoryShares;
   readonly dialect: CallDialect;
   /** Returns the times of the drain; undefined unless the node drains. */
   readonly getDrainTimes: () => DrainTimes | undefined;
--- a/src/engine/relay/test/backend_client_test.ts
+++ b/src/engine/relay/test/backend_client_test.ts
@@ -9,6 +9,8 @@
 /** More than the socket buffers of a connection hold. */
 const LONG_BODY_BYTES = 33_554_432;
 
+/** Memory of all answers that are being read. */
+const MAX_HELD_BYTES = 33_554_432;
 describe("an answer of the backend server", () => {
   let server: Server;
   const accepted = new Set<Socket>();
@@ -27,7 +29,10 @@
     );
     const { port } = server.address() as AddressInfo;
     // One, so that requests sent one after the other share it if they can.
-    client = new BackendClient({ ip: "127.0.0.1", port }, 1);
+    client = new BackendClient({ ip: "127.0.0.1", port }, {
+      connections: 1,
+      maxHeldBytes: MAX_HELD_BYTES,
+    });
   });
 
   afterEach(async () => {
@@ -164,7 +169,10 @@
   });
 
   it("is known not to have been requested if no server listens", async () => {
-    const unused = new BackendClient({ ip: "127.0.0.1", port: 1 }, 1);
+    const unused = new BackendClient({ ip: "127.0.0.1", port: 1 }, {
+      connections: 1,
+      maxHeldBytes: MAX_HELD_BYTES,
+    });
     const result = await new Promise<BackendResult>((onEnd) =>
       unused.send({
         request: {
--- a/src/engine/relay/test/caller_left_test.ts
+++ b/src/engine/relay/test/caller_left_test.ts
@@ -10,6 +10,7 @@
 import type { Server, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
+import { MEMORY } from "./gate_fakes.ts";
 import { findPort } from "../../../../standin/ports.ts";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
 import { MeshClient } from "../../mesh/node/mesh_client.ts";
@@ -74,6 +75,7 @@
     this.#proxyPort = proxyPort;
     this.#proxy = new HeldProxy(meshPort);
     this.#server = new MeshServer({
+      maxBufferedBytes: 16_777_216,
       address: { host: "127.0.0.1", port: meshPort },
       onFrames: (_link, frames) => this.received.push(...frames),
       onClosed: () => {},
@@ -98,6 +100,7 @@
     const address = `127.0.0.1:${proxyPort}`;
     members.replace("warehouse", [createAnnouncement(address)]);
     this.calls = new EntryCalls({
+      memory: MEMORY,
       dataCentre: "a",
       members,
       budget: { ratio: 0.2, slack: 1_000, windowS: 10 },
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { expect } from "chai";
+import { MEMORY } from "./gate_fakes.ts";
 import { request } from "undici";
 import { findPort } from "../../../../standin/ports.ts";
 import type { Route } from "../../routes/common/route_table.ts";
@@ -120,6 +121,7 @@
     };
     this.url = `http://127.0.0.1:${port}/`;
     this.server = new CallerServer({
+      memory: MEMORY,
       address: { host: "127.0.0.1", port },
       dialect: DIALECT,
       startCall: (entry, _service, onResult) => {
--- a/src/engine/relay/test/endless_answers_test.ts
+++ b/src/engine/relay/test/endless_answers_test.ts
@@ -7,6 +7,8 @@
 import { BackendClient } from "../node/backend_client.ts";
 import type { BackendResult } from "../node/backend_client.ts";
 
+/** Memory of all answers that are being read. */
+const MAX_HELD_BYTES = 33_554_432;
 const PART_BYTES = 65_536;
 const TICK_MS = 20;
 /** Longest time until the connection is closed. */
@@ -43,7 +45,10 @@
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const client = new BackendClient({ ip: "127.0.0.1", port }, 1);
+  const client = new BackendClient({ ip: "127.0.0.1", port }, {
+    connections: 1,
+    maxHeldBytes: MAX_HELD_BYTES,
+  });
   const tick = setInterval(
     () => client.checkProgress(performance.now()),
     TICK_MS,
@@ -138,7 +143,10 @@
       server.listen(0, "127.0.0.1", resolve)
     );
     const { port } = server.address() as AddressInfo;
-    const client = new BackendClient({ ip: "127.0.0.1", port }, CONCURRENT);
+    const client = new BackendClient({ ip: "127.0.0.1", port }, {
+      connections: CONCURRENT,
+      maxHeldBytes: MAX_HELD_BYTES,
+    });
     const results = await Promise.all(
       Array.from(
         { length: CONCURRENT },
@@ -161,7 +169,7 @@
     const reasons = results.map((result) =>
       result.type === "Broken" ? result.reason : result.type
     );
-    expect(reasons).to.include("answers without a length are too long");
+    expect(reasons).to.include("the answers in progress take too much memory");
   });
 
   // Guards against a head that is awaited until the deadline.
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -1,5 +1,6 @@
 /** Calls at the entry, over links whose other end may go silent. */
 import { expect } from "chai";
+import { MEMORY } from "./gate_fakes.ts";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
 import { computeDrainTimes } from "../common/drain_decision.ts";
 import type { DrainTimes } from "../common/drain_decision.ts";
@@ -30,6 +31,7 @@
     const { members } = this;
     members.replace("warehouse", addresses.map((at) => createAnnouncement(at)));
     this.calls = new EntryCalls({
+      memory: MEMORY,
       dataCentre: "a",
       members,
       budget: { ratio: 0.2, slack: 1_000, windowS: 10 },
--- a/src/engine/relay/test/entry_suspects_test.ts
+++ b/src/engine/relay/test/entry_suspects_test.ts
@@ -1,5 +1,6 @@
 /** Requests at their entry that end the backend servers that run them. */
 import { expect } from "chai";
+import { MEMORY } from "./gate_fakes.ts";
 import type { CallOpened, MeshFrame } from "../../mesh/common/frames.ts";
 import type { CrashKnowledge } from "../../quarantine/common/crash_knowledge.ts";
 import type { EntryRequest, EntryResult } from "../common/entry_types.ts";
@@ -27,6 +28,7 @@
     const { members } = this;
     members.replace(SERVICE, MEMBERS.map((at) => createMember(at, "i-1")));
     this.calls = new EntryCalls({
+      memory: MEMORY,
       dataCentre: "a",
       members,
       budget: { ratio: 0.2, slack: 1_000, windowS: 10 },
--- a/src/engine/relay/test/gate_crashes_test.ts
+++ b/src/engine/relay/test/gate_crashes_test.ts
@@ -8,7 +8,7 @@
 import type { SuspectOutcome } from "../common/suspect_refusal.ts";
 import { GateCalls } from "../node/gate_calls.ts";
 import { createCrashKnowledge } from "./crash_fakes.ts";
-import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { createBackend, createCall, DIALECT, MEMORY } from "./gate_fakes.ts";
 
 const SERVICE = "warehouse";
 const SLOTS = 16;
@@ -67,6 +67,7 @@
   const knowledge = createCrashKnowledge();
   const outcomes: SuspectOutcome[] = [];
   const gate = new GateCalls({
+    memory: MEMORY,
     dialect: DIALECT,
     getDrainTimes: () => undefined,
     readClock: () => 1_000,
--- a/src/engine/relay/test/gate_fakes.ts
+++ b/src/engine/relay/test/gate_fakes.ts
@@ -2,8 +2,12 @@
 import type { CallOpened } from "../../mesh/common/frames.ts";
 import type { CallDialect } from "../common/dialect.ts";
 import { EMPTY_STATEMENT } from "../common/backend_notice.ts";
+import { computeMemoryShares } from "../common/memory_shares.ts";
 import type { LocalBackend } from "../common/local_backend.ts";
 
+/** The limits of a process of 350 MB. */
+export const MEMORY = computeMemoryShares(350 * 1_048_576);
+
 /** A dialect that adds no headers. */
 export const DIALECT: CallDialect = {
   readRequestMetadata: () => ({
--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -13,7 +13,7 @@
 import { expect } from "chai";
 import type { MeshFrame } from "../../mesh/common/frames.ts";
 import { GateCalls } from "../node/gate_calls.ts";
-import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { createBackend, createCall, DIALECT, MEMORY } from "./gate_fakes.ts";
 import { createCrashKnowledge } from "./crash_fakes.ts";
 
 /** Time in which a request that is sent in error would arrive. */
@@ -64,6 +64,7 @@
   readonly frames: MeshFrame[] = [];
   readonly backend = new ManualBackend();
   readonly gate = new GateCalls({
+    memory: MEMORY,
     dialect: DIALECT,
     getDrainTimes: () => undefined,
     readClock: () => this.nowMs,
--- a/src/engine/relay/test/lost_answers_test.ts
+++ b/src/engine/relay/test/lost_answers_test.ts
@@ -6,7 +6,7 @@
 import { expect } from "chai";
 import type { MeshFrame } from "../../mesh/common/frames.ts";
 import { GateCalls } from "../node/gate_calls.ts";
-import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { createBackend, createCall, DIALECT, MEMORY } from "./gate_fakes.ts";
 import { createCrashKnowledge } from "./crash_fakes.ts";
 
 const SLOTS = 20;
@@ -61,6 +61,7 @@
 
 function openGate(port: number, readClock: () => number): GateCalls {
   const gate = new GateCalls({
+    memory: MEMORY,
     dialect: DIALECT,
     getDrainTimes: () => undefined,
     readClock,
--- a/src/engine/relay/test/open_gate.ts
+++ b/src/engine/relay/test/open_gate.ts
@@ -2,11 +2,12 @@
 import { GateCalls } from "../node/gate_calls.ts";
 import type { GateCallsOptions } from "../node/gate_options.ts";
 import { createCrashKnowledge } from "./crash_fakes.ts";
-import { DIALECT } from "./gate_fakes.ts";
+import { DIALECT, MEMORY } from "./gate_fakes.ts";
 
 /** Opens a gate that has no backend server yet; it logs and counts nothing. */
 export function openGate(options: Partial<GateCallsOptions>): GateCalls {
   return new GateCalls({
+    memory: MEMORY,
     dialect: DIALECT,
     getDrainTimes: () => undefined,
     readClock: () => 1_000,
