Move the decisions on announcements into the relay, and describe them

The adapter keeps the platform's words: it decodes heartbeats and asks servers for their ids. What follows from these is the product's to decide.

--- a/platform/announcement_claim.ts
+++ b/src/engine/relay/common/announcement_claim.ts
@@ -4,12 +4,11 @@
  * VM's own backend server; an announcement that can't be its own changes
  * nothing.
  */
-import { isSameEndpoint } from "../src/base/common/ip_endpoint.ts";
-import type { IpEndpoint } from "../src/base/common/ip_endpoint.ts";
+import { isSameEndpoint } from "../../../base/common/ip_endpoint.ts";
+import type { IpEndpoint } from "../../../base/common/ip_endpoint.ts";
 import { hasLeft, isPastInstance, isSameProcess } from "./backend_history.ts";
 import type { BackendHistory } from "./backend_history.ts";
-import type { Heartbeat } from "./heartbeat.ts";
-import type { InstanceAnswer } from "./instance_query.ts";
+import type { Heartbeat, InstanceAnswer } from "./backend_announcement.ts";
 
 /** The backend server of a VM, as its settings name it. */
 export interface OwnBackend {
--- a/platform/backend_history.ts
+++ b/src/engine/relay/common/backend_history.ts
@@ -2,10 +2,10 @@
  * Tracks which process instance of the backend server is current from its
  * heartbeats and departures, which may arrive late or out of order.
  */
-import type { LocalBackend } from "../src/engine/relay/common/local_backend.ts";
+import type { LocalBackend } from "./local_backend.ts";
 import { isProvedAlive, observeEarlierInstance } from "./earlier_instance.ts";
 import type { EarlierInstance } from "./earlier_instance.ts";
-import type { Departure, Heartbeat } from "./heartbeat.ts";
+import type { Departure, Heartbeat } from "./backend_announcement.ts";
 
 /** Identifies one process of a backend server, from its start to its end. */
 export interface ProcessInstance {
@@ -196,7 +196,7 @@
       // An instance that drains never returns to service.
       isDraining: heartbeat.isDraining ||
         (isSame && current.isDraining),
-      warmUntilMs: nowMs + heartbeat.warmUpLeftMs,
+      warmUntilMs: nowMs + heartbeat.remainingWarmUpMs,
     },
     sequence: heartbeat.sequence,
     pastInstances: removeInstance(
--- a/platform/earlier_instance.ts
+++ b/src/engine/relay/common/earlier_instance.ts
@@ -2,7 +2,7 @@
  * Decides when a process instance that started before the newest known one by
  * its wall clock is really newer: the clock may have been set back in between.
  */
-import type { Heartbeat } from "./heartbeat.ts";
+import type { Heartbeat } from "./backend_announcement.ts";
 
 /** An instance with an earlier start time whose heartbeats are observed. */
 export interface EarlierInstance {
@@ -15,9 +15,8 @@
 }
 
 /**
- * Longest delay of a heartbeat, in milliseconds. The platform's may be seconds
- * late; after a step of the clock, a new instance has to be in use within the
- * 15 s of the platform's `recoveryS`.
+ * Longest delay of a heartbeat, in milliseconds. They may be seconds late; after a
+ * step of the clock, a new instance has to be in use within 15 s.
  */
 export const MAX_HEARTBEAT_DELAY_MS = 10_000;
 
