--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -66,6 +66,7 @@
 const POLL_INTERVAL_MS = 20;
 /** Senders of refused announcements that are remembered, to log each once. */
 const MAX_REFUSED_SENDERS = 64;
+const MAX_LOGGED_ID_LENGTH = 64;
 /**
  * Longest time that a drain waits for callers to close their ends of idle
  * connections, in milliseconds. Bytes that arrive after the process has ended
@@ -326,7 +327,8 @@
     { cause, reason }: { readonly cause: string; readonly reason: string },
   ): void {
     const event = "AnnouncementRefused";
-    const sender = `${instanceId} ${cause}`;
+    const id = instanceId.slice(0, MAX_LOGGED_ID_LENGTH);
+    const sender = `${id} ${cause}`;
     if (this.#refusedSenders.has(sender)) {
       this.#telemetry.metrics.countDecision(event, cause);
       return;
@@ -335,7 +337,7 @@
       this.#refusedSenders.clear();
     }
     this.#refusedSenders.add(sender);
-    const line = { instanceId, reason: cause, detail: reason };
+    const line = { instanceId: id, reason: cause, detail: reason };
     this.#log.write({ event, isFailure: true, ...line });
   }
 
