Remove a bound that bounded nothing, and test the one that does

Read again: limitUnreadBody listened to a body that Node.js drops without events once its answer is written, so it counted nothing.

--- a/src/base/node/body_reader.ts
+++ b/src/base/node/body_reader.ts
@@ -80,23 +80,6 @@
   });
 }
 
-/**
- * Bounds the work of reading the body of a request that is answered without it,
- * which Node.js reads and drops.
- */
-export function limitUnreadBody(
-  request: IncomingMessage,
-  response: ServerResponse,
-): void {
-  if (hasBody(request)) {
-    response.once("finish", () => {
-      if (!request.complete) {
-        dropRest(request, new PieceMeter(readSteadyMs));
-      }
-    });
-  }
-}
-
 /** Closes the connection of a request as soon as its answer is written. */
 export function closeAfter(
   request: IncomingMessage,
--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -1,10 +1,6 @@
 /** The HTTP listener for operators, in both roles. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import {
-  closeAfter,
-  limitUnreadBody,
-  readBody,
-} from "../base/node/body_reader.ts";
+import { closeAfter, readBody } from "../base/node/body_reader.ts";
 import { listen, type ListenAddress } from "../base/node/listen.ts";
 import { ServedConnections } from "../base/node/served_connections.ts";
 import { createServer } from "../base/node/tls.ts";
@@ -63,7 +59,6 @@
     const server = { tls, isMutual: false };
     this.#server = createServer(server, (request, response) => {
       if (this.#connections.accept(request, response)) {
-        limitUnreadBody(request, response);
         this.#handleRequest(request, response).catch(() => response.destroy());
       }
     });
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -7,11 +7,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
-import {
-  closeAfter,
-  limitUnreadBody,
-  readBody,
-} from "../../../base/node/body_reader.ts";
+import { closeAfter, readBody } from "../../../base/node/body_reader.ts";
 import { listen } from "../../../base/node/listen.ts";
 import {
   closeListener,
@@ -276,7 +272,6 @@
       request.resume();
       return;
     }
-    limitUnreadBody(request, response);
     this.#openCount += 1;
     const exchange: Exchange = {
       request,
