Decide apart on requests of many callers for one resource

Callers of one popular resource were all refused, or all admitted, for up to 8 s at each entry while a service on its path was under pressure.

Cause: the draw that decides comes from the content of a request, so that a client's repeats are decided alike, and equal contents were all taken for repeats. The share to refuse became all or nothing; after a pause of the processes the pressure went to and fro until the end, and the token buckets were full in between.

The draw moves to root_draws.ts; the imports of root_admission_test.ts follow, its checks are as they were.

--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -2,11 +2,7 @@
  * Admission of root requests at their entry node. A root request is one that no
  * backend server made. While a service on its call path is under pressure, a
  * share of these requests is refused, the least urgent first: otherwise work
- * would be started that fails midway.
- */
-import { hashBytes, hashText } from "../../../base/common/hash.ts";
-
-/** Largest share of a rank that is refused before more urgent ranks are. */
+ * would be started thatX share of a rank that is refused before more urgent ranks are. */
 const MAX_REFUSED_SHARE = 0.85;
 /**
  * Lower bound of the admission ratio of a rank, relative to the ratio over all
@@ -16,14 +12,6 @@
 const MIN_RELATIVE_ADMISSION = 0.4;
 /** A request's weight in the admission ratio halves in this time. */
 const HALF_LIFE_MS = 5_000;
-/**
- * For this time a repeated request gets the same draw, and at the same pressure
- * the same decision: a client doesn't get in by repeating a request at once.
- */
-const DRAW_PERIOD_MS = 8_000;
-/** Leading bytes of a body that are hashed; hashing all would cost more. */
-const HASHED_BYTES = 1_024;
-const HASH_RANGE = 0x1_0000_0000;
 /**
  * Part of the pressure range in which only the least urgent rank is refused.
  */
@@ -86,23 +74,3 @@
     this.#updatedAtMs = nowMs;
   }
 }
-
-/**
- * Draws a number from 0 to 1 for a request, derived from its content and the
- * period and not from its id, since each repeat has a new id. Periods of
- * different requests end at different times.
- */
-export function drawForRequest(
-  request: {
-    readonly route: string;
-    readonly target: string;
-    readonly body: Uint8Array;
-  },
-  nowMs: number,
-): number {
-  const { route, target, body } = request;
-  const content = `${body.length} ${hashBytes(body.subarray(0, HASHED_BYTES))}`;
-  const phase = hashText(`${route} ${target} ${content}`) / HASH_RANGE;
-  const period = Math.floor(nowMs / DRAW_PERIOD_MS + phase);
-  return hashText(`${period} ${target} ${content} ${route}`) / HASH_RANGE;
-}
--- a/src/engine/relay/common/root_decision.ts
+++ b/src/engine/relay/common/root_decision.ts
@@ -6,11 +6,8 @@
 import type { EntryRequest } from "./entry_types.ts";
 import type { Bottleneck } from "./member.ts";
 import type { MemberTable } from "./member_table.ts";
-import {
-  AdmittedShare,
-  drawForRequest,
-  isRootRefused,
-} from "./root_admission.ts";
+import { AdmittedShare, isRootRefused } from "./root_admission.ts";
+import { RootDraws } from "./root_draws.ts";
 import { RootPlan } from "./root_plan.ts";
 
 /** Decision on a root request. */
@@ -28,6 +25,8 @@
   readonly members: Pick<MemberTable, "findBottleneck" | "computePathPressure">;
   /** Returns the least urgent rank of the routes in force. */
   readonly getLastRank: () => number;
+  /** Returns random numbers from 0 to 1. */
+  readonly draw: () => number;
 }
 
 const ADMIT: RootDecision = { type: "Admit" };
@@ -37,9 +36,11 @@
   readonly #options: RootDecisionsOptions;
   readonly #admittedShare = new AdmittedShare();
   readonly #plan = new RootPlan();
+  readonly #draws: RootDraws;
 
   constructor(options: RootDecisionsOptions) {
     this.#options = options;
+    this.#draws = new RootDraws(options.draw);
   }
 
   /** Decides whether a root request for a service is admitted. */
@@ -61,7 +62,7 @@
       { service, ratio, costMs, ...kind },
       arrivedAtMs,
     );
-    return share >= 1 || drawForRoot(request) < share ? ADMIT : {
+    return share >= 1 || this.#drawFor(request) < share ? ADMIT : {
       type: "Refuse",
       reason: "capacity",
       inputs: { bottleneck: service, ratio, costMs, share },
@@ -83,14 +84,14 @@
       pressure,
       admittedShare: this.#admittedShare.value,
     };
-    const draw = drawForRoot(request);
+    const draw = this.#drawFor(request);
     const isRefused = isRootRefused({ rank, draw, ...inputs });
     this.#admittedShare.record(!isRefused, arrivedAtMs);
     return isRefused ? { type: "Refuse", reason: "pressure", inputs } : ADMIT;
   }
-}
 
-function drawForRoot(request: EntryRequest): number {
-  const { route, target, body, arrivedAtMs } = request;
-  return drawForRequest({ route: route.name, target, body }, arrivedAtMs);
+  #drawFor({ route, target, body, arrivedAtMs }: EntryRequest): number {
+    const content = { route: route.name, target, body };
+    return this.#draws.drawFor(content, arrivedAtMs);
+  }
 }
--- a/src/engine/relay/test/root_admission_test.ts
+++ b/src/engine/relay/test/root_admission_test.ts
@@ -4,9 +4,9 @@
 import {
   AdmittedShare,
   computeRefusedShare,
-  drawForRequest,
   isRootRefused,
 } from "../common/root_admission.ts";
+import { drawForRequest } from "../common/root_draws.ts";
 
 describe("root requests", () => {
   const share = (rank: number, pressure: number) =>
