Hold the refusal of waiting calls at a change of service by a test

A call whose body still arrives is refused by the first alone: the new test fails without it (trial). The comparison is the second line behind it and can't be reached while the first stands.

--- a/src/engine/relay/test/gate_calls_test.ts
+++ b/src/engine/relay/test/gate_calls_test.ts
@@ -119,6 +119,19 @@
       .to.deep.equal(["other_service"]);
     expect(gate.readLoad().running).to.equal(0);
   });
+
+  // Guards against callers that send a whole body before they are refused.
+  it("are refused at once while their bodies arrive", async () => {
+    await using gate = openGateAt(9);
+    const frames: MeshFrame[] = [];
+    const incomplete = createCall(1, { bodyBytes: 4_000 });
+    gate.receive("1", incomplete, (frame) => frames.push(frame));
+    const next = { ...createBackend(9, 2_000), service: "ledger" };
+    gate.changeBackend({ ...next, instanceId: "i-2" });
+    expect(frames.map((frame) => "reason" in frame && frame.reason))
+      .to.deep.equal(["other_service"]);
+    expect(gate.openCount).to.equal(0);
+  });
 });
 
 describe("calls of one message", () => {
