--- a/src/engine/relay/common/root_admission.ts
+++ b/src/engine/relay/common/root_admission.ts
@@ -2,7 +2,10 @@
  * Admission of root requests at their entry node. A root request is one that no
  * backend server made. While a service on its call path is under pressure, a
  * share of these requests is refused, the least urgent first: otherwise work
- * would be started thatX share of a rank that is refused before more urgent ranks are. */
+ * would be started that fails midway.
+ */
+
+/** Largest share of a rank that is refused before more urgent ranks are. */
 const MAX_REFUSED_SHARE = 0.85;
 /**
  * Lower bound of the admission ratio of a rank, relative to the ratio over all
--- a/src/engine/relay/common/root_draws.ts
+++ b/src/engine/relay/common/root_draws.ts
@@ -14,7 +14,7 @@
   readonly body: Uint8Array;
 }
 
-/** For this time the repeats of a request get the same draw. */
+/** Time in which the repeats of a request get the same draw. */
 export const DRAW_PERIOD_MS = 8_000;
 /** Requests of one content in a period that may all be one client's. */
 const MAX_REPEATS = 16;
@@ -32,7 +32,7 @@
   #lastCounts: ReadonlyMap<number, number> = new Map();
   #period = 0;
 
-  /** `draw` returns random numbers from 0 to 1. */
+  /** `draw` returns a random number from 0 to 1. */
   constructor(draw: () => number) {
     this.#draw = draw;
   }
