Open gates of two older tests by the shared function

gate_left_test and lost_answers_test listed all options of a gate themselves; openGate has the same values, and what they set differently is passed in. Their checks are as they were: 23 tests of these and the root requests pass.

--- a/src/engine/relay/test/gate_left_test.ts
+++ b/src/engine/relay/test/gate_left_test.ts
@@ -12,9 +12,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import type { MeshFrame } from "../../mesh/common/frames.ts";
-import { GateCalls } from "../node/gate_calls.ts";
-import { createBackend, createCall, DIALECT, MEMORY } from "./gate_fakes.ts";
-import { createCrashKnowledge } from "./crash_fakes.ts";
+import { createBackend, createCall } from "./gate_fakes.ts";
+import { openGate } from "./open_gate.ts";
 
 /** Time in which a request that is sent in error would arrive. */
 const SETTLE_MS = 100;
@@ -63,26 +62,9 @@
   nowMs = 1_000;
   readonly frames: MeshFrame[] = [];
   readonly backend = new ManualBackend();
-  readonly gate = new GateCalls({
-    memory: MEMORY,
-    dialect: DIALECT,
-    getDrainTimes: () => undefined,
+  readonly gate = openGate({
     readClock: () => this.nowMs,
-    log: { write: () => {} },
-    loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
-    isRoomMeasured: () => false,
     maxConnections: () => 1,
-    getObjectiveMs: () => 500,
-    recordRun: () => {},
-    recordArrival: () => {},
-    recordLimitedCall: () => {},
-    onBackendLeaving: () => {},
-    onBackendLost: () => {},
-    ingress: "a:1",
-    crashes: createCrashKnowledge(),
-    countEnd: () => {},
-    countSuspect: () => {},
-    countProof: () => {},
   });
 
   static async open(): Promise<BusyGate> {
--- a/src/engine/relay/test/lost_answers_test.ts
+++ b/src/engine/relay/test/lost_answers_test.ts
@@ -5,9 +5,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import type { MeshFrame } from "../../mesh/common/frames.ts";
-import { GateCalls } from "../node/gate_calls.ts";
-import { createBackend, createCall, DIALECT, MEMORY } from "./gate_fakes.ts";
-import { createCrashKnowledge } from "./crash_fakes.ts";
+import type { GateCalls } from "../node/gate_calls.ts";
+import { createBackend, createCall } from "./gate_fakes.ts";
+import { openGate } from "./open_gate.ts";
 
 const SLOTS = 20;
 /** More than half of the slots, and far from all. */
@@ -59,27 +59,11 @@
   }
 }
 
-function openGate(port: number, readClock: () => number): GateCalls {
-  const gate = new GateCalls({
-    memory: MEMORY,
-    dialect: DIALECT,
-    getDrainTimes: () => undefined,
+function openGateAt(port: number, readClock: () => number): GateCalls {
+  const gate = openGate({
     readClock,
-    log: { write: () => {} },
-    loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
-    isRoomMeasured: () => false,
     maxConnections: () => SLOTS,
     getObjectiveMs: () => CALL_TIMEOUT_MS,
-    recordRun: () => {},
-    recordArrival: () => {},
-    recordLimitedCall: () => {},
-    onBackendLeaving: () => {},
-    onBackendLost: () => {},
-    ingress: "a:1",
-    crashes: createCrashKnowledge(),
-    countEnd: () => {},
-    countSuspect: () => {},
-    countProof: () => {},
   });
   gate.changeBackend({ ...createBackend(port), slots: SLOTS });
   return gate;
@@ -91,7 +75,7 @@
     let nowMs = 1_000;
     let nextCall = 1;
     await using backend = new ManualBackend();
-    await using gate = openGate(await backend.open(), () => nowMs);
+    await using gate = openGateAt(await backend.open(), () => nowMs);
     const run = () =>
       new Promise<MeshFrame["type"]>((resolve) => {
         const deadlineMs = nowMs + CALL_TIMEOUT_MS;
