--- a/src/engine/relay/common/root_draws.ts
+++ b/src/engine/relay/common/root_draws.ts
@@ -64,20 +64,16 @@
   }
 }
 
-/**
- * Draws a number from 0 to 1 for a request, derived from its content and the
- * period and not from its id, since each repeat has a new id. Periods of
- * different requests end at different times.
- */
-export function drawForRequest(request: DrawnRequest, nowMs: number): number {
-  return drawForContent(describeContent(request), nowMs);
-}
-
 function describeContent({ route, target, body }: DrawnRequest): string {
   const hash = hashBytes(body.subarray(0, HASHED_BYTES));
   return `${target} ${body.length} ${hash} ${route}`;
 }
 
+/**
+ * Draws a number from 0 to 1, derived from the content and the period and not
+ * from the id of a request, since each repeat has a new id. Periods of different
+ * contents end at different times.
+ */
 function drawForContent(content: string, nowMs: number): number {
   const phase = hashText(content) / HASH_RANGE;
   const period = Math.floor(nowMs / DRAW_PERIOD_MS + phase);
--- a/src/engine/relay/test/root_admission_test.ts
+++ b/src/engine/relay/test/root_admission_test.ts
@@ -6,7 +6,7 @@
   computeRefusedShare,
   isRootRefused,
 } from "../common/root_admission.ts";
-import { drawForRequest } from "../common/root_draws.ts";
+import { RootDraws } from "../common/root_draws.ts";
 
 describe("root requests", () => {
   const share = (rank: number, pressure: number) =>
@@ -84,6 +84,12 @@
 describe("repeats of a request", () => {
   const body = new Uint8Array([1, 2, 3]);
   const request = { route: "lookup", target: "/a/7f3a", body };
+  const failDraw = () => expect.fail("a repeat was drawn anew");
+  let draws: RootDraws;
+
+  beforeEach(() => {
+    draws = new RootDraws(failDraw);
+  });
 
   const underPressure = {
     rank: 2,
@@ -97,7 +103,7 @@
     const clients = Array.from({ length: 2_000 }, (_, i) => `/a/${i}`);
     const admitted = clients.filter((target) =>
       Array.from({ length: tries }, (_, n) => n * 20).some((nowMs) => {
-        const draw = drawForRequest({ ...request, target }, nowMs);
+        const draw = draws.drawFor({ ...request, target }, nowMs);
         return !isRootRefused({ ...underPressure, draw });
       })
     );
@@ -111,14 +117,14 @@
 
   it("are distinguished from other requests by their content", () => {
     const other = new Uint8Array([1, 2, 4]);
-    expect(drawForRequest({ ...request, body: other }, 0))
-      .not.to.equal(drawForRequest(request, 0));
-    expect(drawForRequest(request, 0)).to.equal(drawForRequest(request, 20));
+    expect(draws.drawFor({ ...request, body: other }, 0))
+      .not.to.equal(draws.drawFor(request, 0));
+    expect(draws.drawFor(request, 0)).to.equal(draws.drawFor(request, 20));
   });
 
   it("get a new draw after some seconds, so that none is refused for ever", () => {
-    const draws = [0, 9_000, 18_000, 27_000]
-      .map((nowMs) => drawForRequest(request, nowMs));
-    expect(new Set(draws).size).to.equal(4);
+    const values = [0, 9_000, 18_000, 27_000]
+      .map((nowMs) => draws.drawFor(request, nowMs));
+    expect(new Set(values).size).to.equal(4);
   });
 });
--- a/src/engine/relay/test/root_decision_test.ts
+++ b/src/engine/relay/test/root_decision_test.ts
@@ -3,7 +3,7 @@
 import { createRandom } from "../../../base/test/seeded_random.ts";
 import { RootDecisions } from "../common/root_decision.ts";
 import type { RootDecisionsOptions } from "../common/root_decision.ts";
-import { DRAW_PERIOD_MS } from "../common/root_draws.ts";
+import { DRAW_PERIOD_MS, RootDraws } from "../common/root_draws.ts";
 import { createEntryRequest } from "./requests.ts";
 
 const SERVICE = "warehouse";
@@ -91,3 +91,20 @@
     });
   }
 });
+
+describe("the draws of root requests", () => {
+  // Guards against memory that grows with the contents that callers make up.
+  it("count a bounded number of contents", () => {
+    const failDraw = () => expect.fail("a content too many was counted");
+    const draws = new RootDraws(failDraw);
+    const body = new Uint8Array();
+    const drawFor = (target: string) =>
+      draws.drawFor({ route: "lookup", target, body }, 0);
+    for (let n = 0; n < 10_000; n += 1) {
+      drawFor(`/${n}`);
+    }
+    const values = Array.from({ length: 100 }, () => drawFor("/popular"));
+    expect(new Set(values).size).to.equal(1);
+    expect(values[0]).to.be.within(0, 1);
+  });
+});
