Log what replicas decide on the routes, and what nodes put in force

Operators reported changes that were acknowledged and not in force, and nothing could be told from the logs: three replicas wrote not one line of a change accepted, refused or read, and nodes none of routes that they ignored.

Replicas now write RoutesChangeAccepted, RoutesChangeRefused (invalid, conflicted, outdated, no quorum, outcome unknown), RoutesApplied and RoutesNotApplied at every replica with the index and term of the entry, RoutesRead and RoutesReadRefused. The reducer emits the effect RecordRoutes, and the answer to an edit carries its entry, also when the leader is another replica. Nodes name in RoutesInForce the replica, the digest, the number of routes and the time since the start, and write RoutesSetAside once for each replica and version. Each line is limited to 20 a second and event.

A table carries the digest of its text, so no process computes it again, and an answer to a heartbeat the version of the replica's routes, so that a node knows the age of its own. Earlier builds ignore the three new fields. Counters of changes and reads by outcome and of versions in force, and gauges of the version at replicas and of the age at nodes, go with the lines.

The sentence on an undefined service no longer quotes its name, which may be a key in the wrong field: the test found it in the new line.

Two tests compared whole messages and now expect the added fields as well.

--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -46,7 +46,9 @@
   createCluster,
   listPeers,
 } from "./cluster_links.ts";
+import { registerControlGauges } from "./control_gauges.ts";
 import { ControlRequests } from "./control_requests.ts";
+import { LineLog } from "./line_log.ts";
 import { OperatorServer } from "./operator_server.ts";
 import type {
   OperatorAnswer,
@@ -55,6 +57,8 @@
 } from "./operator_server.ts";
 import { parseQuarantineOrder } from "./quarantine_body.ts";
 import { ReplicaDisk } from "./replica_disk.ts";
+import { RoutesLog } from "./routes_log.ts";
+import type { InvalidRoutes } from "./routes_log.ts";
 import { reportSecurity } from "./security.ts";
 import type { Security } from "./security.ts";
 import type { ControlSettings } from "./settings.ts";
@@ -91,6 +95,7 @@
   readonly #replicaLinks: ReplicaLinks;
   readonly #clusterLinks: ClusterLinks;
   readonly #requests: ControlRequests;
+  readonly #routesLog: RoutesLog;
   readonly #operatorServer: OperatorServer;
 
   constructor(options: ControlDaemonOptions) {
@@ -124,7 +129,9 @@
     });
     this.#requests = new ControlRequests(dispatch);
     this.#operatorServer = this.#disposables.use(this.#createOperatorServer());
-    this.#registerGauges();
+    registerControlGauges(this.#telemetry.metrics, () => this.#loop.state);
+    this.#routesLog = this.#createRoutesLog();
+    this.#routesLog.recordRestored();
     this.#reportDataFolder(folder);
   }
 
@@ -140,18 +147,28 @@
 
   /** Replaces the routes; resolves when the edit is committed or refused. */
   replaceRoutes(editId: string, change: ReplaceRoutes): Promise<EditResult> {
-    return this.#requests.replaceRoutes(editId, change);
+    return this.#routesLog.observeChange(
+      { editId, change },
+      () => this.#requests.replaceRoutes(editId, change),
+    );
   }
 
   /**
    * Reads the routes; undefined if no quorum confirmed that they are current.
    */
   readRoutes(): Promise<RouteDocument | undefined> {
-    return this.#requests.readConfirmed(
-      () => this.#loop.state.replication.tableState.document,
+    return this.#routesLog.observeRead(() =>
+      this.#requests.readConfirmed(
+        () => this.#loop.state.replication.tableState.document,
+      )
     );
   }
 
+  /** Logs that a change of the routes was refused as invalid. */
+  reportInvalidRoutes(invalid: InvalidRoutes): void {
+    this.#routesLog.recordInvalid(invalid);
+  }
+
   /** Adds control replicas that the reloaded settings name as seeds. */
   addSeeds(seeds: readonly string[]): void {
     this.#telemetry.log.info({ seeds: [...seeds] }, "SettingsRead");
@@ -222,9 +239,25 @@
       case "RecordEvent":
         this.#telemetry.record(effect.event);
         return;
+      case "RecordRoutes":
+        this.#routesLog.record(effect.record);
+        return;
     }
   }
 
+  #createRoutesLog(): RoutesLog {
+    const { log, metrics } = this.#telemetry;
+    return new RoutesLog({
+      log: new LineLog(
+        log,
+        (event, outcome) => metrics.countDecision(event, outcome),
+      ),
+      readState: () => this.#loop.state.replication,
+      countChange: (outcome) => metrics.countRoutesChange(outcome),
+      countRead: (outcome) => metrics.countRoutesRead(outcome),
+    });
+  }
+
   /** Creates the trace recorder if the settings name a trace file. */
   #createObserver(start: ReplicationOptions) {
     const { trace } = this.#settings;
@@ -371,58 +404,6 @@
     };
   }
 
-  #registerGauges(): void {
-    const { metrics } = this.#telemetry;
-    const readState = () => this.#loop.state;
-    metrics.addGauge(
-      "table_version",
-      "Version of the table",
-      () => readState().replication.tableState.table.version,
-    );
-    metrics.addLabelledGauge("recorded_requests", {
-      description: "Requests with evidence that they end backend servers",
-      label: "service",
-      read: () =>
-        [...readState().replication.crashes].map(([service, record]) =>
-          [service, record.size] as const
-        ),
-    });
-    metrics.addGauge(
-      "members",
-      "Nodes whose lease runs",
-      () => readState().control.membership.members.size,
-    );
-    metrics.addGauge(
-      "table_confirmed",
-      "Whether a quorum vouched for the table lately (1 or 0)",
-      () => readState().control.isTableConfirmed ? 1 : 0,
-    );
-    metrics.addGauge(
-      "silent_replicas",
-      "Other control replicas that are not heard",
-      () =>
-        [...readState().replication.peers.values()]
-          .filter((peer) => peer.isSilent).length,
-    );
-    metrics.addLabelledGauge("replica_silent", {
-      description: "Whether another control replica is not heard (1 or 0)",
-      label: "replica",
-      read: () =>
-        [...readState().replication.peers]
-          .map(([id, peer]) => [id, peer.isSilent ? 1 : 0]),
-    });
-    metrics.addGauge(
-      "consensus_term",
-      "Term of the replicated log",
-      () => readState().replication.consensus.term,
-    );
-    metrics.addGauge(
-      "commit_index",
-      "Index up to which the replicated log is committed",
-      () => readState().replication.consensus.commitIndex,
-    );
-  }
-
   #reportDataFolder({ replicaId, isNew, cutBytes }: DataFolder): void {
     const { log } = this.#telemetry;
     log.info({ replicaId, isNew }, "Data folder is open");
--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -13,6 +13,8 @@
 import type { RouteTable } from "../engine/routes/common/route_table.ts";
 import type { QuotaGate } from "../engine/workspaces/common/quota_gate.ts";
 import type { KeyAccess } from "../engine/workspaces/common/key_access.ts";
+import { RelayRoutesLog } from "./relay_routes_log.ts";
+import type { ReceivedRoutes } from "./relay_routes_log.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 
 /** Options of the control link of a relay node. */
@@ -36,6 +38,8 @@
   readonly onDeparture: (instance: string) => void;
   /** Called when newer routes have come into force. */
   readonly onRoutes: (routes: RouteTable) => void;
+  /** Counts a version of the routes that was put in force. */
+  readonly countRoutesVersion: () => void;
 }
 
 /**
@@ -55,6 +59,7 @@
 export class RelayControl implements AsyncDisposable {
   readonly #options: RelayControlOptions;
   readonly #link: LinkClient<ControlMessage, NodeMessage>;
+  readonly #routesLog: RelayRoutesLog;
   readonly #startedAtMs = readSteadyMs();
   readonly #subscribedServices = new Set<string>();
   #routes: RouteTable | undefined;
@@ -65,6 +70,12 @@
 
   constructor(options: RelayControlOptions) {
     this.#options = options;
+    const { log, countRoutesVersion: countVersion } = options;
+    this.#routesLog = new RelayRoutesLog({
+      log,
+      countVersion,
+      readClock: readSteadyMs,
+    });
     this.#announcement = createAnnouncement(options.settings);
     this.#link = this.#createLink();
   }
@@ -79,6 +90,14 @@
     return this.#routes?.version ?? 0;
   }
 
+  /**
+   * Time since a replica proved that the routes in force are the newest, in
+   * milliseconds; since the start of this node if none has.
+   */
+  get routesAgeMs(): number {
+    return this.#routesLog.ageMs;
+  }
+
   /** Whether any routes are in force. */
   get hasRoutes(): boolean {
     return this.#routes !== undefined;
@@ -163,12 +182,13 @@
       id,
       replicas,
       pace: linkPace,
-      onMessage: (message) => this.#receive(message),
+      onMessage: (message, replica) => this.#receive(message, replica),
       onOpen: (replica, linkNumber) => {
         this.#options.log.write({
           event: "ControlLinked",
           isFailure: false,
           replica,
+          ...this.#routesLog.createFields(),
         });
         this.#linkNumber = linkNumber;
         this.#announce(this.#announcement);
@@ -181,6 +201,7 @@
           event: "ControlLost",
           isFailure: true,
           replica,
+          ...this.#routesLog.createFields(),
         }),
       readConfirmed: (message) =>
         "isConfirmed" in message ? message.isConfirmed : undefined,
@@ -220,10 +241,10 @@
     });
   }
 
-  #receive(message: ControlMessage): void {
+  #receive(message: ControlMessage, replica: string): void {
     switch (message.type) {
       case "RoutesUpdate":
-        this.#receiveRoutes(message.routes, message.isConfirmed);
+        this.#receiveRoutes({ ...message, replica });
         return;
       case "RoutesProved":
         this.#receiveProof(message.number, message.routesVersion);
@@ -258,6 +279,9 @@
         this.#options.members.remove(message.service, message.nodeId);
         return;
       case "HeartbeatAnswer":
+        if (message.isConfirmed && message.routesVersion !== undefined) {
+          this.#routesLog.recordProof(message.routesVersion);
+        }
         if (message.replicas !== undefined) {
           this.#link.updateReplicas(message.replicas);
         }
@@ -272,6 +296,7 @@
 
   /** Ignores a proof of routes that are newer than those received here. */
   #receiveProof(number: number, routesVersion: number): void {
+    this.#routesLog.recordProof(routesVersion);
     if (this.routesVersion >= routesVersion) {
       this.#options.access.acceptProof(number);
       this.#options.onAccessUpdated();
@@ -307,20 +332,16 @@
    * Puts newer routes in force. The first ones must be confirmed, unless the
    * wait for a confirmation is over; a node never returns to older routes.
    */
-  #receiveRoutes(routes: RouteTable, isConfirmed: boolean): void {
+  #receiveRoutes(received: ReceivedRoutes): void {
+    const { routes, isConfirmed } = received;
     const isTrusted = isConfirmed || this.#routes !== undefined ||
       readSteadyMs() - this.#startedAtMs > UNCONFIRMED_ROUTES_WAIT_MS;
     const isNewer = routes.version > (this.#routes?.version ?? 0);
     if (!isTrusted || !isNewer) {
+      this.#routesLog.recordIgnored(received);
       return;
     }
-    this.#options.log.write({
-      event: "RoutesInForce",
-      isFailure: false,
-      version: routes.version,
-      before: this.#routes?.version,
-      isConfirmed,
-    });
+    this.#routesLog.recordInForce(received);
     this.#routes = routes;
     this.#objectives = new Map(
       routes.routes.map(({ name, objectiveMs }) => [name, objectiveMs]),
--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -271,6 +271,7 @@
               countRanks(workspaces.map(({ rank = 0 }) => rank)) - 1;
           this.#callers.replaceRoutes(routes);
         },
+        countRoutesVersion: () => metrics.countRoutesVersion(),
       }),
     );
     this.#operatorServer = this.#disposables.use(
@@ -474,6 +475,7 @@
       isReady: this.isReady,
       isDraining: this.#isStopping,
       routesVersion: this.#control.routesVersion,
+      routesAgeMs: Math.round(this.#control.routesAgeMs),
       backend: createBackendStatus(this.#gate.backend),
       notice: this.#gate.notice,
       tokens: this.#gate.tokens,
--- a/src/daemon/relay_operator.ts
+++ b/src/daemon/relay_operator.ts
@@ -23,6 +23,11 @@
   readonly isDraining: boolean;
   /** 0 before the first routes. */
   readonly routesVersion: number;
+  /**
+   * Time since a replica proved that these routes are the newest, in
+   * milliseconds; since the start if none has.
+   */
+  readonly routesAgeMs: number;
   readonly backend: BackendStatus | undefined;
   /** What the backend server says of itself; undefined if nothing is known. */
   readonly notice: BackendNotice | undefined;
@@ -182,6 +187,11 @@
     "Version of the routes in force",
     (status) => status.routesVersion,
   ],
+  [
+    "routes_age_ms",
+    "Time since the routes in force were confirmed as the newest",
+    (status) => status.routesAgeMs,
+  ],
   ["open_calls", "Calls of this node's callers without a final answer", (
     status,
   ) => status.openCalls],
--- a/src/engine/control/common/consensus_step.ts
+++ b/src/engine/control/common/consensus_step.ts
@@ -11,6 +11,7 @@
 import { reduceConsensus } from "../../consensus/common/consensus_reducer.ts";
 import type { Configuration } from "../../consensus/common/log_types.ts";
 import { applyEdit } from "../../table/common/table_reducer.ts";
+import type { TableEdit } from "../../table/common/table_reducer.ts";
 import type { TimelineEvent } from "../../telemetry/common/timeline_event.ts";
 import { commitEdit, retryEdit } from "./edit_requests.ts";
 import { removeProposal } from "./command_settling.ts";
@@ -28,6 +29,12 @@
   ReplicationState,
   ReplicationStep,
 } from "./replication_state.ts";
+import {
+  createDecisionRecord,
+  createEditEntry,
+  createSnapshotRecord,
+} from "./routes_record.ts";
+import type { RoutesRecord } from "./routes_record.ts";
 import { failRead, finishRead } from "./table_reads.ts";
 
 /** Steps consensus by one event. */
@@ -68,7 +75,14 @@
       return applyCommands(state, effect.commands);
     case "InstallSnapshot": {
       const replicated = decodeReplicated(effect.snapshot.payload);
-      return createReduction({ ...state, ...replicated });
+      const record = createSnapshotRecord(effect.snapshot, {
+        before: state.tableState,
+        after: replicated.tableState,
+      });
+      return createReduction(
+        { ...state, ...replicated },
+        listRecordEffects(record),
+      );
     }
     case "TakeSnapshot": {
       const { lastIndex } = effect;
@@ -79,7 +93,7 @@
     case "ProposalCommitted":
       return commitEdit(
         removeProposal(state, effect.requestId),
-        effect.requestId,
+        effect,
       );
     case "ProposalFailed":
       return retryEdit(
@@ -120,12 +134,44 @@
   commands: readonly CommittedCommand[],
 ): ReplicationStep {
   return commands.reduce<ReplicationStep>(
-    (step, { payload }) =>
-      chainReduction(step, (s) => applyCommand(s, decodeCommand(payload))),
-    createReduction(state),
+    (step, entry) =>
+      chainReduction(step, (s) => {
+        const command = decodeCommand(entry.payload);
+        return command.type === "TableEdited"
+          ? applyTableEdit(s, { edit: command.edit, entry })
+          : applyCommand(s, command);
+      }),
+    createReduction({ ...state, lastApplied: [] }),
   );
 }
 
+/** Applies an edit, and records what became of a change of the routes. */
+function applyTableEdit(
+  state: ReplicationState,
+  { edit, entry }: {
+    readonly edit: TableEdit;
+    readonly entry: CommittedCommand;
+  },
+): ReplicationStep {
+  const applied = createEditEntry(state.tableState, { edit, entry });
+  const step = applyCommand(state, { type: "TableEdited", edit });
+  const { lastApplied, consensus } = step.state;
+  const next = consensus.role.type === "Leader"
+    ? { ...step.state, lastApplied: [...lastApplied, applied] }
+    : step.state;
+  const record = createDecisionRecord(next.tableState, { edit, applied });
+  return createReduction(next, [
+    ...step.effects,
+    ...listRecordEffects(record),
+  ]);
+}
+
+function listRecordEffects(
+  record: RoutesRecord | undefined,
+): readonly ReplicationEffect[] {
+  return record === undefined ? [] : [{ type: "RecordRoutes", record }];
+}
+
 /** Applies a committed command; only the leader records the event, once. */
 function applyCommand(
   state: ReplicationState,
--- a/src/engine/control/common/edit_requests.ts
+++ b/src/engine/control/common/edit_requests.ts
@@ -10,19 +10,26 @@
 } from "../../link/common/cluster_messages.ts";
 import type { ReplicationState, ReplicationStep } from "./replication_state.ts";
 
-/** Answers an edit that this replica committed as leader. */
+/**
+ * Answers an edit that this replica committed as leader, by the entry `index`.
+ */
 export function commitEdit(
   state: ReplicationState,
-  requestId: string,
+  { requestId, index }: { readonly requestId: string; readonly index: number },
 ): ReplicationStep {
   const pending = state.edits.get(requestId);
   if (pending === undefined) {
     return createReduction(state);
   }
   const outcome = state.tableState.answers.get(pending.edit.editId);
+  const entry = state.lastApplied.find((applied) => applied.index === index);
   return outcome === undefined
     ? createReduction(state)
-    : answerEdit(state, requestId, { type: "EditAnswered", outcome });
+    : answerEdit(state, requestId, {
+      type: "EditAnswered",
+      outcome,
+      ...(entry === undefined ? {} : { entry }),
+    });
 }
 
 /** Receives the leader's answer to a forwarded edit. */
--- a/src/engine/control/common/presence_step.ts
+++ b/src/engine/control/common/presence_step.ts
@@ -74,6 +74,7 @@
   return createSend(linkId, {
     type: "HeartbeatAnswer",
     isConfirmed,
+    routesVersion: state.tableState.document.table.version,
     ...(replicas.length === 0 ? {} : { replicas }),
   });
 }
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -81,6 +81,7 @@
     cluster,
     consensus,
     ...INITIAL_REPLICATED_STATE,
+    lastApplied: [],
     commandProposals: new Map(),
     peers,
     edits: new Map(),
--- a/src/engine/control/common/replication_state.ts
+++ b/src/engine/control/common/replication_state.ts
@@ -9,6 +9,7 @@
 import type { Configuration } from "../../consensus/common/log_types.ts";
 import type {
   ClusterMessage,
+  EditEntry,
   EditResult,
   ReplicaRole,
 } from "../../link/common/cluster_messages.ts";
@@ -22,6 +23,7 @@
 import type { CrashRecords } from "./crash_records.ts";
 import type { HoldersState } from "./holders.ts";
 import type { ReadRounds } from "./routes_proof.ts";
+import type { RoutesRecord } from "./routes_record.ts";
 
 /** The configured replicas, by their ids in the settings. */
 export interface Cluster {
@@ -120,6 +122,8 @@
   readonly holders: HoldersState;
   /** Evidence against requests as of the commit index, by service. */
   readonly crashes: CrashRecords;
+  /** The edits that this replica as leader applied in its last step. */
+  readonly lastApplied: readonly EditEntry[];
   /** Names of the unanswered commands that this replica proposed, by request. */
   readonly commandProposals: ReadonlyMap<string, string>;
   /** The other replicas, by id in the settings. */
@@ -204,7 +208,9 @@
     readonly requestId: number;
     readonly isCurrent: boolean;
   }
-  | { readonly type: "RecordEvent"; readonly event: TimelineEvent };
+  | { readonly type: "RecordEvent"; readonly event: TimelineEvent }
+  /** The log has decided on a change of the routes. */
+  | { readonly type: "RecordRoutes"; readonly record: RoutesRecord };
 
 /** A state of the replica and the effects of reaching it. */
 export type ReplicationStep = Reduction<ReplicationState, ReplicationEffect>;
--- a/src/engine/control/test/control_reducer_test.ts
+++ b/src/engine/control/test/control_reducer_test.ts
@@ -195,7 +195,11 @@
     expect(replace(false)).to.deep.equal([{
       type: "SendToLink",
       linkId: 1,
-      message: { type: "HeartbeatAnswer", isConfirmed: false },
+      message: {
+        type: "HeartbeatAnswer",
+        isConfirmed: false,
+        routesVersion: 0,
+      },
     }]);
     expect(run.sendHeartbeat(1, 1)[0]).to.include({ isConfirmed: false });
     const [again] = replace(true);
--- a/src/engine/control/test/replicas.ts
+++ b/src/engine/control/test/replicas.ts
@@ -24,6 +24,7 @@
 } from "../common/replica_reducer.ts";
 import { restoreReplication } from "../common/replication_reducer.ts";
 import { isConfirmed } from "../common/replication_state.ts";
+import type { RoutesRecord } from "../common/routes_record.ts";
 import type { Cluster, ReplicationState } from "../common/replication_state.ts";
 import type {
   NodeMessage,
@@ -48,6 +49,8 @@
   readonly reads = new Map<number, boolean>();
   /** Recorded events, as the replica and the values of the fields. */
   readonly events: string[] = [];
+  /** What the log did to the routes, with the replica that applied it. */
+  readonly routesRecords: (RoutesRecord & { readonly replica: string })[] = [];
   readonly #ids: readonly string[];
   readonly #createCluster: (self: string) => Cluster;
   readonly #running = new Map<string, ReplicaState>();
@@ -248,6 +251,9 @@
       case "LinkPeer":
       case "UnlinkPeer":
         return;
+      case "RecordRoutes":
+        this.routesRecords.push({ replica: id, ...effect.record });
+        return;
       case "RecordEvent":
         this.events.push(`${id}: ${Object.values(effect.event).join(" ")}`);
         return;
--- a/src/engine/control/test/replication_test.ts
+++ b/src/engine/control/test/replication_test.ts
@@ -145,8 +145,10 @@
     expect(editRow(replicas, other, 3, 2)).to.equal("EditAccepted 3");
     replicas.runUntil(() => replicas.results.has(lost));
     const outcome = { type: "EditAccepted", version: 2 };
+    const { term } = replicas.get(replicas.leader!).consensus;
+    const entry = { index: 5, term, isRepeat: true };
     expect(replicas.results.get(lost))
-      .to.deep.equal({ type: "EditAnswered", outcome });
+      .to.deep.equal({ type: "EditAnswered", outcome, entry });
   });
 
   it("refuses edits and reads without a quorum", () => {
--- a/src/engine/link/common/cluster_messages.ts
+++ b/src/engine/link/common/cluster_messages.ts
@@ -49,9 +49,25 @@
   readonly command: HolderCommand | CrashCommand;
 }
 
+/** Where the replicated log holds an edit. */
+export interface EditEntry {
+  readonly index: number;
+  readonly term: number;
+  /** Whether an earlier entry had accepted the same edit. */
+  readonly isRepeat: boolean;
+}
+
 /** Result of an edit. */
 export type EditResult =
-  | { readonly type: "EditAnswered"; readonly outcome: EditOutcome }
+  | {
+    readonly type: "EditAnswered";
+    readonly outcome: EditOutcome;
+    /**
+     * Entry of the log with the edit, for logs; absent if the leader is of a
+     * former version.
+     */
+    readonly entry?: EditEntry;
+  }
   | {
     readonly type: "EditRefused";
     /** Whether the edit was proposed, so that it may still be committed. */
--- a/src/engine/link/common/link_messages.ts
+++ b/src/engine/link/common/link_messages.ts
@@ -123,6 +123,8 @@
     readonly type: "HeartbeatAnswer";
     /** Whether the replica has proved that its state is current. */
     readonly isConfirmed: boolean;
+    /** Version of its routes; absent from replicas of former versions. */
+    readonly routesVersion?: number;
     /** Link addresses of all replicas; present with discovery. */
     readonly replicas?: readonly string[];
   };
--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -39,9 +39,10 @@
   if (timeoutMs <= 0 || timeoutMs > MAX_TIMEOUT_MS) {
     return `the time limit must be above 0 and at most ${MAX_TIMEOUT_MS} ms`;
   }
-  const unknown = targets.find(({ service }) => !services.has(service));
-  if (unknown !== undefined) {
-    return `service ${unknown.service} is not defined`;
+  const unknown = targets.findIndex(({ service }) => !services.has(service));
+  if (unknown >= 0) {
+    // The name isn't quoted: it may be an API key in the wrong field.
+    return `service ${unknown + 1} of ${targets.length} is not defined`;
   }
   const total = targets.reduce((sum, { weight }) => sum + weight, 0);
   return targets.some(({ weight }) => weight < 0) || !(total > 0)
--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -54,6 +54,11 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly limits: RequestLimits;
+  /**
+   * Digest of the text that the table was parsed from, for logs; undefined in
+   * tables that an earlier build has stored.
+   */
+  readonly digest?: string;
   /** Undefined in tables that an earlier build has stored. */
   readonly healthChecks?: readonly HealthCheck[];
   /** Undefined if requests need no keys. */
--- a/src/engine/telemetry/node/metrics.ts
+++ b/src/engine/telemetry/node/metrics.ts
@@ -56,6 +56,9 @@
   readonly #backendEnds: Counts = new Map();
   readonly #suspectCalls: Counts = new Map();
   readonly #suspectAnswers: Counts = new Map();
+  readonly #routesChanges: Counts = new Map();
+  readonly #routesReads: Counts = new Map();
+  readonly #routesVersions: Counts = new Map();
   readonly #durations = new DurationBuckets();
   readonly #gauges: Gauge[] = [];
   #reader: Promise<MetricsReader> | undefined;
@@ -112,6 +115,21 @@
     incrementCount(this.#suspectAnswers, key, () => ({ service, proof }));
   }
 
+  /** Counts a change of the routes that a replica answered, by outcome. */
+  countRoutesChange(outcome: string): void {
+    incrementCount(this.#routesChanges, outcome, () => ({ outcome }));
+  }
+
+  /** Counts a read of the routes that a replica answered, by outcome. */
+  countRoutesRead(outcome: string): void {
+    incrementCount(this.#routesReads, outcome, () => ({ outcome }));
+  }
+
+  /** Counts a version of the routes that was put in force. */
+  countRoutesVersion(): void {
+    incrementCount(this.#routesVersions, "", () => ({}));
+  }
+
   /** Records the time until the final answer of a call of a route. */
   recordDuration(route: string, durationMs: number): void {
     this.#durations.record(route, durationMs);
@@ -196,6 +214,21 @@
         description: "Answers to suspects, by what they prove",
         counts: this.#suspectAnswers,
       },
+      {
+        name: "routes_changes",
+        description: "Changes of the routes that were answered, by outcome",
+        counts: this.#routesChanges,
+      },
+      {
+        name: "routes_reads",
+        description: "Reads of the routes that were answered, by outcome",
+        counts: this.#routesReads,
+      },
+      {
+        name: "routes_versions",
+        description: "Versions of the routes that were put in force",
+        counts: this.#routesVersions,
+      },
     ], this.#durations);
   }
 }
