Hold by tests that an answer cut in its head is never passed on as whole

Operators of a similar system saw a 200 with an empty or short body, framed as whole, where a backend server had stopped in the head of its answer.

--- a/src/engine/call/test/whole_answer_test.ts
+++ b/src/engine/call/test/whole_answer_test.ts
@@ -11,6 +11,12 @@
 import { EventLoop } from "../../../base/node/event_loop.ts";
 import { parseAddress } from "../../../base/node/listen.ts";
 import type { NodeEffect, NodeEvent } from "../common/call_events.ts";
+import {
+  createFramedAnswers,
+  CUT_ENDS,
+  listCuts,
+  writeCut,
+} from "../../../../standin/cut_answers.ts";
 import { reduceNode } from "../common/node_reducer.ts";
 import type { NodeState } from "../common/node_state.ts";
 import { isUnsent } from "../node/attempt_sender.ts";
@@ -169,6 +175,25 @@
     });
   }
 
+  // Guards against a success with an empty or short body, framed as whole, where
+  // the backend server stopped in the head of its answer.
+  for (const [name, text] of Object.entries(createFramedAnswers())) {
+    it(`passes on no answer with ${name} as whole, wherever it is cut`, async () => {
+      const whole: string[] = [];
+      for (const [turn, _] of CUT_ENDS.entries()) {
+        for (const cut of listCuts(name, text, turn)) {
+          respond = (socket) => void writeCut(socket, cut);
+          // The caller's connection may be closed before a head is sent.
+          const answer = await fetchAnswer("/cut").catch(() => undefined);
+          if (answer?.status === 200 && answer.body !== "cut") {
+            whole.push(`${cut.name}, ${cut.end}`);
+          }
+        }
+      }
+      expect(whole).to.deep.equal([]);
+    });
+  }
+
   it("gives no caller the bytes that follow another's answer", async () => {
     const createAnswer = (path: string) =>
       `HTTP/1.1 200 OK\r\ncontent-length: ${path.length}\r\n\r\n${path}`;
--- a/src/engine/relay/test/backend_client_test.ts
+++ b/src/engine/relay/test/backend_client_test.ts
@@ -2,6 +2,12 @@
 import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { expect } from "chai";
+import {
+  createFramedAnswers,
+  CUT_ENDS,
+  listCuts,
+  writeCut,
+} from "../../../../standin/cut_answers.ts";
 import { BackendClient } from "../node/backend_client.ts";
 import type { BackendResult } from "../node/backend_client.ts";
 
@@ -104,6 +110,29 @@
     expect(describeResult(await send())).to.equal("Broken");
   });
 
+  // Guards against a success with an empty or short body, framed as whole, where
+  // the backend server stopped in the head of its answer.
+  for (const [name, text] of Object.entries(createFramedAnswers())) {
+    for (const place of ["alone", "behind another one"]) {
+      it(`with ${name} is broken wherever it is cut, ${place}`, async () => {
+        const whole: string[] = [];
+        for (const [turn, _] of CUT_ENDS.entries()) {
+          for (const cut of listCuts(name, text, turn)) {
+            if (place === "behind another one") {
+              answer = (socket) => socket.write(`${SHORT_HEAD}one`);
+              expect(describeResult(await send())).to.equal("whole one");
+            }
+            answer = (socket) => void writeCut(socket, cut);
+            if ((await send()).type === "Whole") {
+              whole.push(`${cut.name}, ${cut.end}`);
+            }
+          }
+        }
+        expect(whole).to.deep.equal([]);
+      });
+    }
+  }
+
   it("that is not HTTP is broken", async () => {
     answer = (socket) => socket.end("not HTTP at all\r\n\r\n");
     expect(describeResult(await send())).to.equal("Broken");
