Send requests that end backend servers with too little time in the soak

The soak sent them with two seconds each, so no failure at a deadline came between two ends. Four in ten now have 60 ms left; their ends are counted by the run that caused them.

--- a/soak/crash_soak.ts
+++ b/soak/crash_soak.ts
@@ -39,6 +39,8 @@
   readonly ends: number;
   /** Runs of each request that ends backend servers, by its name. */
   readonly runs: Readonly<Record<string, number>>;
+  /** Requests with too little time that a backend server answered in vain. */
+  readonly expired: number;
   /**
    * The other requests that no killed or frozen process, or lack of backend
    * servers, excuses, and those of the end, in which no fault begins.
@@ -63,6 +65,9 @@
 const MAX_REQUEST_INTERVAL_MS = 900;
 const MAX_FAULT_INTERVAL_MS = 1_500;
 const MAX_FREEZE_MS = 900;
+/** Share of the requests with too little time, and that time. */
+const SHORT_RATIO = 0.4;
+const SHORT_TIMEOUT_MS = 60;
 /** Ends after which further runs are counted, and how many are allowed. */
 const COUNTED_ENDS = 3;
 const MAX_LATE_RUNS = 3;
@@ -88,17 +93,20 @@
     lengthMs: lengthMs + 2 * RECOVERY_MS,
   });
   const endMs = performance.now() + lengthMs;
-  const sent = sendCrashing(fleet, createRandom(seed + 2), endMs);
+  const sent = sendCrashing(fleet, {
+    random: createRandom(seed + 2),
+    drawTime: createRandom(seed + 3),
+    endMs,
+  });
   const faults = await injectFaults(fleet, random, options);
   await Promise.all([load, sent]);
   const broken: string[] = [];
   const runs = Object.fromEntries(NAMES.map((name) => {
     const found = listRuns(fleet, name);
-    const late = found.slice(COUNTED_ENDS)
-      .filter(({ beganAtMs, entry }) =>
-        beganAtMs > found[COUNTED_ENDS - 1]!.beganAtMs + SETTLING_MS &&
-        isInTouch(entry, beganAtMs, faults)
-      );
+    const fromMs = findCountedEndMs(fleet, name) + SETTLING_MS;
+    const late = found.filter(({ beganAtMs, entry }) =>
+      beganAtMs > fromMs && isInTouch(entry, beganAtMs, faults)
+    );
     if (late.length > MAX_LATE_RUNS) {
       broken.push(`${name} ran ${late.length} times after it had ended three`);
     }
@@ -128,6 +136,8 @@
     faultsPlayed: faults.length,
     ends: ends.length,
     runs,
+    expired: fleet.crashingOutcomes
+      .filter(({ status }) => status === 504).length,
     calm,
     last,
     broken,
@@ -153,10 +163,18 @@
   readonly entries: readonly string[] | undefined;
 }
 
+/**
+ * Sends the requests that end backend servers. Some have too little time left
+ * for that: they are answered with a failure first, which proves nothing.
+ */
 async function sendCrashing(
   fleet: CrashFleet,
-  random: Random,
-  endMs: number,
+  { random, drawTime, endMs }: {
+    readonly random: Random;
+    /** Draws whether a request has too little time. */
+    readonly drawTime: Random;
+    readonly endMs: number;
+  },
 ): Promise<void> {
   const sent: Promise<void>[] = [];
   while (performance.now() < endMs) {
@@ -164,7 +182,10 @@
     const options = { route: ROUTES[index]!, name: NAMES[index]! };
     const copies = random() < 0.2 ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
-      sent.push(fleet.sendCrashing(options));
+      const time = drawTime() < SHORT_RATIO
+        ? { timeoutMs: SHORT_TIMEOUT_MS }
+        : {};
+      sent.push(fleet.sendCrashing({ ...options, ...time }));
     }
     await sleep(random() * MAX_REQUEST_INTERVAL_MS);
   }
@@ -256,6 +277,17 @@
   }
 }
 
+/**
+ * Finds when the run began that made `COUNTED_ENDS` ends by a request; infinite
+ * without so many.
+ */
+function findCountedEndMs(fleet: CrashFleet, name: string): number {
+  const begins = fleet.listEnds()
+    .flatMap(({ run }) => run?.path.endsWith(`-${name}`) ? [run.beganAtMs] : [])
+    .sort((a, b) => a - b);
+  return begins[COUNTED_ENDS - 1] ?? Infinity;
+}
+
 /** Lists the runs of a request, with the entry of the caller's attempt. */
 function listRuns(fleet: CrashFleet, name: string) {
   const entries = new Map(
