Decide on the whole text of a configuration, not on the parts in use

All services that a route names are checked in one place, checkRoutes, whether or not the table uses them.

--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -5,17 +5,45 @@
 /** Maximum timeout of a route. */
 export const MAX_TIMEOUT_MS = 600_000;
 
-/**
- * Describes the first fault of a table; returns undefined if it is valid.
- * `services` are those that the document of the table defines.
- */
+/** A service that a route names in its document. */
+export interface ServiceReference {
+  readonly route: string;
+  readonly service: string;
+}
+
+/** Services in the document of a table. */
+export interface DocumentServices {
+  /** Those that the document defines. */
+  readonly defined: ReadonlySet<string>;
+  /**
+   * Those that routes name: all targets of the table, and also services that
+   * the table has no use for.
+   */
+  readonly references: readonly ServiceReference[];
+}
+
+/** Describes the first fault of a table; returns undefined if it is valid. */
 export function checkRoutes(
   table: RouteTable,
-  services: ReadonlySet<string>,
+  services: DocumentServices,
 ): string | undefined {
+  return checkReferences(services) ?? checkEachRoute(table.routes) ??
+    checkWorkspaces(table.workspaces ?? []);
+}
+
+function checkReferences(
+  { defined, references }: DocumentServices,
+): string | undefined {
+  const unknown = references.find(({ service }) => !defined.has(service));
+  return unknown === undefined
+    ? undefined
+    : `Route ${unknown.route}: service ${unknown.service} is not defined`;
+}
+
+function checkEachRoute(routes: readonly Route[]): string | undefined {
   const hostsAndPrefixes = new Set<string>();
-  for (const route of table.routes) {
-    const fault = checkRoute(route, services);
+  for (const route of routes) {
+    const fault = checkRoute(route);
     if (fault !== undefined) {
       return `Route ${route.name}: ${fault}`;
     }
@@ -25,26 +53,23 @@
     }
     hostsAndPrefixes.add(hostAndPrefix);
   }
-  return checkWorkspaces(table.workspaces ?? []);
+  return undefined;
 }
 
 function checkRoute(
-  route: Route,
-  services: ReadonlySet<string>,
+  { targets, timeoutMs, prefix }: Route,
 ): string | undefined {
-  const { targets, timeoutMs, prefix } = route;
   if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
     return "the prefix must begin and end with a slash";
   }
   if (timeoutMs <= 0 || timeoutMs > MAX_TIMEOUT_MS) {
     return `the time limit must be above 0 and at most ${MAX_TIMEOUT_MS} ms`;
   }
-  const unknown = targets.find(({ service }) => !services.has(service));
-  if (unknown !== undefined) {
-    return `service ${unknown.service} is not defined`;
+  if (targets.length === 0) {
+    return "it names no service";
   }
-  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
-  return targets.some(({ weight }) => weight < 0) || !(total > 0)
+  return targets.some(({ weight }) => weight < 0) ||
+      targets.every(({ weight }) => weight === 0)
     ? "weights must not be negative, and one must be above 0"
     : undefined;
 }
--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -35,6 +35,14 @@
   return { version, routes, limits: DEFAULT_LIMITS };
 }
 
+/** Checks a table whose document defines one service. */
+function check(table: RouteTable): string | undefined {
+  const references = table.routes.flatMap(({ name, targets }) =>
+    targets.map(({ service }) => ({ route: name, service }))
+  );
+  return checkRoutes(table, { defined: new Set(["catalog"]), references });
+}
+
 function replace(
   state: TableState,
   baseVersion: number,
@@ -87,17 +95,14 @@
   ];
   for (const [what, change] of faults) {
     it(`are refused with ${what}`, () => {
-      const services = new Set(["catalog"]);
-      const check = (route: Route) =>
-        checkRoutes(createTable(1, route), services);
-      expect(check(createRoute())).to.equal(undefined);
-      expect(check(createRoute(change))).to.be.a("string");
+      expect(check(createTable(1, createRoute()))).to.equal(undefined);
+      expect(check(createTable(1, createRoute(change)))).to.be.a("string");
     });
   }
 
   it("are refused if two have the same host and prefix", () => {
     const table = createTable(1, createRoute(), createRoute({ name: "twin" }));
-    expect(checkRoutes(table, new Set(["catalog"]))).to.be.a("string");
+    expect(check(table)).to.be.a("string");
   });
 });
 
