Keep the shares of a split whose weights add up to more than a double holds

A split of weights 1.71e308 and 1.9e307 sent all requests to the last service: the sum was Infinity, and each share of it 0. Weights are divided by the largest one first.

All of routes_test.ts passes now.

--- a/src/engine/routes/common/route_match.ts
+++ b/src/engine/routes/common/route_match.ts
@@ -85,14 +85,16 @@
 
 /**
  * Computes each weight but the last, divided by the sum of itself and those
- * after it.
+ * after it. Weights are scaled first, so that no sum exceeds a double's range.
  */
 function computeSharesOfRest(weights: readonly number[]): readonly number[] {
+  const largest = Math.max(...weights);
   let rest = 0;
   return weights.toReversed()
     .map((weight) => {
-      rest += weight;
-      return weight / rest;
+      const scaled = weight / largest;
+      rest += scaled;
+      return rest === 0 ? 0 : scaled / rest;
     })
     .toReversed()
     .slice(0, -1);
--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -86,6 +86,19 @@
     }
   });
 
+  // Guards against a sum of weights that is beyond the range of a double.
+  it("distribute by weight in any scale", () => {
+    for (const scale of [1e-320, 1e-3, 1.9e306]) {
+      const targets = [
+        { service: "old", weight: 90 * scale },
+        { service: "new", weight: 10 * scale },
+      ];
+      const chooser = new TargetChooser(() => 0.05);
+      expect(countChoices(chooser, createRoute({ targets }), 100), `${scale}`)
+        .to.deep.equal({ old: 90, new: 10 });
+    }
+  });
+
   const faults: readonly [string, Partial<Route>][] = [
     ["an unknown service", { targets: [{ service: "gone", weight: 1 }] }],
     ["no time", { timeoutMs: 0 }],
