Answer 408 at a route's time limit while the body is still coming

Callers whose body stopped, came a byte at a time, or never began after status 100 got no answer at the time limit of their route, nor later: the deadline was first looked at once the body was complete.

The reading of a body now ends at the deadline of its request: the route's time limit or the caller's own, from when the head was read. The request is answered 408, which is true as it was not started, with `Connection: close`. Requests behind it are ignored, its reserved memory is freed, and the limit of its workspace isn't charged; this holds for bodies that fail in other ways too.

--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -165,6 +165,9 @@
     case "TooManyPieces":
       closeAfter(request, response);
       return createRefusal(408, "Body comes in too many small pieces");
+    case "TooLate":
+      response.shouldKeepAlive = false;
+      return createRefusal(408, "Body did not come in time");
     case "NoRoom":
     case "Broken":
       throw new Error("The body did not arrive completely");
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -425,7 +425,8 @@
     route: Route,
     workspace?: Workspace,
   ): Promise<void> {
-    const decision = decideHandover(this.#computeDeadlineMs(exchange, route), {
+    const deadlineMs = this.#computeDeadlineMs(exchange, route);
+    const decision = decideHandover(deadlineMs, {
       times: this.#options.getDrainTimes(),
       nowMs: this.#options.readClock(),
     });
@@ -438,8 +439,9 @@
       exchange.awaitsContinue = false;
       exchange.response.writeContinue();
     }
-    const body = await this.#readBody(exchange);
+    const body = await this.#readBody(exchange, deadlineMs);
     if (body === undefined || exchange.isEnded || exchange.response.destroyed) {
+      this.#refundQuota(workspace);
       return;
     }
     this.#getConnection(exchange.request.socket)?.runAfterBacklogRead(() => {
@@ -512,12 +514,16 @@
     }
   }
 
-  async #readBody(exchange: Exchange): Promise<Uint8Array | undefined> {
+  async #readBody(
+    exchange: Exchange,
+    deadlineMs: number,
+  ): Promise<Uint8Array | undefined> {
     const reservation = this.#bufferedBytes.open();
     exchange.cleanUps.push(reservation.release);
     const result = await readBody(exchange.request, {
       maxBytes: this.#routes.limits!.maxBodyBytes,
       reserve: reservation.add,
+      maxMs: deadlineMs - this.#options.readClock(),
     });
     switch (result.type) {
       case "Whole":
@@ -532,6 +538,10 @@
         closeAfter(exchange.request, exchange.response);
         this.#replies.reply(exchange, 408);
         return undefined;
+      case "TooLate":
+        reservation.release();
+        this.#refuseLateBody(exchange);
+        return undefined;
       case "NoRoom":
         this.#replies.replyRetryLater(exchange, 503, MEMORY_RETRY_MS);
         return undefined;
@@ -540,6 +550,20 @@
     }
   }
 
+  /**
+   * Answers a request whose body is not complete at its time limit, and closes
+   * its connection after the answer: what follows may be the rest of the body.
+   */
+  #refuseLateBody(exchange: Exchange): void {
+    const { request, response } = exchange;
+    if (!exchange.isAnswered) {
+      this.#logRefused(exchange, "body not complete at the time limit");
+    }
+    response.shouldKeepAlive = false;
+    this.#getConnection(request.socket)?.closeWhenIdle();
+    this.#replies.reply(exchange, 408);
+  }
+
   /** Computes when a request expires: by its route, or by its caller. */
   #computeDeadlineMs(
     { request, arrivedAtMs }: Exchange,
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -51,6 +51,8 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/** A time limit that passes during a test. */
+const SHORT_TIMEOUT_MS = 300;
 const REFUSED: EntryResult = {
   type: "Failed",
   failure: { type: "Refused", retryAfterMs: 100 },
@@ -195,9 +197,10 @@
   }
 
   /** Opens a connection, and sends `text` unchanged. */
-  connect(text: string): Connection {
-    const { hostname, port } = new URL(this.url);
-    const socket = connect(Number(port), hostname, () => socket.write(text));
+  connect(text: string, options: { allowHalfOpen?: boolean } = {}): Connection {
+    const { hostname: host, port } = new URL(this.url);
+    const address = { host, port: Number(port), ...options };
+    const socket = connect(address, () => socket.write(text));
     const connection: Connection = { socket, received: "", isClosed: false };
     socket.on("data", (data) => connection.received += String(data));
     socket.on("error", () => {});
@@ -645,6 +648,116 @@
   });
 });
 
+describe("a body that is not complete at the time limit of its route", () => {
+  const HEAD = "POST /1 HTTP/1.1\r\nHost: 127.0.0.1\r\n";
+  const LATE = `${HEAD}Content-Length: 4\r\n\r\nab`;
+
+  /** Opens a listener whose route has a short time limit. */
+  async function openShort(needsKey = false): Promise<Callers> {
+    const callers = await Callers.open();
+    const routes = [{ ...ROUTE, needsKey, timeoutMs: SHORT_TIMEOUT_MS }];
+    callers.server.replaceRoutes({ version: 2, routes, limits: LIMITS });
+    return callers;
+  }
+
+  // Guards against a caller that waits for the rest of its own time.
+  const bodies = {
+    "with a length": LATE,
+    "in chunks": `${HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n`,
+    "of which no byte comes": `${HEAD}Content-Length: 4\r\n\r\n`,
+    "behind status 100":
+      `${HEAD}Expect: 100-continue\r\nContent-Length: 4\r\n\r\n`,
+  };
+  for (const [name, text] of Object.entries(bodies)) {
+    it(`${name} is answered 408, and its connection closes`, async () => {
+      await using callers = await openShort();
+      const startedAtMs = performance.now();
+      const connection = callers.connect(text);
+      await waitFor(() => connection.isClosed);
+      const [last] = listStatuses(connection).slice(-1);
+      expect(last).to.equal("HTTP/1.1 408");
+      expect(connection.received).to.match(/\r\nconnection: close\r\n/i);
+      expect(performance.now() - startedAtMs)
+        .to.be.within(SHORT_TIMEOUT_MS - 1, SHORT_TIMEOUT_MS + 1_000);
+      expect(callers.started).to.have.length(0);
+      expect(callers.server.openCount).to.equal(0);
+    });
+  }
+
+  // Guards against a run of what the caller was told will not run.
+  it("is not run if it is completed after the answer, nor is what follows", async () => {
+    await using callers = await openShort();
+    const connection = callers.connect(LATE);
+    await waitFor(() => connection.received !== "");
+    connection.socket.write(`cd${formatRequests(1)}`);
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 408"]);
+    expect(callers.started).to.have.length(0);
+  });
+
+  // Guards against an answer that is dropped by a reset for unread bytes, and
+  // against a caller that keeps its connection by sending on.
+  it("is answered while its caller goes on sending, and is cut then", async () => {
+    await using callers = await openShort();
+    const connection = callers.connect(
+      `${HEAD}Content-Length: ${LONG_BODY_BYTES}\r\n\r\n`,
+      { allowHalfOpen: true },
+    );
+    const timer = setInterval(
+      () => connection.socket.write(Buffer.alloc(1_024)),
+      5,
+    );
+    try {
+      await waitFor(() => connection.received !== "");
+      const answeredAtMs = performance.now();
+      await waitFor(() => connection.isClosed);
+      expect(performance.now() - answeredAtMs).to.be.below(3_000);
+    } finally {
+      clearInterval(timer);
+    }
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 408"]);
+  });
+
+  it("is answered after the requests before it", async () => {
+    await using callers = await openShort();
+    const connection = callers.connect(formatRequests(1) + LATE);
+    await sleep(SHORT_TIMEOUT_MS + 50);
+    expect(connection.received).to.equal("");
+    callers.ends[0]!();
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection))
+      .to.deep.equal(["HTTP/1.1 200", "HTTP/1.1 408"]);
+  });
+
+  // Guards against charging a limit for requests that were never run.
+  it("is not counted against the limit of its workspace", async () => {
+    await using callers = await openShort(true);
+    callers.access.replaceWorkspaces([{
+      name: "mill",
+      keyDigests: [KEY],
+      rank: undefined,
+      ratePerSecond: 0,
+      burst: 0,
+    }]);
+    callers.access.acceptProof(callers.access.requestProof());
+    const connection = callers.connect(LATE);
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 408"]);
+    expect(callers.refundedCount).to.equal(1);
+  });
+
+  it("is refused once if the node ends before", async () => {
+    await using callers = await openShort();
+    const connection = callers.connect(LATE);
+    await waitFor(() => callers.server.openCount === 1);
+    callers.drainLate();
+    callers.server.refuseUnstarted();
+    await waitFor(() => connection.received !== "");
+    await sleep(SHORT_TIMEOUT_MS + 50);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 503"]);
+  });
+});
+
 describe("a drain", () => {
   /** Opens a connection and sends `text` once the server has accepted it. */
   async function connectAccepted(callers: Callers, text: string) {
