Log configurations whose body is refused before it is parsed

A change that was too large, late, in too many pieces or not UTF-8 was answered 408, 413 or 400 by the listener and left no line, while one that failed to parse did.

--- a/src/daemon/routes_log.ts
+++ b/src/daemon/routes_log.ts
@@ -37,8 +37,9 @@
 
 /** A change that was refused before it reached the replicated log. */
 export interface InvalidRoutes {
-  readonly digest: string;
-  readonly sizeBytes: number;
+  /** Undefined if the text could not be read. */
+  readonly digest?: string;
+  readonly sizeBytes?: number;
   /** Undefined if it can't be parsed. */
   readonly baseVersion?: number | undefined;
   /** Sentence on the fault, without values of the document. */
