--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -1,5 +1,4 @@
-/** `basilpin explain`: explains the outcome of one request from logs. */
-import { readFileSync } from "node:fs";
+/** `basilpin explain`: explains one request, or one version of the routes. */
 import type { Command } from "commander";
 import { err, ok, type Result } from "neverthrow";
 import { explainRequest } from "../../engine/telemetry/common/explanation.ts";
@@ -11,20 +10,39 @@
 import type { CliError } from "../cli_error.ts";
 import { createContext, finishCommand } from "../command_context.ts";
 import { EXIT_CODES } from "../exit_codes.ts";
+import { formatInputs, formatLogTime, readLogLines } from "../log_files.ts";
 import { writeColumns, writeJson, writeLine } from "../output.ts";
+import { explainRoutesVersion } from "./explain_routes.ts";
+
+interface ExplainOptions {
+  readonly routesVersion?: string;
+}
 
 /** Registers the `explain` command. */
 export function registerExplain(program: Command): void {
   program.command("explain")
     .description("why a request was refused or failed, from collected logs")
-    .argument("<request-id>", "id that the caller sent")
-    .argument("<logs...>", "files of log lines, of any processes")
-    .addHelpText("after", "\nExample: basilpin explain 9c41d07b logs/*.log")
-    .action((requestId, logs, _options, command) =>
-      finishCommand(
-        explain(requestId, logs, createContext(command).isJson),
-      )
-    );
+    .argument("<id>", "id of the request; not with --routes-version")
+    .argument("[logs...]", "files of log lines, of any processes")
+    .option(
+      "--routes-version <version>",
+      "how this version of the routes reached all processes",
+    )
+    .addHelpText(
+      "after",
+      "\nExample: basilpin explain 9c41d07b logs/*.log" +
+        "\n         basilpin explain --routes-version 12 logs/*.log",
+    )
+    .action((first, others, options: ExplainOptions, command) => {
+      const { isJson } = createContext(command);
+      const { routesVersion: versionText } = options;
+      const files = [first, ...others];
+      return finishCommand(
+        versionText === undefined
+          ? explain(first, others, isJson)
+          : explainRoutesVersion({ versionText, files }, isJson),
+      );
+    });
 }
 
 function explain(
@@ -32,7 +50,10 @@
   files: readonly string[],
   isJson: boolean,
 ): Result<void, CliError> {
-  return readLines(files).andThen((lines) => {
+  if (files.length === 0) {
+    return err(createNoFilesError());
+  }
+  return readLogLines(files).andThen((lines) => {
     const explanation = explainRequest(lines, requestId);
     if (explanation.decisions.length === 0) {
       return err(createNotFoundError(requestId));
@@ -46,6 +67,14 @@
   });
 }
 
+function createNoFilesError(): CliError {
+  return createCliError({
+    exitCode: EXIT_CODES.usage,
+    message: "No files of log lines are named",
+    advice: "Name the request and then the files; see basilpin explain --help.",
+  });
+}
+
 function createNotFoundError(requestId: string): CliError {
   return createCliError({
     exitCode: EXIT_CODES.failed,
@@ -55,22 +84,6 @@
   });
 }
 
-function readLines(
-  files: readonly string[],
-): Result<readonly string[], CliError> {
-  try {
-    return ok(
-      files.flatMap((file) => readFileSync(file, "utf8").split("\n")),
-    );
-  } catch (error) {
-    return err(createCliError({
-      exitCode: EXIT_CODES.usage,
-      message: (error as Error).message,
-      advice: "Name files that can be read.",
-    }));
-  }
-}
-
 function printExplanation(explanation: Explanation): void {
   const { requestId, decisions, changes, cause } = explanation;
   writeLine(`Request ${requestId}`);
@@ -90,15 +103,6 @@
 }
 
 function createRow(record: LogRecord, mark: string): readonly string[] {
-  const { timeMs, process, event, inputs } = record;
-  const inputTexts = Object.entries(inputs)
-    .map(([name, value]) => `${name}=${formatValue(value)}`);
-  const time = new Date(timeMs).toISOString().slice(11, 23);
-  return [time, mark, process, event, inputTexts.join(" ")];
-}
-
-function formatValue(value: unknown): string {
-  return typeof value === "number" && !Number.isInteger(value)
-    ? value.toFixed(2)
-    : JSON.stringify(value) ?? "none";
+  const { timeMs, process, event } = record;
+  return [formatLogTime(timeMs), mark, process, event, formatInputs(record)];
 }
--- a/src/cli/test/session_test.ts
+++ b/src/cli/test/session_test.ts
@@ -91,6 +91,7 @@
       ["drain", "--help"],
       ["trace", "check", "--help"],
       ["trace", "replay", "--help"],
+      ["explain", "--help"],
       ["quarantine", "list", "--help"],
       ["quarantine", "clear", "--help"],
       ["quarantine", "add", "--help"],
--- a/src/engine/telemetry/common/explanation.ts
+++ b/src/engine/telemetry/common/explanation.ts
@@ -9,6 +9,13 @@
   readonly inputs: Readonly<Record<string, unknown>>;
 }
 
+/** A log line with the fields that all lines of a process share. */
+export interface ParsedLine extends LogRecord {
+  readonly requestId: string | undefined;
+  /** `node` or `control`. */
+  readonly role: string;
+}
+
 /** The decisions on a request, and state changes around that time. */
 export interface Explanation {
   readonly requestId: string;
@@ -34,6 +41,7 @@
   "ProcessStarted",
   "ProcessStopped",
   "RoutesInForce",
+  "RoutesSetAside",
   "SettingsInvalid",
   "SettingsRead",
   "SuspectChanged",
@@ -56,9 +64,7 @@
 ]);
 
 /** Parses a line; undefined if it isn't a log line of this program. */
-export function parseLogLine(
-  line: string,
-): (LogRecord & { readonly requestId: string | undefined }) | undefined {
+export function parseLogLine(line: string): ParsedLine | undefined {
   let value: unknown;
   try {
     value = JSON.parse(line);
@@ -83,6 +89,7 @@
     event: String(message),
     inputs,
     requestId: typeof requestId === "string" ? requestId : undefined,
+    role: String(context["role"]),
   };
 }
 
