Compare the hosts of routes and requests in one form

Callers got 404 for routes that are there: where the configured host names a port (c.example:8080), where the host of the request or of the configuration ends with a dot, and for IPv6 addresses in brackets, which were cut at their first colon.

Cause: the port of a request was cut off at the first colon, and the configured host was put into lower case only.

One function reads both. A route with a port is for requests to that port and goes before one without, which is for any port; port 80 counts as none. Two routes whose hosts differ in form only are refused as twins, as they can't both be selected. A node that gets a table of an earlier build reads its hosts the same way.

--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -1,5 +1,6 @@
 /** Validates a route table. */
 import { checkWorkspaces } from "../../workspaces/common/workspace.ts";
+import { formatHost, parseHost } from "./route_host.ts";
 import type { Route, RouteTable } from "./route_table.ts";
 
 /** Maximum timeout of a route. */
@@ -47,7 +48,8 @@
     if (fault !== undefined) {
       return `Route ${route.name}: ${fault}`;
     }
-    const hostAndPrefix = `${route.host} ${route.prefix}`;
+    const host = formatHost(parseHost(route.host));
+    const hostAndPrefix = `${host} ${route.prefix}`;
     if (hostsAndPrefixes.has(hostAndPrefix)) {
       return `Route ${route.name}: another route has the same host and prefix`;
     }
--- a/src/engine/routes/common/route_match.ts
+++ b/src/engine/routes/common/route_match.ts
@@ -1,16 +1,19 @@
 /** Selects the route of a request, and the service that the request goes to. */
+import { formatHost, parseHost } from "./route_host.ts";
 import type { Route, RouteTable } from "./route_table.ts";
 
-/** Routes by host, in descending order of prefix length. */
+/** Routes by formatted host, in descending order of prefix length. */
 export type RouteIndex = ReadonlyMap<string, readonly Route[]>;
 
 /** Builds the index of a table. */
 export function buildRouteIndex(table: RouteTable): RouteIndex {
   const byHost = new Map<string, Route[]>();
   for (const route of table.routes) {
-    const routes = byHost.get(route.host) ?? [];
+    // A table that an earlier build has stored holds hosts as they were sent.
+    const host = formatHost(parseHost(route.host));
+    const routes = byHost.get(host) ?? [];
     routes.push(route);
-    byHost.set(route.host, routes);
+    byHost.set(host, routes);
   }
   for (const routes of byHost.values()) {
     routes.sort((a, b) => b.prefix.length - a.prefix.length);
@@ -18,14 +21,27 @@
   return byHost;
 }
 
-/** Selects the route of `host` with the longest prefix of `path`. */
+/**
+ * Selects the route of `host` with the longest prefix of `path`. The routes of
+ * that very host and port come first, then those of the host on any port.
+ */
 export function selectRoute(
   index: RouteIndex,
   host: string,
   path: string,
 ): Route | undefined {
-  return index.get(readHostName(host))
-    ?.find(({ prefix }) => path.startsWith(prefix));
+  const { name, port } = parseHost(host);
+  const anyPort = findByPrefix(index.get(name), path);
+  return port === undefined
+    ? anyPort
+    : findByPrefix(index.get(formatHost({ name, port })), path) ?? anyPort;
+}
+
+function findByPrefix(
+  routes: readonly Route[] | undefined,
+  path: string,
+): Route | undefined {
+  return routes?.find(({ prefix }) => path.startsWith(prefix));
 }
 
 /**
@@ -99,8 +115,3 @@
     .toReversed()
     .slice(0, -1);
 }
-
-function readHostName(host: string): string {
-  const colon = host.indexOf(":");
-  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
-}
--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -11,7 +11,10 @@
 /** One kind of request, identified by host and path prefix. */
 export interface Route {
   readonly name: string;
-  /** In lower case, without a port. */
+  /**
+   * As `formatHost` writes it. With a port, the route is for requests to that
+   * port only, without one for those to any port.
+   */
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly prefix: string;
--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -73,6 +73,65 @@
     expect(find("other.example", "/")).to.equal(undefined);
   });
 
+  // Guards against 404 for a route whose host is written in another way.
+  it("are selected whatever form their host has", () => {
+    const index = buildRouteIndex(createTable(
+      1,
+      createRoute({ name: "any" }),
+      createRoute({ name: "port", host: "shop.example:8080" }),
+      createRoute({ name: "deep", prefix: "/lookup/deep/" }),
+      createRoute({ name: "rest", prefix: "/" }),
+      createRoute({ name: "dot", host: "Dot.Example." }),
+      createRoute({ name: "default", host: "default.example:80" }),
+      createRoute({ name: "six", host: "[2001:DB8::1]:80" }),
+      createRoute({ name: "bare", host: "2001:db8::2" }),
+      createRoute({ name: "loopback", host: "[::1]:8080" }),
+    ));
+    const expected: Readonly<Record<string, string | undefined>> = {
+      "shop.example": "any",
+      "SHOP.example.": "any",
+      "shop.example:": "any",
+      "shop.example:80": "any",
+      "shop.example:8081": "any",
+      "shop.example:8080": "port",
+      "shop.example.:08080": "port",
+      "dot.example": "dot",
+      "dot.example.:9000": "dot",
+      "dot.example..": undefined,
+      "default.example": "default",
+      "default.example:0080": "default",
+      "default.example:8080": "default",
+      "[2001:db8::1]": "six",
+      "[2001:db8::1]:8080": "six",
+      "[2001:db8::2]": "bare",
+      "[::1]:8080": "loopback",
+      "[::1]": undefined,
+      "[::1]:8081": undefined,
+      "[": undefined,
+      "": undefined,
+    };
+    const find = (host: string, path: string) =>
+      selectRoute(index, host, path)?.name;
+    for (const [host, name] of Object.entries(expected)) {
+      expect(find(host, "/lookup/1"), host).to.equal(name);
+    }
+    expect(find("shop.example:8080", "/lookup/deep/1")).to.equal("port");
+    expect(find("shop.example:8080", "/other/1")).to.equal("rest");
+  });
+
+  it("are refused if the hosts of two differ in form only", () => {
+    const checkTwins = (host: string, other: string) =>
+      check(
+        createTable(1, createRoute({ host }), createRoute({ host: other })),
+      );
+    for (const host of ["SHOP.example", "shop.example.", "shop.example:80"]) {
+      expect(checkTwins("shop.example", host), host).to.be.a("string");
+    }
+    for (const host of ["shop.example:8080", "shop.example..", "[::1]"]) {
+      expect(checkTwins("shop.example", host), host).to.equal(undefined);
+    }
+  });
+
   it("distribute any hundred requests by weight", () => {
     const targets = [
       { service: "old", weight: 90 },
