Select the route of a target in absolute form

GET http://a.example/x/1 got 404 though the route is there: the whole target was compared with the prefixes of the Host header's routes.

By RFC 9112 (3.2.2) the authority of the target stands for the Host header, whatever that says. The route is selected by it, and the request is forwarded in origin form, with path and query unchanged and that authority as Host. Targets in other forms are as before.

Evidence: at nodes as processes "isn't answered 404 to a target in absolute form" got 404 before; now the backend server gets the path with its query and the host of the target.

--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -31,6 +31,8 @@
 import type { MemoryShares } from "../common/memory_shares.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BufferedBytes } from "../common/held_bytes.ts";
+import { resolveTarget } from "../common/request_target.ts";
+import type { RequestLine } from "../common/request_target.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
 import { RoutesInForce } from "../common/routes_in_force.ts";
 import { CallerConnection } from "./caller_connection.ts";
@@ -568,15 +570,16 @@
       this.#refuseEarly(exchange, "time limit");
       return;
     }
+    const { target, headers } = readRequestLine(request);
     const service = this.#routes.chooseService(route);
     const origin = this.#options.observeCall({ route: route.name, service });
     const entry: EntryRequest = {
       requestId,
       route,
       method: request.method!,
-      target: request.url!,
+      target,
       headers: dialect.createCallHeaders(
-        request.rawHeaders,
+        headers,
         { service: getCallerService(), workspace: workspace?.name },
       ),
       body,
@@ -607,8 +610,14 @@
   return result.type === "Failed" && result.failure.type === "Refused";
 }
 
-function readTarget({ headers, url, rawHeaders }: IncomingMessage) {
-  const headerBytes = rawHeaders
+function readTarget(request: IncomingMessage) {
+  const headerBytes = request.rawHeaders
     .reduce((sum, part) => sum + part.length + 2, 0);
-  return { host: headers.host ?? "", target: url ?? "/", headerBytes };
+  return { ...readRequestLine(request), headerBytes };
+}
+
+function readRequestLine(request: IncomingMessage): RequestLine {
+  const { headers, url, rawHeaders } = request;
+  const host = headers.host ?? "";
+  return resolveTarget({ host, target: url ?? "/", headers: rawHeaders });
 }
