--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -26,7 +26,7 @@
   readonly timeoutMs: number;
   /** Latency objective: a later answer has less value; in milliseconds. */
   readonly objectiveMs: number;
-  /** Urgency of the requests; 0 is the most urgent. */
+  /** Urgency of the requests; a whole number, 0 is the most urgent. */
   readonly rank: number;
   /** Maximum number of backend servers that one request is sent to. */
   readonly maxAttempts: number;
--- a/src/engine/workspaces/common/workspace.ts
+++ b/src/engine/workspaces/common/workspace.ts
@@ -11,8 +11,9 @@
   readonly name: string;
   readonly keyDigests: readonly KeyDigest[];
   /**
-   * Rank of its requests, which takes precedence over the ranks of routes; 0 is
-   * the most urgent. Undefined if only the routes' ranks apply.
+   * Rank of its requests, which takes precedence over the ranks of routes; a
+   * whole number, 0 is the most urgent. Undefined if only the routes' ranks
+   * apply.
    */
   readonly rank: number | undefined;
   /** Requests per second over all nodes; no limit if this and `burst` are 0. */
