--- a/src/engine/routes/common/route_table.ts
+++ b/src/engine/routes/common/route_table.ts
@@ -11,7 +11,10 @@
 /** One kind of request, identified by host and path prefix. */
 export interface Route {
   readonly name: string;
-  /** In lower case, without a port. */
+  /**
+   * As `formatHost` writes it. With a port, the route is for requests to that
+   * port only, without one for those to any port.
+   */
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly prefix: string;
@@ -23,7 +26,7 @@
   readonly timeoutMs: number;
   /** Latency objective: a later answer has less value; in milliseconds. */
   readonly objectiveMs: number;
-  /** Urgency of the requests; 0 is the most urgent. */
+  /** Urgency of the requests; a whole number, 0 is the most urgent. */
   readonly rank: number;
   /** Maximum number of backend servers that one request is sent to. */
   readonly maxAttempts: number;
