Hold limits on heads and idle connections for connections that are open

Callers saw `headerTimeoutMs` and a changed `idleTimeoutMs` not in force. With 1.5 s, a head that stopped was still open after 6 s: Node looks for late heads every 30 s. A connection that was idle when the limit changed kept the limit of before, as Node sets a timer when the answer is written.

The listener now keeps what each connection waits for, and since when, and compares that with the limits in force twice a second:

- A head that is not complete in time gets 408 and `Connection: close`, once the requests before it are answered, and a `RequestRefused` line.
Its time counts from the first check that sees it.
- An idle connection closes without an answer a second after the limit, as before: Node adds that second too.
A new connection counts as idle.
- A connection whose last request has its answer, but not its whole body, is closed after the same time; nothing bounded it before.

A connection is closed only after the sockets have been read once more, for requests that arrived while the process was busy or stopped. `Keep-Alive` states the limit in force when the answer is written. 0 means no limit, as before.

Six of the nine new tests of the listener waited 5 s in vain before; the others guard against closing too early. Without the turn of reading, the test on requests that wait to be read fails.

--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -1,9 +1,15 @@
 /** A caller's connection with the requests received on it. */
+import { STATUS_CODES } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { FirstRequestQueue } from "../../../base/common/first_requests.ts";
 import { hasBody } from "../../../base/node/body_reader.ts";
 import { closeLingering } from "../../../base/node/lingering_close.ts";
+import { ConnectionTimes } from "../common/connection_times.ts";
+import type {
+  ConnectionPhase,
+  TimeLimits,
+} from "../common/connection_times.ts";
 import { Pipeline } from "../common/pipeline.ts";
 
 /** A request with its response. */
@@ -38,8 +44,8 @@
   /** Starts to process an exchange. */
   readonly start: (exchange: Exchange) => void;
   readonly firstRequests: FirstRequestQueue;
-  /** When the connection was accepted, by the steady clock. */
-  readonly acceptedAtMs: number;
+  /** Steady clock, in milliseconds. */
+  readonly readClock: () => number;
 }
 
 /** Starts the exchanges of a connection in order, and ends them with it. */
@@ -54,10 +60,18 @@
   #completeBytes = 0;
   /** Whether it closes when no request on it is unanswered. */
   #closesAtRest = false;
+  readonly #times: ConnectionTimes;
+  /** The last request while its body is not complete. */
+  #incomplete: IncomingMessage | undefined;
+
+  /** When it was accepted, by the steady clock. */
+  readonly acceptedAtMs: number;
 
   constructor(socket: Socket, options: CallerConnectionOptions) {
     this.#socket = socket;
     this.#options = options;
+    this.acceptedAtMs = options.readClock();
+    this.#times = new ConnectionTimes(this.acceptedAtMs);
     // Node calls it after the last answer, and would destroy the socket.
     socket.destroySoon = () => closeLingering(socket);
     // A response queued behind others emits no event when its connection closes.
@@ -82,11 +96,6 @@
     return this.#hasReadBacklog;
   }
 
-  /** When it was accepted, by the steady clock. */
-  get acceptedAtMs(): number {
-    return this.#options.acceptedAtMs;
-  }
-
   /** Whether a byte has been received on it. */
   get hasReceived(): boolean {
     return this.#socket.bytesRead > 0;
@@ -137,6 +146,7 @@
     const { request, response } = exchange;
     this.#recordComplete();
     if (hasBody(request)) {
+      this.#incomplete = request;
       request.once("end", () => this.#recordComplete());
     }
     const next = this.#pipeline.add(exchange);
@@ -183,8 +193,45 @@
     this.#endIfIdle();
   }
 
+  /**
+   * Answers what has been received of a request that is not complete or not
+   * valid, and closes. Only for an idle connection: the caller takes the answer
+   * for that of the first request without one.
+   */
+  reject(status: 400 | 408): void {
+    this.#socket.write(
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+        "Content-Length: 0\r\nConnection: close\r\n\r\n",
+    );
+    this.closeWhenIdle();
+  }
+
+  /**
+   * Returns what the connection waits for if it has waited too long. Notes a
+   * head that has begun to arrive; its time counts from the first call that sees
+   * it.
+   */
+  checkOverdue(
+    limits: TimeLimits,
+    nowMs: number,
+  ): ConnectionPhase | undefined {
+    this.#times.observe(this.#getPhase(), nowMs);
+    return this.#times.getOverdue(limits, nowMs);
+  }
+
+  #getPhase(): ConnectionPhase {
+    if (!this.isIdle) {
+      return "Answer";
+    }
+    if (this.#incomplete !== undefined) {
+      return "Rest";
+    }
+    return this.hasPartialRequest ? "Head" : "Request";
+  }
+
   /** Records that all bytes of the last request have been received. */
   #recordComplete(): void {
+    this.#incomplete = undefined;
     this.#completeBytes = this.#socket.bytesRead;
   }
 
@@ -195,6 +242,7 @@
     if (this.#socket.destroyed) {
       return;
     }
+    this.#times.start(this.#getPhase(), this.#options.readClock());
     this.#startAll(next);
     if (!this.#pipeline.hasWaiting) {
       this.#socket.resume();
--- a/src/engine/relay/node/caller_replies.ts
+++ b/src/engine/relay/node/caller_replies.ts
@@ -33,6 +33,8 @@
    * all answers before it on the connection are written.
    */
   readonly closeIfLast: (exchange: Exchange) => boolean;
+  /** Returns how long connections may be idle; 0 if there is no limit. */
+  readonly getIdleTimeoutMs: () => number;
   readonly log: RelayLog;
 }
 
@@ -139,18 +141,33 @@
     const { readClock, closeIfLast } = this.#options;
     const isLast = answer.body.length <= MAX_CLOSING_BODY_BYTES &&
       closeIfLast(exchange);
-    const isKept = awaitsContinue && request.complete &&
-      response.shouldKeepAlive;
+    const isKept = !isLast && response.shouldKeepAlive &&
+      (!awaitsContinue || request.complete);
     exchange.sendRest = writeAnswer(
       response,
       {
         ...answer,
-        connection: isLast ? "close" : isKept ? "keep-alive" : undefined,
+        headers: isKept
+          ? [...answer.headers, ...this.#createKeepAliveHeaders()]
+          : answer.headers,
+        connection: isLast
+          ? "close"
+          : isKept && awaitsContinue
+          ? "keep-alive"
+          : undefined,
       },
       () => this.#unsent.recordProgress(exchange, readClock()),
     );
   }
 
+  /** Creates the `Keep-Alive` header from the limit in force. */
+  #createKeepAliveHeaders(): HeaderList {
+    const timeoutMs = this.#options.getIdleTimeoutMs();
+    return timeoutMs > 0
+      ? ["Keep-Alive", `timeout=${Math.floor(timeoutMs / 1_000)}`]
+      : [];
+  }
+
   /**
    * Counts an answer as unsent until its exchange ends, and cuts stalled ones
    * for it. Returns whether there is room for it.
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -14,7 +14,12 @@
   waitForTurn,
 } from "../../../base/node/listener_close.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
-import type { Route, RouteTable } from "../../routes/common/route_table.ts";
+import { DEFAULT_LIMITS } from "../../routes/common/route_table.ts";
+import type {
+  RequestLimits,
+  Route,
+  RouteTable,
+} from "../../routes/common/route_table.ts";
 import type { Workspace } from "../../workspaces/common/workspace.ts";
 import type {
   EntryCheck,
@@ -36,6 +41,7 @@
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
 import { CallerReplies, DEFAULT_CALLER_TIMEOUT_MS } from "./caller_replies.ts";
+import { OverdueConnections } from "./overdue_connections.ts";
 
 /** Starts a call to a service; the function returned withdraws it. */
 export type StartCall = (
@@ -114,6 +120,7 @@
   readonly #replies: CallerReplies;
   readonly #connections = new Map<Duplex, CallerConnection>();
   readonly #routes: RoutesInForce;
+  readonly #overdue: OverdueConnections;
   #isDraining = false;
   #openCount = 0;
   readonly #bufferedBytes: BufferedBytes;
@@ -125,8 +132,21 @@
     this.#options = options;
     this.#bufferedBytes = new BufferedBytes(options.memory.requestBodies);
     this.#routes = new RoutesInForce(options.draw);
+    this.#overdue = new OverdueConnections({
+      listOpen: () => this.#listOpen(),
+      getLimits: () => this.#getLimits(),
+      onLateHead: () =>
+        options.log.write({
+          event: "RequestRefused",
+          isFailure: true,
+          reason: "head not complete in time",
+          routesVersion: this.#routes.version,
+          limitMs: this.#getLimits().headerTimeoutMs,
+        }),
+    });
     this.#replies = new CallerReplies({
       ...options,
+      getIdleTimeoutMs: () => this.#getLimits().idleTimeoutMs,
       isDraining: () => this.#isDraining,
       closeIfLast: (exchange) =>
         this.#isDraining &&
@@ -134,7 +154,12 @@
             ?.closeIfLast(exchange) === true,
     });
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: 0,
+        headersTimeout: 0,
+        keepAliveTimeout: 0,
+      },
       (request, response) => this.#acceptRequest(request, response, false),
     );
     this.#server.on(
@@ -162,9 +187,6 @@
   /** Replaces the routes in force, and resumes requests that wait for routes. */
   replaceRoutes(routes: RouteTable): void {
     this.#routes.replace(routes);
-    const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
-    this.#server.headersTimeout = headerTimeoutMs;
-    this.#server.keepAliveTimeout = idleTimeoutMs;
     this.#routeWaiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
@@ -173,9 +195,13 @@
     this.#proofWaiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
-  /** Refuses the requests whose wait limit has passed. */
+  /**
+   * Refuses the requests whose wait limit has passed, and closes connections
+   * that exceed the limits of the table in force.
+   */
   tick(): void {
     const nowMs = this.#options.readClock();
+    this.#overdue.tick(nowMs);
     this.#routeWaiters.takeExpired(nowMs)
       .forEach((exchange) => this.#refuseEarly(exchange, "no routes yet"));
     this.#proofWaiters.takeExpired(nowMs)
@@ -296,7 +322,7 @@
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#resume(exchange),
       firstRequests: this.#options.firstRequests,
-      acceptedAtMs: this.#options.readClock(),
+      readClock: this.#options.readClock,
     });
     this.#connections.set(socket, connection);
     socket.on("close", () => this.#connections.delete(socket));
@@ -307,6 +333,11 @@
     return this.#connections.get(socket);
   }
 
+  /** Returns the limits in force; defaults before the first table. */
+  #getLimits(): RequestLimits {
+    return this.#routes.limits ?? DEFAULT_LIMITS;
+  }
+
   /** Lists the connections that take requests. */
   #listOpen(): readonly CallerConnection[] {
     return [...this.#connections.values()].filter(({ isClosing }) =>
@@ -330,10 +361,10 @@
    */
   #rejectMalformed(socket: Duplex): void {
     const connection = this.#connections.get(socket);
-    if (!socket.writable) {
+    if (connection === undefined || !socket.writable) {
       socket.destroy();
-    } else if (connection === undefined || connection.isIdle) {
-      socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    } else if (connection.isIdle) {
+      connection.reject(400);
     } else {
       connection.closeWhenIdle();
     }
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -758,6 +758,168 @@
   });
 });
 
+describe("the limits on the times of a connection", () => {
+  /** Puts limits in force that differ from `LIMITS`. */
+  function setLimits(
+    callers: Callers,
+    limits: Partial<typeof LIMITS>,
+  ): void {
+    callers.server.replaceRoutes({
+      version: 2,
+      routes: [ROUTE],
+      limits: { ...LIMITS, ...limits },
+    });
+  }
+
+  /** Opens a connection, and waits for the answer to its first request. */
+  async function connectServed(callers: Callers): Promise<Connection> {
+    const connection = callers.connect(formatRequests(1, 1));
+    await waitFor(() => callers.started.length === 1);
+    callers.ends[0]!();
+    await waitFor(() => listStatuses(connection).length === 1);
+    return connection;
+  }
+
+  /** Checks the connections `passedMs` after the start of the test. */
+  async function tickAt(callers: Callers, passedMs: number): Promise<void> {
+    callers.aheadMs = passedMs;
+    callers.server.tick();
+    await sleep(20);
+  }
+
+  // Guards against a change of a limit that open connections don't follow.
+  it("close a connection that was idle when the limit was lowered", async () => {
+    await using callers = await Callers.open();
+    const connection = await connectServed(callers);
+    await tickAt(callers, 5_000);
+    expect(connection.isClosed).to.equal(false);
+    setLimits(callers, { idleTimeoutMs: 1_500 });
+    await tickAt(callers, 5_500);
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.have.length(1);
+  });
+
+  it("keep a connection that was idle when the limit was raised", async () => {
+    await using callers = await Callers.open();
+    setLimits(callers, { idleTimeoutMs: 3_000 });
+    const connection = await connectServed(callers);
+    await tickAt(callers, 2_900);
+    setLimits(callers, { idleTimeoutMs: 20_000 });
+    await tickAt(callers, 16_000);
+    connection.socket.write(formatRequests(1, 2));
+    await waitFor(() => callers.started.length === 2);
+    callers.ends[1]!();
+    await waitFor(() => listStatuses(connection).length === 2);
+  });
+
+  // Guards against the limit on heads where no head has begun.
+  it("let a new connection be idle as long as another", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect("");
+    await waitFor(() => callers.acceptedCount === 1);
+    await tickAt(callers, LIMITS.idleTimeoutMs);
+    expect(connection.isClosed).to.equal(false);
+    await tickAt(callers, LIMITS.idleTimeoutMs + 1_000);
+    await waitFor(() => connection.isClosed);
+    expect(connection.received).to.equal("");
+  });
+
+  // Guards against heads that hold a connection for ever.
+  for (const count of [0, 1]) {
+    it(`answer 408 to a head that stops behind ${count} requests`, async () => {
+      await using callers = await Callers.open();
+      const connection = count === 0
+        ? callers.connect("")
+        : await connectServed(callers);
+      connection.socket.write("GET /2 HTT");
+      await sleep(50);
+      await tickAt(callers, 1_000);
+      await tickAt(callers, 3_500);
+      expect(listStatuses(connection)).to.have.length(count);
+      await tickAt(callers, 4_500);
+      await waitFor(() => connection.isClosed);
+      expect(listStatuses(connection).at(-1)).to.equal("HTTP/1.1 408");
+      expect(connection.received).to.match(/\r\nConnection: close\r\n\r\n$/);
+      expect(listStatuses(connection)).to.have.length(count + 1);
+    });
+  }
+
+  // Guards against a 408 that is taken for the answer to the request before.
+  it("hold for a head only once the requests before it are answered", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(formatRequests(1, 1));
+    await waitFor(() => callers.started.length === 1);
+    connection.socket.write("GET /2 HTT");
+    await sleep(50);
+    await tickAt(callers, 1_000);
+    await tickAt(callers, 30_000);
+    expect(connection.received).to.equal("");
+    callers.ends[0]!();
+    await waitFor(() => listStatuses(connection).length === 1);
+    await tickAt(callers, 30_500);
+    await tickAt(callers, 34_000);
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection))
+      .to.deep.equal(["HTTP/1.1 200", "HTTP/1.1 408"]);
+  });
+
+  // Guards against a close by a process that was busy or stopped, and has not
+  // read what came in time.
+  it("don't close a connection whose next request waits to be read", async () => {
+    await using callers = await Callers.open();
+    const connection = await connectServed(callers);
+    connection.socket.write(formatRequests(1, 2));
+    await tickAt(callers, 60_000);
+    await waitFor(() => callers.started.length === 2);
+    callers.ends[1]!();
+    await waitFor(() => listStatuses(connection).length === 2);
+    const head = formatRequests(1, 3);
+    connection.socket.write(head.slice(0, 10));
+    await sleep(50);
+    await tickAt(callers, 61_000);
+    connection.socket.write(head.slice(10));
+    await tickAt(callers, 65_000);
+    await waitFor(() => callers.started.length === 3);
+  });
+
+  // Guards against a second answer to a request whose body never ends.
+  it("close a connection on which the rest of an answered body is due", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(
+      "POST / HTTP/1.1\r\nHost: b.example\r\nContent-Length: 9\r\n\r\nab",
+    );
+    await waitFor(() => listStatuses(connection).length === 1);
+    connection.socket.write("c");
+    await sleep(50);
+    await tickAt(callers, LIMITS.idleTimeoutMs);
+    expect(connection.isClosed).to.equal(false);
+    await tickAt(callers, LIMITS.idleTimeoutMs + 1_500);
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 404"]);
+  });
+
+  // Guards against callers that reuse a connection for longer than it is kept.
+  it("are announced in whole seconds with each answer", async () => {
+    await using callers = await Callers.open();
+    const connection = await connectServed(callers);
+    expect(connection.received).to.match(/\r\nKeep-Alive: timeout=15\r\n/);
+    setLimits(callers, { idleTimeoutMs: 2_900 });
+    connection.socket.write(formatRequests(1, 2));
+    await waitFor(() => callers.started.length === 2);
+    callers.ends[1]!();
+    await waitFor(() => listStatuses(connection).length === 2);
+    expect(connection.received).to.match(/\r\nKeep-Alive: timeout=2\r\n/);
+    setLimits(callers, { idleTimeoutMs: 0 });
+    connection.socket.write(formatRequests(1, 3));
+    await waitFor(() => callers.started.length === 3);
+    callers.ends[2]!();
+    await waitFor(() => listStatuses(connection).length === 3);
+    expect(connection.received.match(/Keep-Alive: timeout/g)).to.have.length(2);
+    await tickAt(callers, 1e9);
+    expect(connection.isClosed).to.equal(false);
+  });
+});
+
 describe("a drain", () => {
   /** Opens a connection and sends `text` once the server has accepted it. */
   async function connectAccepted(callers: Callers, text: string) {
