Let the parser's limit on heads follow the table, and answer 431 above it

Callers with a head of more than 131,072 bytes got 400 even where the table in force allows it, as the parser's limit was fixed. The 400 was also untrue for a head that is well-formed, and for a caller that sent on it was lost: the next bytes led to a destroyed socket, and the reset drops what was not read.

The parser's limit for new connections is now that of the table, at least 131,072 bytes as before and 1 MiB at most. A longer head gets 431, and bytes after the answer are read until the connection is cut a second later.

--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -198,7 +198,7 @@
    * valid, and closes. Only for an idle connection: the caller takes the answer
    * for that of the first request without one.
    */
-  reject(status: 400 | 408): void {
+  reject(status: 400 | 408 | 431): void {
     this.#socket.write(
       `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
         "Content-Length: 0\r\nConnection: close\r\n\r\n",
--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -36,6 +36,10 @@
 import type { MemoryShares } from "../common/memory_shares.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BufferedBytes } from "../common/held_bytes.ts";
+import {
+  computeParserLimit,
+  getMalformedStatus,
+} from "../common/parser_limits.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
 import { RoutesInForce } from "../common/routes_in_force.ts";
 import { CallerConnection } from "./caller_connection.ts";
@@ -90,11 +94,6 @@
 const CLOSE_POLL_MS = 10;
 /** Retry time when the memory for request bodies is used up. */
 const MEMORY_RETRY_MS = 500;
-/**
- * Limit of Node's parser, above that of any route table: the limit of the table
- * in force is checked for each request.
- */
-const MAX_HEADER_BYTES = 131_072;
 
 /** A request whose body has been read completely. */
 interface ReceivedRequest {
@@ -155,7 +154,7 @@
     });
     this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
+        maxHeaderSize: computeParserLimit(DEFAULT_LIMITS),
         requestTimeout: 0,
         headersTimeout: 0,
         keepAliveTimeout: 0,
@@ -170,7 +169,8 @@
     this.#server.on("connection", (socket) => this.#acceptConnection(socket));
     this.#server.on(
       "clientError",
-      (_error, socket) => this.#rejectMalformed(socket),
+      (error: NodeJS.ErrnoException, socket) =>
+        this.#rejectMalformed(socket, getMalformedStatus(error)),
     );
   }
 
@@ -187,6 +187,10 @@
   /** Replaces the routes in force, and resumes requests that wait for routes. */
   replaceRoutes(routes: RouteTable): void {
     this.#routes.replace(routes);
+    // Read by Node for each new connection; missing in its type.
+    Object.assign(this.#server, {
+      maxHeaderSize: computeParserLimit(routes.limits),
+    });
     this.#routeWaiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
@@ -359,12 +363,14 @@
    * connection are answered first, because the caller would take an immediate
    * 400 for the answer to one of those.
    */
-  #rejectMalformed(socket: Duplex): void {
+  #rejectMalformed(socket: Duplex, status: 400 | 431): void {
     const connection = this.#connections.get(socket);
-    if (connection === undefined || !socket.writable) {
+    if (connection === undefined || socket.destroyed) {
       socket.destroy();
+    } else if (socket.writableEnded) {
+      // The caller sends on, and a reset would drop the answer.
     } else if (connection.isIdle) {
-      connection.reject(400);
+      connection.reject(status);
     } else {
       connection.closeWhenIdle();
     }
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -920,6 +920,65 @@
   });
 });
 
+describe("the limit on heads", () => {
+  /** Sends a request whose header field has a given length. */
+  async function sendHead(
+    callers: Callers,
+    bytes: number,
+  ): Promise<Connection> {
+    const connection = callers.connect(
+      `GET /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nField: ${
+        "a".repeat(bytes)
+      }\r\n\r\n`,
+    );
+    await waitFor(() =>
+      callers.started.length > 0 || listStatuses(connection).length > 0
+    );
+    return connection;
+  }
+
+  // Guards against a parser that takes less than the table in force allows.
+  it("follows the table above the least limit of the parser", async () => {
+    await using callers = await Callers.open();
+    const limits = { ...LIMITS, maxHeaderBytes: 400_000 };
+    callers.server.replaceRoutes({ version: 2, routes: [ROUTE], limits });
+    await sendHead(callers, 390_000);
+    expect(callers.started).to.have.length(1);
+  });
+
+  // Guards against a 400 for what is well-formed, and against a reset that drops
+  // the answer while the caller sends on.
+  for (const bytes of [20_000, 140_000, 900_000]) {
+    it(`answers 431 to a head of ${bytes} bytes`, async () => {
+      await using callers = await Callers.open();
+      const connection = await sendHead(callers, bytes);
+      expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 431"]);
+      await sleep(100);
+      expect(listStatuses(connection)).to.have.length(1);
+      expect(callers.started).to.have.length(0);
+    });
+  }
+
+  it("closes the connection of a caller that sends on after a 431", async () => {
+    await using callers = await Callers.open();
+    const { port } = new URL(callers.url);
+    const socket = connect({ port: Number(port), allowHalfOpen: true });
+    let received = "";
+    let isClosed = false;
+    socket.on("data", (data) => received += String(data));
+    socket.on("error", () => {}).on("close", () => isClosed = true);
+    socket.write("GET /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nField: ");
+    const timer = setInterval(() => socket.write("a".repeat(50_000)), 10);
+    try {
+      await waitFor(() => isClosed);
+    } finally {
+      clearInterval(timer);
+      socket.destroy();
+    }
+    expect(received).to.match(/^HTTP\/1\.1 431 /);
+  });
+});
+
 describe("a drain", () => {
   /** Opens a connection and sends `text` once the server has accepted it. */
   async function connectAccepted(callers: Callers, text: string) {
