Run no request behind one that is refused for its size

A caller that sends a body above `maxBodyBytes` and a further request at once got 413 with `Connection: close`, and the further request was run without an answer: the connection took requests until the 413 was written.

The refused request is now the last one of its connection.

The new test saw one run before, and sees none.

--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -567,7 +567,7 @@
         return result.body;
       case "TooLarge":
         this.#logRefused(exchange, "body too large");
-        exchange.response.shouldKeepAlive = false;
+        this.#closeAfter(exchange);
         this.#replies.reply(exchange, 413);
         return undefined;
       case "TooManyPieces":
@@ -592,13 +592,17 @@
    * its connection after the answer: what follows may be the rest of the body.
    */
   #refuseLateBody(exchange: Exchange): void {
-    const { request, response } = exchange;
     if (!exchange.isAnswered) {
       this.#logRefused(exchange, "body not complete at the time limit");
     }
+    this.#closeAfter(exchange);
+    this.#replies.reply(exchange, 408);
+  }
+
+  /** Makes an answer the last one of its connection. */
+  #closeAfter({ request, response }: Exchange): void {
     response.shouldKeepAlive = false;
     this.#getConnection(request.socket)?.closeWhenIdle();
-    this.#replies.reply(exchange, 408);
   }
 
   /** Computes when a request expires: by its route, or by its caller. */
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -920,6 +920,23 @@
   });
 });
 
+describe("a body that exceeds a limit", () => {
+  // Guards against a run whose answer can't be sent, as an answer before it has
+  // announced the close.
+  it("is the last one of its connection", async () => {
+    await using callers = await Callers.open();
+    const limits = { ...LIMITS, maxBodyBytes: 3 };
+    callers.server.replaceRoutes({ version: 2, routes: [ROUTE], limits });
+    const connection = callers.connect(
+      "POST /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n\r\nabcd" +
+        formatRequests(1, 2),
+    );
+    await waitFor(() => connection.isClosed);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 413"]);
+    expect(callers.started).to.have.length(0);
+  });
+});
+
 describe("the limit on heads", () => {
   /** Sends a request whose header field has a given length. */
   async function sendHead(
