Bound how long heads and bodies may take at the other listeners

Requests that stop before their end held connections at the listeners for heartbeats, readiness, operators, links and embedded calls: 60 to 90 s for a head and 300 to 330 s for a body by Node's defaults, and without any limit at the listeners for embedded calls. Requests without an upgrade at the listeners for links were never answered.

All of them now share one set of limits: 10 s for a head and 20 s for a body, after which the request gets 408 and its connection closes. Node looks for late heads every 5 s. At the listeners for links a request without an upgrade gets 426. A body of embedded calls that is longer than 64 KiB, or has no length, is passed on while it comes, and has no limit of its own.

--- a/src/base/node/body_reader.ts
+++ b/src/base/node/body_reader.ts
@@ -98,7 +98,7 @@
  * been read: the rest of a body may have arrived during a long turn of the event
  * loop. Returns a function that cancels the call.
  */
-function scheduleTimeout(
+export function scheduleTimeout(
   maxMs: number | undefined,
   run: () => void,
 ): () => void {
--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { closeAfter, readBody } from "../base/node/body_reader.ts";
 import { listen, type ListenAddress } from "../base/node/listen.ts";
+import { BODY_TIMEOUT_MS, REQUEST_LIMITS } from "../base/node/read_limits.ts";
 import { ServedConnections } from "../base/node/served_connections.ts";
 import { createServer } from "../base/node/tls.ts";
 import { findOperator } from "./operator_credentials.ts";
@@ -56,7 +57,7 @@
   constructor(options: OperatorServerOptions) {
     this.#options = options;
     const { tls } = options.security;
-    const server = { tls, isMutual: false };
+    const server = { ...REQUEST_LIMITS, tls, isMutual: false };
     this.#server = createServer(server, (request, response) => {
       if (this.#connections.accept(request, response)) {
         this.#handleRequest(request, response).catch(() => response.destroy());
@@ -155,7 +156,10 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<ParsedBody> {
-  const result = await readBody(request, { maxBytes: MAX_BODY_BYTES });
+  const result = await readBody(request, {
+    maxBytes: MAX_BODY_BYTES,
+    maxMs: BODY_TIMEOUT_MS,
+  });
   switch (result.type) {
     case "Whole":
       return parseJson(result.body);
--- a/src/engine/call/node/call_reading.ts
+++ b/src/engine/call/node/call_reading.ts
@@ -3,6 +3,8 @@
 import type { IncomingMessage } from "node:http";
 import { ByteCollector } from "../../../base/common/byte_collector.ts";
 import { PieceMeter } from "../../../base/common/piece_meter.ts";
+import { scheduleTimeout } from "../../../base/node/body_reader.ts";
+import { BODY_TIMEOUT_MS } from "../../../base/node/read_limits.ts";
 import { readSteadyMs } from "../../../base/node/steady_clock.ts";
 import { CONTEXT_HEADER } from "../common/call_context.ts";
 import type { CallReceived, Listener } from "../common/call_events.ts";
@@ -97,12 +99,14 @@
 
 /**
  * Buffers a body of known length and passes it to `onBody`, synchronously if
- * it is empty. Never calls `onBody` if the request is cut off; closes the
- * connection of one that comes in too many small pieces.
+ * it is empty. Never calls `onBody` if the request is cut off. Answers 408 to
+ * one that isn't complete in time, and closes the connection of one that comes
+ * in too many small pieces.
  */
 export function collectBody(
-  request: IncomingMessage,
-  bodyBytes: number,
+  { request, response, bodyBytes }:
+    & Pick<IncomingCall, "request" | "response">
+    & { readonly bodyBytes: number },
   onBody: (body: Uint8Array) => void,
 ): void {
   if (bodyBytes === 0) {
@@ -111,12 +115,24 @@
   }
   const collector = new ByteCollector();
   const pieces = new PieceMeter(readSteadyMs);
+  let isLate = false;
+  const cancelTimeout = scheduleTimeout(BODY_TIMEOUT_MS, () => {
+    isLate = true;
+    response.writeHead(408, { "connection": "close", "content-length": 0 })
+      .end();
+  });
   request.on("data", (chunk: Uint8Array) => {
-    if (pieces.add(chunk.length)) {
-      collector.add(chunk);
-    } else {
+    if (!pieces.add(chunk.length)) {
       request.socket.destroy();
+    } else if (!isLate) {
+      collector.add(chunk);
+    }
+  });
+  request.on("close", cancelTimeout);
+  request.on("end", () => {
+    cancelTimeout();
+    if (!isLate) {
+      onBody(collector.join());
     }
   });
-  request.on("end", () => onBody(collector.join()));
 }
--- a/src/engine/call/node/call_server.ts
+++ b/src/engine/call/node/call_server.ts
@@ -13,6 +13,7 @@
   parseAddress,
 } from "../../../base/node/listen.ts";
 import { ServedConnections } from "../../../base/node/served_connections.ts";
+import { HEAD_LIMITS } from "../../../base/node/read_limits.ts";
 import { createServer } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
 import {
@@ -128,7 +129,7 @@
       const server = createServer({
         ...this.#createTlsOptions(name),
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-        requestTimeout: 0,
+        ...HEAD_LIMITS,
       }, (request, response) => {
         if (connections.accept(request, response)) {
           this.#receiveRequest(name, request, response);
@@ -292,7 +293,7 @@
       acceptBody(undefined);
       return;
     }
-    collectBody(request, bodyBytes, acceptBody);
+    collectBody({ request, response, bodyBytes }, acceptBody);
   }
 
   #receivePeerMessage(
@@ -304,7 +305,7 @@
       response.writeHead(400, { connection: "close" }).end();
       return;
     }
-    collectBody(request, bodyBytes, (body) => {
+    collectBody({ request, response, bodyBytes }, (body) => {
       const message = decodeMessage<PeerMessage>(body);
       if (message === undefined || !isKnownMessage(message)) {
         response.writeHead(400).end();
--- a/src/engine/link/node/link_server.ts
+++ b/src/engine/link/node/link_server.ts
@@ -3,6 +3,10 @@
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
+import {
+  refuseWithoutUpgrade,
+  REQUEST_LIMITS,
+} from "../../../base/node/read_limits.ts";
 import { createServer } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
 import type {
@@ -45,7 +49,10 @@
 
   constructor(options: LinkServerOptions) {
     this.#options = options;
-    this.#http = createServer({ tls: options.tls, isMutual: true });
+    this.#http = createServer(
+      { ...REQUEST_LIMITS, tls: options.tls, isMutual: true },
+      refuseWithoutUpgrade,
+    );
     this.#sockets = new WebSocketServer({
       server: this.#http,
       maxPayload: MAX_MESSAGE_BYTES,
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -5,6 +5,10 @@
 import type { WebSocket } from "ws";
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
+import {
+  refuseWithoutUpgrade,
+  REQUEST_LIMITS,
+} from "../../../base/node/read_limits.ts";
 import { startTicks } from "../../../base/node/shared_ticks.ts";
 import type { LoadReported, MeshFrame } from "../common/frames.ts";
 import { TransitDelay } from "../common/transit_delay.ts";
@@ -60,7 +64,7 @@
 
   constructor(options: MeshServerOptions) {
     this.#options = options;
-    this.#http = createServer();
+    this.#http = createServer(REQUEST_LIMITS, refuseWithoutUpgrade);
     this.#sockets = new WebSocketServer({
       server: this.#http,
       maxPayload: MAX_MESSAGE_BYTES,
