--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -14,7 +14,12 @@
   waitForTurn,
 } from "../../../base/node/listener_close.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
-import type { Route, RouteTable } from "../../routes/common/route_table.ts";
+import { DEFAULT_LIMITS } from "../../routes/common/route_table.ts";
+import type {
+  RequestLimits,
+  Route,
+  RouteTable,
+} from "../../routes/common/route_table.ts";
 import type { Workspace } from "../../workspaces/common/workspace.ts";
 import type {
   EntryCheck,
@@ -31,6 +36,10 @@
 import type { MemoryShares } from "../common/memory_shares.ts";
 import type { RelayLog } from "../common/relay_log.ts";
 import { BufferedBytes } from "../common/held_bytes.ts";
+import {
+  computeParserLimit,
+  getMalformedStatus,
+} from "../common/parser_limits.ts";
 import { resolveTarget } from "../common/request_target.ts";
 import type { RequestLine } from "../common/request_target.ts";
 import { RouteWaiters } from "../common/route_waiters.ts";
@@ -38,6 +47,7 @@
 import { CallerConnection } from "./caller_connection.ts";
 import type { Exchange } from "./caller_connection.ts";
 import { CallerReplies, DEFAULT_CALLER_TIMEOUT_MS } from "./caller_replies.ts";
+import { OverdueConnections } from "./overdue_connections.ts";
 
 /** Starts a call to a service; the function returned withdraws it. */
 export type StartCall = (
@@ -86,11 +96,6 @@
 const CLOSE_POLL_MS = 10;
 /** Retry time when the memory for request bodies is used up. */
 const MEMORY_RETRY_MS = 500;
-/**
- * Limit of Node's parser, above that of any route table: the limit of the table
- * in force is checked for each request.
- */
-const MAX_HEADER_BYTES = 131_072;
 
 /** A request whose body has been read completely. */
 interface ReceivedRequest {
@@ -116,6 +121,7 @@
   readonly #replies: CallerReplies;
   readonly #connections = new Map<Duplex, CallerConnection>();
   readonly #routes: RoutesInForce;
+  readonly #overdue: OverdueConnections;
   #isDraining = false;
   #openCount = 0;
   readonly #bufferedBytes: BufferedBytes;
@@ -127,8 +133,21 @@
     this.#options = options;
     this.#bufferedBytes = new BufferedBytes(options.memory.requestBodies);
     this.#routes = new RoutesInForce(options.draw);
+    this.#overdue = new OverdueConnections({
+      listOpen: () => this.#listOpen(),
+      getLimits: () => this.#getLimits(),
+      onLateHead: () =>
+        options.log.write({
+          event: "RequestRefused",
+          isFailure: true,
+          reason: "head not complete in time",
+          routesVersion: this.#routes.version,
+          limitMs: this.#getLimits().headerTimeoutMs,
+        }),
+    });
     this.#replies = new CallerReplies({
       ...options,
+      getIdleTimeoutMs: () => this.#getLimits().idleTimeoutMs,
       isDraining: () => this.#isDraining,
       closeIfLast: (exchange) =>
         this.#isDraining &&
@@ -136,7 +155,12 @@
             ?.closeIfLast(exchange) === true,
     });
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      {
+        maxHeaderSize: computeParserLimit(DEFAULT_LIMITS),
+        requestTimeout: 0,
+        headersTimeout: 0,
+        keepAliveTimeout: 0,
+      },
       (request, response) => this.#acceptRequest(request, response, false),
     );
     this.#server.on(
@@ -147,7 +171,8 @@
     this.#server.on("connection", (socket) => this.#acceptConnection(socket));
     this.#server.on(
       "clientError",
-      (_error, socket) => this.#rejectMalformed(socket),
+      (error: NodeJS.ErrnoException, socket) =>
+        this.#rejectMalformed(socket, getMalformedStatus(error)),
     );
   }
 
@@ -164,9 +189,10 @@
   /** Replaces the routes in force, and resumes requests that wait for routes. */
   replaceRoutes(routes: RouteTable): void {
     this.#routes.replace(routes);
-    const { headerTimeoutMs, idleTimeoutMs } = routes.limits;
-    this.#server.headersTimeout = headerTimeoutMs;
-    this.#server.keepAliveTimeout = idleTimeoutMs;
+    // Read by Node for each new connection; missing in its type.
+    Object.assign(this.#server, {
+      maxHeaderSize: computeParserLimit(routes.limits),
+    });
     this.#routeWaiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
@@ -175,9 +201,13 @@
     this.#proofWaiters.takeAll().forEach((exchange) => this.#resume(exchange));
   }
 
-  /** Refuses the requests whose wait limit has passed. */
+  /**
+   * Refuses the requests whose wait limit has passed, and closes connections
+   * that exceed the limits of the table in force.
+   */
   tick(): void {
     const nowMs = this.#options.readClock();
+    this.#overdue.tick(nowMs);
     this.#routeWaiters.takeExpired(nowMs)
       .forEach((exchange) => this.#refuseEarly(exchange, "no routes yet"));
     this.#proofWaiters.takeExpired(nowMs)
@@ -298,7 +328,7 @@
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#resume(exchange),
       firstRequests: this.#options.firstRequests,
-      acceptedAtMs: this.#options.readClock(),
+      readClock: this.#options.readClock,
     });
     this.#connections.set(socket, connection);
     socket.on("close", () => this.#connections.delete(socket));
@@ -309,6 +339,11 @@
     return this.#connections.get(socket);
   }
 
+  /** Returns the limits in force; defaults before the first table. */
+  #getLimits(): RequestLimits {
+    return this.#routes.limits ?? DEFAULT_LIMITS;
+  }
+
   /** Lists the connections that take requests. */
   #listOpen(): readonly CallerConnection[] {
     return [...this.#connections.values()].filter(({ isClosing }) =>
@@ -330,12 +365,14 @@
    * connection are answered first, because the caller would take an immediate
    * 400 for the answer to one of those.
    */
-  #rejectMalformed(socket: Duplex): void {
+  #rejectMalformed(socket: Duplex, status: 400 | 431): void {
     const connection = this.#connections.get(socket);
-    if (!socket.writable) {
+    if (connection === undefined || socket.destroyed) {
       socket.destroy();
-    } else if (connection === undefined || connection.isIdle) {
-      socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    } else if (socket.writableEnded) {
+      // The caller sends on, and a reset would drop the answer.
+    } else if (connection.isIdle) {
+      connection.reject(status);
     } else {
       connection.closeWhenIdle();
     }
@@ -532,7 +569,7 @@
         return result.body;
       case "TooLarge":
         this.#logRefused(exchange, "body too large");
-        exchange.response.shouldKeepAlive = false;
+        this.#closeAfter(exchange);
         this.#replies.reply(exchange, 413);
         return undefined;
       case "TooManyPieces":
@@ -557,13 +594,17 @@
    * its connection after the answer: what follows may be the rest of the body.
    */
   #refuseLateBody(exchange: Exchange): void {
-    const { request, response } = exchange;
     if (!exchange.isAnswered) {
       this.#logRefused(exchange, "body not complete at the time limit");
     }
+    this.#closeAfter(exchange);
+    this.#replies.reply(exchange, 408);
+  }
+
+  /** Makes an answer the last one of its connection. */
+  #closeAfter({ request, response }: Exchange): void {
     response.shouldKeepAlive = false;
     this.#getConnection(request.socket)?.closeWhenIdle();
-    this.#replies.reply(exchange, 408);
   }
 
   /** Computes when a request expires: by its route, or by its caller. */
