Keep the replicas that a node knows when it hears from a minority

Nodes that reached all replicas kept the routes of before a partition between replicas for as long as that lasted: requests on an added route got 404 at one to three of five nodes, 10 s after the acknowledgement and later. A node that started then got no routes, or older ones after 4 s.

A replica without a quorum lists, from 3 s on, itself and its own side as the replicas. A node that was linked to it replaced its own list by that one: with no other replica left it stays, although the replica says that it isn't confirmed. Nodes come there at their start, when their links are reset, or during an election, when the other side has no quorum yet either.

A list now replaces the known replicas only if its sender is confirmed as current; otherwise it adds to them.

partitioned_replicas_test.ts, over a proxy that cuts replicas from each other: 503 and 404 before, 200 at every node 2 s after the acknowledgement now.

--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -259,7 +259,7 @@
         return;
       case "HeartbeatAnswer":
         if (message.replicas !== undefined) {
-          this.#link.updateReplicas(message.replicas);
+          this.#link.receiveReplicas(message.replicas, message.isConfirmed);
         }
         return;
       case "TableUpdate":
--- a/src/engine/link/node/link_client.ts
+++ b/src/engine/link/node/link_client.ts
@@ -94,15 +94,27 @@
     this.#loop.dispatch({ type: "Ticked" });
   }
 
-  /** Replaces the replicas that links are opened to. */
-  updateReplicas(replicas: readonly string[]): void {
-    this.#loop.dispatch({ type: "ReplicasLearned", replicas });
+  /**
+   * Receives the list of replicas of a replica. One that is confirmed as current
+   * replaces the replicas that links are opened to. Another one only adds to
+   * them: a replica behind a network partition lists its own side only, and a
+   * node that forgot the other side would never leave it.
+   */
+  receiveReplicas(replicas: readonly string[], isConfirmed: boolean): void {
+    if (isConfirmed) {
+      this.#loop.dispatch({ type: "ReplicasLearned", replicas });
+    } else {
+      this.addReplicas(replicas);
+    }
   }
 
   /** Adds replicas to those that links are opened to. */
   addReplicas(replicas: readonly string[]): void {
     const { replicas: known } = this.#loop.state;
-    this.updateReplicas([...new Set([...known, ...replicas])]);
+    this.#loop.dispatch({
+      type: "ReplicasLearned",
+      replicas: [...new Set([...known, ...replicas])],
+    });
   }
 
   /** Whether a link is open. */
