Remove replaced voters also where there are few replicas

In a deployment of three replicas, after one was lost for good and replaced, the loss of one more stopped all changes and reads of the configuration (503 until it came back); after two replacements in a row it stopped without another loss.

A lost voter was only removed once there were `maxVoters`, five: before, each replacement was added as a voter, so that the lost ones raised the quorum.

A voter that has been silent for `replaceAfterMs` is now removed from an even number of voters too: the others need one vote less, and one more of them may be lost. An odd number keeps it, as nothing would be gained.

--- a/src/engine/control/common/replica_repair.ts
+++ b/src/engine/control/common/replica_repair.ts
@@ -32,11 +32,11 @@
     isPromotable(state, id, nowMs)
   );
   if (ready === undefined) {
-    return selectLostLearner(state, nowMs);
+    return selectLostLearner(state, nowMs) ?? selectSpareVoter(state, nowMs);
   }
   const removed =
     voters.find((id) => parseSettingsId(id) === parseSettingsId(ready)) ??
-      findLostVoter(state, nowMs);
+      findReplaceableVoter(state, nowMs);
   return removed === undefined
     ? { type: "PromoteLearner", replicaId: ready }
     : { type: "RemoveReplica", replicaId: removed };
@@ -59,17 +59,47 @@
     : { type: "RemoveReplica", replicaId: lost };
 }
 
+/**
+ * Selects a lost voter to be removed from an even number of voters: the quorum
+ * of the others is smaller, so that one more of them may be lost. Otherwise a
+ * voter that was replaced while there were fewer than `maxVoters` would stay.
+ */
+function selectSpareVoter(
+  state: ReplicationState,
+  nowMs: number,
+): ConfigurationChange | undefined {
+  const { voters } = state.consensus.configuration;
+  const lost = voters.length % 2 === 0
+    ? findLostVoter(state, nowMs)
+    : undefined;
+  return lost === undefined
+    ? undefined
+    : { type: "RemoveReplica", replicaId: lost };
+}
+
 /**
  * Finds a voter that has been silent for long enough to be replaced by a
- * learner.
+ * learner, if learners are to replace voters.
  */
-function findLostVoter(
+function findReplaceableVoter(
   state: ReplicationState,
   nowMs: number,
 ): string | undefined {
   const { discovery } = state.cluster;
   const { voters } = state.consensus.configuration;
   return discovery === undefined || voters.length < discovery.maxVoters
+    ? undefined
+    : findLostVoter(state, nowMs);
+}
+
+/** Finds a voter that has been silent for `replaceAfterMs`. */
+function findLostVoter(
+  state: ReplicationState,
+  nowMs: number,
+): string | undefined {
+  const { discovery } = state.cluster;
+  const { voters } = state.consensus.configuration;
+  return discovery === undefined
     ? undefined
     : voters.find((id) => isLost(state, id, discovery.replaceAfterMs, nowMs));
 }
@@ -123,5 +153,5 @@
   const { voters } = state.consensus.configuration;
   return voters.length < discovery.maxVoters ||
     voters.some((voter) => parseSettingsId(voter) === id) ||
-    findLostVoter(state, nowMs) !== undefined;
+    findReplaceableVoter(state, nowMs) !== undefined;
 }
--- a/src/engine/control/test/peer_discovery_test.ts
+++ b/src/engine/control/test/peer_discovery_test.ts
@@ -116,4 +116,37 @@
     replicas.runUntil(() => false, 20_000);
     expect(listVoters(replicas, replicas.leader ?? "a")).to.deep.equal(IDS);
   });
+
+  // A replaced voter that stays among few voters raises their quorum, so that
+  // the loss of one more stops all edits.
+  it("remove a replaced voter, and accept edits after another loss", () => {
+    const replicas = createSet();
+    SEEDS.forEach((id) => replicas.start(id));
+    const isFounded = () =>
+      SEEDS.every((id) => listVoters(replicas, id).length === 3);
+    expect(replicas.runUntil(isFounded), "all vote").to.equal(true);
+    replicas.kill("b");
+    replicas.wipe("b");
+    replicas.start("f");
+    const isReplaced = () =>
+      listVoters(replicas, replicas.leader ?? "a").join("") === "acf";
+    expect(replicas.runUntil(isReplaced), "replaced").to.equal(true);
+    replicas.kill("c");
+    const requestId = replicas.edit("a", "edit-1", {
+      type: "RemoveRow",
+      kind: "none",
+      fromVersion: 1,
+    });
+    const isAnswered = () =>
+      replicas.results.get(requestId)?.type === "EditAnswered";
+    expect(replicas.runUntil(isAnswered), "answered").to.equal(true);
+  });
+
+  it("keep two lost voters of five, whose removal one by one gains nothing", () => {
+    const replicas = startAll();
+    replicas.kill("d");
+    replicas.kill("e");
+    replicas.runUntil(() => false, 20_000);
+    expect(listVoters(replicas, replicas.leader ?? "a")).to.deep.equal(IDS);
+  });
 });
