--- a/src/daemon/relay_control.ts
+++ b/src/daemon/relay_control.ts
@@ -283,7 +283,7 @@
           this.#routesLog.recordProof(message.routesVersion);
         }
         if (message.replicas !== undefined) {
-          this.#link.updateReplicas(message.replicas);
+          this.#link.receiveReplicas(message.replicas, message.isConfirmed);
         }
         return;
       case "TableUpdate":
