Add a soak test of configurations

The soak test adds one route a version and asks for it.

Checked are the answers to orders, every read, and by which configuration each request was handled.

--- /dev/null
+++ b/soak/config_soak.ts
@@ -0,0 +1,340 @@
+/**
+ * The soak test of configurations: operators change and read them at all
+ * replicas while processes and links fail and callers use every node.
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createRandom } from "../src/base/test/seeded_random.ts";
+import type { Random } from "../src/base/test/seeded_random.ts";
+import { waitFor } from "../platform/standin/platform_fleet.ts";
+import { judgeCalls } from "./config_call_checks.ts";
+import { makeCalls } from "./config_callers.ts";
+import type { CallKind, ConfigCall } from "./config_callers.ts";
+import {
+  findAcknowledgedVersion,
+  findAcknowledgement,
+  listFinalViolations,
+  listOrderViolations,
+  listReadViolations,
+} from "./config_checks.ts";
+import {
+  ADDED_PREFIXES,
+  MOVED_PREFIX,
+  pick,
+  SLOW_PREFIX,
+  SPLIT_PREFIX,
+  TYPED_PREFIX,
+} from "./config_document.ts";
+import { ConfigFleet, isDisturbed } from "./config_fleet.ts";
+import type { Disturbance } from "./config_fleet.ts";
+import { ConfigOperators } from "./config_operators.ts";
+import { listSteadyViolations } from "./config_steady_checks.ts";
+import type { SoakSize } from "./soak_fleet.ts";
+
+/** Parameters of the soak test. */
+export interface ConfigSoakOptions extends SoakSize {
+  readonly seed: number;
+  /** Duration of orders and faults. */
+  readonly lengthMs: number;
+  readonly operators: number;
+  /** Maximum number of faults in progress at the same time. */
+  readonly overlapping: number;
+  /** Folder for the record and the logs of a seed that broke a rule. */
+  readonly logs?: string | undefined;
+}
+
+/** The result of a soak test. */
+export interface ConfigSoakReport {
+  readonly seed: number;
+  readonly orders: number;
+  readonly acknowledged: number;
+  readonly invalid: number;
+  readonly resent: number;
+  readonly reads: number;
+  readonly calls: number;
+  readonly served: number;
+  /** Number of faults of each kind. */
+  readonly faults: Readonly<Record<string, number>>;
+  readonly lateBesideFaults: number;
+  readonly maxLagMs: number;
+  /** Violated invariants, one line each. */
+  readonly broken: readonly string[];
+}
+
+/** Parameters of the short soak test. */
+export const SHORT_CONFIG_SOAK = {
+  entries: 1,
+  backends: 1,
+  replicas: 3,
+  operators: 3,
+  lengthMs: 14_000,
+  overlapping: 2,
+} as const;
+
+const MAX_FAULT_INTERVAL_MS = 900;
+/** Share of acknowledgements that a fault of replicas follows at once. */
+const FAULT_AFTER_ACK_RATIO = 0.15;
+/** Share of intervals with a fault of several replicas at once. */
+const GROUP_FAULT_RATIO = 0.08;
+const MAX_GROUP_FREEZE_MS = 2_500;
+const MAX_GROUP_DOWNTIME_MS = 1_000;
+const SETTLING_MS = 3_000;
+const STEADY_MS = 4_000;
+/** Markers of the newest orders that callers ask for. */
+const RECENT_MARKERS = 5;
+/** Share of the calls on the split in the steady time. */
+const STEADY_SPLIT_RATIO = 0.5;
+const FIRST_PREFIXES = [
+  MOVED_PREFIX,
+  SPLIT_PREFIX,
+  SLOW_PREFIX,
+  TYPED_PREFIX,
+  "/never/",
+];
+/** What the callers of each node do. */
+const CALLER_KINDS: readonly (readonly CallKind[])[] = [
+  ["whole"],
+  ["whole"],
+  ["whole"],
+  ["idle"],
+  ["idle"],
+  ["stopped body", "stopped head"],
+];
+
+/** Runs the soak test of one seed. */
+export async function runConfigSoak(
+  options: ConfigSoakOptions,
+): Promise<ConfigSoakReport> {
+  const draw = (index: number) => createRandom(options.seed * 1_000 + index);
+  await using fleet = await ConfigFleet.open(options, draw(0));
+  const run = new ConfigRun(fleet, options, draw);
+  return await run.play();
+}
+
+class ConfigRun {
+  readonly #fleet: ConfigFleet;
+  readonly #options: ConfigSoakOptions;
+  readonly #draw: (index: number) => Random;
+  readonly #operators: ConfigOperators;
+  readonly #calls: ConfigCall[] = [];
+  readonly #faults = new Set<Promise<void>>();
+  #areFaultsOver = true;
+  #isSteady = false;
+
+  constructor(
+    fleet: ConfigFleet,
+    options: ConfigSoakOptions,
+    draw: (index: number) => Random,
+  ) {
+    this.#fleet = fleet;
+    this.#options = options;
+    this.#draw = draw;
+    const random = draw(1);
+    this.#operators = new ConfigOperators({
+      replicas: fleet.replicaAddresses,
+      onAcknowledged: (replica) => this.#failAfterAck(random, replica),
+    });
+  }
+
+  async play(): Promise<ConfigSoakReport> {
+    const { operators } = this.#options;
+    await this.#operators.sendFirst(this.#draw(2));
+    let isOver = false;
+    const running = [
+      ...this.#startCallers(() => isOver),
+      this.#operators.readUntilStopped(() => isOver),
+    ];
+    await waitFor(() => this.#calls.some(({ status }) => status === 200));
+    let areOrdersOver = false;
+    this.#areFaultsOver = false;
+    const ordering = Array.from(
+      { length: operators },
+      (_, index) =>
+        this.#operators
+          .orderUntilStopped(this.#draw(10 + index), () => areOrdersOver),
+    );
+    await this.#injectFaults(this.#draw(3));
+    areOrdersOver = true;
+    await Promise.all([...ordering, ...this.#faults]);
+    await sleep(SETTLING_MS);
+    const broken = [...await this.#playSteadyTime()];
+    isOver = true;
+    await Promise.all(running);
+    return this.#report(broken);
+  }
+
+  /** Changes the configuration once more, and holds calls against it. */
+  async #playSteadyTime(): Promise<readonly string[]> {
+    const isChanged = await this.#operators.sendLast(this.#draw(4));
+    await sleep(SETTLING_MS);
+    this.#isSteady = true;
+    const startMs = performance.now();
+    await sleep(STEADY_MS);
+    const finalReads = await Promise.all(
+      this.#fleet.replicaAddresses
+        .map((replica) => this.#operators.read(replica)),
+    );
+    const { orders } = this.#operators;
+    const newest = findAcknowledgedVersion(orders, Infinity);
+    const { document } = orders.find((order) =>
+      order.document.version === newest &&
+      findAcknowledgement(order) !== undefined
+    )!;
+    const calls = this.#calls.filter(({ sentAtMs }) => sentAtMs > startMs);
+    return [
+      ...isChanged ? [] : ["the last change was not acknowledged"],
+      ...listFinalViolations(orders, finalReads),
+      ...listSteadyViolations(document, calls, this.#fleet.services),
+    ];
+  }
+
+  #report(broken: readonly string[]): ConfigSoakReport {
+    const { orders, reads } = this.#operators;
+    const judged = judgeCalls({
+      orders,
+      calls: this.#calls,
+      members: this.#fleet.members,
+      services: this.#fleet.services,
+      runs: this.#fleet.countRuns(),
+    });
+    const acknowledged = orders
+      .filter((order) => findAcknowledgement(order) !== undefined);
+    const report = {
+      seed: this.#options.seed,
+      orders: orders.length,
+      acknowledged: acknowledged.length,
+      invalid: orders.filter(({ invalid }) => invalid !== undefined).length,
+      resent: acknowledged
+        .filter(({ attempts }) => attempts.length > 1).length,
+      reads: reads.length,
+      calls: this.#calls.length,
+      served: this.#calls.filter(({ status }) => status === 200).length,
+      faults: this.#countFaults(),
+      lateBesideFaults: judged.lateBesideFaults,
+      maxLagMs: judged.maxLagMs,
+      broken: [
+        ...broken,
+        ...listOrderViolations(orders),
+        ...listReadViolations(orders, reads),
+        ...judged.broken,
+      ],
+    };
+    this.#keepLogs(report);
+    return report;
+  }
+
+  #startCallers(isStopped: () => boolean): readonly Promise<void>[] {
+    let nextId = 1;
+    return this.#fleet.nodes.flatMap(({ callers, ip }, nodeIndex) => {
+      const node = this.#fleet.members
+        .find(({ process }) => process.ip === ip)!.name;
+      return CALLER_KINDS.map((kinds, index) =>
+        makeCalls({
+          node,
+          address: callers,
+          random: this.#draw(100 + nodeIndex * CALLER_KINDS.length + index),
+          kinds,
+          createId: () => `c${nextId++}`,
+          drawPath: (random) => this.#drawPath(random),
+          isStopped,
+          recordCall: (call) => this.#calls.push(call),
+        })
+      );
+    });
+  }
+
+  #drawPath(random: Random): string {
+    if (this.#isSteady && random() < STEADY_SPLIT_RATIO) {
+      return SPLIT_PREFIX;
+    }
+    const markers = this.#operators.orders.slice(-RECENT_MARKERS)
+      .map(({ document }) => document.marker);
+    return pick(random, [...FIRST_PREFIXES, ...ADDED_PREFIXES, ...markers]);
+  }
+
+  async #injectFaults(random: Random): Promise<void> {
+    const { lengthMs, overlapping } = this.#options;
+    const endMs = performance.now() + lengthMs;
+    while (performance.now() < endMs) {
+      if (this.#faults.size < overlapping) {
+        this.#track(
+          random() < GROUP_FAULT_RATIO
+            ? this.#failTogether(random)
+            : this.#fleet.injectFault(random),
+        );
+      }
+      await sleep(random() * MAX_FAULT_INTERVAL_MS);
+    }
+    this.#areFaultsOver = true;
+  }
+
+  #track(fault: Promise<void>): void {
+    const tracked = fault.finally(() => this.#faults.delete(tracked));
+    this.#faults.add(tracked);
+  }
+
+  /** Kills or suspends the replica that has acknowledged, or all replicas. */
+  #failAfterAck(random: Random, address: string): void {
+    const kind = random();
+    const replica = this.#fleet.findReplica(address);
+    if (
+      this.#areFaultsOver || kind > FAULT_AFTER_ACK_RATIO ||
+      replica === undefined || isDisturbed(replica)
+    ) {
+      return;
+    }
+    const part = kind / FAULT_AFTER_ACK_RATIO;
+    if (part < 0.4) {
+      this.#track(this.#fleet.kill([replica], MAX_GROUP_DOWNTIME_MS));
+    } else if (part < 0.8) {
+      this.#track(this.#fleet.freeze([replica], MAX_GROUP_FREEZE_MS));
+    } else {
+      this.#track(this.#failTogether(random));
+    }
+  }
+
+  /** Kills or suspends a majority of the replicas, or all of them, at once. */
+  async #failTogether(random: Random): Promise<void> {
+    const { replicas } = this.#fleet;
+    const count = random() < 0.5
+      ? replicas.length
+      : Math.floor(replicas.length / 2) + 1;
+    const isKill = random() < 0.6;
+    const members = replicas.filter((member) => !isDisturbed(member))
+      .slice(0, count);
+    if (isKill) {
+      await this.#fleet.kill(members, random() * MAX_GROUP_DOWNTIME_MS);
+    } else {
+      await this.#fleet.freeze(members, random() * MAX_GROUP_FREEZE_MS);
+    }
+  }
+
+  #countFaults(): Readonly<Record<string, number>> {
+    const faults = new Set<Disturbance>(
+      this.#fleet.members.flatMap(({ disturbances }) => disturbances),
+    );
+    const counts: Record<string, number> = {};
+    for (const { kind } of faults) {
+      counts[kind] = (counts[kind] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  #keepLogs(report: ConfigSoakReport): void {
+    const { logs, seed } = this.#options;
+    if (logs === undefined || report.broken.length === 0) {
+      return;
+    }
+    const folder = join(logs, `seed-${seed}`);
+    mkdirSync(folder, { recursive: true });
+    const { orders, reads } = this.#operators;
+    const record = { report, orders, reads, calls: this.#calls };
+    writeFileSync(join(folder, "record.json"), JSON.stringify(record, null, 1));
+    for (const { name, process, disturbances } of this.#fleet.members) {
+      const lines = [JSON.stringify({ disturbances }), ...process.stdoutLines];
+      writeFileSync(join(folder, `${name}.log`), lines.join("\n"));
+    }
+  }
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,10 +3,11 @@
  * `node out/soak/main.js --seeds 50 --first 1`. With `--tree`, runs the soak
  * test of a call tree, with `--crashes` that of requests that end the backend
  * servers that run them, with `--parts` that of planned work while callers send
- * their requests in parts.
+ * their requests in parts, with `--config` that of configurations.
  */
 import process from "node:process";
 import { Command } from "commander";
+import { runConfigSoak, SHORT_CONFIG_SOAK } from "./config_soak.ts";
 import { runCrashSoak } from "./crash_soak.ts";
 import { runPartsSoak, SHORT_PARTS_SOAK } from "./parts_soak.ts";
 import { runSoak, SHORT_SOAK } from "./soak_run.ts";
@@ -23,6 +24,16 @@
   .option("--tree", "run the soak test of a call tree")
   .option("--crashes", "run the soak test of requests that end servers")
   .option("--parts", "run the soak test of requests that are sent in parts")
+  .option("--config", "run the soak test of configurations")
+  .option(
+    "--operators <count>",
+    "operators, with --config",
+    String(SHORT_CONFIG_SOAK.operators),
+  )
+  .option(
+    "--logs <folder>",
+    "where to keep logs of broken seeds, with --config",
+  )
   .option("--callers <count>", "callers of each entry node")
   .option(
     "--nodes <count>",
@@ -49,7 +60,14 @@
     backends: Number(options["backends"]),
     replicas: Number(options["replicas"]),
   };
-  const report = options["parts"] !== undefined
+  const report = options["config"] !== undefined
+    ? await runConfigSoak({
+      ...common,
+      ...size,
+      operators: Number(options["operators"]),
+      logs: options["logs"],
+    })
+    : options["parts"] !== undefined
     ? await runPartsSoak({
       ...common,
       ...size,
