--- a/soak/config_soak.ts
+++ b/soak/config_soak.ts
@@ -9,7 +9,7 @@
 import { createRandom } from "../src/base/test/seeded_random.ts";
 import type { Random } from "../src/base/test/seeded_random.ts";
 import { waitFor } from "../platform/standin/platform_fleet.ts";
-import { judgeCalls } from "./config_call_checks.ts";
+import { CallJudge } from "./config_call_checks.ts";
 import { makeCalls } from "./config_callers.ts";
 import type { CallKind, ConfigCall } from "./config_callers.ts";
 import {
@@ -29,8 +29,10 @@
 } from "./config_document.ts";
 import { ConfigFleet, isDisturbed } from "./config_fleet.ts";
 import type { Disturbance } from "./config_fleet.ts";
+import { ConfigHistory } from "./config_history.ts";
 import { ConfigOperators } from "./config_operators.ts";
 import { listSteadyViolations } from "./config_steady_checks.ts";
+import { listTimeViolations } from "./config_time_checks.ts";
 import type { SoakSize } from "./soak_fleet.ts";
 
 /** Parameters of the soak test. */
@@ -51,7 +53,8 @@
   readonly orders: number;
   readonly acknowledged: number;
   readonly invalid: number;
-  readonly resent: number;
+  /** Acknowledged ones that were sent more than once. */
+  readonly repeated: number;
   readonly reads: number;
   readonly calls: number;
   readonly served: number;
@@ -192,13 +195,12 @@
 
   #report(broken: readonly string[]): ConfigSoakReport {
     const { orders, reads } = this.#operators;
-    const judged = judgeCalls({
-      orders,
-      calls: this.#calls,
-      members: this.#fleet.members,
+    const history = new ConfigHistory(orders, this.#fleet.members);
+    const judge = new CallJudge(history, {
       services: this.#fleet.services,
       runs: this.#fleet.countRuns(),
     });
+    const callFaults = judge.listViolations(this.#calls);
     const acknowledged = orders
       .filter((order) => findAcknowledgement(order) !== undefined);
     const report = {
@@ -206,19 +208,20 @@
       orders: orders.length,
       acknowledged: acknowledged.length,
       invalid: orders.filter(({ invalid }) => invalid !== undefined).length,
-      resent: acknowledged
+      repeated: acknowledged
         .filter(({ attempts }) => attempts.length > 1).length,
       reads: reads.length,
       calls: this.#calls.length,
       served: this.#calls.filter(({ status }) => status === 200).length,
       faults: this.#countFaults(),
-      lateBesideFaults: judged.lateBesideFaults,
-      maxLagMs: judged.maxLagMs,
+      lateBesideFaults: judge.lateBesideFaults,
+      maxLagMs: judge.maxLagMs,
       broken: [
         ...broken,
         ...listOrderViolations(orders),
         ...listReadViolations(orders, reads),
-        ...judged.broken,
+        ...callFaults,
+        ...listTimeViolations(history, this.#calls),
       ],
     };
     this.#keepLogs(report);
