--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -35,6 +35,14 @@
   return { version, routes, limits: DEFAULT_LIMITS };
 }
 
+/** Checks a table whose document defines one service. */
+function check(table: RouteTable): string | undefined {
+  const references = table.routes.flatMap(({ name, targets }) =>
+    targets.map(({ service }) => ({ route: name, service }))
+  );
+  return checkRoutes(table, { defined: new Set(["catalog"]), references });
+}
+
 function replace(
   state: TableState,
   baseVersion: number,
@@ -78,6 +86,19 @@
     }
   });
 
+  // Guards against a sum of weights that is beyond the range of a double.
+  it("distribute by weight in any scale", () => {
+    for (const scale of [1e-320, 1e-3, 1.9e306]) {
+      const targets = [
+        { service: "old", weight: 90 * scale },
+        { service: "new", weight: 10 * scale },
+      ];
+      const chooser = new TargetChooser(() => 0.05);
+      expect(countChoices(chooser, createRoute({ targets }), 100), `${scale}`)
+        .to.deep.equal({ old: 90, new: 10 });
+    }
+  });
+
   const faults: readonly [string, Partial<Route>][] = [
     ["an unknown service", { targets: [{ service: "gone", weight: 1 }] }],
     ["no time", { timeoutMs: 0 }],
@@ -87,17 +108,14 @@
   ];
   for (const [what, change] of faults) {
     it(`are refused with ${what}`, () => {
-      const services = new Set(["catalog"]);
-      const check = (route: Route) =>
-        checkRoutes(createTable(1, route), services);
-      expect(check(createRoute())).to.equal(undefined);
-      expect(check(createRoute(change))).to.be.a("string");
+      expect(check(createTable(1, createRoute()))).to.equal(undefined);
+      expect(check(createTable(1, createRoute(change)))).to.be.a("string");
     });
   }
 
   it("are refused if two have the same host and prefix", () => {
     const table = createTable(1, createRoute(), createRoute({ name: "twin" }));
-    expect(checkRoutes(table, new Set(["catalog"]))).to.be.a("string");
+    expect(check(table)).to.be.a("string");
   });
 });
 
