--- a/soak/config_time_checks.ts
+++ b/soak/config_time_checks.ts
@@ -72,7 +72,8 @@
     return [];
   }
   const limits = history.listAllowed(getDecisionTime(call))
-    .map((document) => getLimitMs(call, document));
+    .map((document) => getLimitMs(call, document))
+    .filter((limitMs) => limitMs !== undefined);
   const limitMs = Math.max(...limits);
   const slackMs = call.kind === "idle"
     ? IDLE_SLACK_MS
@@ -105,11 +106,11 @@
   return { fromMs, toMs: endedAtMs };
 }
 
-/** Returns the limit of a call; 0 if its path has no route. */
+/** Returns the limit of a call; undefined if its path has no route. */
 function getLimitMs(
   { kind, path }: ConfigCall,
   document: SoakDocument,
-): number {
+): number | undefined {
   switch (kind) {
     case "idle":
       return document.limits.idleTimeoutMs;
@@ -117,7 +118,7 @@
       return document.limits.headerTimeoutMs;
     case "whole":
     case "stopped body":
-      return findRoute(document, path)?.timeoutMs ?? 0;
+      return findRoute(document, path)?.timeoutMs;
   }
 }
 
