Let replicas find the members of their set without a seed

When all replicas were killed and started again while none of their seeds ran, each of them waited for ever: reads and changes got 503. Seen in a trial of five replicas of which the three seeds had been replaced one after the other.

A replica opened links to its seeds, and to those that it heard of. The members of the set are on its disk, but it only read them as voters to count.

It now opens links to the members too.

replaced_replica_test.ts: 503 before, with three of four voters running; a change is acknowledged and read back now.

--- a/src/engine/control/common/peer_discovery.ts
+++ b/src/engine/control/common/peer_discovery.ts
@@ -54,6 +54,18 @@
   );
 }
 
+/**
+ * Adds the members of the replica set, which a replica reads from its disk when
+ * it starts: at that time, none of the seeds may be running.
+ */
+export function addMemberPeers(
+  state: ReplicationState,
+  nowMs: number,
+): ReplicationStep {
+  const { voters, learners } = state.consensus.configuration;
+  return addPeers(state, [...voters, ...learners].map(parseSettingsId), nowMs);
+}
+
 /** Lists the ids of the peers that have sent a hello and are not silent. */
 export function listAlivePeers(state: ReplicationState): readonly string[] {
   return [...state.peers]
--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -20,6 +20,7 @@
 import { bootstrapCluster, finishBootstrap, isEmpty } from "./bootstrap.ts";
 import {
   addHelloPeers,
+  addMemberPeers,
   addPeers,
   createPeer,
   listAlivePeers,
@@ -193,6 +194,7 @@
     (s) => stepConsensus(s, { type: "Ticked" }, nowMs),
     (s) => reportSilence(s, nowMs),
     bootstrapCluster,
+    (s) => addMemberPeers(s, nowMs),
     (s) => repairReplicas(s, nowMs),
     (s) => removeSilentPeers(s, nowMs),
     (s) => expireEdits(s, nowMs),
