Refuse a configuration that is too large at once, as such

A configuration whose edit is over the limit of the replicated log was answered 503 after the deadline of edits, as a passing overload is, so that its operator sent it again and again. The interface for edits of rows checked this already; both use one function.

--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -153,6 +153,11 @@
     );
   }
 
+  /** Describes why a replacement is too large; undefined if it isn't. */
+  checkRoutesSize(editId: string, change: ReplaceRoutes): string | undefined {
+    return this.#requests.checkRoutesSize(editId, change);
+  }
+
   /**
    * Reads the routes; undefined if no quorum confirmed that they are current.
    */
--- a/src/daemon/control_requests.ts
+++ b/src/daemon/control_requests.ts
@@ -37,9 +37,8 @@
       async ({ editId, change }) => {
         const { operator } = request;
         const edit = { editId, operator, atMs: Date.now(), change };
-        const payload = encodeCommand({ type: "TableEdited", edit });
-        if (payload.length > MAX_EDIT_BYTES) {
-          const message = `Edit is over ${MAX_EDIT_BYTES} bytes`;
+        const message = checkSize(edit);
+        if (message !== undefined) {
           return { status: 400, body: { message } };
         }
         return createEditAnswer(await this.#requestEdit(edit));
@@ -50,8 +49,15 @@
 
   /** Replaces the routes; a resend with the same `editId` is the same edit. */
   replaceRoutes(editId: string, change: ReplaceRoutes): Promise<EditResult> {
-    const operator = "unknown";
-    return this.#requestEdit({ editId, operator, atMs: Date.now(), change });
+    return this.#requestEdit(createRoutesEdit(editId, change));
+  }
+
+  /**
+   * Describes why a replacement of the routes is too large to be replicated;
+   * undefined if it isn't.
+   */
+  checkRoutesSize(editId: string, change: ReplaceRoutes): string | undefined {
+    return checkSize(createRoutesEdit(editId, change));
   }
 
   /** Reads a value; undefined if no quorum confirmed that it is current. */
@@ -95,6 +101,17 @@
   }
 }
 
+function createRoutesEdit(editId: string, change: ReplaceRoutes): TableEdit {
+  return { editId, operator: "unknown", atMs: Date.now(), change };
+}
+
+function checkSize(edit: TableEdit): string | undefined {
+  const { length } = encodeCommand({ type: "TableEdited", edit });
+  return length > MAX_EDIT_BYTES
+    ? `Edit of ${length} bytes is over ${MAX_EDIT_BYTES}`
+    : undefined;
+}
+
 function createEditAnswer(result: EditResult): OperatorAnswer {
   if (result.type === "EditRefused") {
     const message = result.isUnknown ? EDIT_OUTCOME_UNKNOWN : EDIT_NOT_ACCEPTED;
