Keep the shares of splits on routes of the same name

Two routes may have one name. They took turns at one phase, so that with equal weights and alternating requests each of them sent all of its requests to one target. The phase belongs to host, prefix and name now.

Evidence: "distribute by weight beside another one of the same name" counted {old: 100, new: 0} before, and 50 each now; all other tests of splits pass.

--- a/src/engine/routes/common/route_match.ts
+++ b/src/engine/routes/common/route_match.ts
@@ -57,7 +57,7 @@
  */
 export class TargetChooser {
   readonly #draw: () => number;
-  /** Phases of the decisions, by route name. */
+  /** Phases of the decisions, by `createRouteKey`. */
   readonly #phases = new Map<string, number[]>();
 
   /**
@@ -70,12 +70,14 @@
   }
 
   /** Chooses the service of the next request, and advances the phases. */
-  choose({ name, targets }: Route): string {
+  choose(route: Route): string {
+    const { targets } = route;
     if (targets.length === 1) {
       return targets[0]!.service;
     }
-    const phases = this.#phases.get(name) ?? [];
-    this.#phases.set(name, phases);
+    const key = createRouteKey(route);
+    const phases = this.#phases.get(key) ?? [];
+    this.#phases.set(key, phases);
     const weighted = targets.filter(({ weight }) => weight > 0);
     const shares = computeSharesOfRest(weighted.map(({ weight }) => weight));
     const index = shares.findIndex((share, at) => {
@@ -90,15 +92,20 @@
 
   /** Removes the state of routes that are not in the table. */
   prune(table: RouteTable): void {
-    const names = new Set(table.routes.map(({ name }) => name));
-    for (const name of this.#phases.keys()) {
-      if (!names.has(name)) {
-        this.#phases.delete(name);
+    const keys = new Set(table.routes.map(createRouteKey));
+    for (const key of this.#phases.keys()) {
+      if (!keys.has(key)) {
+        this.#phases.delete(key);
       }
     }
   }
 }
 
+/** Tells routes apart; several may have the same name. */
+function createRouteKey({ name, host, prefix }: Route): string {
+  return `${host} ${prefix} ${name}`;
+}
+
 /**
  * Computes each weight but the last, divided by the sum of itself and those
  * after it. Weights are scaled first, so that no sum exceeds a double's range.
--- a/src/engine/routes/test/routes_test.ts
+++ b/src/engine/routes/test/routes_test.ts
@@ -158,6 +158,23 @@
     }
   });
 
+  // Guards against two routes whose requests take turns at one phase: each of
+  // them would have the same target for ever.
+  it("distribute by weight beside another one of the same name", () => {
+    const targets = [
+      { service: "old", weight: 1 },
+      { service: "new", weight: 1 },
+    ];
+    const chooser = new TargetChooser(() => 0.05);
+    const counts = { old: 0, new: 0 };
+    for (let n = 0; n < 100; n += 1) {
+      chooser.choose(createRoute({ targets, prefix: "/other/" }));
+      counts[chooser.choose(createRoute({ targets })) as keyof typeof counts] +=
+        1;
+    }
+    expect(counts).to.deep.equal({ old: 50, new: 50 });
+  });
+
   const faults: readonly [string, Partial<Route>][] = [
     ["an unknown service", { targets: [{ service: "gone", weight: 1 }] }],
     ["no time", { timeoutMs: 0 }],
