--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -36,9 +36,10 @@
   { defined, references }: DocumentServices,
 ): string | undefined {
   const unknown = references.find(({ service }) => !defined.has(service));
+  // The name isn't quoted: it may be an API key in the wrong field.
   return unknown === undefined
     ? undefined
-    : `Route ${unknown.route}: service ${unknown.service} is not defined`;
+    : `Route ${unknown.route}: it names a service that is not defined`;
 }
 
 function checkEachRoute(routes: readonly Route[]): string | undefined {
