--- a/src/engine/control/common/replication_reducer.ts
+++ b/src/engine/control/common/replication_reducer.ts
@@ -20,6 +20,7 @@
 import { bootstrapCluster, finishBootstrap, isEmpty } from "./bootstrap.ts";
 import {
   addHelloPeers,
+  addMemberPeers,
   addPeers,
   createPeer,
   listAlivePeers,
@@ -81,6 +82,7 @@
     cluster,
     consensus,
     ...INITIAL_REPLICATED_STATE,
+    lastApplied: [],
     commandProposals: new Map(),
     peers,
     edits: new Map(),
@@ -193,6 +195,7 @@
     (s) => stepConsensus(s, { type: "Ticked" }, nowMs),
     (s) => reportSilence(s, nowMs),
     bootstrapCluster,
+    (s) => addMemberPeers(s, nowMs),
     (s) => repairReplicas(s, nowMs),
     (s) => removeSilentPeers(s, nowMs),
     (s) => expireEdits(s, nowMs),
--- a/src/engine/routes/common/route_check.ts
+++ b/src/engine/routes/common/route_check.ts
@@ -1,5 +1,6 @@
 /** Validates a route table. */
 import { checkWorkspaces } from "../../workspaces/common/workspace.ts";
+import { formatHost, parseHost } from "./route_host.ts";
 import type { Route, RouteTable } from "./route_table.ts";
 
 /** Maximum timeout of a route. */
@@ -35,9 +36,10 @@
   { defined, references }: DocumentServices,
 ): string | undefined {
   const unknown = references.find(({ service }) => !defined.has(service));
+  // The name isn't quoted: it may be an API key in the wrong field.
   return unknown === undefined
     ? undefined
-    : `Route ${unknown.route}: service ${unknown.service} is not defined`;
+    : `Route ${unknown.route}: it names a service that is not defined`;
 }
 
 function checkEachRoute(routes: readonly Route[]): string | undefined {
@@ -47,7 +49,8 @@
     if (fault !== undefined) {
       return `Route ${route.name}: ${fault}`;
     }
-    const hostAndPrefix = `${route.host} ${route.prefix}`;
+    const host = formatHost(parseHost(route.host));
+    const hostAndPrefix = `${host} ${route.prefix}`;
     if (hostsAndPrefixes.has(hostAndPrefix)) {
       return `Route ${route.name}: another route has the same host and prefix`;
     }
