--- a/soak/config_callers.ts
+++ b/soak/config_callers.ts
@@ -52,8 +52,9 @@
   readonly kinds: readonly CallKind[];
   readonly createId: () => string;
   readonly drawPath: (random: Random) => string;
-  readonly isStopped: () => boolean;
   readonly recordCall: (call: ConfigCall) => void;
+  /** Ends the waits for answers, which are not recorded then. */
+  readonly signal: AbortSignal;
 }
 
 /** Longer than any time limit of a route, and the slack of its check. */
@@ -69,15 +70,17 @@
 
 /** Makes calls one at a time, reconnecting as needed, until stopped. */
 export async function makeCalls(options: ConfigCallerOptions): Promise<void> {
-  const { address, random, isStopped } = options;
-  while (!isStopped()) {
+  const { address, random, signal } = options;
+  while (!signal.aborted) {
     const socket = await openSocket(address);
     if (socket === undefined) {
       await sleep(RECONNECT_DELAY_MS);
       continue;
     }
+    const close = () => socket.destroy();
+    signal.addEventListener("abort", close);
     let canReuse = true;
-    while (canReuse && !isStopped()) {
+    while (canReuse && !signal.aborted) {
       const kind = pick(random, options.kinds);
       canReuse = kind === "idle"
         ? await stayIdle(socket, options)
@@ -85,6 +88,7 @@
       await sleep(random() * MAX_PAUSE_MS);
       canReuse &&= !socket.destroyed;
     }
+    signal.removeEventListener("abort", close);
     socket.destroy();
   }
 }
@@ -136,7 +140,7 @@
   }
   const completeAtMs = performance.now();
   const { answer, endedAtMs, end } = await waiting;
-  options.recordCall({
+  record(options, {
     kind,
     requestId,
     node: options.node,
@@ -163,7 +167,7 @@
   }
   const sentAtMs = performance.now();
   const { endedAtMs, end } = await waitForAnswer(socket, MAX_IDLE_WAIT_MS);
-  options.recordCall({
+  record(options, {
     kind: "idle",
     requestId: "",
     node: options.node,
@@ -179,6 +183,15 @@
   return false;
 }
 
+function record(
+  { signal, recordCall }: ConfigCallerOptions,
+  call: ConfigCall,
+): void {
+  if (!signal.aborted) {
+    recordCall(call);
+  }
+}
+
 interface Ending {
   readonly answer: CompleteAnswer | undefined;
   readonly endedAtMs: number;
--- a/soak/config_soak.ts
+++ b/soak/config_soak.ts
@@ -2,6 +2,7 @@
  * The soak test of configurations: operators change and read them at all
  * replicas while processes and links fail and callers use every node.
  */
+import { setMaxListeners } from "node:events";
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
@@ -144,9 +145,12 @@
   async play(): Promise<ConfigSoakReport> {
     const { operators } = this.#options;
     await this.#operators.sendFirst(this.#draw(2));
-    let isOver = false;
-    this.#startCallers(() => isOver);
-    const reading = this.#operators.readUntilStopped(() => isOver);
+    const end = new AbortController();
+    setMaxListeners(0, end.signal);
+    const running = [
+      ...this.#startCallers(end.signal),
+      this.#operators.readUntilStopped(() => end.signal.aborted),
+    ];
     await waitFor(() => this.#calls.some(({ status }) => status === 200));
     let areOrdersOver = false;
     this.#areFaultsOver = false;
@@ -161,9 +165,8 @@
     await Promise.all([...ordering, ...this.#faults]);
     await sleep(SETTLING_MS);
     const broken = [...await this.#playSteadyTime()];
-    isOver = true;
-    // Callers in the middle of a wait end it when the fleet is closed.
-    await reading;
+    end.abort();
+    await Promise.all(running);
     return this.#report(broken);
   }
 
@@ -227,12 +230,12 @@
     return report;
   }
 
-  #startCallers(isStopped: () => boolean): void {
+  #startCallers(signal: AbortSignal): readonly Promise<void>[] {
     let nextId = 1;
-    this.#fleet.nodes.forEach(({ callers, ip }, nodeIndex) => {
+    return this.#fleet.nodes.flatMap(({ callers, ip }, nodeIndex) => {
       const node = this.#fleet.members
         .find(({ process }) => process.ip === ip)!.name;
-      CALLER_KINDS.forEach((kinds, index) => {
+      return CALLER_KINDS.map((kinds, index) =>
         makeCalls({
           node,
           address: callers,
@@ -240,10 +243,10 @@
           kinds,
           createId: () => `c${nextId++}`,
           drawPath: (random) => this.#drawPath(random),
-          isStopped,
           recordCall: (call) => this.#calls.push(call),
-        });
-      });
+          signal,
+        })
+      );
     });
   }
 
