--- a/soak/config_document.ts
+++ b/soak/config_document.ts
@@ -1,4 +1,4 @@
-/** Configurations of a soak test, and random changes of them. */
+/** Configurations of a soak test. */
 import type { Random } from "../src/base/test/seeded_random.ts";
 import { HOST } from "../platform/standin/configurations.ts";
 
@@ -48,16 +48,7 @@
 export const ADDED_PREFIXES = Array.from({ length: 6 }, (_, n) => `/dyn-${n}/`);
 
 const FIRST_VERSION = 5;
-const MAX_VERSION_STEP = 4;
-const BULK_ROUTES = 60;
 const DEFAULT_TIMEOUT_MS = 1_000;
-const QUICK_SERVICES = ["red", "blue", "green"];
-const TIMEOUTS_MS = [400, 700, 1_100, 1_500];
-const BODY_LIMITS = [2_000, 20_000, 60_000];
-const HEADER_LIMITS = [4_000, 16_384];
-const HEADER_TIMEOUTS_MS = [1_000, 2_000, 4_000];
-const IDLE_TIMEOUTS_MS = [1_500, 3_000, 6_000, 20_000];
-const WEIGHTS = [[90, 10, 0], [50, 50, 0], [20, 80, 0], [34, 33, 33]];
 
 /** Draws one of several values. */
 export function pick<T>(random: Random, values: readonly T[]): T {
@@ -87,36 +78,6 @@
   };
 }
 
-/**
- * Draws a configuration that builds on `base`: one to three changes, and a new
- * marker in place of the former one.
- */
-export function drawNextDocument(
-  random: Random,
-  { base, marker, version }: {
-    readonly base: SoakDocument;
-    readonly marker: string;
-    /** Drawn if absent. */
-    readonly version?: number | undefined;
-  },
-): SoakDocument {
-  const count = 1 + Math.floor(random() * 3);
-  let changed = base;
-  for (let n = 0; n < count; n += 1) {
-    changed = pick(random, CHANGES)(random, changed);
-  }
-  const kept = changed.routes.filter(({ prefix }) => prefix !== base.marker);
-  const service = pick(random, QUICK_SERVICES);
-  const step = 1 + Math.floor(random() * MAX_VERSION_STEP);
-  return {
-    ...changed,
-    base: base.version,
-    version: version ?? base.version + step,
-    marker,
-    routes: [...kept, createSoakRoute(marker, [service])],
-  };
-}
-
 /** Finds the route of a path; undefined if the configuration has none. */
 export function findRoute(
   { routes }: SoakDocument,
@@ -158,7 +119,8 @@
   return version.toString(16).padStart(8, "0");
 }
 
-function createSoakRoute(
+/** Creates a route to one service, or to several ones by weight. */
+export function createSoakRoute(
   prefix: string,
   services: readonly string[],
   weights: readonly number[] = [1],
@@ -192,118 +154,3 @@
     },
   };
 }
-
-type DrawChange = (random: Random, document: SoakDocument) => SoakDocument;
-
-const CHANGES: readonly DrawChange[] = [
-  addRoute,
-  addRoute,
-  removeRoute,
-  moveRoute,
-  moveRoute,
-  splitRoute,
-  changeWeights,
-  changeTimeout,
-  changeTyped,
-  changeLimits,
-  changeLimits,
-  changeManyRoutes,
-  addService,
-];
-
-function addRoute(random: Random, document: SoakDocument): SoakDocument {
-  const prefix = pick(random, ADDED_PREFIXES);
-  return findRoute(document, prefix) === undefined
-    ? append(document, createSoakRoute(prefix, [pick(random, QUICK_SERVICES)]))
-    : document;
-}
-
-function removeRoute(random: Random, document: SoakDocument): SoakDocument {
-  const removed = pick(random, ADDED_PREFIXES);
-  const routes = document.routes.filter(({ prefix }) => prefix !== removed);
-  return { ...document, routes };
-}
-
-function moveRoute(random: Random, document: SoakDocument): SoakDocument {
-  const prefix = pick(random, [MOVED_PREFIX, ...ADDED_PREFIXES]);
-  const service = pick(random, QUICK_SERVICES);
-  return changeRoute(document, prefix, { targets: [{ service, weight: 1 }] });
-}
-
-function splitRoute(random: Random, document: SoakDocument): SoakDocument {
-  const prefix = pick(random, ADDED_PREFIXES);
-  return changeRoute(document, prefix, { targets: drawSplit(random) });
-}
-
-function changeWeights(random: Random, document: SoakDocument): SoakDocument {
-  return changeRoute(document, SPLIT_PREFIX, { targets: drawSplit(random) });
-}
-
-function drawSplit(random: Random): readonly SoakTarget[] {
-  const weights = pick(random, WEIGHTS);
-  return QUICK_SERVICES
-    .map((service, index) => ({ service, weight: weights[index]! }))
-    .filter(({ weight }) => weight > 0);
-}
-
-function changeTimeout(random: Random, document: SoakDocument): SoakDocument {
-  const timeoutMs = pick(random, TIMEOUTS_MS);
-  return changeRoute(document, SLOW_PREFIX, { timeoutMs });
-}
-
-function changeTyped(random: Random, document: SoakDocument): SoakDocument {
-  return changeRoute(document, TYPED_PREFIX, {
-    type: pick(random, ["idempotent", "non_idempotent", "upload"]),
-    priority: Math.floor(random() * 4),
-    attempts: 1 + Math.floor(random() * 3),
-  });
-}
-
-function changeLimits(random: Random, document: SoakDocument): SoakDocument {
-  const limits = {
-    maxHeaderBytes: pick(random, HEADER_LIMITS),
-    maxBodyBytes: pick(random, BODY_LIMITS),
-    headerTimeoutMs: pick(random, HEADER_TIMEOUTS_MS),
-    idleTimeoutMs: pick(random, IDLE_TIMEOUTS_MS),
-  };
-  return { ...document, limits };
-}
-
-/** Adds many routes at once, or removes them all. */
-function changeManyRoutes(
-  random: Random,
-  document: SoakDocument,
-): SoakDocument {
-  const others = document.routes
-    .filter(({ prefix }) => !prefix.startsWith("/bulk-"));
-  const bulk = Array.from(
-    { length: BULK_ROUTES },
-    (_, n) => createSoakRoute(`/bulk-${n}/`, [pick(random, QUICK_SERVICES)]),
-  );
-  const hasBulk = others.length < document.routes.length;
-  return { ...document, routes: hasBulk ? others : [...others, ...bulk] };
-}
-
-/** Adds a service without backend servers, and a route to it. */
-function addService(_random: Random, document: SoakDocument): SoakDocument {
-  const service = `extra-${document.services.length}`;
-  return {
-    ...append(document, createSoakRoute(`/${service}/`, [service])),
-    services: [...document.services, service],
-  };
-}
-
-function append(document: SoakDocument, route: SoakRoute): SoakDocument {
-  return { ...document, routes: [...document.routes, route] };
-}
-
-function changeRoute(
-  document: SoakDocument,
-  prefix: string,
-  change: Partial<SoakRoute>,
-): SoakDocument {
-  const routes = document.routes.map((route) =>
-    route.prefix === prefix ? { ...route, ...change } : route
-  );
-  return { ...document, routes };
-}
--- a/soak/config_operators.ts
+++ b/soak/config_operators.ts
@@ -7,9 +7,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Random } from "../src/base/test/seeded_random.ts";
 import { listAnswers } from "../standin/scripted_caller.ts";
+import { drawNextDocument } from "./config_changes.ts";
 import {
   createFirstDocument,
-  drawNextDocument,
   formatDocument,
   formatVersion,
   pick,
--- a/soak/config_soak.ts
+++ b/soak/config_soak.ts
@@ -28,8 +28,8 @@
   SPLIT_PREFIX,
   TYPED_PREFIX,
 } from "./config_document.ts";
-import { ConfigFleet, isDisturbed } from "./config_fleet.ts";
-import type { Disturbance } from "./config_fleet.ts";
+import { ConfigFaults } from "./config_faults.ts";
+import { ConfigFleet } from "./config_fleet.ts";
 import { ConfigHistory } from "./config_history.ts";
 import { ConfigOperators } from "./config_operators.ts";
 import { listSteadyViolations } from "./config_steady_checks.ts";
@@ -77,13 +77,6 @@
   overlapping: 2,
 } as const;
 
-const MAX_FAULT_INTERVAL_MS = 900;
-/** Share of acknowledgements that a fault of replicas follows at once. */
-const FAULT_AFTER_ACK_RATIO = 0.15;
-/** Share of intervals with a fault of several replicas at once. */
-const GROUP_FAULT_RATIO = 0.08;
-const MAX_GROUP_FREEZE_MS = 2_500;
-const MAX_GROUP_DOWNTIME_MS = 1_000;
 const SETTLING_MS = 3_000;
 const STEADY_MS = 4_000;
 /** Markers of the newest orders that callers ask for. */
@@ -123,8 +116,7 @@
   readonly #draw: (index: number) => Random;
   readonly #operators: ConfigOperators;
   readonly #calls: ConfigCall[] = [];
-  readonly #faults = new Set<Promise<void>>();
-  #areFaultsOver = true;
+  readonly #faults: ConfigFaults;
   #isSteady = false;
 
   constructor(
@@ -135,10 +127,10 @@
     this.#fleet = fleet;
     this.#options = options;
     this.#draw = draw;
-    const random = draw(1);
+    this.#faults = new ConfigFaults(fleet, draw(1));
     this.#operators = new ConfigOperators({
       replicas: fleet.replicaAddresses,
-      onAcknowledged: (replica) => this.#failAfterAck(random, replica),
+      onAcknowledged: (replica) => this.#faults.failAfterAck(replica),
     });
   }
 
@@ -153,16 +145,15 @@
     ];
     await waitFor(() => this.#calls.some(({ status }) => status === 200));
     let areOrdersOver = false;
-    this.#areFaultsOver = false;
     const ordering = Array.from(
       { length: operators },
       (_, index) =>
         this.#operators
           .orderUntilStopped(this.#draw(10 + index), () => areOrdersOver),
     );
-    await this.#injectFaults(this.#draw(3));
+    await this.#faults.inject(this.#options);
     areOrdersOver = true;
-    await Promise.all([...ordering, ...this.#faults]);
+    await Promise.all(ordering);
     await sleep(SETTLING_MS);
     const broken = [...await this.#playSteadyTime()];
     end.abort();
@@ -215,7 +206,7 @@
       reads: reads.length,
       calls: this.#calls.length,
       served: this.#calls.filter(({ status }) => status === 200).length,
-      faults: this.#countFaults(),
+      faults: this.#faults.count(),
       lateBesideFaults: judge.lateBesideFaults,
       maxLagMs: judge.maxLagMs,
       broken: [
@@ -259,74 +250,6 @@
     return pick(random, [...FIRST_PREFIXES, ...ADDED_PREFIXES, ...markers]);
   }
 
-  async #injectFaults(random: Random): Promise<void> {
-    const { lengthMs, overlapping } = this.#options;
-    const endMs = performance.now() + lengthMs;
-    while (performance.now() < endMs) {
-      if (this.#faults.size < overlapping) {
-        this.#track(
-          random() < GROUP_FAULT_RATIO
-            ? this.#failTogether(random)
-            : this.#fleet.injectFault(random),
-        );
-      }
-      await sleep(random() * MAX_FAULT_INTERVAL_MS);
-    }
-    this.#areFaultsOver = true;
-  }
-
-  #track(fault: Promise<void>): void {
-    const tracked = fault.finally(() => this.#faults.delete(tracked));
-    this.#faults.add(tracked);
-  }
-
-  /** Kills or suspends the replica that has acknowledged, or all replicas. */
-  #failAfterAck(random: Random, address: string): void {
-    const kind = random();
-    const replica = this.#fleet.findReplica(address);
-    if (
-      this.#areFaultsOver || kind > FAULT_AFTER_ACK_RATIO ||
-      replica === undefined || isDisturbed(replica)
-    ) {
-      return;
-    }
-    const part = kind / FAULT_AFTER_ACK_RATIO;
-    if (part < 0.4) {
-      this.#track(this.#fleet.kill([replica], MAX_GROUP_DOWNTIME_MS));
-    } else if (part < 0.8) {
-      this.#track(this.#fleet.freeze([replica], MAX_GROUP_FREEZE_MS));
-    } else {
-      this.#track(this.#failTogether(random));
-    }
-  }
-
-  /** Kills or suspends a majority of the replicas, or all of them, at once. */
-  async #failTogether(random: Random): Promise<void> {
-    const { replicas } = this.#fleet;
-    const count = random() < 0.5
-      ? replicas.length
-      : Math.floor(replicas.length / 2) + 1;
-    const isKill = random() < 0.6;
-    const members = replicas.filter((member) => !isDisturbed(member))
-      .slice(0, count);
-    if (isKill) {
-      await this.#fleet.kill(members, random() * MAX_GROUP_DOWNTIME_MS);
-    } else {
-      await this.#fleet.freeze(members, random() * MAX_GROUP_FREEZE_MS);
-    }
-  }
-
-  #countFaults(): Readonly<Record<string, number>> {
-    const faults = new Set<Disturbance>(
-      this.#fleet.members.flatMap(({ disturbances }) => disturbances),
-    );
-    const counts: Record<string, number> = {};
-    for (const { kind } of faults) {
-      counts[kind] = (counts[kind] ?? 0) + 1;
-    }
-    return counts;
-  }
-
   #keepLogs(report: ConfigSoakReport): void {
     const { logs, seed } = this.#options;
     if (logs === undefined || report.broken.length === 0) {
