Describe the first fault of a configuration, not all of them

A configuration of a megabyte with a fault in each entry ended every replica that it was sent to: the check collected an issue for each fault, and used the first one. An operator moves on to the next replica after a connection that ends, so that one such text took the whole set down.

--- a/src/daemon/edit_body.ts
+++ b/src/daemon/edit_body.ts
@@ -33,7 +33,7 @@
  * in the CSV form of the table. An error has one line for each invalid cell.
  */
 export function parseEditBody(body: unknown): Result<EditBody, string> {
-  const parsed = v.safeParse(BODY, body);
+  const parsed = v.safeParse(BODY, body, { abortEarly: true });
   if (!parsed.success) {
     const issue = parsed.issues[0];
     return err(`Edit is malformed: ${v.getDotPath(issue)}: ${issue.message}`);
