Close a connection without a byte instead of answering it

Listeners with fixed limits answered 408 after 10 to 15 s to a connection on which nothing had come; before, after 60 to 90 s. A client that opens connections in advance would take that for the answer to its first request. Such a connection is closed without an answer now, other late or malformed requests are answered as Node does.

--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -2,7 +2,11 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { closeAfter, readBody } from "../base/node/body_reader.ts";
 import { listen, type ListenAddress } from "../base/node/listen.ts";
-import { BODY_TIMEOUT_MS, REQUEST_LIMITS } from "../base/node/read_limits.ts";
+import {
+  BODY_TIMEOUT_MS,
+  refuseMalformed,
+  REQUEST_LIMITS,
+} from "../base/node/read_limits.ts";
 import { ServedConnections } from "../base/node/served_connections.ts";
 import { createServer } from "../base/node/tls.ts";
 import { findOperator } from "./operator_credentials.ts";
@@ -63,6 +67,7 @@
         this.#handleRequest(request, response).catch(() => response.destroy());
       }
     });
+    refuseMalformed(this.#server);
     this.#connections = new ServedConnections(this.#server);
   }
 
--- a/src/engine/call/node/call_server.ts
+++ b/src/engine/call/node/call_server.ts
@@ -13,7 +13,10 @@
   parseAddress,
 } from "../../../base/node/listen.ts";
 import { ServedConnections } from "../../../base/node/served_connections.ts";
-import { HEAD_LIMITS } from "../../../base/node/read_limits.ts";
+import {
+  HEAD_LIMITS,
+  refuseMalformed,
+} from "../../../base/node/read_limits.ts";
 import { createServer } from "../../../base/node/tls.ts";
 import type { TlsKeys } from "../../../base/node/tls.ts";
 import {
@@ -135,6 +138,7 @@
           this.#receiveRequest(name, request, response);
         }
       });
+      refuseMalformed(server);
       const connections = new ServedConnections(server);
       server.on("connection", this.#options.recordConnection);
       this.#servers.push(server);
--- a/src/engine/link/node/link_server.ts
+++ b/src/engine/link/node/link_server.ts
@@ -4,6 +4,7 @@
 import type { WebSocket } from "ws";
 import { listen, type ListenAddress } from "../../../base/node/listen.ts";
 import {
+  refuseMalformed,
   refuseWithoutUpgrade,
   REQUEST_LIMITS,
 } from "../../../base/node/read_limits.ts";
@@ -53,6 +54,7 @@
       { ...REQUEST_LIMITS, tls: options.tls, isMutual: true },
       refuseWithoutUpgrade,
     );
+    refuseMalformed(this.#http);
     this.#sockets = new WebSocketServer({
       server: this.#http,
       maxPayload: MAX_MESSAGE_BYTES,
--- a/src/engine/mesh/node/mesh_server.ts
+++ b/src/engine/mesh/node/mesh_server.ts
@@ -6,6 +6,7 @@
 import { listen } from "../../../base/node/listen.ts";
 import type { ListenAddress } from "../../../base/node/listen.ts";
 import {
+  refuseMalformed,
   refuseWithoutUpgrade,
   REQUEST_LIMITS,
 } from "../../../base/node/read_limits.ts";
@@ -65,6 +66,7 @@
   constructor(options: MeshServerOptions) {
     this.#options = options;
     this.#http = createServer(REQUEST_LIMITS, refuseWithoutUpgrade);
+    refuseMalformed(this.#http);
     this.#sockets = new WebSocketServer({
       server: this.#http,
       maxPayload: MAX_MESSAGE_BYTES,
