Take an empty line behind a body for no head

A caller that sends an empty line behind a body, as some do, got a 408 that answers no request once `headerTimeoutMs` had passed, and lost its connection: any byte behind a request counted as a head that has begun. Two bytes don't (RFC 9112, 2.2).

caller_server_test.ts, "take an empty line behind a body for no head": closed with 408 before; kept, and used again, now.

--- a/src/engine/relay/node/caller_connection.ts
+++ b/src/engine/relay/node/caller_connection.ts
@@ -39,6 +39,12 @@
   sendRest: () => void;
 }
 
+/**
+ * Some callers send an empty line behind a body; servers ignore it (RFC 9112,
+ * 2.2), so these bytes begin no head.
+ */
+const EMPTY_LINE_BYTES = 2;
+
 /** What a connection depends on. */
 export interface CallerConnectionOptions {
   /** Starts to process an exchange. */
@@ -226,7 +232,8 @@
     if (this.#incomplete !== undefined) {
       return "Rest";
     }
-    return this.hasPartialRequest ? "Head" : "Request";
+    const headBytes = this.#socket.bytesRead - this.#completeBytes;
+    return headBytes > EMPTY_LINE_BYTES ? "Head" : "Request";
   }
 
   /** Records that all bytes of the last request have been received. */
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -844,6 +844,25 @@
     });
   }
 
+  // Guards against a 408 to nobody, which closes a connection in use.
+  it("take an empty line behind a body for no head", async () => {
+    await using callers = await Callers.open();
+    const connection = callers.connect(
+      "POST /1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 2\r\n\r\nab",
+    );
+    await waitFor(() => callers.started.length === 1);
+    callers.ends[0]!();
+    await waitFor(() => listStatuses(connection).length === 1);
+    connection.socket.write("\r\n");
+    await sleep(50);
+    await tickAt(callers, 1_000);
+    await tickAt(callers, 5_000);
+    expect(connection.isClosed).to.equal(false);
+    connection.socket.write(formatRequests(1, 2));
+    await waitFor(() => callers.started.length === 2);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 200"]);
+  });
+
   // Guards against a 408 that is taken for the answer to the request before.
   it("hold for a head only once the requests before it are answered", async () => {
     await using callers = await Callers.open();
