Read and count all lines of a head

Node drops the lines of a head beyond a number of them, so that 60 KB of small ones passed under a limit of 16 KB, and a `Host`, key or time limit behind 1,200 others wasn't seen. The size of a head is limited; the number of its lines isn't any more.

caller_server_test.ts, "counts and reads any number of lines": 400 and no 431 before; served, and 431 above the limit, now.

--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -163,6 +163,8 @@
       },
       (request, response) => this.#acceptRequest(request, response, false),
     );
+    // Node would drop header lines beyond a number of them; their size is limited.
+    this.#server.maxHeadersCount = 0;
     this.#server.on(
       "checkContinue",
       (request: IncomingMessage, response: ServerResponse) =>
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -973,6 +973,23 @@
     return connection;
   }
 
+  // Guards against lines that nobody counts or reads: Node drops those beyond a
+  // number of them unless told otherwise.
+  it("counts and reads any number of lines", async () => {
+    await using callers = await Callers.open();
+    const lines = "a: b\r\n".repeat(1_500);
+    const connection = callers.connect(
+      `GET /1 HTTP/1.1\r\n${lines}Host: 127.0.0.1\r\n\r\n`,
+    );
+    await waitFor(() => callers.started.length === 1);
+    const many = callers.connect(
+      `GET /2 HTTP/1.1\r\nHost: 127.0.0.1\r\n${lines.repeat(3)}\r\n`,
+    );
+    await waitFor(() => listStatuses(many).length === 1);
+    expect(listStatuses(many)).to.deep.equal(["HTTP/1.1 431"]);
+    expect(listStatuses(connection)).to.deep.equal([]);
+  });
+
   // Guards against a parser that takes less than the table in force allows.
   it("follows the table above the least limit of the parser", async () => {
     await using callers = await Callers.open();
