Bound the wait for a proof of a key by the time limit of the route

A request whose key had no current proof waited for up to 1.5 s, whatever the time limit of its route: with 300 ms it was refused after 1,535 ms. The wait is a third of the request's own time now, as it was of the caller's.

caller_server_test.ts, "isn't waited for where the proof of its key is due": above 800 ms before, within it now.

--- a/src/engine/relay/node/caller_server.ts
+++ b/src/engine/relay/node/caller_server.ts
@@ -398,14 +398,14 @@
   #enqueueWaiter(
     waiters: RouteWaiters<Exchange>,
     exchange: Exchange,
-    reason: string,
+    { reason, timeoutMs }: {
+      readonly reason: string;
+      /** Time limit of the request, in milliseconds. */
+      readonly timeoutMs: number;
+    },
   ): void {
-    const { request, arrivedAtMs } = exchange;
-    const { timeoutMs: callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS } = this
-      .#options
-      .dialect
-      .readRequestMetadata(request.headers);
-    if (!waiters.add(exchange, { arrivedAtMs, callerTimeoutMs })) {
+    const { arrivedAtMs } = exchange;
+    if (!waiters.add(exchange, { arrivedAtMs, callerTimeoutMs: timeoutMs })) {
       this.#refuseEarly(exchange, reason);
     }
   }
@@ -441,7 +441,10 @@
   async #process(exchange: Exchange): Promise<void> {
     const { request } = exchange;
     if (!this.#routes.hasTable) {
-      this.#enqueueWaiter(this.#routeWaiters, exchange, "no routes yet");
+      this.#enqueueWaiter(this.#routeWaiters, exchange, {
+        reason: "no routes yet",
+        timeoutMs: this.#getCallerTimeoutMs(request),
+      });
       return;
     }
     const route = this.#routes.find(readTarget(request));
@@ -456,7 +459,7 @@
     const { dialect, workspaces } = this.#options;
     const { key } = dialect.readRequestMetadata(request.headers);
     const checked = workspaces.check(key, exchange.arrivedAtMs);
-    if (this.#canContinue(exchange, checked)) {
+    if (this.#canContinue(exchange, checked, route)) {
       await this.#readAndStart(exchange, route, checked.workspace);
     }
   }
@@ -507,6 +510,7 @@
     const mayStart = workspace === undefined || this.#canContinue(
       exchange,
       this.#options.workspaces.recheckLease(workspace),
+      route,
     );
     if (mayStart) {
       this.#start(exchange, route, received);
@@ -524,13 +528,18 @@
   #canContinue(
     exchange: Exchange,
     checked: EntryCheck,
+    route: Route,
   ): checked is Extract<EntryCheck, { type: "Entered" }> {
     switch (checked.type) {
       case "Entered":
         return true;
       case "Waiting":
         this.#options.requestProof();
-        this.#enqueueWaiter(this.#proofWaiters, exchange, checked.reason);
+        this.#enqueueWaiter(this.#proofWaiters, exchange, {
+          reason: checked.reason,
+          timeoutMs: this.#computeDeadlineMs(exchange, route) -
+            exchange.arrivedAtMs,
+        });
         return false;
       case "Refused":
         this.#refuse(exchange, checked.refusal);
@@ -614,9 +623,13 @@
     { request, arrivedAtMs }: Exchange,
     { timeoutMs }: Route,
   ): number {
-    const { timeoutMs: callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS } = this
-      .#options.dialect.readRequestMetadata(request.headers);
-    return arrivedAtMs + Math.min(timeoutMs, callerTimeoutMs);
+    return arrivedAtMs + Math.min(timeoutMs, this.#getCallerTimeoutMs(request));
+  }
+
+  #getCallerTimeoutMs({ headers }: IncomingMessage): number {
+    const { timeoutMs = DEFAULT_CALLER_TIMEOUT_MS } = this.#options.dialect
+      .readRequestMetadata(headers);
+    return timeoutMs;
   }
 
   #start(
--- a/src/engine/relay/test/caller_server_test.ts
+++ b/src/engine/relay/test/caller_server_test.ts
@@ -729,6 +729,18 @@
       .to.deep.equal(["HTTP/1.1 200", "HTTP/1.1 408"]);
   });
 
+  // Guards against a wait for a proof that outlasts the time limit of the route.
+  it("isn't waited for where the proof of its key is due", async () => {
+    await using callers = await openShort(true);
+    const startedAtMs = performance.now();
+    const connection = callers.connect(formatRequests(1));
+    const ticks = setInterval(() => callers.server.tick(), 50);
+    await waitFor(() => listStatuses(connection).length === 1);
+    clearInterval(ticks);
+    expect(listStatuses(connection)).to.deep.equal(["HTTP/1.1 503"]);
+    expect(performance.now() - startedAtMs).to.be.below(SHORT_TIMEOUT_MS + 500);
+  });
+
   // Guards against charging a limit for requests that were never run.
   it("is not counted against the limit of its workspace", async () => {
     await using callers = await openShort(true);
