Refuse edits of the table that say two things at once

The interface for edits decided on what it used: of two rows of one kind the last one won, where the same table as CSV is refused; of two equal names in a JSON object too, and invalid UTF-8 became replacement characters in a kind. A replacement of all rows is checked for duplicates by the function of the CSV form, and bodies are read as configurations are.

--- a/src/daemon/edit_body.ts
+++ b/src/daemon/edit_body.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
 import type { TableChange } from "../engine/table/common/table_reducer.ts";
+import { findDuplicates } from "../engine/table/common/table_csv.ts";
 import { parseRow } from "../engine/table/common/table_schema.ts";
 import type { BadCell, DraftRow } from "../engine/table/common/table_schema.ts";
 
@@ -66,15 +67,21 @@
 ): Result<readonly DraftRow[], string> {
   const drafts: DraftRow[] = [];
   const reasons: string[] = [];
+  const describe = (cell: BadCell) =>
+    `line ${cell.line}, ${describeCell(cell)}`;
   lines.forEach((cells, index) => {
     // Line numbers of the CSV form: they begin at 1 with the header.
     parseRow(cells, index + 2).match(
       (draft) => drafts.push(draft),
       (badCells) =>
         reasons.push(
-          ...badCells.map((cell) => `line ${cell.line}, ${describeCell(cell)}`),
+          ...badCells.map(describe),
         ),
     );
   });
-  return reasons.length > 0 ? err(reasons.join("\n")) : ok(drafts);
+  // Lines of duplicates are those of the drafts, so no other line may be bad.
+  const faults = reasons.length > 0
+    ? reasons
+    : findDuplicates(drafts).map(describe);
+  return faults.length > 0 ? err(faults.join("\n")) : ok(drafts);
 }
--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -1,5 +1,6 @@
 /** The HTTP listener for operators, in both roles. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { findRepeatedName } from "../base/common/json_names.ts";
 import { closeAfter, readBody } from "../base/node/body_reader.ts";
 import { listen, type ListenAddress } from "../base/node/listen.ts";
 import {
@@ -48,6 +49,8 @@
   ) => Promise<void>;
 }
 
+/** Throws on invalid UTF-8 rather than substituting replacement characters. */
+const UTF8 = new TextDecoder("utf-8", { fatal: true });
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 /** Longest wait for the requests in progress when the listener closes. */
 const MAX_CLOSE_WAIT_MS = 500;
@@ -188,9 +191,13 @@
     return { value: undefined };
   }
   try {
-    return { value: JSON.parse(new TextDecoder().decode(bytes)) };
+    const text = UTF8.decode(bytes);
+    const value: unknown = JSON.parse(text);
+    return findRepeatedName(text) === undefined
+      ? { value }
+      : createRefusal(400, "Body has a name twice in one object");
   } catch {
-    return createRefusal(400, "Body is not JSON");
+    return createRefusal(400, "Body is not JSON in UTF-8");
   }
 }
 
--- a/src/engine/table/common/table_csv.ts
+++ b/src/engine/table/common/table_csv.ts
@@ -95,7 +95,13 @@
   return bad.length > 0 ? err(bad) : ok(undefined);
 }
 
-function findDuplicates(drafts: readonly DraftRow[]): readonly BadCell[] {
+/**
+ * Finds rows whose kind, or whose method and path, another one already has.
+ * Lines are those of the CSV form, whose first row stands in line 2.
+ */
+export function findDuplicates(
+  drafts: readonly DraftRow[],
+): readonly BadCell[] {
   const lineByKind = new Map<string, number>();
   const lineByRoute = new Map<string, number>();
   const bad: BadCell[] = [];
