Log which members are left out, and where the pressure of a refusal comes from

A refusal by pressure named a figure, but not the member that reported it, how old it was, how many members were left out, nor how many slots were idle; and no line told which members a node holds to be failing. So the logs couldn't tell a service without room from one whose slots are left out.

CallNotAnswered has path, member, memberPressure, ageMs, freshMembers, failingMembers and idleSlots for the reason pressure; MemberReliabilityChanged is written when a member's standing changes. No decision changes.

--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -19,6 +19,24 @@
   readonly reportedAtMs: number;
 }
 
+/** Where the pressure on a call path comes from, for the log. */
+export interface PressureSource {
+  /** `own` for the service of the call itself. */
+  readonly path: "own" | "downstream";
+  /** Member with the highest pressure there, or downstream as it reports it. */
+  readonly member: string | undefined;
+  /** 0 to 1. */
+  readonly memberPressure: number;
+  /** Time since that report. */
+  readonly ageMs: number;
+  /** Members of the service of the call with a fresh load. */
+  readonly freshMembers: number;
+  /** Those of them that are held to be failing. */
+  readonly failingMembers: number;
+  /** Slots of the fresh members that were idle when they reported. */
+  readonly idleSlots: number;
+}
+
 const NO_PRESSURE: PathPressure = { pressure: 0, reportedAtMs: 0 };
 /**
  * Older downstream pressure is ignored. A report may pass through seven levels
@@ -287,6 +305,39 @@
     return downstream.pressure > own.pressure ? downstream : own;
   }
 
+  /** Describes where the pressure on the call path of a route comes from. */
+  describePressure(
+    service: string,
+    route: string,
+    nowMs: number,
+  ): PressureSource {
+    const fresh = this.#listFresh(service, nowMs);
+    const reliable = listReliable(fresh);
+    const downstream = this.#computeDownstream(service, route, nowMs);
+    const isOwn = downstream.pressure <=
+      this.computePressure(service, nowMs).pressure;
+    const { ingress, pressure, reportedAtMs } = findHighestReport(
+      isOwn ? reliable : fresh,
+      (member) =>
+        isOwn
+          ? { ...member.load!, reportedAtMs: member.loadReceivedAtMs }
+          : member.downstream?.find((other) => other.route === route),
+    );
+    return {
+      path: isOwn ? "own" : "downstream",
+      member: ingress,
+      memberPressure: pressure,
+      ageMs: Math.round(nowMs - (reportedAtMs ?? nowMs)),
+      freshMembers: fresh.length,
+      failingMembers: fresh.length - reliable.length,
+      idleSlots: fresh.reduce(
+        (sum, { load }) =>
+          sum + Math.max(0, Math.floor(load!.limit) - load!.running),
+        0,
+      ),
+    };
+  }
+
   /** Computes the mean downstream pressure over members with a fresh load. */
   #computeDownstream(
     service: string,
@@ -436,3 +487,29 @@
     return [...this.#services.values()].some((members) => members.has(address));
   }
 }
+
+/** The highest of several reported pressures. */
+interface HighestReport {
+  /** 0 if no member reports any. */
+  readonly pressure: number;
+  readonly reportedAtMs?: number;
+  /** Address of the member that reported it. */
+  readonly ingress?: string;
+}
+
+/** Finds the highest pressure that members report. */
+function findHighestReport(
+  members: readonly Member[],
+  getReport: (member: Member) => PathPressure | undefined,
+): HighestReport {
+  let highest: HighestReport = { pressure: 0 };
+  for (const member of members) {
+    const report = getReport(member);
+    if (report !== undefined && report.pressure > highest.pressure) {
+      const { pressure, reportedAtMs } = report;
+      const { ingress } = member.announcement;
+      highest = { ingress, pressure, reportedAtMs };
+    }
+  }
+  return highest;
+}
--- a/src/engine/relay/common/root_decision.ts
+++ b/src/engine/relay/common/root_decision.ts
@@ -22,7 +22,10 @@
 
 /** What the decisions depend on. */
 export interface RootDecisionsOptions {
-  readonly members: Pick<MemberTable, "findBottleneck" | "computePathPressure">;
+  readonly members: Pick<
+    MemberTable,
+    "findBottleneck" | "computePathPressure" | "describePressure"
+  >;
   /** Returns the least urgent rank of the routes in force. */
   readonly getLastRank: () => number;
   /** Returns random numbers from 0 to 1. */
@@ -87,7 +90,14 @@
     const draw = this.#drawFor(request);
     const isRefused = isRootRefused({ rank, draw, ...inputs });
     this.#admittedShare.record(!isRefused, arrivedAtMs);
-    return isRefused ? { type: "Refuse", reason: "pressure", inputs } : ADMIT;
+    return !isRefused ? ADMIT : {
+      type: "Refuse",
+      reason: "pressure",
+      inputs: {
+        ...inputs,
+        ...members.describePressure(service, route.name, arrivedAtMs),
+      },
+    };
   }
 
   #drawFor({ route, target, body, arrivedAtMs }: EntryRequest): number {
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -57,6 +57,7 @@
 import { recordResult } from "../common/member.ts";
 import type { Member } from "../common/member.ts";
 import { PlacementLog } from "../common/placement_log.ts";
+import { ReliabilityLog } from "../common/reliability_log.ts";
 import { RootDecisions } from "../common/root_decision.ts";
 import { computeMemberWaitEndMs, MAX_WAITING } from "../common/start_wait.ts";
 
@@ -74,6 +75,7 @@
   readonly #suspects: EntrySuspects;
   readonly #roots: RootDecisions;
   readonly #placementLog: PlacementLog;
+  readonly #reliabilityLog = new ReliabilityLog();
   readonly #calls = new Map<number, EntryCall>();
   /** Calls of services without a known member. */
   readonly #memberWaiters = new Set<EntryCall>();
@@ -515,12 +517,17 @@
 
   /**
    * Records the result of an attempt at its member, and logs if that ejects the
-   * member.
+   * member, or changes which ones are held to be failing.
    */
   #recordResult(call: EntryCall, isFailure: boolean, nowMs: number): void {
+    const { log, members } = this.#options;
     const { member } = call.attempt!;
-    if (recordResult(member, isFailure, nowMs)) {
-      this.#options.log.write({
+    const isEjected = recordResult(member, isFailure, nowMs);
+    this.#reliabilityLog
+      .update(call.service, members.list(call.service), nowMs)
+      .forEach((line) => log.write(line));
+    if (isEjected) {
+      log.write({
         event: "MemberLeftOut",
         isFailure: true,
         requestId: call.request.requestId,
--- a/src/engine/relay/test/root_decision_test.ts
+++ b/src/engine/relay/test/root_decision_test.ts
@@ -18,6 +18,15 @@
 const UNDER_PRESSURE: PathState = {
   findBottleneck: () => undefined,
   computePathPressure: () => ({ pressure: 0.6, reportedAtMs: 0 }),
+  describePressure: () => ({
+    path: "own",
+    member: "a:1",
+    memberPressure: 0.6,
+    ageMs: 0,
+    freshMembers: 1,
+    failingMembers: 0,
+    idleSlots: 0,
+  }),
 };
 
 /** A path whose bottleneck has capacity for half of the work asked for. */
