Count failed calls at the gate, and let the share follow time

What callers saw: after two of three servers of a service had refused calls for 5 s (503 with Not-Executed), up to a quarter of the callers were refused for six seconds and more, while the two stood idle: at 104 calls a second for a service that runs 250, 67 to 86 ran.

Cause: the share of a member's failures followed this node's own answers alone, 5% each. Calls avoid a member that fails, so only probes corrected it, two a second and node: 27 good answers from 0.8 to below a fifth. Meanwhile its slots are left out of the pressure, which is then that of the one member with a queue. Members of services that only backend servers call got no probes at all.

Evidence: with the former lines on refusals and members, the gates of the two report no pressure and idle slots, and all refusals come from the third.

Change: the gate counts the failures of its backend server over all callers and reports their share with its load, while the last one is less than 30 s ago; entries go by it. A probe that is 500 ms overdue may be any call that would be sent elsewhere if it failed. The field is optional on the wire; nodes of earlier builds neither send nor read it, and are judged by this node's own answers as before.

--- a/src/daemon/relay_daemon.ts
+++ b/src/daemon/relay_daemon.ts
@@ -165,6 +165,7 @@
         log,
         loop: this.#loopWatch,
         isRoomMeasured: () => settings.plansByCapacity,
+        isLeaf: () => this.#members.isLeaf(this.#control.announcement.service),
         maxConnections: () => this.#control.announcement.connections,
         getObjectiveMs: (route) => this.#control.getObjectiveMs(route),
         recordRun: (run, change) =>
--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -138,6 +138,11 @@
    * to usual; undefined if the backend server doesn't say so.
    */
   readonly slowdown?: number | undefined;
+  /**
+   * Share of the calls of all callers that the backend server fails, 0 to 1;
+   * undefined if it has failed none recently.
+   */
+  readonly failureShare?: number | undefined;
 }
 
 /** What a process instance of a backend server has said, as far as known. */
@@ -241,7 +246,7 @@
 
 /**
  * `LoadFigures` on the wire: running, queued, limit, pressure, serviceMs,
- * notice, spare, slowdown. An absent field before a present one is `undefined`,
+ * notice, spare, slowdown, failure share. An absent field before a present one is `undefined`,
  * which earlier builds read as absent too.
  */
 type WireLoad = readonly [
@@ -253,6 +258,7 @@
   notice?: WireNotice | undefined,
   spare?: number | undefined,
   slowdown?: number | undefined,
+  failureShare?: number | undefined,
 ];
 
 /**
@@ -424,7 +430,7 @@
 
 function flattenLoad(load: LoadFigures, nowMs: number): WireLoad {
   const { running, queued, limit, pressure, serviceMs } = load;
-  const { notice, spare, slowdown } = load;
+  const { notice, spare, slowdown, failureShare } = load;
   const figures = [
     running,
     queued,
@@ -433,20 +439,20 @@
     Math.round(serviceMs),
   ] as const;
   const wireNotice = notice && flattenNotice(notice, nowMs);
-  if (spare === undefined && slowdown === undefined) {
-    return wireNotice === undefined ? figures : [...figures, wireNotice];
-  }
-  return [
-    ...figures,
+  const optional = [
     wireNotice,
     spare && Math.round(spare * HUNDREDTHS),
     slowdown && Math.round(slowdown * HUNDREDTHS),
-  ];
+    failureShare && Math.round(failureShare * HUNDREDTHS),
+  ] as const;
+  const last = optional.findLastIndex((field) => field !== undefined);
+  return [...figures, ...optional.slice(0, last + 1)] as unknown as WireLoad;
 }
 
 function parseLoad(fields: WireLoad, arrivedAtMs: number): LoadFigures {
   const [running, queued, limit, hundredths, serviceMs, notice] = fields;
-  const [spare, slowdown] = fields.slice(6) as (number | undefined)[];
+  const [spare, slowdown, failureShare] = fields
+    .slice(6) as (number | undefined)[];
   return {
     running,
     queued,
@@ -456,6 +462,7 @@
     notice: parseNotice(notice, arrivedAtMs),
     spare: spare && spare / HUNDREDTHS,
     slowdown: slowdown && slowdown / HUNDREDTHS,
+    failureShare: failureShare && failureShare / HUNDREDTHS,
   };
 }
 
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -22,6 +22,7 @@
   mergeNotices,
 } from "./backend_notice.ts";
 import type { NoticeChange, ReceivedStatement } from "./backend_notice.ts";
+import { createFailureShare, recordOutcome } from "./failure_share.ts";
 import { findVictim, insertCall } from "./gate_queue.ts";
 import type { GateCall } from "./gate_queue.ts";
 import {
@@ -32,6 +33,7 @@
   getMeanServiceMs,
   getNotice,
   isOpen,
+  updateFailureShare,
 } from "./gate_state.ts";
 import type { GateState } from "./gate_state.ts";
 import type { BackendLoad } from "./dialect.ts";
@@ -68,6 +70,11 @@
     readonly isRejected: boolean;
     /** Whether bytes of it may have reached the backend server. */
     readonly wasSent: boolean;
+    /**
+     * Whether the backend server failed the call itself; undefined if its end
+     * doesn't tell, as when the caller left.
+     */
+    readonly isFailure?: boolean | undefined;
   }
   | { readonly type: "CallWithdrawn"; readonly id: number }
   | {
@@ -307,7 +314,12 @@
   }
   state.lastCompletionMs = nowMs;
   state.running = Math.max(0, state.running - 1);
-  const { serviceMs, route, isLost, isRejected } = event;
+  const { serviceMs, route, isLost, isRejected, isFailure } = event;
+  if (isFailure !== undefined) {
+    recordOutcome(state.failures, isFailure, nowMs);
+    state.failedAtMs = isFailure ? nowMs : state.failedAtMs;
+    updateFailureShare(state, nowMs);
+  }
   if (state.bucket !== undefined) {
     settleToken(state.bucket, event, nowMs);
   }
@@ -393,6 +405,9 @@
     state.bucket = undefined;
     state.slowdown = undefined;
     state.speed = undefined;
+    state.failures = createFailureShare();
+    state.failedAtMs = undefined;
+    state.failureShare = undefined;
   }
   state.backend = backend;
   const effects = applyNotice(state, nowMs);
@@ -482,6 +497,7 @@
 
 function tick(state: GateState, nowMs: number): readonly GateEffect[] {
   expireSlowdown(state, nowMs);
+  updateFailureShare(state, nowMs);
   const expired = state.queue.filter((call) =>
     hasTooLittleTime(state, call, nowMs)
   );
--- a/src/engine/relay/common/gate_state.ts
+++ b/src/engine/relay/common/gate_state.ts
@@ -4,6 +4,8 @@
 import type { PressureState } from "../../admission/common/overload_pressure.ts";
 import { createRoom } from "../../admission/common/room_ratio.ts";
 import type { RoomState } from "../../admission/common/room_ratio.ts";
+import { computeFailureShare, createFailureShare } from "./failure_share.ts";
+import type { FailureShare } from "./failure_share.ts";
 import type { GateCall } from "./gate_queue.ts";
 import { formatInstance } from "./local_backend.ts";
 import type { LocalBackend } from "./local_backend.ts";
@@ -51,6 +53,12 @@
   slowdown: ReportedSlowdown | undefined;
   /** Usual speed of a backend server that names a slowdown. */
   speed: SpeedEstimate | undefined;
+  /** Share of the calls that the current process instance fails. */
+  failures: FailureShare;
+  /** When it last failed one; undefined if it has failed none. */
+  failedAtMs: number | undefined;
+  /** The share as reported; undefined if it has failed none recently. */
+  failureShare: number | undefined;
 }
 
 /** How long work takes on a backend server's machine, as it last said. */
@@ -72,6 +80,11 @@
 const MAX_RETRY_AFTER_MS = 2_000;
 /** The same where a rate limit makes the caller wait. */
 const MAX_LIMITED_RETRY_AFTER_MS = 10_000;
+/**
+ * The share of failed calls is reported for this long after the last one, until
+ * callers that have made no call since no longer remember it either.
+ */
+const FAILURES_REPORTED_MS = 30_000;
 /** Lowest capacity that is reported of a backend server that takes requests. */
 const MIN_CAPACITY = 0.01;
 
@@ -94,6 +107,9 @@
     isRoomMeasured: false,
     slowdown: undefined,
     speed: undefined,
+    failures: createFailureShare(),
+    failedAtMs: undefined,
+    failureShare: undefined,
   };
 }
 
@@ -138,6 +154,7 @@
 
 /** Creates the load figures that are sent to callers. */
 export function createLoadFigures(state: GateState): LoadFigures {
+  const { failureShare } = state;
   return {
     running: state.running,
     queued: state.queue.length,
@@ -149,9 +166,20 @@
     notice: getNotice(state),
     ...(state.isRoomMeasured && { spare: state.room.ratio }),
     ...(state.slowdown && { slowdown: state.slowdown.factor }),
+    ...(failureShare !== undefined && { failureShare }),
   };
 }
 
+/** Updates the share of failed calls that is reported. */
+export function updateFailureShare(state: GateState, nowMs: number): void {
+  const { failures, failedAtMs } = state;
+  const isRecent = failedAtMs !== undefined &&
+    nowMs - failedAtMs < FAILURES_REPORTED_MS;
+  state.failureShare = isRecent
+    ? computeFailureShare(failures, nowMs)
+    : undefined;
+}
+
 /** Estimates when a refused caller would find a free slot. */
 export function computeRetryAfterMs(state: GateState, nowMs: number): number {
   const { queue, bucket } = state;
--- a/src/engine/relay/common/member.ts
+++ b/src/engine/relay/common/member.ts
@@ -1,6 +1,8 @@
 /** A member of a service: a backend server and its node, as seen from here. */
 import type { LoadFigures } from "../../mesh/common/frames.ts";
 import type { Announcement } from "../../membership/common/announcement.ts";
+import { createFailureShare, recordOutcome } from "./failure_share.ts";
+import type { FailureShare } from "./failure_share.ts";
 
 /** State of one member at this node. */
 export interface Member {
@@ -18,8 +20,8 @@
    * reported it; undefined before the first report.
    */
   downstream: readonly RoutePressure[] | undefined;
-  /** Smoothed share of failures among the answers, 0 to 1. */
-  failureShare: number;
+  /** Share of failures among the answers to this node. */
+  failures: FailureShare;
   /** Failures since the last good answer. */
   consecutiveFailures: number;
   /** Until then the member is chosen only if no other is available. */
@@ -63,8 +65,6 @@
  */
 const FIRST_EJECTION_MS = 125;
 const MAX_EJECTION_MS = 1_000;
-/** Weight of a new answer in the smoothed share of failures. */
-const FAILURE_GAIN = 0.05;
 
 /**
  * Records a good answer or a failure of a member. Returns whether that ejects
@@ -75,8 +75,7 @@
   isFailure: boolean,
   nowMs: number,
 ): boolean {
-  member.failureShare += (Number(isFailure) - member.failureShare) *
-    FAILURE_GAIN;
+  recordOutcome(member.failures, isFailure, nowMs);
   if (!isFailure) {
     member.consecutiveFailures = 0;
     member.ejectionCount = 0;
@@ -123,7 +122,7 @@
     load: undefined,
     loadReceivedAtMs: 0,
     downstream: undefined,
-    failureShare: 0,
+    failures: createFailureShare(),
     consecutiveFailures: 0,
     ejectedUntilMs: 0,
     ejectionCount: 0,
--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -4,6 +4,7 @@
  * Load pattern: a service near its capacity, with some members that are slow,
  * or that fail part of their calls although their health checks succeed.
  */
+import { computeFailureShare } from "./failure_share.ts";
 import type { Member } from "./member.ts";
 import { choosePlacement, isMeasured } from "./placement.ts";
 
@@ -18,6 +19,11 @@
   readonly draw: number;
   /** Whether a failure of the call does little harm, so that it may probe. */
   readonly canProbe: boolean;
+  /**
+   * Returns whether the call would be sent elsewhere if it failed, so that it
+   * may be a probe that has been due for long. None may by default.
+   */
+  readonly canProbeLate?: () => boolean;
   /** Whether a member with calls in progress has been silent for too long. */
   readonly isSilent: (member: Member) => boolean;
   /**
@@ -55,6 +61,11 @@
 const FAILING_PENALTY = 2;
 /** Each node probes a failing member at this interval. */
 const PROBE_INTERVAL_MS = 500;
+/**
+ * A probe that is overdue by this much may be any call that would be sent
+ * elsewhere if it failed: some services are called by backend servers alone.
+ */
+const LATE_PROBE_MS = 500;
 /** Bounds of the slowness: a service time may stem from a few unusual runs. */
 const MIN_SLOWNESS = 0.4;
 const MAX_SLOWNESS = 3;
@@ -82,20 +93,18 @@
   const eligible = members.filter((member) =>
     member.ejectedUntilMs <= options.nowMs && !options.isSilent(member)
   );
-  const probed = options.canProbe
-    ? findDueProbe(members, eligible, options)
-    : undefined;
+  const probed = findDueProbe(members, eligible, options);
   if (probed !== undefined) {
     probed.probeAtMs = options.nowMs + computeProbeIntervalMs(probed, options);
     return probed;
   }
   const candidates = eligible.length > 0 ? eligible : members;
-  const failing = listFailing(candidates);
+  const failing = listFailing(candidates, options.nowMs);
   if (isPlacedByTime(candidates, options)) {
     return choosePlacement(candidates, {
       ...options,
       loadValidMs: LOAD_VALID_MS,
-      getPenalty: (member) => computePenalty(member, failing),
+      getPenalty: (member) => computePenalty(member, failing, options.nowMs),
     });
   }
   const meanMs = computeMeanServiceMs(candidates, options.nowMs);
@@ -127,9 +136,14 @@
 }
 
 /** Computes the penalty of a member that fails calls or takes none. */
-function computePenalty(member: Member, failing: readonly Member[]): number {
-  const { load, failureShare } = member;
-  return failureShare + (failing.includes(member) ? FAILING_PENALTY : 0) +
+function computePenalty(
+  member: Member,
+  failing: readonly Member[],
+  nowMs: number,
+): number {
+  const { load } = member;
+  return getFailureShare(member, nowMs) +
+    (failing.includes(member) ? FAILING_PENALTY : 0) +
     (load?.limit === 0 ? CLOSED_PENALTY : 0);
 }
 
@@ -137,13 +151,17 @@
 function findDueProbe(
   members: readonly Member[],
   eligible: readonly Member[],
-  { nowMs, getRateLimit }: ChoiceOptions,
+  options: ChoiceOptions,
 ): Member | undefined {
-  const failing = listFailing(members);
-  return eligible.find((member) =>
-    member.probeAtMs <= nowMs &&
-    (failing.includes(member) || getRateLimit(member) !== undefined)
+  const { nowMs, getRateLimit, canProbe, canProbeLate } = options;
+  const delayMs = canProbe ? 0 : LATE_PROBE_MS;
+  const failing = listFailing(members, nowMs);
+  const due = eligible.find((member) =>
+    member.probeAtMs + delayMs <= nowMs &&
+    (failing.includes(member) ||
+      canProbe && getRateLimit(member) !== undefined)
   );
+  return canProbe || canProbeLate?.() === true ? due : undefined;
 }
 
 /**
@@ -168,8 +186,11 @@
  * on: a root request that makes eight calls to a member that refuses half of
  * them would almost never succeed.
  */
-export function listReliable(members: readonly Member[]): readonly Member[] {
-  const failing = listFailing(members);
+export function listReliable(
+  members: readonly Member[],
+  nowMs: number,
+): readonly Member[] {
+  const failing = listFailing(members, nowMs);
   return failing.length === 0
     ? members
     : members.filter((member) => !failing.includes(member));
@@ -178,21 +199,34 @@
 const NONE_FAILING: readonly Member[] = [];
 
 /** Lists the members that fail far more of their calls than the best one. */
-function listFailing(members: readonly Member[]): readonly Member[] {
-  let least = 1;
-  let most = 0;
-  for (const { failureShare } of members) {
-    least = Math.min(least, failureShare);
-    most = Math.max(most, failureShare);
-  }
-  if (most < FAILING_SHARE) {
+function listFailing(
+  members: readonly Member[],
+  nowMs: number,
+): readonly Member[] {
+  const shares = members.map((member) => getFailureShare(member, nowMs));
+  const least = Math.min(1, ...shares);
+  if (Math.max(0, ...shares) < FAILING_SHARE) {
     return NONE_FAILING;
   }
-  return members.filter(({ failureShare }) =>
-    failureShare >= FAILING_SHARE && failureShare > least * FAILING_RATIO
+  return members.filter((_, index) =>
+    shares[index]! >= FAILING_SHARE && shares[index]! > least * FAILING_RATIO
   );
 }
 
+/**
+ * Returns the share of its calls that a member fails: as its own node counts it
+ * over all callers, otherwise as far as this node's calls tell.
+ */
+export function getFailureShare(
+  { load, loadReceivedAtMs, failures }: Member,
+  nowMs: number,
+): number {
+  const reported = nowMs - loadReceivedAtMs < LOAD_VALID_MS
+    ? load?.failureShare
+    : undefined;
+  return reported ?? computeFailureShare(failures, nowMs);
+}
+
 /**
  * Computes the share of the slots that would be in use, weighted by slowness,
  * plus penalties. Lower is better.
@@ -217,7 +251,8 @@
     : REMOTE_PENALTY;
   const slowness = isFresh ? computeSlowness(load.serviceMs, meanMs) : 1;
   const score = (inUse + 1) / slots * slowness + distance +
-    member.failureShare + (isFresh && load.limit === 0 ? CLOSED_PENALTY : 0);
+    getFailureShare(member, options.nowMs) +
+    (isFresh && load.limit === 0 ? CLOSED_PENALTY : 0);
   return isLimited ? Math.max(MIN_LIMITED_SCORE, score) : score;
 }
 
--- a/src/engine/relay/common/member_table.ts
+++ b/src/engine/relay/common/member_table.ts
@@ -284,7 +284,7 @@
       load !== undefined && load.limit > 0 &&
       nowMs - loadReceivedAtMs < LOAD_VALID_MS
     );
-    for (const { load, loadReceivedAtMs } of listReliable(open)) {
+    for (const { load, loadReceivedAtMs } of listReliable(open, nowMs)) {
       sum += load!.pressure * load!.limit;
       capacity += load!.limit;
       reportedAtMs = Math.max(reportedAtMs, loadReceivedAtMs);
@@ -312,7 +312,7 @@
     nowMs: number,
   ): PressureSource {
     const fresh = this.#listFresh(service, nowMs);
-    const reliable = listReliable(fresh);
+    const reliable = listReliable(fresh, nowMs);
     const downstream = this.#computeDownstream(service, route, nowMs);
     const isOwn = downstream.pressure <=
       this.computePressure(service, nowMs).pressure;
@@ -395,7 +395,7 @@
     let serviceMs = 0;
     let reportedAtMs = 0;
     const fresh = this.#listFresh(service, nowMs);
-    for (const { load, loadReceivedAtMs } of listReliable(fresh)) {
+    for (const { load, loadReceivedAtMs } of listReliable(fresh, nowMs)) {
       const { spare, limit } = load!;
       if (spare !== undefined && limit > 0) {
         capacity += limit;
--- a/src/engine/relay/common/reliability_log.ts
+++ b/src/engine/relay/common/reliability_log.ts
@@ -4,7 +4,7 @@
  * refused beside idle ones.
  */
 import type { Member } from "./member.ts";
-import { listReliable } from "./member_choice.ts";
+import { getFailureShare, listReliable } from "./member_choice.ts";
 import type { RelayLine } from "./relay_log.ts";
 
 /** Follows which members of each service are held to be failing. */
@@ -18,7 +18,7 @@
     members: readonly Member[],
     nowMs: number,
   ): readonly RelayLine[] {
-    const reliable = new Set(listReliable(members));
+    const reliable = new Set(listReliable(members, nowMs));
     return members.flatMap((member) => {
       const sinceMs = this.#failingSinceMs.get(member);
       const isReliable = reliable.has(member);
@@ -45,14 +45,15 @@
     readonly nowMs: number;
   },
 ): RelayLine {
-  const { announcement, failureShare, load, probeAtMs } = member;
+  const { announcement, load, probeAtMs } = member;
   return {
     event: "MemberReliabilityChanged",
     isFailure: false,
     service,
     member: announcement.ingress,
     isReliable,
-    failureShare: Math.round(failureShare * 100) / 100,
+    failureShare: Math.round(getFailureShare(member, nowMs) * 100) / 100,
+    isShareReported: load?.failureShare !== undefined,
     failingForMs: sinceMs && nowMs - sinceMs,
     nextProbeInMs: isReliable ? undefined : Math.max(0, probeAtMs - nowMs),
     inUse: load && load.running + load.queued,
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -56,6 +56,7 @@
 } from "../common/link_silence.ts";
 import { recordResult } from "../common/member.ts";
 import type { Member } from "../common/member.ts";
+import { getFailureShare } from "../common/member_choice.ts";
 import { PlacementLog } from "../common/placement_log.ts";
 import { ReliabilityLog } from "../common/reliability_log.ts";
 import { RootDecisions } from "../common/root_decision.ts";
@@ -339,6 +340,7 @@
       nowMs,
       draw: draw(),
       canProbe: call.request.route.isIdempotent && !call.request.isNested,
+      canProbeLate: () => this.#canRetryElsewhere(call, nowMs),
       isSilent: (candidate) =>
         isMemberSilent(candidate, links.getLastReceivedAtMs, nowMs),
     });
@@ -534,7 +536,7 @@
         service: call.service,
         member: member.announcement.ingress,
         failures: member.consecutiveFailures,
-        failureShare: member.failureShare,
+        failureShare: getFailureShare(member, nowMs),
         forMs: member.ejectedUntilMs - nowMs,
       });
     }
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -532,7 +532,7 @@
   }
 
   #sendAnswer(call: GateCallState, head: BackendHead, body: Uint8Array): void {
-    const { dialect, readClock } = this.#options;
+    const { dialect, readClock, isLeaf } = this.#options;
     const { status, headers, rawHeaders } = head;
     const { requestId } = call.opened;
     const validation = dialect.validateAnswer({ status, headers, requestId });
@@ -554,7 +554,13 @@
     // Failures may be immediate, and would lower the estimated service time.
     const isFailure = status >= 500;
     const serviceMs = isFailure ? undefined : readClock() - call.startedAtMs;
-    this.#end(call, { serviceMs, isLost: false, isRejected: false });
+    this.#end(call, {
+      serviceMs,
+      isLost: false,
+      isRejected: false,
+      // An error of a service that makes calls may come from further downstream.
+      isFailure: isFailure && isLeaf(),
+    });
     const opened: AnswerOpened = {
       type: "AnswerOpened",
       call: call.opened.call,
@@ -589,7 +595,8 @@
     // the backend server rejects them for its own reasons or closes connections.
     const isRejected = kind === "rejected";
     const isLost = kind === "expired";
-    this.#end(call, { serviceMs: undefined, isLost, isRejected });
+    const isFailure = isRejected || kind === "unknown" ? true : undefined;
+    this.#end(call, { serviceMs: undefined, isLost, isRejected, isFailure });
     const failed: CallFailed = {
       type: "CallFailed",
       call: call.opened.call,
@@ -636,6 +643,7 @@
       serviceMs: undefined,
       isLost: true,
       isRejected: false,
+      isFailure: undefined,
     });
     this.#options.log.write(createCancelledLine(call, { reason, wasRunning }));
   }
@@ -644,7 +652,7 @@
     call: GateCallState,
     ended: Pick<
       Extract<GateEvent, { type: "CallEnded" }>,
-      "serviceMs" | "isLost" | "isRejected"
+      "serviceMs" | "isLost" | "isRejected" | "isFailure"
     >,
   ): void {
     const { id, phase, opened } = call;
--- a/src/engine/relay/node/gate_options.ts
+++ b/src/engine/relay/node/gate_options.ts
@@ -24,6 +24,8 @@
   readonly loop: CallLoop;
   /** Whether the capacity is measured, and root requests are planned by it. */
   readonly isRoomMeasured: () => boolean;
+  /** Whether the service of the backend server is known to call no other. */
+  readonly isLeaf: () => boolean;
   /** Returns the maximum number of connections to the backend server. */
   readonly maxConnections: () => number;
   /** Returns the latency objective of a route, in milliseconds. */
--- a/src/engine/relay/test/gate_crashes_test.ts
+++ b/src/engine/relay/test/gate_crashes_test.ts
@@ -74,6 +74,7 @@
     log: { write: () => {} },
     loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
     isRoomMeasured: () => false,
+    isLeaf: () => true,
     maxConnections: () => connections,
     getObjectiveMs: () => 500,
     recordRun: () => {},
--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -138,6 +138,51 @@
     expect(table.computePressure(SERVICE, 2_000).pressure).to.equal(0.6);
   });
 
+  // Guards against an opinion that each node must correct by calls of its own.
+  it("goes by the share of failures over all callers, where it is known", () => {
+    const table = createTable(near, other);
+    const member = table.get(SERVICE, "near:1")!;
+    for (let n = 0; n < 40; n += 1) {
+      recordResult(member, n % 2 === 0, 1_000);
+    }
+    const load = {
+      running: 0,
+      queued: 0,
+      limit: SLOTS,
+      serviceMs: 0,
+      pressure: 0,
+    };
+    table.recordLoad("other:1", { ...load, pressure: 0.6 }, 1_000);
+    table.recordLoad("near:1", { ...load, failureShare: 0.8 }, 1_000);
+    expect(table.computePressure(SERVICE, 1_000).pressure).to.equal(0.6);
+    table.recordLoad("near:1", { ...load, failureShare: 0.1 }, 1_100);
+    expect(table.computePressure(SERVICE, 1_100).pressure).to.equal(0.3);
+    expect(sendCalls(table, 10)["near:1"]).to.be.within(4, 5);
+  });
+
+  // Guards against members of services that are called by backend servers alone,
+  // to which no probe is ever sent.
+  it("probes one that fails by a nested call that may be sent elsewhere", () => {
+    const table = createTable(near, other);
+    for (let n = 0; n < 40; n += 1) {
+      recordResult(table.get(SERVICE, "near:1")!, n % 2 === 0, 0);
+    }
+    const chooseNested = (nowMs: number, canProbeLate: boolean) =>
+      table.choose(SERVICE, {
+        dataCentre: "a",
+        tried: new Set(),
+        nowMs,
+        draw: 0,
+        canProbe: false,
+        canProbeLate: () => canProbeLate,
+        isSilent: () => false,
+      })?.announcement.ingress;
+    expect(chooseNested(1_000, false)).to.equal("other:1");
+    expect(chooseNested(1_000, true)).to.equal("near:1");
+    expect(chooseNested(1_900, true)).to.equal("other:1");
+    expect(chooseNested(2_000, true)).to.equal("near:1");
+  });
+
   it("uses one that fails part of its calls before the others overflow", () => {
     const table = createTable(near, other);
     const failing = table.get(SERVICE, "near:1")!;
--- a/src/engine/relay/test/open_gate.ts
+++ b/src/engine/relay/test/open_gate.ts
@@ -14,6 +14,7 @@
     log: { write: () => {} },
     loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
     isRoomMeasured: () => false,
+    isLeaf: () => true,
     maxConnections: () => 4,
     getObjectiveMs: () => 500,
     recordRun: () => {},
--- a/src/engine/relay/test/placement_simulation.ts
+++ b/src/engine/relay/test/placement_simulation.ts
@@ -224,7 +224,7 @@
     const { table, dataCentre } = entry;
     const draw = this.#draw();
     if (rules !== undefined) {
-      const members = listReliable(table.list(SERVICE));
+      const members = listReliable(table.list(SERVICE), nowMs);
       const inputs = { dataCentre, nowMs, draw, loadValidMs: 1_000 };
       return choosePlacement(
         members,
--- a/src/engine/relay/test/placement_test.ts
+++ b/src/engine/relay/test/placement_test.ts
@@ -244,7 +244,8 @@
         const member = table.get(SERVICE, ingress)!;
         member.outstanding = Math.floor(draw() * 8);
         member.sentSinceLoad = Math.floor(draw() * 3);
-        member.failureShare = draw() < 0.1 ? draw() : 0;
+        const share = draw() < 0.1 ? draw() : 0;
+        member.failures = { share, sampledAtMs: 5_000 };
       }
       chosen.push(
         table.choose(SERVICE, {
