--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,13 +3,15 @@
  * `node out/soak/main.js --seeds 50 --first 1`. With `--tree`, runs the soak
  * test of a call tree, with `--crashes` that of requests that end the backend
  * servers that run them, with `--parts` that of planned work while callers send
- * their requests in parts, with `--config` that of configurations.
+ * their requests in parts, with `--config` that of configurations, with
+ * `--served` that of what callers are served after faults.
  */
 import process from "node:process";
 import { Command } from "commander";
 import { runConfigSoak, SHORT_CONFIG_SOAK } from "./config_soak.ts";
 import { runCrashSoak } from "./crash_soak.ts";
 import { runPartsSoak, SHORT_PARTS_SOAK } from "./parts_soak.ts";
+import { runServedSoak } from "./served_soak.ts";
 import { runSoak, SHORT_SOAK } from "./soak_run.ts";
 import { runTreeSoak, SHORT_TREE_SOAK } from "./tree_soak.ts";
 
@@ -25,6 +27,7 @@
   .option("--crashes", "run the soak test of requests that end servers")
   .option("--parts", "run the soak test of requests that are sent in parts")
   .option("--config", "run the soak test of configurations")
+  .option("--served", "run the soak test of what callers are served")
   .option(
     "--operators <count>",
     "operators, with --config",
@@ -60,7 +63,9 @@
     backends: Number(options["backends"]),
     replicas: Number(options["replicas"]),
   };
-  const report = options["config"] !== undefined
+  const report = options["served"] !== undefined
+    ? await runServedSoak(common)
+    : options["config"] !== undefined
     ? await runConfigSoak({
       ...common,
       ...size,
--- a/soak/test/soak_test.ts
+++ b/soak/test/soak_test.ts
@@ -3,6 +3,7 @@
 import { runConfigSoak, SHORT_CONFIG_SOAK } from "../config_soak.ts";
 import { runCrashSoak, SHORT_CRASH_SOAK } from "../crash_soak.ts";
 import { runPartsSoak, SHORT_PARTS_SOAK } from "../parts_soak.ts";
+import { runServedSoak } from "../served_soak.ts";
 import { runSoak, SHORT_SOAK } from "../soak_run.ts";
 import { runTreeSoak, SHORT_TREE_SOAK } from "../tree_soak.ts";
 
@@ -16,6 +17,7 @@
 /** One with a grace period of 3 s, one with 6 s. */
 const PARTS_SEEDS = [1, 2];
 const CONFIG_SEEDS = [1, 2];
+const SERVED_SEEDS = [1];
 const TEST_TIMEOUT_MS = 90_000;
 
 describe("a short soak", () => {
@@ -80,3 +82,13 @@
     }).timeout(TEST_TIMEOUT_MS);
   }
 });
+
+describe("a short soak of what is served", () => {
+  for (const seed of SERVED_SEEDS) {
+    // Guards against refusals beside idle slots after faults have ended.
+    it(`serves callers 3 s after faults as before: seed ${seed}`, async () => {
+      const { broken } = await runServedSoak({ seed });
+      expect(broken).to.deep.equal([]);
+    }).timeout(TEST_TIMEOUT_MS);
+  }
+});
