Let a run show that runs of a route have become short again

What callers saw: a route whose runs took longer than twice the time limit of its callers for some seconds was refused from then on, for good, however idle the backend server was. Non-idempotent calls of less than a second show it: their runs go on and count as samples for a second after the limit.

The service time of a route followed its runs alone, 10% each, and a call with less than half of it left is refused, so that no run corrects it.

Change: no call is refused for a service time of which no run has begun or ended for 1 s. A sample weighs up to a quarter by the time since the last one, by the same function as in the other estimates.

--- a/src/engine/relay/common/failure_share.ts
+++ b/src/engine/relay/common/failure_share.ts
@@ -7,6 +7,8 @@
  * depend on time, the share would follow the slower the fewer calls there are.
  */
 
+import { computeSampleGain } from "./sample_gain.ts";
+
 /** State of the estimate; updated in place. */
 export interface FailureShare {
   /** Share at the time of the last sample, 0 to 1. */
@@ -14,14 +16,7 @@
   sampledAtMs: number;
 }
 
-/** Bounds of the weight of a sample. */
-const MIN_GAIN = 0.05;
-const MAX_GAIN = 0.25;
-/**
- * Time in which the samples before lose two thirds of their weight, however few
- * follow, within the bounds.
- */
-const TIME_CONSTANT_MS = 2_500;
+const SHARE_GAIN = { min: 0.05, max: 0.25, timeConstantMs: 2_500 };
 /**
  * The share halves in this time without a sample. Only that ends it where no
  * call may be risked as a probe; the next calls raise it again if need be.
@@ -39,11 +34,7 @@
   isFailure: boolean,
   nowMs: number,
 ): void {
-  const elapsedMs = nowMs - state.sampledAtMs;
-  const gain = Math.min(
-    MAX_GAIN,
-    Math.max(MIN_GAIN, 1 - Math.exp(-elapsedMs / TIME_CONSTANT_MS)),
-  );
+  const gain = computeSampleGain(nowMs - state.sampledAtMs, SHARE_GAIN);
   const share = computeFailureShare(state, nowMs);
   state.share = share + (Number(isFailure) - share) * gain;
   state.sampledAtMs = nowMs;
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -38,6 +38,7 @@
 import type { GateState } from "./gate_state.ts";
 import type { BackendLoad } from "./dialect.ts";
 import { isSameProcessInstance } from "./local_backend.ts";
+import { computeSampleGain } from "./sample_gain.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import {
   createSpeedEstimate,
@@ -139,17 +140,17 @@
 
 /** Notices that are kept; more than instances that follow each other quickly. */
 const MAX_NOTICES = 8;
-/** Bounds of the weight of a sample in the smoothed service time of all routes. */
-const MIN_MEAN_SERVICE_GAIN = 0.02;
-const MAX_MEAN_SERVICE_GAIN = 0.25;
 /**
- * Time after which a sample of that service time counts less than half, however
- * few follow. Callers avoid a backend server that seems slow, and only the few
- * calls that reach it can show that it no longer is.
+ * Weights of a sample in the service time of all routes and of its own. Callers
+ * avoid a backend server that seems slow, and only the few calls that reach it
+ * can show that it no longer is.
  */
-const MEAN_SERVICE_TIME_CONSTANT_MS = 2_500;
-/** Weight of a sample in a route's service time and in the completion gap. */
-const SAMPLE_GAIN = 0.1;
+const MEAN_SERVICE_GAIN = { min: 0.02, max: 0.25, timeConstantMs: 2_500 };
+const ROUTE_SERVICE_GAIN = { min: 0.1, max: 0.25, timeConstantMs: 2_500 };
+/** No call is refused for a service time without a run for this long. */
+const SERVICE_TIME_VALID_MS = 1_000;
+/** Weight of a sample in the completion gap. */
+const COMPLETION_GAIN = 0.1;
 /** A slowdown is determined anew every 600 ms; an older one says nothing. */
 const SLOWDOWN_VALID_MS = 600;
 /**
@@ -213,7 +214,7 @@
   if (hasTooLittleTime(state, call, nowMs)) {
     return [refuseCall(state, call.id, "deadline", nowMs)];
   }
-  if (queue.length === 0 && tryReserve(state, call.id, nowMs)) {
+  if (queue.length === 0 && tryReserve(state, call, nowMs)) {
     return [{ type: "RunCall", id: call.id, wasQueued: false }];
   }
   insertCall(queue, { ...call, dueAtMs: computeDueAtMs(state, call) });
@@ -238,12 +239,24 @@
 }
 
 /** Takes a slot, and a token under a rate limit; false if one is missing. */
-function tryReserve(state: GateState, id: number, nowMs: number): boolean {
+function tryReserve(
+  state: GateState,
+  { id, route }: GateCall,
+  nowMs: number,
+): boolean {
   const { bucket } = state;
-  const isReserved = state.running < computeLimit(state) &&
-    (bucket === undefined || tryTakeToken(bucket, id, nowMs));
-  state.running += isReserved ? 1 : 0;
-  return isReserved;
+  if (
+    state.running >= computeLimit(state) ||
+    bucket !== undefined && !tryTakeToken(bucket, id, nowMs)
+  ) {
+    return false;
+  }
+  state.running += 1;
+  const time = state.serviceTimes.get(route);
+  if (time !== undefined) {
+    time.begunAtMs = nowMs;
+  }
+  return true;
 }
 
 /**
@@ -274,14 +287,21 @@
   return effects;
 }
 
-/** Whether the time left covers no more than half of a usual run. */
+/**
+ * Whether the time left covers no more than half of a usual run. If no run of
+ * the route has begun or ended for a while, only a passed deadline counts: the
+ * next run shows whether runs have become shorter, where otherwise all calls
+ * would be refused for good.
+ */
 function hasTooLittleTime(
-  state: GateState,
-  call: GateCall,
+  { serviceTimes }: GateState,
+  { route, deadlineMs }: GateCall,
   nowMs: number,
 ): boolean {
-  const usualServiceMs = state.serviceTimes.get(call.route)?.meanMs ?? 0;
-  return call.deadlineMs - nowMs <= usualServiceMs / 2;
+  const time = serviceTimes.get(route);
+  const isKnown = time !== undefined &&
+    nowMs - Math.max(time.sampledAtMs, time.begunAtMs) < SERVICE_TIME_VALID_MS;
+  return deadlineMs - nowMs <= (isKnown ? time.meanMs / 2 : 0);
 }
 
 function runQueued(state: GateState, nowMs: number): readonly GateEffect[] {
@@ -292,7 +312,7 @@
     if (hasTooLittleTime(state, call, nowMs)) {
       queue.shift();
       effects.push(refuseCall(state, call.id, "deadline", nowMs));
-    } else if (tryReserve(state, call.id, nowMs)) {
+    } else if (tryReserve(state, call, nowMs)) {
       queue.shift();
       effects.push({ type: "RunCall", id: call.id, wasQueued: true });
     } else {
@@ -310,7 +330,7 @@
   if (state.queue.length > 0) {
     const gapMs = Math.min(1_000, nowMs - state.lastCompletionMs);
     state.completionGapMs += (gapMs - state.completionGapMs) *
-      SAMPLE_GAIN;
+      COMPLETION_GAIN;
   }
   state.lastCompletionMs = nowMs;
   state.running = Math.max(0, state.running - 1);
@@ -342,9 +362,15 @@
   updateMeanServiceMs(state, serviceMs, nowMs);
   const time = state.serviceTimes.get(route);
   if (time === undefined) {
-    state.serviceTimes.set(route, { meanMs: serviceMs });
+    const created = { meanMs: serviceMs, sampledAtMs: nowMs, begunAtMs: 0 };
+    state.serviceTimes.set(route, created);
   } else {
-    time.meanMs += (serviceMs - time.meanMs) * SAMPLE_GAIN;
+    const gain = computeSampleGain(
+      nowMs - time.sampledAtMs,
+      ROUTE_SERVICE_GAIN,
+    );
+    time.meanMs += (serviceMs - time.meanMs) * gain;
+    time.sampledAtMs = nowMs;
   }
 }
 
@@ -353,12 +379,9 @@
   serviceMs: number,
   nowMs: number,
 ): void {
-  const elapsedMs = nowMs - state.lastSampleMs;
-  const share = 1 - Math.exp(-elapsedMs / MEAN_SERVICE_TIME_CONSTANT_MS);
-  const gain = state.meanServiceMs === 0 ? 1 : Math.min(
-    MAX_MEAN_SERVICE_GAIN,
-    Math.max(MIN_MEAN_SERVICE_GAIN, share),
-  );
+  const gain = state.meanServiceMs === 0
+    ? 1
+    : computeSampleGain(nowMs - state.lastSampleMs, MEAN_SERVICE_GAIN);
   state.meanServiceMs += (serviceMs - state.meanServiceMs) * gain;
   state.lastSampleMs = nowMs;
 }
--- a/src/engine/relay/common/gate_state.ts
+++ b/src/engine/relay/common/gate_state.ts
@@ -18,6 +18,10 @@
 interface ServiceTime {
   /** Smoothed mean. */
   meanMs: number;
+  /** Time of the last sample in it. */
+  sampledAtMs: number;
+  /** When a run of the route last began. */
+  begunAtMs: number;
 }
 
 /** State of the gate; only its reducer changes it. */
--- a/src/engine/relay/common/speed_estimate.ts
+++ b/src/engine/relay/common/speed_estimate.ts
@@ -12,6 +12,8 @@
  * phase of a new process instance isn't reported, and is part of the speed.
  */
 
+import { computeSampleGain } from "./sample_gain.ts";
+
 /** Cost of one route, at the speed of 1. */
 interface RouteCost {
   costMs: number;
@@ -43,10 +45,11 @@
   readonly serviceMs: number;
 }
 
-/** Time constant of the slowness: a change shows to 0.95 after three of these. */
-const SLOWNESS_TAU_MS = 150;
-/** Highest weight of a sample; one run may take far longer than the usual ones. */
-const MAX_SLOWNESS_GAIN = 0.1;
+/**
+ * Weight of a sample in the slowness: a change shows to 0.95 after three time
+ * constants, and one run may take far longer than the usual ones.
+ */
+const SLOWNESS_GAIN = { min: 0, max: 0.1, timeConstantMs: 150 };
 /**
  * Lowest weight of a sample in the cost of its route. With the slowness a
  * hundred times as quick, a change of speed hardly shows in the costs.
@@ -107,23 +110,11 @@
   estimate.slowness = cost === undefined
     ? slowness
     : slowness + (usualMs / cost.costMs - slowness) *
-        computeSlownessGain(estimate, nowMs);
+        computeSampleGain(nowMs - estimate.sampledAtMs, SLOWNESS_GAIN);
   estimate.sampledAtMs = nowMs;
   updateCost(estimate, route, usualMs / estimate.slowness, nowMs);
 }
 
-/**
- * Computes the weight of a sample from the time since the last one, so that the
- * slowness changes as quickly at any rate of calls.
- */
-function computeSlownessGain(
-  { sampledAtMs }: SpeedEstimate,
-  nowMs: number,
-): number {
-  const gain = 1 - Math.exp(-(nowMs - sampledAtMs) / SLOWNESS_TAU_MS);
-  return Math.min(MAX_SLOWNESS_GAIN, Math.max(0, gain));
-}
-
 function updateCost(
   { costs }: SpeedEstimate,
   route: string,
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -239,3 +239,70 @@
     expect(gate.meanServiceMs).to.be.below(34);
   });
 });
+
+describe("the service time of a route", () => {
+  /** Plays calls of one route at even intervals; returns what became of each. */
+  function playCalls(
+    gate: GateState,
+    calls: {
+      readonly fromMs: number;
+      readonly perSecond: number;
+      readonly lengthMs: number;
+      readonly serviceMs: number;
+      readonly timeLeftMs: number;
+    },
+  ): readonly string[] {
+    const { fromMs, perSecond, lengthMs, serviceMs, timeLeftMs } = calls;
+    return Array.from({ length: lengthMs / 1_000 * perSecond }, (_, n) => {
+      const arrivedAtMs = fromMs + n * 1_000 / perSecond;
+      const deadlineMs = arrivedAtMs + timeLeftMs;
+      const call = createCall(n, { arrivedAtMs, deadlineMs });
+      const [effect] = arrive(gate, call);
+      if (effect?.type === "RunCall") {
+        end(gate, n, arrivedAtMs + Math.min(serviceMs, 900), serviceMs);
+      }
+      return effect?.type ?? "none";
+    });
+  }
+
+  for (const perSecond of [1, 5, 100]) {
+    // Guards against calls that are refused for good after some slow runs, as
+    // no run shows any more that they have become short again.
+    it(`doesn't refuse calls for good at ${perSecond} a second`, () => {
+      const gate = openGate(200);
+      const calls = { perSecond, timeLeftMs: 600 };
+      playCalls(gate, {
+        ...calls,
+        fromMs: 1_000,
+        lengthMs: 30_000,
+        serviceMs: 1_500,
+      });
+      const after = playCalls(gate, {
+        ...calls,
+        fromMs: 31_000,
+        lengthMs: 20_000,
+        serviceMs: 60,
+      });
+      expect(after.slice(-10 * perSecond)).not.to.include("RefuseCall");
+    });
+  }
+
+  // Guards against demand that seems higher than it is long after slow runs.
+  it("is known to a tenth after 14 s at one call a second", () => {
+    const gate = openGate();
+    const calls = { perSecond: 1, timeLeftMs: 5_000 };
+    playCalls(gate, {
+      ...calls,
+      fromMs: 1_000,
+      lengthMs: 30_000,
+      serviceMs: 300,
+    });
+    playCalls(gate, {
+      ...calls,
+      fromMs: 31_000,
+      lengthMs: 14_000,
+      serviceMs: 60,
+    });
+    expect(gate.serviceTimes.get("lookup")?.meanMs).to.be.below(66);
+  });
+});
