Don't bring back what has decayed with an answer that speaks against it

After ten seconds without an attempt a good answer raised the cost of a server that had failed from 1 to 5.6 times the usual, and it was avoided again.

A sample that speaks against the average weighs at least what has decayed since; one that speaks for it weighs as before, so that a single failure after a pause still counts as one of four.

--- a/src/engine/routing/common/backend_view.ts
+++ b/src/engine/routing/common/backend_view.ts
@@ -134,20 +134,23 @@
     (!isCompleted && ratio > view.latencyRatio);
   const failed = result === "failed" ? 1 : 0;
   const refused = result === "refused" ? 1 : 0;
+  // What has decayed since the last sample must not count again with one that
+  // speaks against it.
+  const decayedPart = 1 - computeDecay(view, nowMs);
   return {
     ...view,
     inFlight: Math.max(0, view.inFlight - 1),
     lastProgressAtMs: isCompleted ? nowMs : view.lastProgressAtMs,
     updatedAtMs: isCompleted || isSample ? nowMs : view.updatedAtMs,
     latencyRatio: isSample
-      ? updateLatencyRatio(view.latencyRatio, ratio)
+      ? updateLatencyRatio(view.latencyRatio, ratio, decayedPart)
       : view.latencyRatio,
     sampleCount: view.sampleCount + (isSample ? 1 : 0),
     failureShare: isCompleted
-      ? updateAverage(view.failureShare, failed, RESULT_GAIN)
+      ? updateShare(view.failureShare, failed, decayedPart)
       : view.failureShare,
     refusalShare: isCompleted
-      ? updateAverage(view.refusalShare, refused, RESULT_GAIN)
+      ? updateShare(view.refusalShare, refused, decayedPart)
       : view.refusalShare,
     hintedLoad: hasAnswer ? report.hintedLoad : view.hintedLoad,
   };
@@ -213,15 +216,30 @@
   );
 }
 
-function updateLatencyRatio(current: number, ratio: number): number {
+function updateLatencyRatio(
+  current: number,
+  ratio: number,
+  decayedPart: number,
+): number {
   const sample = Math.min(MAX_SAMPLE_RATIO, ratio);
   return updateAverage(
     current,
     sample,
-    sample > current ? LATENCY_RISE_GAIN : LATENCY_FALL_GAIN,
+    sample > current
+      ? LATENCY_RISE_GAIN
+      : Math.max(LATENCY_FALL_GAIN, decayedPart),
   );
 }
 
+function updateShare(
+  current: number,
+  sample: 0 | 1,
+  decayedPart: number,
+): number {
+  const gain = sample === 1 ? RESULT_GAIN : Math.max(RESULT_GAIN, decayedPart);
+  return updateAverage(current, sample, gain);
+}
+
 function updateAverage(current: number, sample: number, gain: number): number {
   return current + gain * (sample - current);
 }
