--- a/src/engine/mesh/common/frames.ts
+++ b/src/engine/mesh/common/frames.ts
@@ -246,8 +246,8 @@
 
 /**
  * `LoadFigures` on the wire: running, queued, limit, pressure, serviceMs,
- * notice, spare, slowdown, failure share. An absent field before a present one is `undefined`,
- * which earlier builds read as absent too.
+ * notice, spare, slowdown, failure share. An absent field before a present one
+ * is `undefined`, which earlier builds read as absent too.
  */
 type WireLoad = readonly [
   running: number,
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -38,8 +38,8 @@
 import type { GateState } from "./gate_state.ts";
 import type { BackendLoad } from "./dialect.ts";
 import { isSameProcessInstance } from "./local_backend.ts";
-import { computeSampleGain } from "./sample_gain.ts";
 import type { LocalBackend } from "./local_backend.ts";
+import { computeSampleGain } from "./sample_gain.ts";
 import {
   createSpeedEstimate,
   recordSample,
--- a/src/engine/relay/common/reliability_log.ts
+++ b/src/engine/relay/common/reliability_log.ts
@@ -10,7 +10,7 @@
 /** Follows which members of each service are held to be failing. */
 export class ReliabilityLog {
   /** Failing members, with when they began to be held so. */
-  readonly #failingSinceMs = new Map<Member, number>();
+  readonly #failingSinceMs = new WeakMap<Member, number>();
 
   /** Creates a line for each member of a service whose standing has changed. */
   update(
--- a/src/engine/relay/common/speed_estimate.ts
+++ b/src/engine/relay/common/speed_estimate.ts
@@ -11,7 +11,6 @@
  * slowdown at its start, so that the product of both counts it once. The slow
  * phase of a new process instance isn't reported, and is part of the speed.
  */
-
 import { computeSampleGain } from "./sample_gain.ts";
 
 /** Cost of one route, at the speed of 1. */
--- a/src/engine/routing/common/backend_view.ts
+++ b/src/engine/routing/common/backend_view.ts
@@ -135,23 +135,26 @@
   const failed = result === "failed" ? 1 : 0;
   const refused = result === "refused" ? 1 : 0;
   // What has decayed since the last sample must not count again with one that
-  // speaks against it.
-  const decayedPart = 1 - computeDecay(view, nowMs);
+  // speaks against it, or that says nothing of it.
+  const decay = computeDecay(view, nowMs);
+  const decayedPart = 1 - decay;
+  const isUpdated = isCompleted || isSample;
+  const remaining = isUpdated ? decay : 1;
   return {
     ...view,
     inFlight: Math.max(0, view.inFlight - 1),
     lastProgressAtMs: isCompleted ? nowMs : view.lastProgressAtMs,
-    updatedAtMs: isCompleted || isSample ? nowMs : view.updatedAtMs,
+    updatedAtMs: isUpdated ? nowMs : view.updatedAtMs,
     latencyRatio: isSample
       ? updateLatencyRatio(view.latencyRatio, ratio, decayedPart)
-      : view.latencyRatio,
+      : 1 + (view.latencyRatio - 1) * remaining,
     sampleCount: view.sampleCount + (isSample ? 1 : 0),
     failureShare: isCompleted
       ? updateShare(view.failureShare, failed, decayedPart)
-      : view.failureShare,
+      : view.failureShare * remaining,
     refusalShare: isCompleted
       ? updateShare(view.refusalShare, refused, decayedPart)
-      : view.refusalShare,
+      : view.refusalShare * remaining,
     hintedLoad: hasAnswer ? report.hintedLoad : view.hintedLoad,
   };
 }
--- a/src/engine/routing/test/backend_view_test.ts
+++ b/src/engine/routing/test/backend_view_test.ts
@@ -12,11 +12,12 @@
 /** Long after the ramp of a new backend server. */
 const START_MS = 60_000;
 const RESULTS = ["failed", "refused", "answered"] as const;
+type Result = typeof RESULTS[number] | "cancelled";
 
 /** Records the end of an attempt of ten times the usual time, or of the usual. */
 function recordEnd(
   view: BackendView,
-  result: typeof RESULTS[number],
+  result: Result,
   options: { readonly ratio: number; readonly nowMs: number },
 ): BackendView {
   const { ratio, nowMs } = options;
@@ -53,6 +54,23 @@
     }
   }
 
+  // Guards against a failure that brings back a latency of long ago, and a
+  // cancelled attempt that brings back failures.
+  it("isn't held against it by what says nothing of it", () => {
+    let slow = createView(createMember("m-1"), 0);
+    let failing = slow;
+    for (let n = 0; n < 20; n += 1) {
+      const nowMs = START_MS + n;
+      slow = recordEnd(slow, "answered", { ratio: 10, nowMs });
+      failing = recordEnd(failing, "failed", { ratio: 1, nowMs });
+    }
+    const nowMs = START_MS + 20_000;
+    slow = recordEnd(slow, "failed", { ratio: 1, nowMs });
+    expect(slow.latencyRatio).to.be.below(1.1);
+    failing = recordEnd(failing, "cancelled", { ratio: 2, nowMs });
+    expect(failing.failureShare).to.be.below(0.1);
+  });
+
   // Guards against a single failure after a pause that counts for four.
   it("isn't judged by one failure after a pause", () => {
     let view = createView(createMember("m-1"), 0);
