Test what a gate counts as failed, and spare each answer a list of members

Read again: no test failed if the gate's calls didn't say which ended in failure; four do now look at it. The log of members held to be failing made a set and a list for each answer, the choice an array for each call; neither does now while none fails. No figure of time was measured.

--- a/src/engine/relay/common/member_choice.ts
+++ b/src/engine/relay/common/member_choice.ts
@@ -203,14 +203,20 @@
   members: readonly Member[],
   nowMs: number,
 ): readonly Member[] {
-  const shares = members.map((member) => getFailureShare(member, nowMs));
-  const least = Math.min(1, ...shares);
-  if (Math.max(0, ...shares) < FAILING_SHARE) {
+  let least = 1;
+  let most = 0;
+  for (const member of members) {
+    const share = getFailureShare(member, nowMs);
+    least = Math.min(least, share);
+    most = Math.max(most, share);
+  }
+  if (most < FAILING_SHARE) {
     return NONE_FAILING;
   }
-  return members.filter((_, index) =>
-    shares[index]! >= FAILING_SHARE && shares[index]! > least * FAILING_RATIO
-  );
+  return members.filter((member) => {
+    const share = getFailureShare(member, nowMs);
+    return share >= FAILING_SHARE && share > least * FAILING_RATIO;
+  });
 }
 
 /**
--- a/src/engine/relay/common/reliability_log.ts
+++ b/src/engine/relay/common/reliability_log.ts
@@ -7,10 +7,12 @@
 import { getFailureShare, listReliable } from "./member_choice.ts";
 import type { RelayLine } from "./relay_log.ts";
 
+const NO_LINES: readonly RelayLine[] = [];
+
 /** Follows which members of each service are held to be failing. */
 export class ReliabilityLog {
-  /** Failing members, with when they began to be held so. */
-  readonly #failingSinceMs = new WeakMap<Member, number>();
+  /** Failing members by service, with when they began to be held so. */
+  readonly #services = new Map<string, ReadonlyMap<Member, number>>();
 
   /** Creates a line for each member of a service whose standing has changed. */
   update(
@@ -18,20 +20,29 @@
     members: readonly Member[],
     nowMs: number,
   ): readonly RelayLine[] {
-    const reliable = new Set(listReliable(members, nowMs));
-    return members.flatMap((member) => {
-      const sinceMs = this.#failingSinceMs.get(member);
-      const isReliable = reliable.has(member);
-      if (isReliable === (sinceMs === undefined)) {
-        return [];
+    const before = this.#services.get(service);
+    const reliable = listReliable(members, nowMs);
+    if (before === undefined && reliable.length === members.length) {
+      return NO_LINES;
+    }
+    const failing = new Map<Member, number>();
+    const lines: RelayLine[] = [];
+    for (const member of members) {
+      const isReliable = reliable.includes(member);
+      const sinceMs = before?.get(member);
+      if (isReliable !== (sinceMs === undefined)) {
+        lines.push(createLine({ service, member, isReliable, sinceMs, nowMs }));
       }
-      if (isReliable) {
-        this.#failingSinceMs.delete(member);
-      } else {
-        this.#failingSinceMs.set(member, nowMs);
+      if (!isReliable) {
+        failing.set(member, sinceMs ?? nowMs);
       }
-      return [createLine({ service, member, isReliable, sinceMs, nowMs })];
-    });
+    }
+    if (failing.size === 0) {
+      this.#services.delete(service);
+    } else {
+      this.#services.set(service, failing);
+    }
+    return lines;
   }
 }
 
--- a/src/engine/relay/test/gate_failures_test.ts
+++ b/src/engine/relay/test/gate_failures_test.ts
@@ -1,11 +1,15 @@
 /** The share of failed calls that a gate reports of its backend server. */
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { expect } from "chai";
 import { flattenFrame, parseFrame } from "../../mesh/common/frames.ts";
 import type { LoadFigures } from "../../mesh/common/frames.ts";
 import { reduceGate } from "../common/gate.ts";
 import { createGate, createLoadFigures } from "../common/gate_state.ts";
 import type { GateState } from "../common/gate_state.ts";
-import { createBackend } from "./gate_fakes.ts";
+import type { AnswerValidation } from "../common/dialect.ts";
+import { createBackend, createCall, DIALECT } from "./gate_fakes.ts";
+import { openGate as openGateCalls } from "./open_gate.ts";
 
 function openGate(): GateState {
   const gate = createGate();
@@ -97,3 +101,68 @@
       .to.include({ failureShare: undefined, spare: 0.5 });
   });
 });
+
+describe("what counts as failed at a gate", () => {
+  const OUTCOMES: readonly {
+    readonly title: string;
+    readonly validation: AnswerValidation;
+    readonly status: number;
+    readonly isLeaf: boolean;
+    readonly isFailure: boolean;
+  }[] = [
+    {
+      title: "a request that wasn't run",
+      validation: { type: "NotRun", reason: "full" },
+      status: 503,
+      isLeaf: false,
+      isFailure: true,
+    },
+    {
+      title: "an answer that belongs to none",
+      validation: { type: "Foreign", reason: "other id" },
+      status: 200,
+      isLeaf: false,
+      isFailure: true,
+    },
+    {
+      title: "an error where nothing is called",
+      validation: { type: "Answered" },
+      status: 500,
+      isLeaf: true,
+      isFailure: true,
+    },
+    {
+      title: "an error that may come from further downstream",
+      validation: { type: "Answered" },
+      status: 500,
+      isLeaf: false,
+      isFailure: false,
+    },
+  ];
+
+  for (const { title, validation, status, isLeaf, isFailure } of OUTCOMES) {
+    // Guards against failures that no gate reports, so that each node must find
+    // them by calls of its own.
+    it(`${title}: ${isFailure}`, async () => {
+      const server = createServer((request, response) => {
+        request.resume();
+        response.writeHead(status, { "Content-Length": 0 }).end();
+      });
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+      const { port } = server.address() as AddressInfo;
+      await using gate = openGateCalls({
+        dialect: { ...DIALECT, validateAnswer: () => validation },
+        isLeaf: () => isLeaf,
+      });
+      gate.changeBackend(createBackend(port));
+      await new Promise<void>((resolve) =>
+        gate.receive("1", createCall(1, {}), () => resolve())
+      );
+      server.closeAllConnections();
+      server.close();
+      expect(gate.readLoad().failureShare !== undefined).to.equal(isFailure);
+    });
+  }
+});
