--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -452,3 +452,25 @@
     );
   });
 });
+
+describe("calls of backend servers to a service with a failing member", () => {
+  function listChosen(change: Partial<EntryRequest>): readonly string[] {
+    const entry = new Entry("a:1", "b:1");
+    entry.receiveAllReports();
+    const failing = entry.members.get("warehouse", "a:1")!;
+    failing.failures = { share: 0.8, sampledAtMs: entry.nowMs };
+    entry.start({ isNested: true, ...change });
+    entry.start({ isNested: true, ...change });
+    return entry.listOpenings();
+  }
+
+  // Guards against a member that is never probed, as only backend servers call
+  // its service.
+  it("probe it, if they would be sent elsewhere", () => {
+    expect(listChosen({})).to.deep.equal(["a:1", "b:1"]);
+    const once = { ...ROUTE, maxAttempts: 1 };
+    expect(listChosen({ route: once })).to.deep.equal(["b:1", "b:1"]);
+    const transfer = { ...ROUTE, isIdempotent: false };
+    expect(listChosen({ route: transfer })).to.deep.equal(["b:1", "b:1"]);
+  });
+});
