Let the speed of a backend server that gets few calls follow its runs

What users can see: a backend server that names a slowdown, was slow and gets a call a second is taken to be slow for half a minute, and is avoided for it.

The weight of a run in the speed is a tenth at most, however long ago the last one was.

Change: a run weighs up to a quarter by the time since the last one. The weight by time moves to base, for the admission of the own interface needs it too.

--- a/src/engine/relay/common/failure_share.ts
+++ b/src/engine/relay/common/failure_share.ts
@@ -6,7 +6,7 @@
  * probes tell when it no longer does. With a weight for each sample that doesn't
  * depend on time, the share would follow the slower the fewer calls there are.
  */
-import { computeSampleGain } from "./sample_gain.ts";
+import { computeSampleGain } from "../../../base/common/sample_gain.ts";
 
 /** State of the estimate; updated in place. */
 export interface FailureShare {
--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -4,6 +4,7 @@
  * gate's limits apply to all callers. The reducer updates its state in place:
  * it runs for each call, and nothing else keeps a reference to the state.
  */
+import { computeSampleGain } from "../../../base/common/sample_gain.ts";
 import type { BackendNotice } from "../../mesh/common/frames.ts";
 import {
   recordLostRequest,
@@ -39,7 +40,6 @@
 import type { BackendLoad } from "./dialect.ts";
 import { isSameProcessInstance } from "./local_backend.ts";
 import type { LocalBackend } from "./local_backend.ts";
-import { computeSampleGain } from "./sample_gain.ts";
 import {
   createSpeedEstimate,
   recordSample,
--- a/src/engine/relay/common/speed_estimate.ts
+++ b/src/engine/relay/common/speed_estimate.ts
@@ -11,7 +11,7 @@
  * slowdown at its start, so that the product of both counts it once. The slow
  * phase of a new process instance isn't reported, and is part of the speed.
  */
-import { computeSampleGain } from "./sample_gain.ts";
+import { computeSampleGain } from "../../../base/common/sample_gain.ts";
 
 /** Cost of one route, at the speed of 1. */
 interface RouteCost {
@@ -49,6 +49,8 @@
  * constants, and one run may take far longer than the usual ones.
  */
 const SLOWNESS_GAIN = { min: 0, max: 0.1, timeConstantMs: 150 };
+/** The same where runs are so few that a change would show after many seconds. */
+const RARE_SLOWNESS_GAIN = { min: 0, max: 0.25, timeConstantMs: 2_500 };
 /**
  * Lowest weight of a sample in the cost of its route. With the slowness a
  * hundred times as quick, a change of speed hardly shows in the costs.
@@ -104,12 +106,15 @@
 ): void {
   const slowdown = findSlowdown(estimate, nowMs - serviceMs);
   const usualMs = Math.max(MIN_SAMPLE_MS, serviceMs / slowdown);
-  const { slowness } = estimate;
   const cost = estimate.costs.get(route);
-  estimate.slowness = cost === undefined
-    ? slowness
-    : slowness + (usualMs / cost.costMs - slowness) *
-        computeSampleGain(nowMs - estimate.sampledAtMs, SLOWNESS_GAIN);
+  if (cost !== undefined) {
+    const elapsedMs = nowMs - estimate.sampledAtMs;
+    const gain = Math.max(
+      computeSampleGain(elapsedMs, SLOWNESS_GAIN),
+      computeSampleGain(elapsedMs, RARE_SLOWNESS_GAIN),
+    );
+    estimate.slowness += (usualMs / cost.costMs - estimate.slowness) * gain;
+  }
   estimate.sampledAtMs = nowMs;
   updateCost(estimate, route, usualMs / estimate.slowness, nowMs);
 }
