Let the expected time of rare requests rise with their runs

What callers of the own interface can see: requests of a kind that is asked for once a second are begun for 20 s with too little time left, once its runs take five times as long as before.

The weight of a longer run is a tenth, however long ago the last one was.

Evidence: estimates_test.ts, the expected time of a run: wrong by over a tenth for 20 s at one call a second, 10 at two, 4 at five.

Change: a longer run weighs up to a quarter by the time since the last one. Now 8, 5.5 and 4 s; from five a second on, and for shorter runs, nothing changes.

--- a/src/engine/admission/common/service_time.ts
+++ b/src/engine/admission/common/service_time.ts
@@ -1,9 +1,12 @@
 /** Service time of one kind of request: expected value and baseline. */
+import { computeSampleGain } from "../../../base/common/sample_gain.ts";
 
 /** Times from the start of a run to the head of its answer, for one kind. */
 export interface ServiceTime {
   /** Moving average in milliseconds; undefined before the first answer. */
   readonly expectedMs: number | undefined;
+  /** Time of the last answer, steady clock in milliseconds. */
+  readonly sampledAtMs: number;
   /**
    * Long-term mean of the logarithm of the time in milliseconds; undefined
    * until `BASELINE_SAMPLES` answers were recorded.
@@ -19,6 +22,7 @@
 /** State of a kind without any answers. */
 export const UNKNOWN_SERVICE_TIME: ServiceTime = {
   expectedMs: undefined,
+  sampledAtMs: 0,
   baselineLog: undefined,
   sampleSum: 0,
   sampleCount: 0,
@@ -31,9 +35,9 @@
 const BASELINE_RISE_MS = 30_000;
 /** Time constant of a fall. */
 const BASELINE_FALL_MS = 5_000;
-const EXPECTED_RISE_GAIN = 0.1;
+const EXPECTED_RISE_GAIN = { min: 0.1, max: 0.25, timeConstantMs: 2_500 };
 /** Higher, as too high an estimate refuses requests that could be served. */
-const EXPECTED_FALL_GAIN = 0.3;
+const EXPECTED_FALL_GAIN = { min: 0.3, max: 0.3, timeConstantMs: 2_500 };
 const MIN_LATENCY_MS = 1;
 /** Shorter times may differ by the delays of this process alone. */
 const MIN_BASELINE_MS = 5;
@@ -56,10 +60,14 @@
 ): ServiceTime {
   const ms = Math.max(MIN_LATENCY_MS, answer.latencyMs);
   const old = time.expectedMs ?? ms;
-  const gain = ms > old ? EXPECTED_RISE_GAIN : EXPECTED_FALL_GAIN;
+  const gain = computeSampleGain(
+    nowMs - time.sampledAtMs,
+    ms > old ? EXPECTED_RISE_GAIN : EXPECTED_FALL_GAIN,
+  );
   return updateBaseline({
     ...time,
     expectedMs: old + gain * (ms - old),
+    sampledAtMs: nowMs,
     sampleSum: time.sampleSum +
       Math.log(Math.max(MIN_BASELINE_MS, answer.ownMs)),
     sampleCount: time.sampleCount + 1,
--- a/src/engine/relay/test/estimates_test.ts
+++ b/src/engine/relay/test/estimates_test.ts
@@ -10,6 +10,10 @@
   recordSlowdown,
   updateLimit,
 } from "../../admission/common/concurrency_limit.ts";
+import {
+  recordLatency,
+  UNKNOWN_SERVICE_TIME,
+} from "../../admission/common/service_time.ts";
 import {
   computeLatencyRatio,
   createView,
@@ -82,6 +86,18 @@
   };
 }
 
+/** Creates the expected time of a run in the product's own interface. */
+function createExpectedTime(): Estimate {
+  let time = UNKNOWN_SERVICE_TIME;
+  return {
+    record: (value, nowMs) => {
+      const answer = { latencyMs: value * USUAL_MS, ownMs: value * USUAL_MS };
+      time = recordLatency(time, answer, nowMs);
+    },
+    read: () => time.expectedMs! / USUAL_MS,
+  };
+}
+
 const TIMES: readonly (readonly [string, () => Estimate])[] = [
   [
     "the service time of a route",
@@ -96,6 +112,7 @@
     () => createGateEstimate((gate) => createLoadFigures(gate).serviceMs, 1),
   ],
   ["the latency of a backend server", createLatencyEstimate],
+  ["the expected time of a run", createExpectedTime],
 ];
 
 /** Rates from one call a second to a thousand, evenly over the magnitudes. */
