--- a/src/engine/relay/test/member_table_test.ts
+++ b/src/engine/relay/test/member_table_test.ts
@@ -205,6 +205,8 @@
         recordResult(silent, true, nowMs);
       }
       expect(choose(table, 6_900)).to.equal("other:1");
+      recordResult(silent, true, 6_950);
+      expect(silent.ejectedUntilMs).to.be.above(7_000);
       table.recordLoad("near:1", LOAD, 7_000);
       table.recordLoad("other:1", { ...LOAD, pressure: 0.6 }, 7_000);
       return table;
