Judge a replica's confirmation at the time it is asked

Two causes, told apart by printing the age of the confirmation at the status of a resumed leader (72 freezes of 2.5 to 3.1 s beside six busy processes): - 38 of them showed a confirmation of 2.6 to 3.0 s, which is valid for 3 s by design. The test asked after 2.5 to 3 s, as silence counts from the last hello, up to 500 ms before the freeze: it could fail without a fault. It holds the freeze for 3.5 s now, after which no older confirmation is valid, and makes the same claim. - One showed a confirmation of 3,001 ms: the status, the readiness and the gauge table_confirmed read what the last event had left, so that they could vouch for up to a tick, or for a freeze, too long. They judge it at the time of the request. The new unit test reads true, true before and true, false after.

--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -8,6 +8,7 @@
 import { readSteadyMs } from "../base/node/steady_clock.ts";
 import { createClusterReport } from "../engine/control/common/cluster_report.ts";
 import { createControlReport } from "../engine/control/common/control_report.ts";
+import { isConfirmed } from "../engine/control/common/replication_state.ts";
 import {
   createReplica,
   reduceReplica,
@@ -357,7 +358,8 @@
 
   /** Reports the replica as ready while its table is confirmed as current. */
   #answerReadiness(): OperatorAnswer {
-    const isReady = this.#loop.state.control.isTableConfirmed;
+    const { replication } = this.#loop.state;
+    const isReady = isConfirmed(replication, readSteadyMs());
     return { status: isReady ? 200 : 503, body: { isReady } };
   }
 
@@ -403,7 +405,7 @@
       role: "control",
       id: this.#settings.id,
       dataCentre: this.#settings.data_centre,
-      ...createControlReport(control, nowMs),
+      ...createControlReport(this.#loop.state, nowMs),
       cluster: createClusterReport(replication, nowMs),
       holders: listHolders(control.holders),
     };
--- a/src/daemon/control_gauges.ts
+++ b/src/daemon/control_gauges.ts
@@ -1,5 +1,7 @@
 /** Registers the gauges of a control replica. */
+import { readSteadyMs } from "../base/node/steady_clock.ts";
 import type { ReplicaState } from "../engine/control/common/replica_reducer.ts";
+import { isConfirmed } from "../engine/control/common/replication_state.ts";
 import type { Metrics } from "../engine/telemetry/node/metrics.ts";
 
 /** Registers gauges that read the state of the replica at each scrape. */
@@ -28,7 +30,7 @@
   metrics.addGauge(
     "table_confirmed",
     "Whether a quorum vouched for the table lately (1 or 0)",
-    () => readState().control.isTableConfirmed ? 1 : 0,
+    () => isConfirmed(readState().replication, readSteadyMs()) ? 1 : 0,
   );
   metrics.addGauge(
     "silent_replicas",
--- a/src/daemon/test/cluster_faults_test.ts
+++ b/src/daemon/test/cluster_faults_test.ts
@@ -5,12 +5,15 @@
 import { expect } from "chai";
 import { request } from "undici";
 import type { ClusterReport } from "../../engine/control/common/cluster_report.ts";
+import { CONFIRMATION_TTL_MS } from "../../engine/control/common/replication_state.ts";
 import type { EditOutcome } from "../../engine/table/common/table_reducer.ts";
 import { Fleet, waitReady } from "../../../standin/fleet.ts";
 import type { FleetControl } from "../../../standin/fleet.ts";
 
 const WAIT_LIMIT_MS = 25_000;
 const POLL_INTERVAL_MS = 50;
+/** A freeze after which no confirmation from before it is valid. */
+const FREEZE_MS = CONFIRMATION_TTL_MS + 500;
 const CELLS = {
   kind: "lookup",
   service: "catalog",
@@ -170,11 +173,13 @@
     const leader = await findLeader();
     const others = controls.filter((control) => control !== leader);
     leader.child.kill("SIGSTOP");
+    const expiry = sleep(FREEZE_MS);
     await resendUntilAccepted(others, 2);
     await waitStatus(
       others[0]!,
       ({ cluster }) => findMember({ cluster }, leader.id).isSilent,
     );
+    await expiry;
     leader.child.kill("SIGCONT");
     const resumed = await readStatus(leader);
     expect(resumed.isTableConfirmed && resumed.tableVersion < 2).to.equal(
--- a/src/engine/control/common/control_report.ts
+++ b/src/engine/control/common/control_report.ts
@@ -5,6 +5,8 @@
   parseReplicaId,
 } from "../../membership/common/membership_state.ts";
 import type { ControlState } from "./control_state.ts";
+import type { ReplicaState } from "./replica_reducer.ts";
+import { isConfirmed } from "./replication_state.ts";
 import { createWorkspaceReports } from "./workspace_report.ts";
 import type { WorkspaceReport } from "./workspace_report.ts";
 
@@ -49,14 +51,17 @@
  */
 export const REPORT_SILENCE_LIMIT_MS = 3_000;
 
-/** Creates the report at `nowMs`; it covers the nodes of all replicas. */
+/**
+ * Creates the report at `nowMs`; it covers the nodes of all replicas. The
+ * confirmation is judged at `nowMs`: no event may have come since it expired.
+ */
 export function createControlReport(
-  state: ControlState,
+  { control: state, replication }: ReplicaState,
   nowMs: number,
 ): ControlReport {
   return {
     tableVersion: state.tableState.table.version,
-    isTableConfirmed: state.isTableConfirmed,
+    isTableConfirmed: isConfirmed(replication, nowMs),
     nodes: listReports(state.membership, nowMs).map((report) => ({
       ...report.announcement,
       tableVersion: report.tableVersion,
--- a/src/engine/control/test/control_reducer_test.ts
+++ b/src/engine/control/test/control_reducer_test.ts
@@ -23,6 +23,7 @@
 } from "../common/control_state.ts";
 import { updateHolders } from "../common/holders.ts";
 import { ACK_TIMEOUT_MS, MAX_RECENT_TABLES } from "../common/table_push.ts";
+import { Replicas } from "./replicas.ts";
 
 const ROW: TableRow = {
   kind: "lookup",
@@ -279,7 +280,12 @@
     run.edit(1);
     run.nowMs += 3_500;
     run.sendHeartbeat(1, 1);
-    const report = createControlReport(run.state, run.nowMs);
+    const replicas = new Replicas(["a"]);
+    replicas.start("a");
+    const report = createControlReport(
+      { control: run.state, replication: replicas.get("a") },
+      run.nowMs,
+    );
     expect(report.nodes.map((node) => [
       node.nodeId,
       node.tableVersion,
--- a/src/engine/control/test/replica_reducer_test.ts
+++ b/src/engine/control/test/replica_reducer_test.ts
@@ -3,6 +3,7 @@
  * resumes.
  */
 import { expect } from "chai";
+import { createControlReport } from "../common/control_report.ts";
 import { createControl } from "../common/control_state.ts";
 import { reduceReplica } from "../common/replica_reducer.ts";
 import type { ReplicaEvent } from "../common/replica_reducer.ts";
@@ -36,4 +37,22 @@
     const after = readAnswers(nowMs + 3_600_000, before.state);
     expect(after.answers).to.deep.equal([false]);
   });
+
+  it("reports no confirmation before its first event", () => {
+    const replicas = new Replicas(["a"]);
+    replicas.start("a");
+    replicas.runUntil(() => replicas.isConfirmed("a"));
+    const { nowMs } = replicas;
+    const { state } = reduceReplica(
+      {
+        control: createControl("a", nowMs),
+        replication: replicas.get("a"),
+      },
+      { type: "ReplicationTicked" },
+      nowMs,
+    );
+    const readings = [nowMs, nowMs + 3_600_000]
+      .map((atMs) => createControlReport(state, atMs).isTableConfirmed);
+    expect(readings).to.deep.equal([true, false]);
+  });
 });
