Don't take a backend server to be slow for its node's own suspension

Cause: the gate measured the runs in progress until it read their answers, so that the suspension counted as theirs. Five such samples raise a service time of 60 ms to 1,595 ms after a suspension of 5 s: other nodes avoid the server, and the gate refuses calls as too late.

An answer that is read after a lag of the event loop may have waited for as long, so that the run took something between the measured time and that time less the lag. The sample is the usual time as far as it lies between these: suspensions count for nothing, and a node that stays slow still follows runs that became longer or shorter.

--- a/src/engine/relay/common/gate.ts
+++ b/src/engine/relay/common/gate.ts
@@ -61,10 +61,12 @@
     readonly id: number;
     readonly route: string;
     /**
-     * Service time of the run; undefined if it is no sample, as after a
-     * failure.
+     * Time from its hand-over until its answer was read; undefined if it is no
+     * sample, as after a failure.
      */
     readonly serviceMs: number | undefined;
+    /** How long the answer may have waited to be read; 0 if not given. */
+    readonly readLagMs?: number;
     /** Whether the call timed out, or its caller left, without an answer. */
     readonly isLost: boolean;
     /** Whether the backend server reported that it did not run the call. */
@@ -334,7 +336,7 @@
   }
   state.lastCompletionMs = nowMs;
   state.running = Math.max(0, state.running - 1);
-  const { serviceMs, route, isLost, isRejected, isFailure } = event;
+  const { route, isLost, isRejected, isFailure } = event;
   if (isFailure !== undefined) {
     recordOutcome(state.failures, isFailure, nowMs);
     state.failedAtMs = isFailure ? nowMs : state.failedAtMs;
@@ -350,6 +352,7 @@
     recordRejection(state.pressure, getServiceMs(state, route));
     recordRejectedDemand(state.room, getServiceMs(state, route));
   }
+  const serviceMs = estimateServiceMs(state, event);
   if (serviceMs === undefined) {
     return;
   }
@@ -374,6 +377,25 @@
   }
 }
 
+/**
+ * Estimates the service time of a run: the usual one, as far as the time for
+ * which its answer may have waited to be read allows. Otherwise the runs that
+ * were in progress while this process was suspended would all count as slow.
+ */
+function estimateServiceMs(
+  { serviceTimes }: GateState,
+  { serviceMs, readLagMs = 0, route }: Extract<
+    GateEvent,
+    { type: "CallEnded" }
+  >,
+): number | undefined {
+  if (serviceMs === undefined) {
+    return undefined;
+  }
+  const usualMs = serviceTimes.get(route)?.meanMs ?? DEFAULT_SERVICE_MS;
+  return Math.max(serviceMs - readLagMs, Math.min(serviceMs, usualMs));
+}
+
 function updateMeanServiceMs(
   state: GateState,
   serviceMs: number,
--- a/src/engine/relay/node/gate_calls.ts
+++ b/src/engine/relay/node/gate_calls.ts
@@ -532,7 +532,7 @@
   }
 
   #sendAnswer(call: GateCallState, head: BackendHead, body: Uint8Array): void {
-    const { dialect, readClock, isLeaf } = this.#options;
+    const { dialect, readClock, loop, isLeaf } = this.#options;
     const { status, headers, rawHeaders } = head;
     const { requestId } = call.opened;
     const validation = dialect.validateAnswer({ status, headers, requestId });
@@ -556,6 +556,7 @@
     const serviceMs = isFailure ? undefined : readClock() - call.startedAtMs;
     this.#end(call, {
       serviceMs,
+      readLagMs: loop.lagMs,
       isLost: false,
       isRejected: false,
       // An error of a service that makes calls may come from further downstream.
@@ -652,7 +653,7 @@
     call: GateCallState,
     ended: Pick<
       Extract<GateEvent, { type: "CallEnded" }>,
-      "serviceMs" | "isLost" | "isRejected" | "isFailure"
+      "serviceMs" | "readLagMs" | "isLost" | "isRejected" | "isFailure"
     >,
   ): void {
     const { id, phase, opened } = call;
--- a/src/engine/relay/test/gate_test.ts
+++ b/src/engine/relay/test/gate_test.ts
@@ -48,16 +48,19 @@
   nowMs = 10,
   serviceMs = 10,
 ): readonly GateEffect[] {
-  const event = {
+  return reduceGate(gate, { ...createEnd(id), serviceMs }, nowMs);
+}
+
+function createEnd(id: number) {
+  return {
     type: "CallEnded",
     id,
     route: "lookup",
-    serviceMs,
+    serviceMs: 10,
     isLost: false,
     isRejected: false,
     wasSent: true,
-  };
-  return reduceGate(gate, event as never, nowMs);
+  } as const;
 }
 
 function describeEffects(effects: readonly GateEffect[]): readonly string[] {
@@ -231,6 +234,33 @@
     expect(gate.meanServiceMs).to.be.closeTo(10, 0.01);
   });
 
+  // Guards against a backend server that is avoided for seconds, and calls that
+  // are refused as too late, once its node has been suspended for a while.
+  it("is as before if the answers waited while the node was suspended", () => {
+    const gate = openGate(5);
+    endRuns(gate, { serviceMs: 60, perSecond: 100, lengthMs: 1_000 });
+    const read = { serviceMs: 5_040, readLagMs: 4_990 };
+    for (let id = 0; id < 5; id += 1) {
+      reduceGate(gate, { ...createEnd(id), ...read }, 7_000);
+    }
+    expect(gate.meanServiceMs).to.be.closeTo(60, 0.01);
+    expect(gate.serviceTimes.get("lookup")?.meanMs).to.be.closeTo(60, 0.01);
+  });
+
+  // Guards against runs that never count as long as the node is slow itself.
+  it("follows runs that are longer or shorter whatever the wait was", () => {
+    for (const [serviceMs, meanMs] of [[800, 500], [20, 20]] as const) {
+      const gate = openGate(5);
+      endRuns(gate, { serviceMs: 60, perSecond: 100, lengthMs: 1_000 });
+      const read = { serviceMs, readLagMs: 300 };
+      for (let id = 0; id < 400; id += 1) {
+        const nowMs = 2_000 + id * 10;
+        reduceGate(gate, { ...createEnd(id), ...read }, nowMs);
+      }
+      expect(gate.meanServiceMs).to.be.closeTo(meanMs, meanMs / 10);
+    }
+  });
+
   // Guards against one slow run after a pause that counts for all before it.
   it("is not that of a single call after a pause", () => {
     const gate = openGate();
