Don't take other nodes to be silent for the own suspension

Cause: the tick that follows a suspension runs before anything is read, and measured silence up to then: all links with calls in progress were dropped as silent, or their idempotent calls repeated elsewhere, whose answers waited in the sockets. The choice of members preferred none for the same reason, and the failures counted against them.

Silence counts up to the time until which all that arrived has been read, which the lag of the event loop tells. A node that did fall silent meanwhile is noticed one turn later.

The first unit test failed before; the second guards what must stay.

--- a/src/engine/relay/common/link_silence.ts
+++ b/src/engine/relay/common/link_silence.ts
@@ -28,29 +28,36 @@
 /**
  * Measures for how long nothing was received from the node of an attempt since
  * the attempt was sent; 0 if there is no attempt, or it is at the own node.
+ * `readUntilMs` is the time up to which all messages that arrived have been
+ * read: a process that was suspended takes no other one to be silent.
  */
 export function measureCallSilence(
   attempt: Attempt | undefined,
   getLastReceivedAtMs: GetLastReceivedAtMs,
-  nowMs: number,
+  readUntilMs: number,
 ): number {
   if (attempt === undefined) {
     return 0;
   }
   const lastReceivedAtMs = getLastReceivedAtMs(attempt.address);
-  return lastReceivedAtMs === undefined
-    ? 0
-    : nowMs - Math.max(lastReceivedAtMs, attempt.sentAtMs);
+  return lastReceivedAtMs === undefined ? 0 : Math.max(
+    0,
+    readUntilMs - Math.max(lastReceivedAtMs, attempt.sentAtMs),
+  );
 }
 
-/** Whether a member with calls in progress has been silent for too long. */
+/**
+ * Whether a member with calls in progress has been silent for too long;
+ * `readUntilMs` as above.
+ */
 export function isMemberSilent(
   member: Member,
   getLastReceivedAtMs: GetLastReceivedAtMs,
-  nowMs: number,
+  readUntilMs: number,
 ): boolean {
   const { announcement, outstanding, busySinceMs } = member;
   const lastReceivedAtMs = getLastReceivedAtMs(announcement.ingress);
   return lastReceivedAtMs !== undefined && outstanding > 0 &&
-    nowMs - Math.max(lastReceivedAtMs, busySinceMs) > MEMBER_SILENCE_LIMIT_MS;
+    readUntilMs - Math.max(lastReceivedAtMs, busySinceMs) >
+      MEMBER_SILENCE_LIMIT_MS;
 }
--- a/src/engine/relay/node/entry_calls.ts
+++ b/src/engine/relay/node/entry_calls.ts
@@ -187,15 +187,16 @@
    * suspect members that are due.
    */
   tick(): void {
-    const { members, links, readClock } = this.#options;
+    const { members, links, readClock, loop } = this.#options;
     const { getLastReceivedAtMs } = links;
     const nowMs = readClock();
+    const readUntilMs = nowMs - loop.lagMs;
     const silentAddresses = new Set<string>();
     for (const call of [...this.#calls.values()]) {
       const silenceMs = measureCallSilence(
         call.attempt,
         getLastReceivedAtMs,
-        nowMs,
+        readUntilMs,
       );
       if (nowMs >= call.request.deadlineMs) {
         this.#cancelAttempt(call);
@@ -333,7 +334,8 @@
   }
 
   #chooseMember(call: EntryCall, nowMs: number): Member | undefined {
-    const { members, dataCentre, draw, links, log } = this.#options;
+    const { members, dataCentre, draw, links, loop, log } = this.#options;
+    const readUntilMs = nowMs - loop.lagMs;
     const member = members.choose(call.service, {
       dataCentre,
       tried: call.tried,
@@ -342,7 +344,7 @@
       canProbe: call.request.route.isIdempotent && !call.request.isNested,
       canProbeLate: () => this.#canRetryElsewhere(call, nowMs),
       isSilent: (candidate) =>
-        isMemberSilent(candidate, links.getLastReceivedAtMs, nowMs),
+        isMemberSilent(candidate, links.getLastReceivedAtMs, readUntilMs),
     });
     const line = member &&
       this.#placementLog.record(call.service, member, nowMs);
--- a/src/engine/relay/test/entry_calls_test.ts
+++ b/src/engine/relay/test/entry_calls_test.ts
@@ -26,6 +26,10 @@
   readonly lastReceivedAtMs = new Map<string, number>();
   readonly calls: EntryCalls;
   readonly members = new MemberTable();
+  readonly loop = {
+    lagMs: 0,
+    runAfterPendingReads: (run: () => void) => run(),
+  };
 
   constructor(...addresses: readonly string[]) {
     const { members } = this;
@@ -64,7 +68,7 @@
       draw: () => 0,
       getLastRank: () => 0,
       log: { write: () => {} },
-      loop: { lagMs: 0, runAfterPendingReads: (run) => run() },
+      loop: this.loop,
       receiveCallerReport: () => {},
       recordAttempt: () => {},
       recordCallDuration: () => {},
@@ -93,6 +97,13 @@
     }
   }
 
+  /** Ticks after a suspension, before anything has been read. */
+  suspend(lengthMs: number): void {
+    this.nowMs += lengthMs;
+    this.loop.lagMs = lengthMs - 20;
+    this.calls.tick();
+  }
+
   receiveReport(address: string): void {
     this.lastReceivedAtMs.set(address, this.nowMs);
     const report = {
@@ -205,6 +216,30 @@
   });
 });
 
+// Guards against calls that are repeated or failed, while their answers wait to
+// be read, because this node was suspended and so heard nothing.
+describe("a node that was suspended itself", () => {
+  it("neither repeats nor fails calls, and prefers no other node", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start();
+    entry.start({ route: { ...ROUTE, isIdempotent: false } });
+    entry.suspend(1_300);
+    expect(entry.listOpenings()).to.deep.equal(["a:1", "b:1"]);
+    expect(entry.results).to.deep.equal([]);
+    entry.start();
+    expect(entry.listOpenings()).to.deep.equal(["a:1", "b:1", "a:1"]);
+  });
+
+  it("repeats calls at once if nothing had arrived meanwhile either", () => {
+    const entry = new Entry("a:1", "b:1");
+    entry.start();
+    entry.suspend(700);
+    entry.loop.lagMs = 0;
+    entry.pass(20);
+    expect(entry.listOpenings()).to.have.length(2);
+  });
+});
+
 describe("an error of a backend server", () => {
   const answer = (call: number, status: number) => ({
     type: "AnswerOpened" as const,
