--- a/src/daemon/test/quarantine_test.ts
+++ b/src/daemon/test/quarantine_test.ts
@@ -21,7 +21,8 @@
 describe("a request that crashes backend servers", () => {
   let fleet: Fleet;
   let nodes: readonly FleetNode[];
-  let crashCount = 0;
+  /** How each backend server ended, with its last line. */
+  const ends: string[] = [];
   let isClosing = false;
   let nextId = 0;
 
@@ -53,11 +54,14 @@
 
   /** Counts the crashes of a backend server and restarts it after each. */
   function watchBackend(node: FleetNode, backend: FleetProcess): void {
-    backend.child.once("exit", () => {
+    backend.child.once("exit", (code, signal) => {
       if (isClosing) {
         return;
       }
-      crashCount += 1;
+      const atMs = Math.round(performance.now());
+      ends.push(
+        `${node.id} at ${atMs} ms: ${code ?? signal}, ${backend.log.at(-1)}`,
+      );
       const { id, egress, backendAddress: address } = node;
       const behaviour = { crashPath: CRASH_PATH };
       fleet.startBackend({ id, address, egress, slots: 13, behaviour })
@@ -118,7 +122,7 @@
     }
     isResending = false;
     const innocentAnswers = (await Promise.all(innocents)).flat();
-    expect(crashCount).to.equal(2);
+    expect(ends.length, ends.join("\n")).to.equal(2);
     const last = resent.slice(-nodes.length);
     for (const { status, outcome } of last) {
       expect([status, outcome]).to.deep.equal([422, "not-run"]);
@@ -147,11 +151,11 @@
     for (const { status } of await Promise.all(copies)) {
       expect(status).to.equal(422);
     }
-    expect(crashCount).to.equal(2);
+    expect(ends.length, ends.join("\n")).to.equal(2);
   }).timeout(TEST_TIMEOUT_MS);
 
   it("crashes at most one server per node and one more when sent at once", async () => {
-    const before = crashCount;
+    const before = ends.length;
     const path = `${CRASH_PATH}-at-once`;
     for (let round = 0; round < 4; round++) {
       const copies = nodes.flatMap((node) =>
@@ -160,7 +164,8 @@
       await Promise.all(copies);
       await sleep(1_200);
     }
-    expect(crashCount - before).to.be.at.most(nodes.length + 1);
+    expect(ends.length - before, ends.join("\n"))
+      .to.be.at.most(nodes.length + 1);
     for (const node of nodes) {
       expect((await send(node, path)).status).to.equal(422);
     }
